--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Two commands for a newcomer: `make demo` and `make test`.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: setup demo test lint format binary thrift clean
+
+setup: .venv/ready
+
+.venv/ready: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: setup
+	$(BIN)/python -m demo $(ARGS)
+
+test: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8
+	$(BIN)/mypy hyssopring
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8
+	$(BIN)/mypy hyssopring
+
+format: setup
+	$(BIN)/ruff format .
+
+binary: setup
+	$(BIN)/shiv --quiet --compressed -e hyssopring.cli.main:main -o dist/hyssopring -p '/usr/bin/env python3' .
+
+# Needs a thrift compiler; its output is committed, so no build needs it.
+thrift:
+	mkdir -p build/thrift
+	thrift -r --gen py:slots -out build/thrift hyssopring/protocol/inner.thrift
+	cp build/thrift/hyssopring/protocol/generated/*.py hyssopring/protocol/generated/
+
+clean:
+	rm -rf .venv build dist
--- /dev/null
+++ b/hyssopring/agent/announce.py
@@ -0,0 +1,75 @@
+"""The loopback port where backend servers announce themselves."""
+
+import json
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+
+from hyssopring.agent.backends import AnnouncedBackend
+from hyssopring.agent.core import AgentCore
+from hyssopring.configuration import describe_validation
+
+__all__ = ('AnnounceResource',)
+
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_MAX_SLOTS = 100_000
+
+
+class _Announcement(BaseModel):
+    model_config = ConfigDict(extra='forbid', strict=True, frozen=True)
+
+    id: Annotated[str, Field(min_length=1, max_length=64)]
+    service: Annotated[str, Field(pattern='^[a-z0-9-]+/[a-z0-9-]+$')]
+    address: Annotated[str, Field(pattern='^[0-9A-Za-z.:-]+:[0-9]{1,5}$')]
+    slots: Annotated[int, Field(ge=1, le=_MAX_SLOTS)]
+    connections: Annotated[int, Field(ge=1, le=_MAX_SLOTS)]
+    leaving: bool = False
+
+    def to_backend(self) -> AnnouncedBackend:
+        return AnnouncedBackend(
+            self.id,
+            self.service,
+            self.address,
+            min(self.slots, self.connections),
+            self.connections,
+            self.leaving,
+        )
+
+
+class AnnounceResource(Resource):
+    """Takes ``POST /announce``; also serves ``/metrics`` and ``/healthz``."""
+
+    isLeaf = True
+
+    def __init__(self, core: AgentCore) -> None:
+        """Give announcements to the core."""
+        super().__init__()
+        self._core = core
+        self.is_ready = True
+
+    def render_GET(self, request: Request) -> bytes:
+        """Serve metrics and readiness."""
+        if request.path == b'/metrics':
+            return self._core.metrics.render().encode()
+        if request.path == b'/healthz':
+            return b'ready\n' if self.is_ready else b'stopping\n'
+        request.setResponseCode(_NOT_FOUND)
+        return b'not found\n'
+
+    def render_POST(self, request: Request) -> bytes:
+        """Take or renew one announcement."""
+        try:
+            announcement = _Announcement.model_validate_json(
+                request.content.read(),
+            )
+        except ValidationError as error:
+            request.setResponseCode(_BAD_REQUEST)
+            return describe_validation(error).encode()
+        was_leaving = self._core.backends.is_leaving(announcement.id)
+        self._core.backends.announce(announcement.to_backend())
+        if announcement.leaving and not was_leaving:
+            self._core.heartbeat()
+        return json.dumps({'accepted': True}).encode()
--- /dev/null
+++ b/hyssopring/agent/backends.py
@@ -0,0 +1,160 @@
+"""The backend servers that announce themselves on this VM."""
+
+from dataclasses import dataclass
+
+from hyssopring.clock import Clock
+from hyssopring.invariants import Invariants
+from hyssopring.logs import Event, log_event
+from hyssopring.protocol.messages import BackendReport
+
+__all__ = ('AnnouncedBackend', 'Backends', 'ServiceLoad')
+
+# A backend that has not announced for this long gets no new work. Entries
+# hear of it within one heartbeat, so new work ends within 3 s.
+_ANNOUNCEMENT_TTL_MS = 2000
+_LATENCY_WEIGHT = 0.2
+
+
+@dataclass(slots=True)
+class AnnouncedBackend:
+    """One backend server, as it announced itself.
+
+    Attributes:
+        address: ``host:port`` where it takes requests.
+        heard_at: When it last announced itself.
+    """
+
+    backend_id: str
+    service_name: str
+    address: str
+    slots: int
+    connections: int
+    leaving: bool = False
+    heard_at: float = 0
+    in_flight: int = 0
+    latency_ms: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Calls running and waiting for one service on this VM."""
+
+    in_flight: int
+    queued: int
+
+
+class Backends:
+    """The live backend servers by id, with their slots."""
+
+    def __init__(self, clock: Clock, invariants: Invariants) -> None:
+        """Start empty: backend servers announce themselves."""
+        self._clock = clock
+        self._invariants = invariants
+        self._backend_by_id: dict[str, AnnouncedBackend] = {}
+        self._queued_by_service: dict[str, int] = {}
+
+    def announce(self, backend: AnnouncedBackend) -> None:
+        """Take or renew an announcement."""
+        backend.heard_at = self._clock.now()
+        known = self._backend_by_id.get(backend.backend_id)
+        if known is None:
+            self._backend_by_id[backend.backend_id] = backend
+            log_event(
+                Event.BACKEND_ANNOUNCED,
+                backend=backend.backend_id,
+                service=backend.service_name,
+                slots=backend.slots,
+            )
+            return
+        if backend.leaving and not known.leaving:
+            log_event(Event.BACKEND_LEAVING, backend=backend.backend_id)
+        known.address = backend.address
+        known.slots = backend.slots
+        known.connections = backend.connections
+        known.leaving = backend.leaving
+        known.heard_at = backend.heard_at
+
+    def is_leaving(self, backend_id: str) -> bool:
+        """Whether this backend has said that it is leaving."""
+        backend = self._backend_by_id.get(backend_id)
+        return backend is not None and backend.leaving
+
+    def expire(self) -> None:
+        """Drop backends that stopped announcing and have nothing running."""
+        now = self._clock.now()
+        for backend in list(self._backend_by_id.values()):
+            is_silent = now - backend.heard_at > _ANNOUNCEMENT_TTL_MS
+            if is_silent and not backend.leaving:
+                backend.leaving = True
+                log_event(Event.BACKEND_EXPIRED, backend=backend.backend_id)
+            if is_silent and not backend.in_flight:
+                self._backend_by_id.pop(backend.backend_id)
+
+    def has_service(self, service_name: str) -> bool:
+        """Whether a backend of this service takes new work."""
+        return any(
+            backend.service_name == service_name and not backend.leaving
+            for backend in self._backend_by_id.values()
+        )
+
+    def free_backend(self, service_name: str) -> AnnouncedBackend | None:
+        """Return the backend with most free slots, None if all are full."""
+        usable = [
+            backend
+            for backend in self._backend_by_id.values()
+            if backend.service_name == service_name
+            and not backend.leaving
+            and backend.in_flight < backend.slots
+        ]
+        return min(
+            usable,
+            key=lambda backend: backend.in_flight / backend.slots,
+            default=None,
+        )
+
+    def started(self, backend: AnnouncedBackend) -> None:
+        """A call takes one of the backend's slots."""
+        backend.in_flight += 1
+        self._invariants.check(
+            backend.in_flight <= backend.slots,
+            'no backend server is given more than its slots',
+            backend.backend_id,
+        )
+
+    def finished(self, backend: AnnouncedBackend, took_ms: float) -> None:
+        """A call gives its slot back."""
+        backend.in_flight -= 1
+        backend.latency_ms += _LATENCY_WEIGHT * (took_ms - backend.latency_ms)
+
+    def queued(self, service_name: str, change: int) -> None:
+        """Count calls that wait for a slot."""
+        count = self._queued_by_service.get(service_name, 0) + change
+        self._queued_by_service[service_name] = count
+
+    def load(self, service_name: str) -> ServiceLoad:
+        """Return a service's running and waiting calls."""
+        running = sum(
+            backend.in_flight
+            for backend in self._backend_by_id.values()
+            if backend.service_name == service_name
+        )
+        return ServiceLoad(
+            running,
+            self._queued_by_service.get(service_name, 0),
+        )
+
+    def reports(self) -> tuple[BackendReport, ...]:
+        """Return what entries are to know of each backend."""
+        return tuple(
+            BackendReport(
+                service_name=backend.service_name,
+                backend_id=backend.backend_id,
+                slots=backend.slots,
+                connections=backend.connections,
+                leaving=backend.leaving,
+                in_flight=backend.in_flight,
+                queued=self._queued_by_service.get(backend.service_name, 0),
+                latency_ms=backend.latency_ms,
+            )
+            for backend in self._backend_by_id.values()
+        )
--- /dev/null
+++ b/hyssopring/agent/core.py
@@ -0,0 +1,244 @@
+"""The agent's logic without sockets: typed messages in and out."""
+
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Protocol
+
+from hyssopring.agent.backends import Backends
+from hyssopring.agent.calls import BackendCaller, CallExecutor
+from hyssopring.agent.ledger import Ledger
+from hyssopring.agent.tasks import TaskSupervisor, Worker
+from hyssopring.clock import Clock
+from hyssopring.configuration import ConfigurationState
+from hyssopring.invariants import Invariants
+from hyssopring.leases import ShardLeases
+from hyssopring.logs import Event, log_event
+from hyssopring.metrics import Metrics
+from hyssopring.protocol.messages import (
+    PROTOCOL_VERSION,
+    CallRequest,
+    CancelCall,
+    ConfigurationQuery,
+    ConfigurationUpdate,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    LeaseGrant,
+    Message,
+    OutcomeQuery,
+    Resources,
+    StartTask,
+    StopTask,
+    TaskReportAck,
+)
+
+__all__ = ('AgentCore', 'AgentIdentity', 'AgentLinks')
+
+HEARTBEAT_MS = 1000.0
+_REMEMBERED_BEATS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class AgentIdentity:
+    """Who this agent is, from its settings and this run.
+
+    Attributes:
+        incarnation: Differs in each run: an agent keeps nothing.
+    """
+
+    agent_id: str
+    incarnation: str
+    zone: str
+    rack: str
+    capacity: Resources
+
+    def hello(self, proof: str, configuration_version: int) -> Hello:
+        """Return the first message on a connection."""
+        return Hello(
+            PROTOCOL_VERSION,
+            self.agent_id,
+            self.incarnation,
+            self.zone,
+            self.rack,
+            proof,
+            self.capacity,
+            configuration_version,
+        )
+
+
+class AgentLinks(Protocol):
+    """Sends messages to connected entries."""
+
+    def send(self, entry_id: str, message: Message) -> bool:
+        """Write a message; False if the entry is not connected."""
+
+    def broadcast(self, message: Message) -> None:
+        """Write a message to every connected entry."""
+
+
+@dataclass(slots=True)
+class _EntryLink:
+    sent_at_by_sequence: dict[int, float] = field(default_factory=dict)
+    reported_epoch_by_shard: dict[int, int] = field(default_factory=dict)
+
+
+class AgentCore:
+    """One agent: its ledger, calls, tasks and configuration."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        identity: AgentIdentity,
+        links: AgentLinks,
+        caller: BackendCaller,
+        worker: Worker,
+        metrics: Metrics,
+    ) -> None:
+        """Take the ports to entries, backend servers and the worker."""
+        invariants = Invariants(metrics)
+        self._clock = clock
+        self._links = links
+        self._sequence = 0
+        self._is_stopping = False
+        self._link_by_entry: dict[str, _EntryLink] = {}
+        self.identity = identity
+        self.metrics = metrics
+        self.configuration = ConfigurationState()
+        self.ledger = Ledger(identity.capacity, invariants)
+        self.backends = Backends(clock, invariants)
+        self.calls = CallExecutor(clock, self.backends, links, caller, metrics)
+        self.tasks = TaskSupervisor(
+            clock,
+            self.ledger,
+            ShardLeases(clock),
+            worker,
+            links.broadcast,
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether a planned stop may end the process now."""
+        return not self.calls.unfinished and not self.tasks.running
+
+    def on_connected(self, entry_id: str) -> None:
+        """An entry has welcomed this agent on a new connection."""
+        self._link_by_entry[entry_id] = _EntryLink()
+        log_event(Event.ENTRY_CONNECTED, entry=entry_id)
+        self._beat(entry_id)
+
+    def on_disconnected(self, entry_id: str) -> None:
+        """A connection to an entry is gone."""
+        if self._link_by_entry.pop(entry_id, None) is not None:
+            log_event(Event.ENTRY_DISCONNECTED, entry=entry_id)
+
+    @singledispatchmethod
+    def on_message(self, message: Message, entry_id: str) -> None:
+        """Take one message from an entry; others than these are ignored."""
+
+    @on_message.register
+    def _on_call(self, message: CallRequest, entry_id: str) -> None:
+        self.calls.on_call(entry_id, message)
+
+    @on_message.register
+    def _on_cancel(self, message: CancelCall, entry_id: str) -> None:
+        self.calls.on_cancel(message.request_id)
+
+    @on_message.register
+    def _on_query(self, message: OutcomeQuery, entry_id: str) -> None:
+        self.calls.on_query(entry_id, message.request_id)
+
+    @on_message.register
+    def _on_update(self, message: ConfigurationUpdate, entry_id: str) -> None:
+        if self.configuration.apply(message):
+            log_event(
+                Event.CONFIGURATION_APPLIED,
+                version=message.version,
+                source=entry_id,
+            )
+            self._beat(entry_id)
+
+    @on_message.register
+    def _on_configuration_query(
+        self,
+        message: ConfigurationQuery,
+        entry_id: str,
+    ) -> None:
+        update = self.configuration.update_since(message.version)
+        self._links.send(entry_id, update)
+
+    @on_message.register
+    def _on_start(self, message: StartTask, entry_id: str) -> None:
+        self.tasks.on_start(message)
+
+    @on_message.register
+    def _on_stop(self, message: StopTask, entry_id: str) -> None:
+        self.tasks.on_stop(message)
+
+    @on_message.register
+    def _on_recorded(self, message: TaskReportAck, entry_id: str) -> None:
+        self.tasks.on_recorded(message.tasks)
+
+    @on_message.register
+    def _on_ack(self, message: HeartbeatAck, entry_id: str) -> None:
+        link = self._link_by_entry.get(entry_id)
+        if link is None:
+            return
+        asked_at = link.sent_at_by_sequence.pop(message.sequence, None)
+        if asked_at is None:
+            return
+        for grant in message.grants:
+            self.tasks.on_grant(grant, asked_at)
+            self._report_once(link, entry_id, grant)
+        if message.configuration_version > self.configuration.version:
+            query = ConfigurationQuery(self.configuration.version)
+            self._links.send(entry_id, query)
+
+    def heartbeat(self) -> None:
+        """Tell every entry that this agent lives; call each second."""
+        self.backends.expire()
+        for entry_id in list(self._link_by_entry):
+            self._beat(entry_id)
+
+    def tick(self) -> None:
+        """Let deadlines and leases take effect."""
+        self.calls.tick()
+
+    def stop(self) -> None:
+        """Begin a planned stop: nothing new, what runs finishes."""
+        self._is_stopping = True
+        self.calls.stop()
+        self.tasks.stop()
+        self.heartbeat()
+
+    def _beat(self, entry_id: str) -> None:
+        link = self._link_by_entry.get(entry_id)
+        if link is None:
+            return
+        self._sequence += 1
+        link.sent_at_by_sequence[self._sequence] = self._clock.now()
+        while len(link.sent_at_by_sequence) > _REMEMBERED_BEATS:
+            link.sent_at_by_sequence.pop(min(link.sent_at_by_sequence))
+        self._links.send(
+            entry_id,
+            Heartbeat(
+                self._sequence,
+                self.configuration.version,
+                self.backends.reports(),
+                self.ledger.free,
+                self._is_stopping,
+            ),
+        )
+
+    def _report_once(
+        self,
+        link: _EntryLink,
+        entry_id: str,
+        grant: LeaseGrant,
+    ) -> None:
+        """Name all tasks once per connection and planner's epoch."""
+        if link.reported_epoch_by_shard.get(grant.shard) == grant.epoch:
+            return
+        report = self.tasks.full_report(grant.shard, grant.epoch)
+        if report is not None:
+            link.reported_epoch_by_shard[grant.shard] = grant.epoch
+            self._links.send(entry_id, report)
--- /dev/null
+++ b/hyssopring/agent/daemon.py
@@ -0,0 +1,113 @@
+"""The agent process: owns the sockets and timers around the core."""
+
+import random
+import uuid
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from hyssopring.addresses import parse_address
+from hyssopring.agent.announce import AnnounceResource
+from hyssopring.agent.core import HEARTBEAT_MS, AgentCore, AgentIdentity
+from hyssopring.agent.links import EntryLinks
+from hyssopring.agent.outside import HttpBackendCaller, HttpWorker
+from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.logs import Event, log_event
+from hyssopring.metrics import Metrics
+from hyssopring.settings import AgentSettings
+
+__all__ = ('AgentDaemon',)
+
+_TICK_S = 0.02
+_SILENCE_CHECK_S = 0.25
+_LISTING_S = 0.5
+_LEASES_S = 1.0
+_DRAIN_CHECK_S = 0.05
+_MILLIS_PER_SECOND = 1000.0
+
+
+class AgentDaemon:
+    """One running agent."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: AgentSettings,
+        clock: Clock | None = None,
+    ) -> None:
+        """Build the core and its shell; ``start`` opens the port."""
+        self._reactor = reactor
+        self._settings = settings
+        self._clock = clock or MonotonicClock()
+        self._worker = HttpWorker(reactor, settings.worker_url)
+        self._links = EntryLinks(
+            reactor,
+            self._clock,
+            settings.inner_secret,
+            settings.entries,
+            random.Random(uuid.uuid4().int),
+        )
+        self.core = AgentCore(
+            self._clock,
+            AgentIdentity(
+                settings.id,
+                uuid.uuid4().hex,
+                settings.zone,
+                settings.rack,
+                settings.capacity.to_resources(),
+            ),
+            self._links,
+            HttpBackendCaller(reactor),
+            self._worker,
+            Metrics(),
+        )
+        self._links.attach(self.core)
+        self._announce = AnnounceResource(self.core)
+        self._loops: list[LoopingCall] = []
+
+    def start(self) -> None:
+        """Open the port, dial the entries, start the timers."""
+        host, port = parse_address(self._settings.announce_address)
+        site = Site(self._announce)
+        site.noisy = False
+        self._reactor.listenTCP(port, site, interface=host)
+        self._links.start()
+        self._every(_TICK_S, self.core.tick)
+        self._every(_LEASES_S, self.core.tasks.tick)
+        self._every(HEARTBEAT_MS / _MILLIS_PER_SECOND, self.core.heartbeat)
+        self._every(_SILENCE_CHECK_S, self._links.check_silence)
+        self._every(_LISTING_S, self._list_tasks)
+        log_event(Event.PROCESS_STARTED, role='agent', id=self._settings.id)
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown: requests in flight finish first."""
+        if not self._announce.is_ready:
+            return
+        self._announce.is_ready = False
+        log_event(
+            Event.PROCESS_STOPPING,
+            calls=self.core.calls.unfinished,
+            tasks=self.core.tasks.running,
+        )
+        self.core.stop()
+        self._drain(self._clock.now() + self._settings.drain_ms)
+
+    def _every(self, seconds: float, action: Any) -> None:
+        loop = LoopingCall(action)
+        loop.clock = self._reactor
+        loop.start(seconds, now=False)
+        self._loops.append(loop)
+
+    def _list_tasks(self) -> None:
+        self._worker.list(self.core.tasks.on_listing)
+
+    def _drain(self, deadline: float) -> None:
+        if self.core.is_idle or self._clock.now() > deadline:
+            self._reactor.callLater(_DRAIN_CHECK_S, self._finish)
+            return
+        self._reactor.callLater(_DRAIN_CHECK_S, self._drain, deadline)
+
+    def _finish(self) -> None:
+        log_event(Event.PROCESS_STOPPED, role='agent')
+        self._reactor.stop()
--- /dev/null
+++ b/hyssopring/entry/core.py
@@ -0,0 +1,222 @@
+"""The entry's logic without sockets: typed messages in and out."""
+
+import random
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from hyssopring.clock import Clock
+from hyssopring.configuration import ConfigurationKeeper, ConfigurationState
+from hyssopring.entry.calls import Callers, Links
+from hyssopring.entry.router import CallRouter
+from hyssopring.leases import ShardHolder, ShardSettings
+from hyssopring.logs import Event, log_event
+from hyssopring.membership import AgentRecord, Fleet
+from hyssopring.metrics import Metrics
+from hyssopring.placement import LeaseTimes, Planner, PlannerPorts
+from hyssopring.protocol.messages import (
+    CallResponse,
+    ConfigurationQuery,
+    ConfigurationUpdate,
+    EntryList,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    Message,
+    TaskReport,
+    Welcome,
+)
+from hyssopring.store.rows import Store
+
+__all__ = ('EntryCore', 'EntryIdentity')
+
+# An agent beats each second; with nothing heard for this long its connection
+# has gone silent, and it is dropped so that the agent dials a new one.
+SILENCE_MS = 2500.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryIdentity:
+    """Who this entry is, from its settings."""
+
+    entry_id: str
+    zone: str
+    inner_address: str
+
+
+class EntryCore:
+    """One entry: routing, configuration, membership and planning."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        identity: EntryIdentity,
+        store: Store,
+        links: Links,
+        callers: Callers,
+        metrics: Metrics,
+        rng: random.Random,
+        shard_settings: ShardSettings = ShardSettings(),
+        lease_times: LeaseTimes = LeaseTimes(),
+    ) -> None:
+        """Take the ports to agents, callers and the table service."""
+        self._clock = clock
+        self._links = links
+        self._listed_addresses: tuple[str, ...] = ()
+        self.identity = identity
+        self.metrics = metrics
+        self.fleet = Fleet()
+        self.configuration = ConfigurationState()
+        self.configuration_keeper = ConfigurationKeeper(
+            self.configuration,
+            store,
+            self._push_configuration,
+        )
+        self.router = CallRouter(
+            clock,
+            identity.zone,
+            self.fleet,
+            self.configuration,
+            links,
+            callers,
+            metrics,
+            rng,
+        )
+        self.planner = Planner(
+            store,
+            PlannerPorts(
+                clock,
+                self.fleet,
+                self.configuration,
+                links,
+                metrics,
+                lease_times,
+            ),
+        )
+        self.shards = ShardHolder(
+            clock,
+            store,
+            identity.entry_id,
+            identity.inner_address,
+            self.planner.on_acquired,
+            self.planner.on_lost,
+            shard_settings,
+        )
+        self.planner.attach(self.shards)
+
+    def on_hello(self, hello: Hello) -> AgentRecord:
+        """Take in an agent whose proof was good; it replaces an older link."""
+        older = self.fleet.agent(hello.agent_id)
+        if older is not None:
+            self.on_disconnected(older)
+        record = self.fleet.connect(hello, self._clock.now())
+        log_event(
+            Event.AGENT_CONNECTED,
+            agent=hello.agent_id,
+            zone=hello.zone,
+            rack=hello.rack,
+        )
+        self._links.send(
+            hello.agent_id,
+            Welcome(
+                self.identity.entry_id,
+                self.configuration.version,
+                self.shards.entry_addresses,
+            ),
+        )
+        if hello.configuration_version > self.configuration.version:
+            # A fresh entry learns the configuration from agents, also while
+            # the table service is down.
+            query = ConfigurationQuery(self.configuration.version)
+            self._links.send(hello.agent_id, query)
+        self.router.on_connect(record)
+        return record
+
+    def on_disconnected(self, record: AgentRecord) -> None:
+        """The connection of this record is gone."""
+        if self.fleet.agent(record.agent_id) is not record:
+            return
+        self.fleet.disconnect(record.agent_id)
+        log_event(Event.AGENT_DISCONNECTED, agent=record.agent_id)
+        self.router.on_disconnect(record)
+
+    @singledispatchmethod
+    def on_message(self, message: Message, record: AgentRecord) -> None:
+        """Take one message from an agent; others than these are ignored."""
+
+    @on_message.register
+    def _on_response(self, message: CallResponse, record: AgentRecord) -> None:
+        self.router.on_response(record, message)
+
+    @on_message.register
+    def _on_heartbeat(self, message: Heartbeat, record: AgentRecord) -> None:
+        self.fleet.heartbeat(record, message, self._clock.now())
+        ack = HeartbeatAck(
+            message.sequence,
+            self.configuration.version,
+            self.planner.grants(record.agent_id),
+        )
+        self._links.send(record.agent_id, ack)
+
+    @on_message.register
+    def _on_report(self, message: TaskReport, record: AgentRecord) -> None:
+        self.planner.on_report(record, message)
+
+    @on_message.register
+    def _on_configuration_query(
+        self,
+        message: ConfigurationQuery,
+        record: AgentRecord,
+    ) -> None:
+        update = self.configuration.update_since(message.version)
+        self._links.send(record.agent_id, update)
+
+    @on_message.register
+    def _on_update(
+        self,
+        message: ConfigurationUpdate,
+        record: AgentRecord,
+    ) -> None:
+        self.configuration_keeper.adopt(message)
+
+    def tick(self) -> None:
+        """Let deadlines take effect; place waiting tasks."""
+        self.router.tick()
+        self.planner.tick()
+
+    def drop_silent(self) -> None:
+        """Abort connections on which nothing was heard for too long."""
+        now = self._clock.now()
+        for record in self.fleet.agents:
+            if now - record.heard_at > SILENCE_MS:
+                log_event(Event.CONNECTION_SILENT, agent=record.agent_id)
+                self._links.drop(record.agent_id)
+
+    def poll_table(self) -> None:
+        """Read what changed in the table; call each 500 ms."""
+        self.configuration_keeper.poll()
+        self.planner.poll()
+
+    def renew(self) -> None:
+        """Renew this entry's own lease; call each second."""
+        addresses = self.shards.entry_addresses
+        if addresses != self._listed_addresses:
+            self._listed_addresses = addresses
+            for record in self.fleet.agents:
+                self._links.send(record.agent_id, EntryList(addresses))
+        self.shards.configuration_version = self.configuration.version
+        self.shards.poll()
+
+    def stop(self) -> None:
+        """Begin a planned stop: nothing new, calls in flight finish."""
+        self.router.stop()
+        self.shards.release()
+
+    def _push_configuration(self, update: ConfigurationUpdate) -> None:
+        for record in self.fleet.agents:
+            known = record.configuration_version
+            lacking = (
+                update
+                if known == update.base_version
+                else self.configuration.update_since(known)
+            )
+            self._links.send(record.agent_id, lacking)
--- /dev/null
+++ b/hyssopring/entry/daemon.py
@@ -0,0 +1,152 @@
+"""The entry process: owns the sockets and timers around the core."""
+
+import random
+import uuid
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from hyssopring.addresses import parse_address
+from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.entry.callers import CallerResource, WaitingCallers
+from hyssopring.entry.core import EntryCore, EntryIdentity
+from hyssopring.entry.jobs import JobDesk
+from hyssopring.entry.links import AgentLinks
+from hyssopring.entry.operators import OperatorResource
+from hyssopring.leases import ShardSettings
+from hyssopring.logs import Event, log_event
+from hyssopring.metrics import Metrics
+from hyssopring.placement import LeaseTimes
+from hyssopring.settings import EntrySettings
+from hyssopring.store.client import StoreClient
+
+__all__ = ('EntryDaemon',)
+
+_TICK_S = 0.02
+_SILENCE_CHECK_S = 0.25
+_POLL_S = 0.5
+_RENEW_S = 1.0
+_DRAIN_CHECK_S = 0.05
+_MILLIS_PER_SECOND = 1000.0
+
+
+class EntryDaemon:
+    """One running entry."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+    ) -> None:
+        """Build the core and its shell; ``start`` opens the ports."""
+        self._reactor = reactor
+        self._settings = settings
+        self._clock = clock or MonotonicClock()
+        self._links = AgentLinks(self._clock, settings.inner_secret)
+        self._waiting = WaitingCallers()
+        self._store = StoreClient(
+            reactor,
+            self._clock,
+            settings.store_url,
+            settings.store_timeout_ms,
+        )
+        self.core = self._build_core()
+        self._links.attach(self.core)
+        self._operators = OperatorResource(
+            self.core,
+            JobDesk(self._store, self.core.configuration, settings.shards),
+            settings.operator_token,
+        )
+        self._ports: list[Any] = []
+        self._loops: list[LoopingCall] = []
+
+    @property
+    def links(self) -> AgentLinks:
+        """The connections from agents."""
+        return self._links
+
+    def start(self) -> None:
+        """Open the ports and start the timers."""
+        settings = self._settings
+        callers = CallerResource(
+            self._clock,
+            self.core,
+            self._waiting,
+            settings.default_deadline_ms,
+        )
+        self._listen(settings.inner_address, self._links)
+        self._listen(settings.caller_address, _site(callers))
+        self._listen(settings.operator_address, _site(self._operators))
+        self._every(_TICK_S, self.core.tick)
+        self._every(_SILENCE_CHECK_S, self.core.drop_silent)
+        self._every(_POLL_S, self.core.poll_table)
+        self._every(_RENEW_S, self.core.renew)
+        log_event(
+            Event.PROCESS_STARTED,
+            role='entry',
+            id=settings.id,
+            callers=settings.caller_address,
+        )
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown: requests in flight finish first."""
+        if not self._operators.is_ready:
+            return
+        self._operators.is_ready = False
+        log_event(Event.PROCESS_STOPPING, pending=self.core.router.pending)
+        self.core.stop()
+        deadline = self._clock.now() + self._settings.drain_ms
+        self._drain(deadline)
+
+    def _build_core(self) -> EntryCore:
+        settings = self._settings
+        return EntryCore(
+            self._clock,
+            EntryIdentity(settings.id, settings.zone, settings.inner_address),
+            self._store,
+            self._links,
+            self._waiting,
+            Metrics(),
+            random.Random(uuid.uuid4().int),
+            ShardSettings(
+                shards=settings.shards,
+                lease_ms=settings.shard_lease_ms,
+                takeover_ms=settings.shard_takeover_ms,
+            ),
+            LeaseTimes(
+                batch_ttl_ms=settings.batch_lease_ms,
+                keeper_ttl_ms=settings.keeper_lease_ms,
+            ),
+        )
+
+    def _listen(self, address: str, factory: Any) -> None:
+        host, port = parse_address(address)
+        listening = self._reactor.listenTCP(port, factory, interface=host)
+        self._ports.append(listening)
+
+    def _every(self, seconds: float, action: Any) -> None:
+        loop = LoopingCall(action)
+        loop.clock = self._reactor
+        loop.start(seconds, now=False)
+        self._loops.append(loop)
+
+    def _drain(self, deadline: float) -> None:
+        is_done = not self.core.router.pending
+        if is_done or self._clock.now() > deadline:
+            # One more turn, so that the last answers leave the process.
+            self._reactor.callLater(_DRAIN_CHECK_S, self._finish)
+            return
+        self._reactor.callLater(_DRAIN_CHECK_S, self._drain, deadline)
+
+    def _finish(self) -> None:
+        log_event(Event.PROCESS_STOPPED, role='entry')
+        self._reactor.stop()
+
+
+def _site(resource: Any) -> Site:
+    site = Site(resource)
+    site.noisy = False
+    site.displayTracebacks = False
+    return site
--- /dev/null
+++ b/hyssopring/entry/jobs.py
@@ -0,0 +1,116 @@
+"""Takes jobs from operators and puts them into the table.
+
+Any entry accepts a job: it writes ``jobs/<id>`` and a letter in the inbox of
+the job's shard, in one transaction. The shard's planner takes it from there.
+"""
+
+from functools import partial
+from typing import Any, Callable, Mapping, Sequence
+
+from result import Err, Ok, Result
+
+from hyssopring.configuration import ConfigurationState, JobSubmission
+from hyssopring.errors import ErrorKind, Failure
+from hyssopring.placement import shard_of
+from hyssopring.placement.records import chunk_prefix
+from hyssopring.store.rows import (
+    Check,
+    Committed,
+    Conflict,
+    Put,
+    Row,
+    Store,
+    Transaction,
+)
+from hyssopring.tasks import TaskKind
+
+__all__ = ('JobDesk',)
+
+JobCallback = Callable[[Result[Mapping[str, Any], Failure]], None]
+
+
+class JobDesk:
+    """Submits, cancels and describes jobs."""
+
+    def __init__(
+        self,
+        store: Store,
+        configuration: ConfigurationState,
+        shards: int,
+    ) -> None:
+        """Spread jobs over ``shards``."""
+        self._store = store
+        self._configuration = configuration
+        self._shards = shards
+
+    def submit(self, submission: JobSubmission, done: JobCallback) -> None:
+        """Accept a job; the same id twice is one job."""
+        service_name = f'{submission.team}/{submission.template}'
+        policy = self._configuration.policy(service_name)
+        if policy is None or policy.kind != TaskKind.BATCH.value:
+            detail = f'{service_name} is not a batch template with parameters'
+            done(Err(Failure(ErrorKind.INVALID, detail)))
+            return
+        job = submission.job_id
+        document = {
+            'what': 'submit',
+            'job': job,
+            'service': service_name,
+            'kind': policy.kind,
+            'tasks': submission.tasks,
+        }
+        self._post(
+            job,
+            (Check(f'jobs/{job}', 0),),
+            (Put(f'jobs/{job}', document), Put(self._inbox(job), document)),
+            done,
+        )
+
+    def cancel(self, job: str, done: JobCallback) -> None:
+        """Cancel what has not ended; completed tasks stay completed."""
+        document = {'what': 'cancel', 'job': job}
+        puts = (Put(f'{self._inbox(job)}-cancel', document),)
+        self._post(job, (), puts, done)
+
+    def describe(self, job: str, done: JobCallback) -> None:
+        """Count a job's tasks by state, from the table."""
+        prefix = f'{chunk_prefix(shard_of(job, self._shards))}{job}/'
+        self._store.read(
+            prefix,
+            lambda answer: done(answer.map(partial(_described, job))),
+        )
+
+    def _inbox(self, job: str) -> str:
+        return f'inbox/{shard_of(job, self._shards):04}/{job}'
+
+    def _post(
+        self,
+        job: str,
+        checks: tuple[Check, ...],
+        puts: tuple[Put, ...],
+        done: JobCallback,
+    ) -> None:
+        self._store.commit(
+            Transaction(checks, puts),
+            lambda answer: done(_posted(job, answer)),
+        )
+
+
+def _posted(
+    job: str,
+    answer: Result[Committed | Conflict, Failure],
+) -> Result[Mapping[str, Any], Failure]:
+    if answer.is_err():
+        detail = answer.unwrap_err().detail
+        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+    if isinstance(answer.unwrap(), Conflict):
+        return Err(Failure(ErrorKind.CONFLICT, f'job {job} exists'))
+    return Ok({'job': job, 'accepted': True})
+
+
+def _described(job: str, rows: Sequence[Row]) -> Mapping[str, Any]:
+    count_by_state: dict[str, int] = {}
+    for row in rows:
+        for fields in row.document['tasks']:
+            count_by_state[fields[0]] = count_by_state.get(fields[0], 0) + 1
+    return {'job': job, 'tasks': count_by_state}
--- /dev/null
+++ b/hyssopring/entry/operators.py
@@ -0,0 +1,174 @@
+"""The operators' HTTP port (Twisted shell).
+
+Every call but ``/healthz`` and ``/metrics`` needs the operators' bearer token.
+"""
+
+import hmac
+import json
+from typing import Any
+
+from pydantic import ValidationError
+from result import Result
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from hyssopring.configuration import (
+    AcceptedChange,
+    ConfigurationChange,
+    JobSubmission,
+    describe_validation,
+)
+from hyssopring.entry.callers import write_failure
+from hyssopring.entry.core import EntryCore
+from hyssopring.entry.jobs import JobDesk
+from hyssopring.entry.status import fleet_status
+from hyssopring.errors import ErrorKind, Failure
+
+__all__ = ('OperatorResource',)
+
+_OK = 200
+_UNAVAILABLE = 503
+_BEARER = 'Bearer '
+
+
+class OperatorResource(Resource):
+    """Routes operators' calls by their first path segment."""
+
+    isLeaf = True
+
+    def __init__(self, core: EntryCore, jobs: JobDesk, token: str) -> None:
+        """Check callers against ``token``."""
+        super().__init__()
+        self._core = core
+        self._jobs = jobs
+        self._token = token
+        self.is_ready = True
+
+    def render(self, request: Request) -> int:
+        """Answer one operator's call."""
+        path = request.path.decode('latin-1').strip('/')
+        if path in {'healthz', 'metrics'}:
+            self._open_page(request, path)
+            return NOT_DONE_YET
+        if not self._is_allowed(request):
+            write_failure(request, Failure(ErrorKind.UNAUTHORIZED, 'token'))
+            return NOT_DONE_YET
+        method = request.method.decode('latin-1')
+        area, _, rest = path.removeprefix('v1/').partition('/')
+        serve = {
+            'configuration': self._configuration,
+            'jobs': self._job,
+            'status': self._status,
+        }.get(area)
+        if serve is None:
+            write_failure(request, Failure(ErrorKind.NOT_FOUND, path))
+            return NOT_DONE_YET
+        serve(request, method, rest)
+        return NOT_DONE_YET
+
+    def _open_page(self, request: Request, path: str) -> None:
+        if path == 'metrics':
+            _write(request, _OK, self._core.metrics.render(), 'text/plain')
+            return
+        status = _OK if self.is_ready else _UNAVAILABLE
+        _write(request, status, 'ready\n' if self.is_ready else 'stopping\n')
+
+    def _is_allowed(self, request: Request) -> bool:
+        given = request.getHeader('authorization') or ''
+        expected = _BEARER + self._token
+        return hmac.compare_digest(given.encode(), expected.encode())
+
+    def _configuration(self, request: Request, method: str, key: str) -> None:
+        state = self._core.configuration
+        if method == 'GET' and not key:
+            items = [
+                {
+                    'key': item.key,
+                    'version': item.version,
+                    'document': json.loads(item.document),
+                }
+                for item in state.items
+                if item.document
+            ]
+            _write_json(request, {'version': state.version, 'items': items})
+            return
+        if method not in {'PUT', 'DELETE'}:
+            write_failure(request, Failure(ErrorKind.NOT_FOUND, method))
+            return
+        expected = request.getHeader('if-match') or '0'
+        if not expected.isdigit():
+            write_failure(request, Failure(ErrorKind.MALFORMED, 'If-Match'))
+            return
+        text = request.content.read().decode() if method == 'PUT' else ''
+        self._core.configuration_keeper.change(
+            ConfigurationChange(key, int(expected), text),
+            lambda answer: _write_change(request, answer),
+        )
+
+    def _job(self, request: Request, method: str, job_id: str) -> None:
+        if method == 'POST':
+            self._submit_job(request)
+        elif method == 'DELETE':
+            self._jobs.cancel(
+                job_id,
+                lambda answer: _write_result(request, answer),
+            )
+        else:
+            self._jobs.describe(
+                job_id,
+                lambda answer: _write_result(request, answer),
+            )
+
+    def _submit_job(self, request: Request) -> None:
+        try:
+            submission = JobSubmission.model_validate_json(
+                request.content.read(),
+            )
+        except ValidationError as error:
+            failure = Failure(ErrorKind.INVALID, describe_validation(error))
+            write_failure(request, failure)
+            return
+        self._jobs.submit(
+            submission,
+            lambda answer: _write_result(request, answer),
+        )
+
+    def _status(self, request: Request, method: str, rest: str) -> None:
+        _write_json(request, fleet_status(self._core))
+
+
+def _write_change(
+    request: Request,
+    answer: Result[AcceptedChange, Failure],
+) -> None:
+    if answer.is_err():
+        write_failure(request, answer.unwrap_err())
+        return
+    _write_json(request, {'version': answer.unwrap().version})
+
+
+def _write_result(request: Request, answer: Result[Any, Failure]) -> None:
+    if answer.is_err():
+        write_failure(request, answer.unwrap_err())
+        return
+    _write_json(request, answer.unwrap())
+
+
+def _write_json(request: Request, document: Any) -> None:
+    text = f'{json.dumps(document)}\n'
+    _write(request, _OK, text, 'application/json')
+
+
+def _write(
+    request: Request,
+    status: int,
+    text: str,
+    content_type: str = 'text/plain',
+) -> None:
+    body = text.encode()
+    request.setResponseCode(status)
+    request.setHeader('content-type', content_type)
+    request.setHeader('content-length', str(len(body)))
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/hyssopring/errors.py
@@ -0,0 +1,109 @@
+"""The closed list of error kinds and what a caller is told for each."""
+
+import enum
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final, Mapping
+
+__all__ = (
+    'ANSWERS_BY_KIND',
+    'ErrorAnswer',
+    'ErrorKind',
+    'Failure',
+    'RunState',
+)
+
+
+class RunState(enum.Enum):
+    """Whether the request behind an error ran."""
+
+    NOT_RUN = 'not-run'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
+
+
+class ErrorKind(enum.Enum):
+    """Every way in which a request or an operator's call can fail."""
+
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too-large'
+    UNAUTHORIZED = 'unauthorized'
+    NOT_FOUND = 'not-found'
+    UNKNOWN_SERVICE = 'unknown-service'
+    INVALID = 'invalid'
+    CONFLICT = 'conflict'
+    IMPOSSIBLE = 'impossible'
+    QUOTA = 'quota'
+    OVERLOADED = 'overloaded'
+    NO_BACKEND = 'no-backend'
+    DEADLINE = 'deadline'
+    STOPPING = 'stopping'
+    STORE_UNAVAILABLE = 'store-unavailable'
+    BACKEND_FAILED = 'backend-failed'
+    TRUNCATED = 'truncated'
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    PROTOCOL = 'protocol'
+    INTERNAL = 'internal'
+
+
+@dataclass(frozen=True)
+class ErrorAnswer:
+    """What a caller receives for an error kind.
+
+    Attributes:
+        status: HTTP status code.
+        run_state: Whether the request ran.
+        retry_after_ms: When to come back, or None if coming back is no help.
+    """
+
+    status: int
+    run_state: RunState
+    retry_after_ms: int | None = None
+
+
+ANSWERS_BY_KIND: Final[Mapping[ErrorKind, ErrorAnswer]] = MappingProxyType(
+    {
+        ErrorKind.MALFORMED: ErrorAnswer(400, RunState.NOT_RUN),
+        ErrorKind.TOO_LARGE: ErrorAnswer(413, RunState.NOT_RUN),
+        ErrorKind.UNAUTHORIZED: ErrorAnswer(401, RunState.NOT_RUN),
+        ErrorKind.NOT_FOUND: ErrorAnswer(404, RunState.NOT_RUN),
+        ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, RunState.NOT_RUN),
+        ErrorKind.INVALID: ErrorAnswer(422, RunState.NOT_RUN),
+        ErrorKind.CONFLICT: ErrorAnswer(409, RunState.NOT_RUN),
+        ErrorKind.IMPOSSIBLE: ErrorAnswer(422, RunState.NOT_RUN),
+        ErrorKind.QUOTA: ErrorAnswer(429, RunState.NOT_RUN, 1000),
+        ErrorKind.OVERLOADED: ErrorAnswer(503, RunState.NOT_RUN, 500),
+        ErrorKind.NO_BACKEND: ErrorAnswer(503, RunState.NOT_RUN, 1000),
+        ErrorKind.DEADLINE: ErrorAnswer(504, RunState.NOT_RUN, 500),
+        ErrorKind.STOPPING: ErrorAnswer(503, RunState.NOT_RUN, 100),
+        ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, RunState.NOT_RUN, 2000),
+        ErrorKind.BACKEND_FAILED: ErrorAnswer(502, RunState.UNKNOWN, 1000),
+        ErrorKind.TRUNCATED: ErrorAnswer(502, RunState.RAN),
+        ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(504, RunState.UNKNOWN, 1000),
+        ErrorKind.PROTOCOL: ErrorAnswer(502, RunState.UNKNOWN, 1000),
+        ErrorKind.INTERNAL: ErrorAnswer(500, RunState.UNKNOWN),
+    }
+)
+
+
+@dataclass(frozen=True)
+class Failure:
+    """One error: its kind, and a sentence for the person who reads it.
+
+    Attributes:
+        kind: One of the closed list.
+        detail: What was found, in one line.
+        retry_after_ms: Overrides the table's time to come back.
+    """
+
+    kind: ErrorKind
+    detail: str = ''
+    retry_after_ms: int | None = None
+
+    @property
+    def answer(self) -> ErrorAnswer:
+        """The table's row for this kind, with its own time to come back."""
+        row = ANSWERS_BY_KIND[self.kind]
+        if self.retry_after_ms is None:
+            return row
+        return ErrorAnswer(row.status, row.run_state, self.retry_after_ms)
--- /dev/null
+++ b/hyssopring/outcomes.py
@@ -0,0 +1,17 @@
+"""What an agent can say of a call."""
+
+import enum
+
+__all__ = ('CallOutcome',)
+
+
+class CallOutcome(enum.Enum):
+    """Outcome of a call, in ``CallResponse.outcome``.
+
+    NOT_RUN is final: the agent refuses a late copy of the request for good.
+    """
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
--- /dev/null
+++ b/hyssopring/placement/__init__.py
@@ -0,0 +1,7 @@
+"""Placement decisions and the plans of the held shards."""
+
+from hyssopring.placement.lease_times import LeaseTimes
+from hyssopring.placement.planner import Planner, shard_of
+from hyssopring.placement.shard_plan import PlannerPorts
+
+__all__ = ('LeaseTimes', 'Planner', 'PlannerPorts', 'shard_of')
--- /dev/null
+++ b/hyssopring/placement/planner.py
@@ -0,0 +1,151 @@
+"""Plans the tasks of the shards that this entry holds."""
+
+import zlib
+from typing import Iterator, Sequence
+
+from result import Result
+
+from hyssopring.errors import Failure
+from hyssopring.leases import HeldShard, ShardHolder
+from hyssopring.membership import AgentRecord
+from hyssopring.placement.assigner import Assigner
+from hyssopring.placement.journal import Journal
+from hyssopring.placement.records import chunk_prefix
+from hyssopring.placement.shard_plan import PlannedTask, PlannerPorts, ShardPlan
+from hyssopring.protocol.messages import LeaseGrant, TaskReport
+from hyssopring.store.rows import Row, Store
+from hyssopring.tasks import TaskKind
+
+__all__ = ('Planner', 'shard_of')
+
+
+def shard_of(name: str, shards: int) -> int:
+    """Return the shard of a job or keeper set, the same in every process."""
+    return zlib.crc32(name.encode()) % shards
+
+
+class Planner:
+    """Grants leases, takes reports and keeps the held shards' plans."""
+
+    def __init__(self, store: Store, ports: PlannerPorts) -> None:
+        """Take the ports; ``attach`` adds the shard holder."""
+        self._store = store
+        self._ports = ports
+        self._assigner = Assigner(ports)
+        self._plan_by_shard: dict[int, ShardPlan] = {}
+        self._granted_at_by_agent: dict[str, float] = {}
+        self._holder: ShardHolder | None = None
+        self._is_reading_inbox = False
+
+    def attach(self, holder: ShardHolder) -> None:
+        """Use the holder's word for which leases are good."""
+        self._holder = holder
+
+    def on_acquired(self, held: HeldShard) -> None:
+        """Load a shard that this entry now holds."""
+        journal = Journal(self._store, held, self.on_lost)
+        plan = ShardPlan(held, journal, self._ports)
+        self._plan_by_shard[held.shard] = plan
+        self._load(plan)
+
+    def on_lost(self, shard: int) -> None:
+        """Drop a shard; its next holder reads all from the table."""
+        self._plan_by_shard.pop(shard, None)
+
+    def grants(self, agent_id: str) -> tuple[LeaseGrant, ...]:
+        """Grant an agent the right to run tasks of the held shards."""
+        held = self._holder.held() if self._holder else []
+        if held:
+            self._granted_at_by_agent[agent_id] = self._ports.clock.now()
+        times = self._ports.times
+        return tuple(
+            LeaseGrant(
+                shard.shard,
+                shard.epoch,
+                times.batch_ttl_ms,
+                times.keeper_ttl_ms,
+            )
+            for shard in held
+        )
+
+    def poll(self) -> None:
+        """Look for submitted jobs and cancellations."""
+        if self._is_reading_inbox or not self._plan_by_shard:
+            return
+        self._is_reading_inbox = True
+        self._store.read('inbox/', self._inbox_read)
+
+    def tick(self) -> None:
+        """Place waiting tasks, notice lapsed ones, write what changed."""
+        plans = self._usable_plans()
+        for plan in plans:
+            plan.reclaim_lapsed(self._granted_at_by_agent)
+            self._ensure_keepers(plan)
+        self._assigner.place_waiting(plans)
+        for usable in plans:
+            usable.flush()
+
+    def on_report(self, record: AgentRecord, report: TaskReport) -> None:
+        """Take an agent's word on its tasks."""
+        for status in report.tasks:
+            plan = self._usable(status.shard)
+            if plan is not None:
+                plan.take_status(record, status)
+        complete = self._usable(report.shard) if report.complete else None
+        if complete is not None:
+            complete.reconcile(record, report)
+
+    def tasks(self) -> Iterator[PlannedTask]:
+        """Return all tasks that this entry plans."""
+        for shard in sorted(self._plan_by_shard):
+            yield from self._plan_by_shard[shard].tasks
+
+    def _load(self, plan: ShardPlan) -> None:
+        self._store.read(
+            chunk_prefix(plan.held.shard),
+            lambda answer: self._loaded(plan, answer),
+        )
+
+    def _loaded(
+        self,
+        plan: ShardPlan,
+        answer: Result[Sequence[Row], Failure],
+    ) -> None:
+        if self._plan_by_shard.get(plan.held.shard) is not plan:
+            return
+        if answer.is_err():
+            self._load(plan)
+            return
+        plan.load(list(answer.unwrap()))
+
+    def _usable(self, shard: int) -> ShardPlan | None:
+        plan = self._plan_by_shard.get(shard)
+        if plan is None or not plan.is_loaded or self._holder is None:
+            return None
+        return plan if self._holder.get(shard) else None
+
+    def _usable_plans(self) -> list[ShardPlan]:
+        plans = [self._usable(shard) for shard in sorted(self._plan_by_shard)]
+        return [plan for plan in plans if plan is not None]
+
+    def _inbox_read(self, answer: Result[Sequence[Row], Failure]) -> None:
+        self._is_reading_inbox = False
+        if answer.is_err():
+            return
+        for row in answer.unwrap():
+            plan = self._usable(int(row.key.split('/')[1]))
+            if plan is not None:
+                plan.take_letter(row)
+
+    def _ensure_keepers(self, plan: ShardPlan) -> None:
+        for policy in self._ports.configuration.policies():
+            job_id = f'keeper-{policy.service_name.replace("/", "-")}'
+            is_keeper = policy.kind == TaskKind.KEEPER.value
+            shards = self._holder.shards if self._holder else 1
+            if is_keeper and shard_of(job_id, shards) == plan.held.shard:
+                plan.accept_job(
+                    job_id,
+                    policy.service_name,
+                    TaskKind.KEEPER,
+                    policy.keepers,
+                )
--- /dev/null
+++ b/hyssopring/protocol/connection.py
@@ -0,0 +1,100 @@
+"""One framed connection between an entry and an agent (Twisted shell)."""
+
+import hashlib
+import hmac
+from typing import Callable
+
+from twisted.internet.protocol import connectionDone
+from twisted.protocols.basic import Int32StringReceiver
+from twisted.python.failure import Failure as TwistedFailure
+
+from hyssopring.clock import Clock
+from hyssopring.protocol.codec import (
+    MAX_FRAME_BYTES,
+    ProtocolError,
+    decode,
+    encode,
+)
+from hyssopring.protocol.messages import Message
+
+__all__ = ('InnerConnection', 'prove')
+
+
+def prove(secret: str, nonce: str, agent_id: str) -> str:
+    """Return the proof that a peer knows the deployment's secret."""
+    text = f'{nonce}|{agent_id}'
+    return hmac.new(
+        secret.encode(),
+        text.encode(),
+        hashlib.sha256,
+    ).hexdigest()
+
+
+class InnerConnection(Int32StringReceiver):
+    """Receives and sends whole messages; owns its socket.
+
+    The owner is told of each message, of a broken peer and of the end.
+    """
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(
+        self,
+        clock: Clock,
+        on_open: Callable[['InnerConnection'], None],
+        on_message: Callable[['InnerConnection', Message], None],
+        on_error: Callable[['InnerConnection', str], None],
+        on_close: Callable[['InnerConnection'], None],
+    ) -> None:
+        """Take the owner's callbacks."""
+        self._clock = clock
+        self._on_open = on_open
+        self._on_message = on_message
+        self._on_error = on_error
+        self._on_close = on_close
+        self.last_heard = clock.now()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def connectionMade(self) -> None:
+        """Turn off delayed sending, then tell the owner."""
+        self.transport.setTcpNoDelay(True)
+        self.last_heard = self._clock.now()
+        self._on_open(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
+        """Note that the peer is alive, then split the bytes into frames."""
+        self.last_heard = self._clock.now()
+        self.bytes_received += len(data)
+        super().dataReceived(data)
+
+    def stringReceived(self, string: bytes) -> None:
+        """Decode one frame; a frame that does not decode ends the peer."""
+        try:
+            message = decode(string)
+        except ProtocolError as error:
+            self._on_error(self, str(error))
+            return
+        self._on_message(self, message)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Refuse a frame longer than the protocol allows."""
+        self._on_error(self, f'a frame of {length} bytes is too long')
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
+        """Tell the owner that the connection is gone."""
+        self._on_close(self)
+
+    def send(self, message: Message) -> None:
+        """Write one message."""
+        payload = encode(message)
+        self.bytes_sent += len(payload)
+        self.sendString(payload)
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Drop the connection at once, also when the peer is silent."""
+        self.transport.abortConnection()
--- /dev/null
+++ b/hyssopring/settings/__init__.py
@@ -0,0 +1,6 @@
+"""Settings of the daemons."""
+
+from hyssopring.settings.loading import load_settings
+from hyssopring.settings.models import AgentSettings, EntrySettings
+
+__all__ = ('AgentSettings', 'EntrySettings', 'load_settings')
--- /dev/null
+++ b/standins/table.py
@@ -0,0 +1,122 @@
+"""Stand-in for the platform's transactional table service and object store.
+
+HTTP: ``POST /transactions`` with ``operation``, ``checks`` and ``puts``;
+``GET /rows?prefix=P``. ``POST /switches`` sets ``outage`` (no answers),
+``delay_ms`` and ``lose_answers`` (that many commits take effect unanswered).
+Run: ``python -m standins.table HOST:PORT``.
+"""
+
+import json
+import sys
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+
+class Table:
+    """Rows in memory, with the switches for faults."""
+
+    def __init__(self):
+        self.rows_by_key = {}
+        self.outage = False
+        self.delay_ms = 0
+        self.lose_answers = 0
+        self.commits = 0
+
+    def commit(self, operation, checks, puts):
+        """Return versions by key, or the rows in conflict."""
+        conflicts = [
+            key for key, version in checks if self.row(key)[1] != version
+        ]
+        if conflicts:
+            return {'rows': [self.row(key) for key in conflicts]}
+        self.commits += 1
+        versions = {}
+        for key, document in puts:
+            version = self.row(key)[1] + 1
+            versions[key] = version
+            if document is None:
+                self.rows_by_key.pop(key, None)
+            else:
+                self.rows_by_key[key] = [key, version, operation, document]
+        return {'versions': versions}
+
+    def row(self, key):
+        return self.rows_by_key.get(key, [key, 0, '', {}])
+
+    def read(self, prefix):
+        return [
+            self.rows_by_key[key]
+            for key in sorted(self.rows_by_key)
+            if key.startswith(prefix)
+        ]
+
+
+class TableResource(Resource):
+    isLeaf = True
+
+    def __init__(self, reactor, table):
+        super().__init__()
+        self.reactor = reactor
+        self.table = table
+
+    def render_GET(self, request):
+        prefix = request.args.get(b'prefix', [b''])[0].decode()
+        return self._later(
+            request, lambda: {'rows': self.table.read(prefix)}, False
+        )
+
+    def render_POST(self, request):
+        body = json.loads(request.content.read())
+        if request.path == b'/switches':
+            for name, level in body.items():
+                setattr(self.table, name, level)
+            return b'{}'
+        return self._later(
+            request,
+            lambda: self.table.commit(
+                body['operation'], body['checks'], body['puts']
+            ),
+            True,
+        )
+
+    def _later(self, request, work, is_commit):
+        if self.table.outage:
+            return NOT_DONE_YET
+        gone = []
+        request.notifyFinish().addErrback(gone.append)
+        self.reactor.callLater(
+            self.table.delay_ms / 1000,
+            self._finish,
+            request,
+            work,
+            is_commit,
+            gone,
+        )
+        return NOT_DONE_YET
+
+    def _finish(self, request, work, is_commit, gone):
+        answer = work()
+        if is_commit and 'versions' in answer and self.table.lose_answers:
+            self.table.lose_answers -= 1
+            return
+        if not gone:
+            request.setResponseCode(
+                409 if is_commit and 'rows' in answer else 200
+            )
+            request.write(json.dumps(answer).encode())
+            request.finish()
+
+
+def listen(reactor, address, table):
+    host, port = address.rsplit(':', 1)
+    return reactor.listenTCP(
+        int(port), Site(TableResource(reactor, table)), interface=host
+    )
+
+
+if __name__ == '__main__':
+    from twisted.internet import reactor
+
+    listen(reactor, sys.argv[1], Table())
+    reactor.run()
