Export processor time, resident memory and inner bytes as metrics

Capacity is worked out from what a daemon uses, so each daemon says it: processor seconds, resident bytes, bytes on its inner connections (length prefixes included, which the per-connection counters left out), connections, and an entry's commits and reads at the table. Gauges are set when scraped, so an idle daemon pays nothing for them.

--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -14,7 +14,7 @@
 from hyssopring.agent.outside import HttpBackendCaller, HttpWorker
 from hyssopring.clock import Clock, MonotonicClock
 from hyssopring.logs import Event, log_event
-from hyssopring.metrics import Metrics
+from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.settings import AgentSettings
 
 __all__ = ('AgentDaemon',)
@@ -65,6 +65,7 @@
         self._links.attach(self.core)
         self._announce = AnnounceResource(self.core)
         self._loops: list[LoopingCall] = []
+        self.core.metrics.collect(self._gauge)
 
     def start(self) -> None:
         """Open the port, dial the entries, start the timers."""
@@ -93,6 +94,14 @@
         self.core.stop()
         self._drain(self._clock.now() + self._settings.drain_ms)
 
+    def _gauge(self) -> None:
+        metrics = self.core.metrics
+        gauge_process(metrics)
+        traffic = self._links.traffic
+        metrics.gauge('inner_sent_bytes', traffic.bytes_sent)
+        metrics.gauge('inner_received_bytes', traffic.bytes_received)
+        metrics.gauge('inner_connections', self._links.connected)
+
     def _every(self, seconds: float, action: Any) -> None:
         loop = LoopingCall(action)
         loop.clock = self._reactor
--- a/hyssopring/agent/links.py
+++ b/hyssopring/agent/links.py
@@ -11,7 +11,7 @@
 from hyssopring.agent.core import AgentCore
 from hyssopring.clock import Clock
 from hyssopring.logs import Event, log_event
-from hyssopring.protocol.connection import InnerConnection, prove
+from hyssopring.protocol.connection import InnerConnection, Traffic, prove
 from hyssopring.protocol.messages import (
     Challenge,
     EntryList,
@@ -50,6 +50,7 @@
             self._received,
             self._broken,
             self._closed,
+            self.owner.traffic,
         )
 
     def dial(self) -> None:
@@ -177,6 +178,7 @@
         self.clock = clock
         self.secret = secret
         self.rng = rng
+        self.traffic = Traffic()
         self._seeds = seeds
         self._core: AgentCore | None = None
         self._dialler_by_address: dict[str, _Dialler] = {}
@@ -188,6 +190,11 @@
         assert self._core is not None, 'attach the core first'
         return self._core
 
+    @property
+    def connected(self) -> int:
+        """How many entries are connected."""
+        return len(self._dialler_by_entry)
+
     def attach(self, core: AgentCore) -> None:
         """Give messages to this core."""
         self._core = core
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -16,7 +16,7 @@
 from hyssopring.entry.operators import OperatorResource
 from hyssopring.leases import ShardSettings
 from hyssopring.logs import Event, log_event
-from hyssopring.metrics import Metrics
+from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.placement import LeaseTimes
 from hyssopring.settings import EntrySettings
 from hyssopring.store.client import StoreClient
@@ -61,6 +61,7 @@
         )
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
+        self.core.metrics.collect(self._gauge)
 
     @property
     def links(self) -> AgentLinks:
@@ -126,6 +127,16 @@
         listening = self._reactor.listenTCP(port, factory, interface=host)
         self._ports.append(listening)
 
+    def _gauge(self) -> None:
+        metrics = self.core.metrics
+        gauge_process(metrics)
+        traffic = self._links.traffic
+        metrics.gauge('inner_sent_bytes', traffic.bytes_sent)
+        metrics.gauge('inner_received_bytes', traffic.bytes_received)
+        metrics.gauge('inner_connections', self._links.connected)
+        metrics.gauge('store_commits', self._store.commits)
+        metrics.gauge('store_reads', self._store.reads)
+
     def _every(self, seconds: float, action: Any) -> None:
         loop = LoopingCall(action)
         loop.clock = self._reactor
--- a/hyssopring/entry/links.py
+++ b/hyssopring/entry/links.py
@@ -11,7 +11,7 @@
 from hyssopring.errors import ErrorKind
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord
-from hyssopring.protocol.connection import InnerConnection, prove
+from hyssopring.protocol.connection import InnerConnection, Traffic, prove
 from hyssopring.protocol.messages import (
     PROTOCOL_VERSION,
     Challenge,
@@ -45,12 +45,18 @@
         self._core: EntryCore | None = None
         self._session_by_connection: dict[InnerConnection, _Session] = {}
         self._connection_by_agent: dict[str, InnerConnection] = {}
+        self.traffic = Traffic()
 
     @property
     def connections(self) -> tuple[InnerConnection, ...]:
         """All open connections."""
         return tuple(self._session_by_connection)
 
+    @property
+    def connected(self) -> int:
+        """How many agents are connected."""
+        return len(self._connection_by_agent)
+
     def attach(self, core: EntryCore) -> None:
         """Give messages to this core."""
         self._core = core
@@ -63,6 +69,7 @@
             self._received,
             self._broken,
             self._closed,
+            self.traffic,
         )
 
     def send(self, agent_id: str, message: Message) -> bool:
--- a/hyssopring/metrics/registry.py
+++ b/hyssopring/metrics/registry.py
@@ -1,6 +1,7 @@
 """Counters, gauges and latency histograms of one process."""
 
 from collections import Counter
+from typing import Callable
 
 from hdrh.histogram import HdrHistogram
 
@@ -23,6 +24,11 @@
         self._count_by_name: Counter[str] = Counter()
         self._gauge_by_name: dict[str, float] = {}
         self._histogram_by_name: dict[str, HdrHistogram] = {}
+        self._collectors: list[Callable[[], None]] = []
+
+    def collect(self, collector: Callable[[], None]) -> None:
+        """Run ``collector``, which sets gauges, before each rendering."""
+        self._collectors.append(collector)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add ``amount`` to a counter; a name may carry labels in braces."""
@@ -58,12 +64,14 @@
 
     def render(self) -> str:
         """Return all series in the Prometheus text format."""
+        for collector in self._collectors:
+            collector()
         lines = [
             f'{self._prefix}_{name} {level}'
             for name, level in sorted(self._count_by_name.items())
         ]
         lines.extend(
-            f'{self._prefix}_{name} {level:g}'
+            f'{self._prefix}_{name} {level:.12g}'
             for name, level in sorted(self._gauge_by_name.items())
         )
         for name, histogram in sorted(self._histogram_by_name.items()):
--- a/hyssopring/protocol/connection.py
+++ b/hyssopring/protocol/connection.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from dataclasses import dataclass
 from typing import Callable
 
 from twisted.internet.protocol import connectionDone
@@ -17,7 +18,9 @@
 )
 from hyssopring.protocol.messages import Message
 
-__all__ = ('InnerConnection', 'prove')
+__all__ = ('InnerConnection', 'Traffic', 'prove')
+
+_LENGTH_PREFIX_BYTES = 4
 
 
 def prove(secret: str, nonce: str, agent_id: str) -> str:
@@ -30,6 +33,14 @@
     ).hexdigest()
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Bytes on all inner connections of a process, frames' lengths included."""
+
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+
 class InnerConnection(Int32StringReceiver):
     """Receives and sends whole messages; owns its socket.
 
@@ -45,16 +56,16 @@
         on_message: Callable[['InnerConnection', Message], None],
         on_error: Callable[['InnerConnection', str], None],
         on_close: Callable[['InnerConnection'], None],
+        traffic: Traffic | None = None,
     ) -> None:
-        """Take the owner's callbacks."""
+        """Take the owner's callbacks, and where it counts its bytes."""
         self._clock = clock
         self._on_open = on_open
         self._on_message = on_message
         self._on_error = on_error
         self._on_close = on_close
         self.last_heard = clock.now()
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self._traffic = traffic or Traffic()
 
     def connectionMade(self) -> None:
         """Turn off delayed sending, then tell the owner."""
@@ -65,7 +76,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         """Note that the peer is alive, then split the bytes into frames."""
         self.last_heard = self._clock.now()
-        self.bytes_received += len(data)
+        self._traffic.bytes_received += len(data)
         super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
@@ -88,7 +99,7 @@
     def send(self, message: Message) -> None:
         """Write one message."""
         payload = encode(message)
-        self.bytes_sent += len(payload)
+        self._traffic.bytes_sent += len(payload) + _LENGTH_PREFIX_BYTES
         self.sendString(payload)
 
     def close(self) -> None:
