Split the router: pending calls, doubt, routing

The router held the table of pending calls, the doubt after a cut and the choice in one class of 340 lines, with one attempt per call. Attempts are now values of their own, so that an idempotent call may have several.

--- a/hyssopring/entry/calls.py
+++ b/hyssopring/entry/calls.py
@@ -5,13 +5,14 @@
 from typing import Protocol
 
 from hyssopring.errors import Failure
-from hyssopring.membership import BackendView
+from hyssopring.membership import AgentRecord, BackendView
 from hyssopring.protocol.messages import CallRequest, Header, Message
 
 __all__ = (
     'Answer',
+    'Attempt',
+    'AttemptPhase',
     'Call',
-    'CallPhase',
     'Callers',
     'Links',
     'PendingCall',
@@ -47,12 +48,61 @@
     failure: Failure | None = None
 
 
-class CallPhase(enum.Enum):
-    """Where a pending call stands."""
+class AttemptPhase(enum.Enum):
+    """What an entry knows of one sending of a call.
+
+    SENT: on an open connection. LOST: that connection is gone; the call may
+    have run. ASKED: the agent is back and was asked what became of it.
+    """
 
-    CLAIMING = 'claiming'
     SENT = 'sent'
-    ASKING = 'asking'
+    LOST = 'lost'
+    ASKED = 'asked'
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One sending of a call to one agent.
+
+    Attributes:
+        incarnation: The run of the agent that has the call in its memory.
+        generation: Connection that an answer is taken from.
+        changed_at: When ``phase`` last changed.
+    """
+
+    backend: BackendView
+    agent_id: str
+    incarnation: str
+    generation: int
+    sent_at: float
+    changed_at: float
+    phase: AttemptPhase = AttemptPhase.SENT
+
+    @classmethod
+    def from_backend(cls, backend: BackendView, now: float) -> 'Attempt':
+        """Return an attempt at a backend server, on its open connection."""
+        record = backend.agent
+        return cls(
+            backend,
+            record.agent_id,
+            record.incarnation,
+            record.generation,
+            now,
+            now,
+        )
+
+    def is_from(self, record: AgentRecord) -> bool:
+        """Whether this connection's messages are about this attempt."""
+        return (
+            self.agent_id == record.agent_id
+            and self.generation == record.generation
+        )
+
+    def change(self, phase: AttemptPhase, generation: int, now: float) -> None:
+        """Enter a phase, on this connection (0: on none)."""
+        self.phase = phase
+        self.generation = generation
+        self.changed_at = now
 
 
 @dataclass(slots=True)
@@ -60,23 +110,28 @@
     """A call that has not had its answer.
 
     Attributes:
-        generation: Connection generation that the request went out on.
-        asked_about: The earlier request id whose outcome is awaited, when
-            this call is a resubmission under the same key.
+        attempts: Sendings whose outcome is open; several only when idempotent.
+        sent_count: All sendings so far.
+        tried: Incarnations of the agents that it was sent to.
+        may_have_run: A closed attempt ended without certainty, so "not run"
+            may not be said any more.
     """
 
     call: Call
     request: CallRequest
     idempotent: bool
     started_at: float
-    phase: CallPhase = CallPhase.SENT
-    backend: BackendView | None = None
-    agent_id: str = ''
-    incarnation: str = ''
-    generation: int = 0
-    attempts: int = 0
-    asked_about: str = ''
+    attempts: list[Attempt] = field(default_factory=list)
+    sent_count: int = 0
     tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+
+    def attempt_on(self, record: AgentRecord) -> Attempt | None:
+        """Return the open attempt that this connection speaks for."""
+        for attempt in self.attempts:
+            if attempt.is_from(record):
+                return attempt
+        return None
 
 
 class Links(Protocol):
--- /dev/null
+++ b/hyssopring/entry/doubt.py
@@ -0,0 +1,126 @@
+"""What becomes of calls whose connection broke or went silent.
+
+Such a call may have run. An idempotent one is sent elsewhere. For any other
+one the same run of the agent is asked, and only its word makes "not run"
+certain. When it cannot be asked any more - it was restarted, or has stayed
+away - the caller is told at once that the outcome is unknown.
+"""
+
+from typing import Protocol
+
+from hyssopring.clock import Clock
+from hyssopring.entry.calls import Attempt, AttemptPhase, Links, PendingCall
+from hyssopring.entry.pending import PendingCalls
+from hyssopring.errors import ErrorKind, Failure
+from hyssopring.logs import Event, log_event
+from hyssopring.membership import AgentRecord
+from hyssopring.protocol.messages import OutcomeQuery
+
+__all__ = ('Doubts', 'Resender')
+
+# An agent that lives dials again within its longest redial delay and
+# connect timeout, 3 s and 2 s.
+RETURN_MS = 5000.0
+
+
+class Resender(Protocol):
+    """Sends a call again; the router."""
+
+    def resend(self, pending: PendingCall) -> bool:
+        """Send to another agent; False if there is none or no time left."""
+
+    def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
+        """Send again to the run of the agent that may already have it."""
+
+
+class Doubts:
+    """Settles calls whose connection is gone."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        calls: PendingCalls,
+        links: Links,
+        resender: Resender,
+    ) -> None:
+        """Take the collaborators."""
+        self._clock = clock
+        self._calls = calls
+        self._links = links
+        self._resender = resender
+
+    def on_disconnect(self, record: AgentRecord) -> None:
+        """Put the calls that a lost connection carried in doubt."""
+        now = self._clock.now()
+        for pending in self._calls:
+            attempt = pending.attempt_on(record)
+            if attempt is not None:
+                attempt.change(AttemptPhase.LOST, 0, now)
+                self._rescue(pending, attempt)
+
+    def on_connect(self, record: AgentRecord) -> None:
+        """Ask an agent that is back about the calls that are in doubt."""
+        for pending in self._calls:
+            for attempt in tuple(pending.attempts):
+                is_lost = attempt.phase is AttemptPhase.LOST
+                if is_lost and attempt.agent_id == record.agent_id:
+                    self._returned(pending, attempt, record)
+
+    def tick(self) -> None:
+        """Give up the calls whose agent has stayed away."""
+        now = self._clock.now()
+        for pending in self._calls:
+            for attempt in tuple(pending.attempts):
+                if attempt.phase is not AttemptPhase.LOST:
+                    continue
+                if now - attempt.changed_at > RETURN_MS:
+                    self._hopeless(pending, attempt, 'has stayed away')
+
+    def _rescue(self, pending: PendingCall, attempt: Attempt) -> None:
+        if pending.idempotent and self._resender.resend(pending):
+            self._calls.close_attempt(pending, attempt, may_have_run=True)
+
+    def _returned(
+        self,
+        pending: PendingCall,
+        attempt: Attempt,
+        record: AgentRecord,
+    ) -> None:
+        if record.incarnation != attempt.incarnation:
+            # Its memory of the call is gone: nobody can say whether it ran.
+            self._hopeless(pending, attempt, 'was restarted')
+            return
+        attempt.change(
+            AttemptPhase.ASKED,
+            record.generation,
+            self._clock.now(),
+        )
+        log_event(
+            Event.REQUEST_OUTCOME_ASKED,
+            request=pending.call.request_id,
+            agent=record.agent_id,
+        )
+        if pending.idempotent:
+            # The agent answers a repeat from its memory, or runs it.
+            self._resender.repeat(pending, attempt)
+            return
+        self._links.send(
+            record.agent_id,
+            OutcomeQuery(pending.call.request_id),
+        )
+
+    def _hopeless(
+        self,
+        pending: PendingCall,
+        attempt: Attempt,
+        why: str,
+    ) -> None:
+        self._calls.close_attempt(pending, attempt, may_have_run=True)
+        if pending.attempts:
+            return
+        if pending.idempotent and self._resender.resend(pending):
+            return
+        self._calls.fail(
+            pending,
+            Failure(ErrorKind.OUTCOME_UNKNOWN, f'{attempt.agent_id} {why}'),
+        )
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -4,41 +4,37 @@
 * A pending call is found by its request id, and its answer is taken only from
   the agent and connection that it was sent on, so a late or foreign answer
   reaches no other caller.
-* A call whose connection broke is in doubt: it may have run. An idempotent
-  one is sent elsewhere. For any other one the agent is asked, and only its
-  word makes "not run" certain; if the agent's memory is gone the caller is
-  told "unknown".
+* A call whose connection broke is in doubt: it may have run (``doubt``).
 """
 
 import random
+from dataclasses import replace
 
 from hyssopring.clock import Clock
 from hyssopring.configuration import ConfigurationState
 from hyssopring.entry.calls import (
     Answer,
+    Attempt,
     Call,
     Callers,
-    CallPhase,
     Links,
     PendingCall,
 )
+from hyssopring.entry.doubt import Doubts
+from hyssopring.entry.pending import PendingCalls
 from hyssopring.errors import ErrorKind, Failure
-from hyssopring.invariants import Invariants
 from hyssopring.logs import Event, log_event
-from hyssopring.membership import AgentRecord, BackendView, Fleet
+from hyssopring.membership import AgentRecord, Fleet
 from hyssopring.metrics import Metrics
 from hyssopring.outcomes import CallOutcome
-from hyssopring.protocol.messages import (
-    CallRequest,
-    CallResponse,
-    CancelCall,
-    OutcomeQuery,
-)
-from hyssopring.routing import choose_backend
+from hyssopring.protocol.messages import CallRequest, CallResponse, CancelCall
+from hyssopring.routing import Choice, choose_backend
 
 __all__ = ('CallRouter',)
 
 _MAX_ATTEMPTS = 3
+# With less than this left of the caller's time a retry is no help.
+_MIN_RETRY_MS = 10.0
 
 
 class CallRouter:
@@ -61,23 +57,22 @@
         self._fleet = fleet
         self._configuration = configuration
         self._links = links
-        self._callers = callers
         self._metrics = metrics
         self._rng = rng
-        self._invariants = Invariants(metrics)
-        self._pending_by_id: dict[str, PendingCall] = {}
+        self._calls = PendingCalls(clock, callers, metrics, rng)
+        self._doubts = Doubts(clock, self._calls, links, self)
         self._is_stopping = False
 
     @property
     def pending(self) -> int:
         """How many calls have not had their answer."""
-        return len(self._pending_by_id)
+        return len(self._calls)
 
     @property
     def next_deadline(self) -> float | None:
         """When the earliest pending call's time is up."""
         return min(
-            (entry.call.deadline for entry in self._pending_by_id.values()),
+            (pending.call.deadline for pending in self._calls),
             default=None,
         )
 
@@ -89,10 +84,13 @@
         """Take a caller's request; its answer comes through ``callers``."""
         policy = self._configuration.policy(call.service_name)
         if self._is_stopping:
-            self._refuse(call, Failure(ErrorKind.STOPPING, 'entry is stopping'))
+            self._calls.refuse(
+                call,
+                Failure(ErrorKind.STOPPING, 'entry is stopping'),
+            )
             return
         if policy is None or policy.kind != 'service':
-            self._refuse(
+            self._calls.refuse(
                 call,
                 Failure(ErrorKind.UNKNOWN_SERVICE, call.service_name),
             )
@@ -110,20 +108,28 @@
             idempotent=policy.idempotent,
         )
         pending = PendingCall(call, request, policy.idempotent, now)
-        self._pending_by_id[call.request_id] = pending
-        self._send(pending)
+        self._calls.add(pending)
+        choice = self._choose(pending)
+        if choice is None:
+            self._calls.fail(
+                pending,
+                Failure(ErrorKind.NO_BACKEND, call.service_name),
+            )
+            return
+        self._dispatch(pending, choice)
 
     def forget(self, request_id: str) -> None:
         """The caller has gone: drop the call if it has not started."""
-        pending = self._pending_by_id.pop(request_id, None)
+        pending = self._calls.get(request_id)
         if pending is not None:
-            self._release(pending)
-            self._links.send(pending.agent_id, CancelCall(request_id))
+            self._cancel(pending)
+            self._calls.discard(request_id)
 
     def on_response(self, record: AgentRecord, response: CallResponse) -> None:
         """Take an agent's answer for a call or an outcome query."""
-        pending = self._pending_by_id.get(response.request_id)
-        if pending is None or not self._is_own(pending, record):
+        pending = self._calls.get(response.request_id)
+        attempt = None if pending is None else pending.attempt_on(record)
+        if pending is None or attempt is None:
             log_event(
                 Event.LATE_ANSWER_DROPPED,
                 request=response.request_id,
@@ -131,210 +137,107 @@
             )
             self._metrics.count('late_answers_total')
             return
-        self._settle(pending, response)
+        self._settle(pending, attempt, response)
 
     def on_connect(self, record: AgentRecord) -> None:
-        """Ask an agent that is back about the calls that are in doubt."""
-        for pending in list(self._pending_by_id.values()):
-            in_doubt = pending.phase is CallPhase.ASKING
-            if in_doubt and pending.agent_id == record.agent_id:
-                self._ask(pending, record)
+        """An agent has connected."""
+        self._doubts.on_connect(record)
 
     def on_disconnect(self, record: AgentRecord) -> None:
-        """Settle or put in doubt the calls that a lost connection carried."""
-        for pending in list(self._pending_by_id.values()):
-            if self._is_own(pending, record):
-                self._lost(pending)
+        """An agent's connection is gone."""
+        self._doubts.on_disconnect(record)
 
     def tick(self) -> None:
         """Give up the calls whose deadline has passed."""
         now = self._clock.now()
-        for pending in list(self._pending_by_id.values()):
+        for pending in self._calls:
             if pending.call.deadline <= now:
-                self._expire(pending)
-
-    def _is_own(self, pending: PendingCall, record: AgentRecord) -> bool:
-        return (
-            pending.agent_id == record.agent_id
-            and pending.generation == record.generation
+                self._cancel(pending)
+                self._calls.fail(
+                    pending,
+                    Failure(ErrorKind.DEADLINE, 'the deadline has passed'),
+                )
+        self._doubts.tick()
+
+    def resend(self, pending: PendingCall) -> bool:
+        """Send to another agent; False if there is none or no time left."""
+        left = pending.call.deadline - self._clock.now()
+        if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
+            return False
+        choice = self._choose(pending)
+        if choice is None:
+            return False
+        log_event(
+            Event.REQUEST_RETRIED,
+            request=pending.call.request_id,
+            tried=pending.sent_count,
         )
+        self._metrics.count('retries_total')
+        self._dispatch(pending, choice)
+        return True
+
+    def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
+        """Send again to the run of the agent that may already have it."""
+        self._links.send(attempt.agent_id, self._request(pending))
 
-    def _send(self, pending: PendingCall) -> None:
+    def _choose(self, pending: PendingCall) -> Choice | None:
         candidates = [
             view
             for view in self._fleet.backends(pending.call.service_name)
-            if view.agent.agent_id not in pending.tried
+            if view.agent.incarnation not in pending.tried
         ]
         now = self._clock.now()
-        choice = choose_backend(candidates, self._zone, now, self._rng)
-        if choice is None:
-            self._fail(
-                pending,
-                Failure(ErrorKind.NO_BACKEND, pending.call.service_name),
-            )
-            return
-        self._dispatch(pending, choice.backend, choice.why)
+        return choose_backend(candidates, self._zone, now, self._rng)
 
-    def _dispatch(
-        self,
-        pending: PendingCall,
-        backend: BackendView,
-        why: str,
-    ) -> None:
-        record = backend.agent
-        pending.phase = CallPhase.SENT
-        pending.backend = backend
-        pending.agent_id = record.agent_id
-        pending.incarnation = record.incarnation
-        pending.generation = record.generation
-        pending.attempts += 1
-        pending.tried.append(record.agent_id)
-        backend.in_flight += 1
+    def _dispatch(self, pending: PendingCall, choice: Choice) -> None:
+        attempt = self._calls.open_attempt(pending, choice.backend)
         log_event(
             Event.REQUEST_ROUTED,
             request=pending.call.request_id,
             service=pending.call.service_name,
-            agent=record.agent_id,
-            attempt=pending.attempts,
-            why=why,
+            agent=attempt.agent_id,
+            attempt=pending.sent_count,
+            why=choice.why,
         )
-        self._links.send(record.agent_id, pending.request)
+        self._links.send(attempt.agent_id, self._request(pending))
+
+    def _request(self, pending: PendingCall) -> CallRequest:
+        left = pending.call.deadline - self._clock.now()
+        return replace(pending.request, budget_ms=left)
 
-    def _settle(self, pending: PendingCall, response: CallResponse) -> None:
-        outcome = CallOutcome(response.outcome)
+    def _settle(
+        self,
+        pending: PendingCall,
+        attempt: Attempt,
+        response: CallResponse,
+    ) -> None:
+        outcome = CallOutcome.from_wire(response.outcome)
         if outcome is CallOutcome.ANSWERED:
-            self._finish(
+            self._calls.finish(
                 pending,
                 Answer(response.status, response.headers, response.body),
             )
             return
-        failure = Failure(
-            ErrorKind(response.error),
-            response.detail,
-            response.retry_after_ms or None,
-        )
-        may_repeat = outcome is CallOutcome.NOT_RUN or pending.idempotent
-        if may_repeat and pending.attempts < _MAX_ATTEMPTS:
-            self._retry(pending, failure)
-            return
-        self._fail(pending, failure)
-
-    def _retry(self, pending: PendingCall, failure: Failure) -> None:
-        routable = [
-            view
-            for view in self._fleet.backends(pending.call.service_name)
-            if view.agent.agent_id not in pending.tried and view.is_routable
-        ]
-        if not routable:
-            self._fail(pending, failure)
-            return
-        self._release(pending)
-        log_event(
-            Event.REQUEST_RETRIED,
-            request=pending.call.request_id,
-            after=failure.kind.value,
-            detail=failure.detail,
-        )
-        self._metrics.count('retries_total')
-        self._send(pending)
-
-    def _lost(self, pending: PendingCall) -> None:
-        failure = Failure(
-            ErrorKind.OUTCOME_UNKNOWN,
-            f'connection to {pending.agent_id} was lost',
-        )
-        if pending.idempotent:
-            self._retry(pending, failure)
+        not_run = outcome is CallOutcome.NOT_RUN
+        self._calls.close_attempt(pending, attempt, may_have_run=not not_run)
+        if pending.attempts:
+            # A sibling attempt of an idempotent call may still answer.
             return
-        pending.phase = CallPhase.ASKING
-        pending.generation = 0
-
-    def _ask(self, pending: PendingCall, record: AgentRecord) -> None:
-        if record.incarnation != pending.incarnation:
-            # The agent was restarted and its memory of the call is gone:
-            # nobody can say whether it ran.
-            self._fail(
-                pending,
-                Failure(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    f'{record.agent_id} was restarted',
-                ),
-            )
+        may_repeat = not_run or pending.idempotent
+        if may_repeat and self.resend(pending):
             return
-        pending.generation = record.generation
-        log_event(
-            Event.REQUEST_OUTCOME_ASKED,
-            request=pending.call.request_id,
-            agent=record.agent_id,
-        )
-        self._links.send(
-            record.agent_id,
-            OutcomeQuery(pending.call.request_id),
+        self._calls.fail(
+            pending,
+            Failure(
+                ErrorKind.from_wire(response.error),
+                response.detail,
+                response.retry_after_ms or None,
+            ),
         )
 
-    def _expire(self, pending: PendingCall) -> None:
-        if pending.phase is CallPhase.SENT:
+    def _cancel(self, pending: PendingCall) -> None:
+        for attempt in pending.attempts:
             self._links.send(
-                pending.agent_id,
+                attempt.agent_id,
                 CancelCall(pending.call.request_id),
             )
-        self._fail(
-            pending,
-            Failure(ErrorKind.OUTCOME_UNKNOWN, 'the deadline has passed'),
-        )
-
-    def _fail(self, pending: PendingCall, failure: Failure) -> None:
-        self._finish(pending, Answer(failure.answer.status, failure=failure))
-
-    def _finish(self, pending: PendingCall, answer: Answer) -> None:
-        self._release(pending)
-        request_id = pending.call.request_id
-        was_pending = self._pending_by_id.pop(request_id, None) is pending
-        if not self._invariants.check(
-            was_pending,
-            'one final answer per request',
-            request_id,
-        ):
-            return
-        took = self._clock.now() - pending.started_at
-        self._metrics.observe('request_latency', took)
-        self._report(request_id, pending.call.service_name, answer, took)
-        self._callers.answer(request_id, answer)
-
-    def _report(
-        self,
-        request_id: str,
-        service_name: str,
-        answer: Answer,
-        took: float,
-    ) -> None:
-        kind = answer.failure.kind.value if answer.failure else 'none'
-        self._metrics.count(f'requests_total{{error="{kind}"}}')
-        log_event(
-            Event.REQUEST_ANSWERED,
-            request=request_id,
-            service=service_name,
-            status=answer.status,
-            error=kind,
-            ms=f'{took:.1f}',
-        )
-
-    def _refuse(self, call: Call, failure: Failure) -> None:
-        log_event(
-            Event.REQUEST_REFUSED,
-            request=call.request_id,
-            service=call.service_name,
-            why=failure.kind.value,
-        )
-        self._metrics.count(
-            f'requests_total{{error="{failure.kind.value}"}}',
-        )
-        self._callers.answer(
-            call.request_id,
-            Answer(failure.answer.status, failure=failure),
-        )
-
-    def _release(self, pending: PendingCall) -> None:
-        if pending.backend is not None:
-            pending.backend.in_flight -= 1
-            pending.backend = None
--- a/hyssopring/errors.py
+++ b/hyssopring/errors.py
@@ -45,6 +45,14 @@
     PROTOCOL = 'protocol'
     INTERNAL = 'internal'
 
+    @classmethod
+    def from_wire(cls, text: str) -> 'ErrorKind':
+        """Return the kind; a peer's word that is not known is PROTOCOL."""
+        try:
+            return cls(text)
+        except ValueError:
+            return cls.PROTOCOL
+
 
 @dataclass(frozen=True)
 class ErrorAnswer:
--- a/hyssopring/outcomes.py
+++ b/hyssopring/outcomes.py
@@ -15,3 +15,11 @@
     NOT_RUN = 'not-run'
     FAILED = 'failed'
     UNKNOWN = 'unknown'
+
+    @classmethod
+    def from_wire(cls, text: str) -> 'CallOutcome':
+        """Return the outcome; a word that is not known means UNKNOWN."""
+        try:
+            return cls(text)
+        except ValueError:
+            return cls.UNKNOWN
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -246,14 +246,14 @@
 class EntryNode:
     """An entry's core with its links."""
 
-    def __init__(self, deployment, number, zone, incarnation=0):
+    def __init__(self, deployment, number, zone, incarnation=0, callers=None):
         self.deployment = deployment
         self.name = f'entry-{number}'
         self.is_alive = True
         self.is_paused = False
         self.link_by_agent = {}
         self.store = VirtualStore(deployment.loop, deployment.table)
-        self.callers = VirtualCallers()
+        self.callers = callers or VirtualCallers()
         self.core = EntryCore(
             deployment.loop.clock,
             EntryIdentity(self.name, zone, self.name),
@@ -564,9 +564,11 @@
     def restart_entry(self, number):
         old = self.entry(number)
         entry = EntryNode(
-            self, number, old.core.identity.zone, self.rng.getrandbits(8) + 1
+            self,
+            number,
+            old.core.identity.zone,
+            self.rng.getrandbits(8) + 1,
+            old.callers,
         )
-        entry.callers = old.callers
-        entry.core.router._callers = old.callers
         self.entry_by_name[entry.name] = entry
         return entry
