Stand-ins: pauses keep mail in order, one-way silence, clock rates, slow store

Cause: a long random run needs faults that the virtual deployment could not make: a paused process got its waiting messages out of order, a dead one went on acting on answers of its backends and of the table, and silence ended both ends of a connection at once.

Change: processes have a mailbox that a pause holds in order and a kill drops; links are silent by direction, keep half-open ends and may be slow; a commit slower than the client's timeout takes effect after it was given up; clocks run at rates; a killed backend server ends what it runs.

--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -74,43 +74,97 @@
         self.clock.advance(max(end - self.now, 0))
 
 
+class RateClock:
+    """A clock that runs fast or slow against the event queue's."""
+
+    def __init__(self, loop, rate=1.0):
+        self._loop = loop
+        self._rate = rate
+
+    def now(self):
+        return self._loop.now * self._rate
+
+
+class Process:
+    """What a pause and a kill do: its mail waits, in order, or is lost."""
+
+    def __init__(self):
+        self.is_alive = True
+        self._is_paused = False
+        self._mail = []
+
+    @property
+    def is_paused(self):
+        return self._is_paused
+
+    @is_paused.setter
+    def is_paused(self, is_paused):
+        self._is_paused = is_paused
+        while self._mail and not self._is_paused:
+            action, arguments = self._mail.pop(0)
+            self.take(action, *arguments)
+
+    def take(self, action, *arguments):
+        """Let something arrive at this process."""
+        if self._is_paused:
+            self._mail.append((action, arguments))
+        elif self.is_alive:
+            action(*arguments)
+
+    def _unless_paused(self, action):
+        def act():
+            if not self._is_paused:
+                action()
+
+        return act
+
+
 class VirtualStore:
-    """One entry's client of the shared table, with faults."""
+    """One entry's client of the shared table, with faults.
+
+    A commit slower than the client's timeout is given up and takes effect
+    afterwards.
+    """
 
-    def __init__(self, loop, table):
+    def __init__(self, loop, table, take=lambda action, *args: action(*args)):
         self.loop = loop
         self.table = table
+        self.take = take
         self.is_cut = False
+        self.delay_ms = 0.0
         self.lose_answers = 0
         self.commits = 0
         self.reads = 0
 
     def commit(self, transaction, done):
         self.commits += 1
-        if self._is_down():
-            self._fail(done)
-            return
-        self.loop.later(
-            self.table.delay_ms + STORE_MS, self._commit, transaction, done
-        )
+        self._call(self._commit, transaction, done)
 
     def read(self, prefix, done):
         self.reads += 1
+        self._call(self._read, prefix, done)
+
+    def _call(self, work, subject, done):
         if self._is_down():
             self._fail(done)
             return
-        self.loop.later(
-            self.table.delay_ms + STORE_MS, self._read, prefix, done
-        )
+        delay = self.table.delay_ms + self.delay_ms + STORE_MS
+        if delay > STORE_TIMEOUT_MS:
+            self._fail(done)
+            done = _ignore
+        self.loop.later(delay, work, subject, done)
 
     def _is_down(self):
         return self.is_cut or self.table.outage
 
     def _fail(self, done):
         failure = Failure(ErrorKind.STORE_UNAVAILABLE, 'down')
-        self.loop.later(STORE_TIMEOUT_MS, done, Err(failure))
+        self.loop.later(STORE_TIMEOUT_MS, self.take, done, Err(failure))
 
     def _commit(self, transaction, done):
+        if self._is_down():
+            self._fail(done)
+            return
         answer = self.table.commit(
             transaction.operation,
             [(check.key, check.version) for check in transaction.checks],
@@ -118,15 +172,27 @@
         )
         if self.lose_answers and 'versions' in answer:
             self.lose_answers -= 1
+            self.on_lost(transaction)
             self._fail(done)
         elif 'versions' in answer:
-            done(Ok(Committed(answer['versions'])))
+            self.take(done, Ok(Committed(answer['versions'])))
         else:
             rows = tuple(Row(*row) for row in answer['rows'])
-            done(Ok(Conflict(rows)))
+            self.take(done, Ok(Conflict(rows)))
 
     def _read(self, prefix, done):
-        done(Ok([Row(*row) for row in self.table.read(prefix)]))
+        if self._is_down():
+            self._fail(done)
+            return
+        rows = [Row(*row) for row in self.table.read(prefix)]
+        self.take(done, Ok(rows))
+
+    def on_lost(self, transaction):
+        """A commit took effect and its answer is lost."""
+
+
+def _ignore(answer):
+    """The client has given up; nobody hears this answer."""
 
 
 class VirtualBackend:
@@ -143,6 +209,7 @@
         self.is_dead = False
         self.is_leaving = False
         self.runs_by_request = Counter()
+        self._unfinished = {}
 
     def announcement(self):
         return AnnouncedBackend(
@@ -167,34 +234,44 @@
         self.runs_by_request[request.request_id] += 1
         asked = parse_qs(urlparse(request.path).query).get('ms')
         took = float(asked[0]) if asked else self.service_ms()
-        if took > timeout_ms:
-            self.loop.later(
-                timeout_ms,
-                done,
-                CallResponse(
-                    request.request_id,
-                    CallOutcome.FAILED.value,
-                    error=ErrorKind.BACKEND_FAILED.value,
-                ),
-            )
-            return
-        self.loop.later(
-            took,
-            done,
-            CallResponse(
-                request.request_id,
-                CallOutcome.ANSWERED.value,
-                200,
-                body=b'echo:' + request.body,
-            ),
+        response = CallResponse(
+            request.request_id,
+            CallOutcome.ANSWERED.value,
+            200,
+            body=b'echo:' + request.body,
         )
+        if took > timeout_ms:
+            response = _failed(request)
+        run = object()
+        self._unfinished[run] = (request, done)
+        self.loop.later(min(took, timeout_ms), self._finish, run, response)
+
+    def kill(self):
+        """Its connections end in the middle of what it runs."""
+        self.is_dead = True
+        for run, (request, _) in list(self._unfinished.items()):
+            self._finish(run, _failed(request))
+
+    def _finish(self, run, response):
+        _, done = self._unfinished.pop(run, (None, _ignore))
+        done(response)
 
 
-class VirtualWorker:
+def _failed(request):
+    return CallResponse(
+        request.request_id,
+        CallOutcome.FAILED.value,
+        error=ErrorKind.BACKEND_FAILED.value,
+    )
+
+
+class VirtualWorker(Process):
     """The worker stand-in behind the agent's port."""
 
-    def __init__(self, loop, clock=None, fails=False):
+    def __init__(self, loop, clock=None, fails=False, agent=None):
+        super().__init__()
         self.loop = loop
+        self.agent = agent or Process()
         self.worker = Worker((clock or loop.clock).now, fails)
 
     def start(self, command, lease_ms, done):
@@ -206,14 +283,20 @@
             'command': command,
         }
         self.loop.later(
-            1.0, self._start, command.task_id, document, lease_ms, done
+            1.0,
+            self.take,
+            self._start,
+            command.task_id,
+            document,
+            lease_ms,
+            done,
         )
 
     def stop(self, task_id, mode, done):
-        self.loop.later(1.0, lambda: done(self.worker.stop(task_id)))
+        self.loop.later(1.0, self.take, self._stop, task_id, done)
 
     def renew(self, lease_ms_by_task):
-        self.worker.renew(lease_ms_by_task)
+        self.take(self.worker.renew, lease_ms_by_task)
 
     def list(self):
         return [
@@ -229,7 +312,10 @@
 
     def _start(self, task_id, document, lease_ms, done):
         self.worker.start(task_id, document, lease_ms)
-        done(True)
+        self.agent.take(done, True)
+
+    def _stop(self, task_id, done):
+        self.agent.take(done, self.worker.stop(task_id))
 
 
 class VirtualCallers:
@@ -243,19 +329,18 @@
         self.answer_by_id[request_id] = answer
 
 
-class EntryNode:
+class EntryNode(Process):
     """An entry's core with its links."""
 
     def __init__(self, deployment, number, zone, incarnation=0, callers=None):
+        super().__init__()
         self.deployment = deployment
         self.name = f'entry-{number}'
-        self.is_alive = True
-        self.is_paused = False
         self.link_by_agent = {}
-        self.store = VirtualStore(deployment.loop, deployment.table)
-        self.callers = callers or VirtualCallers()
+        self.store = VirtualStore(deployment.loop, deployment.table, self.take)
+        self.callers = VirtualCallers()
         self.core = EntryCore(
-            deployment.loop.clock,
+            deployment.clock_of(self.name),
             EntryIdentity(self.name, zone, self.name),
             self.store,
             self,
@@ -279,7 +364,7 @@
 
     def send(self, agent_id, message):
         link = self.link_by_agent.get(agent_id)
-        if link is None or not link.is_open:
+        if link is None:
             return False
         link.to_agent(message)
         return True
@@ -287,29 +372,22 @@
     def drop(self, agent_id):
         link = self.link_by_agent.get(agent_id)
         if link is not None:
-            link.close()
-
-    def _unless_paused(self, action):
-        def act():
-            if not self.is_paused:
-                action()
+            link.close_by_entry()
 
-        return act
 
-
-class AgentNode:
+class AgentNode(Process):
     """An agent's core with its links, worker and backend servers."""
 
     def __init__(self, deployment, number, zone, rack, capacity, incarnation=0):
+        super().__init__()
         self.deployment = deployment
         self.name = f'agent-{number}'
-        self.is_alive = True
-        self.is_paused = False
         self.link_by_entry = {}
         self.backend_by_name = {}
-        self.worker = VirtualWorker(deployment.loop)
+        clock = deployment.clock_of(self.name)
+        self.worker = VirtualWorker(deployment.loop, clock, agent=self)
         self.core = AgentCore(
-            deployment.loop.clock,
+            clock,
             AgentIdentity(
                 self.name, f'{self.name}-{incarnation}', zone, rack, capacity
             ),
@@ -332,11 +410,14 @@
         self.core.backends.announce(backend.announcement())
 
     def call(self, address, request, timeout_ms, done):
-        self.backend_by_name[address].serve(request, timeout_ms, done)
+        backend = self.backend_by_name[address]
+        backend.serve(
+            request, timeout_ms, lambda answer: self.take(done, answer)
+        )
 
     def send(self, entry_id, message):
         link = self.link_by_entry.get(entry_id)
-        if link is None or not link.is_open:
+        if link is None:
             return False
         link.to_entry(message)
         return True
@@ -351,41 +432,43 @@
                 self.core.backends.announce(backend.announcement())
 
     def _list(self):
-        self.core.tasks.on_listing(self.worker.list())
+        if not self.worker.is_paused:
+            self.core.tasks.on_listing(self.worker.list())
 
     def _dial(self):
         for entry in self.deployment.entry_by_name.values():
             link = self.link_by_entry.get(entry.name)
-            if entry.is_alive and (link is None or not link.is_open):
+            if link is None:
                 if self.deployment.can_dial(self, entry):
                     Link(self.deployment, entry, self)
-            elif (
-                link is not None
-                and link.heard_by_agent + 2500 < self.deployment.loop.now
-            ):
-                link.close()
-
-    def _unless_paused(self, action):
-        def act():
-            if not self.is_paused:
-                action()
-
-        return act
+            elif link.heard_by_agent + 2500 < self.deployment.loop.now:
+                link.close_by_agent()
 
 
 class Link:
-    """One connection; messages keep their order in each direction."""
+    """One connection; messages keep their order in each direction.
+
+    Attributes:
+        is_silent_to_agent, is_silent_to_entry: Nothing arrives there any
+            more, not even word of the connection's end.
+        delay_ms: Added to the network's own delay.
+    """
 
     def __init__(self, deployment, entry, agent):
         self.deployment = deployment
         self.entry = entry
         self.agent = agent
-        self.is_open = True
-        self.is_silent = False
+        self.is_open_at_entry = True
+        self.is_open_at_agent = True
+        self.is_silent_to_agent = False
+        self.is_silent_to_entry = False
+        self.delay_ms = 0.0
         self.heard_by_agent = deployment.loop.now
+        self._last_at_agent = 0.0
+        self._last_at_entry = 0.0
         older = entry.link_by_agent.get(agent.name)
         if older is not None:
-            older.close()
+            older.close_by_entry()
         entry.link_by_agent[agent.name] = self
         agent.link_by_entry[entry.name] = self
         deployment.links.append(self)
@@ -394,35 +477,73 @@
             identity.hello('', agent.core.configuration.version)
         )
 
+    @property
+    def is_open(self):
+        return self.is_open_at_entry or self.is_open_at_agent
+
+    @property
+    def is_silent(self):
+        return self.is_silent_to_agent and self.is_silent_to_entry
+
+    @is_silent.setter
+    def is_silent(self, is_silent):
+        self.is_silent_to_agent = is_silent
+        self.is_silent_to_entry = is_silent
+
     def to_agent(self, message):
-        self._deliver(self._at_agent, message)
+        self._last_at_agent = self._when(self._last_at_agent)
+        self._later(self._last_at_agent, self._at_agent, message)
 
     def to_entry(self, message):
-        self._deliver(self._at_entry, message)
+        self._last_at_entry = self._when(self._last_at_entry)
+        self._later(self._last_at_entry, self._at_entry, message)
 
     def close(self):
-        if not self.is_open:
+        """Cut it: both ends learn at once."""
+        self._end_at_agent()
+        self._end_at_entry()
+
+    def close_by_entry(self):
+        self._end_at_entry()
+        if not self.is_silent_to_agent:
+            self._end_at_agent()
+
+    def close_by_agent(self):
+        self._end_at_agent()
+        if not self.is_silent_to_entry:
+            self._end_at_entry()
+
+    def _end_at_agent(self):
+        if not self.is_open_at_agent:
             return
-        self.is_open = False
+        self.is_open_at_agent = False
         if self.agent.link_by_entry.get(self.entry.name) is self:
             self.agent.link_by_entry.pop(self.entry.name)
+        self.agent.take(self.agent.core.on_disconnected, self.entry.name)
+
+    def _end_at_entry(self):
+        if not self.is_open_at_entry:
+            return
+        self.is_open_at_entry = False
         if self.entry.link_by_agent.get(self.agent.name) is self:
             self.entry.link_by_agent.pop(self.agent.name)
-        if self.agent.is_alive:
-            self.agent.core.on_disconnected(self.entry.name)
-        if self.entry.is_alive:
-            self.entry.core.on_disconnected(self.record)
+        self.entry.take(self.entry.core.on_disconnected, self.record)
+
+    def _when(self, last):
+        delay = self.deployment.network_ms(self.entry, self.agent)
+        return max(self.deployment.loop.now + delay + self.delay_ms, last)
 
-    def _deliver(self, receive, message):
-        if not self.is_silent:
-            delay = self.deployment.network_ms(self.entry, self.agent)
-            self.deployment.loop.later(delay, receive, message)
+    def _later(self, when, receive, message):
+        self.deployment.loop.later(
+            when - self.deployment.loop.now, receive, message
+        )
 
     def _at_agent(self, message):
-        if not self.is_open or not self.agent.is_alive:
-            return
-        if self.agent.is_paused:
-            self.deployment.loop.later(10, self._at_agent, message)
+        if not self.is_silent_to_agent and self.is_open_at_agent:
+            self.agent.take(self._receive_at_agent, message)
+
+    def _receive_at_agent(self, message):
+        if not self.is_open_at_agent:
             return
         self.heard_by_agent = self.deployment.loop.now
         if isinstance(message, Welcome):
@@ -431,12 +552,12 @@
             self.agent.core.on_message(message, self.entry.name)
 
     def _at_entry(self, message):
-        if not self.is_open or not self.entry.is_alive:
-            return
-        if self.entry.is_paused:
-            self.deployment.loop.later(10, self._at_entry, message)
-            return
-        self.entry.core.on_message(message, self.record)
+        if not self.is_silent_to_entry and self.is_open_at_entry:
+            self.entry.take(self._receive_at_entry, message)
+
+    def _receive_at_entry(self, message):
+        if self.is_open_at_entry:
+            self.entry.core.on_message(message, self.record)
 
 
 class VirtualDeployment:
@@ -451,6 +572,7 @@
         seed=1,
         shard_settings=ShardSettings(shards=4),
         lease_times=LeaseTimes(),
+        rate_by_name=None,
     ):
         self.loop = Loop()
         self.seed = seed
@@ -460,6 +582,7 @@
         self.lease_times = lease_times
         self.links = []
         self.blocked_pairs = set()
+        self.rate_by_name = rate_by_name or {}
         self._request_numbers = itertools.count()
         self.entry_by_name = {}
         self.agent_by_name = {}
@@ -479,7 +602,13 @@
         return NETWORK_MS / 5 if same else NETWORK_MS
 
     def can_dial(self, agent, entry):
-        return (entry.name, agent.name) not in self.blocked_pairs
+        is_blocked = (entry.name, agent.name) in self.blocked_pairs
+        return entry.is_alive and not entry.is_paused and not is_blocked
+
+    def clock_of(self, name):
+        """A process's own clock; ``rate_by_name`` makes it fast or slow."""
+        rate = self.rate_by_name.get(name)
+        return self.loop.clock if rate is None else RateClock(self.loop, rate)
 
     def entry(self, number=0):
         return self.entry_by_name[f'entry-{number}']
@@ -558,6 +687,8 @@
         if keep_worker:
             agent.worker.worker = old.worker.worker
             agent.backend_by_name = old.backend_by_name
+        else:
+            old.worker.is_alive = False
         self.agent_by_name[agent.name] = agent
         return agent
 
