Agent: urgent starts on a full VM, throttling, observed use

Cause: an urgent task that met a full fleet waited until something ended; nothing could throttle a task; a task larger than declared went unnoticed. Ruled out: a planner that stops another planner's task (it does not know it), and two messages, stop then start (a lost report between them costs seconds). Change: the agent makes room itself. ThrottleTask sets a share under the planner's epoch; heartbeats carry use, share and count by template; each backend server reports a short-window tail. The ledger counts each task with the larger of declared and measured.

--- a/hyssopring/agent/backends.py
+++ b/hyssopring/agent/backends.py
@@ -1,7 +1,8 @@
 """The backend servers that announce themselves on this VM."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from hyssopring.agent.tail import TailWindow
 from hyssopring.clock import Clock
 from hyssopring.invariants import Invariants
 from hyssopring.logs import Event, log_event
@@ -33,6 +34,7 @@
     heard_at: float = 0
     in_flight: int = 0
     latency_ms: float = 0
+    tail: TailWindow = field(default_factory=TailWindow)
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +127,7 @@
         """A call gives its slot back."""
         backend.in_flight -= 1
         backend.latency_ms += _LATENCY_WEIGHT * (took_ms - backend.latency_ms)
+        backend.tail.add(self._clock.now(), took_ms)
 
     def queued(self, service_name: str, change: int) -> None:
         """Count calls that wait for a slot."""
@@ -155,6 +158,7 @@
                 in_flight=backend.in_flight,
                 queued=self._queued_by_service.get(backend.service_name, 0),
                 latency_ms=backend.latency_ms,
+                tail_ms=backend.tail.latency_ms(self._clock.now()),
             )
             for backend in self._backend_by_id.values()
         )
--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -30,6 +30,7 @@
     StartTask,
     StopTask,
     TaskReportAck,
+    ThrottleTask,
 )
 
 __all__ = ('AgentCore', 'AgentIdentity', 'AgentLinks')
@@ -174,6 +175,10 @@
     def _on_stop(self, message: StopTask, entry_id: str) -> None:
         self.tasks.on_stop(message)
 
+    @on_message.register
+    def _on_throttle(self, message: ThrottleTask, entry_id: str) -> None:
+        self.tasks.on_throttle(message)
+
     @on_message.register
     def _on_recorded(self, message: TaskReportAck, entry_id: str) -> None:
         self.tasks.on_recorded(message.tasks)
@@ -226,6 +231,7 @@
                 self.backends.reports(),
                 self.ledger.free,
                 self._is_stopping,
+                self.tasks.usage(),
             ),
         )
 
--- a/hyssopring/agent/outside.py
+++ b/hyssopring/agent/outside.py
@@ -127,6 +127,14 @@
             ),
         )
 
+    def throttle(self, task_id: str, share: float) -> None:
+        """Leave a task this share of its processor time; the listing tells."""
+        self._post(
+            f'/tasks/{task_id}/throttle',
+            {'share': share},
+            lambda _answer: None,
+        )
+
     def renew(self, lease_ms_by_task: dict[str, float]) -> None:
         """Extend the leases of running tasks."""
         self._post('/leases', lease_ms_by_task, lambda _answer: None)
@@ -175,6 +183,8 @@
             entry['phase'],
             entry['checkpoint'],
             _command(entry['command']),
+            Resources(**entry['used']),
+            entry['share'],
         )
         for entry in json.loads(body)['tasks']
     ]
--- a/hyssopring/agent/tasks.py
+++ b/hyssopring/agent/tasks.py
@@ -8,10 +8,13 @@
 * A finished attempt is reported until a planner says that it is recorded.
 """
 
-from dataclasses import dataclass
-from typing import Callable, Protocol, Sequence
+from functools import partial
+from typing import Callable, Sequence
 
 from hyssopring.agent.ledger import Ledger
+from hyssopring.agent.making_room import RoomMaker, RunningTask
+from hyssopring.agent.usage import sum_usage
+from hyssopring.agent.worker import Attempt, Worker, WorkerTask
 from hyssopring.clock import Clock
 from hyssopring.leases import ShardLeases
 from hyssopring.logs import Event, log_event
@@ -22,72 +25,14 @@
     StopTask,
     TaskReport,
     TaskStatus,
+    TaskUsage,
+    ThrottleTask,
 )
 from hyssopring.tasks import FINAL_PHASES, StopMode, TaskKind, TaskPhase
 
 __all__ = ('TaskSupervisor', 'Worker', 'WorkerTask')
 
-
-@dataclass(frozen=True, slots=True)
-class WorkerTask:
-    """What the worker says of one task.
-
-    Attributes:
-        command: The start that it was given, kept by the worker.
-    """
-
-    task_id: str
-    attempt: int
-    phase: str
-    checkpoint: str
-    command: StartTask | None = None
-
-
-class Worker(Protocol):
-    """The platform's worker on this VM."""
-
-    def start(
-        self,
-        command: StartTask,
-        lease_ms: float,
-        done: Callable[[bool], None],
-    ) -> None:
-        """Start a task; it ends by itself when its lease is not renewed."""
-
-    def stop(
-        self,
-        task_id: str,
-        mode: StopMode,
-        done: Callable[[str | None], None],
-    ) -> None:
-        """Stop a task; ``done`` gets its checkpoint, None if in doubt."""
-
-    def renew(self, lease_ms_by_task: dict[str, float]) -> None:
-        """Extend the leases of running tasks."""
-
-
-@dataclass(slots=True)
-class _Attempt:
-    command: StartTask
-    phase: TaskPhase
-    checkpoint: str = ''
-    detail: str = ''
-
-    @property
-    def kind(self) -> TaskKind:
-        return TaskKind(self.command.kind)
-
-    def status(self) -> TaskStatus:
-        command = self.command
-        return TaskStatus(
-            command.task_id,
-            command.shard,
-            command.epoch,
-            command.attempt,
-            self.phase.value,
-            self.checkpoint,
-            self.detail,
-        )
+_NO_ROOM = 'no room'
 
 
 class TaskSupervisor:
@@ -107,9 +52,10 @@
         self._leases = leases
         self._worker = worker
         self._report = report
-        self._attempt_by_task: dict[str, _Attempt] = {}
+        self._attempt_by_task: dict[str, Attempt] = {}
         self._is_stopping = False
         self._has_listed = False
+        self._room = RoomMaker(clock, ledger)
 
     @property
     def has_listed(self) -> bool:
@@ -134,6 +80,14 @@
             attempt.status() for attempt in self._attempt_by_task.values()
         )
 
+    def usage(self) -> tuple[TaskUsage, ...]:
+        """Return what tasks take here, by template and team."""
+        return sum_usage(
+            (attempt.command, attempt.used, attempt.share)
+            for attempt in self._attempt_by_task.values()
+            if attempt.phase not in FINAL_PHASES
+        )
+
     def on_grant(self, grant: LeaseGrant, asked_at: float) -> None:
         """Take or extend a lease."""
         self._leases.grant(grant, asked_at)
@@ -154,24 +108,16 @@
             self._report(TaskReport((known.status(),)))
             return
         why = self._refusal(command, known)
+        if why == _NO_ROOM and self._make_room(command):
+            return
         if why:
             log_event(Event.TASK_REFUSED, task=command.task_id, why=why)
-            refused = _Attempt(command, TaskPhase.REFUSED, detail=why)
+            refused = Attempt(command, TaskPhase.REFUSED, detail=why)
             self._report(TaskReport((refused.status(),)))
             return
-        attempt = _Attempt(command, TaskPhase.STARTING)
+        attempt = Attempt(command, TaskPhase.STARTING)
         self._attempt_by_task[command.task_id] = attempt
-        log_event(
-            Event.TASK_STARTED,
-            task=command.task_id,
-            attempt=command.attempt,
-            epoch=command.epoch,
-        )
-        self._worker.start(
-            command,
-            self._leases.remaining(command.shard, attempt.kind),
-            lambda is_started: self._started(attempt, is_started),
-        )
+        self._start(attempt)
 
     def on_stop(self, command: StopTask) -> None:
         """Stop a task for its current planner."""
@@ -182,6 +128,16 @@
         if attempt.command.attempt == command.attempt:
             self._stop(attempt, StopMode(command.mode), 'asked')
 
+    def on_throttle(self, command: ThrottleTask) -> None:
+        """Change a task's share of processor time for its planner."""
+        attempt = self._attempt_by_task.get(command.task_id)
+        is_current = self._leases.accepts(command.shard, command.epoch)
+        if attempt is None or not is_current:
+            return
+        if attempt.command.attempt == command.attempt:
+            attempt.share = command.share
+            self._worker.throttle(command.task_id, command.share)
+
     def on_recorded(self, statuses: Sequence[TaskStatus]) -> None:
         """Forget finished attempts that a planner has recorded."""
         for status in statuses:
@@ -201,6 +157,12 @@
             listed = listed_by_id.get(task_id)
             if attempt.phase is TaskPhase.RUNNING:
                 self._compare(attempt, listed)
+        self._ledger.observe(
+            {
+                task_id: attempt.used
+                for task_id, attempt in self._attempt_by_task.items()
+            }
+        )
 
     def stop(self) -> None:
         """Checkpoint everything at a planned stop."""
@@ -210,6 +172,7 @@
 
     def tick(self) -> None:
         """Renew the worker's leases, stop what has lapsed, report the ended."""
+        self._room.settle()
         lease_ms_by_task: dict[str, float] = {}
         for attempt in list(self._attempt_by_task.values()):
             remaining = self._leases.remaining(
@@ -230,15 +193,16 @@
         for listed in listing:
             if listed.command is None:
                 continue
-            attempt = _Attempt(
+            attempt = Attempt(
                 listed.command,
                 TaskPhase.RUNNING,
                 listed.checkpoint,
+                share=listed.share,
             )
             self._attempt_by_task[listed.task_id] = attempt
             self._ledger.reserve(listed.task_id, listed.command.size)
 
-    def _refusal(self, command: StartTask, known: _Attempt | None) -> str:
+    def _refusal(self, command: StartTask, known: Attempt | None) -> str:
         if self._is_stopping or not self._has_listed:
             return 'agent is starting or stopping'
         if not self._leases.accepts(command.shard, command.epoch):
@@ -249,10 +213,54 @@
         if known is not None and known.phase not in FINAL_PHASES:
             return 'an earlier attempt is still here'
         if not self._ledger.reserve(command.task_id, command.size):
-            return 'no room'
+            return _NO_ROOM
         return ''
 
-    def _started(self, attempt: _Attempt, is_started: bool) -> None:
+    def _start(self, attempt: Attempt) -> None:
+        """Start what the ledger holds, unless it was stopped meanwhile."""
+        if attempt.phase is not TaskPhase.STARTING:
+            return
+        command = attempt.command
+        log_event(
+            Event.TASK_STARTED,
+            task=command.task_id,
+            attempt=command.attempt,
+            epoch=command.epoch,
+        )
+        self._worker.start(
+            command,
+            self._leases.remaining(command.shard, attempt.kind),
+            lambda is_started: self._started(attempt, is_started),
+        )
+
+    def _make_room(self, command: StartTask) -> bool:
+        """Checkpoint less urgent batch tasks for an urgent one."""
+        victims = self._room.victims(
+            command,
+            [
+                RunningTask(attempt.command, attempt.phase)
+                for attempt in self._attempt_by_task.values()
+            ],
+        )
+        if victims is None:
+            return False
+        attempt = Attempt(command, TaskPhase.STARTING)
+        self._attempt_by_task[command.task_id] = attempt
+        self._room.add(
+            command,
+            partial(self._start, attempt),
+            partial(self._end, attempt, TaskPhase.REFUSED, _NO_ROOM),
+        )
+        why = f'makes room for {command.task_id}'
+        for task_id in victims:
+            self._stop(
+                self._attempt_by_task[task_id],
+                StopMode.CHECKPOINT,
+                why,
+            )
+        return True
+
+    def _started(self, attempt: Attempt, is_started: bool) -> None:
         if attempt.phase is not TaskPhase.STARTING:
             return
         if is_started:
@@ -262,15 +270,17 @@
         # The start may have taken effect although its answer says otherwise.
         self._stop(attempt, StopMode.CANCEL, 'start failed')
 
-    def _compare(self, attempt: _Attempt, listed: WorkerTask | None) -> None:
+    def _compare(self, attempt: Attempt, listed: WorkerTask | None) -> None:
         if listed is None or listed.attempt != attempt.command.attempt:
             self._end(attempt, TaskPhase.STOPPED, 'gone from the worker')
             return
-        attempt.checkpoint = listed.checkpoint
+        attempt.observe(listed)
+        if listed.share != attempt.share:
+            self._worker.throttle(listed.task_id, attempt.share)
         if listed.phase != TaskPhase.RUNNING.value:
             self._end(attempt, TaskPhase(listed.phase), 'ended')
 
-    def _stop(self, attempt: _Attempt, mode: StopMode, why: str) -> None:
+    def _stop(self, attempt: Attempt, mode: StopMode, why: str) -> None:
         if attempt.phase in FINAL_PHASES | {TaskPhase.STOPPING}:
             return
         attempt.phase = TaskPhase.STOPPING
@@ -282,7 +292,7 @@
 
     def _stopped(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         checkpoint: str | None,
         why: str,
     ) -> None:
@@ -294,10 +304,11 @@
         attempt.checkpoint = checkpoint or attempt.checkpoint
         self._end(attempt, TaskPhase.STOPPED, why)
 
-    def _end(self, attempt: _Attempt, phase: TaskPhase, why: str) -> None:
+    def _end(self, attempt: Attempt, phase: TaskPhase, why: str) -> None:
         attempt.phase = phase
         attempt.detail = why
         self._ledger.release(attempt.command.task_id)
+        self._room.forget(attempt.command.task_id)
         log_event(
             Event.TASK_FINISHED
             if phase is TaskPhase.COMPLETED
@@ -308,3 +319,4 @@
             why=why,
         )
         self._report(TaskReport((attempt.status(),)))
+        self._room.settle()
--- a/hyssopring/protocol/inner.thrift
+++ b/hyssopring/protocol/inner.thrift
@@ -49,6 +49,7 @@
   6: required i32 in_flight
   7: required i32 queued
   8: required double latency_ms
+  9: required double tail_ms
 }
 
 struct TaskStatus {
@@ -61,12 +62,23 @@
   7: required string detail
 }
 
+struct TaskUsage {
+  1: required string service_name
+  2: required string kind
+  3: required i32 urgency
+  4: required i32 running
+  5: required Resources reserved
+  6: required Resources used
+  7: required double share
+}
+
 struct Heartbeat {
   1: required i64 sequence
   2: required i64 configuration_version
   3: required list<BackendReport> backends
   4: required Resources free
   5: required bool stopping
+  6: required list<TaskUsage> usage
 }
 
 struct LeaseGrant {
@@ -157,6 +169,14 @@
   5: required string mode
 }
 
+struct ThrottleTask {
+  1: required string task_id
+  2: required i32 shard
+  3: required i64 epoch
+  4: required i32 attempt
+  5: required double share
+}
+
 struct TaskReport {
   1: required list<TaskStatus> tasks
   2: required bool complete
@@ -186,4 +206,5 @@
   15: TaskReport task_report
   16: TaskReportAck task_report_ack
   17: EntryList entry_list
+  18: ThrottleTask throttle_task
 }
--- a/hyssopring/protocol/messages.py
+++ b/hyssopring/protocol/messages.py
@@ -32,6 +32,8 @@
     'TaskReport',
     'TaskReportAck',
     'TaskStatus',
+    'TaskUsage',
+    'ThrottleTask',
     'Welcome',
 )
 
@@ -62,6 +64,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def larger(self, other: 'Resources') -> 'Resources':
+        """Return the larger of both in each dimension."""
+        return Resources(
+            max(self.cores, other.cores),
+            max(self.memory_gb, other.memory_gb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def holds(self, other: 'Resources') -> bool:
         """Tell whether ``other`` fits in here in every dimension."""
         return (
@@ -120,7 +130,12 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendReport:
-    """What an agent knows of one backend server on its VM."""
+    """What an agent knows of one backend server on its VM.
+
+    Attributes:
+        tail_ms: 95th percentile over the last seconds; 0 when too few calls
+            ended in them to say.
+    """
 
     service_name: str
     backend_id: str
@@ -130,6 +145,7 @@
     in_flight: int
     queued: int
     latency_ms: float
+    tail_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +161,25 @@
     detail: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class TaskUsage:
+    """What the tasks of one template and team take on an agent, in sum.
+
+    Attributes:
+        reserved: Sum of the sizes that they were started with.
+        used: Sum of what the worker last measured, which lags.
+        share: Mean share of processor time that throttling leaves them.
+    """
+
+    service_name: str
+    kind: str
+    urgency: int
+    running: int
+    reserved: Resources
+    used: Resources
+    share: float = 1
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Sent by the agent each second; asks for leases and reports load."""
@@ -154,6 +189,7 @@
     backends: tuple[BackendReport, ...]
     free: Resources
     stopping: bool
+    usage: tuple[TaskUsage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -283,6 +319,17 @@
     mode: str
 
 
+@dataclass(frozen=True, slots=True)
+class ThrottleTask:
+    """Leave one attempt this share of its processor time, 0 to 1."""
+
+    task_id: str
+    shard: int
+    epoch: int
+    attempt: int
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class TaskReport:
     """States of tasks on an agent.
@@ -322,4 +369,5 @@
     | TaskReport
     | TaskReportAck
     | EntryList
+    | ThrottleTask
 )
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 from collections import Counter
+from dataclasses import asdict
 from urllib.parse import parse_qs, urlparse
 
 from result import Err, Ok
@@ -281,6 +282,7 @@
             'checkpoint': command.checkpoint,
             'run_ms': command.run_ms,
             'command': command,
+            'size': asdict(command.size),
         }
         self.loop.later(
             1.0,
@@ -295,6 +297,9 @@
     def stop(self, task_id, mode, done):
         self.loop.later(1.0, self.take, self._stop, task_id, done)
 
+    def throttle(self, task_id, share):
+        self.worker.throttle(task_id, share)
+
     def renew(self, lease_ms_by_task):
         self.take(self.worker.renew, lease_ms_by_task)
 
@@ -306,6 +311,8 @@
                 task['phase'],
                 task['checkpoint'],
                 task['command']['command'],
+                Resources(**task['used']),
+                task['share'],
             )
             for task in self.worker.listing()
         ]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's worker: runs tasks under leases, on timers.
 
-HTTP: ``POST /tasks/ID/start``, ``/tasks/ID/stop``, ``/leases``;
+HTTP: ``POST /tasks/ID/start``, ``/tasks/ID/stop``, ``/tasks/ID/throttle``,
+``/leases``;
 ``GET /tasks``. A task whose lease is not renewed ends by itself. The log of
 starts and ends on standard output lets a test check that no task ran twice.
 Run: ``python -m standins.worker HOST:PORT``.
@@ -14,6 +15,7 @@
 from twisted.web.server import Site
 
 _BATCH_STEP_MS = 100
+_NOTHING = {'cores': 0.0, 'memory_gb': 0.0, 'accelerators': 0}
 
 
 class Worker:
@@ -33,6 +35,8 @@
             'phase': 'failed' if self.fails else 'running',
             'checkpoint': command['checkpoint'],
             'command': command,
+            'share': 1.0,
+            'used': dict(command.get('size') or _NOTHING),
             'until': self.now() + lease_ms,
             'resumed_at': self.now(),
             'done_ms': float(command['checkpoint'] or 0),
@@ -47,6 +51,16 @@
         self._note('stop', task_id)
         return task['checkpoint']
 
+    def throttle(self, task_id, share):
+        self.advance()
+        task = self.task_by_id.get(task_id)
+        if task is not None and task['share'] != share:
+            now = self.now()
+            task['done_ms'] += task['share'] * (now - task['resumed_at'])
+            task['resumed_at'] = now
+            task['share'] = share
+            self._note('throttle', task_id)
+
     def renew(self, lease_ms_by_task):
         self.advance()
         for task_id, lease_ms in lease_ms_by_task.items():
@@ -67,7 +81,8 @@
                 self.task_by_id.pop(task_id)
                 self._note('lapse', task_id)
                 continue
-            done = task['done_ms'] + now - task['resumed_at']
+            elapsed = now - task['resumed_at']
+            done = task['done_ms'] + task['share'] * elapsed
             task['checkpoint'] = str(
                 int(done // _BATCH_STEP_MS) * _BATCH_STEP_MS
             )
@@ -101,6 +116,9 @@
         if verb == 'start':
             self.worker.start(task_id, body['command'], body['lease_ms'])
             return b'{}'
+        if verb == 'throttle':
+            self.worker.throttle(task_id, body['share'])
+            return b'{}'
         checkpoint = self.worker.stop(task_id)
         return json.dumps({'checkpoint': checkpoint}).encode()
 
