Settings: one clear line for each wrong value, examples of both deployments

Cause: a wrong value was reported in the validator's words, secrets were echoed, and impossible pairs (a takeover not longer than the lease) passed. Change: own words for each problem naming key, found and allowed; secrets are never shown; ports, URLs, lease times and pairs of values are checked; a description of each key; docs/SETTINGS.md printed from the models; settings and documents for both deployments at their sizes, loaded by the tests; the document model of a drained VM. Ruled out: secret types of the validation library, which would change every reader of the settings for the sake of one message.

--- a/hyssopring/configuration/changes.py
+++ b/hyssopring/configuration/changes.py
@@ -9,17 +9,12 @@
 
 import json
 from dataclasses import dataclass
-from types import MappingProxyType
-from typing import Callable, Final, Mapping, Sequence
+from typing import Callable, Sequence
 
-from pydantic import BaseModel, ValidationError
+from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from hyssopring.configuration.models import (
-    ParametersModel,
-    TeamModel,
-    TemplateModel,
-)
+from hyssopring.configuration.models import MODEL_BY_KIND
 from hyssopring.configuration.state import ConfigurationState
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.logs import Event, log_event
@@ -230,7 +225,7 @@
 
 def _document_failure(change: ConfigurationChange) -> Failure | None:
     kind, _, rest = change.key.partition('/')
-    model = _MODEL_BY_KIND.get(kind)
+    model = MODEL_BY_KIND.get(kind)
     depth = 2 if kind == 'parameters' else 1
     if model is None or len(rest.split('/')) != depth:
         return Failure(ErrorKind.INVALID, f'no such kind of item: {change.key}')
@@ -253,13 +248,3 @@
         )
         for problem in error.errors()
     )
-
-
-_Models = Mapping[str, type[BaseModel]]
-_MODEL_BY_KIND: Final[_Models] = MappingProxyType(
-    {
-        'template': TemplateModel,
-        'parameters': ParametersModel,
-        'team': TeamModel,
-    }
-)
--- a/hyssopring/configuration/models.py
+++ b/hyssopring/configuration/models.py
@@ -1,11 +1,14 @@
 """Validated documents that operators submit."""
 
-from typing import Annotated, Literal
+from types import MappingProxyType
+from typing import Annotated, Final, Literal, Mapping
 
 from pydantic import BaseModel, ConfigDict, Field
 
 __all__ = (
+    'DrainModel',
     'JobSubmission',
+    'MODEL_BY_KIND',
     'ParametersModel',
     'SizeModel',
     'TeamModel',
@@ -68,10 +71,28 @@
     requests_per_s: Annotated[float, Field(gt=0)] = 10_000
 
 
+class DrainModel(_Strict):
+    """A VM that takes nothing new; its batch tasks move elsewhere."""
+
+    why: Annotated[str, Field(max_length=200)] = ''
+    keepers: bool = False
+
+
 class JobSubmission(_Strict):
     """A batch job: so many tasks of a team's template."""
 
-    job_id: Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+    job_id: _Name
     team: _Name
     template: _Name
     tasks: Annotated[int, Field(ge=1, le=_MAX_TASKS)] = 1
+
+
+_Models = Mapping[str, type[BaseModel]]
+MODEL_BY_KIND: Final[_Models] = MappingProxyType(
+    {
+        'template': TemplateModel,
+        'parameters': ParametersModel,
+        'team': TeamModel,
+        'drain': DrainModel,
+    }
+)
--- a/hyssopring/settings/__init__.py
+++ b/hyssopring/settings/__init__.py
@@ -1,6 +1,17 @@
-"""Settings of the daemons."""
+"""Settings of the daemons and of the operators' command line."""
 
-from hyssopring.settings.loading import load_settings
-from hyssopring.settings.models import AgentSettings, EntrySettings
+from hyssopring.settings.loading import load_settings, read_document, role_of
+from hyssopring.settings.models import (
+    AgentSettings,
+    EntrySettings,
+    OperatorSettings,
+)
 
-__all__ = ('AgentSettings', 'EntrySettings', 'load_settings')
+__all__ = (
+    'AgentSettings',
+    'EntrySettings',
+    'OperatorSettings',
+    'load_settings',
+    'read_document',
+    'role_of',
+)
--- a/hyssopring/settings/models.py
+++ b/hyssopring/settings/models.py
@@ -1,37 +1,85 @@
 """Validated settings of each role. Times are milliseconds."""
 
-from typing import Annotated
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    model_validator,
+)
 
+from hyssopring.addresses import parse_address
 from hyssopring.protocol.messages import Resources
 
-__all__ = ('AgentSettings', 'CapacitySettings', 'EntrySettings')
+__all__ = (
+    'AgentSettings',
+    'CapacitySettings',
+    'EntrySettings',
+    'OperatorSettings',
+)
 
 _NAME = '^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$'
-_ADDRESS = r'^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}$'
+_ADDRESS = r'^([0-9A-Za-z.-]+|\[[0-9A-Fa-f:]+\]):[0-9]{1,5}$'
+_URL = r'^http://([0-9A-Za-z.-]+|\[[0-9A-Fa-f:]+\])(:[0-9]{1,5})?(/.*)?$'
 _MIN_SECRET = 16
 _MAX_BODY = 8 * 1024 * 1024
+_MAX_PORT = 65_535
+_HOUR_MS = 3_600_000
+# A lease is renewed each second: a shorter one than this ends on one lost
+# renewal, so it would lapse whenever a machine is busy for a moment.
+_MIN_LEASE_MS = 3000
+_MAX_SHARD_LEASE_MS = 60_000
+# The worst wait before the tasks of a dead VM are placed anew.
+_MAX_BATCH_LEASE_MS = 300_000
+
+
+def _with_port(address: str) -> str:
+    if parse_address(address).port > _MAX_PORT:
+        raise ValueError(f'Port should be 0 to {_MAX_PORT}')
+    return address
+
+
+def _dialled(address: str) -> str:
+    if not parse_address(address).port:
+        raise ValueError(f'Port should be 1 to {_MAX_PORT}: others dial it')
+    return address
+
 
 _Name = Annotated[str, Field(pattern=_NAME)]
-_Address = Annotated[
-    str,
-    Field(pattern=_ADDRESS, description='host:port'),
-]
+_Address = Annotated[str, Field(pattern=_ADDRESS), AfterValidator(_with_port)]
+_Dialled = Annotated[_Address, AfterValidator(_dialled)]
+_Url = Annotated[str, Field(pattern=_URL)]
 _Secret = Annotated[str, Field(min_length=_MIN_SECRET)]
-_Millis = Annotated[float, Field(ge=10, le=3_600_000)]
+_Millis = Annotated[float, Field(ge=10, le=_HOUR_MS)]
+_Level = Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
 
 
 class _Strict(BaseModel):
-    model_config = ConfigDict(extra='forbid', strict=True, frozen=True)
+    model_config = ConfigDict(
+        extra='forbid',
+        strict=True,
+        frozen=True,
+        allow_inf_nan=False,
+    )
 
 
 class CapacitySettings(_Strict):
     """What a VM holds."""
 
-    cores: Annotated[float, Field(gt=0, le=1024)]
-    memory_gb: Annotated[float, Field(gt=0, le=16384)]
-    accelerators: Annotated[int, Field(ge=0, le=64)] = 0
+    cores: Annotated[
+        float,
+        Field(gt=0, le=1024, description='Processor cores.'),
+    ]
+    memory_gb: Annotated[
+        float,
+        Field(gt=0, le=16384, description='Memory, in gigabytes.'),
+    ]
+    accelerators: Annotated[
+        int,
+        Field(ge=0, le=64, description='Accelerator devices.'),
+    ] = 0
 
     def to_resources(self) -> Resources:
         """Return the data class used inside."""
@@ -41,36 +89,164 @@
 class EntrySettings(_Strict):
     """Settings of an entry."""
 
-    id: _Name
-    zone: _Name
-    caller_address: _Address
-    operator_address: _Address
-    inner_address: _Address
-    store_url: Annotated[str, Field(pattern='^http://')]
-    inner_secret: _Secret
-    operator_token: _Secret
-    log_level: str = 'INFO'
-    default_deadline_ms: _Millis = 2000
-    max_body_bytes: Annotated[int, Field(ge=1024, le=_MAX_BODY)] = 1_048_576
-    store_timeout_ms: _Millis = 2000
-    shards: Annotated[int, Field(ge=1, le=1024)] = 8
-    shard_lease_ms: _Millis = 6000
-    shard_takeover_ms: _Millis = 8000
-    batch_lease_ms: _Millis = 15_000
-    keeper_lease_ms: _Millis = 60_000
-    drain_ms: _Millis = 30_000
+    id: Annotated[_Name, Field(description='Name of this entry, unique.')]
+    zone: Annotated[_Name, Field(description='Its availability zone.')]
+    caller_address: Annotated[
+        _Address,
+        Field(description="host:port for callers' HTTP."),
+    ]
+    operator_address: Annotated[
+        _Address,
+        Field(description="host:port for operators' HTTP, /metrics, /healthz."),
+    ]
+    inner_address: Annotated[
+        _Dialled,
+        Field(description='host:port that agents dial.'),
+    ]
+    store_url: Annotated[
+        _Url,
+        Field(description="URL of the platform's transactional table service."),
+    ]
+    inner_secret: Annotated[
+        _Secret,
+        Field(description='Secret that agents and entries share.'),
+    ]
+    operator_token: Annotated[
+        _Secret,
+        Field(description='Bearer token that operators present.'),
+    ]
+    log_level: Annotated[
+        _Level,
+        Field(description='Lowest level of the log lines written.'),
+    ] = 'INFO'
+    default_deadline_ms: Annotated[
+        _Millis,
+        Field(description='Deadline of a request whose service sets none.'),
+    ] = 2000
+    max_body_bytes: Annotated[
+        int,
+        Field(ge=1024, le=_MAX_BODY, description='Largest request body.'),
+    ] = 1_048_576
+    store_timeout_ms: Annotated[
+        _Millis,
+        Field(description='When a call to the table service is given up.'),
+    ] = 2000
+    shards: Annotated[
+        int,
+        Field(ge=1, le=1024, description='Planning shards, alike on all.'),
+    ] = 8
+    shard_lease_ms: Annotated[
+        float,
+        Field(
+            ge=_MIN_LEASE_MS,
+            le=_MAX_SHARD_LEASE_MS,
+            description='How long an entry plans on one renewal.',
+        ),
+    ] = 6000
+    shard_takeover_ms: Annotated[
+        float,
+        Field(
+            gt=_MIN_LEASE_MS,
+            le=2 * _MAX_SHARD_LEASE_MS,
+            description='Silence after which others take its shards.',
+        ),
+    ] = 8000
+    batch_lease_ms: Annotated[
+        float,
+        Field(
+            ge=_MIN_LEASE_MS,
+            le=_MAX_BATCH_LEASE_MS,
+            description='How long a batch task runs on one renewal.',
+        ),
+    ] = 15_000
+    keeper_lease_ms: Annotated[
+        float,
+        Field(
+            ge=_MIN_LEASE_MS,
+            le=_HOUR_MS,
+            description='How long a keeper runs on one renewal.',
+        ),
+    ] = 60_000
+    drain_ms: Annotated[
+        _Millis,
+        Field(description='Longest wait for requests in flight at a stop.'),
+    ] = 30_000
+
+    @model_validator(mode='after')
+    def check_together(self) -> Self:
+        """Refuse values that are possible alone but not together."""
+        if self.shard_takeover_ms <= self.shard_lease_ms:
+            # Else a rival would plan a shard that its holder still plans.
+            raise ValueError(
+                f'shard_takeover_ms: found {self.shard_takeover_ms}, should '
+                f'be longer than shard_lease_ms ({self.shard_lease_ms})',
+            )
+        if self.keeper_lease_ms < self.batch_lease_ms:
+            raise ValueError(
+                f'keeper_lease_ms: found {self.keeper_lease_ms}, should not '
+                f'be shorter than batch_lease_ms ({self.batch_lease_ms})',
+            )
+        addresses = [
+            address
+            for address in (
+                self.caller_address,
+                self.operator_address,
+                self.inner_address,
+            )
+            if parse_address(address).port
+        ]
+        if len(set(addresses)) < len(addresses):
+            raise ValueError(
+                'caller_address, operator_address, inner_address: found one '
+                'address twice, should be three different ones',
+            )
+        return self
 
 
 class AgentSettings(_Strict):
     """Settings of an agent."""
 
-    id: _Name
-    zone: _Name
-    rack: _Name
-    capacity: CapacitySettings
-    announce_address: _Address
-    entries: Annotated[tuple[_Address, ...], Field(min_length=1)]
-    worker_url: Annotated[str, Field(pattern='^http://')]
-    inner_secret: _Secret
-    log_level: str = 'INFO'
-    drain_ms: _Millis = 30_000
+    id: Annotated[_Name, Field(description='Name of this agent, unique.')]
+    zone: Annotated[_Name, Field(description='Its availability zone.')]
+    rack: Annotated[_Name, Field(description='The rack of its VM.')]
+    capacity: Annotated[
+        CapacitySettings,
+        Field(description='What its VM holds; see below.'),
+    ]
+    announce_address: Annotated[
+        _Address,
+        Field(description='host:port where backend servers announce.'),
+    ]
+    entries: Annotated[
+        tuple[_Dialled, ...],
+        Field(
+            min_length=1,
+            description='Inner addresses to dial first; it learns the rest.',
+        ),
+    ]
+    worker_url: Annotated[_Url, Field(description="URL of the VM's worker.")]
+    inner_secret: Annotated[
+        _Secret,
+        Field(description='Secret that agents and entries share.'),
+    ]
+    log_level: Annotated[
+        _Level,
+        Field(description='Lowest level of the log lines written.'),
+    ] = 'INFO'
+    drain_ms: Annotated[
+        _Millis,
+        Field(description='Longest wait for requests in flight at a stop.'),
+    ] = 30_000
+
+
+class OperatorSettings(_Strict):
+    """Where the operators' command line connects."""
+
+    entry: Annotated[
+        _Dialled,
+        Field(description="host:port of an entry's operators' port."),
+    ]
+    token: Annotated[
+        _Secret,
+        Field(description="The entries' operator_token."),
+    ]
--- /dev/null
+++ b/hyssopring/settings/problems.py
@@ -0,0 +1,59 @@
+"""Words for what is wrong with a settings file, always one line."""
+
+import json
+from typing import Any, Mapping
+
+from pydantic import BaseModel, ValidationError
+
+__all__ = ('describe_problems',)
+
+_HIDDEN = ('secret', 'token')
+_MAX_SHOWN = 60
+
+
+def describe_problems(model: type[BaseModel], error: ValidationError) -> str:
+    """Name each wrong key, what was found and what is allowed.
+
+    The values of secrets are never shown: such lines end up in logs.
+    """
+    return '; '.join(
+        _problem(model, dict(problem)) for problem in error.errors()
+    )
+
+
+def _problem(model: type[BaseModel], problem: Mapping[str, Any]) -> str:
+    key = '.'.join(str(part) for part in problem['loc'])
+    message = problem['msg'].removeprefix('Value error, ')
+    if not key:
+        return (
+            message
+            if problem['type'] == 'value_error'
+            else 'document: '
+            + (f'{message}, found {_shown(key, problem["input"])}')
+        )
+    if problem['type'] == 'missing':
+        return f'{key}: required, found nothing'
+    if problem['type'] == 'extra_forbidden':
+        allowed = ', '.join(_keys_beside(model, problem['loc']))
+        return f'{key}: unknown key, allowed are {allowed}'
+    return f'{key}: {message}, found {_shown(key, problem["input"])}'
+
+
+def _keys_beside(
+    model: type[BaseModel],
+    location: tuple[int | str, ...],
+) -> tuple[str, ...]:
+    for part in location[:-1]:
+        annotation = model.model_fields[str(part)].annotation
+        if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+            model = annotation
+    return tuple(model.model_fields)
+
+
+def _shown(key: str, found: object) -> str:
+    if any(word in key for word in _HIDDEN):
+        return 'a value that is not shown'
+    if isinstance(found, dict):
+        return 'an object'
+    text = json.dumps(found, default=str)
+    return text if len(text) <= _MAX_SHOWN else f'{text[:_MAX_SHOWN]}...'
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,108 @@
+"""Settings files: one clear line for each thing that can be wrong."""
+
+import json
+import pathlib
+
+import json5
+import pytest
+
+from hyssopring.configuration.models import MODEL_BY_KIND
+from hyssopring.settings import (
+    AgentSettings,
+    EntrySettings,
+    OperatorSettings,
+    load_settings,
+    read_document,
+    role_of,
+)
+from hyssopring.settings.reference import reference_page
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLES = ROOT / 'examples'
+ENTRY = json5.loads((EXAMPLES / 'nyabugogo/entries/entry-1.json').read_text())
+CASES = [
+    ({'colour': 1}, ['colour', 'unknown key', 'shard_lease_ms']),
+    ({'shard_lease_ms': '6s'}, ['shard_lease_ms', 'valid number', '"6s"']),
+    (
+        {'caller_address': '10.1.1.10:70000'},
+        ['caller_address', '65535', '70000'],
+    ),
+    ({'inner_address': '10.1.1.10:0'}, ['inner_address', '1 to 65535', ':0']),
+    ({'caller_address': '10.1.1.10:7002'}, ['operator_address', 'twice']),
+    ({'shard_takeover_ms': 6000}, ['shard_takeover_ms', '6000', 'longer']),
+    ({'batch_lease_ms': 900_000}, ['batch_lease_ms', '300000', '900000']),
+    ({'keeper_lease_ms': 5000}, ['keeper_lease_ms', '5000', '15000']),
+    ({'shards': 2.5}, ['shards', 'integer', '2.5']),
+    ({'log_level': 'LOUD'}, ['log_level', "'INFO'", 'LOUD']),
+    ({'zone': None}, ['zone', 'string', 'null']),
+    ({'inner_secret': 'sesame'}, ['inner_secret', '16', 'not shown']),
+]
+
+
+def problem(tmp_path, text, model=EntrySettings):
+    path = tmp_path / 'entry.json'
+    path.write_text(text)
+    line = load_settings(str(path), model).unwrap_err().detail
+    assert line.startswith(str(path))
+    assert '\n' not in line
+    return line
+
+
+@pytest.mark.parametrize(('change', 'words'), CASES)
+def test_wrong_value_is_one_line_naming_key_found_and_allowed(
+    tmp_path, change, words
+):
+    line = problem(tmp_path, json.dumps({**ENTRY, **change}))
+    assert all(word in line for word in words), line
+    assert 'sesame' not in line
+
+
+def test_missing_key_missing_file_and_broken_json_are_one_line(tmp_path):
+    without = {key: ENTRY[key] for key in ENTRY if key != 'zone'}
+    assert 'zone: required' in problem(tmp_path, json.dumps(without))
+    assert 'not JSON' in problem(tmp_path, '{"id": \n')
+    assert 'not JSON' in problem(tmp_path, '{"id": "a", "id": "b"}')
+    assert 'document' in problem(tmp_path, '[1]')
+    missing = load_settings('nowhere.json', EntrySettings).unwrap_err().detail
+    assert missing == 'nowhere.json: cannot be read: No such file or directory'
+
+
+def test_key_inside_an_object_is_named_with_its_neighbours(tmp_path):
+    agent = json5.loads(
+        (EXAMPLES / 'nyabugogo/agents/agent-01.json').read_text()
+    )
+    agent['capacity']['memory_mb'] = 60_000
+    line = problem(tmp_path, json.dumps(agent), AgentSettings)
+    assert 'capacity.memory_mb' in line and 'memory_gb' in line
+
+
+@pytest.mark.parametrize('deployment', ['nyabugogo', 'hemeroteca'])
+def test_examples_load_with_the_sizes_of_today(deployment):
+    agents = [
+        load_settings(str(path), AgentSettings).unwrap()
+        for path in sorted((EXAMPLES / deployment / 'agents').iterdir())
+    ]
+    racks = [agent.rack for agent in agents]
+    assert len(agents) == 11
+    assert max(racks.count(rack) for rack in racks) == 3
+    entries = [
+        load_settings(str(path), EntrySettings).unwrap()
+        for path in sorted((EXAMPLES / deployment / 'entries').iterdir())
+    ]
+    assert {agent.zone for agent in agents} == {e.zone for e in entries}
+    documents = EXAMPLES / deployment / 'configuration'
+    for path in documents.rglob('*.json'):
+        kind = path.relative_to(documents).parts[0]
+        document = read_document(str(path)).unwrap()
+        MODEL_BY_KIND[kind].model_validate_json(json.dumps(document))
+
+
+def test_role_is_told_by_the_files_own_keys():
+    assert role_of(ENTRY) is EntrySettings
+    assert role_of({'rack': 'a', 'worker_url': 'b'}) is AgentSettings
+    assert role_of({'entry': 'a', 'token': 'b'}) is OperatorSettings
+
+
+def test_settings_page_is_up_to_date():
+    page = (ROOT / 'docs/SETTINGS.md').read_text()
+    assert page == reference_page(), 'run python -m hyssopring.settings'
