Shard leases: no shard is left without a planner, none gets two

Cause: after an outage, or when the answer to a takeover was lost, a shard's row named an entry that did not hold it; its own renewals made it look alive, so nobody took the shard again. An entry that registered between a rival's two reads could lose a fresh shard to it at once, and a process of the same id wrote over the row of one whose lease was still good. A planner that found foreign rows dropped its plan but went on granting leases. A failed load was repeated at once, without a pause.

Ruled out: deleting rows of ended entries; versions would begin again and a delayed commit could match.

Change: EntryRegistry keeps the own row and sightings; a row that names this very incarnation is taken afresh; every takeover checks the holder's row as it was read; a foreign incarnation's lease is waited out.

--- a/hyssopring/leases/shards.py
+++ b/hyssopring/leases/shards.py
@@ -1,21 +1,26 @@
 """Which entry plans which shard, by leases kept in the table service.
 
-An entry renews one row, ``entries/<id>``. A shard's row names its holder and
-an epoch. An entry holds its shards for as long as its own row was renewed
-less than ``lease_ms`` ago, counted from before the renewal was sent. A rival
-that has seen the holder's row unchanged for ``takeover_ms``, which is longer,
-deletes that row in the same transaction that takes the shard, so the old
-holder's next renewal fails and it knows that it was deposed.
+A shard's row names its holder, the holder's incarnation and an epoch. An
+entry holds its shards for as long as its own row was renewed less than
+``lease_ms`` ago, counted from before the renewal was sent. A rival that has
+seen the holder's row unchanged for ``takeover_ms``, which is longer, ends
+that row in the same transaction that takes the shard, so the old holder's
+next renewal fails and it knows that it was deposed.
 """
 
-import uuid
 from dataclasses import dataclass
-from typing import Callable, Sequence
+from typing import Callable, Mapping, Sequence
 
 from result import Result
 
 from hyssopring.clock import Clock
 from hyssopring.errors import Failure
+from hyssopring.leases.registry import (
+    EntryRegistry,
+    ShardSettings,
+    ended_entry,
+    entry_key,
+)
 from hyssopring.logs import Event, log_event
 from hyssopring.store.rows import (
     Check,
@@ -29,21 +34,10 @@
 
 __all__ = ('HeldShard', 'ShardHolder', 'ShardSettings', 'shard_key')
 
-_ENTRIES = 'entries/'
 _SHARDS = 'shards/'
 _KEY_WIDTH = 4
 
 
-@dataclass(frozen=True, slots=True)
-class ShardSettings:
-    """Sizes and times of shard leases, in milliseconds."""
-
-    shards: int = 8
-    lease_ms: float = 6000
-    takeover_ms: float = 8000
-    renew_ms: float = 1000
-
-
 @dataclass(frozen=True, slots=True)
 class HeldShard:
     """A shard that this entry holds, and since when."""
@@ -54,12 +48,6 @@
     acquired_at: float
 
 
-@dataclass(slots=True)
-class _Sighting:
-    version: int
-    seen_at: float
-
-
 def shard_key(shard: int) -> str:
     """Return the table key of a shard's row."""
     return f'{_SHARDS}{shard:0{_KEY_WIDTH}}'
@@ -82,20 +70,20 @@
         self._clock = clock
         self._store = store
         self._entry_id = entry_id
-        self._inner_address = inner_address
         self._on_acquired = on_acquired
         self._on_lost = on_lost
         self._settings = settings
-        self._incarnation = uuid.uuid4().hex
-        self._row_version = 0
-        self._valid_until: float = 0
         self._is_busy = False
         self._is_released = False
         self._held_by_shard: dict[int, HeldShard] = {}
-        self._sighting_by_key: dict[str, _Sighting] = {}
-        self._address_by_entry: dict[str, str] = {}
-        self.configuration_version = 0
-        self.version_by_entry: dict[str, int] = {}
+        self._registry = EntryRegistry(
+            clock,
+            store,
+            entry_id,
+            inner_address,
+            settings,
+            lambda: self._lose_all('deposed'),
+        )
 
     @property
     def shards(self) -> int:
@@ -105,12 +93,26 @@
     @property
     def is_valid(self) -> bool:
         """Whether this entry's leases are good at this moment."""
-        return self._clock.now() < self._valid_until
+        return self._registry.is_valid
 
     @property
     def entry_addresses(self) -> tuple[str, ...]:
         """Inner addresses of the entries that the table lists."""
-        return tuple(sorted(self._address_by_entry.values()))
+        return tuple(sorted(self._registry.address_by_entry.values()))
+
+    @property
+    def version_by_entry(self) -> Mapping[str, int]:
+        """The configuration version that each listed entry has in force."""
+        return self._registry.version_by_entry
+
+    @property
+    def configuration_version(self) -> int:
+        """The version that this entry tells the others."""
+        return self._registry.configuration_version
+
+    @configuration_version.setter
+    def configuration_version(self, version: int) -> None:
+        self._registry.configuration_version = version
 
     def held(self) -> list[HeldShard]:
         """Return the shards held with a valid lease."""
@@ -131,146 +133,129 @@
         if self._is_busy or self._is_released:
             return
         self._is_busy = True
-        self._renew(self._clock.now())
+        self._registry.refresh(self._refreshed)
+
+    def drop(self, shard: int, why: str) -> None:
+        """Give up a shard whose rows changed under its planner.
+
+        Kept, it would go on granting leases with no plan behind them. Its
+        row still names this entry, so a later poll takes it afresh.
+        """
+        if self._held_by_shard.pop(shard, None) is not None:
+            log_event(Event.SHARD_LOST, shard=shard, why=why)
+            self._on_lost(shard)
 
     def release(self) -> None:
         """Give up everything at a planned stop; others need not wait."""
         self._is_released = True
         self._lose_all('released')
-        self._valid_until = 0
-        key = _ENTRIES + self._entry_id
-        self._store.commit(
-            Transaction((Check(key, self._row_version),), (Put(key, None),)),
-            lambda _answer: None,
-        )
-
-    def _renew(self, sent_at: float) -> None:
-        key = _ENTRIES + self._entry_id
-        document = {
-            'incarnation': self._incarnation,
-            'address': self._inner_address,
-            'configuration': self.configuration_version,
-        }
-        transaction = Transaction(
-            (Check(key, self._row_version),),
-            (Put(key, document),),
-        )
-        self._store.commit(
-            transaction,
-            lambda answer: self._renewed(key, sent_at, answer),
-        )
-
-    def _renewed(
-        self,
-        key: str,
-        sent_at: float,
-        answer: Result[Committed | Conflict, Failure],
-    ) -> None:
-        if answer.is_err() or self._is_released:
-            self._is_busy = False
-            return
-        outcome = answer.unwrap()
-        if isinstance(outcome, Conflict):
-            # Deposed, or the row is an earlier run's: hold nothing, then
-            # register afresh on top of what is there now.
-            self._lose_all('deposed')
-            row = outcome.row(key)
-            self._row_version = row.version if row else 0
-            self._is_busy = False
-            return
-        self._row_version = outcome.version_by_key[key]
-        self._valid_until = sent_at + self._settings.lease_ms
-        self._store.read(_ENTRIES, self._entries_read)
+        self._registry.release()
 
-    def _entries_read(self, answer: Result[Sequence[Row], Failure]) -> None:
-        if answer.is_err():
+    def _refreshed(self, entries: Sequence[Row] | None) -> None:
+        if entries is None or self._is_released:
             self._is_busy = False
             return
-        rows = answer.unwrap()
-        self._note_entries(rows)
         self._store.read(
             _SHARDS,
-            lambda shards: self._shards_read(rows, shards),
+            lambda shards: self._shards_read(entries, shards),
         )
 
-    def _note_entries(self, rows: Sequence[Row]) -> None:
-        now = self._clock.now()
-        for row in rows:
-            sighting = self._sighting_by_key.get(row.key)
-            if sighting is None or sighting.version != row.version:
-                self._sighting_by_key[row.key] = _Sighting(row.version, now)
-        names = {row.key: row.key.removeprefix(_ENTRIES) for row in rows}
-        self._address_by_entry = {
-            names[row.key]: row.document['address'] for row in rows
-        }
-        self.version_by_entry = {
-            names[row.key]: row.document['configuration'] for row in rows
-        }
-
     def _shards_read(
         self,
         entries: Sequence[Row],
         answer: Result[Sequence[Row], Failure],
     ) -> None:
         self._is_busy = False
-        if answer.is_err() or not self.is_valid:
+        if answer.is_err() or not self.is_valid or self._is_released:
             return
-        entry_by_id = {row.key.removeprefix(_ENTRIES): row for row in entries}
-        shard_by_key = {row.key: row for row in answer.unwrap()}
-        live = sum(1 for row in entries if not self._is_stale(row))
+        row_by_key = {row.key: row for row in answer.unwrap()}
+        live = sum(self._registry.is_live(row) for row in entries)
         share = -(-self._settings.shards // max(live, 1))
         if len(self._held_by_shard) > share:
-            self._give_away(max(self._held_by_shard), shard_by_key)
+            self._give_away(max(self._held_by_shard))
             return
+        has_room = len(self._held_by_shard) < share
+        entry_by_key = {row.key: row for row in entries}
         for shard in range(self._settings.shards):
-            row = shard_by_key.get(shard_key(shard))
-            holder = entry_by_id.get(row.document['holder']) if row else None
-            if len(self._held_by_shard) >= share:
-                return
-            if shard not in self._held_by_shard and self._is_free(row, holder):
-                self._take(shard, row, holder)
+            row = row_by_key.get(shard_key(shard))
+            holder = _holder(row, entry_by_key)
+            if self._settle(shard, row, holder, has_room):
                 return
 
-    def _is_stale(self, row: Row) -> bool:
-        sighting = self._sighting_by_key[row.key]
-        age = self._clock.now() - sighting.seen_at
-        return age > self._settings.takeover_ms
+    def _settle(
+        self,
+        shard: int,
+        row: Row | None,
+        holder: Row | None,
+        has_room: bool,
+    ) -> bool:
+        """Take or hand back one shard if that is due; one step a poll."""
+        if shard in self._held_by_shard:
+            return False
+        if has_room and self._is_free(row, holder):
+            self._take(shard, row, holder)
+            return True
+        if row is None or not self._is_own(row):
+            return False
+        self._hand_back(shard, row.document['epoch'], row.version)
+        return True
+
+    def _is_own(self, row: Row) -> bool:
+        """Whether a shard's row names this very process.
+
+        Without a matching held shard the answer to taking it, or to giving
+        it away, was lost; or the lease lapsed in an outage that nobody used
+        to depose us. No rival may take it while our own row is renewed, so
+        it would be planned by nobody.
+        """
+        return bool(row.document['incarnation'] == self._registry.incarnation)
 
     def _is_free(self, row: Row | None, holder: Row | None) -> bool:
-        if row is None or holder is None:
+        """Whether the lease behind a shard's row has ended for certain.
+
+        An entry's row is written over only after its lease ended, so a
+        holder of another incarnation is over. The entries were read before
+        the shards, so the holder may have registered in between; taking the
+        shard checks that the holder's row is still as it was read.
+        """
+        if row is None or holder is None or self._is_own(row):
             return True
-        if holder.document['incarnation'] != row.document['incarnation']:
+        if holder.document.get('incarnation') != row.document['incarnation']:
             return True
-        return self._is_stale(holder)
+        return self._registry.is_stale(holder)
 
-    def _give_away(self, shard: int, shard_by_key: dict[str, Row]) -> None:
+    def _give_away(self, shard: int) -> None:
         held = self._held_by_shard.pop(shard)
         self._on_lost(shard)
         log_event(Event.SHARD_LOST, shard=shard, why='sharing with others')
+        self._hand_back(shard, held.epoch, held.row_version)
+
+    def _hand_back(self, shard: int, epoch: int, version: int) -> None:
         key = shard_key(shard)
-        document = {'holder': '', 'incarnation': '', 'epoch': held.epoch}
+        document = {'holder': '', 'incarnation': '', 'epoch': epoch}
         self._store.commit(
-            Transaction((Check(key, held.row_version),), (Put(key, document),)),
+            Transaction((Check(key, version),), (Put(key, document),)),
             lambda _answer: None,
         )
 
     def _take(self, shard: int, row: Row | None, holder: Row | None) -> None:
         key = shard_key(shard)
+        own_key = self._registry.key
         epoch = (row.document['epoch'] if row else 0) + 1
-        own_key = _ENTRIES + self._entry_id
         checks = [
             Check(key, row.version if row else 0),
-            Check(own_key, self._row_version),
+            Check(own_key, self._registry.row_version),
         ]
         document = {
             'holder': self._entry_id,
-            'incarnation': self._incarnation,
+            'incarnation': self._registry.incarnation,
             'epoch': epoch,
         }
         puts = [Put(key, document)]
         if holder is not None and holder.key != own_key:
             checks.append(Check(holder.key, holder.version))
-            puts.append(Put(holder.key, None))
+            if holder.version and self._registry.is_stale(holder):
+                puts.append(Put(holder.key, ended_entry()))
         self._is_busy = True
         self._store.commit(
             Transaction(tuple(checks), tuple(puts)),
@@ -300,3 +285,11 @@
             self._held_by_shard.pop(shard)
             log_event(Event.SHARD_LOST, shard=shard, why=why)
             self._on_lost(shard)
+
+
+def _holder(row: Row | None, entry_by_key: Mapping[str, Row]) -> Row | None:
+    """Return the row of a shard's holder; version 0 if there is none."""
+    if row is None or not row.document['holder']:
+        return None
+    key = entry_key(row.document['holder'])
+    return entry_by_key.get(key) or Row(key, 0, '', {})
--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -43,7 +43,7 @@
 
     def on_acquired(self, held: HeldShard) -> None:
         """Load a shard that this entry now holds."""
-        journal = Journal(self._store, held, self.on_lost)
+        journal = Journal(self._store, held, self._fenced)
         plan = ShardPlan(held, journal, self._ports)
         self._plan_by_shard[held.shard] = plan
         self._load(plan)
@@ -69,7 +69,10 @@
         )
 
     def poll(self) -> None:
-        """Look for submitted jobs and cancellations."""
+        """Look for submitted jobs and cancellations; finish loading."""
+        for plan in list(self._plan_by_shard.values()):
+            if not plan.is_loaded and not plan.is_loading:
+                self._load(plan)
         if self._is_reading_inbox or not self._plan_by_shard:
             return
         self._is_reading_inbox = True
@@ -101,6 +104,7 @@
             yield from self._plan_by_shard[shard].tasks
 
     def _load(self, plan: ShardPlan) -> None:
+        plan.is_loading = True
         self._store.read(
             chunk_prefix(plan.held.shard),
             lambda answer: self._loaded(plan, answer),
@@ -113,10 +117,13 @@
     ) -> None:
         if self._plan_by_shard.get(plan.held.shard) is not plan:
             return
-        if answer.is_err():
-            self._load(plan)
-            return
-        plan.load(list(answer.unwrap()))
+        plan.is_loading = False
+        if answer.is_ok():
+            plan.load(list(answer.unwrap()))
+
+    def _fenced(self, shard: int) -> None:
+        if self._holder is not None:
+            self._holder.drop(shard, 'rows changed under its planner')
 
     def _usable(self, shard: int) -> ShardPlan | None:
         plan = self._plan_by_shard.get(shard)
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -75,6 +75,7 @@
         """Start empty; ``load`` takes the table's rows."""
         self.held = held
         self.is_loaded = False
+        self.is_loading = False
         self._journal = journal
         self._ports = ports
         self._chunk_by_key: dict[str, Chunk] = {}
