--- a/hyssopring/agent/backends.py
+++ b/hyssopring/agent/backends.py
@@ -10,9 +10,11 @@
 
 __all__ = ('AnnouncedBackend', 'Backends', 'ServiceLoad')
 
-# A backend that has not announced for this long gets no new work. Entries
-# hear of it within one heartbeat, so new work ends within 3 s.
+# A backend that has not announced for this long gets no new work: its slots
+# are refused here at once, and entries hear of it with the next heartbeat.
 _ANNOUNCEMENT_TTL_MS = 2000
+# The promise: no new work this long after it left or last announced.
+_LEAVING_MS = 3000
 _LATENCY_WEIGHT = 0.2
 
 
@@ -23,6 +25,7 @@
     Attributes:
         address: ``host:port`` where it takes requests.
         heard_at: When it last announced itself.
+        left_at: Since when it takes no new work, None while it does.
     """
 
     backend_id: str
@@ -35,6 +38,7 @@
     in_flight: int = 0
     latency_ms: float = 0
     tail: TailWindow = field(default_factory=TailWindow)
+    left_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +61,10 @@
 
     def announce(self, backend: AnnouncedBackend) -> None:
         """Take or renew an announcement."""
-        backend.heard_at = self._clock.now()
+        now = self._clock.now()
+        backend.heard_at = now
+        if backend.leaving:
+            backend.left_at = now
         known = self._backend_by_id.get(backend.backend_id)
         if known is None:
             self._backend_by_id[backend.backend_id] = backend
@@ -69,7 +76,10 @@
             )
             return
         if backend.leaving and not known.leaving:
+            known.left_at = now
             log_event(Event.BACKEND_LEAVING, backend=backend.backend_id)
+        elif not backend.leaving:
+            known.left_at = None
         known.address = backend.address
         known.slots = backend.slots
         known.connections = backend.connections
@@ -88,6 +98,7 @@
             is_silent = now - backend.heard_at > _ANNOUNCEMENT_TTL_MS
             if is_silent and not backend.leaving:
                 backend.leaving = True
+                backend.left_at = backend.heard_at
                 log_event(Event.BACKEND_EXPIRED, backend=backend.backend_id)
             if is_silent and not backend.in_flight:
                 self._backend_by_id.pop(backend.backend_id)
@@ -95,7 +106,7 @@
     def has_service(self, service_name: str) -> bool:
         """Whether a backend of this service takes new work."""
         return any(
-            backend.service_name == service_name and not backend.leaving
+            backend.service_name == service_name and self._takes_work(backend)
             for backend in self._backend_by_id.values()
         )
 
@@ -105,7 +116,7 @@
             backend
             for backend in self._backend_by_id.values()
             if backend.service_name == service_name
-            and not backend.leaving
+            and self._takes_work(backend)
             and backend.in_flight < backend.slots
         ]
         return min(
@@ -117,6 +128,15 @@
     def started(self, backend: AnnouncedBackend) -> None:
         """A call takes one of the backend's slots."""
         backend.in_flight += 1
+        now = self._clock.now()
+        left_at = (
+            backend.heard_at if backend.left_at is None else backend.left_at
+        )
+        self._invariants.check(
+            now - left_at <= _LEAVING_MS,
+            'a backend server that is leaving gets no new work',
+            backend.backend_id,
+        )
         self._invariants.check(
             backend.in_flight <= backend.slots,
             'no backend server is given more than its slots',
@@ -162,3 +182,9 @@
             )
             for backend in self._backend_by_id.values()
         )
+
+    def _takes_work(self, backend: AnnouncedBackend) -> bool:
+        # Its age is looked at here too: an agent that was paused may take a
+        # request before its timer has found the backend silent.
+        age = self._clock.now() - backend.heard_at
+        return not backend.leaving and age <= _ANNOUNCEMENT_TTL_MS
--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -26,6 +26,8 @@
     LeaseGrant,
     Message,
     OutcomeQuery,
+    Ping,
+    Pong,
     Resources,
     StartTask,
     StopTask,
@@ -146,7 +148,11 @@
 
     @on_message.register
     def _on_query(self, message: OutcomeQuery, entry_id: str) -> None:
-        self.calls.on_query(entry_id, message.request_id)
+        self.calls.on_query(entry_id, message)
+
+    @on_message.register
+    def _on_ping(self, message: Ping, entry_id: str) -> None:
+        self._links.send(entry_id, Pong(message.sequence))
 
     @on_message.register
     def _on_update(self, message: ConfigurationUpdate, entry_id: str) -> None:
@@ -200,12 +206,12 @@
 
     def heartbeat(self) -> None:
         """Tell every entry that this agent lives; call each second."""
-        self.backends.expire()
         for entry_id in list(self._link_by_entry):
             self._beat(entry_id)
 
     def tick(self) -> None:
         """Let deadlines and leases take effect."""
+        self.backends.expire()
         self.calls.tick()
 
     def stop(self) -> None:
@@ -220,6 +226,7 @@
         if link is None:
             return
         self._sequence += 1
+        self.calls.sequence = self._sequence
         link.sent_at_by_sequence[self._sequence] = self._clock.now()
         while len(link.sent_at_by_sequence) > _REMEMBERED_BEATS:
             link.sent_at_by_sequence.pop(min(link.sent_at_by_sequence))
--- a/hyssopring/agent/outside.py
+++ b/hyssopring/agent/outside.py
@@ -19,11 +19,15 @@
     StartTask,
 )
 from hyssopring.tasks import StopMode
-from hyssopring.web_client import FetchedAnswer, fetch
+from hyssopring.web_client import FetchedAnswer, TruncatedAnswer, fetch
 
 __all__ = ('HttpBackendCaller', 'HttpWorker')
 
 _MAX_CONNECTIONS = 64
+# Backend servers close idle connections, often after a minute. A request that
+# is written just then gets no answer, and nobody can say whether it ran: an
+# idle connection is dropped on this side well before.
+_IDLE_S = 5
 _WORKER_TIMEOUT_MS = 2000.0
 _OK = 200
 
@@ -36,6 +40,7 @@
         self._reactor = reactor
         pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = _MAX_CONNECTIONS
+        pool.cachedConnectionTimeout = _IDLE_S
         # A silent repeat would run a request twice.
         pool.retryAutomatically = False
         self._agent = Agent(reactor, pool=pool)
@@ -78,6 +83,8 @@
     # A refused connection is certain: no byte of the request was sent.
     if reason.check(ConnectionRefusedError, ConnectError):
         outcome, kind = CallOutcome.NOT_RUN, ErrorKind.NO_BACKEND
+    elif reason.check(TruncatedAnswer):
+        outcome, kind = CallOutcome.FAILED, ErrorKind.TRUNCATED
     else:
         outcome, kind = CallOutcome.FAILED, ErrorKind.BACKEND_FAILED
     return CallResponse(
--- a/hyssopring/outcomes.py
+++ b/hyssopring/outcomes.py
@@ -9,12 +9,14 @@
     """Outcome of a call, in ``CallResponse.outcome``.
 
     NOT_RUN is final: the agent refuses a late copy of the request for good.
+    RUNNING, also while it waits for a slot, is said only to a look (``peek``).
     """
 
     ANSWERED = 'answered'
     NOT_RUN = 'not-run'
     FAILED = 'failed'
     UNKNOWN = 'unknown'
+    RUNNING = 'running'
 
     @classmethod
     def from_wire(cls, text: str) -> 'CallOutcome':
--- a/hyssopring/protocol/inner.thrift
+++ b/hyssopring/protocol/inner.thrift
@@ -109,6 +109,7 @@
   7: required double budget_ms
   8: required i32 urgency
   9: required bool idempotent
+  10: required i64 after
 }
 
 struct CallResponse {
@@ -130,6 +131,16 @@
 
 struct OutcomeQuery {
   1: required string request_id
+  2: required i64 after
+  3: required bool peek
+}
+
+struct Ping {
+  1: required i64 sequence
+}
+
+struct Pong {
+  1: required i64 sequence
 }
 
 struct ConfigurationItem {
@@ -207,4 +218,6 @@
   16: TaskReportAck task_report_ack
   17: EntryList entry_list
   18: ThrottleTask throttle_task
+  19: Ping ping
+  20: Pong pong
 }
--- a/hyssopring/protocol/messages.py
+++ b/hyssopring/protocol/messages.py
@@ -25,6 +25,8 @@
     'LeaseGrant',
     'Message',
     'OutcomeQuery',
+    'Ping',
+    'Pong',
     'Refusal',
     'Resources',
     'StartTask',
@@ -223,7 +225,9 @@
 class CallRequest:
     """A caller's request on its way to a backend server.
 
-    ``budget_ms`` is what is left until the caller's deadline.
+    ``budget_ms`` is what is left until the caller's deadline. ``after`` is
+    the agent's last heartbeat that the entry had heard when it first sent the
+    request: it cannot have arrived earlier.
     """
 
     request_id: str
@@ -235,6 +239,7 @@
     budget_ms: float
     urgency: int
     idempotent: bool
+    after: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,9 +267,29 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeQuery:
-    """Asks what became of a call; a call never seen is refused for good."""
+    """Asks what became of a call; a call never seen is refused for good.
+
+    ``after`` as in ``CallRequest``. With ``peek`` the agent only looks: it
+    answers at once, also while the call runs, and refuses nothing.
+    """
 
     request_id: str
+    after: int = 0
+    peek: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks a quiet peer for a sign of life."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Answers the ping with the same sequence number."""
+
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -351,23 +376,16 @@
     tasks: tuple[TaskStatus, ...]
 
 
+_GreetingMessage = Challenge | Hello | Welcome | Refusal | EntryList
+_LivenessMessage = Heartbeat | HeartbeatAck | Ping | Pong
+_CallMessage = CallRequest | CallResponse | CancelCall | OutcomeQuery
+_ConfigurationMessage = ConfigurationUpdate | ConfigurationQuery
+_TaskMessage = StartTask | StopTask | ThrottleTask | TaskReport | TaskReportAck
+
 Message = (
-    Challenge
-    | Hello
-    | Welcome
-    | Refusal
-    | Heartbeat
-    | HeartbeatAck
-    | CallRequest
-    | CallResponse
-    | CancelCall
-    | OutcomeQuery
-    | ConfigurationUpdate
-    | ConfigurationQuery
-    | StartTask
-    | StopTask
-    | TaskReport
-    | TaskReportAck
-    | EntryList
-    | ThrottleTask
+    _GreetingMessage
+    | _LivenessMessage
+    | _CallMessage
+    | _ConfigurationMessage
+    | _TaskMessage
 )
--- a/hyssopring/web_client.py
+++ b/hyssopring/web_client.py
@@ -3,15 +3,18 @@
 from dataclasses import dataclass
 from typing import Any, Iterable
 
-from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, readBody
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.client import Agent, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-__all__ = ('FetchedAnswer', 'fetch')
+__all__ = ('FetchedAnswer', 'TooLargeAnswer', 'TruncatedAnswer', 'fetch')
 
 _MILLIS_PER_SECOND = 1000.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _JSON = (('content-type', 'application/json'),)
 
 
@@ -24,6 +27,50 @@
     body: bytes
 
 
+class TruncatedAnswer(Exception):
+    """An answer began and did not come whole."""
+
+
+class TooLargeAnswer(TruncatedAnswer):
+    """An answer is longer than is accepted."""
+
+
+class _Gatherer(Protocol):
+    """Gathers a body up to a limit.
+
+    A body is whole only when its announced length or its last chunk came: one
+    that ends with the connection alone may have been cut anywhere.
+    """
+
+    def __init__(self) -> None:
+        self.body: Deferred = Deferred(lambda _body: self._abort())
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
+        self._size += len(data)
+        if self._size <= MAX_ANSWER_BYTES:
+            self._parts.append(data)
+        elif not self.body.called:
+            error = TooLargeAnswer(f'more than {MAX_ANSWER_BYTES} bytes')
+            self.body.errback(error)
+            self._abort()
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
+        if self.body.called:
+            return
+        if reason.check(ResponseDone):
+            self.body.callback(b''.join(self._parts))
+            return
+        error = TruncatedAnswer(f'the answer was cut at {self._size} bytes')
+        self.body.errback(error)
+
+    def _abort(self) -> None:
+        abort = getattr(self.transport, 'abortConnection', None)
+        if abort is not None:
+            abort()
+
+
 @implementer(IBodyProducer)
 class _BytesProducer:
     def __init__(self, body: bytes) -> None:
@@ -63,8 +110,11 @@
     """
     raw = Headers()
     for name, text in headers:
-        raw.addRawHeader(name, text)
-    deferred = agent.request(
+        # One byte a character, as they came; the library would take UTF-8.
+        raw.addRawHeader(name.encode('latin-1'), text.encode('latin-1'))
+    # A method or an address that the library refuses fails the deferred too.
+    deferred = maybeDeferred(
+        agent.request,
         method.encode(),
         url.encode(),
         raw,
@@ -81,8 +131,9 @@
         for name, texts in response.headers.getAllRawHeaders()
         for text in texts
     )
-    reading = readBody(response)
-    reading.addCallback(
+    gatherer = _Gatherer()
+    response.deliverBody(gatherer)
+    gatherer.body.addCallback(
         lambda body: FetchedAnswer(response.code, pairs, body),
     )
-    return reading
+    return gatherer.body
