Configuration: read deltas from a log, decide lost answers, learn from peers

Cause: a change made every entry read all items; a change whose answer was lost and whose rows another operator then changed was reported as a conflict; a fresh entry in a store outage answered "no such service" for services it had not heard of yet; an entry cut from the table learned nothing from agents that were ahead unless they connected afresh.

Change: each commit also writes configuration/log/<version>, and checks that this row does not exist yet, so that a retry finds its own operation there for good. Entries read the head (one row when nothing changed), then only the log rows in between. Changes that arrive during a commit go together into the next. The state keeps tombstones with a floor below which a peer gets the whole state; policies are cached and only touched services are resolved again. Until the table or a peer has told it the configuration an entry is not ready and refuses calls as not run, with when to come back. An entry asks any agent whose heartbeat shows a newer version.

Ruled out: putting recent changes into the head row (each poll of each entry would carry them); one commit per change (four entries with 200 changes at once then race 200 times for the head).

Failing first, guard taken out, then passing with it: own log row not looked at (lost answer is reported as a conflict); no floor (a withdrawn item stays at a peer); no readiness (unknown-service in a store outage); heartbeat's version not looked at ({3, 4} in force 3 s after the store failed); base not checked and newer not checked (random updates skip and step back); no checks on the commit (three racing operators all win). The check on the head alone or on the log row alone is enough against racing operators; both stay, as the log is cut after 1000 versions.

--- a/hyssopring/configuration/__init__.py
+++ b/hyssopring/configuration/__init__.py
@@ -1,13 +1,13 @@
 """Templates, parameters and quotas, and how changes come into force."""
 
-from hyssopring.configuration.changes import (
+from hyssopring.configuration.batch import (
     AcceptedChange,
     ConfigurationChange,
-    ConfigurationKeeper,
-    describe_validation,
 )
+from hyssopring.configuration.changes import ConfigurationKeeper
 from hyssopring.configuration.models import JobSubmission
 from hyssopring.configuration.state import ConfigurationState, ServicePolicy
+from hyssopring.configuration.validation import describe_validation
 
 __all__ = (
     'AcceptedChange',
--- a/hyssopring/configuration/changes.py
+++ b/hyssopring/configuration/changes.py
@@ -1,65 +1,47 @@
-"""Accepts operators' changes and follows the table's change log.
-
-Rows: ``configuration/head`` holds the newest version;
-``configuration/item/<key>`` the newest document of each item;
-``configuration/log/<version>`` one change each. A change commits all three
-with checks on the head and on the item, so of two racing operators one wins
-and the other is told the current version.
+"""Accepts operators' changes into the table.
+
+All changes are put in one order by the head row: a commit checks that the
+head has not moved since this process had the whole state at that version, so
+what an operator expects is compared with what is in force at that moment. Of
+two racing operators one wins and the other is told the current version.
+Changes that arrive while a commit is under way go together into the next.
+
+A lost answer: the commit also checks that its own log row does not exist
+yet. Log rows are never overwritten, so when a retry finds that row there,
+its operation id says for certain whose change took that version, also when
+others have since changed the head and the item.
 """
 
-import json
-from dataclasses import dataclass
-from typing import Callable, Sequence
+from typing import Callable, Final
 
-from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from hyssopring.configuration.models import MODEL_BY_KIND
+from hyssopring.configuration.batch import (
+    AcceptedChange,
+    ChangeBatch,
+    ChangeCallback,
+    ConfigurationChange,
+    WaitingChange,
+)
+from hyssopring.configuration.follower import TableFollower
 from hyssopring.configuration.state import ConfigurationState
+from hyssopring.configuration.validation import document_failure
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.logs import Event, log_event
-from hyssopring.protocol.messages import ConfigurationItem, ConfigurationUpdate
-from hyssopring.store.rows import (
-    Check,
-    Committed,
-    Conflict,
-    Put,
-    Row,
-    Store,
-    Transaction,
-)
-
-__all__ = ('AcceptedChange', 'ConfigurationChange', 'ConfigurationKeeper')
-
-_HEAD = 'configuration/head'
-_ITEMS = 'configuration/item/'
-_MAX_RACES = 5
-
-ChangeCallback = Callable[[Result['AcceptedChange', Failure]], None]
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationChange:
-    """An operator's change; an empty document withdraws the item.
-
-    ``expected_version`` is the item's version that the operator saw, 0 for
-    a new item.
-    """
-
-    key: str
-    expected_version: int
-    document: str
+from hyssopring.protocol.messages import ConfigurationUpdate
+from hyssopring.store.rows import Committed, Conflict, Row, Store
 
+__all__ = ('ConfigurationKeeper',)
 
-@dataclass(frozen=True, slots=True)
-class AcceptedChange:
-    """The version that has this change in force."""
-
-    version: int
+_MAX_BATCH: Final = 32
+_MAX_WAITING: Final = 1000
+# Each lost race means that another's change was accepted meanwhile.
+_MAX_RACES: Final = 40
+_MAX_COMMITS: Final = 3
 
 
 class ConfigurationKeeper:
-    """Keeps one process's configuration state in step with the table."""
+    """Keeps one process's configuration in step; accepts changes to it."""
 
     def __init__(
         self,
@@ -70,181 +52,144 @@
         """Follow the table; tell ``on_update`` of each step forward."""
         self._state = state
         self._store = store
-        self._on_update = on_update
-        self._is_reading = False
-        self._head_row_version = 0
+        self._follower = TableFollower(state, store, on_update)
+        self._waiting: list[WaitingChange] = []
+        self._is_busy = False
 
     def poll(self) -> None:
-        """Read the head; fetch the items when it has moved."""
-        if self._is_reading:
-            return
-        self._is_reading = True
-        self._store.read(_HEAD, self._head_read)
+        """Read the head; fetch what has changed since."""
+        self._follower.poll()
 
     def adopt(self, update: ConfigurationUpdate) -> bool:
-        """Step forward by an update from the table or from a peer."""
-        before = self._state.version
-        if not self._state.apply(update):
-            return False
-        log_event(
-            Event.CONFIGURATION_APPLIED,
-            version=update.version,
-            before=before,
-            items=len(update.items),
-        )
-        self._on_update(self._state.update_since(before))
-        return True
+        """Step forward by an update from a peer."""
+        return self._follower.adopt(update)
 
     def change(self, change: ConfigurationChange, done: ChangeCallback) -> None:
-        """Validate and commit one change."""
-        failure = _document_failure(change)
+        """Validate and commit one change; ``done`` is called once."""
+        failure = document_failure(change.key, change.document)
+        if failure is None and len(self._waiting) >= _MAX_WAITING:
+            failure = Failure(ErrorKind.OVERLOADED, 'too many changes wait')
         if failure is not None:
             done(Err(failure))
             return
-        _Attempt(self, self._store, change, done).start()
-
-    def _head_read(self, answer: Result[Sequence[Row], Failure]) -> None:
-        self._is_reading = False
-        if answer.is_err():
-            return
-        for row in answer.unwrap():
-            if row.document['version'] > self._state.version:
-                self._is_reading = True
-                self._store.read(_ITEMS, self._items_read)
-
-    def _items_read(self, answer: Result[Sequence[Row], Failure]) -> None:
-        self._is_reading = False
-        if answer.is_err():
-            return
-        items = tuple(
-            ConfigurationItem(
-                row.key.removeprefix(_ITEMS),
-                row.document['version'],
-                row.document['document'],
-            )
-            for row in answer.unwrap()
-        )
-        newest = max((item.version for item in items), default=0)
-        self.adopt(ConfigurationUpdate(0, newest, items))
-
-
-class _Attempt:
-    """One operator's change on its way through the table."""
-
-    def __init__(
+        self._waiting.append(WaitingChange(change, done))
+        self._next()
+
+    def _next(self) -> None:
+        if self._waiting and not self._is_busy:
+            self._is_busy = True
+            # What arrives after this read was asked for waits for the next.
+            ready = self._waiting
+            self._waiting = []
+            self._follower.catch_up(lambda head: self._caught_up(ready, head))
+
+    def _caught_up(
         self,
-        owner: ConfigurationKeeper,
-        store: Store,
-        change: ConfigurationChange,
-        done: ChangeCallback,
+        ready: list[WaitingChange],
+        answer: Result[Row, Failure],
     ) -> None:
-        self._owner = owner
-        self._store = store
-        self._change = change
-        self._done = done
-        self._races = 0
-
-    def start(self) -> None:
-        self._store.read('configuration/', self._read)
-
-    def _read(self, answer: Result[Sequence[Row], Failure]) -> None:
         if answer.is_err():
-            self._done(Err(answer.unwrap_err()))
+            detail = answer.unwrap_err().detail
+            for waiting in ready:
+                waiting.fail(ErrorKind.STORE_UNAVAILABLE, detail)
+            self._end()
             return
-        rows_by_key = {row.key: row for row in answer.unwrap()}
-        head = rows_by_key.get(_HEAD)
-        item = rows_by_key.get(_ITEMS + self._change.key)
-        found = (
-            item.document['version']
-            if item and item.document['document']
-            else 0
-        )
-        if found != self._change.expected_version:
-            self._refuse(found)
+        head = answer.unwrap()
+        if head.document['version'] != self._state.version:
+            # A peer has told of a newer version since the head was read.
+            self._again(ready)
+            return
+        chosen = self._choose(ready)
+        if not chosen:
+            self._end()
             return
-        self._commit(head, item)
-
-    def _commit(self, head: Row | None, item: Row | None) -> None:
-        version = (head.document['version'] if head else 0) + 1
-        key = _ITEMS + self._change.key
-        transaction = Transaction(
-            checks=(
-                Check(_HEAD, head.version if head else 0),
-                Check(key, item.version if item else 0),
-            ),
-            puts=(
-                Put(_HEAD, {'version': version}),
-                Put(
-                    key,
-                    {'version': version, 'document': self._change.document},
-                ),
-            ),
+        batch = ChangeBatch.from_waiting(
+            head,
+            chosen,
+            self._state.tombstones,
         )
+        self._commit(batch)
+
+    def _choose(self, ready: list[WaitingChange]) -> list[WaitingChange]:
+        """Refuse what expects another version; one change per item."""
+        chosen: dict[str, WaitingChange] = {}
+        left: list[WaitingChange] = []
+        for waiting in ready:
+            change = waiting.change
+            found = self._state.item_version(change.key)
+            if found != change.expected_version:
+                waiting.refuse(found)
+                continue
+            is_next = change.key not in chosen and len(chosen) < _MAX_BATCH
+            if is_next:
+                chosen[change.key] = waiting
+            else:
+                left.append(waiting)
+        self._waiting = left + self._waiting
+        return list(chosen.values())
+
+    def _commit(self, batch: ChangeBatch) -> None:
+        batch.commits += 1
         self._store.commit(
-            transaction,
-            lambda answer: self._committed(version, answer),
+            batch.transaction,
+            lambda answer: self._committed(batch, answer),
         )
 
     def _committed(
         self,
-        version: int,
+        batch: ChangeBatch,
         answer: Result[Committed | Conflict, Failure],
     ) -> None:
         if answer.is_err():
-            failure = answer.unwrap_err()
-            self._done(Err(Failure(ErrorKind.OUTCOME_UNKNOWN, failure.detail)))
+            self._in_doubt(batch, answer.unwrap_err())
             return
-        if isinstance(answer.unwrap(), Conflict):
-            self._races += 1
-            if self._races > _MAX_RACES:
-                self._refuse(-1)
-                return
-            self.start()
+        outcome = answer.unwrap()
+        if isinstance(outcome, Conflict) and not batch.is_in(outcome):
+            # Certain: this batch took no effect and never will, as the head
+            # has moved past the version that it was checked against.
+            self._again(batch.waiting)
             return
-        log_event(
-            Event.CONFIGURATION_ACCEPTED,
-            key=self._change.key,
-            version=version,
-        )
-        self._owner.poll()
-        self._done(Ok(AcceptedChange(version)))
-
-    def _refuse(self, found: int) -> None:
-        log_event(
-            Event.CONFIGURATION_CONFLICT,
-            key=self._change.key,
-            expected=self._change.expected_version,
-            found=found,
-        )
-        detail = (
-            f'{self._change.key} is at version {found}, '
-            f'not {self._change.expected_version}'
-        )
-        self._done(Err(Failure(ErrorKind.CONFLICT, detail)))
-
-
-def _document_failure(change: ConfigurationChange) -> Failure | None:
-    kind, _, rest = change.key.partition('/')
-    model = MODEL_BY_KIND.get(kind)
-    depth = 2 if kind == 'parameters' else 1
-    if model is None or len(rest.split('/')) != depth:
-        return Failure(ErrorKind.INVALID, f'no such kind of item: {change.key}')
-    if not change.document:
-        return None
-    try:
-        model.model_validate_json(change.document)
-    except ValidationError as error:
-        return Failure(ErrorKind.INVALID, describe_validation(error))
-    return None
-
-
-def describe_validation(error: ValidationError) -> str:
-    """Return one line that names each wrong key and what is allowed."""
-    return '; '.join(
-        '{0}: {1}, found {2}'.format(
-            '.'.join(str(part) for part in problem['loc']) or 'document',
-            problem['msg'],
-            json.dumps(problem['input'], default=str),
+        self._accept(batch)
+
+    def _in_doubt(self, batch: ChangeBatch, failure: Failure) -> None:
+        """Commit the same transaction again: it takes effect once at most."""
+        if batch.commits < _MAX_COMMITS:
+            self._commit(batch)
+            return
+        detail = f'{failure.detail}; read the item to see its version'
+        for waiting in batch.waiting:
+            waiting.fail(ErrorKind.OUTCOME_UNKNOWN, detail)
+        self._end()
+
+    def _accept(self, batch: ChangeBatch) -> None:
+        update = ConfigurationUpdate(
+            batch.version - 1,
+            batch.version,
+            batch.items,
         )
-        for problem in error.errors()
-    )
+        if not self._follower.adopt(update):
+            self._follower.poll()
+        for waiting in batch.waiting:
+            log_event(
+                Event.CONFIGURATION_ACCEPTED,
+                key=waiting.change.key,
+                version=batch.version,
+            )
+            waiting.done(Ok(AcceptedChange(batch.version)))
+        self._end()
+
+    def _again(self, losers: list[WaitingChange]) -> None:
+        """Put changes that lost a race to the front, a few times over."""
+        kept: list[WaitingChange] = []
+        for waiting in losers:
+            waiting.races += 1
+            if waiting.races > _MAX_RACES:
+                waiting.fail(ErrorKind.OVERLOADED, 'lost too many races')
+            else:
+                kept.append(waiting)
+        self._waiting = kept + self._waiting
+        self._end()
+
+    def _end(self) -> None:
+        self._is_busy = False
+        self._next()
--- a/hyssopring/configuration/state.py
+++ b/hyssopring/configuration/state.py
@@ -1,11 +1,17 @@
 """The configuration in force in one process.
 
 Versions only grow: an update that would step back, or that skips changes in
-between, is refused, so a process can be behind but never revert.
+between, is refused, so a process can be behind but never revert. The state
+at a version is the same in every process, wherever it was learned.
+
+A withdrawn item stays as a tombstone (an empty document), so that a peer
+that is behind hears of the withdrawal. Old tombstones are dropped and the
+``floor`` rises to the newest of them: a peer below the floor is given the
+whole state, which replaces what it has.
 """
 
 from dataclasses import dataclass
-from typing import Iterable
+from typing import Final
 
 from pydantic import ValidationError
 
@@ -21,6 +27,8 @@
     Resources,
 )
 
+_MAX_TOMBSTONES: Final = 256
+
 __all__ = (
     'ConfigurationState',
     'ServicePolicy',
@@ -74,14 +82,28 @@
     def __init__(self) -> None:
         """Start empty at version 0."""
         self._version = 0
+        self._floor = 0
+        self._is_known = False
         self._item_by_key: dict[str, ConfigurationItem] = {}
         self._policy_by_service: dict[str, ServicePolicy | None] = {}
+        self._policies: tuple[ServicePolicy, ...] | None = None
+        self._team_by_name: dict[str, TeamModel] = {}
 
     @property
     def version(self) -> int:
         """The version in force."""
         return self._version
 
+    @property
+    def is_known(self) -> bool:
+        """Whether this process has a configuration to work by.
+
+        A fresh process knows nothing until the table has answered or a peer
+        has told it; that there are no items at all counts only on the
+        table's word. Until then "no such service" would be a guess.
+        """
+        return self._is_known
+
     @property
     def items(self) -> tuple[ConfigurationItem, ...]:
         """All items, in key order; withdrawn ones have empty documents."""
@@ -89,14 +111,31 @@
             self._item_by_key[key] for key in sorted(self._item_by_key)
         )
 
+    @property
+    def tombstones(self) -> tuple[ConfigurationItem, ...]:
+        """Withdrawn items, the oldest first."""
+        withdrawn = [
+            item for item in self._item_by_key.values() if not item.document
+        ]
+        return tuple(sorted(withdrawn, key=lambda item: item.version))
+
     def item(self, key: str) -> ConfigurationItem | None:
         """Return an item that is in force."""
         found = self._item_by_key.get(key)
         return found if found is not None and found.document else None
 
+    def item_version(self, key: str) -> int:
+        """Return the version of an item in force, 0 if there is none."""
+        found = self.item(key)
+        return 0 if found is None else found.version
+
     def apply(self, update: ConfigurationUpdate) -> bool:
         """Step forward to the update's version.
 
+        An update with base 0 is the whole state and replaces this one. Any
+        other one must start at or before the version in force, or it would
+        skip a change; items that are not newer than known ones are ignored.
+
         Returns:
             Whether it took effect; False when it is not newer, or when it
             starts after a version that this process has not seen.
@@ -106,13 +145,23 @@
             return False
         if update.base_version == 0:
             self._item_by_key.clear()
+            self._policy_by_service.clear()
+            self._floor = update.version
         self._keep_newest(update.items)
         self._version = update.version
-        self._policy_by_service.clear()
+        self._is_known = True
+        self._compact()
+        self._invalidate(update.items)
         return True
 
+    def confirm(self) -> None:
+        """The table says that there is nothing newer than this state."""
+        self._is_known = True
+
     def update_since(self, version: int) -> ConfigurationUpdate:
         """Return what a peer at ``version`` lacks."""
+        if version < self._floor:
+            return ConfigurationUpdate(0, self._version, self.items)
         items = tuple(item for item in self.items if item.version > version)
         return ConfigurationUpdate(version, self._version, items)
 
@@ -123,21 +172,52 @@
             self._policy_by_service[service_name] = resolved
         return self._policy_by_service[service_name]
 
-    def policies(self) -> Iterable[ServicePolicy]:
-        """Return the policy of each team's parameter set."""
-        for key in sorted(self._item_by_key):
-            kind, _, service_name = key.partition('/')
-            if kind == 'parameters':
-                policy = self.policy(service_name)
-                if policy is not None:
-                    yield policy
+    def policies(self) -> tuple[ServicePolicy, ...]:
+        """Return the policy of each team's parameter set, in key order."""
+        if self._policies is None:
+            services = (
+                key.partition('/')[2]
+                for key in sorted(self._item_by_key)
+                if key.startswith('parameters/')
+            )
+            found = [self.policy(service_name) for service_name in services]
+            self._policies = tuple(
+                policy for policy in found if policy is not None
+            )
+        return self._policies
 
     def team(self, team: str) -> TeamModel:
         """Return a team's quotas, or the defaults."""
-        item = self.item(team_key(team))
-        if item is None:
-            return TeamModel()
-        return TeamModel.model_validate_json(item.document)
+        if team not in self._team_by_name:
+            item = self.item(team_key(team))
+            self._team_by_name[team] = (
+                TeamModel()
+                if item is None
+                else TeamModel.model_validate_json(item.document)
+            )
+        return self._team_by_name[team]
+
+    def _invalidate(self, items: tuple[ConfigurationItem, ...]) -> None:
+        """Forget what was worked out from the items that changed."""
+        self._policies = None
+        self._team_by_name.clear()
+        changed = {item.key for item in items}
+        for service_name in list(self._policy_by_service):
+            team, _, name = service_name.partition('/')
+            own = {template_key(name), parameters_key(team, name)}
+            if own & changed:
+                self._policy_by_service.pop(service_name)
+
+    def _compact(self) -> None:
+        """Drop the oldest tombstones; peers behind them get the whole state.
+
+        Without the floor a peer that had missed the withdrawal would be sent
+        a delta that no longer names it, and would keep the item for good.
+        """
+        surplus = self.tombstones[:-_MAX_TOMBSTONES]
+        for item in surplus:
+            self._item_by_key.pop(item.key)
+            self._floor = max(self._floor, item.version)
 
     def _keep_newest(self, items: tuple[ConfigurationItem, ...]) -> None:
         for item in items:
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -8,6 +8,7 @@
 from hyssopring.configuration import ConfigurationKeeper, ConfigurationState
 from hyssopring.entry.calls import Callers, Links
 from hyssopring.entry.router import CallRouter
+from hyssopring.invariants import Invariants
 from hyssopring.leases import ShardHolder, ShardSettings
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord, Fleet
@@ -64,6 +65,7 @@
         self._listed_addresses: tuple[str, ...] = ()
         self.identity = identity
         self.metrics = metrics
+        self._invariants = Invariants(metrics)
         self.fleet = Fleet()
         self.configuration = ConfigurationState()
         self.configuration_keeper = ConfigurationKeeper(
@@ -123,11 +125,7 @@
                 self.shards.entry_addresses,
             ),
         )
-        if hello.configuration_version > self.configuration.version:
-            # A fresh entry learns the configuration from agents, also while
-            # the table service is down.
-            query = ConfigurationQuery(self.configuration.version)
-            self._links.send(hello.agent_id, query)
+        self._ask_if_behind(record)
         self.router.on_connect(record)
         return record
 
@@ -149,7 +147,13 @@
 
     @on_message.register
     def _on_heartbeat(self, message: Heartbeat, record: AgentRecord) -> None:
+        self._invariants.check(
+            message.configuration_version >= record.configuration_version,
+            'an accepted configuration never reverts',
+            record.agent_id,
+        )
         self.fleet.heartbeat(record, message, self._clock.now())
+        self._ask_if_behind(record)
         ack = HeartbeatAck(
             message.sequence,
             self.configuration.version,
@@ -211,6 +215,16 @@
         self.router.stop()
         self.shards.release()
 
+    def _ask_if_behind(self, record: AgentRecord) -> None:
+        """Learn the configuration from an agent that is ahead.
+
+        A fresh entry has nothing else to learn from while the table service
+        is down; nor has one that was cut from it when a change was accepted.
+        """
+        if record.configuration_version > self.configuration.version:
+            query = ConfigurationQuery(self.configuration.version)
+            self._links.send(record.agent_id, query)
+
     def _push_configuration(self, update: ConfigurationUpdate) -> None:
         for record in self.fleet.agents:
             known = record.configuration_version
--- a/hyssopring/entry/jobs.py
+++ b/hyssopring/entry/jobs.py
@@ -47,6 +47,10 @@
         """Accept a job; the same id twice is one job."""
         service_name = f'{submission.team}/{submission.template}'
         policy = self._configuration.policy(service_name)
+        if not self._configuration.is_known:
+            detail = 'no configuration yet'
+            done(Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail)))
+            return
         if policy is None or policy.kind != TaskKind.BATCH.value:
             detail = f'{service_name} is not a batch template with parameters'
             done(Err(Failure(ErrorKind.INVALID, detail)))
--- a/hyssopring/entry/operators.py
+++ b/hyssopring/entry/operators.py
@@ -71,8 +71,11 @@
         if path == 'metrics':
             _write(request, _OK, self._core.metrics.render(), 'text/plain')
             return
-        status = _OK if self.is_ready else _UNAVAILABLE
-        _write(request, status, 'ready\n' if self.is_ready else 'stopping\n')
+        why_not = '' if self.is_ready else 'stopping'
+        if not self._core.configuration.is_known:
+            why_not = why_not or 'no configuration yet'
+        status = _UNAVAILABLE if why_not else _OK
+        _write(request, status, f'{why_not or "ready"}\n')
 
     def _is_allowed(self, request: Request) -> bool:
         given = request.getHeader('authorization') or ''
@@ -81,6 +84,11 @@
 
     def _configuration(self, request: Request, method: str, key: str) -> None:
         state = self._core.configuration
+        if method == 'GET' and not state.is_known:
+            detail = 'no configuration yet'
+            failure = Failure(ErrorKind.STORE_UNAVAILABLE, detail)
+            write_failure(request, failure)
+            return
         if method == 'GET' and not key:
             items = [
                 {
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -89,6 +89,14 @@
                 Failure(ErrorKind.STOPPING, 'entry is stopping'),
             )
             return
+        if not self._configuration.is_known:
+            # A fresh entry in a store outage must not take a service for
+            # unknown: the caller would not come back.
+            self._calls.refuse(
+                call,
+                Failure(ErrorKind.STORE_UNAVAILABLE, 'no configuration yet'),
+            )
+            return
         if policy is None or policy.kind != 'service':
             self._calls.refuse(
                 call,
