Claims: keyed requests run at most once from any entry

A booking submitted again through another entry ran again. A claim row in the table now names the request and the run of the agent that has it, before it is sent; who comes second asks that agent.

--- a/hyssopring/entry/calls.py
+++ b/hyssopring/entry/calls.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from hyssopring.entry.claims import ClaimRow
 from hyssopring.errors import Failure
 from hyssopring.membership import AgentRecord, BackendView
 from hyssopring.protocol.messages import CallRequest, Header, Message
@@ -40,12 +41,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The whole final answer for a caller."""
+    """The whole final answer for a caller.
+
+    Attributes:
+        ask_agent: When the outcome is unknown, the agent to ask later.
+        ask_id: And the id under which it knows the call.
+    """
 
     status: int
     headers: tuple[Header, ...] = ()
     body: bytes = b''
     failure: Failure | None = None
+    ask_agent: str = ''
+    ask_id: str = ''
 
 
 class AttemptPhase(enum.Enum):
@@ -65,27 +73,40 @@
     """One sending of a call to one agent.
 
     Attributes:
+        request_id: The id under which the agent knows the call; another
+            call's when this one follows it under the same key.
+        backend: Whose load it counts to, None when it follows.
         incarnation: The run of the agent that has the call in its memory.
+        after: The agent's last heartbeat heard before it was sent.
         generation: Connection that an answer is taken from.
         changed_at: When ``phase`` last changed.
     """
 
-    backend: BackendView
+    request_id: str
+    backend: BackendView | None
     agent_id: str
     incarnation: str
+    after: int
     generation: int
     sent_at: float
     changed_at: float
     phase: AttemptPhase = AttemptPhase.SENT
 
     @classmethod
-    def from_backend(cls, backend: BackendView, now: float) -> 'Attempt':
+    def from_backend(
+        cls,
+        request_id: str,
+        backend: BackendView,
+        now: float,
+    ) -> 'Attempt':
         """Return an attempt at a backend server, on its open connection."""
         record = backend.agent
         return cls(
+            request_id,
             backend,
             record.agent_id,
             record.incarnation,
+            record.sequence,
             record.generation,
             now,
             now,
@@ -113,6 +134,8 @@
         attempts: Sendings whose outcome is open; several only when idempotent.
         sent_count: All sendings so far.
         tried: Incarnations of the agents that it was sent to.
+        row: The claim of the call's key, when it has one.
+        moves: How often the call has tried to take over its key.
         may_have_run: A closed attempt ended without certainty, so "not run"
             may not be said any more.
     """
@@ -125,11 +148,29 @@
     sent_count: int = 0
     tried: list[str] = field(default_factory=list)
     may_have_run: bool = False
+    row: ClaimRow | None = None
+    moves: int = 0
+    last_attempt: Attempt | None = None
+
+    def is_claimed_for(self, incarnation: str) -> bool:
+        """Whether the call may be sent to this run of an agent."""
+        if self.idempotent or not self.call.key:
+            return True
+        row = self.row
+        return (
+            row is not None
+            and row.claim.request_id == self.call.request_id
+            and row.claim.incarnation == incarnation
+        )
 
-    def attempt_on(self, record: AgentRecord) -> Attempt | None:
+    def attempt_on(
+        self,
+        record: AgentRecord,
+        request_id: str,
+    ) -> Attempt | None:
         """Return the open attempt that this connection speaks for."""
         for attempt in self.attempts:
-            if attempt.is_from(record):
+            if attempt.request_id == request_id and attempt.is_from(record):
                 return attempt
         return None
 
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -3,10 +3,13 @@
 import random
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from typing import Callable
 
 from hyssopring.clock import Clock
 from hyssopring.configuration import ConfigurationKeeper, ConfigurationState
 from hyssopring.entry.calls import Callers, Links
+from hyssopring.entry.claim_cleaner import ClaimCleaner
+from hyssopring.entry.claims import ClaimTable
 from hyssopring.entry.router import CallRouter
 from hyssopring.invariants import Invariants
 from hyssopring.leases import ShardHolder, ShardSettings
@@ -44,10 +47,14 @@
     inner_address: str
 
 
+def _first_day() -> int:
+    return 0
+
+
 class EntryCore:
     """One entry: routing, configuration, membership and planning."""
 
-    def __init__(
+    def __init__(  # noqa: WPS211 -- each port comes by itself
         self,
         clock: Clock,
         identity: EntryIdentity,
@@ -58,8 +65,12 @@
         rng: random.Random,
         shard_settings: ShardSettings = ShardSettings(),
         lease_times: LeaseTimes = LeaseTimes(),
+        today: Callable[[], int] = _first_day,
     ) -> None:
-        """Take the ports to agents, callers and the table service."""
+        """Take the ports to agents, callers and the table service.
+
+        ``today`` numbers the days; entries' calendars may differ by one.
+        """
         self._clock = clock
         self._links = links
         self._listed_addresses: tuple[str, ...] = ()
@@ -82,7 +93,9 @@
             callers,
             metrics,
             rng,
+            ClaimTable(clock, store, today, metrics),
         )
+        self.cleaner = ClaimCleaner(store, today, rng)
         self.planner = Planner(
             store,
             PlannerPorts(
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -1,6 +1,7 @@
 """The entry process: owns the sockets and timers around the core."""
 
 import random
+import time
 import uuid
 from typing import Any
 
@@ -27,6 +28,8 @@
 _SILENCE_CHECK_S = 0.25
 _POLL_S = 0.5
 _RENEW_S = 1.0
+_CLEAN_S = 5.0
+_DAY_S = 86_400
 _DRAIN_CHECK_S = 0.05
 _MILLIS_PER_SECOND = 1000.0
 
@@ -84,6 +87,7 @@
         self._every(_SILENCE_CHECK_S, self.core.drop_silent)
         self._every(_POLL_S, self.core.poll_table)
         self._every(_RENEW_S, self.core.renew)
+        self._every(_CLEAN_S, self.core.cleaner.sweep)
         log_event(
             Event.PROCESS_STARTED,
             role='entry',
@@ -120,6 +124,7 @@
                 batch_ttl_ms=settings.batch_lease_ms,
                 keeper_ttl_ms=settings.keeper_lease_ms,
             ),
+            _today,
         )
 
     def _listen(self, address: str, factory: Any) -> None:
@@ -161,3 +166,7 @@
     site.noisy = False
     site.displayTracebacks = False
     return site
+
+
+def _today() -> int:
+    return int(time.time() // _DAY_S)
--- a/hyssopring/entry/doubt.py
+++ b/hyssopring/entry/doubt.py
@@ -10,10 +10,11 @@
 
 from hyssopring.clock import Clock
 from hyssopring.entry.calls import Attempt, AttemptPhase, Links, PendingCall
+from hyssopring.entry.claims import Claim
 from hyssopring.entry.pending import PendingCalls
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.logs import Event, log_event
-from hyssopring.membership import AgentRecord
+from hyssopring.membership import AgentRecord, Fleet
 from hyssopring.protocol.messages import OutcomeQuery
 
 __all__ = ('Doubts', 'Resender')
@@ -21,6 +22,7 @@
 # An agent that lives dials again within its longest redial delay and
 # connect timeout, 3 s and 2 s.
 RETURN_MS = 5000.0
+_REMEMBERED_MS = 60_000.0
 
 
 class Resender(Protocol):
@@ -39,6 +41,7 @@
     def __init__(
         self,
         clock: Clock,
+        fleet: Fleet,
         calls: PendingCalls,
         links: Links,
         resender: Resender,
@@ -48,18 +51,47 @@
         self._calls = calls
         self._links = links
         self._resender = resender
+        self._fleet = fleet
+        self._started_at = clock.now()
+        self._left_at_by_agent: dict[str, float] = {}
+
+    def follow(self, pending: PendingCall, claim: Claim) -> None:
+        """Ask for the outcome of the call that has this call's key."""
+        agent_id = claim.agent_id
+        now = self._clock.now()
+        attempt = Attempt(
+            claim.request_id,
+            None,
+            agent_id,
+            claim.incarnation,
+            claim.after,
+            generation=0,
+            sent_at=now,
+            # An agent that left long ago, or has not come since this entry
+            # started, is not waited for again.
+            changed_at=self._left_at_by_agent.get(agent_id, self._started_at),
+            phase=AttemptPhase.LOST,
+        )
+        self._calls.add_attempt(pending, attempt)
+        record = self._fleet.agent(agent_id)
+        if record is None:
+            self._expire(pending, attempt, now)
+        else:
+            self._returned(pending, attempt, record)
 
     def on_disconnect(self, record: AgentRecord) -> None:
         """Put the calls that a lost connection carried in doubt."""
         now = self._clock.now()
+        self._left_at_by_agent[record.agent_id] = now
         for pending in self._calls:
-            attempt = pending.attempt_on(record)
-            if attempt is not None:
-                attempt.change(AttemptPhase.LOST, 0, now)
-                self._rescue(pending, attempt)
+            for attempt in tuple(pending.attempts):
+                if attempt.is_from(record):
+                    attempt.change(AttemptPhase.LOST, 0, now)
+                    self._rescue(pending, attempt)
 
     def on_connect(self, record: AgentRecord) -> None:
         """Ask an agent that is back about the calls that are in doubt."""
+        self._left_at_by_agent.pop(record.agent_id, None)
         for pending in self._calls:
             for attempt in tuple(pending.attempts):
                 is_lost = attempt.phase is AttemptPhase.LOST
@@ -71,10 +103,20 @@
         now = self._clock.now()
         for pending in self._calls:
             for attempt in tuple(pending.attempts):
-                if attempt.phase is not AttemptPhase.LOST:
-                    continue
-                if now - attempt.changed_at > RETURN_MS:
-                    self._hopeless(pending, attempt, 'has stayed away')
+                if attempt.phase is AttemptPhase.LOST:
+                    self._expire(pending, attempt, now)
+        for agent_id, left_at in tuple(self._left_at_by_agent.items()):
+            if now - left_at > _REMEMBERED_MS:
+                self._left_at_by_agent.pop(agent_id)
+
+    def _expire(
+        self,
+        pending: PendingCall,
+        attempt: Attempt,
+        now: float,
+    ) -> None:
+        if now - attempt.changed_at > RETURN_MS:
+            self._hopeless(pending, attempt, 'has stayed away')
 
     def _rescue(self, pending: PendingCall, attempt: Attempt) -> None:
         if pending.idempotent and self._resender.resend(pending):
@@ -106,7 +148,7 @@
             return
         self._links.send(
             record.agent_id,
-            OutcomeQuery(pending.call.request_id),
+            OutcomeQuery(attempt.request_id, attempt.after),
         )
 
     def _hopeless(
--- a/hyssopring/entry/pending.py
+++ b/hyssopring/entry/pending.py
@@ -6,7 +6,8 @@
 """
 
 import random
-from typing import Iterator
+from dataclasses import replace
+from typing import Callable, Iterator
 
 from hyssopring.clock import Clock
 from hyssopring.entry.calls import Answer, Attempt, Call, Callers, PendingCall
@@ -40,6 +41,9 @@
         self._rng = rng
         self._invariants = Invariants(metrics)
         self._call_by_id: dict[str, PendingCall] = {}
+        self._calls_by_agents_id: dict[str, list[PendingCall]] = {}
+        # Called with a call that failed and is certain not to have run.
+        self.on_not_run: Callable[[PendingCall], None] = _ignore
 
     def __len__(self) -> int:
         """Return how many calls have not had their answer."""
@@ -61,24 +65,39 @@
         """Return a call that waits."""
         return self._call_by_id.get(request_id)
 
+    def waiting_for(self, request_id: str) -> tuple[PendingCall, ...]:
+        """Return the calls with an attempt under this id at an agent."""
+        return tuple(self._calls_by_agents_id.get(request_id, ()))
+
     def open_attempt(
         self,
         pending: PendingCall,
         backend: BackendView,
     ) -> Attempt:
         """Count a sending to a backend server."""
-        attempt = Attempt.from_backend(backend, self._clock.now())
-        self._invariants.check(
-            pending.idempotent or not pending.attempts,
-            'a non-idempotent request is with one agent at a time',
+        attempt = Attempt.from_backend(
             pending.call.request_id,
+            backend,
+            self._clock.now(),
         )
-        pending.attempts.append(attempt)
+        self.add_attempt(pending, attempt)
         pending.sent_count += 1
         pending.tried.append(attempt.incarnation)
         backend.in_flight += 1
         return attempt
 
+    def add_attempt(self, pending: PendingCall, attempt: Attempt) -> None:
+        """Expect an agent's word on this attempt."""
+        self._invariants.check(
+            pending.idempotent or not pending.attempts,
+            'a non-idempotent request is with one agent at a time',
+            pending.call.request_id,
+        )
+        pending.attempts.append(attempt)
+        pending.last_attempt = attempt
+        waiting = self._calls_by_agents_id.setdefault(attempt.request_id, [])
+        waiting.append(pending)
+
     def close_attempt(
         self,
         pending: PendingCall,
@@ -86,9 +105,14 @@
         may_have_run: bool,
     ) -> None:
         """Nothing more is expected from this attempt."""
-        pending.attempts.remove(attempt)
         pending.may_have_run = pending.may_have_run or may_have_run
-        attempt.backend.in_flight -= 1
+        pending.attempts.remove(attempt)
+        waiting = self._calls_by_agents_id[attempt.request_id]
+        waiting.remove(pending)
+        if not waiting:
+            self._calls_by_agents_id.pop(attempt.request_id)
+        if attempt.backend is not None:
+            attempt.backend.in_flight -= 1
 
     def discard(self, request_id: str) -> PendingCall | None:
         """Forget a call whose caller has gone."""
@@ -122,7 +146,17 @@
                 f'{failure.kind.value} after an attempt that may have run',
                 failure.retry_after_ms,
             )
-        self.finish(pending, self._failed(failure))
+        answer = self._failed(failure)
+        last = pending.last_attempt
+        if last is not None and failure.answer.run_state is RunState.UNKNOWN:
+            answer = replace(
+                answer,
+                ask_agent=last.agent_id,
+                ask_id=last.request_id,
+            )
+        self.finish(pending, answer)
+        if is_certain:
+            self.on_not_run(pending)
 
     def refuse(self, call: Call, failure: Failure) -> None:
         """Answer a call that was never taken in."""
@@ -163,6 +197,9 @@
         )
 
     def _release(self, pending: PendingCall) -> None:
-        for attempt in pending.attempts:
-            attempt.backend.in_flight -= 1
-        pending.attempts.clear()
+        for attempt in tuple(pending.attempts):
+            self.close_attempt(pending, attempt, may_have_run=True)
+
+
+def _ignore(pending: PendingCall) -> None:
+    """Do nothing: no claims are kept."""
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -20,9 +20,12 @@
     Links,
     PendingCall,
 )
+from hyssopring.entry.claims import ClaimTable
 from hyssopring.entry.doubt import Doubts
+from hyssopring.entry.keyed import KeyedCalls
 from hyssopring.entry.pending import PendingCalls
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.invariants import Invariants
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord, Fleet
 from hyssopring.metrics import Metrics
@@ -50,6 +53,7 @@
         callers: Callers,
         metrics: Metrics,
         rng: random.Random,
+        claims: ClaimTable,
     ) -> None:
         """Take the collaborators; ``rng`` is seeded by the caller."""
         self._clock = clock
@@ -58,9 +62,12 @@
         self._configuration = configuration
         self._links = links
         self._metrics = metrics
+        self._invariants = Invariants(metrics)
         self._rng = rng
         self._calls = PendingCalls(clock, callers, metrics, rng)
-        self._doubts = Doubts(clock, self._calls, links, self)
+        self._doubts = Doubts(clock, fleet, self._calls, links, self)
+        self._claims = claims
+        self._keyed = KeyedCalls(self._calls, claims, self._doubts, self)
         self._is_stopping = False
 
     @property
@@ -117,14 +124,16 @@
         )
         pending = PendingCall(call, request, policy.idempotent, now)
         self._calls.add(pending)
-        choice = self._choose(pending)
+        choice = self.choose(pending)
         if choice is None:
             self._calls.fail(
                 pending,
                 Failure(ErrorKind.NO_BACKEND, call.service_name),
             )
-            return
-        self._dispatch(pending, choice)
+        elif call.key and not policy.idempotent:
+            self._keyed.claim(pending, choice)
+        else:
+            self.dispatch(pending, choice)
 
     def forget(self, request_id: str) -> None:
         """The caller has gone: drop the call if it has not started."""
@@ -135,17 +144,20 @@
 
     def on_response(self, record: AgentRecord, response: CallResponse) -> None:
         """Take an agent's answer for a call or an outcome query."""
-        pending = self._calls.get(response.request_id)
-        attempt = None if pending is None else pending.attempt_on(record)
-        if pending is None or attempt is None:
+        request_id = response.request_id
+        is_awaited = False
+        for pending in self._calls.waiting_for(request_id):
+            attempt = pending.attempt_on(record, request_id)
+            if attempt is not None:
+                is_awaited = True
+                self._settle(pending, attempt, response)
+        if not is_awaited:
             log_event(
                 Event.LATE_ANSWER_DROPPED,
-                request=response.request_id,
+                request=request_id,
                 agent=record.agent_id,
             )
             self._metrics.count('late_answers_total')
-            return
-        self._settle(pending, attempt, response)
 
     def on_connect(self, record: AgentRecord) -> None:
         """An agent has connected."""
@@ -166,13 +178,14 @@
                     Failure(ErrorKind.DEADLINE, 'the deadline has passed'),
                 )
         self._doubts.tick()
+        self._claims.tick()
 
     def resend(self, pending: PendingCall) -> bool:
         """Send to another agent; False if there is none or no time left."""
         left = pending.call.deadline - self._clock.now()
         if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
             return False
-        choice = self._choose(pending)
+        choice = self.choose(pending)
         if choice is None:
             return False
         log_event(
@@ -181,14 +194,15 @@
             tried=pending.sent_count,
         )
         self._metrics.count('retries_total')
-        self._dispatch(pending, choice)
+        self.dispatch(pending, choice)
         return True
 
     def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
         """Send again to the run of the agent that may already have it."""
         self._links.send(attempt.agent_id, self._request(pending))
 
-    def _choose(self, pending: PendingCall) -> Choice | None:
+    def choose(self, pending: PendingCall) -> Choice | None:
+        """Return a backend that the call has not been sent to."""
         candidates = [
             view
             for view in self._fleet.backends(pending.call.service_name)
@@ -197,7 +211,21 @@
         now = self._clock.now()
         return choose_backend(candidates, self._zone, now, self._rng)
 
-    def _dispatch(self, pending: PendingCall, choice: Choice) -> None:
+    def is_open(self, choice: Choice) -> bool:
+        """Whether the chosen backend may still be sent to."""
+        record = choice.backend.agent
+        is_connected = self._fleet.agent(record.agent_id) is record
+        return is_connected and choice.backend.is_routable
+
+    def dispatch(self, pending: PendingCall, choice: Choice) -> None:
+        """Send the call; a keyed one only under its own claim."""
+        agent_run = choice.backend.agent.incarnation
+        if not self._invariants.check(
+            pending.is_claimed_for(agent_run),
+            'a keyed request runs only where its claim says',
+            pending.call.request_id,
+        ):
+            return
         attempt = self._calls.open_attempt(pending, choice.backend)
         log_event(
             Event.REQUEST_ROUTED,
@@ -211,7 +239,11 @@
 
     def _request(self, pending: PendingCall) -> CallRequest:
         left = pending.call.deadline - self._clock.now()
-        return replace(pending.request, budget_ms=left)
+        return replace(
+            pending.request,
+            budget_ms=left,
+            after=pending.attempts[-1].after,
+        )
 
     def _settle(
         self,
@@ -231,21 +263,23 @@
         if pending.attempts:
             # A sibling attempt of an idempotent call may still answer.
             return
-        may_repeat = not_run or pending.idempotent
-        if may_repeat and self.resend(pending):
-            return
-        self._calls.fail(
-            pending,
-            Failure(
-                ErrorKind.from_wire(response.error),
-                response.detail,
-                response.retry_after_ms or None,
-            ),
+        failure = Failure(
+            ErrorKind.from_wire(response.error),
+            response.detail,
+            response.retry_after_ms or None,
         )
+        if not_run and pending.row is not None:
+            self._keyed.move(pending, failure)
+            return
+        may_repeat = not_run or pending.idempotent
+        if not (may_repeat and self.resend(pending)):
+            self._calls.fail(pending, failure)
 
     def _cancel(self, pending: PendingCall) -> None:
         for attempt in pending.attempts:
-            self._links.send(
-                attempt.agent_id,
-                CancelCall(pending.call.request_id),
-            )
+            # What it follows is another caller's, who may still wait.
+            if attempt.request_id == pending.call.request_id:
+                self._links.send(
+                    attempt.agent_id,
+                    CancelCall(attempt.request_id),
+                )
--- a/hyssopring/membership/fleet.py
+++ b/hyssopring/membership/fleet.py
@@ -35,7 +35,10 @@
     @property
     def is_routable(self) -> bool:
         """Whether new work may be sent to it."""
-        return not (self.report.leaving or self.agent.is_stopping)
+        agent = self.agent
+        return not (
+            self.report.leaving or agent.is_stopping or agent.is_suspect
+        )
 
 
 @dataclass(slots=True)
@@ -44,6 +47,8 @@
 
     Attributes:
         generation: Counts connections; messages of older ones are foreign.
+        sequence: Of the last heartbeat heard.
+        is_suspect: It has not answered a ping in time.
     """
 
     agent_id: str
@@ -56,6 +61,8 @@
     configuration_version: int
     heard_at: float
     is_stopping: bool = False
+    sequence: int = 0
+    is_suspect: bool = False
     backend_by_id: dict[str, BackendView] = field(default_factory=dict)
 
 
@@ -122,6 +129,7 @@
     ) -> None:
         """Take an agent's word for its own state; it is complete."""
         record.heard_at = now
+        record.sequence = beat.sequence
         record.free = beat.free
         record.configuration_version = beat.configuration_version
         record.is_stopping = beat.stopping
