--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of this is shipped."""
--- /dev/null
+++ b/bench/peers.py
@@ -0,0 +1,177 @@
+"""Emulated peers that speak the real inner protocol, many in one process.
+
+``agents ADDRESS COUNT BACKENDS``: agents that dial an entry, beat, and answer
+each call at once. ``entries PORTS TASKS CALLS_PER_S``: entries
+that grant leases, start tasks and send calls to the agent that dials them.
+"""
+
+import random
+import sys
+
+from twisted.internet import reactor
+from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall
+
+from bench.slopes_processes import SECRET
+from hyssopring.agent.core import HEARTBEAT_MS, AgentIdentity
+from hyssopring.clock import MonotonicClock
+from hyssopring.protocol import messages as m
+from hyssopring.protocol.connection import InnerConnection, prove
+
+CLOCK = MonotonicClock()
+LEASE_MS = 3_600_000.0
+
+
+class Peer(Factory):
+    noisy = False
+
+    def buildProtocol(self, addr):
+        return InnerConnection(
+            CLOCK,
+            self.opened,
+            self.received,
+            lambda connection, detail: connection.close(),
+            lambda connection: None,
+        )
+
+    def opened(self, connection):
+        """Agents wait for the entry to speak first."""
+
+
+class EmulatedAgent(Peer):
+    def __init__(self, number, backends):
+        self.sequence = 0
+        self.identity = AgentIdentity(
+            f'agent-{number:04}',
+            'run',
+            ('paddock', 'tack-room', 'office')[number % 3],
+            f'rack-{number // 3:03}',
+            m.Resources(16, 60),
+        )
+        self.reports = tuple(
+            m.BackendReport(
+                'trust/booking' if each == 0 else f'trust/service-{each}',
+                f'backend-{number}-{each}',
+                8,
+                64,
+                False,
+                0,
+                0,
+                20.0,
+            )
+            for each in range(backends)
+        )
+        self.version = 0
+
+    def received(self, connection, message):
+        if isinstance(message, m.Challenge):
+            proof = prove(SECRET, message.nonce, self.identity.agent_id)
+            connection.send(self.identity.hello(proof, 0))
+        elif isinstance(message, m.Welcome):
+            beat = LoopingCall(self.beat, connection)
+            reactor.callLater(random.random(), beat.start, HEARTBEAT_MS / 1000)
+        elif isinstance(message, m.CallRequest):
+            connection.send(
+                m.CallResponse(
+                    message.request_id, 'answered', 200, (), b'x' * 200
+                )
+            )
+        elif isinstance(message, m.ConfigurationUpdate):
+            self.version = max(self.version, message.version)
+
+    def beat(self, connection):
+        self.sequence += 1
+        connection.send(
+            m.Heartbeat(
+                self.sequence,
+                self.version,
+                self.reports,
+                m.Resources(16, 60),
+                False,
+            )
+        )
+
+
+class EmulatedEntry(Peer):
+    def __init__(self, number, tasks, calls_per_s):
+        self.number = number
+        self.tasks = tasks
+        self.calls_per_s = calls_per_s
+        self.calls = 0
+        self.has_started = False
+        self.grants = tuple(
+            m.LeaseGrant(shard, 1, LEASE_MS, LEASE_MS) for shard in range(2)
+        )
+
+    def opened(self, connection):
+        connection.send(m.Challenge(m.PROTOCOL_VERSION, self.name, 'nonce'))
+
+    @property
+    def name(self):
+        return f'entry-{self.number}'
+
+    def received(self, connection, message):
+        if isinstance(message, m.Hello):
+            connection.send(m.Welcome(self.name, 0, ()))
+            if self.calls_per_s:
+                LoopingCall(self.call, connection).start(1 / self.calls_per_s)
+        elif isinstance(message, m.Heartbeat):
+            connection.send(m.HeartbeatAck(message.sequence, 0, self.grants))
+        elif isinstance(message, m.TaskReport) and message.complete:
+            if not self.has_started:
+                self.has_started = True
+                self.start(connection)
+
+    def start(self, connection):
+        for number in range(self.tasks):
+            connection.send(
+                m.StartTask(
+                    f'job:{number}',
+                    0,
+                    1,
+                    1,
+                    'batch',
+                    'trust/feed',
+                    m.Resources(0.25, 0.25),
+                    '',
+                    LEASE_MS,
+                    5,
+                )
+            )
+
+    def call(self, connection):
+        self.calls += 1
+        connection.send(
+            m.CallRequest(
+                f'{self.number}-{self.calls}',
+                'trust/booking',
+                'POST',
+                '/lessons?ms=1',
+                (),
+                b'rider',
+                2000.0,
+                8,
+                False,
+            )
+        )
+
+
+def dial(address, count, backends):
+    host, port = address.split(':')
+    for number in range(int(count)):
+        agent = EmulatedAgent(number, int(backends))
+        reactor.callLater(
+            number * 0.003, reactor.connectTCP, host, int(port), agent
+        )
+
+
+def listen(ports, tasks, calls_per_s):
+    for number, port in enumerate(ports.split(',')):
+        entry = EmulatedEntry(number, int(tasks), float(calls_per_s))
+        reactor.listenTCP(int(port), entry, interface='127.0.0.1')
+
+
+if __name__ == '__main__':
+    kind, *arguments = sys.argv[1:]
+    {'agents': dial, 'entries': listen}[kind](*arguments)
+    reactor.run()
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,68 @@
+"""Grows one thing at a time and prints what each unit costs.
+
+``python -m bench.slopes [--quick] [--only PREFIX] [--out FILE]``. Daemons run
+as processes over loopback with emulated peers; cores run with the table in
+memory. Processor time is the measured process's own getrusage over a window,
+memory its resident size, bytes its transports' counters (no TCP headers).
+"""
+
+import argparse
+import datetime
+import json
+import os
+import pathlib
+import sys
+
+from bench import slopes_cores
+from bench.slopes_daemons import Daemons
+from bench.slopes_fit import slope_record
+
+UNIT_BY_METRIC = {
+    'cpu': 'ms',
+    'memory': 'KB',
+    'sent': 'B/s',
+    'received': 'B/s',
+    'commits': 'commits',
+    'reads': 'reads',
+}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--quick', action='store_true')
+    parser.add_argument('--only', default='', choices=['', 'daemons', 'cores'])
+    parser.add_argument('--out', type=pathlib.Path)
+    asked = parser.parse_args()
+    points = {}
+    if asked.only != 'daemons':
+        points.update(slopes_cores.run(asked.quick))
+    if asked.only != 'cores':
+        window_s, settle_s = (1.0, 1.5) if asked.quick else (6.0, 3.0)
+        points.update(Daemons(window_s, settle_s, asked.quick).run())
+    record = {
+        'date': datetime.date.today().isoformat(),
+        'command': f'python -m bench.slopes {" ".join(sys.argv[1:])}'.strip(),
+        'machine': f'one shared machine, {os.cpu_count()} cores',
+        'python': sys.version.split()[0],
+        'slopes': {
+            name: slope_record(each) for name, each in sorted(points.items())
+        },
+    }
+    for name, slope in record['slopes'].items():
+        show(name, slope)
+    if asked.out:
+        asked.out.write_text(json.dumps(record, indent=1) + '\n')
+
+
+def show(name, slope):
+    unit = UNIT_BY_METRIC.get(name.rpartition('.')[2], 'B')
+    print(
+        f'{name:<28} {slope["intercept"]:>10.5g} + x * '
+        f'{slope["slope"]:.5g} +/- {slope["slope_error"]:.2g} {unit}'
+        f'  (r2 {slope["r_squared"]:.4f})'
+    )
+    print('    ' + '  '.join(f'{x}: {y:g}' for x, y in slope['points']))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/slopes_daemons.py
@@ -0,0 +1,146 @@
+"""Slopes of whole daemons over loopback sockets."""
+
+import http.client
+import threading
+import time
+
+from bench.slopes_processes import Processes, free_address
+
+METRICS = ('cpu', 'memory', 'sent', 'received')
+
+
+def grow(name, sizes, measure, metrics=METRICS):
+    """Measure each size; return points by slope id."""
+    points = {f'{name}.{metric}': [] for metric in metrics}
+    for size in sizes:
+        figures = measure(size)
+        for metric in metrics:
+            points[f'{name}.{metric}'].append((size, figures[metric]))
+    return points
+
+
+class Daemons:
+    """Experiments on one entry or one agent with emulated peers."""
+
+    def __init__(self, window_s, settle_s, is_quick):
+        self.window_s = window_s
+        self.settle_s = settle_s
+        self.is_quick = is_quick
+
+    def sizes(self, *full):
+        return [size // 4 for size in full] if self.is_quick else full
+
+    def run(self):
+        return {
+            **grow(
+                'entry.agents',
+                self.sizes(0, 40, 80, 160, 320),
+                lambda agents: self.entry(agents=agents),
+                (*METRICS, 'commits', 'reads'),
+            ),
+            **grow(
+                'entry.backends',
+                self.sizes(0, 4, 8, 16, 24),
+                lambda each: self.entry(agents=40, backends=each),
+            ),
+            **grow(
+                'entry.requests',
+                self.sizes(0, 60, 120, 180, 240),
+                lambda rate: self.entry(agents=12, rate=rate),
+            ),
+            **grow(
+                'agent.entries',
+                self.sizes(0, 4, 8, 16, 32),
+                lambda entries: self.agent(entries=entries),
+            ),
+            **grow(
+                'agent.backends',
+                self.sizes(0, 4, 8, 16),
+                lambda backends: self.agent(entries=4, backends=backends),
+            ),
+            **grow(
+                'agent.tasks',
+                self.sizes(0, 16, 32, 64, 128),
+                lambda tasks: self.agent(entries=1, tasks=tasks),
+            ),
+            **grow(
+                'agent.requests',
+                self.sizes(0, 40, 80, 160),
+                lambda rate: self.agent(entries=1, backends=1, rate=rate),
+            ),
+        }
+
+    def entry(self, agents=0, backends=1, rate=0):
+        with Processes() as processes:
+            table = free_address()
+            processes.spawn('standins.table', table)
+            time.sleep(0.7)
+            node = processes.entry(table)
+            node.configure()
+            if agents:
+                processes.spawn(
+                    'bench.peers', 'agents', node.inner, agents, backends
+                )
+            time.sleep(self.settle_s + agents * 0.003)
+            seen = node.scrape()['inner_connections']
+            assert seen == agents, f'{seen} agents connected, not {agents}'
+            with Callers(node.callers, rate):
+                return node.measure(self.window_s)
+
+    def agent(self, entries=0, backends=0, tasks=0, rate=0):
+        with Processes() as processes:
+            worker = free_address()
+            processes.spawn('standins.worker', worker)
+            addresses = [free_address() for _ in range(max(entries, 1))]
+            if entries:
+                ports = ','.join(each.split(':')[1] for each in addresses)
+                processes.spawn('bench.peers', 'entries', ports, tasks, rate)
+            time.sleep(0.7)
+            node = processes.agent(addresses, worker)
+            for number in range(backends):
+                processes.spawn(
+                    'standins.backend',
+                    free_address(),
+                    node.scraped,
+                    f'trust/service-{number}' if number else 'trust/booking',
+                )
+            time.sleep(self.settle_s)
+            seen = node.scrape()['inner_connections']
+            assert seen == entries, f'{seen} entries connected, not {entries}'
+            return node.measure(self.window_s)
+
+
+class Callers:
+    """Callers at a steady rate on kept connections."""
+
+    threads = 6
+
+    def __init__(self, address, rate):
+        self.address = address
+        self.rate = rate
+        self.is_over = threading.Event()
+        self.running = []
+
+    def __enter__(self):
+        for _ in range(self.threads if self.rate else 0):
+            thread = threading.Thread(target=self.call)
+            thread.start()
+            self.running.append(thread)
+
+    def __exit__(self, *_reason):
+        self.is_over.set()
+        for thread in self.running:
+            thread.join()
+
+    def call(self):
+        host, port = self.address.split(':')
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        due = time.monotonic()
+        while not self.is_over.is_set():
+            due += self.threads / self.rate
+            connection.request('POST', '/trust/booking/lessons', b'rider')
+            answer = connection.getresponse()
+            answer.read()
+            assert answer.status == 200, answer.status
+            time.sleep(max(due - time.monotonic(), 0))
+        connection.close()
--- /dev/null
+++ b/bench/slopes_processes.py
@@ -0,0 +1,153 @@
+"""Starts the processes of a small deployment and reads what they use."""
+
+import json
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+SECRET = 'bench-inner-secret-0123456789'
+TOKEN = 'bench-operator-token-0123456789'
+SIZE = {'cores': 0.25, 'memory_gb': 0.25}
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class Processes:
+    """Ends, by their ids, exactly the processes that it has started."""
+
+    def __enter__(self):
+        self.running = []
+        self.folder = tempfile.TemporaryDirectory()
+        return self
+
+    def __exit__(self, *_reason):
+        for process in reversed(self.running):
+            process.kill()
+        for process in self.running:
+            process.wait()
+        self.folder.cleanup()
+
+    def spawn(self, module, *arguments):
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, *map(str, arguments)],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self.running.append(process)
+        return process
+
+    def settings(self, document):
+        path = f'{self.folder.name}/{document["id"]}.json'
+        with open(path, 'w') as file:
+            json.dump(document, file)
+        return path
+
+    def entry(self, table, number=0):
+        node = Node(free_address(), free_address(), free_address())
+        path = self.settings(
+            {
+                'id': f'entry-{number}',
+                'zone': 'paddock',
+                'caller_address': node.callers,
+                'operator_address': node.scraped,
+                'inner_address': node.inner,
+                'store_url': f'http://{table}',
+                'inner_secret': SECRET,
+                'operator_token': TOKEN,
+            }
+        )
+        node.process = self.spawn('hyssopring', 'entry', path)
+        node.wait()
+        return node
+
+    def agent(self, entries, worker):
+        node = Node(free_address())
+        path = self.settings(
+            {
+                'id': 'agent-0',
+                'zone': 'paddock',
+                'rack': 'rack-0',
+                'capacity': {'cores': 64, 'memory_gb': 64},
+                'announce_address': node.scraped,
+                'entries': entries,
+                'worker_url': f'http://{worker}',
+                'inner_secret': SECRET,
+            }
+        )
+        node.process = self.spawn('hyssopring', 'agent', path)
+        node.wait()
+        return node
+
+
+class Node:
+    """One daemon under measurement."""
+
+    def __init__(self, scraped, callers='', inner=''):
+        self.scraped = scraped
+        self.callers = callers
+        self.inner = inner
+        self.process = None
+
+    def wait(self):
+        deadline = time.monotonic() + 20
+        while time.monotonic() < deadline:
+            try:
+                return self.scrape()
+            except OSError:
+                time.sleep(0.1)
+        raise SystemExit('a daemon did not start')
+
+    def scrape(self):
+        url = f'http://{self.scraped}/metrics'
+        with urllib.request.urlopen(url, timeout=10) as answer:
+            text = answer.read().decode()
+        pairs = (line.rpartition(' ') for line in text.splitlines())
+        return {
+            name.removeprefix('hyssopring_'): float(level)
+            for name, _, level in pairs
+        }
+
+    def operate(self, method, path, document=None):
+        body = None if document is None else json.dumps(document).encode()
+        request = urllib.request.Request(
+            f'http://{self.scraped}/v1/{path}',
+            body,
+            {'Authorization': f'Bearer {TOKEN}'},
+            method=method,
+        )
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            return json.load(answer)
+
+    def configure(self):
+        for key, document in (
+            ('template/booking', {'kind': 'service', 'size': SIZE}),
+            ('parameters/trust/booking', {'urgency': 8}),
+        ):
+            self.operate('PUT', f'configuration/{key}', document)
+
+    def measure(self, seconds):
+        """What the daemon uses per second over a window."""
+        before, start = self.scrape(), time.monotonic()
+        time.sleep(seconds)
+        after, took = self.scrape(), time.monotonic() - start
+
+        def rate(name, scale=1.0):
+            return (after[name] - before.get(name, 0)) * scale / took
+
+        figures = {
+            'cpu': rate('process_cpu_seconds', 1000),
+            'memory': after['process_resident_bytes'] / 1000,
+            'sent': rate('inner_sent_bytes'),
+            'received': rate('inner_received_bytes'),
+        }
+        if 'store_reads' in after:
+            figures['commits'] = rate('store_commits')
+            figures['reads'] = rate('store_reads')
+        return figures
