Idle daemons: no 20 ms timers while nothing waits

Cause: entry and agent woke 50 times a second; an idle entry also walked all policies and all running tasks in each of those turns. Change: deadlines are watched by a timer that is armed only while a call waits; planning runs each 100 ms; lapsed leases are looked for once a second (they last many seconds); keeper sets are read once per configuration version. Ruled out: one-shot timers at each exact deadline, more code for the same idle cost.

--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
-from typing import Protocol
+from typing import Callable, Protocol
 
 from hyssopring.agent.backends import Backends
 from hyssopring.agent.calls import BackendCaller, CallExecutor
@@ -69,6 +69,10 @@
         )
 
 
+def _nothing() -> None:
+    """Nobody asked to be told of new work."""
+
+
 class AgentLinks(Protocol):
     """Sends messages to connected entries."""
 
@@ -101,6 +105,7 @@
         invariants = Invariants(metrics)
         self._clock = clock
         self._links = links
+        self.on_work: Callable[[], None] = _nothing
         self._sequence = 0
         self._is_stopping = False
         self._link_by_entry: dict[str, _EntryLink] = {}
@@ -140,6 +145,7 @@
 
     @on_message.register
     def _on_call(self, message: CallRequest, entry_id: str) -> None:
+        self.on_work()
         self.calls.on_call(entry_id, message)
 
     @on_message.register
@@ -211,9 +217,13 @@
 
     def tick(self) -> None:
         """Let deadlines and leases take effect."""
-        self.backends.expire()
+        self.expire_backends()
         self.calls.tick()
 
+    def expire_backends(self) -> None:
+        """Drop backend servers that no longer announce themselves."""
+        self.backends.expire()
+
     def stop(self) -> None:
         """Begin a planned stop: nothing new, what runs finishes."""
         self._is_stopping = True
--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -16,10 +16,12 @@
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.settings import AgentSettings
+from hyssopring.ticker import Ticker
 
 __all__ = ('AgentDaemon',)
 
 _TICK_S = 0.02
+_EXPIRE_S = 0.1
 _SILENCE_CHECK_S = 0.25
 _LISTING_S = 0.5
 _LEASES_S = 1.0
@@ -64,6 +66,12 @@
         )
         self._links.attach(self.core)
         self._announce = AnnounceResource(self.core)
+        self.core.on_work = Ticker(
+            reactor,
+            _TICK_S,
+            self.core.tick,
+            lambda: bool(self.core.calls.unfinished),
+        ).wake
         self._loops: list[LoopingCall] = []
         self.core.metrics.collect(self._gauge)
 
@@ -74,7 +82,7 @@
         site.noisy = False
         self._reactor.listenTCP(port, site, interface=host)
         self._links.start()
-        self._every(_TICK_S, self.core.tick)
+        self._every(_EXPIRE_S, self.core.expire_backends)
         self._every(_LEASES_S, self.core.tasks.tick)
         self._every(HEARTBEAT_MS / _MILLIS_PER_SECOND, self.core.heartbeat)
         self._every(_SILENCE_CHECK_S, self._links.check_silence)
--- a/hyssopring/entry/callers.py
+++ b/hyssopring/entry/callers.py
@@ -8,7 +8,7 @@
 
 import json
 import uuid
-from typing import Any
+from typing import Any, Callable
 
 from twisted.web.http import Request
 from twisted.web.resource import Resource
@@ -38,16 +38,22 @@
 )
 
 
+def _nothing() -> None:
+    """Nobody asked to be told of new work."""
+
+
 class WaitingCallers:
     """Callers' open HTTP requests by request id."""
 
     def __init__(self) -> None:
         """Start with none."""
         self._request_by_id: dict[str, Request] = {}
+        self.on_work: Callable[[], None] = _nothing
 
     def add(self, request_id: str, request: Request) -> None:
         """Remember whom to answer."""
         self._request_by_id[request_id] = request
+        self.on_work()
 
     def discard(self, request_id: str) -> None:
         """The caller has gone."""
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -199,7 +199,15 @@
 
     def tick(self) -> None:
         """Let deadlines take effect; place waiting tasks."""
+        self.expire_calls()
+        self.plan()
+
+    def expire_calls(self) -> None:
+        """Give up the calls whose time is up; call each 20 ms if any."""
         self.router.tick()
+
+    def plan(self) -> None:
+        """Place waiting tasks and write what changed; call each 100 ms."""
         self.planner.tick()
 
     def drop_silent(self) -> None:
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -21,10 +21,12 @@
 from hyssopring.placement import LeaseTimes
 from hyssopring.settings import EntrySettings
 from hyssopring.store.client import StoreClient
+from hyssopring.ticker import Ticker
 
 __all__ = ('EntryDaemon',)
 
 _TICK_S = 0.02
+_PLAN_S = 0.1
 _SILENCE_CHECK_S = 0.25
 _POLL_S = 0.5
 _RENEW_S = 1.0
@@ -62,6 +64,12 @@
             JobDesk(self._store, self.core.configuration, settings.shards),
             settings.operator_token,
         )
+        self._waiting.on_work = Ticker(
+            reactor,
+            _TICK_S,
+            self.core.expire_calls,
+            lambda: bool(self.core.router.pending),
+        ).wake
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self.core.metrics.collect(self._gauge)
@@ -83,7 +91,7 @@
         self._listen(settings.inner_address, self._links)
         self._listen(settings.caller_address, _site(callers))
         self._listen(settings.operator_address, _site(self._operators))
-        self._every(_TICK_S, self.core.tick)
+        self._every(_PLAN_S, self.core.plan)
         self._every(_SILENCE_CHECK_S, self.core.drop_silent)
         self._every(_POLL_S, self.core.poll_table)
         self._every(_RENEW_S, self.core.renew)
--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -23,6 +23,8 @@
 
 __all__ = ('Planner', 'shard_of')
 
+_RECLAIM_MS = 1000.0
+
 
 def shard_of(name: str, shards: int) -> int:
     """Return the shard of a job or keeper set, the same in every process."""
@@ -43,6 +45,8 @@
         self._plan_by_shard: dict[int, ShardPlan] = {}
         self._granted_at_by_agent: dict[str, float] = {}
         self._holder: ShardHolder | None = None
+        self._reclaim_at: float = 0
+        self._keepers_version_by_shard: dict[int, int] = {}
         self._is_reading_inbox = False
 
     def attach(self, holder: ShardHolder) -> None:
@@ -59,6 +63,7 @@
     def on_lost(self, shard: int) -> None:
         """Drop a shard; its next holder reads all from the table."""
         self._plan_by_shard.pop(shard, None)
+        self._keepers_version_by_shard.pop(shard, None)
 
     def grants(self, agent_id: str) -> tuple[LeaseGrant, ...]:
         """Grant an agent the right to run tasks of the held shards."""
@@ -89,8 +94,8 @@
     def tick(self) -> None:
         """Place waiting tasks, notice lapsed ones, write what changed."""
         plans = self._usable_plans()
+        self._reclaim_lapsed(plans)
         for plan in plans:
-            plan.reclaim_lapsed(self._granted_at_by_agent)
             self._ensure_keepers(plan)
         self._assigner.place_waiting(plans)
         for usable in plans:
@@ -168,7 +173,21 @@
             if plan is not None:
                 plan.take_letter(row)
 
+    def _reclaim_lapsed(self, plans: list[ShardPlan]) -> None:
+        """Look over all tasks once a second; leases last many seconds."""
+        now = self._ports.clock.now()
+        if now < self._reclaim_at:
+            return
+        self._reclaim_at = now + _RECLAIM_MS
+        for plan in plans:
+            plan.reclaim_lapsed(self._granted_at_by_agent)
+
     def _ensure_keepers(self, plan: ShardPlan) -> None:
+        """Take in keeper sets, once for each version of configuration."""
+        version = self._ports.configuration.version
+        if self._keepers_version_by_shard.get(plan.held.shard) == version:
+            return
+        self._keepers_version_by_shard[plan.held.shard] = version
         for policy in self._ports.configuration.policies():
             job_id = f'keeper-{policy.service_name.replace("/", "-")}'
             is_keeper = policy.kind == TaskKind.KEEPER.value
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -364,7 +364,8 @@
         )
         loop = deployment.loop
         runs = lambda: self.is_alive  # noqa: E731
-        loop.every(20, self._unless_paused(self.core.tick), runs)
+        loop.every(20, self._unless_paused(self.core.expire_calls), runs)
+        loop.every(100, self._unless_paused(self.core.plan), runs)
         loop.every(250, self._unless_paused(self.core.drop_silent), runs)
         loop.every(500, self._unless_paused(self.core.poll_table), runs)
         loop.every(1000, self._unless_paused(self.core.renew), runs)
