Operators' command line: status, explain, drain, one-line errors

Cause: the commands were a thin wrapper that printed raw JSON, ended with tracebacks on wrong usage, could not tell why a task waits, and asked one entry only, which knows a part of the fleet. Entries route and place nothing there, the agent takes no start and checkpoints its batch tasks (keepers too only if asked). Ruled out: a drain message of its own, which a fresh entry or a restarted agent would not know of; a log sink for explain, which costs formatting twice. Tests run by file on four workers, so that a deployment is started once.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8
 	$(BIN)/mypy hyssopring
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -14,6 +14,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WORK = ROOT / '.demo'
@@ -39,7 +40,8 @@
 class Deployment:
     """All processes of a small deployment; entries may be the zipapp."""
 
-    def __init__(self, binary=None):
+    def __init__(self, binary=None, work=WORK):
+        self.work = pathlib.Path(work)
         self.processes = {}
         self.binary = (
             [sys.executable, binary]
@@ -50,7 +52,7 @@
                 'hyssopring',
             ]
         )
-        WORK.mkdir(exist_ok=True)
+        self.work.mkdir(exist_ok=True)
         ports = iter(free_ports(1 + 3 * ENTRIES + 3 * AGENTS))
         self.table = f'127.0.0.1:{next(ports)}'
         self.entries = [
@@ -71,7 +73,7 @@
         ]
 
     def spawn(self, name, arguments):
-        log = open(WORK / f'{name}.log', 'w')
+        log = open(self.work / f'{name}.log', 'w')
         self.processes[name] = subprocess.Popen(
             arguments, cwd=ROOT, stdout=log, stderr=log
         )
@@ -127,7 +129,7 @@
             )
 
     def write(self, name, settings):
-        path = WORK / f'{name}.json'
+        path = self.work / f'{name}.json'
         path.write_text(
             '// Written by the demo.\n' + json.dumps(settings, indent=2)
         )
@@ -148,7 +150,7 @@
             if all(self.sees_all(number) for number in range(ENTRIES)):
                 return
             time.sleep(0.2)
-        raise SystemExit(f'not ready in time; logs are in {WORK.name}')
+        raise SystemExit(f'not ready in time; logs are in {self.work}')
 
     def sees_all(self, number):
         try:
@@ -233,7 +235,8 @@
             )
             took = (time.perf_counter() - started) * 1000
             is_own = status == 200 and json.loads(body)['echo'] == text
-            outcomes.append((status, is_own, took))
+            kind = 'answered' if is_own else error_kind(status, body)
+            outcomes.append((kind, took))
 
     threads = [
         threading.Thread(target=caller, args=(number,))
@@ -246,6 +249,15 @@
     return outcomes
 
 
+def error_kind(status, body):
+    if status == 200:
+        return 'not its own answer'
+    try:
+        return json.loads(body)['error']
+    except (ValueError, KeyError):
+        return f'status {status}'
+
+
 def drive_job(deployment):
     status, body = deployment.operate(
         'POST',
@@ -269,16 +281,19 @@
 
 
 def print_table(outcomes, tasks):
-    latencies = sorted(took for status, _, took in outcomes if status == 200)
-    own = sum(is_own for _, is_own, _ in outcomes)
-    quantiles = statistics.quantiles(latencies, n=1000)
+    """Print outcomes by kind; return whether all were good."""
+    kinds = Counter(kind for kind, _ in outcomes)
     print(f'{"bookings sent":<28}{len(outcomes):>8}')
-    print(f'{"answered, own and whole":<28}{own:>8}')
+    for kind, count in kinds.most_common():
+        print(f'{"  " + kind:<28}{count:>8}')
+    latencies = [took for kind, took in outcomes if kind == 'answered']
+    quantiles = statistics.quantiles(latencies, n=1000)
     for name, index in (('p50', 499), ('p90', 899), ('p99', 989)):
         print(f'{"latency " + name + " ms":<28}{quantiles[index]:>8.1f}')
     for state, count in sorted(tasks.items()):
         print(f'{"job tasks " + state:<28}{count:>8}')
-    return own == len(outcomes) and tasks.get('completed') == 12
+    is_whole = kinds['answered'] == len(outcomes)
+    return is_whole and tasks.get('completed') == 12
 
 
 def main():
--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -168,6 +168,7 @@
                 version=message.version,
                 source=entry_id,
             )
+            self._follow_drain()
             self._beat(entry_id)
 
     @on_message.register
@@ -212,6 +213,7 @@
 
     def heartbeat(self) -> None:
         """Tell every entry that this agent lives; call each second."""
+        self._follow_drain()
         for entry_id in list(self._link_by_entry):
             self._beat(entry_id)
 
@@ -228,9 +230,19 @@
         """Begin a planned stop: nothing new, what runs finishes."""
         self._is_stopping = True
         self.calls.stop()
-        self.tasks.stop()
+        self.tasks.close('agent is stopping')
         self.heartbeat()
 
+    def _follow_drain(self) -> None:
+        """Follow an operator's drain; a stop in doubt is asked again."""
+        if self._is_stopping:
+            return
+        order = self.configuration.drain(self.identity.agent_id)
+        if order is None:
+            self.tasks.close('')
+        else:
+            self.tasks.close('its VM is drained', keepers=order.keepers)
+
     def _beat(self, entry_id: str) -> None:
         link = self._link_by_entry.get(entry_id)
         if link is None:
--- a/hyssopring/agent/tasks.py
+++ b/hyssopring/agent/tasks.py
@@ -53,7 +53,7 @@
         self._worker = worker
         self._report = report
         self._attempt_by_task: dict[str, Attempt] = {}
-        self._is_stopping = False
+        self._closed_why = ''
         self._has_listed = False
         self._room = RoomMaker(clock, ledger)
 
@@ -164,11 +164,19 @@
             }
         )
 
-    def stop(self) -> None:
-        """Checkpoint everything at a planned stop."""
-        self._is_stopping = True
+    def close(self, why: str, *, keepers: bool = True) -> None:
+        """Take no start and checkpoint what runs, so that planners move it.
+
+        Args:
+            why: Ends up in reports; an empty one opens the VM again.
+            keepers: Whether keepers are to move too, not batch tasks alone.
+        """
+        self._closed_why = why
+        if not why:
+            return
         for attempt in list(self._attempt_by_task.values()):
-            self._stop(attempt, StopMode.CHECKPOINT, 'agent is stopping')
+            if keepers or attempt.kind is TaskKind.BATCH:
+                self._stop(attempt, StopMode.CHECKPOINT, why)
 
     def tick(self) -> None:
         """Renew the worker's leases, stop what has lapsed, report the ended."""
@@ -203,8 +211,8 @@
             self._ledger.reserve(listed.task_id, listed.command.size)
 
     def _refusal(self, command: StartTask, known: Attempt | None) -> str:
-        if self._is_stopping or not self._has_listed:
-            return 'agent is starting or stopping'
+        if self._closed_why or not self._has_listed:
+            return self._closed_why or 'agent is starting'
         if not self._leases.accepts(command.shard, command.epoch):
             return f'epoch {command.epoch} is not current'
         kind = TaskKind(command.kind)
--- a/hyssopring/cli/commands.py
+++ b/hyssopring/cli/commands.py
@@ -1,137 +1,271 @@
-"""Subcommands: the daemons, and what operators use."""
+"""The subcommands: the daemons, and what operators use."""
 
+import inspect
 import json
-import pathlib
-import sys
-from typing import Any, TypeVar
+from functools import partial, wraps
+from types import MappingProxyType
+from typing import Any, Callable, ClassVar, Final, Mapping
 
-from pydantic import BaseModel
+from fire.decorators import SetParseFn
+from pydantic import BaseModel, validate_call
 
+from hyssopring import __version__
+from hyssopring.cli import views
 from hyssopring.cli.client import OperatorClient
-from hyssopring.logs import configure_logging
-from hyssopring.settings import AgentSettings, EntrySettings, load_settings
+from hyssopring.cli.daemons import run_agent, run_entry
+from hyssopring.cli.documents import client_of, document_of, settings_of, usage
+from hyssopring.cli.exits import CommandFailure, ExitCode
+from hyssopring.cli.fleet import wait_in_force
+from hyssopring.cli.output import fail, good, say, say_json
+from hyssopring.settings import (
+    AgentSettings,
+    EntrySettings,
+    OperatorSettings,
+    read_document,
+    role_of,
+)
 
-__all__ = ('Commands',)
+__all__ = ('Commands', 'Planned')
 
-_USAGE_EXIT = 2
-_Model = TypeVar('_Model', bound=BaseModel)
+Planned = Callable[[], None]
 
+_Models = Mapping[str, type[BaseModel]]
+_MODEL_BY_ROLE: Final[_Models] = MappingProxyType(
+    {
+        'entry': EntrySettings,
+        'agent': AgentSettings,
+        'operator': OperatorSettings,
+    }
+)
 
-class Commands:
-    """Scheduler for colocated latency-critical and batch work."""
 
-    def entry(self, settings: str) -> None:
-        """Run an entry with the settings in a file."""
-        from twisted.internet import reactor  # noqa: PLC0415, WPS433
+def _command(method: Callable[..., None]) -> Callable[..., None]:
+    """Keep a call that the command line asks for until it is parsed whole.
+
+    Arguments stay text until they are validated: the parser would take a
+    job named 007 for a number.
+    """
+    validated = validate_call(method)
+    signature = inspect.signature(method)
 
-        from hyssopring.entry.daemon import EntryDaemon  # noqa: WPS433
+    @wraps(method)
+    def plan(  # noqa: WPS430 -- a decorator
+        self: 'Commands',
+        *given: Any,
+        **named: Any,
+    ) -> None:
+        # Bound by name, so that a wrong argument is reported by its name.
+        bound = signature.bind(self, *given, **named)
+        self._planned.append(partial(validated, **bound.arguments))
 
-        loaded = _load(settings, EntrySettings)
-        configure_logging(loaded.log_level)
-        _run(reactor, EntryDaemon(reactor, loaded))
+    return SetParseFn(str)(plan)
 
-    def agent(self, settings: str) -> None:
-        """Run an agent with the settings in a file."""
-        from twisted.internet import reactor  # noqa: PLC0415, WPS433
 
-        from hyssopring.agent.daemon import AgentDaemon  # noqa: WPS433
+class Commands:
+    """Scheduler for colocated latency-critical and batch work.
+
+    Operators' commands call one entry and learn of the others from it. Flags
+    that each of them takes: --entry=HOST:PORT and --token=TOKEN (else the
+    environment's HYSSOPRING_ENTRY and HYSSOPRING_TOKEN, else the file named
+    by --settings=FILE or HYSSOPRING_SETTINGS), --json for scripts.
 
-        loaded = _load(settings, AgentSettings)
-        configure_logging(loaded.log_level)
-        _run(reactor, AgentDaemon(reactor, loaded))
+    Exit codes: 0 done; 1 refused or failed; 2 wrong usage, settings or file;
+    3 no answer, so what was done is unknown; 4 accepted, but --wait ran out
+    of time.
+    """
 
-    def check(self, settings: str, role: str = 'entry') -> None:
-        """Check a settings file and do nothing else."""
-        model = AgentSettings if role == 'agent' else EntrySettings
-        _load(settings, model)
-        _say(f'{settings}: good')
+    # Calls that the command line asks for; each parse brings its own list.
+    _planned: ClassVar[list[Planned]] = []
 
-    def submit(
+    def __init__(
         self,
-        key: str,
-        file: str,
-        version: int = 0,
+        *,
         entry: str = '',
         token: str = '',
-        wait: bool = False,
+        settings: str = '',
+        json: str = '',  # noqa: WPS442 -- the flag's own name
     ) -> None:
-        """Submit or change a template, parameters or a team's quotas."""
-        document = pathlib.Path(file).read_text(encoding='utf-8')
-        client = OperatorClient.from_arguments(entry, token)
-        accepted = client.put(key, document, version)
-        _say(json.dumps(accepted))
-        if wait:
-            client.wait_in_force(accepted['version'])
-            _say(f'version {accepted["version"]} is in force everywhere')
+        """Take the flags that all operators' commands share."""
+        self._connect = partial(client_of, entry, token, settings)
+        self._as_json = json.lower() == 'true'
 
-    def withdraw(
+    @_command
+    def entry(self, file: str) -> None:
+        """Run an entry with the settings in FILE."""
+        run_entry(settings_of(file, EntrySettings))
+
+    @_command
+    def agent(self, file: str) -> None:
+        """Run an agent with the settings in FILE."""
+        run_agent(settings_of(file, AgentSettings))
+
+    @_command
+    def check(self, file: str, *, role: str = '') -> None:
+        """Check a settings FILE and do nothing else.
+
+        The role (entry, agent or operator) is told by the file's own keys
+        unless --role names it.
+        """
+        document = read_document(file)
+        if document.is_err():
+            fail(usage(document.unwrap_err().detail))
+        if role and role not in _MODEL_BY_ROLE:
+            fail(usage(f'--role: found {role}, use entry, agent or operator'))
+        model = _MODEL_BY_ROLE.get(role) or role_of(document.unwrap())
+        settings_of(file, model)
+        say(f'{file}: good {model.__name__}')
+
+    @_command
+    def version(self) -> None:
+        """Show the program's version."""
+        say(__version__)
+
+    @_command
+    def submit(self, key: str, file: str, *, wait: bool = False) -> None:
+        """Submit a new item from FILE (- for standard input).
+
+        KEY is template/NAME, parameters/TEAM/TEMPLATE or team/TEAM. --wait
+        returns when the item is in force in every process.
+        """
+        self._put(key, document_of(file), 0, wait)
+
+    @_command
+    def change(
         self,
         key: str,
+        file: str,
         version: int,
-        entry: str = '',
-        token: str = '',
+        *,
+        wait: bool = False,
     ) -> None:
-        """Withdraw a template, parameters or a team's quotas."""
-        client = OperatorClient.from_arguments(entry, token)
-        _say(json.dumps(client.delete(key, version)))
+        """Change an item to what is in FILE (- for standard input).
+
+        VERSION is the item's version as show gave it: if somebody else has
+        changed the item since, the command is refused and names the version
+        that is current.
+        """
+        self._put(key, document_of(file), version, wait)
+
+    @_command
+    def withdraw(self, key: str, version: int, *, wait: bool = False) -> None:
+        """Withdraw an item that is at VERSION."""
+        client = self._connect()
+        self._accepted(client, client.delete(key, version), wait)
 
+    @_command
+    def show(self, key: str = '') -> None:
+        """Show the configuration, or the items whose keys start with KEY."""
+        page = good(self._connect().get(f'configuration/{key}'))
+        views.show_items(page, as_json=self._as_json)
+
+    @_command
     def run(
-        self,
-        job: str,
-        team: str,
-        template: str,
-        tasks: int = 1,
-        entry: str = '',
-        token: str = '',
+        self, job: str, team: str, template: str, *, tasks: int = 1
     ) -> None:
-        """Submit a batch job."""
-        client = OperatorClient.from_arguments(entry, token)
+        """Submit a batch JOB of so many tasks of a team's template."""
         submission = {
             'job_id': job,
             'team': team,
             'template': template,
             'tasks': tasks,
         }
-        _say(json.dumps(client.post_job(submission)))
+        accepted = good(self._connect().post_job(submission))
+        self._say(accepted, f'{job}: accepted')
 
-    def job(self, job: str, entry: str = '', token: str = '') -> None:
-        """Show a job's tasks by state."""
-        client = OperatorClient.from_arguments(entry, token)
-        _say(json.dumps(client.get(f'jobs/{job}')))
+    @_command
+    def job(self, job: str) -> None:
+        """Show a JOB's tasks by state, from the table."""
+        found = good(self._connect().get(f'jobs/{job}'))
+        views.show_job(found, as_json=self._as_json)
 
-    def cancel(self, job: str, entry: str = '', token: str = '') -> None:
-        """Cancel a job's tasks that have not ended."""
-        client = OperatorClient.from_arguments(entry, token)
-        _say(json.dumps(client.cancel_job(job)))
+    @_command
+    def jobs(self) -> None:
+        """List the jobs that the entries plan."""
+        views.show_jobs(self._connect(), as_json=self._as_json)
 
-    def status(self, entry: str = '', token: str = '') -> None:
-        """Show the fleet."""
-        client = OperatorClient.from_arguments(entry, token)
-        _say(json.dumps(client.get('status'), indent=2))
+    @_command
+    def cancel(self, subject: str) -> None:
+        """Cancel a job's tasks that have not ended, or one task (JOB:N)."""
+        area = 'tasks' if ':' in subject else 'jobs'
+        accepted = good(self._connect().cancel(f'{area}/{subject}'))
+        self._say(accepted, f'{subject}: cancellation accepted')
 
+    @_command
+    def status(self, what: str = 'fleet') -> None:
+        """Show the fleet, or WHAT: teams, jobs, keepers or versions."""
+        show = views.VIEW_BY_NAME.get(what)
+        if show is None:
+            known = ', '.join(views.VIEW_BY_NAME)
+            fail(usage(f'status {what}: unknown, use {known}'))
+        show(self._connect(), as_json=self._as_json)
 
-def _load(path: str, model: type[_Model]) -> _Model:
-    loaded = load_settings(path, model)
-    if loaded.is_err():
-        sys.stderr.write(f'{loaded.unwrap_err().detail}\n')
-        sys.exit(_USAGE_EXIT)
-    return loaded.unwrap()
+    @_command
+    def explain(self, kind: str, subject: str) -> None:
+        """Explain what was decided about a request, task or job, and why.
 
+        KIND is request, task or job. A request's id is in the answer's
+        Hyssopring-Request-Id header. All entries are asked; each keeps what
+        is recent.
+        """
+        if kind not in {'request', 'task', 'job'}:
+            fail(usage(f'explain {kind}: unknown, use request, task or job'))
+        views.show_decisions(
+            self._connect(),
+            f'{kind}/{subject}',
+            as_json=self._as_json,
+        )
 
-def _run(reactor: Any, daemon: Any) -> None:
-    import signal  # noqa: WPS433 -- only daemons take signals
+    @_command
+    def drain(
+        self,
+        agent: str,
+        *,
+        why: str = '',
+        keepers: bool = False,
+        wait: bool = False,
+    ) -> None:
+        """Give an AGENT's VM nothing new, and move its batch tasks.
+
+        Requests in flight finish. Keepers stay unless --keepers is given.
+        """
+        document = json.dumps({'why': why, 'keepers': keepers})
+        self._put(f'drain/{agent}', document, 0, wait)
 
-    daemon.start()
-    signal.signal(
-        signal.SIGTERM,
-        lambda *_args: reactor.callFromThread(daemon.stop),
-    )
-    signal.signal(
-        signal.SIGINT,
-        lambda *_args: reactor.callFromThread(daemon.stop),
-    )
-    reactor.run(installSignalHandlers=False)
+    @_command
+    def undrain(self, agent: str, *, wait: bool = False) -> None:
+        """Let a drained AGENT's VM take work again."""
+        client = self._connect()
+        key = f'drain/{agent}'
+        items = good(client.get(f'configuration/{key}'))['items']
+        version = next(
+            (item['version'] for item in items if item['key'] == key),
+            0,
+        )
+        if not version:
+            line = f'{agent} is not drained'
+            fail(CommandFailure(ExitCode.REFUSED, line))
+        self._accepted(client, client.delete(key, version), wait)
 
+    def _put(self, key: str, document: str, version: int, wait: bool) -> None:
+        client = self._connect()
+        self._accepted(client, client.put(key, document, version), wait)
+
+    def _accepted(
+        self,
+        client: OperatorClient,
+        answer: views.Answer,
+        wait: bool,
+    ) -> None:
+        accepted = good(answer)
+        version = accepted['version']
+        self._say(accepted, f'accepted as version {version}')
+        if wait:
+            line = good(wait_in_force(client, version))
+            if not self._as_json:
+                say(line)
 
-def _say(text: str) -> None:
-    sys.stdout.write(f'{text}\n')
+    def _say(self, document: Any, line: str) -> None:
+        if self._as_json:
+            say_json(document)
+        else:
+            say(line)
--- a/hyssopring/configuration/__init__.py
+++ b/hyssopring/configuration/__init__.py
@@ -5,7 +5,7 @@
     ConfigurationChange,
 )
 from hyssopring.configuration.changes import ConfigurationKeeper
-from hyssopring.configuration.models import JobSubmission
+from hyssopring.configuration.models import DrainModel, JobSubmission
 from hyssopring.configuration.state import ConfigurationState, ServicePolicy
 from hyssopring.configuration.validation import describe_validation
 
@@ -14,6 +14,7 @@
     'ConfigurationChange',
     'ConfigurationKeeper',
     'ConfigurationState',
+    'DrainModel',
     'JobSubmission',
     'ServicePolicy',
     'describe_validation',
--- a/hyssopring/configuration/state.py
+++ b/hyssopring/configuration/state.py
@@ -16,6 +16,7 @@
 from pydantic import ValidationError
 
 from hyssopring.configuration.models import (
+    DrainModel,
     ParametersModel,
     SizeModel,
     TeamModel,
@@ -32,6 +33,7 @@
 __all__ = (
     'ConfigurationState',
     'ServicePolicy',
+    'drain_key',
     'parameters_key',
     'team_key',
     'template_key',
@@ -71,6 +73,11 @@
     return f'parameters/{team}/{template}'
 
 
+def drain_key(agent_id: str) -> str:
+    """Return the configuration key that drains an agent's VM."""
+    return f'drain/{agent_id}'
+
+
 def team_key(team: str) -> str:
     """Return the configuration key of a team's quotas."""
     return f'team/{team}'
@@ -219,6 +226,17 @@
             self._item_by_key.pop(item.key)
             self._floor = max(self._floor, item.version)
 
+    def drain(self, agent_id: str) -> DrainModel | None:
+        """Return how an agent's VM is drained, None if it is not."""
+        item = self.item(drain_key(agent_id))
+        if item is None:
+            return None
+        return DrainModel.model_validate_json(item.document)
+
+    def is_drained(self, agent_id: str) -> bool:
+        """Whether an operator has drained this agent's VM."""
+        return self.item(drain_key(agent_id)) is not None
+
     def _keep_newest(self, items: tuple[ConfigurationItem, ...]) -> None:
         for item in items:
             known = self._item_by_key.get(item.key)
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -45,6 +45,7 @@
     entry_id: str
     zone: str
     inner_address: str
+    operator_address: str = ''
 
 
 def _first_day() -> int:
@@ -116,14 +117,21 @@
             self.planner.on_lost,
             shard_settings,
         )
+        self.shards.registry.operator_address = identity.operator_address
         self.planner.attach(self.shards)
 
+    @property
+    def clock(self) -> Clock:
+        """The clock that this entry goes by."""
+        return self._clock
+
     def on_hello(self, hello: Hello) -> AgentRecord:
         """Take in an agent whose proof was good; it replaces an older link."""
         older = self.fleet.agent(hello.agent_id)
         if older is not None:
             self.on_disconnected(older)
         record = self.fleet.connect(hello, self._clock.now())
+        record.is_stopping = self.configuration.is_drained(hello.agent_id)
         log_event(
             Event.AGENT_CONNECTED,
             agent=hello.agent_id,
@@ -168,6 +176,7 @@
         )
         self.fleet.heartbeat(record, message, self._clock.now())
         self._ask_if_behind(record)
+        record.is_stopping |= self.configuration.is_drained(record.agent_id)
         self.planner.on_heartbeat(record)
         ack = HeartbeatAck(
             message.sequence,
@@ -250,6 +259,7 @@
 
     def _push_configuration(self, update: ConfigurationUpdate) -> None:
         for record in self.fleet.agents:
+            record.is_stopping |= self.configuration.is_drained(record.agent_id)
             known = record.configuration_version
             lacking = (
                 update
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -12,11 +12,12 @@
 from hyssopring.clock import Clock, MonotonicClock
 from hyssopring.entry.callers import CallerResource, WaitingCallers
 from hyssopring.entry.core import EntryCore, EntryIdentity
+from hyssopring.entry.decisions import DecisionLog
 from hyssopring.entry.jobs import JobDesk
 from hyssopring.entry.links import AgentLinks
 from hyssopring.entry.operators import OperatorResource
 from hyssopring.leases import ShardSettings
-from hyssopring.logs import Event, log_event
+from hyssopring.logs import Event, listen_to_events, log_event
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.placement import LeaseTimes
 from hyssopring.settings import EntrySettings
@@ -59,10 +60,13 @@
         )
         self.core = self._build_core()
         self._links.attach(self.core)
+        decisions = DecisionLog()
+        listen_to_events(decisions.take)
         self._operators = OperatorResource(
             self.core,
             JobDesk(self._store, self.core.configuration, settings.shards),
             settings.operator_token,
+            decisions,
         )
         self._waiting.on_work = Ticker(
             reactor,
@@ -117,7 +121,12 @@
         settings = self._settings
         return EntryCore(
             self._clock,
-            EntryIdentity(settings.id, settings.zone, settings.inner_address),
+            EntryIdentity(
+                settings.id,
+                settings.zone,
+                settings.inner_address,
+                settings.operator_address,
+            ),
             self._store,
             self._links,
             self._waiting,
--- a/hyssopring/entry/jobs.py
+++ b/hyssopring/entry/jobs.py
@@ -72,16 +72,50 @@
 
     def cancel(self, job: str, done: JobCallback) -> None:
         """Cancel what has not ended; completed tasks stay completed."""
-        document = {'what': 'cancel', 'job': job}
-        puts = (Put(f'{self._inbox(job)}-cancel', document),)
-        self._post(job, (), puts, done)
+        put = Put(
+            f'{self._inbox(job)}-cancel',
+            {'what': 'cancel', 'job': job},
+        )
+        self._post_for(job, put, done)
+
+    def cancel_task(self, task_id: str, done: JobCallback) -> None:
+        """Cancel one task, ``<job>:<number>``, if it has not ended."""
+        job, _, number = task_id.rpartition(':')
+        if not job or not number.isdigit():
+            detail = f'{task_id} is not a task: use JOB:NUMBER'
+            done(Err(Failure(ErrorKind.INVALID, detail)))
+            return
+        document = {'what': 'cancel', 'job': job, 'task': task_id}
+        put = Put(f'{self._inbox(job)}-cancel-{number}', document)
+        self._post_for(job, put, done)
 
     def describe(self, job: str, done: JobCallback) -> None:
         """Count a job's tasks by state, from the table."""
         prefix = f'{chunk_prefix(shard_of(job, self._shards))}{job}/'
+        described = partial(_described, job)
+        self._if_known(
+            job,
+            done,
+            partial(
+                self._store.read,
+                prefix,
+                lambda answer: done(answer.map(described)),
+            ),
+        )
+
+    def _post_for(self, job: str, put: Put, done: JobCallback) -> None:
+        post = partial(self._post, job, (), (put,), done)
+        self._if_known(job, done, post)
+
+    def _if_known(
+        self,
+        job: str,
+        done: JobCallback,
+        proceed: Callable[[], None],
+    ) -> None:
         self._store.read(
-            prefix,
-            lambda answer: done(answer.map(partial(_described, job))),
+            f'jobs/{job}',
+            partial(_proceed_if_known, job, done, proceed),
         )
 
     def _inbox(self, job: str) -> str:
@@ -100,6 +134,20 @@
         )
 
 
+def _proceed_if_known(
+    job: str,
+    done: JobCallback,
+    proceed: Callable[[], None],
+    answer: Result[Sequence[Row], Failure],
+) -> None:
+    if answer.is_err():
+        done(Err(answer.unwrap_err()))
+    elif any(row.key == f'jobs/{job}' for row in answer.unwrap()):
+        proceed()
+    else:
+        done(Err(Failure(ErrorKind.NOT_FOUND, f'no such job: {job}')))
+
+
 def _posted(
     job: str,
     answer: Result[Committed | Conflict, Failure],
--- a/hyssopring/entry/operators.py
+++ b/hyssopring/entry/operators.py
@@ -5,7 +5,8 @@
 
 import hmac
 import json
-from typing import Any
+from functools import partial
+from typing import Any, Callable, Mapping
 
 from pydantic import ValidationError
 from result import Result
@@ -21,8 +22,15 @@
 )
 from hyssopring.entry.callers import write_failure
 from hyssopring.entry.core import EntryCore
+from hyssopring.entry.decisions import DecisionLog
 from hyssopring.entry.jobs import JobDesk
-from hyssopring.entry.status import fleet_status
+from hyssopring.entry.status import (
+    fleet_status,
+    job_status,
+    keeper_status,
+    task_status,
+    team_status,
+)
 from hyssopring.errors import ErrorKind, Failure
 
 __all__ = ('OperatorResource',)
@@ -31,18 +39,28 @@
 _UNAVAILABLE = 503
 _BEARER = 'Bearer '
 
+_StatusPage = Callable[[EntryCore], Mapping[str, Any]]
+_Serve = Callable[[Request, str, str], None]
+
 
 class OperatorResource(Resource):
     """Routes operators' calls by their first path segment."""
 
     isLeaf = True
 
-    def __init__(self, core: EntryCore, jobs: JobDesk, token: str) -> None:
+    def __init__(
+        self,
+        core: EntryCore,
+        jobs: JobDesk,
+        token: str,
+        decisions: DecisionLog,
+    ) -> None:
         """Check callers against ``token``."""
         super().__init__()
         self._core = core
         self._jobs = jobs
         self._token = token
+        self._decisions = decisions
         self.is_ready = True
 
     def render(self, request: Request) -> int:
@@ -58,8 +76,12 @@
         area, _, rest = path.removeprefix('v1/').partition('/')
         serve = {
             'configuration': self._configuration,
+            'explain': self._explain,
             'jobs': self._job,
-            'status': self._status,
+            'keepers': self._page(keeper_status),
+            'status': self._page(fleet_status),
+            'tasks': self._task,
+            'teams': self._page(team_status),
         }.get(area)
         if serve is None:
             write_failure(request, Failure(ErrorKind.NOT_FOUND, path))
@@ -83,23 +105,8 @@
         return hmac.compare_digest(given.encode(), expected.encode())
 
     def _configuration(self, request: Request, method: str, key: str) -> None:
-        state = self._core.configuration
-        if method == 'GET' and not state.is_known:
-            detail = 'no configuration yet'
-            failure = Failure(ErrorKind.STORE_UNAVAILABLE, detail)
-            write_failure(request, failure)
-            return
-        if method == 'GET' and not key:
-            items = [
-                {
-                    'key': item.key,
-                    'version': item.version,
-                    'document': json.loads(item.document),
-                }
-                for item in state.items
-                if item.document
-            ]
-            _write_json(request, {'version': state.version, 'items': items})
+        if method == 'GET':
+            self._show(request, key)
             return
         if method not in {'PUT', 'DELETE'}:
             write_failure(request, Failure(ErrorKind.NOT_FOUND, method))
@@ -111,22 +118,56 @@
         text = request.content.read().decode() if method == 'PUT' else ''
         self._core.configuration_keeper.change(
             ConfigurationChange(key, int(expected), text),
-            lambda answer: _write_change(request, answer),
+            partial(_write_change, request),
         )
 
+    def _show(self, request: Request, key: str) -> None:
+        state = self._core.configuration
+        if not state.is_known:
+            detail = 'no configuration yet'
+            failure = Failure(ErrorKind.STORE_UNAVAILABLE, detail)
+            write_failure(request, failure)
+            return
+        items = [
+            {
+                'key': item.key,
+                'version': item.version,
+                'document': json.loads(item.document),
+            }
+            for item in state.items
+            if item.document and item.key.startswith(key)
+        ]
+        _write_json(request, {'version': state.version, 'items': items})
+
     def _job(self, request: Request, method: str, job_id: str) -> None:
         if method == 'POST':
             self._submit_job(request)
         elif method == 'DELETE':
-            self._jobs.cancel(
-                job_id,
-                lambda answer: _write_result(request, answer),
-            )
+            self._jobs.cancel(job_id, partial(_write_result, request))
+        elif job_id:
+            self._jobs.describe(job_id, partial(_write_result, request))
         else:
-            self._jobs.describe(
-                job_id,
-                lambda answer: _write_result(request, answer),
-            )
+            _write_json(request, job_status(self._core))
+
+    def _task(self, request: Request, method: str, task_id: str) -> None:
+        if method == 'DELETE':
+            self._jobs.cancel_task(task_id, partial(_write_result, request))
+            return
+        self._explain(request, method, f'task/{task_id}')
+
+    def _explain(self, request: Request, method: str, rest: str) -> None:
+        kind, _, subject = rest.partition('/')
+        _write_json(
+            request,
+            {
+                'entry': self._core.identity.entry_id,
+                'subject': subject,
+                'task': (
+                    task_status(self._core, subject) if kind == 'task' else None
+                ),
+                'decisions': self._decisions.explain(subject),
+            },
+        )
 
     def _submit_job(self, request: Request) -> None:
         try:
@@ -139,11 +180,14 @@
             return
         self._jobs.submit(
             submission,
-            lambda answer: _write_result(request, answer),
+            partial(_write_result, request),
         )
 
-    def _status(self, request: Request, method: str, rest: str) -> None:
-        _write_json(request, fleet_status(self._core))
+    def _page(self, status: _StatusPage) -> _Serve:
+        return lambda request, _method, _rest: _write_json(
+            request,
+            status(self._core),
+        )
 
 
 def _write_change(
--- a/hyssopring/leases/registry.py
+++ b/hyssopring/leases/registry.py
@@ -94,6 +94,8 @@
         self.configuration_version = 0
         self.address_by_entry: dict[str, str] = {}
         self.version_by_entry: dict[str, int] = {}
+        self.operator_address = ''
+        self.operators_by_entry: dict[str, str] = {}
 
     @property
     def is_valid(self) -> bool:
@@ -114,6 +116,7 @@
         document = {
             'incarnation': self.incarnation,
             'address': self._inner_address,
+            'operators': self.operator_address,
             'configuration': self.configuration_version,
         }
         self._store.commit(
@@ -197,6 +200,11 @@
             row.key.removeprefix(_ENTRIES): row.document['configuration']
             for row in registered
         }
+        self.operators_by_entry = {
+            row.key.removeprefix(_ENTRIES): row.document['operators']
+            for row in registered
+            if not self.is_stale(row)
+        }
         self._forget_ended(rows)
         done(rows)
 
--- a/hyssopring/leases/shards.py
+++ b/hyssopring/leases/shards.py
@@ -100,6 +100,11 @@
         """Inner addresses of the entries that the table lists."""
         return tuple(sorted(self._registry.address_by_entry.values()))
 
+    @property
+    def registry(self) -> EntryRegistry:
+        """The entries that the table lists."""
+        return self._registry
+
     @property
     def version_by_entry(self) -> Mapping[str, int]:
         """The configuration version that each listed entry has in force."""
--- a/hyssopring/logs/__init__.py
+++ b/hyssopring/logs/__init__.py
@@ -1,6 +1,17 @@
 """Structured logs: numbered events written through loguru."""
 
-from hyssopring.logs._emit import configure_logging, log_event
+from hyssopring.logs._emit import (
+    Fields,
+    configure_logging,
+    listen_to_events,
+    log_event,
+)
 from hyssopring.logs.events import Event
 
-__all__ = ('Event', 'configure_logging', 'log_event')
+__all__ = (
+    'Event',
+    'Fields',
+    'configure_logging',
+    'listen_to_events',
+    'log_event',
+)
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -1,12 +1,17 @@
 """Writes structured log lines through loguru."""
 
 import sys
+from typing import Callable, Mapping
 
 from loguru import logger
 
 from hyssopring.logs.events import Event
 
 _LINE_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} {message}'
+
+Fields = Mapping[str, object]
+Listener = Callable[[Event, Fields], None]
+
 _ERROR_EVENTS = frozenset((Event.INVARIANT_VIOLATED,))
 _WARNING_EVENTS = frozenset(
     (
@@ -31,12 +36,22 @@
     )
 
 
+_listeners: list[Listener] = []
+
+
+def listen_to_events(listener: Listener) -> None:
+    """Give every event of this process to ``listener``, at any level."""
+    _listeners.append(listener)
+
+
 def log_event(event: Event, **fields: object) -> None:
     """Write one line: event number, event name, then ``key=value`` pairs."""
     pairs = ' '.join(
         f'{name}={_quoted(field)}' for name, field in fields.items()
     )
     logger.log(_level(event), 'E{} {} {}', event.value, event.name, pairs)
+    for listener in _listeners:
+        listener(event, fields)
 
 
 def _quoted(field: object) -> str:
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -82,7 +82,7 @@
                 row.document['tasks'],
             )
         else:
-            self.cancel_job(row.document['job'])
+            self.cancel_job(row.document['job'], row.document.get('task', ''))
         self._journal.also_delete(row.key)
 
     def accept_job(
@@ -110,10 +110,13 @@
                 task.waiting_since = now
         log_event(Event.JOB_ACCEPTED, job=job_id, tasks=count)
 
-    def cancel_job(self, job_id: str) -> None:
-        """Cancel a job's tasks that have not ended."""
+    def cancel_job(self, job_id: str, task_id: str = '') -> None:
+        """Cancel a job's tasks that have not ended, or the one named."""
         for planned in self.index.tasks:
-            if planned.chunk.job_id == job_id and not planned.task.is_final:
+            is_meant = task_id in {'', planned.task.task_id}
+            if planned.chunk.job_id != job_id or planned.task.is_final:
+                continue
+            if is_meant:
                 self._cancel(planned.chunk, planned.task)
 
     def assign(
--- a/hyssopring/settings/problems.py
+++ b/hyssopring/settings/problems.py
@@ -9,6 +9,7 @@
 
 _HIDDEN = ('secret', 'token')
 _MAX_SHOWN = 60
+_MAX_PROBLEMS = 3
 
 
 def describe_problems(model: type[BaseModel], error: ValidationError) -> str:
@@ -16,9 +17,11 @@
 
     The values of secrets are never shown: such lines end up in logs.
     """
-    return '; '.join(
-        _problem(model, dict(problem)) for problem in error.errors()
-    )
+    problems = error.errors()
+    words = [_problem(model, dict(each)) for each in problems[:_MAX_PROBLEMS]]
+    if len(problems) > _MAX_PROBLEMS:
+        words.append(f'and {len(problems) - _MAX_PROBLEMS} more')
+    return '; '.join(words)
 
 
 def _problem(model: type[BaseModel], problem: Mapping[str, Any]) -> str:
