Route by expected time, limit, hedge and recall within a budget

Cause: the entry took the lesser of two backends by in-flight calls and knew neither slow nor stalled ones; nothing was refused by deadline or quota, and each failed call was sent up to three times whatever the load.

Change: the selector takes the backend with the least expected time (network, service time, waiting beyond the slots), from its own calls, reports that answers carry and their age. It ejects backends that fail, stall or are slow, at most a third, probes them, and starts fresh ones slowly. Extra sends earn a tenth of the successes. Idempotent calls past p95 are hedged; others are recalled, which moves those that still wait. Quotas per team and expected times past the deadline are refused at once. The agent's queue has a lane for each service, ordered by urgency and deadline, bounded by the expected wait.

Ruled out: following each backend's own mean latency closely.

--- a/hyssopring/agent/backends.py
+++ b/hyssopring/agent/backends.py
@@ -125,6 +125,15 @@
             default=None,
         )
 
+    def slot_ms(self, service_name: str) -> float:
+        """Return the mean time until one of a service's slots is free."""
+        slots_per_ms = sum(
+            backend.slots / backend.latency_ms
+            for backend in self._backend_by_id.values()
+            if backend.service_name == service_name and backend.latency_ms
+        )
+        return 1 / slots_per_ms if slots_per_ms else 0
+
     def started(self, backend: AnnouncedBackend) -> None:
         """A call takes one of the backend's slots."""
         backend.in_flight += 1
--- a/hyssopring/agent/calls.py
+++ b/hyssopring/agent/calls.py
@@ -26,8 +26,6 @@
 
 __all__ = ('BackendCaller', 'CallExecutor', 'EntryLinks')
 
-_MAX_QUEUE = 64
-_RETRY_AFTER_MS = 250
 # A non-idempotent call is waited for beyond its caller's deadline: the slot
 # is taken as long as the backend works, and the caller may ask later.
 _GRACE_MS = 30_000.0
@@ -109,14 +107,19 @@
             return
         failure = self._admission_failure(request)
         if failure is not None:
-            self._refuse(entry_id, request.request_id, failure)
+            self._refuse(
+                entry_id,
+                request.request_id,
+                failure,
+                request.service_name,
+            )
             return
         deadline = self._clock.now() + request.budget_ms
         call = _OpenCall(request, deadline, [entry_id])
         self._open_by_id[request.request_id] = call
         backend = self._backends.free_backend(request.service_name)
         if backend is None:
-            self._queue.push(request)
+            self._queue.push(request, deadline)
             return
         self._run(call, backend)
 
@@ -185,19 +188,16 @@
             return Failure(ErrorKind.DEADLINE, 'no time is left')
         if not self._backends.has_service(request.service_name):
             return Failure(ErrorKind.NO_BACKEND, request.service_name)
-        if len(self._queue) >= _MAX_QUEUE:
-            return Failure(
-                ErrorKind.OVERLOADED,
-                'the queue is full',
-                _RETRY_AFTER_MS,
-            )
-        return None
+        if self._backends.free_backend(request.service_name) is not None:
+            return None
+        return self._queue.failure(request)
 
     def _refuse(
         self,
         entry_id: str,
         request_id: str,
         failure: Failure,
+        service_name: str = '',
     ) -> None:
         is_certain = self._invariants.check(
             request_id not in self._open_by_id
@@ -209,7 +209,11 @@
             return
         response = _not_run(request_id, failure)
         self._memory.keep(response, self.sequence)
-        self._links.send(entry_id, response)
+        load = self._backends.load(service_name)
+        self._links.send(
+            entry_id,
+            replace(response, in_flight=load.in_flight, queued=load.queued),
+        )
 
     def _withdraw(self, call: _OpenCall, failure: Failure) -> None:
         """End a call that waits in the queue; it never runs."""
--- a/hyssopring/entry/calls.py
+++ b/hyssopring/entry/calls.py
@@ -80,6 +80,7 @@
         after: The agent's last heartbeat heard before it was sent.
         generation: Connection that an answer is taken from.
         changed_at: When ``phase`` last changed.
+        is_recalled: The agent was asked to give it back if it still waits.
     """
 
     request_id: str
@@ -91,6 +92,7 @@
     sent_at: float
     changed_at: float
     phase: AttemptPhase = AttemptPhase.SENT
+    is_recalled: bool = False
 
     @classmethod
     def from_backend(
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -237,6 +237,7 @@
         addresses = self.shards.entry_addresses
         if addresses != self._listed_addresses:
             self._listed_addresses = addresses
+            self.router.admission.entries = len(addresses)
             for record in self.fleet.agents:
                 self._links.send(record.agent_id, EntryList(addresses))
         self.shards.configuration_version = self.configuration.version
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -22,6 +22,7 @@
 )
 from hyssopring.entry.claims import ClaimTable
 from hyssopring.entry.doubt import Doubts
+from hyssopring.entry.hedges import Hedges
 from hyssopring.entry.keyed import KeyedCalls
 from hyssopring.entry.pending import PendingCalls
 from hyssopring.errors import ErrorKind, Failure
@@ -31,7 +32,7 @@
 from hyssopring.metrics import Metrics
 from hyssopring.outcomes import CallOutcome
 from hyssopring.protocol.messages import CallRequest, CallResponse, CancelCall
-from hyssopring.routing import Choice, choose_backend
+from hyssopring.routing import Admission, BackendSelector, Choice, SendBudget
 
 __all__ = ('CallRouter',)
 
@@ -57,17 +58,26 @@
     ) -> None:
         """Take the collaborators; ``rng`` is seeded by the caller."""
         self._clock = clock
-        self._zone = zone
         self._fleet = fleet
         self._configuration = configuration
         self._links = links
         self._metrics = metrics
         self._invariants = Invariants(metrics)
-        self._rng = rng
+        self.admission = Admission(clock, configuration)
+        self.selector = BackendSelector(zone, rng)
+        self._budget = SendBudget()
         self._calls = PendingCalls(clock, callers, metrics, rng)
         self._doubts = Doubts(clock, fleet, self._calls, links, self)
         self._claims = claims
         self._keyed = KeyedCalls(self._calls, claims, self._doubts, self)
+        self._hedges = Hedges(
+            clock,
+            self._calls,
+            self.selector,
+            links,
+            self,
+            metrics,
+        )
         self._is_stopping = False
 
     @property
@@ -110,6 +120,10 @@
                 Failure(ErrorKind.UNKNOWN_SERVICE, call.service_name),
             )
             return
+        over_quota = self.admission.quota_failure(policy)
+        if over_quota is not None:
+            self._calls.refuse(call, over_quota)
+            return
         now = self._clock.now()
         request = CallRequest(
             request_id=call.request_id,
@@ -130,10 +144,8 @@
                 pending,
                 Failure(ErrorKind.NO_BACKEND, call.service_name),
             )
-        elif call.key and not policy.idempotent:
-            self._keyed.claim(pending, choice)
-        else:
-            self.dispatch(pending, choice)
+            return
+        self._admit(pending, choice)
 
     def forget(self, request_id: str) -> None:
         """The caller has gone: drop the call if it has not started."""
@@ -144,6 +156,7 @@
 
     def on_response(self, record: AgentRecord, response: CallResponse) -> None:
         """Take an agent's answer for a call or an outcome query."""
+        self.selector.heard(record, response, self._clock.now())
         request_id = response.request_id
         is_awaited = False
         for pending in self._calls.waiting_for(request_id):
@@ -165,6 +178,7 @@
 
     def on_disconnect(self, record: AgentRecord) -> None:
         """An agent's connection is gone."""
+        self.selector.forget(record)
         self._doubts.on_disconnect(record)
 
     def tick(self) -> None:
@@ -179,6 +193,7 @@
                 )
         self._doubts.tick()
         self._claims.tick()
+        self._hedges.tick()
 
     def resend(self, pending: PendingCall) -> bool:
         """Send to another agent; False if there is none or no time left."""
@@ -186,7 +201,7 @@
         if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
             return False
         choice = self.choose(pending)
-        if choice is None:
+        if choice is None or not self._budget.take():
             return False
         log_event(
             Event.REQUEST_RETRIED,
@@ -209,7 +224,7 @@
             if view.agent.incarnation not in pending.tried
         ]
         now = self._clock.now()
-        return choose_backend(candidates, self._zone, now, self._rng)
+        return self.selector.choose(candidates, now)
 
     def is_open(self, choice: Choice) -> bool:
         """Whether the chosen backend may still be sent to."""
@@ -235,8 +250,28 @@
             attempt=pending.sent_count,
             why=choice.why,
         )
+        self.selector.sent(
+            choice.backend,
+            pending.call.request_id,
+            attempt.sent_at,
+        )
         self._links.send(attempt.agent_id, self._request(pending))
 
+    def _admit(self, pending: PendingCall, choice: Choice) -> None:
+        request = pending.request
+        too_late = self.admission.deadline_failure(
+            choice,
+            request.urgency,
+            request.budget_ms,
+        )
+        if too_late is not None:
+            self._calls.fail(pending, too_late)
+            return
+        if pending.call.key and not pending.idempotent:
+            self._keyed.claim(pending, choice)
+            return
+        self.dispatch(pending, choice)
+
     def _request(self, pending: PendingCall) -> CallRequest:
         left = pending.call.deadline - self._clock.now()
         return replace(
@@ -253,6 +288,7 @@
     ) -> None:
         outcome = CallOutcome.from_wire(response.outcome)
         if outcome is CallOutcome.ANSWERED:
+            self._budget.succeeded()
             self._calls.finish(
                 pending,
                 Answer(response.status, response.headers, response.body),
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,243 @@
+"""The routing decisions: choice, ejection, budget, limits and the queue."""
+
+import json
+import random
+
+import pytest
+
+from hyssopring.agent.backends import AnnouncedBackend, Backends
+from hyssopring.agent.queue import CallQueue
+from hyssopring.clock import ManualClock
+from hyssopring.configuration import ConfigurationState
+from hyssopring.errors import ErrorKind
+from hyssopring.invariants import Invariants
+from hyssopring.membership import Fleet
+from hyssopring.metrics import Metrics
+from hyssopring.outcomes import CallOutcome
+from hyssopring.protocol.messages import (
+    BackendReport,
+    CallRequest,
+    CallResponse,
+    ConfigurationItem,
+    ConfigurationUpdate,
+    Heartbeat,
+    Hello,
+    Resources,
+)
+from hyssopring.routing import Admission, BackendSelector, SendBudget
+
+SERVICE = 'trust/booking'
+
+
+class World:
+    """A fleet of backends that answer after ``took`` milliseconds each."""
+
+    def __init__(self, count=6, zones=('paddock',)):
+        self.fleet = Fleet()
+        self.records = []
+        for number in range(count):
+            hello = Hello(
+                1,
+                f'agent-{number}',
+                'first',
+                zones[number % len(zones)],
+                'rack',
+                '',
+                Resources(16, 60),
+                0,
+            )
+            record = self.fleet.connect(hello, 0)
+            report = BackendReport(SERVICE, f'b{number}', 8, 64, False, 0, 0, 0)
+            beat = Heartbeat(1, 0, (report,), Resources(16, 60), False)
+            self.fleet.heartbeat(record, beat, 0)
+            self.records.append(record)
+        self.selector = BackendSelector(zones[0], random.Random(3))
+        self.now = 10_000.0
+        self.sent = 0
+
+    def choose(self):
+        return self.selector.choose(self.fleet.backends(SERVICE), self.now)
+
+    def send(self):
+        view = self.choose().backend
+        self.sent += 1
+        self.selector.sent(view, f'r{self.sent}', self.now)
+        return view, f'r{self.sent}'
+
+    def answer(self, view, request_id, outcome='answered', error=''):
+        response = CallResponse(request_id, outcome, 200, error=error)
+        self.selector.heard(view.agent, response, self.now)
+
+    def serve(self, rounds, took=lambda agent_id: 20.0, each=None):
+        chosen = []
+        for _ in range(rounds):
+            view, request_id = self.send()
+            chosen.append(view.agent.agent_id)
+            start = self.now
+            self.now += took(view.agent.agent_id)
+            if each is None or not each(view, request_id):
+                self.answer(view, request_id)
+            self.now = start + 5
+        return chosen
+
+
+def test_own_calls_spread_over_all_backends():
+    world = World()
+    chosen = [world.send()[0].agent.agent_id for _ in range(36)]
+    counts = [chosen.count(agent_id) for agent_id in set(chosen)]
+    assert len(counts) == 6
+    assert max(counts) <= 8
+
+
+def test_zone_is_preferred_until_its_queueing_outweighs_the_distance():
+    world = World(zones=('paddock', 'office'))
+    zones = [world.send()[0].agent.zone for _ in range(48)]
+    assert set(zones[:3]) == {'paddock'}
+    assert 18 <= zones.count('office') <= 24
+
+
+def test_slow_backend_is_ejected_and_returns_after_a_good_probe():
+    """A VM is throttled: callers whose request went there wait eightfold.
+
+    The entry ejects it, tries it with single calls, and takes it back when
+    one of these was quick.
+    """
+    world = World()
+    slow = lambda agent: 160.0 if agent == 'agent-2' else 20.0  # noqa: E731
+    world.serve(300, slow)
+    assert world.serve(150, slow).count('agent-2') <= 1
+    world.now += 20_000
+    assert world.serve(300).count('agent-2') > 20
+
+
+def test_stalled_backend_gets_nothing_more_but_probes():
+    """A connection goes silent: calls sent on it have no answer.
+
+    Least-connections would go on sending whenever its count is lowest.
+    """
+    world = World()
+    world.serve(200)
+    lost = lambda view, _: view.agent.agent_id == 'agent-1'  # noqa: E731
+    world.serve(100, each=lost)
+    assert world.serve(100, each=lost).count('agent-1') <= 1
+
+
+def test_not_all_backends_are_ejected():
+    """A shared dependency fails: every backend answers with errors.
+
+    Ejecting them all would turn errors into an outage.
+    """
+    world = World()
+
+    def fail(view, request_id):
+        error = ErrorKind.BACKEND_FAILED.value
+        world.answer(view, request_id, CallOutcome.FAILED.value, error)
+        return True
+
+    chosen = world.serve(200, each=fail)
+    assert len(set(chosen[-60:])) >= 4
+
+
+def test_fresh_backend_starts_slowly():
+    world = World()
+    world.records[0].backend_by_id['b0'].since = world.now
+    chosen = [world.send()[0].agent.agent_id for _ in range(24)]
+    assert chosen.count('agent-0') <= 2
+
+
+def test_extra_sends_stay_a_share_of_successes():
+    """A zone is lost and every call wants a retry.
+
+    Without the budget the retries double the load on what is left.
+    """
+    budget = SendBudget()
+    extra = 0
+    for _ in range(1000):
+        budget.succeeded()
+        extra += budget.take() + budget.take()
+    assert extra <= 110
+    assert not budget.take()
+
+
+def admission(document='{}', entries=1):
+    state = ConfigurationState()
+    item = ConfigurationItem('team/trust', 1, document)
+    template = {'kind': 'service', 'size': {'cores': 1.0, 'memory_gb': 1.0}}
+    items = (
+        item,
+        ConfigurationItem('template/booking', 1, json.dumps(template)),
+        ConfigurationItem('parameters/trust/booking', 1, '{}'),
+    )
+    state.apply(ConfigurationUpdate(0, 1, items))
+    clock = ManualClock()
+    admit = Admission(clock, state)
+    admit.entries = entries
+    return admit, state.policy(SERVICE), clock
+
+
+@pytest.mark.parametrize('entries', (1, 4))
+def test_team_gets_its_quota_and_no_more(entries):
+    admit, policy, clock = admission('{"requests_per_s": 200.0}', entries)
+    taken = 0
+    for _ in range(4000):
+        clock.advance(1)
+        taken += admit.quota_failure(policy) is None
+    assert 780 / entries <= taken <= 920 / entries
+    assert admit.quota_failure(policy).kind is ErrorKind.QUOTA
+
+
+def test_what_cannot_be_met_is_refused_at_once_less_urgent_first():
+    admit, _, _ = admission()
+    choice = World().choose()
+    late = type(choice)(choice.backend, '', wait_ms=700, total_ms=720)
+    assert admit.deadline_failure(late, 9, 1000) is None
+    failure = admit.deadline_failure(late, 2, 1000)
+    assert failure.kind is ErrorKind.OVERLOADED
+    assert failure.retry_after_ms >= 700
+
+
+def waiting(name, urgency=5, budget_ms=1000.0, service=SERVICE):
+    return CallRequest(
+        name, service, 'GET', '/', (), b'', budget_ms, urgency, False
+    )
+
+
+def test_queue_serves_by_urgency_then_deadline():
+    backends = Backends(ManualClock(), Invariants(Metrics()))
+    queue = CallQueue(backends)
+    for name, urgency, deadline in (('a', 1, 5), ('b', 8, 9), ('c', 8, 7)):
+        queue.push(waiting(name, urgency), deadline)
+    assert queue.request_ids == ('c', 'b', 'a')
+    queue.discard('c')
+    backends.announce(AnnouncedBackend('b0', SERVICE, '', 1, 64))
+    ready = queue.ready()
+    request_id, backend = next(ready)
+    assert request_id == 'b'
+    backends.started(backend)
+    assert next(ready, None) is None
+    assert queue.request_ids == ('a',)
+
+
+def test_flood_fills_its_own_lane_only():
+    """One team sends far more than its backends can run.
+
+    With one bound for the whole VM its calls fill the queue, and those of
+    another team are refused although their own backend is nearly free.
+    """
+    queue = CallQueue(Backends(ManualClock(), Invariants(Metrics())), 3)
+    for number in range(3):
+        queue.push(waiting(f'flood-{number}', service='flood/booking'), 9)
+    refused = queue.failure(waiting('one-more', service='flood/booking'))
+    assert refused.kind is ErrorKind.OVERLOADED
+    assert queue.failure(waiting('rider')) is None
+
+
+def test_wait_that_exceeds_the_budget_is_refused():
+    backends = Backends(ManualClock(), Invariants(Metrics()))
+    busy = AnnouncedBackend('b0', SERVICE, '', 2, 64)
+    backends.announce(busy)
+    busy.latency_ms = 100
+    queue = CallQueue(backends)
+    assert queue.failure(waiting('patient', budget_ms=60)) is None
+    failure = queue.failure(waiting('hasty', budget_ms=40))
+    assert (failure.kind, failure.retry_after_ms) == (ErrorKind.OVERLOADED, 50)
