Long randomised runs with global checks, a fault matrix and shrinking

Cause: focused tests show single failures; faults together and twice need long runs whose schedule comes from a seed.

Change: soak/ draws work and faults from a seed, runs the real cores over the virtual deployment, checks the promises of the whole deployment at each start, run, answer and table write, heals and drains after each round, counts which fault met which work, and shrinks a failing schedule by deletion.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup demo test lint format binary thrift clean
+.PHONY: soak setup demo test lint format binary thrift clean
 
 setup: .venv/ready
 
@@ -31,6 +31,14 @@
 binary: setup
 	$(BIN)/shiv --quiet --compressed -e hyssopring.cli.main:main -o dist/hyssopring -p '/usr/bin/env python3' .
 
+# Long randomised runs, see docs/SOAK.md; JOBS processes side by side.
+SEED ?= 1
+SEEDS ?= 4
+STEPS ?= 600
+JOBS ?= 4
+soak: setup
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS) --jobs $(JOBS) $(if $(MINUTES),--minutes $(MINUTES))
+
 # Needs a thrift compiler; its output is committed, so no build needs it.
 thrift:
 	mkdir -p build/thrift
--- /dev/null
+++ b/soak/actors.py
@@ -0,0 +1,132 @@
+"""The platform's stand-ins, observed: what they do is told to the checks."""
+
+from hyssopring.placement.records import TaskState
+from standins.virtual import VirtualBackend, VirtualCallers
+from standins.worker import Worker
+
+__all__ = (
+    'ObservedBackend',
+    'ObservedCallers',
+    'ObservedWorker',
+    'classify',
+)
+
+
+class ObservedBackend(VirtualBackend):
+    """Tells of each run."""
+
+    def __init__(self, world, name, service_name, slots=4):
+        super().__init__(world.loop, name, service_name, slots)
+        self.world = world
+        self.left_at = None
+        self.running = {}
+
+    def __str__(self):
+        return self.name
+
+    def leave(self):
+        """Announce that it is leaving, from now on."""
+        self.is_leaving = True
+        self.left_at = self.loop.now
+
+    def serve(self, request, timeout_ms, done):
+        if self.is_dead:
+            super().serve(request, timeout_ms, done)
+            return
+        submission = self.world.promises.on_run(self, request)
+        self.running[request.request_id] = submission
+
+        def finish(response):
+            self.running.pop(request.request_id, None)
+            done(response)
+
+        super().serve(request, timeout_ms, finish)
+        self.world.moment(submission.kind, self.agent_of())
+
+    def agent_of(self):
+        for agent in self.world.agents():
+            if self in agent.backend_by_name.values():
+                return agent
+        return None
+
+
+class ObservedCallers(VirtualCallers):
+    """Tells of each answer."""
+
+    def __init__(self, promises):
+        super().__init__()
+        self.promises = promises
+
+    def answer(self, request_id, answer):
+        self.promises.on_answer(request_id, answer)
+        super().answer(request_id, answer)
+
+
+class ObservedWorker(Worker):
+    """Tells of each start, and knows what truly runs."""
+
+    def __init__(self, world, agent):
+        super().__init__(agent.core._clock.now)
+        self.world = world
+        self.name = f'worker of {agent.name}'
+        self.agent_name = agent.name
+        self.capacity = agent.core.identity.capacity
+
+    def running(self):
+        self.advance()
+        return {
+            task_id: task
+            for task_id, task in self.task_by_id.items()
+            if task['phase'] == 'running'
+        }
+
+    def start(self, task_id, command, lease_ms):
+        is_here = task_id in self.running()
+        self.world.promises.check(
+            not is_here, 'no task runs in two places', f'{task_id} twice here'
+        )
+        super().start(task_id, command, lease_ms)
+        task = self.task_by_id[task_id]
+        if task['phase'] == 'running':
+            self.world.promises.on_start(self.world.workers, self, task)
+            self.world.moment(command['kind'], self.world.agent_of(self))
+
+    def end_all(self):
+        """The VM is gone, and all that it ran."""
+        for task_id in self.task_by_id:
+            self._note('vm-gone', task_id)
+        self.task_by_id.clear()
+
+    def _note(self, what, task_id):
+        self.history.append((self.now(), what, task_id))
+        self.world.promises.note(f'{what} {task_id} on {self.name}')
+
+
+def classify(transaction, row):
+    """Name the kind of a commit; ``row`` gives the present documents."""
+    keys = [put.key for put in transaction.puts]
+    area_by_prefix = {
+        'shards/': 'takeover',
+        'configuration/': 'configuration',
+        'jobs/': 'submission',
+        'entries/': 'renewal',
+    }
+    if any(key.startswith('chunks/') for key in keys):
+        return _classify_chunks(transaction)
+    if any(key.endswith('-cancel') for key in keys):
+        return 'cancellation'
+    for prefix, area in area_by_prefix.items():
+        if any(key.startswith(prefix) for key in keys):
+            return area
+    return 'claim' if keys else 'other'
+
+
+def _classify_chunks(transaction):
+    words = {
+        fields[0]
+        for put in transaction.puts
+        if put.document and 'tasks' in put.document
+        for fields in put.document['tasks']
+    }
+    done = {TaskState.COMPLETED.value, TaskState.FAILED.value}
+    return 'completion' if words & done else 'assignment'
--- /dev/null
+++ b/soak/matrix.py
@@ -0,0 +1,36 @@
+"""The table of faults and the work that they met."""
+
+from soak.schedule import FAULTS, MOMENTS, PAIRS
+
+__all__ = ('render_matrix',)
+
+_WIDTH = 7
+
+
+def render_matrix(met, made):
+    """Return the table; ``met`` counts by (fault, kind of work).
+
+    A cell of a pair that the schedule aims at and that stayed empty is shown
+    as ``NONE`` and named below.
+    """
+    aimed = {(fault, moment) for moment, fault in PAIRS}
+    lines = [' ' * 16 + _cells('made', *(kind[:6] for kind in MOMENTS))]
+    missing = []
+    for fault in FAULTS:
+        cells = [made[fault]]
+        for kind in MOMENTS:
+            count = met[fault, kind]
+            is_missing = not count and (fault, kind) in aimed
+            if is_missing:
+                missing.append(f'{fault} x {kind}')
+            cells.append('NONE' if is_missing else count or '.')
+        lines.append(f'{fault:16}' + _cells(*cells))
+    if missing:
+        lines.append('never met: ' + ', '.join(missing))
+    else:
+        lines.append(f'all {len(aimed)} aimed cells were met')
+    return '\n'.join(lines)
+
+
+def _cells(*cells):
+    return ''.join(f'{cell:>{_WIDTH}}' for cell in cells)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,299 @@
+"""One run: rounds of work and faults, each healed, drained and checked."""
+
+import json
+import time
+from dataclasses import dataclass, field
+
+from hyssopring.invariants import Invariants
+from hyssopring.placement.records import TaskState
+from soak.faults import Faults
+from soak.promises import Violation
+from soak.schedule import ROUND_MS, draw_schedule
+from soak.world import World
+
+__all__ = ('RunReport', 'run_schedule', 'run_seed', 'shrink')
+
+_IN_FORCE_MS = 3000.0
+_DRAIN_MS = 120_000.0
+_DRAIN_STEP_MS = 500.0
+_PAST_DEADLINE_MS = 1000.0
+_FINAL = (TaskState.COMPLETED, TaskState.FAILED, TaskState.CANCELLED)
+
+
+@dataclass
+class RunReport:
+    """What a run did, and the promise that it broke, if any."""
+
+    seed: int
+    steps: int = 0
+    handled: int = 0
+    virtual_ms: float = 0
+    processor_s: float = 0
+    faults: dict = field(default_factory=dict)
+    met: dict = field(default_factory=dict)
+    checks: dict = field(default_factory=dict)
+    outcomes: dict = field(default_factory=dict)
+    broken: dict = field(default_factory=dict)
+    promise: str = ''
+    detail: str = ''
+    trace: tuple = ()
+
+
+class _Run:
+    def __init__(self, seed, schedule, go_on):
+        self.schedule = schedule
+        self.world = World(seed, go_on)
+        self.faults = Faults(self.world)
+        self.loop = self.world.loop
+        self.promises = self.world.promises
+        self.next_document = 0
+
+    def go(self):
+        self.world.start()
+        rounds = sorted({step.round_number for step in self.schedule})
+        for number in rounds:
+            steps = [
+                step for step in self.schedule if step.round_number == number
+            ]
+            self._round(number, steps)
+
+    def _round(self, number, steps):
+        self.promises.note(f'--- round {number}')
+        for step in steps:
+            self.loop.later(step.at_ms, self._do, step)
+        for _ in range(int(ROUND_MS / _DRAIN_STEP_MS)):
+            self.loop.run(_DRAIN_STEP_MS)
+            self._check_deadlines()
+        self.faults.heal_all()
+        self.promises.note('--- healed')
+        self._drain(number)
+
+    def _do(self, step):
+        world = self.world
+        entry = world.entries()[step.choices[0] % len(world.entries())]
+        if step.action == 'call':
+            service, key, took = step.words
+            team = 'viva' if service == 'lookup' else 'trust'
+            world.call(entry, f'{team}/{service}', key, took, step.span_ms)
+        elif step.action == 'job':
+            job_id, template, tasks = step.words
+            world.job(entry, job_id, template, int(tasks))
+        elif step.action == 'cancel':
+            for job_id in step.words:
+                world.cancel(entry, job_id)
+        elif step.action == 'change':
+            self._change(step)
+        elif step.action == 'fault':
+            self.faults.make(step.words[0], step.choices, step.span_ms)
+        else:
+            self.faults.arm(*step.words, step.choices, step.span_ms)
+
+    def _change(self, step):
+        key, racing = step.words
+        entries = self.world.entries()
+        for rival in range(('one', 'two', 'three').index(racing) + 1):
+            entry = entries[(step.choices[0] + rival) % len(entries)]
+            if not entry.is_alive:
+                continue
+            self.next_document += 1
+            document = {'urgency': self.next_document % 10}
+            if key.startswith('team/'):
+                document = {'cores': 100.0 + self.next_document}
+            expected = self.world.version_of(entry, key)
+            self.world.change(entry, key, expected, json.dumps(document))
+        upto = max(self.promises.accepted_by_version)
+        if not self.faults.active:
+            self.loop.later(_IN_FORCE_MS, self._check_calm, upto, self._calm())
+
+    def _calm(self):
+        return sum(self.faults.made.values())
+
+    def _check_calm(self, upto, made_before):
+        """No fault since the change: it is in force everywhere."""
+        if self.faults.active or self._calm() != made_before:
+            return
+        self.promises.check_in_force(self._live(), upto)
+
+    def _live(self):
+        return self.world.entries() + self.world.agents()
+
+    def _check_deadlines(self):
+        for entry in self.world.entries():
+            if entry.is_paused or not entry.is_alive:
+                continue
+            deadline = entry.core.router.next_deadline
+            now = entry.core._clock.now()
+            self.promises.check(
+                deadline is None or now <= deadline + _PAST_DEADLINE_MS,
+                'no request waits past its deadline',
+                f'{entry.name} {deadline} now {now}',
+            )
+
+    def _drain(self, number):
+        """All work ends, and every change is in force, once all is well."""
+        # A connection that went silent late is found and dialled anew first.
+        upto = max(self.promises.accepted_by_version)
+        self.loop.run(_IN_FORCE_MS + 3000)
+        self.promises.check_in_force(self._live(), upto)
+        for job_id, (template, _, _) in self.world.jobs.items():
+            if template == 'huge':
+                self.world.cancel(self.world.entries()[0], job_id)
+        why = ''
+        for _ in range(int(_DRAIN_MS / _DRAIN_STEP_MS)):
+            self.loop.run(_DRAIN_STEP_MS)
+            self._check_deadlines()
+            why = self._unfinished()
+            if not why:
+                break
+        self.promises.check(not why, 'everything drains', why)
+        self._check_quiet()
+
+    def _unfinished(self):
+        """Say what has not ended yet, or nothing."""
+        for entry in self.world.entries():
+            if entry.core.router.pending:
+                return f'{entry.name}: {entry.core.router.pending} pending'
+        for agent in self.world.agents():
+            if agent.core.calls.unfinished:
+                return f'{agent.name}: calls unfinished'
+        for job_id, (_, tasks, is_accepted) in self.world.jobs.items():
+            known = [
+                self.promises.task_by_id.get(f'{job_id}:{number}')
+                for number in range(tasks)
+            ]
+            is_there = f'jobs/{job_id}' in self._rows()
+            if is_accepted and not is_there:
+                return f'{job_id} was accepted and is not there'
+            if not is_there:
+                continue
+            for task in known:
+                if task is None:
+                    return f'{job_id} has not been taken in'
+                if task.state not in _FINAL:
+                    return f'{task}'
+        return self._keepers_missing() or self._leftovers()
+
+    def _rows(self):
+        return self.world.deployment.table.rows_by_key
+
+    def _keepers_missing(self):
+        for number in range(2):
+            task_id = f'keeper-viva-index:{number}'
+            places = [
+                worker.name
+                for worker in self.world.workers
+                if task_id in worker.running()
+            ]
+            if len(places) != 1:
+                return f'keeper {task_id} runs at {places}'
+        return ''
+
+    def _leftovers(self):
+        """What still runs or is reserved although nothing needs it."""
+        for agent in self.world.agents():
+            running = agent.worker.worker.running()
+            extra = [name for name in running if 'keeper' not in name]
+            if extra:
+                return f'{agent.name} still runs {extra}'
+            cores = sum(
+                task['command']['command'].size.cores
+                for task in running.values()
+            )
+            free = agent.core.ledger.free.cores
+            if free != agent.core.identity.capacity.cores - cores:
+                return f'{agent.name} ledger: {free} free, {cores} running'
+        return ''
+
+    def _check_quiet(self):
+        """No slot, no queue place and no count has leaked."""
+        for agent in self.world.agents():
+            for report in agent.core.backends.reports():
+                self.promises.check(
+                    report.in_flight == 0 and report.queued == 0,
+                    'no slot leaks at an agent',
+                    f'{agent.name} {report}',
+                )
+        for entry in self.world.entries():
+            for service in ('trust/booking', 'viva/lookup'):
+                for view in entry.core.fleet.backends(service):
+                    self.promises.check(
+                        view.in_flight == 0,
+                        'no slot leaks at an entry',
+                        f'{entry.name} {view.report.backend_id}',
+                    )
+        self._check_answers()
+
+    def _check_answers(self):
+        """Whoever asked an entry that lived on was answered."""
+        live = self.world.entries()
+        for submission in self.promises.submission_by_body.values():
+            if submission.entry in live and submission.answer is None:
+                self.promises.check(
+                    False, 'every caller is answered', submission.body
+                )
+        self.promises.checks['every caller is answered'] += 1
+
+
+def run_schedule(seed, schedule, go_on=()):
+    """Run a schedule and report; promises in ``go_on`` are only counted."""
+    before = Invariants.is_strict
+    Invariants.is_strict = True
+    started = time.process_time()
+    run = _Run(seed, schedule, go_on)
+    report = RunReport(seed, len(schedule))
+    try:
+        run.go()
+    except Exception as error:
+        report.promise = getattr(error, 'promise', '') or _name_of(error)
+        report.detail = str(error)
+        if not isinstance(error, Violation):
+            run.promises.note(f'{type(error).__name__}: {error}')
+    finally:
+        Invariants.is_strict = before
+    report.processor_s = time.process_time() - started
+    report.handled = run.loop.steps
+    report.virtual_ms = run.loop.now
+    report.faults = dict(run.faults.made)
+    report.met = dict(run.faults.met)
+    report.checks = dict(run.promises.checks)
+    report.checks['asserted inside the program'] = _inner_checks(run.world)
+    report.outcomes = dict(run.promises.outcomes)
+    report.broken = dict(run.promises.broken)
+    report.trace = tuple(run.promises.trace)
+    return report
+
+
+def run_seed(seed, steps, go_on=()):
+    """Draw a seed's schedule and run it."""
+    return run_schedule(seed, draw_schedule(seed, steps), go_on)
+
+
+def shrink(seed, schedule, promise, tries=120, go_on=()):
+    """Delete steps for as long as the same promise is broken."""
+    size = max(len(schedule) // 2, 1)
+    while tries > 0:
+        index = 0
+        while index < len(schedule) and tries > 0:
+            shorter = schedule[:index] + schedule[index + size :]
+            tries -= 1
+            report = run_schedule(seed, shorter, go_on)
+            if report.promise == promise:
+                schedule = shorter
+            else:
+                index += size
+        if size == 1:
+            break
+        size = max(size // 2, 1)
+    return schedule
+
+
+def _name_of(error):
+    text = str(error).partition(':')[0]
+    return f'{type(error).__name__} {text}'
+
+
+def _inner_checks(world):
+    return sum(
+        node.core.metrics.counter('invariant_checks_total')
+        for node in world.entries() + world.agents()
+    )
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -47,6 +47,8 @@
 
     def __init__(self, start=1000.0):
         self.clock = ManualClock(start)
+        self.steps = 0
+        self.on_step = None
         self._events = []
         self._order = itertools.count()
 
@@ -72,6 +74,9 @@
             when, _, action, arguments = heapq.heappop(self._events)
             self.clock.advance(max(when - self.now, 0))
             action(*arguments)
+            self.steps += 1
+            if self.on_step is not None:
+                self.on_step()
         self.clock.advance(max(end - self.now, 0))
 
 
@@ -171,9 +176,7 @@
             [(check.key, check.version) for check in transaction.checks],
             [(put.key, put.document) for put in transaction.puts],
         )
-        if self.lose_answers and 'versions' in answer:
-            self.lose_answers -= 1
-            self.on_lost(transaction)
+        if 'versions' in answer and self.loses(transaction):
             self._fail(done)
         elif 'versions' in answer:
             self.take(done, Ok(Committed(answer['versions'])))
@@ -188,8 +191,11 @@
         rows = [Row(*row) for row in self.table.read(prefix)]
         self.take(done, Ok(rows))
 
-    def on_lost(self, transaction):
-        """A commit took effect and its answer is lost."""
+    def loses(self, transaction):
+        """Whether the answer to a commit that took effect is lost."""
+        is_lost = self.lose_answers > 0
+        self.lose_answers -= is_lost
+        return is_lost
 
 
 def _ignore(answer):
@@ -345,7 +351,7 @@
         self.name = f'entry-{number}'
         self.link_by_agent = {}
         self.store = VirtualStore(deployment.loop, deployment.table, self.take)
-        self.callers = VirtualCallers()
+        self.callers = callers or VirtualCallers()
         self.core = EntryCore(
             deployment.clock_of(self.name),
             EntryIdentity(self.name, zone, self.name),
