Entry: no second access log line per request

Cause: the library formats an access log line for each request that nobody reads. Ruled out: pointing it at a null file, which still formats it. Change: one site class whose access log does nothing, for both daemons.

--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from twisted.internet.task import LoopingCall
-from twisted.web.server import Site
 
 from hyssopring.addresses import parse_address
 from hyssopring.agent.announce import AnnounceResource
@@ -17,6 +16,7 @@
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.settings import AgentSettings
 from hyssopring.ticker import Ticker
+from hyssopring.web_server import QuietSite
 
 __all__ = ('AgentDaemon',)
 
@@ -78,8 +78,7 @@
     def start(self) -> None:
         """Open the port, dial the entries, start the timers."""
         host, port = parse_address(self._settings.announce_address)
-        site = Site(self._announce)
-        site.noisy = False
+        site = QuietSite.from_resource(self._announce)
         self._reactor.listenTCP(port, site, interface=host)
         self._links.start()
         self._every(_EXPIRE_S, self.core.expire_backends)
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from twisted.internet.task import LoopingCall
-from twisted.web.server import Site
 
 from hyssopring.addresses import parse_address
 from hyssopring.clock import Clock, MonotonicClock
@@ -23,6 +22,7 @@
 from hyssopring.settings import EntrySettings
 from hyssopring.store.client import StoreClient
 from hyssopring.ticker import Ticker
+from hyssopring.web_server import QuietSite
 
 __all__ = ('EntryDaemon',)
 
@@ -93,8 +93,11 @@
             settings.default_deadline_ms,
         )
         self._listen(settings.inner_address, self._links)
-        self._listen(settings.caller_address, _site(callers))
-        self._listen(settings.operator_address, _site(self._operators))
+        self._listen(settings.caller_address, QuietSite.from_resource(callers))
+        self._listen(
+            settings.operator_address,
+            QuietSite.from_resource(self._operators),
+        )
         self._every(_PLAN_S, self.core.plan)
         self._every(_SILENCE_CHECK_S, self.core.drop_silent)
         self._every(_POLL_S, self.core.poll_table)
@@ -178,12 +181,5 @@
         self._reactor.stop()
 
 
-def _site(resource: Any) -> Site:
-    site = Site(resource)
-    site.noisy = False
-    site.displayTracebacks = False
-    return site
-
-
 def _today() -> int:
     return int(time.time() // _DAY_S)
