Catalogues of events and errors, checked against the code; wrong documents in one line

Cause: numbered events and error kinds had no page, and wrong documents were reported in two places with two wordings. Change: docs/EVENTS.md and docs/ERRORS.md; a test reads the code's own log calls for number, name, level and fields and the table of error answers, and prints the rows that are lacking. One module words what is wrong with settings, documents and announcements; item names are checked.

--- a/hyssopring/agent/announce.py
+++ b/hyssopring/agent/announce.py
@@ -3,13 +3,13 @@
 import json
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 
 from hyssopring.agent.backends import AnnouncedBackend
 from hyssopring.agent.core import AgentCore
-from hyssopring.configuration import describe_validation
+from hyssopring.configuration import parse_document
 
 __all__ = ('AnnounceResource',)
 
@@ -61,13 +61,11 @@
 
     def render_POST(self, request: Request) -> bytes:
         """Take or renew one announcement."""
-        try:
-            announcement = _Announcement.model_validate_json(
-                request.content.read(),
-            )
-        except ValidationError as error:
+        parsed = parse_document(request.content.read(), _Announcement)
+        if parsed.is_err():
             request.setResponseCode(_BAD_REQUEST)
-            return describe_validation(error).encode()
+            return f'{parsed.unwrap_err().detail}\n'.encode()
+        announcement = parsed.unwrap()
         was_leaving = self._core.backends.is_leaving(announcement.id)
         self._core.backends.announce(announcement.to_backend())
         if announcement.leaving and not was_leaving:
--- a/hyssopring/configuration/__init__.py
+++ b/hyssopring/configuration/__init__.py
@@ -7,7 +7,7 @@
 from hyssopring.configuration.changes import ConfigurationKeeper
 from hyssopring.configuration.models import DrainModel, JobSubmission
 from hyssopring.configuration.state import ConfigurationState, ServicePolicy
-from hyssopring.configuration.validation import describe_validation
+from hyssopring.configuration.validation import parse_document
 
 __all__ = (
     'AcceptedChange',
@@ -17,5 +17,5 @@
     'DrainModel',
     'JobSubmission',
     'ServicePolicy',
-    'describe_validation',
+    'parse_document',
 )
--- a/hyssopring/entry/operators.py
+++ b/hyssopring/entry/operators.py
@@ -8,7 +8,6 @@
 from functools import partial
 from typing import Any, Callable, Mapping
 
-from pydantic import ValidationError
 from result import Result
 from twisted.web.http import Request
 from twisted.web.resource import Resource
@@ -18,7 +17,7 @@
     AcceptedChange,
     ConfigurationChange,
     JobSubmission,
-    describe_validation,
+    parse_document,
 )
 from hyssopring.entry.callers import write_failure
 from hyssopring.entry.core import EntryCore
@@ -170,16 +169,12 @@
         )
 
     def _submit_job(self, request: Request) -> None:
-        try:
-            submission = JobSubmission.model_validate_json(
-                request.content.read(),
-            )
-        except ValidationError as error:
-            failure = Failure(ErrorKind.INVALID, describe_validation(error))
-            write_failure(request, failure)
+        submission = parse_document(request.content.read(), JobSubmission)
+        if submission.is_err():
+            write_failure(request, submission.unwrap_err())
             return
         self._jobs.submit(
-            submission,
+            submission.unwrap(),
             partial(_write_result, request),
         )
 
--- a/hyssopring/settings/problems.py
+++ b/hyssopring/problems.py
@@ -1,7 +1,7 @@
-"""Words for what is wrong with a settings file, always one line."""
+"""Words for what is wrong with a document or settings, always one line."""
 
 import json
-from typing import Any, Mapping
+from typing import Any, Mapping, get_args
 
 from pydantic import BaseModel, ValidationError
 
@@ -12,7 +12,7 @@
 _MAX_PROBLEMS = 3
 
 
-def describe_problems(model: type[BaseModel], error: ValidationError) -> str:
+def describe_problems(error: ValidationError, model: type[BaseModel]) -> str:
     """Name each wrong key, what was found and what is allowed.
 
     The values of secrets are never shown: such lines end up in logs.
@@ -25,15 +25,10 @@
 
 
 def _problem(model: type[BaseModel], problem: Mapping[str, Any]) -> str:
-    key = '.'.join(str(part) for part in problem['loc'])
+    key = '.'.join(str(part) for part in problem['loc']) or 'document'
     message = problem['msg'].removeprefix('Value error, ')
-    if not key:
-        return (
-            message
-            if problem['type'] == 'value_error'
-            else 'document: '
-            + (f'{message}, found {_shown(key, problem["input"])}')
-        )
+    if problem['type'] == 'value_error' and not problem['loc']:
+        return message
     if problem['type'] == 'missing':
         return f'{key}: required, found nothing'
     if problem['type'] == 'extra_forbidden':
@@ -47,9 +42,12 @@
     location: tuple[int | str, ...],
 ) -> tuple[str, ...]:
     for part in location[:-1]:
-        annotation = model.model_fields[str(part)].annotation
-        if isinstance(annotation, type) and issubclass(annotation, BaseModel):
-            model = annotation
+        field = model.model_fields.get(str(part))
+        annotation = field.annotation if field else None
+        # An optional object's type is a union.
+        for choice in (annotation, *get_args(annotation)):
+            if isinstance(choice, type) and issubclass(choice, BaseModel):
+                model = choice
     return tuple(model.model_fields)
 
 
--- a/hyssopring/settings/loading.py
+++ b/hyssopring/settings/loading.py
@@ -8,12 +8,12 @@
 from result import Err, Ok, Result
 
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.problems import describe_problems
 from hyssopring.settings.models import (
     AgentSettings,
     EntrySettings,
     OperatorSettings,
 )
-from hyssopring.settings.problems import describe_problems
 
 __all__ = ('load_settings', 'read_document', 'role_of')
 
@@ -35,7 +35,7 @@
     try:
         return Ok(model.model_validate(_tupled(document.unwrap())))
     except ValidationError as error:
-        return Err(_invalid(path, describe_problems(model, error)))
+        return Err(_invalid(path, describe_problems(error, model)))
 
 
 def read_document(path: str) -> Result[Any, Failure]:
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,60 @@
+"""The catalogues in docs/ say what the code does."""
+
+import ast
+import pathlib
+
+from hyssopring.errors import ANSWERS_BY_KIND, ErrorKind
+from hyssopring.logs import Event
+from hyssopring.logs._emit import _level
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def table(page, columns):
+    """Return a page's table rows by first cell, cut to ``columns`` cells."""
+    lines = (ROOT / page).read_text().splitlines()
+    rows = [line.strip('| ').split(' | ') for line in lines if line[:2] == '| ']
+    assert all(len(row) == len(rows[0]) and all(row) for row in rows)
+    return {row[0]: row[:columns] for row in rows[1:]}
+
+
+def logged_fields():
+    names_by_event = {name: set() for name in Event.__members__}
+    for path in (ROOT / 'hyssopring').rglob('*.py'):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if getattr(getattr(node, 'func', None), 'id', '') != 'log_event':
+                continue
+            for part in ast.walk(node.args[0]):
+                if getattr(part, 'attr', '') in names_by_event:
+                    names_by_event[part.attr].update(
+                        keyword.arg for keyword in node.keywords
+                    )
+    return names_by_event
+
+
+def test_event_catalogue_lists_number_name_level_and_fields():
+    fields = logged_fields()
+    expected = {}
+    for event in Event:
+        names = ', '.join(sorted(fields[event.name])) or '-'
+        number = str(event.value)
+        expected[number] = [number, event.name, _level(event), names]
+    found = table('docs/EVENTS.md', 4)
+    lacking = [
+        f'| {" | ".join(row)} | WHEN | WHAT TO DO |'
+        for number, row in expected.items()
+        if found.get(number) != row
+    ]
+    assert not lacking, 'rows for docs/EVENTS.md:\n' + '\n'.join(lacking)
+    assert found.keys() == expected.keys()
+
+
+def test_error_table_matches_the_closed_list():
+    expected = {}
+    for kind in ErrorKind:
+        answer = ANSWERS_BY_KIND[kind]
+        name = f'`{kind.value}`'
+        after = str(answer.retry_after_ms or '-')
+        row = [name, str(answer.status), answer.run_state.value, after]
+        expected[name] = row
+    assert table('docs/ERRORS.md', 4) == expected
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hyssopring.configuration.models import MODEL_BY_KIND
+from hyssopring.configuration.validation import document_failure
 from hyssopring.settings import (
     AgentSettings,
     EntrySettings,
@@ -106,3 +107,19 @@
 def test_settings_page_is_up_to_date():
     page = (ROOT / 'docs/SETTINGS.md').read_text()
     assert page == reference_page(), 'run python -m hyssopring.settings'
+
+
+@pytest.mark.parametrize(
+    ('key', 'document', 'words'),
+    [
+        ('template/a', '{"kind": "batch", "sise": 1}', 'size: required'),
+        ('parameters/t/a', '{"size": {"cores": 1, "gb": 2}}', 'memory_gb'),
+        ('parameters/t/a', '{"zones": ["north", 7]}', 'zones.1: '),
+        ('parameters/t', '{}', 'no such kind'),
+        ('team/Two Words', '{}', 'not a name'),
+        ('team/t', '{"cores": 1', 'document: Invalid JSON'),
+    ],
+)
+def test_wrong_document_is_one_line_that_names_the_key(key, document, words):
+    line = document_failure(key, document).detail
+    assert words in line and '\n' not in line
