Membership: entry lists, subsets, pace, replaced entries, twin agents

Cause: agents dialled every listed address for good; addresses came from the table alone, so entries replaced while the store was down were found by nobody; each agent beat once a second to each entry at any size; two agents under one id ended each other's connections several times a second.

Change: an agent's directory (no sockets, driven by the shell) puts together the lists of its connected entries, keeps the last one, dials seeds again (one may be the platform's balancer), tells an entry whose list lacks another that it is connected to, and forgets an address ten minutes after it last answered. Up to 12 entries it connects to all; beyond, to 12 by rendezvous hashing over zones, to a replacement for one that is down, and to the holders of the shards whose tasks run here, so that a takeover never ends a lease. A connection that is not needed any more is left like a planned stop. The entry sets the pace of heartbeats (1 s up to 100 agents, then slower, at most 5 s); news that is routed or placed by is told at once. Redials are spread; a refused agent waits 15 to 45 s. An entry refuses another protocol version, and a run of an agent that comes back after another run took its place. Each entry's row now carries the lowest configuration version among its agents, so that an operator can wait for a change at any one entry.

Ruled out: a cell of entries per group of agents (a lost cell takes all its agents' planners with it); placing only within the subset without following the holder (each takeover would end 80 % of a shard's leases at 60 entries).

--- a/hyssopring/agent/calls.py
+++ b/hyssopring/agent/calls.py
@@ -92,6 +92,12 @@
         """Calls that are queued or running."""
         return len(self._open_by_id)
 
+    def serves(self, entry_id: str) -> bool:
+        """Whether an entry waits for a call that is queued or running."""
+        return any(
+            entry_id in call.entries for call in self._open_by_id.values()
+        )
+
     def stop(self) -> None:
         """Refuse new calls; queued and running ones finish."""
         self._is_stopping = True
--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -1,18 +1,26 @@
 """The agent's logic without sockets: typed messages in and out."""
 
-from dataclasses import dataclass, field
+import random
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Callable, Protocol
 
 from hyssopring.agent.backends import Backends
 from hyssopring.agent.calls import BackendCaller, CallExecutor
 from hyssopring.agent.ledger import Ledger
+from hyssopring.agent.sessions import (
+    HEARTBEAT_MS,
+    EntrySession,
+    EntrySessions,
+    News,
+)
 from hyssopring.agent.tasks import TaskSupervisor, Worker
 from hyssopring.clock import Clock
 from hyssopring.configuration import ConfigurationState
 from hyssopring.invariants import Invariants
 from hyssopring.leases import ShardLeases
 from hyssopring.logs import Event, log_event
+from hyssopring.membership import EntryDirectory
 from hyssopring.metrics import Metrics
 from hyssopring.protocol.messages import (
     PROTOCOL_VERSION,
@@ -20,6 +28,7 @@
     CancelCall,
     ConfigurationQuery,
     ConfigurationUpdate,
+    EntryList,
     Heartbeat,
     HeartbeatAck,
     Hello,
@@ -31,14 +40,12 @@
     Resources,
     StartTask,
     StopTask,
+    TaskReport,
     TaskReportAck,
     ThrottleTask,
 )
 
-__all__ = ('AgentCore', 'AgentIdentity', 'AgentLinks')
-
-HEARTBEAT_MS = 1000.0
-_REMEMBERED_BEATS = 16
+__all__ = ('HEARTBEAT_MS', 'AgentCore', 'AgentIdentity', 'AgentLinks')
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,12 +90,6 @@
         """Write a message to every connected entry."""
 
 
-@dataclass(slots=True)
-class _EntryLink:
-    sent_at_by_sequence: dict[int, float] = field(default_factory=dict)
-    reported_epoch_by_shard: dict[int, int] = field(default_factory=dict)
-
-
 class AgentCore:
     """One agent: its ledger, calls, tasks and configuration."""
 
@@ -100,6 +101,7 @@
         caller: BackendCaller,
         worker: Worker,
         metrics: Metrics,
+        directory: EntryDirectory | None = None,
     ) -> None:
         """Take the ports to entries, backend servers and the worker."""
         invariants = Invariants(metrics)
@@ -108,10 +110,16 @@
         self.on_work: Callable[[], None] = _nothing
         self._sequence = 0
         self._is_stopping = False
-        self._link_by_entry: dict[str, _EntryLink] = {}
+        self.sessions = EntrySessions(clock)
         self.identity = identity
         self.metrics = metrics
         self.configuration = ConfigurationState()
+        self.directory = directory or EntryDirectory(
+            clock,
+            identity.agent_id,
+            (),
+            random.Random(),
+        )
         self.ledger = Ledger(identity.capacity, invariants)
         self.backends = Backends(clock, invariants)
         self.calls = CallExecutor(clock, self.backends, links, caller, metrics)
@@ -130,13 +138,13 @@
 
     def on_connected(self, entry_id: str) -> None:
         """An entry has welcomed this agent on a new connection."""
-        self._link_by_entry[entry_id] = _EntryLink()
+        self.sessions.open(entry_id)
         log_event(Event.ENTRY_CONNECTED, entry=entry_id)
         self._beat(entry_id)
 
     def on_disconnected(self, entry_id: str) -> None:
         """A connection to an entry is gone."""
-        if self._link_by_entry.pop(entry_id, None) is not None:
+        if self.sessions.close(entry_id):
             log_event(Event.ENTRY_DISCONNECTED, entry=entry_id)
 
     @singledispatchmethod
@@ -171,6 +179,10 @@
             self._follow_drain()
             self._beat(entry_id)
 
+    @on_message.register
+    def _on_entry_list(self, message: EntryList, entry_id: str) -> None:
+        self.directory.learn(entry_id, message.members, message.holders)
+
     @on_message.register
     def _on_configuration_query(
         self,
@@ -198,24 +210,39 @@
 
     @on_message.register
     def _on_ack(self, message: HeartbeatAck, entry_id: str) -> None:
-        link = self._link_by_entry.get(entry_id)
-        if link is None:
+        session = self.sessions.get(entry_id)
+        if session is None:
             return
-        asked_at = link.sent_at_by_sequence.pop(message.sequence, None)
+        asked_at = session.acked(message.sequence, message.next_ms)
         if asked_at is None:
             return
         for grant in message.grants:
             self.tasks.on_grant(grant, asked_at)
-            self._report_once(link, entry_id, grant)
+            report = _first_report(self.tasks, session, grant)
+            if report is not None:
+                self._links.send(entry_id, report)
         if message.configuration_version > self.configuration.version:
             query = ConfigurationQuery(self.configuration.version)
             self._links.send(entry_id, query)
 
     def heartbeat(self) -> None:
-        """Tell every entry that this agent lives; call each second."""
+        """Tell entries that this agent lives; call each second."""
         self._follow_drain()
-        for entry_id in list(self._link_by_entry):
+        for entry_id in self.sessions.due(self._news()):
             self._beat(entry_id)
+        self.directory.pin({each.shard for each in self.tasks.statuses()})
+        for source, members in self.directory.to_tell().items():
+            self._links.send(source, EntryList(members))
+
+    def to_leave(self) -> list[str]:
+        """Return the entries whose connection may be closed now.
+
+        An entry outside the subset is told as at a planned stop, so that it
+        sends nothing new, and is left once its calls have ended.
+        """
+        for entry_id in self.sessions.mark_leaving(self.directory.surplus()):
+            self._beat(entry_id)
+        return self.sessions.to_leave(self.calls.serves)
 
     def tick(self) -> None:
         """Let deadlines and leases take effect."""
@@ -243,15 +270,23 @@
         else:
             self.tasks.close('its VM is drained', keepers=order.keepers)
 
+    def _news(self) -> News:
+        return (
+            self._is_stopping,
+            self.configuration.version,
+            *(
+                (report.backend_id, report.leaving, report.slots)
+                for report in self.backends.reports()
+            ),
+        )
+
     def _beat(self, entry_id: str) -> None:
-        link = self._link_by_entry.get(entry_id)
-        if link is None:
+        session = self.sessions.get(entry_id)
+        if session is None:
             return
         self._sequence += 1
         self.calls.sequence = self._sequence
-        link.sent_at_by_sequence[self._sequence] = self._clock.now()
-        while len(link.sent_at_by_sequence) > _REMEMBERED_BEATS:
-            link.sent_at_by_sequence.pop(min(link.sent_at_by_sequence))
+        session.beat(self._sequence, self._clock.now(), self._news())
         self._links.send(
             entry_id,
             Heartbeat(
@@ -259,21 +294,21 @@
                 self.configuration.version,
                 self.backends.reports(),
                 self.ledger.free,
-                self._is_stopping,
+                self._is_stopping or session.leaving_since is not None,
                 self.tasks.usage(),
             ),
         )
 
-    def _report_once(
-        self,
-        link: _EntryLink,
-        entry_id: str,
-        grant: LeaseGrant,
-    ) -> None:
-        """Name all tasks once per connection and planner's epoch."""
-        if link.reported_epoch_by_shard.get(grant.shard) == grant.epoch:
-            return
-        report = self.tasks.full_report(grant.shard, grant.epoch)
-        if report is not None:
-            link.reported_epoch_by_shard[grant.shard] = grant.epoch
-            self._links.send(entry_id, report)
+
+def _first_report(
+    tasks: TaskSupervisor,
+    session: EntrySession,
+    grant: LeaseGrant,
+) -> TaskReport | None:
+    """Name all tasks once per connection and planner's epoch."""
+    if session.reported_epoch_by_shard.get(grant.shard) == grant.epoch:
+        return None
+    report = tasks.full_report(grant.shard, grant.epoch)
+    if report is not None:
+        session.reported_epoch_by_shard[grant.shard] = grant.epoch
+    return report
--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -13,6 +13,7 @@
 from hyssopring.agent.outside import HttpBackendCaller, HttpWorker
 from hyssopring.clock import Clock, MonotonicClock
 from hyssopring.logs import Event, log_event
+from hyssopring.membership import EntryDirectory
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.settings import AgentSettings
 from hyssopring.ticker import Ticker
@@ -23,6 +24,7 @@
 _TICK_S = 0.02
 _EXPIRE_S = 0.1
 _SILENCE_CHECK_S = 0.25
+_DIAL_S = 0.1
 _LISTING_S = 0.5
 _LEASES_S = 1.0
 _DRAIN_CHECK_S = 0.05
@@ -47,8 +49,6 @@
             reactor,
             self._clock,
             settings.inner_secret,
-            settings.entries,
-            random.Random(uuid.uuid4().int),
         )
         self.core = AgentCore(
             self._clock,
@@ -63,6 +63,12 @@
             HttpBackendCaller(reactor),
             self._worker,
             Metrics(),
+            EntryDirectory(
+                self._clock,
+                settings.id,
+                settings.entries,
+                random.Random(uuid.uuid4().int),
+            ),
         )
         self._links.attach(self.core)
         self._announce = AnnounceResource(self.core)
@@ -80,10 +86,10 @@
         host, port = parse_address(self._settings.announce_address)
         site = QuietSite.from_resource(self._announce)
         self._reactor.listenTCP(port, site, interface=host)
-        self._links.start()
         self._every(_EXPIRE_S, self.core.expire_backends)
         self._every(_LEASES_S, self.core.tasks.tick)
         self._every(HEARTBEAT_MS / _MILLIS_PER_SECOND, self.core.heartbeat)
+        self._every(_DIAL_S, self._links.dial)
         self._every(_SILENCE_CHECK_S, self._links.check_silence)
         self._every(_LISTING_S, self._list_tasks)
         log_event(Event.PROCESS_STARTED, role='agent', id=self._settings.id)
--- a/hyssopring/agent/links.py
+++ b/hyssopring/agent/links.py
@@ -1,11 +1,13 @@
-"""The agent's connections to entries (Twisted shell)."""
+"""The agent's connections to entries (Twisted shell).
+
+The core's directory says whom to dial and when; this module owns the sockets.
+"""
 
-import random
 from functools import singledispatchmethod
 from typing import Any
 
-from twisted.internet.protocol import Factory
 from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.protocol import Factory
 
 from hyssopring.addresses import parse_address
 from hyssopring.agent.core import AgentCore
@@ -14,7 +16,6 @@
 from hyssopring.protocol.connection import InnerConnection, Traffic, prove
 from hyssopring.protocol.messages import (
     Challenge,
-    EntryList,
     Message,
     Refusal,
     Welcome,
@@ -22,16 +23,11 @@
 
 __all__ = ('EntryLinks',)
 
-_REDIAL_MIN_S = 0.2
-_REDIAL_MAX_S = 3.0
 _CONNECT_TIMEOUT_S = 2
-# An entry answers each heartbeat; with nothing heard for this long the
-# connection has gone silent, and a new one is dialled.
-_SILENCE_MS = 2500.0
 
 
-class _Dialler(Factory):
-    """Keeps one connection to one entry address."""
+class _Link(Factory):
+    """One connection to one address, from dialling to its end."""
 
     noisy = False
 
@@ -40,8 +36,8 @@
         self.address = address
         self.connection: InnerConnection | None = None
         self.entry_id = ''
-        self.failures = 0
-        self.is_wanted = True
+        self.is_refused = False
+        self.is_skipped = False
 
     def buildProtocol(self, addr: object) -> InnerConnection:
         return InnerConnection(
@@ -54,8 +50,6 @@
         )
 
     def dial(self) -> None:
-        if not self.is_wanted:
-            return
         host, port = parse_address(self.address)
         endpoint = HostnameEndpoint(
             self.owner.reactor,
@@ -66,23 +60,24 @@
         endpoint.connect(self).addErrback(self._failed)
 
     def check_silence(self, now: float) -> None:
-        connection = self.connection
-        if connection is None:
+        if self.connection is None:
             return
-        if now - connection.last_heard > _SILENCE_MS:
+        limit = self.owner.core.sessions.silence_limit(self.entry_id)
+        if now - self.connection.last_heard > limit:
             log_event(Event.CONNECTION_SILENT, entry=self.address)
-            connection.abort()
+            self.connection.abort()
 
     def _opened(self, connection: InnerConnection) -> None:
         self.connection = connection
 
     def _received(self, connection: InnerConnection, message: Message) -> None:
-        if connection is self.connection:
-            self._take(message, connection)
+        self._take(message, connection)
 
     @singledispatchmethod
     def _take(self, message: Message, connection: InnerConnection) -> None:
-        if self.entry_id:
+        # What still arrives after a newer connection took this one's place
+        # belongs to an older generation.
+        if self.entry_id and self.owner.is_current(self):
             self.owner.core.on_message(message, self.entry_id)
 
     @_take.register
@@ -91,7 +86,19 @@
         message: Challenge,
         connection: InnerConnection,
     ) -> None:
-        self._answer(connection, message)
+        core = self.owner.core
+        if not core.directory.greets(self.address, message.entry_id):
+            self.is_skipped = True
+            connection.close()
+            return
+        proof = prove(
+            self.owner.secret,
+            message.nonce,
+            core.identity.agent_id,
+        )
+        connection.send(
+            core.identity.hello(proof, core.configuration.version),
+        )
 
     @_take.register
     def _take_welcome(
@@ -99,17 +106,8 @@
         message: Welcome,
         connection: InnerConnection,
     ) -> None:
-        self.failures = 0
         self.entry_id = message.entry_id
-        self.owner.welcomed(self, message)
-
-    @_take.register
-    def _take_list(
-        self,
-        message: EntryList,
-        connection: InnerConnection,
-    ) -> None:
-        self.owner.listed(message.entries)
+        self.owner.welcomed(self)
 
     @_take.register
     def _take_refusal(
@@ -117,6 +115,7 @@
         message: Refusal,
         connection: InnerConnection,
     ) -> None:
+        self.is_refused = True
         log_event(
             Event.PEER_ERROR,
             entry=self.address,
@@ -124,65 +123,29 @@
             detail=message.detail,
         )
 
-    def _answer(
-        self,
-        connection: InnerConnection,
-        challenge: Challenge,
-    ) -> None:
-        core = self.owner.core
-        proof = prove(
-            self.owner.secret,
-            challenge.nonce,
-            core.identity.agent_id,
-        )
-        connection.send(
-            core.identity.hello(proof, core.configuration.version),
-        )
-
     def _broken(self, connection: InnerConnection, detail: str) -> None:
         log_event(Event.PEER_ERROR, entry=self.address, detail=detail)
         connection.abort()
 
     def _closed(self, connection: InnerConnection) -> None:
-        if connection is not self.connection:
-            return
-        self.connection = None
         self.owner.closed(self)
-        self.entry_id = ''
-        self._redial()
 
     def _failed(self, _reason: Any) -> None:
-        self._redial()
-
-    def _redial(self) -> None:
-        # Spread over time, so that agents do not return in step.
-        self.failures += 1
-        ceiling = min(_REDIAL_MIN_S * 2**self.failures, _REDIAL_MAX_S)
-        delay = self.owner.rng.uniform(_REDIAL_MIN_S, ceiling)
-        self.owner.reactor.callLater(delay, self.dial)
+        self.owner.closed(self)
 
 
 class EntryLinks:
-    """Dials every known entry and carries messages."""
+    """Dials the entries that the directory wants, and carries messages."""
 
-    def __init__(
-        self,
-        reactor: Any,
-        clock: Clock,
-        secret: str,
-        seeds: tuple[str, ...],
-        rng: random.Random,
-    ) -> None:
-        """Dial ``seeds`` first; each welcome names the other entries."""
+    def __init__(self, reactor: Any, clock: Clock, secret: str) -> None:
+        """Attach the core before dialling."""
         self.reactor = reactor
         self.clock = clock
         self.secret = secret
-        self.rng = rng
         self.traffic = Traffic()
-        self._seeds = seeds
         self._core: AgentCore | None = None
-        self._dialler_by_address: dict[str, _Dialler] = {}
-        self._dialler_by_entry: dict[str, _Dialler] = {}
+        self._link_by_address: dict[str, _Link] = {}
+        self._link_by_entry: dict[str, _Link] = {}
 
     @property
     def core(self) -> AgentCore:
@@ -193,61 +156,65 @@
     @property
     def connected(self) -> int:
         """How many entries are connected."""
-        return len(self._dialler_by_entry)
+        return len(self._link_by_entry)
 
     def attach(self, core: AgentCore) -> None:
         """Give messages to this core."""
         self._core = core
 
-    def start(self) -> None:
-        """Dial the seeds."""
-        for address in self._seeds:
-            self._want(address)
+    def dial(self) -> None:
+        """Dial what is due, leave what is not needed; call often."""
+        for address in self.core.directory.due():
+            link = _Link(self, address)
+            self._link_by_address[address] = link
+            link.dial()
+        for entry_id in self.core.to_leave():
+            link = self._link_by_entry[entry_id]
+            if link.connection is not None:
+                link.connection.close()
 
     def send(self, entry_id: str, message: Message) -> bool:
         """Write a message; False if the entry is not connected."""
-        dialler = self._dialler_by_entry.get(entry_id)
-        if dialler is None or dialler.connection is None:
+        link = self._link_by_entry.get(entry_id)
+        if link is None or link.connection is None:
             return False
-        dialler.connection.send(message)
+        link.connection.send(message)
         return True
 
     def broadcast(self, message: Message) -> None:
         """Write a message to every connected entry."""
-        for entry_id in list(self._dialler_by_entry):
+        for entry_id in list(self._link_by_entry):
             self.send(entry_id, message)
 
     def check_silence(self) -> None:
         """Abort connections on which nothing was heard for too long."""
         now = self.clock.now()
-        for dialler in list(self._dialler_by_address.values()):
-            dialler.check_silence(now)
+        for link in list(self._link_by_address.values()):
+            link.check_silence(now)
+
+    def is_current(self, link: _Link) -> bool:
+        """Whether this is the newest connection to its entry."""
+        return self._link_by_entry.get(link.entry_id) is link
 
-    def welcomed(self, dialler: _Dialler, welcome: Welcome) -> None:
+    def welcomed(self, link: _Link) -> None:
         """An entry has accepted this agent."""
-        self._dialler_by_entry[welcome.entry_id] = dialler
-        self.core.on_connected(welcome.entry_id)
-        self.listed(welcome.entries)
-
-    def listed(self, addresses: tuple[str, ...]) -> None:
-        """Dial the entries that the table lists, and the seeds."""
-        for known in list(self._dialler_by_address.values()):
-            is_listed = known.address in addresses + self._seeds
-            if not is_listed and known.connection is None:
-                known.is_wanted = False
-                self._dialler_by_address.pop(known.address)
-        for address in addresses:
-            self._want(address)
-
-    def closed(self, dialler: _Dialler) -> None:
-        """A connection to an entry is gone."""
-        if self._dialler_by_entry.get(dialler.entry_id) is dialler:
-            self._dialler_by_entry.pop(dialler.entry_id)
-            self.core.on_disconnected(dialler.entry_id)
-
-    def _want(self, address: str) -> None:
-        if address in self._dialler_by_address:
+        older = self._link_by_entry.get(link.entry_id)
+        self._link_by_entry[link.entry_id] = link
+        if older is not None and older.connection is not None:
+            older.connection.abort()
+            self.core.on_disconnected(link.entry_id)
+        self.core.directory.opened(link.address, link.entry_id)
+        self.core.on_connected(link.entry_id)
+
+    def closed(self, link: _Link) -> None:
+        """A connection is gone, or could not be made."""
+        if self._link_by_address.get(link.address) is not link:
             return
-        dialler = _Dialler(self, address)
-        self._dialler_by_address[address] = dialler
-        dialler.dial()
+        self._link_by_address.pop(link.address)
+        if link.is_skipped:
+            self.core.directory.skipped(link.address)
+        else:
+            self.core.directory.closed(link.address, link.is_refused)
+        if self.is_current(link):
+            self._link_by_entry.pop(link.entry_id)
+            self.core.on_disconnected(link.entry_id)
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -11,17 +11,27 @@
 from hyssopring.entry.claim_cleaner import ClaimCleaner
 from hyssopring.entry.claims import ClaimTable
 from hyssopring.entry.router import CallRouter
+from hyssopring.errors import ErrorKind, Failure
 from hyssopring.invariants import Invariants
 from hyssopring.leases import ShardHolder, ShardSettings
 from hyssopring.logs import Event, log_event
-from hyssopring.membership import AgentRecord, Fleet
+from hyssopring.membership import (
+    AgentRecord,
+    EntryRoster,
+    Fleet,
+    IncarnationGuard,
+    beat_interval,
+    silence_limit,
+)
 from hyssopring.metrics import Metrics
 from hyssopring.placement import LeaseTimes, Planner, PlannerPorts
 from hyssopring.protocol.messages import (
+    PROTOCOL_VERSION,
     CallResponse,
     ConfigurationQuery,
     ConfigurationUpdate,
     EntryList,
+    EntryMember,
     Heartbeat,
     HeartbeatAck,
     Hello,
@@ -33,10 +43,6 @@
 
 __all__ = ('EntryCore', 'EntryIdentity')
 
-# An agent beats each second; with nothing heard for this long its connection
-# has gone silent, and it is dropped so that the agent dials a new one.
-SILENCE_MS = 2500.0
-
 
 @dataclass(frozen=True, slots=True)
 class EntryIdentity:
@@ -47,6 +53,11 @@
     inner_address: str
     operator_address: str = ''
 
+    @property
+    def member(self) -> EntryMember:
+        """What agents and other entries are told of this one."""
+        return EntryMember(self.entry_id, self.inner_address, self.zone)
+
 
 def _first_day() -> int:
     return 0
@@ -74,8 +85,10 @@
         """
         self._clock = clock
         self._links = links
-        self._listed_addresses: tuple[str, ...] = ()
         self.identity = identity
+        self._guard = IncarnationGuard(clock)
+        self._roster = EntryRoster(clock, identity.member)
+        self._told = EntryList(())
         self.metrics = metrics
         self._invariants = Invariants(metrics)
         self.fleet = Fleet()
@@ -111,8 +124,7 @@
         self.shards = ShardHolder(
             clock,
             store,
-            identity.entry_id,
-            identity.inner_address,
+            identity.member,
             self.planner.on_acquired,
             self.planner.on_lost,
             shard_settings,
@@ -125,6 +137,16 @@
         """The clock that this entry goes by."""
         return self._clock
 
+    def refusal(self, hello: Hello) -> Failure | None:
+        """Say why an agent whose proof was good may not connect."""
+        if hello.version != PROTOCOL_VERSION:
+            detail = f'version {hello.version}, not {PROTOCOL_VERSION}'
+            return Failure(ErrorKind.PROTOCOL, detail)
+        if self._guard.admits(hello.agent_id, hello.incarnation):
+            return None
+        detail = f'another process runs as {hello.agent_id}'
+        return Failure(ErrorKind.CONFLICT, detail)
+
     def on_hello(self, hello: Hello) -> AgentRecord:
         """Take in an agent whose proof was good; it replaces an older link."""
         older = self.fleet.agent(hello.agent_id)
@@ -140,12 +162,9 @@
         )
         self._links.send(
             hello.agent_id,
-            Welcome(
-                self.identity.entry_id,
-                self.configuration.version,
-                self.shards.entry_addresses,
-            ),
+            Welcome(self.identity.entry_id, self.configuration.version),
         )
+        self._links.send(hello.agent_id, self._entry_list())
         self._ask_if_behind(record)
         self.router.on_connect(record)
         return record
@@ -178,10 +197,12 @@
         self._ask_if_behind(record)
         record.is_stopping |= self.configuration.is_drained(record.agent_id)
         self.planner.on_heartbeat(record)
+        record.beat_ms = beat_interval(len(self.fleet))
         ack = HeartbeatAck(
             message.sequence,
             self.configuration.version,
             self.planner.grants(record.agent_id),
+            record.beat_ms,
         )
         self._links.send(record.agent_id, ack)
 
@@ -206,6 +227,10 @@
     ) -> None:
         self.configuration_keeper.adopt(message)
 
+    @on_message.register
+    def _on_entry_list(self, message: EntryList, record: AgentRecord) -> None:
+        self._roster.heard(message.members)
+
     def tick(self) -> None:
         """Let deadlines take effect; place waiting tasks."""
         self.expire_calls()
@@ -223,7 +248,7 @@
         """Abort connections on which nothing was heard for too long."""
         now = self._clock.now()
         for record in self.fleet.agents:
-            if now - record.heard_at > SILENCE_MS:
+            if now - record.heard_at > silence_limit(record.beat_ms):
                 log_event(Event.CONNECTION_SILENT, agent=record.agent_id)
                 self._links.drop(record.agent_id)
 
@@ -234,13 +259,16 @@
 
     def renew(self) -> None:
         """Renew this entry's own lease; call each second."""
-        addresses = self.shards.entry_addresses
-        if addresses != self._listed_addresses:
-            self._listed_addresses = addresses
-            self.router.admission.entries = len(addresses)
+        registry = self.shards.registry
+        self._roster.listed(registry.members)
+        entry_list = self._entry_list()
+        if entry_list != self._told:
+            self._told = entry_list
+            self.router.admission.entries = len(entry_list.members)
             for record in self.fleet.agents:
-                self._links.send(record.agent_id, EntryList(addresses))
-        self.shards.configuration_version = self.configuration.version
+                self._links.send(record.agent_id, entry_list)
+        registry.configuration_version = self.configuration.version
+        registry.lowest_agent_version = self.fleet.lowest_version()
         self.shards.poll()
 
     def stop(self) -> None:
@@ -248,6 +276,9 @@
         self.router.stop()
         self.shards.release()
 
+    def _entry_list(self) -> EntryList:
+        return EntryList(self._roster.members, self.shards.holders)
+
     def _ask_if_behind(self, record: AgentRecord) -> None:
         """Learn the configuration from an agent that is ahead.
 
--- a/hyssopring/entry/links.py
+++ b/hyssopring/entry/links.py
@@ -123,12 +123,9 @@
         if not hmac.compare_digest(expected, hello.proof):
             self._refuse(connection, ErrorKind.UNAUTHORIZED, 'wrong proof')
             return
-        if hello.version != PROTOCOL_VERSION:
-            self._refuse(
-                connection,
-                ErrorKind.PROTOCOL,
-                f'version {hello.version}, not {PROTOCOL_VERSION}',
-            )
+        refusal = self._core.refusal(hello) if self._core else None
+        if refusal is not None:
+            self._refuse(connection, refusal.kind, refusal.detail)
             return
         older = self._connection_by_agent.get(hello.agent_id)
         self._connection_by_agent[hello.agent_id] = connection
--- a/hyssopring/entry/status.py
+++ b/hyssopring/entry/status.py
@@ -36,7 +36,8 @@
     )
     return {
         **_head(core),
-        'entries': core.shards.version_by_entry,
+        'entries': core.shards.registry.version_by_entry,
+        'agents_at_least': core.shards.registry.agent_version_by_entry,
         'operators': core.shards.registry.operators_by_entry,
         'pending': core.router.pending,
         'agents': [_agent(core, record) for record in core.fleet.agents],
--- a/hyssopring/leases/registry.py
+++ b/hyssopring/leases/registry.py
@@ -14,6 +14,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.errors import Failure
+from hyssopring.protocol.messages import EntryMember
 from hyssopring.store.rows import (
     Check,
     Committed,
@@ -74,28 +75,29 @@
         self,
         clock: Clock,
         store: Store,
-        entry_id: str,
-        inner_address: str,
+        own: EntryMember,
         settings: ShardSettings,
         on_deposed: Callable[[], None],
     ) -> None:
         """Take the ports; the lease begins with the first renewal."""
         self._clock = clock
         self._store = store
-        self._inner_address = inner_address
+        self._own = own
         self._settings = settings
         self._on_deposed = on_deposed
         self._valid_until: float = 0
         self._is_released = False
         self._sighting_by_key: dict[str, _Sighting] = {}
-        self.key = entry_key(entry_id)
+        self.key = entry_key(own.entry_id)
         self.incarnation = uuid.uuid4().hex
         self.row_version = 0
         self.configuration_version = 0
-        self.address_by_entry: dict[str, str] = {}
+        self.lowest_agent_version: int | None = None
+        self.members: tuple[EntryMember, ...] = ()
         self.version_by_entry: dict[str, int] = {}
         self.operator_address = ''
         self.operators_by_entry: dict[str, str] = {}
+        self.agent_version_by_entry: dict[str, int | None] = {}
 
     @property
     def is_valid(self) -> bool:
@@ -115,9 +117,11 @@
         sent_at = self._clock.now()
         document = {
             'incarnation': self.incarnation,
-            'address': self._inner_address,
+            'address': self._own.address,
             'operators': self.operator_address,
+            'zone': self._own.zone,
             'configuration': self.configuration_version,
+            'agents': self.lowest_agent_version,
         }
         self._store.commit(
             Transaction(
@@ -192,10 +196,15 @@
         for row in rows:
             self._note(row)
         registered = [row for row in rows if _is_registered(row)]
-        self.address_by_entry = {
-            row.key.removeprefix(_ENTRIES): row.document['address']
+        self.members = tuple(
+            EntryMember(
+                row.key.removeprefix(_ENTRIES),
+                row.document['address'],
+                row.document['zone'],
+            )
             for row in registered
-        }
+            if not self.is_stale(row)
+        )
         self.version_by_entry = {
             row.key.removeprefix(_ENTRIES): row.document['configuration']
             for row in registered
@@ -205,6 +214,10 @@
             for row in registered
             if not self.is_stale(row)
         }
+        self.agent_version_by_entry = {
+            row.key.removeprefix(_ENTRIES): row.document['agents']
+            for row in registered
+        }
         self._forget_ended(rows)
         done(rows)
 
--- a/hyssopring/leases/shards.py
+++ b/hyssopring/leases/shards.py
@@ -22,6 +22,7 @@
     entry_key,
 )
 from hyssopring.logs import Event, log_event
+from hyssopring.protocol.messages import EntryMember
 from hyssopring.store.rows import (
     Check,
     Committed,
@@ -60,8 +61,7 @@
         self,
         clock: Clock,
         store: Store,
-        entry_id: str,
-        inner_address: str,
+        own: EntryMember,
         on_acquired: Callable[[HeldShard], None],
         on_lost: Callable[[int], None],
         settings: ShardSettings = ShardSettings(),
@@ -69,18 +69,18 @@
         """Take the ports; nothing is held until the table says so."""
         self._clock = clock
         self._store = store
-        self._entry_id = entry_id
+        self._entry_id = own.entry_id
         self._on_acquired = on_acquired
         self._on_lost = on_lost
         self._settings = settings
         self._is_busy = False
         self._is_released = False
+        self._holders: tuple[str, ...] = ()
         self._held_by_shard: dict[int, HeldShard] = {}
         self._registry = EntryRegistry(
             clock,
             store,
-            entry_id,
-            inner_address,
+            own,
             settings,
             lambda: self._lose_all('deposed'),
         )
@@ -95,29 +95,15 @@
         """Whether this entry's leases are good at this moment."""
         return self._registry.is_valid
 
-    @property
-    def entry_addresses(self) -> tuple[str, ...]:
-        """Inner addresses of the entries that the table lists."""
-        return tuple(sorted(self._registry.address_by_entry.values()))
-
     @property
     def registry(self) -> EntryRegistry:
-        """The entries that the table lists."""
+        """The entries that the table lists, and what each says of itself."""
         return self._registry
 
     @property
-    def version_by_entry(self) -> Mapping[str, int]:
-        """The configuration version that each listed entry has in force."""
-        return self._registry.version_by_entry
-
-    @property
-    def configuration_version(self) -> int:
-        """The version that this entry tells the others."""
-        return self._registry.configuration_version
-
-    @configuration_version.setter
-    def configuration_version(self, version: int) -> None:
-        self._registry.configuration_version = version
+    def holders(self) -> tuple[str, ...]:
+        """The id of each shard's holder, as last read; empty if unknown."""
+        return self._holders
 
     def held(self) -> list[HeldShard]:
         """Return the shards held with a valid lease."""
@@ -174,6 +160,10 @@
         if answer.is_err() or not self.is_valid or self._is_released:
             return
         row_by_key = {row.key: row for row in answer.unwrap()}
+        self._holders = tuple(
+            _holder_id(row_by_key.get(shard_key(shard)))
+            for shard in range(self._settings.shards)
+        )
         live = sum(self._registry.is_live(row) for row in entries)
         share = -(-self._settings.shards // max(live, 1))
         if len(self._held_by_shard) > share:
@@ -292,6 +282,10 @@
             self._on_lost(shard)
 
 
+def _holder_id(row: Row | None) -> str:
+    return str(row.document['holder']) if row else ''
+
+
 def _holder(row: Row | None, entry_by_key: Mapping[str, Row]) -> Row | None:
     """Return the row of a shard's holder; version 0 if there is none."""
     if row is None or not row.document['holder']:
--- a/hyssopring/membership/__init__.py
+++ b/hyssopring/membership/__init__.py
@@ -1,5 +1,18 @@
 """Who is there: connected agents, their backend servers, and entries."""
 
+from hyssopring.membership.directory import EntryDirectory
 from hyssopring.membership.fleet import AgentRecord, BackendView, Fleet
+from hyssopring.membership.incarnations import IncarnationGuard
+from hyssopring.membership.pace import beat_interval, silence_limit
+from hyssopring.membership.roster import EntryRoster
 
-__all__ = ('AgentRecord', 'BackendView', 'Fleet')
+__all__ = (
+    'AgentRecord',
+    'BackendView',
+    'EntryDirectory',
+    'EntryRoster',
+    'Fleet',
+    'IncarnationGuard',
+    'beat_interval',
+    'silence_limit',
+)
--- /dev/null
+++ b/hyssopring/membership/directory.py
@@ -0,0 +1,286 @@
+"""How an agent finds the entries, and which it keeps connections to.
+
+Seeds from the settings come first; one of them may be the platform's
+balancer, behind which each connection lands on some entry. Every connected
+entry sends its list. The lists of all connected entries are put together;
+when no entry is left, the last lists are kept, so that agents outlive the
+replacement of all entries, also while the table service is down. Fresh
+entries that could not register then are found through the seeds, and each
+agent tells its other entries of them.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import Final, Iterable, Sequence
+
+from hyssopring.clock import Clock
+from hyssopring.membership.subset import FULL_MESH, choose_entries
+from hyssopring.protocol.messages import EntryMember
+
+__all__ = ('EntryDirectory',)
+
+_REDIAL_MIN_MS: Final = 200.0
+_REDIAL_MAX_MS: Final = 3000.0
+# With many entries the agents of one that comes back are many, too.
+_REDIAL_MAX_LARGE_MS: Final = 10_000.0
+_REFUSED_MIN_MS: Final = 15_000.0
+_REFUSED_MAX_MS: Final = 45_000.0
+# Seeds are dialled again in this time, sooner while an entry is missing.
+_SEED_MS: Final = 30_000.0
+_SEED_HASTE_MS: Final = 3000.0
+# An entry that has not answered for this long is replaced in the subset.
+_DOWN_MS: Final = 5000.0
+_FORGET_MS: Final = 600_000.0
+_TELL_MS: Final = 10_000.0
+
+
+@dataclass(slots=True)
+class _Address:
+    """What is known of one address.
+
+    Attributes:
+        entry_id: The entry at its other end while connected.
+        failing_since: When it first failed in a row, None if it did not.
+    """
+
+    address: str
+    next_at: float
+    entry_id: str = ''
+    is_dialling: bool = False
+    attempts: int = 0
+    failing_since: float | None = None
+
+
+class EntryDirectory:
+    """The entries that one agent knows, wants and is connected to."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        agent_id: str,
+        seeds: Sequence[str],
+        rng: random.Random,
+        size: int = FULL_MESH,
+    ) -> None:
+        """Know only the seeds; ``rng`` spreads the dialling over time.
+
+        Args:
+            clock: The process's clock.
+            agent_id: The subset follows from it.
+            seeds: Addresses from the settings.
+            rng: Seeded by the caller.
+            size: How many entries to connect to.
+        """
+        self._size = size
+        self._clock = clock
+        self._agent_id = agent_id
+        self._seeds = tuple(seeds)
+        self._rng = rng
+        self._address_by_text: dict[str, _Address] = {}
+        self._members_by_source: dict[str, tuple[EntryMember, ...]] = {}
+        self._kept: tuple[EntryMember, ...] = ()
+        self._told_by_source: dict[str, set[str]] = {}
+        self._told_at: float = 0
+        self._holders: tuple[str, ...] = ()
+        self._pinned: frozenset[int] = frozenset()
+
+    @property
+    def members(self) -> tuple[EntryMember, ...]:
+        """All entries known, from the lists of those connected."""
+        lists = list(self._members_by_source.values())
+        found = {member for each in lists for member in each} or self._kept
+        return tuple(sorted(found, key=lambda member: member.entry_id))
+
+    @property
+    def connected(self) -> tuple[str, ...]:
+        """Ids of the connected entries."""
+        return tuple(
+            known.entry_id
+            for known in self._address_by_text.values()
+            if known.entry_id
+        )
+
+    def learn(
+        self,
+        source: str,
+        members: tuple[EntryMember, ...],
+        holders: tuple[str, ...],
+    ) -> None:
+        """Take the list of a connected entry."""
+        if source not in self.connected:
+            return
+        self._members_by_source[source] = members
+        self._kept = self.members
+        self._holders = holders or self._holders
+
+    def pin(self, shards: Iterable[int]) -> None:
+        """Keep a connection to the holders of these shards.
+
+        The tasks that run here live on their planners' grants; after a
+        takeover the new holder may lie outside the subset.
+        """
+        self._pinned = frozenset(shards)
+
+    def due(self) -> list[str]:
+        """Return the addresses to dial now, and count them as being dialled."""
+        now = self._clock.now()
+        connected = self.connected
+        wanted = [
+            member.address
+            for member in self._targets()
+            if member.entry_id not in connected
+        ]
+        dialled = []
+        for address in dict.fromkeys([*wanted, *self._due_seeds(bool(wanted))]):
+            known = self._known(address)
+            is_idle = not (known.is_dialling or known.entry_id)
+            if is_idle and known.next_at <= now:
+                known.is_dialling = True
+                dialled.append(address)
+        return dialled
+
+    def greets(self, address: str, entry_id: str) -> bool:
+        """Whether to greet the entry found at an address.
+
+        A balancer may lead to an entry that is connected already; greeting
+        it again would end the older connection and the calls on it.
+        """
+        return entry_id not in self.connected
+
+    def opened(self, address: str, entry_id: str) -> None:
+        """An entry has welcomed this agent."""
+        known = self._known(address)
+        known.is_dialling = False
+        known.entry_id = entry_id
+        known.attempts = 0
+        known.failing_since = None
+
+    def closed(self, address: str, is_refused: bool = False) -> None:
+        """A connection has ended, or could not be made."""
+        now = self._clock.now()
+        known = self._known(address)
+        source = known.entry_id
+        known.is_dialling = False
+        known.entry_id = ''
+        known.attempts += 1
+        if known.failing_since is None:
+            known.failing_since = now
+        known.next_at = now + self._pause(known, is_refused)
+        self._members_by_source.pop(source, None)
+        self._told_by_source.pop(source, None)
+        self._forget(now)
+
+    def skipped(self, address: str) -> None:
+        """The address led to an entry that is connected already."""
+        known = self._known(address)
+        known.is_dialling = False
+        known.attempts = 0
+        known.failing_since = None
+        known.next_at = self._clock.now() + self._seed_pause(_SEED_MS)
+
+    def surplus(self) -> list[str]:
+        """Return connected entries to leave: all wanted ones are there."""
+        targets = {member.entry_id for member in self._targets()}
+        connected = set(self.connected)
+        chosen = {member.entry_id for member in self._chosen_of_those_up()}
+        if not chosen or chosen - connected:
+            return []
+        return sorted(connected - targets)
+
+    def to_tell(self) -> dict[str, tuple[EntryMember, ...]]:
+        """Return, by entry, the connected entries that its list lacks.
+
+        Only an entry that this agent is connected to is told of, so that a
+        dead one is not kept alive by hearsay.
+        """
+        now = self._clock.now()
+        if now < self._told_at + _TELL_MS:
+            return {}
+        self._told_at = now
+        connected = self.connected
+        here = [each for each in self.members if each.entry_id in connected]
+        lacking_by_source = {}
+        for source, listed in self._members_by_source.items():
+            told = self._told_by_source.setdefault(source, set())
+            own = {member.entry_id for member in listed} - told
+            lacking = tuple(each for each in here if each.entry_id not in own)
+            told.update(member.entry_id for member in lacking)
+            if lacking:
+                lacking_by_source[source] = lacking
+        return lacking_by_source
+
+    def _targets(self) -> set[EntryMember]:
+        """The subset, a replacement for each that is down, and holders."""
+        members = self.members
+        holders = {
+            holder
+            for shard, holder in enumerate(self._holders)
+            if shard in self._pinned
+        }
+        return {
+            *choose_entries(self._agent_id, members, self._size),
+            *self._chosen_of_those_up(),
+            *(member for member in members if member.entry_id in holders),
+        }
+
+    def _chosen_of_those_up(self) -> tuple[EntryMember, ...]:
+        is_up = [each for each in self.members if not self._is_down(each)]
+        return choose_entries(self._agent_id, is_up, self._size)
+
+    def _is_down(self, member: EntryMember) -> bool:
+        known = self._address_by_text.get(member.address)
+        if known is None or known.failing_since is None:
+            return False
+        return self._clock.now() > known.failing_since + _DOWN_MS
+
+    def _due_seeds(self, is_missing: bool) -> list[str]:
+        """Seeds that are listed entries' addresses count as those."""
+        listed = {member.address for member in self.members}
+        is_missing = is_missing or not self.connected
+        seeds = [seed for seed in self._seeds if seed not in listed]
+        soon = self._clock.now() + _SEED_HASTE_MS
+        for seed in seeds:
+            known = self._known(seed)
+            if is_missing and known.next_at > soon and not known.attempts:
+                known.next_at = soon
+        return seeds
+
+    def _known(self, address: str) -> _Address:
+        if address not in self._address_by_text:
+            self._address_by_text[address] = _Address(
+                address,
+                self._clock.now(),
+            )
+        return self._address_by_text[address]
+
+    def _pause(self, known: _Address, is_refused: bool) -> float:
+        """Spread over time, so that agents do not return in step."""
+        if is_refused:
+            return self._rng.uniform(_REFUSED_MIN_MS, _REFUSED_MAX_MS)
+        is_large = len(self.members) > FULL_MESH
+        highest = _REDIAL_MAX_LARGE_MS if is_large else _REDIAL_MAX_MS
+        ceiling = min(_REDIAL_MIN_MS * 2**known.attempts, highest)
+        return self._rng.uniform(_REDIAL_MIN_MS, ceiling)
+
+    def _seed_pause(self, millis: float) -> float:
+        return self._rng.uniform(millis / 2, millis)
+
+    def _forget(self, now: float) -> None:
+        """Drop what has failed for long and no connected entry lists."""
+        listed = {
+            member.address
+            for each in self._members_by_source.values()
+            for member in each
+        }
+        gone = {
+            known.address
+            for known in self._address_by_text.values()
+            if known.address not in listed
+            and known.failing_since is not None
+            and now >= known.failing_since + _FORGET_MS
+        }
+        for address in gone.difference(self._seeds):
+            self._address_by_text.pop(address)
+        self._kept = tuple(
+            member for member in self._kept if member.address not in gone
+        )
--- a/hyssopring/membership/fleet.py
+++ b/hyssopring/membership/fleet.py
@@ -50,6 +50,7 @@
         generation: Counts connections; messages of older ones are foreign.
         sequence: Of the last heartbeat heard.
         is_suspect: It has not answered a ping in time.
+        beat_ms: How long it may leave between heartbeats.
     """
 
     agent_id: str
@@ -61,6 +62,7 @@
     free: Resources
     configuration_version: int
     heard_at: float
+    beat_ms: float = 1000
     is_stopping: bool = False
     sequence: int = 0
     is_suspect: bool = False
@@ -89,6 +91,20 @@
         """Return a connected agent."""
         return self._agent_by_id.get(agent_id)
 
+    def __len__(self) -> int:
+        """Return how many agents are connected."""
+        return len(self._agent_by_id)
+
+    def lowest_version(self) -> int | None:
+        """Return the lowest configuration version of an agent, if any."""
+        return min(
+            (
+                record.configuration_version
+                for record in self._agent_by_id.values()
+            ),
+            default=None,
+        )
+
     def backends(self, service_name: str) -> list[BackendView]:
         """Return the known backend servers of a service."""
         return self._backends_by_service.get(service_name, [])
--- a/hyssopring/protocol/inner.thrift
+++ b/hyssopring/protocol/inner.thrift
@@ -28,11 +28,17 @@
 struct Welcome {
   1: required string entry_id
   2: required i64 configuration_version
-  3: required list<string> entries
+}
+
+struct EntryMember {
+  1: required string entry_id
+  2: required string address
+  3: required string zone
 }
 
 struct EntryList {
-  1: required list<string> entries
+  1: required list<EntryMember> members
+  2: required list<string> holders
 }
 
 struct Refusal {
@@ -92,6 +98,7 @@
   1: required i64 sequence
   2: required i64 configuration_version
   3: required list<LeaseGrant> grants
+  4: required double next_ms
 }
 
 struct Header {
--- a/hyssopring/protocol/messages.py
+++ b/hyssopring/protocol/messages.py
@@ -18,6 +18,7 @@
     'ConfigurationQuery',
     'ConfigurationUpdate',
     'EntryList',
+    'EntryMember',
     'Header',
     'Heartbeat',
     'HeartbeatAck',
@@ -112,14 +113,28 @@
 
     entry_id: str
     configuration_version: int
-    entries: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryMember:
+    """One entry, and where agents dial it."""
+
+    entry_id: str
+    address: str
+    zone: str
 
 
 @dataclass(frozen=True, slots=True)
 class EntryList:
-    """Inner addresses of all entries, sent when they change."""
+    """Who the entries are, sent when that changes.
+
+    From an entry: all that it knows of, and the id of the entry that holds
+    each shard, by shard number, empty if unknown. From an agent: entries
+    that it is connected to and that the receiver's own list lacks.
+    """
 
-    entries: tuple[str, ...]
+    members: tuple[EntryMember, ...]
+    holders: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,11 +221,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatAck:
-    """Answers the heartbeat with the same sequence number."""
+    """Answers the heartbeat with the same sequence number.
+
+    ``next_ms`` is when the entry wants the next one, unless something new
+    is to be said before.
+    """
 
     sequence: int
     configuration_version: int
     grants: tuple[LeaseGrant, ...]
+    next_ms: float = 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -24,12 +24,12 @@
 from hyssopring.entry.jobs import JobDesk
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.leases import ShardSettings
+from hyssopring.membership import EntryDirectory
 from hyssopring.metrics import Metrics
 from hyssopring.outcomes import CallOutcome
 from hyssopring.placement import LeaseTimes
 from hyssopring.protocol.messages import (
     CallResponse,
-    EntryList,
     Resources,
     Welcome,
 )
@@ -38,6 +38,7 @@
 from standins.worker import Worker
 
 NETWORK_MS = 0.5
+BALANCER = 'balancer'
 STORE_MS = 3.0
 STORE_TIMEOUT_MS = 2000.0
 
@@ -409,6 +410,13 @@
             self,
             self.worker,
             Metrics(),
+            EntryDirectory(
+                clock,
+                self.name,
+                deployment.seeds,
+                random.Random(f'{deployment.seed} {self.name} {incarnation}'),
+                deployment.subset,
+            ),
         )
         loop = deployment.loop
         runs = lambda: self.is_alive  # noqa: E731
@@ -450,12 +458,20 @@
             self.core.tasks.on_listing(self.worker.list())
 
     def _dial(self):
-        for entry in self.deployment.entry_by_name.values():
-            link = self.link_by_entry.get(entry.name)
-            if link is None:
-                if self.deployment.can_dial(self, entry):
-                    Link(self.deployment, entry, self)
-            elif link.heard_by_agent + 2500 < self.deployment.loop.now:
+        directory = self.core.directory
+        for address in directory.due():
+            entry = self.deployment.resolve(address)
+            if entry is None or not self.deployment.can_dial(self, entry):
+                directory.closed(address)
+            elif directory.greets(address, entry.name):
+                Link(self.deployment, entry, self, address)
+            else:
+                directory.skipped(address)
+        for entry_id in self.core.to_leave():
+            self.link_by_entry[entry_id].close()
+        for name, link in list(self.link_by_entry.items()):
+            limit = self.core.sessions.silence_limit(name)
+            if link.heard_by_agent + limit < self.deployment.loop.now:
                 link.close_by_agent()
 
 
@@ -468,8 +484,9 @@
         delay_ms: Added to the network's own delay.
     """
 
-    def __init__(self, deployment, entry, agent):
+    def __init__(self, deployment, entry, agent, address=None):
         self.deployment = deployment
+        self.address = address or entry.name
         self.entry = entry
         self.agent = agent
         self.is_open_at_entry = True
@@ -480,16 +497,20 @@
         self.heard_by_agent = deployment.loop.now
         self._last_at_agent = 0.0
         self._last_at_entry = 0.0
+        self.record = None
+        identity = agent.core.identity
+        hello = identity.hello('', agent.core.configuration.version)
+        if entry.core.refusal(hello) is not None:
+            self.is_open_at_entry = self.is_open_at_agent = False
+            agent.core.directory.closed(self.address, is_refused=True)
+            return
         older = entry.link_by_agent.get(agent.name)
         if older is not None:
             older.close_by_entry()
         entry.link_by_agent[agent.name] = self
         agent.link_by_entry[entry.name] = self
         deployment.links.append(self)
-        identity = agent.core.identity
-        self.record = entry.core.on_hello(
-            identity.hello('', agent.core.configuration.version)
-        )
+        self.record = entry.core.on_hello(hello)
 
     @property
     def is_open(self):
@@ -533,6 +554,7 @@
         self.is_open_at_agent = False
         if self.agent.link_by_entry.get(self.entry.name) is self:
             self.agent.link_by_entry.pop(self.entry.name)
+        self.agent.take(self.agent.core.directory.closed, self.address)
         self.agent.take(self.agent.core.on_disconnected, self.entry.name)
 
     def _end_at_entry(self):
@@ -561,8 +583,9 @@
             return
         self.heard_by_agent = self.deployment.loop.now
         if isinstance(message, Welcome):
+            self.agent.core.directory.opened(self.address, self.entry.name)
             self.agent.core.on_connected(message.entry_id)
-        elif not isinstance(message, EntryList):
+        else:
             self.agent.core.on_message(message, self.entry.name)
 
     def _at_entry(self, message):
@@ -587,6 +610,8 @@
         shard_settings=ShardSettings(shards=4),
         lease_times=LeaseTimes(),
         rate_by_name=None,
+        seeds=None,
+        subset=12,
     ):
         self.loop = Loop()
         self.seed = seed
@@ -597,6 +622,8 @@
         self.links = []
         self.blocked_pairs = set()
         self.rate_by_name = rate_by_name or {}
+        self.subset = subset
+        self.seeds = seeds or [f'entry-{each}' for each in range(entries)]
         self._request_numbers = itertools.count()
         self.entry_by_name = {}
         self.agent_by_name = {}
@@ -619,6 +646,19 @@
         is_blocked = (entry.name, agent.name) in self.blocked_pairs
         return entry.is_alive and not entry.is_paused and not is_blocked
 
+    def resolve(self, address):
+        """The entry at an address; the balancer's leads to any live one."""
+        if address == BALANCER:
+            live = [e for e in self.entry_by_name.values() if e.is_alive]
+            return self.rng.choice(live) if live else None
+        return self.entry_by_name.get(address)
+
+    def add_entry(self, number, zone):
+        """A fresh entry under an id and an address of its own."""
+        entry = EntryNode(self, number, zone)
+        self.entry_by_name[entry.name] = entry
+        return entry
+
     def clock_of(self, name):
         """A process's own clock; ``rate_by_name`` makes it fast or slow."""
         rate = self.rate_by_name.get(name)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,6 +4,7 @@
 from result import Ok
 
 from hyssopring.clock import ManualClock
+from hyssopring.protocol.messages import EntryMember
 from hyssopring.leases import ShardHolder, ShardSettings
 from hyssopring.store.rows import Committed, Conflict, Row
 from standins.table import Table
@@ -138,8 +139,7 @@
         ShardHolder(
             clock,
             store,
-            f'entry-{number}',
-            '',
+            EntryMember(f'entry-{number}', '', ''),
             lambda held: None,
             lambda shard: None,
             ShardSettings(shards=1),
