Requests: silent connections, later outcomes, bounded HTTP

An idempotent call on a connection that had gone silent was noticed after 2.5 s, past most deadlines. A quiet agent with a call is now pinged, and without a pong in 250 ms its idempotent calls go elsewhere as well; it gets no new ones. An unknown outcome carries a link, GET /outcome/<request id>, through any entry; "not run" is passed on only from the last agent. Bodies are bounded while they are read (the library spooled long ones to disk and parsed forms), queries after a bare service name are kept, and headers that a Connection header nominates stay on their hop.

--- a/bench/common.py
+++ b/bench/common.py
@@ -196,7 +196,7 @@
             rng = random.Random(f'{self.seed}-{entry.name}-policy')
             policy = self.policy(self, rng)
             policy.zone = entry.core.identity.zone
-            entry.core.router.selector = policy
+            entry.core.router.sender.selector = policy
             entry.core.router._hedges._selector = policy
 
     def _travel(self, agent_id, entry):
--- a/hyssopring/agent/calls.py
+++ b/hyssopring/agent/calls.py
@@ -166,7 +166,7 @@
         if request_id in self._open_by_id:
             return CallResponse(request_id, CallOutcome.RUNNING.value)
         kept = self._memory.answer(request_id)
-        return kept or _unknown(request_id, 'nothing is remembered')
+        return kept or CallResponse(request_id, CallOutcome.UNSEEN.value)
 
     def _answer_known(
         self,
--- a/hyssopring/entry/callers.py
+++ b/hyssopring/entry/callers.py
@@ -1,41 +1,39 @@
 """The callers' HTTP port (Twisted shell).
 
-A caller sends any method to ``/<team>/<template>/<path>``. Optional headers:
-``Idempotency-Key``, and ``Hyssopring-Deadline-Ms`` to shorten the service's
-deadline. An error answer is JSON with the error kind, whether the request ran
-and when to come back.
+A caller sends any method to ``/<team>/<template>/<path>``. An error answer is
+JSON with the error kind, whether the request ran, when to come back, and where
+to ask when the outcome is unknown: ``GET /outcome/<request id>``. Each answer
+carries the request id.
 """
 
 import json
+import re
 import uuid
 from typing import Any, Callable
 
-from twisted.web.http import Request
+from twisted.web.http import NO_BODY_CODES, Request
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
 from hyssopring.clock import Clock
-from hyssopring.entry.calls import Answer, Call
+from hyssopring.entry.calls import Answer
 from hyssopring.entry.core import EntryCore
+from hyssopring.entry.http import BoundedRequest
+from hyssopring.entry.http_calls import (
+    HttpRequest,
+    call_from_http,
+    end_to_end,
+)
+from hyssopring.entry.inquiries import Inquiry
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.protocol.connection import prove
 from hyssopring.protocol.messages import Header
 
 __all__ = ('CallerResource', 'WaitingCallers', 'write_failure')
 
 _MILLIS_PER_SECOND = 1000
-_SERVICE_PARTS = 2
-# Headers that belong to one hop, not to the message.
-_HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'host',
-        'keep-alive',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
+_OUTCOME = re.compile(rb'/outcome/([0-9a-f]{32})')
+_PROOF_DIGITS = 32
 
 
 def _nothing() -> None:
@@ -45,8 +43,9 @@
 class WaitingCallers:
     """Callers' open HTTP requests by request id."""
 
-    def __init__(self) -> None:
-        """Start with none."""
+    def __init__(self, secret: str) -> None:
+        """Start with none; ``secret`` proves the links to outcomes."""
+        self._secret = secret
         self._request_by_id: dict[str, Request] = {}
         self.on_work: Callable[[], None] = _nothing
 
@@ -64,30 +63,59 @@
         request = self._request_by_id.pop(request_id, None)
         if request is None:
             return
-        request.setHeader('Hyssopring-Request-Id', request_id)
-        if answer.failure is not None:
-            write_failure(request, answer.failure)
-            return
-        request.setResponseCode(answer.status)
-        for header in answer.headers:
-            if header.name.lower() not in _HOP_HEADERS:
-                request.responseHeaders.addRawHeader(header.name, header.text)
+        if answer.failure is None:
+            write_answer(request, answer)
+        else:
+            write_failure(request, answer.failure, self._link(answer))
+
+    def proof(self, request_id: str, agent_id: str) -> str:
+        """Return what shows that this entry made a link."""
+        return prove(self._secret, f'outcome {request_id}', agent_id)[
+            :_PROOF_DIGITS
+        ]
+
+    def _link(self, answer: Answer) -> str:
+        if not answer.ask_agent:
+            return ''
+        link = f'/outcome/{answer.ask_id}?agent={answer.ask_agent}'
+        if not answer.ask_is_final:
+            return link
+        proof = self.proof(answer.ask_id, answer.ask_agent)
+        return f'{link}&proof={proof}'
+
+
+def write_answer(request: Request, answer: Answer) -> None:
+    """Write a backend server's whole answer and finish the request."""
+    request.setResponseCode(answer.status)
+    headers = end_to_end(answer.headers)
+    names = {header.name.lower() for header in headers}
+    for name in names:
+        # The library's own date and server give way to the backend's.
+        request.responseHeaders.removeHeader(name)
+    for header in headers:
+        request.responseHeaders.addRawHeader(
+            header.name.encode('latin-1'),
+            header.text.encode('latin-1'),
+        )
+    has_body = answer.status not in NO_BODY_CODES and request.method != b'HEAD'
+    if has_body:
         request.setHeader('content-length', str(len(answer.body)))
         request.write(answer.body)
-        request.finish()
+    request.finish()
 
 
-def write_failure(request: Request, failure: Failure) -> None:
+def write_failure(request: Request, failure: Failure, link: str = '') -> None:
     """Write an error answer and finish the request."""
     row = failure.answer
-    body = json.dumps(
-        {
-            'error': failure.kind.value,
-            'ran': row.run_state.value,
-            'detail': failure.detail,
-            'retry_after_ms': row.retry_after_ms,
-        }
-    ).encode()
+    document = {
+        'error': failure.kind.value,
+        'ran': row.run_state.value,
+        'detail': failure.detail,
+        'retry_after_ms': row.retry_after_ms,
+    }
+    if link:
+        document['ask'] = link
+    body = json.dumps(document).encode()
     request.setResponseCode(row.status)
     request.setHeader('content-type', 'application/json')
     request.setHeader('content-length', str(len(body)))
@@ -117,55 +145,74 @@
         self._waiting = waiting
         self._default_deadline_ms = default_deadline_ms
 
-    def render(self, request: Request) -> int:
-        """Turn one HTTP request into a call."""
-        path = request.uri.decode('latin-1')
-        parts = path.lstrip('/').split('/', _SERVICE_PARTS)
-        if len(parts) < _SERVICE_PARTS:
-            failure = Failure(ErrorKind.NOT_FOUND, 'use /<team>/<template>/...')
-            write_failure(request, failure)
-            return NOT_DONE_YET
-        service_name = '/'.join(parts[:_SERVICE_PARTS]).partition('?')[0]
-        deadline_ms = self._deadline_ms(request, service_name)
-        if deadline_ms is None:
-            failure = Failure(ErrorKind.MALFORMED, 'Hyssopring-Deadline-Ms')
-            write_failure(request, failure)
+    def render(self, request: BoundedRequest) -> int:
+        """Take one HTTP request."""
+        request_id = uuid.uuid4().hex
+        request.setHeader('Hyssopring-Request-Id', request_id)
+        if request.is_too_large:
+            write_failure(request, Failure(ErrorKind.TOO_LARGE, 'the body'))
             return NOT_DONE_YET
-        rest = parts[_SERVICE_PARTS] if len(parts) > _SERVICE_PARTS else ''
-        call = Call(
-            request_id=uuid.uuid4().hex,
-            service_name=service_name,
-            method=request.method.decode('latin-1'),
-            path=f'/{rest}',
-            headers=_headers_of(request),
-            body=request.content.read(),
-            deadline=self._clock.now() + deadline_ms,
-            key=request.getHeader('idempotency-key') or '',
-        )
-        self._waiting.add(call.request_id, request)
-        request.notifyFinish().addErrback(self._gone, call.request_id)
-        self._core.router.submit(call)
+        asked = _OUTCOME.fullmatch(request.path)
+        if asked is None:
+            self._submit(request, request_id)
+        else:
+            self._inquire(request, request_id, asked[1].decode())
         return NOT_DONE_YET
 
-    def _deadline_ms(self, request: Request, service: str) -> float | None:
-        policy = self._core.configuration.policy(service)
-        allowed = policy.deadline_ms if policy else self._default_deadline_ms
-        asked = request.getHeader('hyssopring-deadline-ms')
-        if asked is None:
-            return allowed
-        if not asked.isdigit() or not int(asked):
-            return None
-        return min(float(asked), allowed)
+    def _submit(self, request: BoundedRequest, request_id: str) -> None:
+        call = call_from_http(
+            _http_request(request),
+            request_id,
+            self._clock.now(),
+            self._allowed_ms,
+        )
+        if call.is_err():
+            write_failure(request, call.unwrap_err())
+            return
+        self._wait(request, request_id)
+        self._core.router.submit(call.unwrap())
+
+    def _inquire(
+        self,
+        request: BoundedRequest,
+        request_id: str,
+        subject: str,
+    ) -> None:
+        agent_id = _argument(request, b'agent')
+        expected = self._waiting.proof(subject, agent_id)
+        is_final = _argument(request, b'proof') == expected
+        self._wait(request, request_id)
+        self._core.router.inquire(
+            Inquiry(subject, agent_id, is_final),
+            lambda answer: self._waiting.answer(request_id, answer),
+        )
+
+    def _wait(self, request: BoundedRequest, request_id: str) -> None:
+        self._waiting.add(request_id, request)
+        request.notifyFinish().addErrback(self._gone, request_id)
+
+    def _allowed_ms(self, service_name: str) -> float:
+        policy = self._core.configuration.policy(service_name)
+        return policy.deadline_ms if policy else self._default_deadline_ms
 
     def _gone(self, _reason: Any, request_id: str) -> None:
         self._waiting.discard(request_id)
         self._core.router.forget(request_id)
 
 
-def _headers_of(request: Request) -> tuple[Header, ...]:
-    return tuple(
+def _http_request(request: BoundedRequest) -> HttpRequest:
+    headers = tuple(
         Header(name.decode('latin-1'), text.decode('latin-1'))
         for name, texts in request.requestHeaders.getAllRawHeaders()
-        if name.decode('latin-1').lower() not in _HOP_HEADERS
         for text in texts
     )
+    return HttpRequest(
+        request.method,
+        request.uri,
+        headers,
+        request.content.read(),
+    )
+
+
+def _argument(request: BoundedRequest, name: bytes) -> str:
+    return request.args.get(name, [b''])[0].decode('latin-1')
--- a/hyssopring/entry/calls.py
+++ b/hyssopring/entry/calls.py
@@ -46,6 +46,7 @@
     Attributes:
         ask_agent: When the outcome is unknown, the agent to ask later.
         ask_id: And the id under which it knows the call.
+        ask_is_final: Whether nobody else could have run it.
     """
 
     status: int
@@ -54,6 +55,7 @@
     failure: Failure | None = None
     ask_agent: str = ''
     ask_id: str = ''
+    ask_is_final: bool = False
 
 
 class AttemptPhase(enum.Enum):
@@ -154,6 +156,11 @@
     moves: int = 0
     last_attempt: Attempt | None = None
 
+    def is_only_at(self, attempt: Attempt) -> bool:
+        """Whether no other attempt than this one may have run the call."""
+        is_own = attempt.request_id == self.call.request_id
+        return is_own and not self.idempotent
+
     def is_claimed_for(self, incarnation: str) -> bool:
         """Whether the call may be sent to this run of an agent."""
         if self.idempotent or not self.call.key:
--- a/hyssopring/entry/claims.py
+++ b/hyssopring/entry/claims.py
@@ -134,6 +134,11 @@
         self._probed_at: float = 0
         self.is_down = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a commit may hang, or an outage may end."""
+        return bool(self._in_flight) or self.is_down
+
     def insert(
         self,
         service_name: str,
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -178,15 +178,20 @@
         self.router.on_disconnect(record)
         self.planner.on_disconnected(record.agent_id)
 
-    @singledispatchmethod
     def on_message(self, message: Message, record: AgentRecord) -> None:
-        """Take one message from an agent; others than these are ignored."""
+        """Take one message from an agent."""
+        self.router.liveness.heard(record)
+        self._take(message, record)
+
+    @singledispatchmethod
+    def _take(self, message: Message, record: AgentRecord) -> None:
+        """Messages of other kinds than these say only that it lives."""
 
-    @on_message.register
+    @_take.register
     def _on_response(self, message: CallResponse, record: AgentRecord) -> None:
         self.router.on_response(record, message)
 
-    @on_message.register
+    @_take.register
     def _on_heartbeat(self, message: Heartbeat, record: AgentRecord) -> None:
         self._invariants.check(
             message.configuration_version >= record.configuration_version,
@@ -206,11 +211,11 @@
         )
         self._links.send(record.agent_id, ack)
 
-    @on_message.register
+    @_take.register
     def _on_report(self, message: TaskReport, record: AgentRecord) -> None:
         self.planner.on_report(record, message)
 
-    @on_message.register
+    @_take.register
     def _on_configuration_query(
         self,
         message: ConfigurationQuery,
@@ -219,7 +224,7 @@
         update = self.configuration.update_since(message.version)
         self._links.send(record.agent_id, update)
 
-    @on_message.register
+    @_take.register
     def _on_update(
         self,
         message: ConfigurationUpdate,
@@ -227,7 +232,7 @@
     ) -> None:
         self.configuration_keeper.adopt(message)
 
-    @on_message.register
+    @_take.register
     def _on_entry_list(self, message: EntryList, record: AgentRecord) -> None:
         self._roster.heard(message.members)
 
@@ -246,9 +251,9 @@
 
     def drop_silent(self) -> None:
         """Abort connections on which nothing was heard for too long."""
-        now = self._clock.now()
         for record in self.fleet.agents:
-            if now - record.heard_at > silence_limit(record.beat_ms):
+            quiet = self.router.liveness.quiet_ms(record)
+            if quiet > silence_limit(record.beat_ms):
                 log_event(Event.CONNECTION_SILENT, agent=record.agent_id)
                 self._links.drop(record.agent_id)
 
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -12,6 +12,7 @@
 from hyssopring.entry.callers import CallerResource, WaitingCallers
 from hyssopring.entry.core import EntryCore, EntryIdentity
 from hyssopring.entry.decisions import DecisionLog
+from hyssopring.entry.http import bounded_site
 from hyssopring.entry.jobs import JobDesk
 from hyssopring.entry.links import AgentLinks
 from hyssopring.entry.operators import OperatorResource
@@ -51,7 +52,7 @@
         self._settings = settings
         self._clock = clock or MonotonicClock()
         self._links = AgentLinks(self._clock, settings.inner_secret)
-        self._waiting = WaitingCallers()
+        self._waiting = WaitingCallers(settings.inner_secret)
         self._store = StoreClient(
             reactor,
             self._clock,
@@ -72,7 +73,7 @@
             reactor,
             _TICK_S,
             self.core.expire_calls,
-            lambda: bool(self.core.router.pending),
+            lambda: self.core.router.is_busy,
         ).wake
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
@@ -93,7 +94,10 @@
             settings.default_deadline_ms,
         )
         self._listen(settings.inner_address, self._links)
-        self._listen(settings.caller_address, QuietSite.from_resource(callers))
+        self._listen(
+            settings.caller_address,
+            bounded_site(callers, settings.max_body_bytes),
+        )
         self._listen(
             settings.operator_address,
             QuietSite.from_resource(self._operators),
--- a/hyssopring/entry/doubt.py
+++ b/hyssopring/entry/doubt.py
@@ -28,7 +28,7 @@
 class Resender(Protocol):
     """Sends a call again; the router."""
 
-    def resend(self, pending: PendingCall) -> bool:
+    def rescue(self, pending: PendingCall) -> bool:
         """Send to another agent; False if there is none or no time left."""
 
     def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
@@ -87,7 +87,7 @@
             for attempt in tuple(pending.attempts):
                 if attempt.is_from(record):
                     attempt.change(AttemptPhase.LOST, 0, now)
-                    self._rescue(pending, attempt)
+                    self._rescue_from(pending, attempt)
 
     def on_connect(self, record: AgentRecord) -> None:
         """Ask an agent that is back about the calls that are in doubt."""
@@ -99,9 +99,12 @@
                     self._returned(pending, attempt, record)
 
     def tick(self) -> None:
-        """Give up the calls whose agent has stayed away."""
+        """Rescue calls from silence; give up those whose agent is gone."""
         now = self._clock.now()
         for pending in self._calls:
+            if self._is_cut_off(pending):
+                # Its own attempts stay open: the first answer counts.
+                self._rescue(pending)
             for attempt in tuple(pending.attempts):
                 if attempt.phase is AttemptPhase.LOST:
                     self._expire(pending, attempt, now)
@@ -118,9 +121,26 @@
         if now - attempt.changed_at > RETURN_MS:
             self._hopeless(pending, attempt, 'has stayed away')
 
-    def _rescue(self, pending: PendingCall, attempt: Attempt) -> None:
-        if pending.idempotent and self._resender.resend(pending):
-            self._calls.close_attempt(pending, attempt, may_have_run=True)
+    def _rescue_from(self, pending: PendingCall, lost: Attempt) -> None:
+        if self._rescue(pending):
+            self._calls.close_attempt(pending, lost, may_have_run=True)
+
+    def _is_cut_off(self, pending: PendingCall) -> bool:
+        """Whether no agent that has the call can be heard."""
+        return bool(pending.attempts) and not any(
+            self._is_heard(attempt) for attempt in pending.attempts
+        )
+
+    def _is_heard(self, attempt: Attempt) -> bool:
+        record = self._fleet.agent(attempt.agent_id)
+        return (
+            record is not None
+            and attempt.is_from(record)
+            and not record.is_suspect
+        )
+
+    def _rescue(self, pending: PendingCall) -> bool:
+        return pending.idempotent and self._resender.rescue(pending)
 
     def _returned(
         self,
@@ -160,7 +180,7 @@
         self._calls.close_attempt(pending, attempt, may_have_run=True)
         if pending.attempts:
             return
-        if pending.idempotent and self._resender.resend(pending):
+        if pending.idempotent and self._resender.rescue(pending):
             return
         self._calls.fail(
             pending,
--- a/hyssopring/entry/pending.py
+++ b/hyssopring/entry/pending.py
@@ -153,6 +153,7 @@
                 answer,
                 ask_agent=last.agent_id,
                 ask_id=last.request_id,
+                ask_is_final=pending.is_only_at(last),
             )
         self.finish(pending, answer)
         if is_certain:
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -8,7 +8,6 @@
 """
 
 import random
-from dataclasses import replace
 
 from hyssopring.clock import Clock
 from hyssopring.configuration import ConfigurationState
@@ -23,23 +22,26 @@
 from hyssopring.entry.claims import ClaimTable
 from hyssopring.entry.doubt import Doubts
 from hyssopring.entry.hedges import Hedges
+from hyssopring.entry.inquiries import (
+    RUNNING,
+    AnswerCallback,
+    Inquiries,
+    Inquiry,
+)
 from hyssopring.entry.keyed import KeyedCalls
+from hyssopring.entry.liveness import Liveness
 from hyssopring.entry.pending import PendingCalls
+from hyssopring.entry.sending import CallSender
 from hyssopring.errors import ErrorKind, Failure
-from hyssopring.invariants import Invariants
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord, Fleet
 from hyssopring.metrics import Metrics
 from hyssopring.outcomes import CallOutcome
 from hyssopring.protocol.messages import CallRequest, CallResponse, CancelCall
-from hyssopring.routing import Admission, BackendSelector, Choice, SendBudget
+from hyssopring.routing import Admission, BackendSelector, Choice
 
 __all__ = ('CallRouter',)
 
-_MAX_ATTEMPTS = 3
-# With less than this left of the caller's time a retry is no help.
-_MIN_RETRY_MS = 10.0
-
 
 class CallRouter:
     """Routes calls; one instance per entry, driven by one thread."""
@@ -62,24 +64,47 @@
         self._configuration = configuration
         self._links = links
         self._metrics = metrics
-        self._invariants = Invariants(metrics)
         self.admission = Admission(clock, configuration)
-        self.selector = BackendSelector(zone, rng)
-        self._budget = SendBudget()
         self._calls = PendingCalls(clock, callers, metrics, rng)
-        self._doubts = Doubts(clock, fleet, self._calls, links, self)
+        self.sender = CallSender(
+            clock,
+            fleet,
+            self._calls,
+            links,
+            BackendSelector(zone, rng),
+            metrics,
+        )
+        self._doubts = Doubts(clock, fleet, self._calls, links, self.sender)
+        self.liveness = Liveness(
+            clock,
+            fleet,
+            self._calls,
+            links,
+            metrics,
+        )
+        self._inquiries = Inquiries(clock, fleet, links)
         self._claims = claims
-        self._keyed = KeyedCalls(self._calls, claims, self._doubts, self)
+        self._keyed = KeyedCalls(
+            self._calls,
+            claims,
+            self._doubts,
+            self.sender,
+        )
         self._hedges = Hedges(
             clock,
             self._calls,
             self.selector,
             links,
-            self,
+            self.sender,
             metrics,
         )
         self._is_stopping = False
 
+    @property
+    def selector(self) -> BackendSelector:
+        """What chooses the backend servers."""
+        return self.sender.selector
+
     @property
     def pending(self) -> int:
         """How many calls have not had their answer."""
@@ -138,7 +163,7 @@
         )
         pending = PendingCall(call, request, policy.idempotent, now)
         self._calls.add(pending)
-        choice = self.choose(pending)
+        choice = self.sender.choose(pending)
         if choice is None:
             self._calls.fail(
                 pending,
@@ -147,6 +172,15 @@
             return
         self._admit(pending, choice)
 
+    def inquire(self, inquiry: Inquiry, done: AnswerCallback) -> None:
+        """Ask what became of a request; see ``Inquiries``."""
+        request_id = inquiry.request_id
+        is_own = self._calls.get(request_id) is not None
+        if is_own or self._calls.waiting_for(request_id):
+            done(RUNNING)
+        else:
+            self._inquiries.ask(inquiry, done)
+
     def forget(self, request_id: str) -> None:
         """The caller has gone: drop the call if it has not started."""
         pending = self._calls.get(request_id)
@@ -158,13 +192,17 @@
         """Take an agent's answer for a call or an outcome query."""
         self.selector.heard(record, response, self._clock.now())
         request_id = response.request_id
+        outcome = CallOutcome.from_wire(response.outcome)
         is_awaited = False
-        for pending in self._calls.waiting_for(request_id):
+        is_final = outcome not in {CallOutcome.RUNNING, CallOutcome.UNSEEN}
+        waiting = self._calls.waiting_for(request_id) if is_final else ()
+        for pending in waiting:
             attempt = pending.attempt_on(record, request_id)
             if attempt is not None:
                 is_awaited = True
-                self._settle(pending, attempt, response)
-        if not is_awaited:
+                self._settle(pending, attempt, response, outcome)
+        is_inquired = self._inquiries.on_response(record, response)
+        if not (is_awaited or is_inquired):
             log_event(
                 Event.LATE_ANSWER_DROPPED,
                 request=request_id,
@@ -191,71 +229,18 @@
                     pending,
                     Failure(ErrorKind.DEADLINE, 'the deadline has passed'),
                 )
+        self.liveness.tick()
         self._doubts.tick()
+        self._inquiries.tick()
         self._claims.tick()
         self._hedges.tick()
 
-    def resend(self, pending: PendingCall) -> bool:
-        """Send to another agent; False if there is none or no time left."""
-        left = pending.call.deadline - self._clock.now()
-        if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
-            return False
-        choice = self.choose(pending)
-        if choice is None or not self._budget.take():
-            return False
-        log_event(
-            Event.REQUEST_RETRIED,
-            request=pending.call.request_id,
-            tried=pending.sent_count,
-        )
-        self._metrics.count('retries_total')
-        self.dispatch(pending, choice)
-        return True
-
-    def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
-        """Send again to the run of the agent that may already have it."""
-        self._links.send(attempt.agent_id, self._request(pending))
-
-    def choose(self, pending: PendingCall) -> Choice | None:
-        """Return a backend that the call has not been sent to."""
-        candidates = [
-            view
-            for view in self._fleet.backends(pending.call.service_name)
-            if view.agent.incarnation not in pending.tried
-        ]
-        now = self._clock.now()
-        return self.selector.choose(candidates, now)
-
-    def is_open(self, choice: Choice) -> bool:
-        """Whether the chosen backend may still be sent to."""
-        record = choice.backend.agent
-        is_connected = self._fleet.agent(record.agent_id) is record
-        return is_connected and choice.backend.is_routable
-
-    def dispatch(self, pending: PendingCall, choice: Choice) -> None:
-        """Send the call; a keyed one only under its own claim."""
-        agent_run = choice.backend.agent.incarnation
-        if not self._invariants.check(
-            pending.is_claimed_for(agent_run),
-            'a keyed request runs only where its claim says',
-            pending.call.request_id,
-        ):
-            return
-        attempt = self._calls.open_attempt(pending, choice.backend)
-        log_event(
-            Event.REQUEST_ROUTED,
-            request=pending.call.request_id,
-            service=pending.call.service_name,
-            agent=attempt.agent_id,
-            attempt=pending.sent_count,
-            why=choice.why,
-        )
-        self.selector.sent(
-            choice.backend,
-            pending.call.request_id,
-            attempt.sent_at,
+    @property
+    def is_busy(self) -> bool:
+        """Whether anything waits that ``tick`` must look after."""
+        return bool(
+            self._calls or self._inquiries.is_busy or self._claims.is_busy,
         )
-        self._links.send(attempt.agent_id, self._request(pending))
 
     def _admit(self, pending: PendingCall, choice: Choice) -> None:
         request = pending.request
@@ -270,25 +255,17 @@
         if pending.call.key and not pending.idempotent:
             self._keyed.claim(pending, choice)
             return
-        self.dispatch(pending, choice)
-
-    def _request(self, pending: PendingCall) -> CallRequest:
-        left = pending.call.deadline - self._clock.now()
-        return replace(
-            pending.request,
-            budget_ms=left,
-            after=pending.attempts[-1].after,
-        )
+        self.sender.dispatch(pending, choice)
 
     def _settle(
         self,
         pending: PendingCall,
         attempt: Attempt,
         response: CallResponse,
+        outcome: CallOutcome,
     ) -> None:
-        outcome = CallOutcome.from_wire(response.outcome)
         if outcome is CallOutcome.ANSWERED:
-            self._budget.succeeded()
+            self.sender.succeeded()
             self._calls.finish(
                 pending,
                 Answer(response.status, response.headers, response.body),
@@ -308,7 +285,7 @@
             self._keyed.move(pending, failure)
             return
         may_repeat = not_run or pending.idempotent
-        if not (may_repeat and self.resend(pending)):
+        if not (may_repeat and self.sender.resend(pending)):
             self._calls.fail(pending, failure)
 
     def _cancel(self, pending: PendingCall) -> None:
--- a/hyssopring/outcomes.py
+++ b/hyssopring/outcomes.py
@@ -9,7 +9,8 @@
     """Outcome of a call, in ``CallResponse.outcome``.
 
     NOT_RUN is final: the agent refuses a late copy of the request for good.
-    RUNNING, also while it waits for a slot, is said only to a look (``peek``).
+    RUNNING (also while it waits for a slot) and UNSEEN settle nothing; they
+    are said only to a look (``peek``).
     """
 
     ANSWERED = 'answered'
@@ -17,6 +18,7 @@
     FAILED = 'failed'
     UNKNOWN = 'unknown'
     RUNNING = 'running'
+    UNSEEN = 'unseen'
 
     @classmethod
     def from_wire(cls, text: str) -> 'CallOutcome':
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,217 @@
+"""The request path when connections, agents and entries fail."""
+
+import pytest
+from support import booking_deployment, kind_of, ran_at, runs_of
+
+from hyssopring.entry.inquiries import Inquiry
+from hyssopring.protocol.messages import CallResponse, OutcomeQuery
+
+
+def book(deployment, ms=20, body=b'ana', budget=2000.0, entry=0):
+    return deployment.call(entry, 'trust/booking', f'/?ms={ms}', body, budget)
+
+
+def started(deployment, **options):
+    """A call that has just started, its agent and the link that it took."""
+    request_id = book(deployment, **options)
+    deployment.run(5)
+    (agent,) = ran_at(deployment, request_id)
+    return request_id, agent, deployment.entry(0).link_by_agent[agent.name]
+
+
+def number_of(agent):
+    return int(agent.name.rpartition('-')[2])
+
+
+@pytest.mark.parametrize('ms', [0, 500, 990])
+def test_idempotent_call_on_a_silent_connection_is_answered_in_time(ms):
+    """A reader looks up a page; something in between has lost track of the
+    connection. It is noticed after 2.5 s, half a second past the deadline."""
+    deployment = booking_deployment(idempotent=True)
+    for agent in list(deployment.agent_by_name.values())[1:]:
+        deployment.entry(0).link_by_agent[agent.name].is_silent = True
+    deployment.run(ms)
+    asked = [book(deployment, budget=1000.0) for _ in range(6)]
+    deployment.run(600)
+    assert [kind_of(deployment, each) for each in asked] == ['none'] * 6
+
+
+def test_suspect_connection_gets_no_new_calls():
+    deployment = booking_deployment()
+    request_id, agent, link = started(deployment, ms=1500)
+    link.is_silent = True
+    deployment.run(600)
+    later = [book(deployment) for _ in range(30)]
+    deployment.run(100)
+    assert {kind_of(deployment, each) for each in later} == {'none'}
+    deployment.run(3000)
+    assert (
+        any(book(deployment) and ran for ran in [deployment.run(20)] * 0)
+        is False
+    )
+    fresh = [book(deployment) for _ in range(30)]
+    deployment.run(100)
+    assert agent in [ran_at(deployment, each)[0] for each in fresh]
+
+
+def test_booking_whose_connection_is_cut_gets_its_own_answer():
+    """The connection breaks while the booking runs. Sent again it is doubled;
+    given up the family travels for nothing."""
+    deployment = booking_deployment()
+    request_id, agent, link = started(deployment, ms=300)
+    link.close()
+    deployment.run(1000)
+    assert deployment.answer(request_id).body == b'echo:ana'
+    assert runs_of(deployment, request_id) == 1
+
+
+def test_booking_that_never_arrived_is_sent_elsewhere():
+    """The connection is cut with the booking on the wire; asked, the agent
+    has never seen it, so it did not run and may go to another."""
+    deployment = booking_deployment()
+    links = list(deployment.entry(0).link_by_agent.values())
+    for link in links:
+        link.is_silent_to_agent = True
+    request_id = book(deployment)
+    deployment.run(5)
+    for link in links:
+        (view,) = link.record.backend_by_id.values()
+        link.is_silent_to_agent = False
+        if view.in_flight:
+            link.close()
+    deployment.run(1000)
+    assert deployment.answer(request_id).body == b'echo:ana'
+    assert runs_of(deployment, request_id) == 1
+
+
+def test_restarted_agent_makes_the_outcome_unknown_at_once():
+    """The agent dies with a running booking. Its successor has never seen it;
+    believed, it would be booked again; waited for, the caller learns nothing
+    until its deadline."""
+    deployment = booking_deployment()
+    request_id, agent, _ = started(deployment, ms=1900, budget=9000.0)
+    deployment.kill_agent(number_of(agent))
+    deployment.restart_agent(number_of(agent))
+    deployment.run(800)
+    answer = deployment.answer(request_id)
+    assert answer.failure.kind.value == 'outcome-unknown'
+    assert (answer.ask_agent, answer.ask_id) == (agent.name, request_id)
+    assert runs_of(deployment, request_id) == 1
+
+
+def test_agent_that_stays_away_is_not_waited_for_until_the_deadline():
+    deployment = booking_deployment()
+    request_id, agent, _ = started(deployment, ms=100, budget=60_000.0)
+    deployment.kill_agent(number_of(agent))
+    deployment.run(4000)
+    assert kind_of(deployment, request_id) is None
+    deployment.run(1200)
+    assert kind_of(deployment, request_id) == 'outcome-unknown'
+
+
+def test_late_answer_is_dropped_and_may_be_asked_for():
+    deployment = booking_deployment()
+    request_id, agent, _ = started(deployment, ms=900, budget=300.0)
+    deployment.run(500)
+    assert kind_of(deployment, request_id) == 'outcome-unknown'
+    said = []
+    ask = Inquiry(request_id, agent.name, is_final=True)
+    deployment.entry(1).core.router.inquire(ask, said.append)
+    deployment.run(1000)
+    deployment.entry(1).core.router.inquire(ask, said.append)
+    deployment.run(10)
+    assert [answer.status for answer in said] == [202, 200]
+    assert said[1].body == b'echo:ana'
+    assert deployment.entry(0).core.metrics.counter('late_answers_total') == 1
+
+
+def test_not_run_is_passed_on_by_the_right_agent_only():
+    """A caller asks an agent that refused its booking, while another one ran
+    it; "not run" would make the caller book again."""
+    deployment = booking_deployment()
+    refusing = deployment.agent(0)
+    refusing.core.calls.on_query('entry-0', OutcomeQuery('r'))
+    said = []
+    for is_final in (False, True):
+        inquiry = Inquiry('r', refusing.name, is_final)
+        deployment.entry(1).core.router.inquire(inquiry, said.append)
+        deployment.run(10)
+    states = [answer.failure.answer.run_state.value for answer in said]
+    assert states == ['unknown', 'not-run']
+
+
+def test_refusal_after_a_failed_attempt_is_not_passed_on_as_not_run():
+    """One backend server dies with the page half made, the next agent refuses
+    the repeat; its "not run" says nothing of the first."""
+    deployment = booking_deployment(idempotent=True)
+    request_id, agent, _ = started(deployment, ms=500)
+    for other in deployment.agent_by_name.values():
+        if other is not agent:
+            other.core.calls.stop()
+    (backend,) = agent.backend_by_name.values()
+    backend.kill()
+    deployment.run(50)
+    answer = deployment.answer(request_id)
+    assert answer.failure.answer.run_state.value != 'not-run'
+
+
+def test_answer_of_another_connection_reaches_nobody():
+    """An answer comes under a request's id from an agent that was not sent
+    it, or on its agent's older connection."""
+    deployment = booking_deployment()
+    request_id, agent, link = started(deployment, ms=300)
+    core = deployment.entry(0).core
+    foreign = CallResponse(request_id, 'answered', 200, body=b'foreign')
+    for record in core.fleet.agents:
+        if record.agent_id != agent.name:
+            core.on_message(foreign, record)
+    old = link.record
+    link.close()
+    deployment.run(310)
+    core.router.on_response(old, foreign)
+    deployment.run(500)
+    assert deployment.answer(request_id).body == b'echo:ana'
+
+
+def test_callers_that_fail_together_are_told_to_return_apart():
+    deployment = booking_deployment()
+    for number in range(3):
+        deployment.kill_agent(number)
+    deployment.run(10)
+    asked = [book(deployment) for _ in range(50)]
+    waits = [deployment.answer(each).failure.retry_after_ms for each in asked]
+    assert len(set(waits)) > 30
+    assert min(waits) >= 500 and max(waits) <= 1500
+
+
+def test_entry_that_was_paused_suspects_nobody():
+    """An entry is paused by its VM just after it pinged a quiet agent. On
+    waking it takes the pong for late and sends each idempotent call twice."""
+    deployment = booking_deployment(idempotent=True)
+    entry = deployment.entry(0)
+    request_id, _, _ = started(deployment, ms=1900, budget=9000.0)
+    while not entry.core.router.liveness._pinged_at:
+        deployment.run(1)
+    entry.is_paused = True
+    deployment.run(1200)
+    entry.is_paused = False
+    deployment.run(1000)
+    assert kind_of(deployment, request_id) == 'none'
+    assert entry.core.metrics.counter('connections_suspect_total') == 0
+    hedges = entry.core.metrics.counter('hedges_total')
+    assert runs_of(deployment, request_id) == 1 + hedges
+
+
+def test_call_in_a_leaving_backends_queue_is_sent_elsewhere():
+    deployment = booking_deployment(agents=2)
+    first = deployment.agent(0)
+    (backend,) = first.backend_by_name.values()
+    asked = [book(deployment, ms=900, budget=4000.0) for _ in range(20)]
+    deployment.run(5)
+    backend.is_leaving = True
+    deployment.run(600)
+    running = backend.runs_by_request.copy()
+    deployment.run(3500)
+    assert {kind_of(deployment, each) for each in asked} == {'none'}
+    assert backend.runs_by_request == running
+    assert runs_of(deployment, *asked) == len(asked)
