--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: soak setup demo test lint format binary thrift clean
+.PHONY: soak setup demo test lint format binary thrift clean bench-placement
 
 setup: .venv/ready
 
@@ -28,6 +28,10 @@
 format: setup
 	$(BIN)/ruff format .
 
+# Needs matplotlib for its plots, of the dev extra.
+bench-placement: setup
+	$(BIN)/python -m bench.placement $(ARGS)
+
 binary: setup
 	$(BIN)/shiv --quiet --compressed -e hyssopring.cli.main:main -o dist/hyssopring -p '/usr/bin/env python3' .
 
--- /dev/null
+++ b/bench/placement_fakes.py
@@ -0,0 +1,218 @@
+"""Small fakes for the placement experiment: VMs with a hidden truth.
+
+A fake VM runs the tasks that the real agent starts on it, measures their use
+late and with noise, and draws the latencies of the backend server beside
+them from a slowdown that nothing in the product knows: by pair, by load,
+linear in cores (the learned model is exponential in them).
+"""
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from hyssopring.agent.backends import AnnouncedBackend
+from hyssopring.agent.tasks import WorkerTask
+from hyssopring.protocol.messages import Resources
+
+STEP_MS = 100.0
+SLOTS = 8
+_LAG_MS = 5000.0
+_CALLS_PER_STEP = 3
+_BASE_MS = 20.0
+_SPREAD = 0.5
+
+
+@dataclass
+class Truth:
+    """What only the fakes know: sensitivities, loads and what is broken."""
+
+    rng: random.Random
+    weight_by_pair: dict
+    load: float = 0.45
+    next_shift: float = 0
+    failing: set = field(default_factory=set)
+
+    def shift(self, now):
+        """Let the load of all services jump without warning."""
+        if now >= self.next_shift:
+            self.load = self.rng.uniform(0.25, 0.75)
+            self.next_shift = now + self.rng.uniform(40_000, 120_000)
+
+    def slowdown(self, service, parts, load):
+        """Return the factor on latency beside these parts of the cores."""
+        harm = sum(
+            self.weight_by_pair[service, template] * part
+            for template, part in parts.items()
+        )
+        return 1 + harm * (0.3 + 1.4 * load**2)
+
+
+@dataclass
+class FakeTask:
+    command: object
+    until: float
+    cores: float
+    work_ms: float
+    done_ms: float
+    share: float = 1.0
+    measured: float = 0.0
+    phase: str = 'running'
+    ended_at: float = 0.0
+
+
+class FakeVm:
+    """A worker and one backend server; drives the agent's real ports."""
+
+    def __init__(self, agent, service, truth, seed, book):
+        self.agent, self.service, self.truth = agent, service, truth
+        self.rng = random.Random(seed)
+        self.book = book
+        self.loop = agent.deployment.loop
+        self.cores = agent.core.identity.capacity.cores
+        self.task_by_id = {}
+        self.load = 0.4
+        self.is_dead = False
+        self.is_paused = False
+        agent.worker = self
+        agent.core.tasks._worker = self
+        self.backend = AnnouncedBackend(
+            f'{agent.name}-backend', service, '', SLOTS, 64
+        )
+        agent.core.backends.announce(self.backend)
+
+    def start(self, command, lease_ms, done):
+        self.book.started(command, self.loop.now)
+        task = FakeTask(
+            command,
+            self.loop.now + lease_ms,
+            *self.book.truth_of(command),
+            float(command.checkpoint or 0),
+        )
+        if self.agent.name in self.truth.failing:
+            task.phase = 'failed'
+            self.book.bad_starts += 1
+        self.task_by_id[command.task_id] = task
+        self.loop.later(5, done, True)
+
+    def stop(self, task_id, mode, done):
+        task = self.task_by_id.pop(task_id, None)
+        if task and task.phase == 'running' and not self.is_dead:
+            self.book.stopped(task.command)
+        checkpoint = str(task.done_ms) if task else ''
+        self.loop.later(200, done, checkpoint)
+
+    def throttle(self, task_id, share):
+        if task_id in self.task_by_id:
+            self.book.throttles += 1
+            self.task_by_id[task_id].share = share
+
+    def renew(self, lease_ms_by_task):
+        for task_id, lease_ms in lease_ms_by_task.items():
+            if task_id in self.task_by_id:
+                self.task_by_id[task_id].until = self.loop.now + lease_ms
+
+    def list(self):
+        return [
+            WorkerTask(
+                task_id,
+                task.command.attempt,
+                task.phase,
+                str(task.done_ms),
+                task.command,
+                Resources(task.measured, task.command.size.memory_gb / 2, 0),
+                task.share,
+            )
+            for task_id, task in self.task_by_id.items()
+        ]
+
+    def running(self):
+        return [t for t in self.task_by_id.values() if t.phase == 'running']
+
+    def parts(self):
+        """Return the true part of the cores by template, shares applied."""
+        parts = {}
+        for task in self.running():
+            template = task.command.service_name.rpartition('/')[2]
+            part = task.cores * task.share / self.cores
+            parts[template] = parts.get(template, 0) + part
+        return parts
+
+    def step(self):
+        """Advance by one step: progress, measurements, requests."""
+        now = self.loop.now
+        for task_id, task in list(self.task_by_id.items()):
+            is_over = task.phase != 'running' and now > task.ended_at + 2000
+            if now > task.until or (is_over and task.ended_at):
+                self.task_by_id.pop(task_id)
+        running = self.running()
+        wanted = sum(task.cores * task.share for task in running)
+        squeeze = min(1.0, self.cores / wanted) if wanted else 1.0
+        for task in running:
+            self._advance(task, squeeze, now)
+        aim = min(max(self.truth.load + self.rng.gauss(0, 0.05), 0.05), 0.9)
+        self.load += 0.1 * (aim - self.load)
+        self.agent.core.backends.announce(self.backend)
+        self.backend.in_flight = round(self.load * SLOTS)
+        factor = self.truth.slowdown(self.service, self.parts(), self.load)
+        for _ in range(_CALLS_PER_STEP):
+            noise = math.exp(self.rng.gauss(0, _SPREAD))
+            took = _BASE_MS * noise * factor / (1 - self.load**2)
+            self.book.latencies.append((now, took, factor))
+            self.backend.tail.add(now, took)
+
+    def _advance(self, task, squeeze, now):
+        noise = self.rng.uniform(0.85, 1.15)
+        lag = STEP_MS / _LAG_MS
+        task.measured += lag * (task.cores * task.share * noise - task.measured)
+        done = STEP_MS * task.share * squeeze
+        task.done_ms += done
+        if task.command.kind == 'batch':
+            self.book.work += done * task.cores
+            self.book.note_rate(now, done * task.cores, task.command)
+            if task.done_ms >= task.work_ms:
+                task.phase, task.ended_at = 'completed', now
+                self.book.completed += 1
+
+
+class Book:
+    """Counts what happens; knows each task's true size and run time."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.truth_by_task = {}
+        self.latencies = []
+        self.work = self.completed = self.evictions = 0
+        self.keeper_evictions = self.throttles = self.bad_starts = 0
+        self.noisy_work = 0
+        self.work_by_second = {}
+        self.urgent_at = {}
+        self.urgent_ms = []
+        self.keeper_up = {}
+
+    def truth_of(self, command):
+        known = self.truth_by_task.get(command.task_id)
+        if known is None:
+            cores = command.size.cores * math.exp(self.rng.gauss(-0.2, 0.35))
+            work = command.run_ms * math.exp(self.rng.gauss(0, 0.8))
+            known = (cores, min(work, 300_000.0))
+            self.truth_by_task[command.task_id] = known
+        return known
+
+    def started(self, command, now):
+        job = command.task_id.rpartition(':')[0]
+        if job in self.urgent_at and command.attempt == 1:
+            self.urgent_ms.append(now - self.urgent_at[job])
+        if command.kind == 'keeper':
+            self.keeper_up[command.task_id] = now
+
+    def stopped(self, command):
+        if command.kind == 'keeper':
+            self.keeper_evictions += 1
+        else:
+            self.evictions += 1
+
+    def note_rate(self, now, work, command):
+        second = int(now // 1000)
+        self.work_by_second[second] = self.work_by_second.get(second, 0) + work
+        if command.service_name.endswith('scan'):
+            self.noisy_work += work
--- a/hyssopring/placement/interference.py
+++ b/hyssopring/placement/interference.py
@@ -13,8 +13,16 @@
 from hyssopring.membership import AgentRecord
 from hyssopring.placement.slowdown import SlowdownModel
 from hyssopring.protocol.messages import Resources, TaskUsage
+from hyssopring.tasks import TaskKind
 
-__all__ = ('Beside', 'Interference', 'TemplateHarm', 'template_of')
+__all__ = (
+    'TAIL_LIMIT',
+    'Beside',
+    'Interference',
+    'TemplateHarm',
+    'batch_templates',
+    'template_of',
+)
 
 # How far log(tail) may be raised: a tail 1.35 times that without batch work.
 TAIL_LIMIT = 0.3
@@ -23,6 +31,12 @@
 _SMOOTHING = 0.25
 _PLANNED_MS = 2500.0
 _NEGLIGIBLE = 1e-3
+# Use is measured late, so each report says little of it.
+_USE_WEIGHT = 0.02
+_MAX_USE = 3
+# At most 50 reports a second are learned from, in bursts of one fleet's beat.
+_REPORTS_PER_MS = 0.05
+_MAX_ALLOWANCE = 50.0
 
 
 @dataclass(slots=True)
@@ -37,21 +51,20 @@
     """What shares one VM.
 
     Attributes:
-        now_by_template: Part of the VM's cores that each template's tasks
-            have by the latest report, throttled tasks counted with their
-            share.
-        past_by_template: The same, smoothed as the measured tail is.
+        full_by_template: Part of the VM's cores that each template's tasks
+            are expected to use when none is throttled.
+        past_by_template: What was measured, smoothed as the tail is.
         load_by_service: Busy part of the slots, smoothed too.
     """
 
-    now_by_template: dict[str, float] = field(default_factory=dict)
+    full_by_template: dict[str, float] = field(default_factory=dict)
     past_by_template: dict[str, float] = field(default_factory=dict)
     load_by_service: dict[str, float] = field(default_factory=dict)
     planned: list[_Planned] = field(default_factory=list)
 
     def expected(self, now: float) -> dict[str, float]:
         """Return the parts by template, starts under way included."""
-        parts = dict(self.now_by_template)
+        parts = dict(self.full_by_template)
         for planned in self.planned:
             if planned.until > now:
                 known = parts.get(planned.template, 0)
@@ -67,10 +80,13 @@
     return service_name.rpartition('/')[2]
 
 
-def occupied(usage: TaskUsage, capacity: Resources) -> float:
-    """Return the part of a VM's cores that a group of tasks has."""
-    cores = usage.used.cores or usage.reserved.cores
-    return usage.share * cores / max(capacity.cores, 1)
+def batch_templates(record: AgentRecord) -> set[str]:
+    """Return the templates of the batch tasks on an agent."""
+    return {
+        template_of(group.service_name)
+        for group in record.usage
+        if group.kind == TaskKind.BATCH.value
+    }
 
 
 class Interference:
@@ -80,6 +96,9 @@
         """Start with an unlearned model unless one is given."""
         self.model = model or SlowdownModel()
         self._beside_by_agent: dict[str, Beside] = {}
+        self._use_by_template: dict[str, float] = {}
+        self._learned_at: float = 0
+        self._allowance = _MAX_ALLOWANCE
 
     def beside(self, agent_id: str) -> Beside:
         """Return what shares an agent's VM."""
@@ -92,21 +111,15 @@
     def on_heartbeat(self, record: AgentRecord, now: float) -> None:
         """Learn from an agent's latest report."""
         beside = self.beside(record.agent_id)
-        parts: dict[str, float] = {}
-        for group in record.usage:
-            template = template_of(group.service_name)
-            known = parts.get(template, 0)
-            parts[template] = known + occupied(group, record.capacity)
-        beside.now_by_template = parts
         beside.planned = [one for one in beside.planned if one.until > now]
-        _smooth(beside.past_by_template, parts)
+        _smooth(beside.past_by_template, self._take_usage(record, beside))
         for view in record.backend_by_id.values():
             report = view.report
             load = (report.in_flight + report.queued) / max(report.slots, 1)
             known = beside.load_by_service.get(report.service_name, load)
             load = known + _SMOOTHING * (load - known)
             beside.load_by_service[report.service_name] = load
-            if report.tail_ms > 0:
+            if report.tail_ms > 0 and self._may_learn(now):
                 self.model.observe(
                     report.service_name,
                     load,
@@ -114,10 +127,52 @@
                     report.tail_ms,
                 )
 
+    def _take_usage(
+        self,
+        record: AgentRecord,
+        beside: Beside,
+    ) -> dict[str, float]:
+        """Keep what tasks may use; return what was measured of them."""
+        cores = max(record.capacity.cores, 1)
+        full: dict[str, float] = {}
+        measured: dict[str, float] = {}
+        for group in record.usage:
+            template = template_of(group.service_name)
+            self._learn_use(template, group)
+            part = self.expected_use(template, group.reserved) / cores
+            full[template] = full.get(template, 0) + part
+            part = group.used.cores / cores
+            measured[template] = measured.get(template, 0) + part
+        beside.full_by_template = full
+        return measured
+
+    def _may_learn(self, now: float) -> bool:
+        """Bound the processor time that learning takes in a large fleet."""
+        refill = (now - self._learned_at) * _REPORTS_PER_MS
+        self._learned_at = now
+        self._allowance = min(self._allowance + refill, _MAX_ALLOWANCE)
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def expected_use(self, template: str, size: Resources) -> float:
+        """Return the cores that tasks of this size are expected to use."""
+        return size.cores * self._use_by_template.get(template, 1)
+
+    def _learn_use(self, template: str, group: TaskUsage) -> None:
+        """Learn which part of their size a template's tasks use."""
+        unthrottled = group.reserved.cores * group.share
+        if unthrottled > 0:
+            known = self._use_by_template.get(template, 1)
+            use = group.used.cores / unthrottled
+            known += _USE_WEIGHT * (min(use, _MAX_USE) - known)
+            self._use_by_template[template] = known
+
     def is_running(self, template: str, now: float) -> bool:
         """Whether a task of a template runs or starts anywhere."""
         return any(
-            template in beside.now_by_template
+            template in beside.full_by_template
             or any(
                 planned.template == template and planned.until > now
                 for planned in beside.planned
@@ -159,7 +214,7 @@
         """Return the expected growth of log(tail), None if over the limit."""
         beside = self._interference.beside(agent.agent_id)
         parts = beside.expected(self._now)
-        part = size.cores / max(agent.capacity.cores, 1)
+        part = self._part(agent, size)
         parts[self.template] = parts.get(self.template, 0) + part
         worst: float = 0
         for service_name, load in beside.load_by_service.items():
@@ -176,11 +231,15 @@
 
     def take(self, agent: AgentRecord, size: Resources) -> None:
         """Count a task that is about to start there."""
-        part = size.cores / max(agent.capacity.cores, 1)
+        part = self._part(agent, size)
         self._interference.beside(agent.agent_id).planned.append(
             _Planned(self.template, part, self._now + _PLANNED_MS),
         )
 
+    def _part(self, agent: AgentRecord, size: Resources) -> float:
+        cores = self._interference.expected_use(self.template, size)
+        return cores / max(agent.capacity.cores, 1)
+
 
 def _smooth(past: dict[str, float], parts: Mapping[str, float]) -> None:
     for template in past.keys() | parts.keys():
--- a/hyssopring/placement/relief.py
+++ b/hyssopring/placement/relief.py
@@ -13,6 +13,7 @@
 from hyssopring.placement.interference import Interference, template_of
 from hyssopring.placement.records import TaskState
 from hyssopring.placement.task_index import PlannedTask
+from hyssopring.placement.share_control import ShareControl
 from hyssopring.placement.tail_guard import GuardStep, TailGuard
 from hyssopring.tasks import TaskKind
 
@@ -31,6 +32,7 @@
     def __init__(self, interference: Interference) -> None:
         """Decide by what ``interference`` has learned."""
         self.guard = TailGuard(interference)
+        self.control = ShareControl(interference)
         self._shed_at_by_agent: dict[str, float] = {}
 
     def on_heartbeat(
@@ -47,6 +49,7 @@
                 when there is something to do.
             now: Clock milliseconds.
         """
+        self.control.review(record)
         step = self.guard.review(record, now)
         is_overfull = self._is_overfull(record, now)
         if not (step or is_overfull or self._has_other_share(record)):
@@ -68,27 +71,32 @@
     def forget(self, agent_id: str) -> None:
         """An agent has gone."""
         self.guard.forget(agent_id)
+        self.control.forget(agent_id)
         self._shed_at_by_agent.pop(agent_id, None)
 
     def _has_other_share(self, record: AgentRecord) -> bool:
-        shares = self.guard.shares(record.agent_id)
         return any(
             group.kind == TaskKind.BATCH.value
-            and abs(
-                group.share - shares.get(template_of(group.service_name), 1)
-            )
+            and abs(group.share - self._share(record, group.service_name))
             > _SAME_SHARE
             for group in record.usage
         )
 
+    def _share(self, record: AgentRecord, service_name: str) -> float:
+        """Return the smaller of the learned and the guard's share."""
+        template = template_of(service_name)
+        return min(
+            self.control.shares(record.agent_id).get(template, 1),
+            self.guard.shares(record.agent_id).get(template, 1),
+        )
+
     def _throttle(
         self,
         record: AgentRecord,
         here: Iterable[PlannedTask],
     ) -> None:
-        shares = self.guard.shares(record.agent_id)
         for planned in here:
-            share = shares.get(template_of(planned.chunk.service_name), 1)
+            share = self._share(record, planned.chunk.service_name)
             if planned.task.share != share:
                 log_event(
                     Event.TASK_THROTTLED,
--- a/hyssopring/placement/sizes.py
+++ b/hyssopring/placement/sizes.py
@@ -10,6 +10,7 @@
 _KEPT = 64
 _ENOUGH = 8
 _PERCENTILE = 0.9
+_MIN_SHARE = 0.1
 
 
 class LearnedSizes:
@@ -43,7 +44,7 @@
         )
         kept.append(
             Resources(
-                group.used.cores / group.running,
+                group.used.cores / group.running / max(group.share, _MIN_SHARE),
                 group.used.memory_gb / group.running,
             )
         )
--- a/hyssopring/placement/tail_guard.py
+++ b/hyssopring/placement/tail_guard.py
@@ -9,16 +9,14 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import Iterable
 
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord
 from hyssopring.placement.interference import (
     Beside,
     Interference,
-    template_of,
+    batch_templates,
 )
-from hyssopring.tasks import TaskKind
 
 __all__ = ('GuardStep', 'TailGuard')
 
@@ -163,8 +161,8 @@
         beside = self._interference.beside(record.agent_id)
         load = beside.load_by_service.get(service_name, 0)
         harm_by_template = {}
-        for template in _batch_templates(record):
-            part = beside.now_by_template.get(template, 0)
+        for template in batch_templates(record):
+            part = beside.past_by_template.get(template, 0)
             prediction = self._interference.model.predict(
                 service_name,
                 load,
@@ -202,14 +200,6 @@
         return GuardStep(template, share)
 
 
-def _batch_templates(record: AgentRecord) -> Iterable[str]:
-    return {
-        template_of(group.service_name)
-        for group in record.usage
-        if group.kind == TaskKind.BATCH.value
-    }
-
-
 def _forget_absent(watch: _Watch, beside: Beside) -> None:
     for template in list(watch.share_by_template):
         if template not in beside.past_by_template:
--- a/hyssopring/protocol/messages.py
+++ b/hyssopring/protocol/messages.py
@@ -184,7 +184,8 @@
 
     Attributes:
         reserved: Sum of the sizes that they were started with.
-        used: Sum of what the worker last measured, which lags.
+        used: Sum of what the worker last measured, which lags; a throttled
+            task uses less.
         share: Mean share of processor time that throttling leaves them.
     """
 
