Agent: the subset of entries is chosen when lists change, not ten times a second

Cause: each turn of the agent (100 ms) put all lists together and ranked all entries twice by hash. Found by growing the number of entries alone. Change: the members and the subsets are kept until a list or the set of entries that are down changes; one timer instead of two looks for silent backend servers and for addresses to dial.

--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -22,9 +22,8 @@
 __all__ = ('AgentDaemon',)
 
 _TICK_S = 0.02
-_EXPIRE_S = 0.1
+_TURN_S = 0.1
 _SILENCE_CHECK_S = 0.25
-_DIAL_S = 0.1
 _LISTING_S = 0.5
 _LEASES_S = 1.0
 _DRAIN_CHECK_S = 0.05
@@ -86,10 +85,9 @@
         host, port = parse_address(self._settings.announce_address)
         site = QuietSite.from_resource(self._announce)
         self._reactor.listenTCP(port, site, interface=host)
-        self._every(_EXPIRE_S, self.core.expire_backends)
+        self._every(_TURN_S, self._turn)
         self._every(_LEASES_S, self.core.tasks.tick)
         self._every(HEARTBEAT_MS / _MILLIS_PER_SECOND, self.core.heartbeat)
-        self._every(_DIAL_S, self._links.dial)
         self._every(_SILENCE_CHECK_S, self._links.check_silence)
         self._every(_LISTING_S, self._list_tasks)
         log_event(Event.PROCESS_STARTED, role='agent', id=self._settings.id)
@@ -121,6 +119,10 @@
         loop.start(seconds, now=False)
         self._loops.append(loop)
 
+    def _turn(self) -> None:
+        self.core.expire_backends()
+        self._links.dial()
+
     def _list_tasks(self) -> None:
         self._worker.list(self.core.tasks.on_listing)
 
--- a/hyssopring/membership/directory.py
+++ b/hyssopring/membership/directory.py
@@ -32,6 +32,9 @@
 _DOWN_MS: Final = 5000.0
 _FORGET_MS: Final = 600_000.0
 _TELL_MS: Final = 10_000.0
+_MAX_SUBSETS: Final = 16
+
+_Subset = tuple[EntryMember, ...]
 
 
 @dataclass(slots=True)
@@ -83,13 +86,19 @@
         self._told_at: float = 0
         self._holders: tuple[str, ...] = ()
         self._pinned: frozenset[int] = frozenset()
+        self._members: tuple[EntryMember, ...] | None = ()
+        self._subset_by_down: dict[frozenset[str], _Subset] = {}
 
     @property
     def members(self) -> tuple[EntryMember, ...]:
         """All entries known, from the lists of those connected."""
-        lists = list(self._members_by_source.values())
-        found = {member for each in lists for member in each} or self._kept
-        return tuple(sorted(found, key=lambda member: member.entry_id))
+        if self._members is None:
+            lists = list(self._members_by_source.values())
+            found = {member for each in lists for member in each} or self._kept
+            by_id = sorted(found, key=lambda member: member.entry_id)
+            self._members = tuple(by_id)
+            self._subset_by_down.clear()
+        return self._members
 
     @property
     def connected(self) -> tuple[str, ...]:
@@ -110,6 +119,7 @@
         if source not in self.connected:
             return
         self._members_by_source[source] = members
+        self._members = None
         self._kept = self.members
         self._holders = holders or self._holders
 
@@ -167,6 +177,7 @@
             known.failing_since = now
         known.next_at = now + self._pause(known, is_refused)
         self._members_by_source.pop(source, None)
+        self._members = None
         self._told_by_source.pop(source, None)
         self._forget(now)
 
@@ -218,20 +229,35 @@
             if shard in self._pinned
         }
         return {
-            *choose_entries(self._agent_id, members, self._size),
+            *self._subset(frozenset()),
             *self._chosen_of_those_up(),
             *(member for member in members if member.entry_id in holders),
         }
 
     def _chosen_of_those_up(self) -> tuple[EntryMember, ...]:
-        is_up = [each for each in self.members if not self._is_down(each)]
-        return choose_entries(self._agent_id, is_up, self._size)
-
-    def _is_down(self, member: EntryMember) -> bool:
-        known = self._address_by_text.get(member.address)
-        if known is None or known.failing_since is None:
-            return False
-        return self._clock.now() > known.failing_since + _DOWN_MS
+        down_since = self._clock.now() - _DOWN_MS
+        down = (
+            known.address
+            for known in self._address_by_text.values()
+            if known.failing_since is not None
+            and known.failing_since < down_since
+        )
+        return self._subset(frozenset(down))
+
+    def _subset(self, down: frozenset[str]) -> _Subset:
+        """Choose among all but the addresses that are down.
+
+        Kept until the lists change: ranking hundreds of entries in each turn
+        would cost an agent more than all else that it does.
+        """
+        members = self.members
+        if down not in self._subset_by_down:
+            if len(self._subset_by_down) >= _MAX_SUBSETS:
+                self._subset_by_down.clear()
+            is_up = [each for each in members if each.address not in down]
+            chosen = choose_entries(self._agent_id, is_up, self._size)
+            self._subset_by_down[down] = chosen
+        return self._subset_by_down[down]
 
     def _due_seeds(self, is_missing: bool) -> list[str]:
         """Seeds that are listed entries' addresses count as those."""
