--- a/hyssopring/agent/backends.py
+++ b/hyssopring/agent/backends.py
@@ -103,6 +103,13 @@
             if is_silent and not backend.in_flight:
                 self._backend_by_id.pop(backend.backend_id)
 
+    def service_by_id(self) -> dict[str, str]:
+        """Return the service of each known backend server."""
+        return {
+            backend.backend_id: backend.service_name
+            for backend in self._backend_by_id.values()
+        }
+
     def has_service(self, service_name: str) -> bool:
         """Whether a backend of this service takes new work."""
         return any(
--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from typing import Callable, Protocol
 
+from hyssopring.agent.backend_sizes import BackendSizes
 from hyssopring.agent.backends import Backends
 from hyssopring.agent.calls import BackendCaller, CallExecutor
 from hyssopring.agent.ledger import Ledger
@@ -14,7 +15,8 @@
     EntrySessions,
     News,
 )
-from hyssopring.agent.tasks import TaskSupervisor, Worker
+from hyssopring.agent.tasks import TaskSupervisor
+from hyssopring.agent.worker import Worker
 from hyssopring.clock import Clock
 from hyssopring.configuration import ConfigurationState
 from hyssopring.invariants import Invariants
@@ -120,13 +122,18 @@
             (),
             random.Random(),
         )
-        self.ledger = Ledger(identity.capacity, invariants)
+        self.ledger = Ledger(identity.capacity, invariants, metrics)
         self.backends = Backends(clock, invariants)
+        self.backend_sizes = BackendSizes(
+            self.ledger,
+            self.backends,
+            self.configuration,
+        )
         self.calls = CallExecutor(clock, self.backends, links, caller, metrics)
         self.tasks = TaskSupervisor(
             clock,
             self.ledger,
-            ShardLeases(clock),
+            ShardLeases(),
             worker,
             links.broadcast,
         )
@@ -194,6 +201,7 @@
 
     @on_message.register
     def _on_start(self, message: StartTask, entry_id: str) -> None:
+        self.backend_sizes.account()
         self.tasks.on_start(message)
 
     @on_message.register
@@ -228,6 +236,7 @@
     def heartbeat(self) -> None:
         """Tell entries that this agent lives; call each second."""
         self._follow_drain()
+        self.backend_sizes.account()
         for entry_id in self.sessions.due(self._news()):
             self._beat(entry_id)
         self.directory.pin({each.shard for each in self.tasks.statuses()})
@@ -296,6 +305,7 @@
                 self.ledger.free,
                 self._is_stopping or session.leaving_since is not None,
                 self.tasks.usage(),
+                self.tasks.worker_boot,
             ),
         )
 
--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -26,6 +26,7 @@
 _SILENCE_CHECK_S = 0.25
 _LISTING_S = 0.5
 _LEASES_S = 1.0
+_PROGRESS_S = 10.0
 _DRAIN_CHECK_S = 0.05
 _MILLIS_PER_SECOND = 1000.0
 
@@ -43,7 +44,8 @@
         self._reactor = reactor
         self._settings = settings
         self._clock = clock or MonotonicClock()
-        self._worker = HttpWorker(reactor, settings.worker_url)
+        incarnation = uuid.uuid4().hex
+        self._worker = HttpWorker(reactor, settings.worker_url, incarnation)
         self._links = EntryLinks(
             reactor,
             self._clock,
@@ -53,7 +55,7 @@
             self._clock,
             AgentIdentity(
                 settings.id,
-                uuid.uuid4().hex,
+                incarnation,
                 settings.zone,
                 settings.rack,
                 settings.capacity.to_resources(),
@@ -90,6 +92,7 @@
         self._every(HEARTBEAT_MS / _MILLIS_PER_SECOND, self.core.heartbeat)
         self._every(_SILENCE_CHECK_S, self._links.check_silence)
         self._every(_LISTING_S, self._list_tasks)
+        self._every(_PROGRESS_S, self.core.tasks.report_progress)
         log_event(Event.PROCESS_STARTED, role='agent', id=self._settings.id)
 
     def stop(self) -> None:
@@ -124,7 +127,10 @@
         self._links.dial()
 
     def _list_tasks(self) -> None:
-        self._worker.list(self.core.tasks.on_listing)
+        asked_at = self._clock.now()
+        self._worker.list(
+            lambda listing: self.core.tasks.on_listing(listing, asked_at),
+        )
 
     def _drain(self, deadline: float) -> None:
         if self.core.is_idle or self._clock.now() > deadline:
--- a/hyssopring/agent/outside.py
+++ b/hyssopring/agent/outside.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 import json
-from typing import Any, Callable
+from typing import Any, Callable, Mapping
 
 from twisted.internet.error import ConnectError, ConnectionRefusedError
 
 from hyssopring.agent.calls import AnswerCallback
-from hyssopring.agent.tasks import WorkerTask
+from hyssopring.agent.worker import StopAnswer, WorkerListing, WorkerTask
 from hyssopring.errors import ErrorKind
 from hyssopring.outcomes import CallOutcome
 from hyssopring.protocol.messages import (
@@ -17,7 +17,7 @@
     Resources,
     StartTask,
 )
-from hyssopring.tasks import StopMode
+from hyssopring.tasks import StopMode, TaskPhase
 from hyssopring.web_client import (
     FetchedAnswer,
     TruncatedAnswer,
@@ -35,6 +35,7 @@
 _WORKER_TIMEOUT_MS = 2000.0
 _WORKER_CONNECTIONS = 2
 _OK = 200
+_CONFLICT = 409
 
 
 class HttpBackendCaller:
@@ -98,38 +99,41 @@
 class HttpWorker:
     """Drives the platform's worker on this VM over HTTP."""
 
-    def __init__(self, reactor: Any, url: str) -> None:
-        """Talk to the worker at ``url``."""
+    def __init__(self, reactor: Any, url: str, session: str) -> None:
+        """Talk to the worker at ``url`` under this run's session."""
         self._reactor = reactor
         self._url = url.rstrip('/')
+        self._session = session
         self._agent = pooled_agent(reactor, _WORKER_CONNECTIONS)
 
     def start(
         self,
         command: StartTask,
-        lease_ms: float,
-        done: Callable[[bool], None],
+        until: float,
+        done: Callable[[bool | None], None],
     ) -> None:
-        """Start a task; it ends by itself when its lease is not renewed."""
+        """Start a task; False if the worker has refused, None if in doubt."""
         self._post(
             f'/tasks/{command.task_id}/start',
-            {'command': dataclasses.asdict(command), 'lease_ms': lease_ms},
-            lambda answer: done(answer is not None),
+            {'command': dataclasses.asdict(command), 'until': until},
+            lambda answer: done(_is_started(answer)),
         )
 
     def stop(
         self,
-        task_id: str,
+        command: StartTask,
         mode: StopMode,
-        done: Callable[[str | None], None],
+        done: Callable[[StopAnswer | None], None],
     ) -> None:
-        """Stop a task; ``done`` gets its checkpoint, None if in doubt."""
+        """Stop an attempt and forget it; None if in doubt."""
         self._post(
-            f'/tasks/{task_id}/stop',
-            {'mode': mode.value},
-            lambda answer: done(
-                None if answer is None else answer['checkpoint'],
-            ),
+            f'/tasks/{command.task_id}/stop',
+            {
+                'attempt': command.attempt,
+                'worker_boot': command.worker_boot,
+                'mode': mode.value,
+            },
+            lambda answer: done(_stop_answer(answer)),
         )
 
     def throttle(self, task_id: str, share: float) -> None:
@@ -140,59 +144,77 @@
             lambda _answer: None,
         )
 
-    def renew(self, lease_ms_by_task: dict[str, float]) -> None:
-        """Extend the leases of running tasks."""
-        self._post('/leases', lease_ms_by_task, lambda _answer: None)
+    def renew(self, until_by_task: Mapping[str, float]) -> None:
+        """Extend the deadlines of running tasks."""
+        self._post(
+            '/leases',
+            {'until': dict(until_by_task)},
+            lambda _answer: None,
+        )
 
-    def list(self, done: Callable[[list[WorkerTask]], None]) -> None:
-        """Read what the worker runs; nothing is called if it cannot say."""
+    def list(self, done: Callable[[WorkerListing | None], None]) -> None:
+        """Read what the worker runs; None if it cannot say."""
         deferred = fetch(
             self._reactor,
             self._agent,
             'GET',
-            f'{self._url}/tasks',
+            f'{self._url}/tasks?session={self._session}',
             timeout_ms=_WORKER_TIMEOUT_MS,
         )
         deferred.addCallbacks(
-            lambda answer: done(_listing(answer.body)),
-            lambda _reason: None,
+            lambda answer: done(_listing(answer)),
+            lambda _reason: done(None),
         )
 
     def _post(
         self,
         path: str,
-        document: Any,
-        done: Callable[[Any | None], None],
+        document: dict[str, Any],
+        done: Callable[[FetchedAnswer | None], None],
     ) -> None:
         deferred = fetch(
             self._reactor,
             self._agent,
             'POST',
             self._url + path,
-            json.dumps(document).encode(),
+            json.dumps({**document, 'session': self._session}).encode(),
             _WORKER_TIMEOUT_MS,
         )
-        deferred.addCallbacks(
-            lambda answer: done(
-                json.loads(answer.body) if answer.status == _OK else None,
-            ),
-            lambda _reason: done(None),
-        )
+        deferred.addCallbacks(done, lambda _reason: done(None))
 
 
-def _listing(body: bytes) -> list[WorkerTask]:
-    return [
-        WorkerTask(
-            entry['task_id'],
-            entry['attempt'],
-            entry['phase'],
-            entry['checkpoint'],
-            _command(entry['command']),
-            Resources(**entry['used']),
-            entry['share'],
-        )
-        for entry in json.loads(body)['tasks']
-    ]
+def _is_started(answer: FetchedAnswer | None) -> bool | None:
+    if answer is None or answer.status not in {_OK, _CONFLICT}:
+        return None
+    return answer.status == _OK
+
+
+def _stop_answer(answer: FetchedAnswer | None) -> StopAnswer | None:
+    if answer is None or answer.status != _OK:
+        return None
+    document = json.loads(answer.body)
+    return StopAnswer(TaskPhase(document['phase']), document['checkpoint'])
+
+
+def _listing(answer: FetchedAnswer) -> WorkerListing | None:
+    if answer.status != _OK:
+        return None
+    document = json.loads(answer.body)
+    tasks = tuple(_worker_task(entry) for entry in document['tasks'])
+    return WorkerListing(document['boot'], tasks)
+
+
+def _worker_task(entry: Any) -> WorkerTask:
+    return WorkerTask(
+        entry['task_id'],
+        entry['attempt'],
+        entry['phase'],
+        entry['checkpoint'],
+        _command(entry['command']),
+        Resources(**entry['used']),
+        entry['share'],
+        entry['until'],
+    )
 
 
 def _command(document: Any) -> StartTask:
--- a/hyssopring/clock.py
+++ b/hyssopring/clock.py
@@ -16,11 +16,15 @@
 
 
 class MonotonicClock:
-    """The clock of a running process."""
+    """The clock of a running process, the same for all of one VM.
+
+    It counts the time that a VM is suspended, which the plain monotonic
+    clock does not: a holder that slept past its lease must find it lapsed.
+    """
 
     def now(self) -> float:
-        """Return the milliseconds of the machine's monotonic clock."""
-        return time.monotonic() * _MILLIS_PER_SECOND
+        """Return the milliseconds since the VM was booted."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * _MILLIS_PER_SECOND
 
 
 class ManualClock:
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -206,7 +206,7 @@
         ack = HeartbeatAck(
             message.sequence,
             self.configuration.version,
-            self.planner.grants(record.agent_id),
+            self.planner.grants(record),
             record.beat_ms,
         )
         self._links.send(record.agent_id, ack)
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -65,7 +65,12 @@
         listen_to_events(decisions.take)
         self._operators = OperatorResource(
             self.core,
-            JobDesk(self._store, self.core.configuration, settings.shards),
+            JobDesk(
+                self._store,
+                self.core.configuration,
+                settings.shards,
+                self.core.fleet,
+            ),
             settings.operator_token,
             decisions,
         )
--- a/hyssopring/entry/jobs.py
+++ b/hyssopring/entry/jobs.py
@@ -4,19 +4,26 @@
 the job's shard, in one transaction. The shard's planner takes it from there.
 """
 
+import uuid
 from functools import partial
 from typing import Any, Callable, Mapping, Sequence
 
 from result import Err, Ok, Result
 
-from hyssopring.configuration import ConfigurationState, JobSubmission
+from hyssopring.configuration import (
+    ConfigurationState,
+    JobSubmission,
+)
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.membership import Fleet
 from hyssopring.placement import shard_of
+from hyssopring.placement.choice import why_impossible
 from hyssopring.placement.records import chunk_prefix
 from hyssopring.store.rows import (
     Check,
     Committed,
     Conflict,
+    Document,
     Put,
     Row,
     Store,
@@ -37,8 +44,10 @@
         store: Store,
         configuration: ConfigurationState,
         shards: int,
+        fleet: Fleet | None = None,
     ) -> None:
-        """Spread jobs over ``shards``."""
+        """Spread jobs over ``shards``; refuse what ``fleet`` can't hold."""
+        self._fleet = fleet
         self._store = store
         self._configuration = configuration
         self._shards = shards
@@ -55,6 +64,12 @@
             detail = f'{service_name} is not a batch template with parameters'
             done(Err(Failure(ErrorKind.INVALID, detail)))
             return
+        agents = self._fleet.agents if self._fleet else ()
+        # With no agent connected nobody can tell; the job waits.
+        misfit = agents and why_impossible(policy, policy.size, agents)
+        if misfit:
+            done(Err(Failure(ErrorKind.IMPOSSIBLE, str(misfit))))
+            return
         job = submission.job_id
         document = {
             'what': 'submit',
@@ -66,17 +81,16 @@
         self._post(
             job,
             (Check(f'jobs/{job}', 0),),
-            (Put(f'jobs/{job}', document), Put(self._inbox(job), document)),
+            (
+                Put(f'jobs/{job}', document),
+                Put(f'{self._inbox(job)}/0-submit', document),
+            ),
             done,
         )
 
     def cancel(self, job: str, done: JobCallback) -> None:
         """Cancel what has not ended; completed tasks stay completed."""
-        put = Put(
-            f'{self._inbox(job)}-cancel',
-            {'what': 'cancel', 'job': job},
-        )
-        self._post_for(job, put, done)
+        self._post_for(job, {'what': 'cancel', 'job': job}, done)
 
     def cancel_task(self, task_id: str, done: JobCallback) -> None:
         """Cancel one task, ``<job>:<number>``, if it has not ended."""
@@ -86,8 +100,7 @@
             done(Err(Failure(ErrorKind.INVALID, detail)))
             return
         document = {'what': 'cancel', 'job': job, 'task': task_id}
-        put = Put(f'{self._inbox(job)}-cancel-{number}', document)
-        self._post_for(job, put, done)
+        self._post_for(job, document, done)
 
     def describe(self, job: str, done: JobCallback) -> None:
         """Count a job's tasks by state, from the table."""
@@ -103,8 +116,19 @@
             ),
         )
 
-    def _post_for(self, job: str, put: Put, done: JobCallback) -> None:
-        post = partial(self._post, job, (), (put,), done)
+    def _post_for(
+        self,
+        job: str,
+        document: Document,
+        done: JobCallback,
+    ) -> None:
+        """Post a letter that sorts after the job's own.
+
+        Each letter has its own key: deleting one that was read twice can
+        never delete a later one unread.
+        """
+        key = f'{self._inbox(job)}/1-cancel-{uuid.uuid4().hex}'
+        post = partial(self._post, job, (), (Put(key, document),), done)
         self._if_known(job, done, post)
 
     def _if_known(
--- a/hyssopring/leases/held.py
+++ b/hyssopring/leases/held.py
@@ -7,7 +7,6 @@
 
 from dataclasses import dataclass
 
-from hyssopring.clock import Clock
 from hyssopring.protocol.messages import LeaseGrant
 from hyssopring.tasks import TaskKind
 
@@ -24,9 +23,8 @@
 class ShardLeases:
     """An agent's leases to run tasks, by shard."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self) -> None:
         """Start with none."""
-        self._clock = clock
         self._lease_by_shard: dict[int, _Lease] = {}
 
     def grant(self, grant: LeaseGrant, asked_at: float) -> bool:
@@ -51,11 +49,10 @@
         lease = self._lease_by_shard.get(shard)
         return lease is not None and lease.epoch == epoch
 
-    def remaining(self, shard: int, kind: TaskKind) -> float:
-        """Return milliseconds until a task of this kind must not run."""
+    def until(self, shard: int, kind: TaskKind) -> float:
+        """Return when a task of this kind must not run any more."""
         lease = self._lease_by_shard.get(shard)
         if lease is None:
             return 0
         is_keeper = kind is TaskKind.KEEPER
-        until = lease.keeper_until if is_keeper else lease.batch_until
-        return max(until - self._clock.now(), 0)
+        return lease.keeper_until if is_keeper else lease.batch_until
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -20,6 +20,10 @@
         Event.PEER_ERROR,
         Event.STORE_UNREACHABLE,
         Event.TASK_LAPSED,
+        Event.VM_OVERCOMMITTED,
+        Event.WORKER_SILENT,
+        Event.TASK_UNKNOWN,
+        Event.BACKEND_SIZE_UNKNOWN,
     )
 )
 
--- a/hyssopring/membership/fleet.py
+++ b/hyssopring/membership/fleet.py
@@ -51,6 +51,7 @@
         sequence: Of the last heartbeat heard.
         is_suspect: It has not answered a ping in time.
         beat_ms: How long it may leave between heartbeats.
+        worker_boot: Empty while the agent's worker does not answer.
     """
 
     agent_id: str
@@ -67,6 +68,7 @@
     sequence: int = 0
     is_suspect: bool = False
     usage: tuple[TaskUsage, ...] = ()
+    worker_boot: str = ''
     backend_by_id: dict[str, BackendView] = field(default_factory=dict)
 
 
@@ -152,6 +154,7 @@
         record.usage = beat.usage
         record.configuration_version = beat.configuration_version
         record.is_stopping = beat.stopping
+        record.worker_boot = beat.worker_boot
         known = record.backend_by_id
         record.backend_by_id = {
             report.backend_id: self._view(record, known, report, now)
--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -1,6 +1,7 @@
 """Plans the tasks of the shards that this entry holds."""
 
 import zlib
+from functools import partial
 from typing import Iterator, Sequence
 
 from result import Result
@@ -11,19 +12,22 @@
 from hyssopring.placement.assigner import Assigner
 from hyssopring.placement.interference import Interference
 from hyssopring.placement.journal import Journal
-from hyssopring.placement.records import chunk_prefix
-from hyssopring.placement.relief import Relief
 from hyssopring.placement.ports import PlannerPorts
-from hyssopring.placement.shard_plan import ShardPlan
+from hyssopring.placement.records import TaskState, chunk_prefix
+from hyssopring.placement.relief import Relief
+from hyssopring.placement.shard_plan import ShardPlan, keeper_job_id
 from hyssopring.placement.sizes import LearnedSizes
 from hyssopring.placement.task_index import PlannedTask
+from hyssopring.placement.task_steps import GrantKey
 from hyssopring.protocol.messages import LeaseGrant, TaskReport
 from hyssopring.store.rows import Row, Store
 from hyssopring.tasks import TaskKind
 
 __all__ = ('Planner', 'shard_of')
 
-_RECLAIM_MS = 1000.0
+_SURVEY_MS = 1000.0
+# Longer than any lease: an older grant has lapsed anyway.
+_REMEMBER_GRANTS_MS = 7_200_000.0
 
 
 def shard_of(name: str, shards: int) -> int:
@@ -43,10 +47,9 @@
         self._relief = Relief(self._interference)
         self._assigner = Assigner(ports, self._interference, self._sizes)
         self._plan_by_shard: dict[int, ShardPlan] = {}
-        self._granted_at_by_agent: dict[str, float] = {}
+        self._granted_at: dict[GrantKey, float] = {}
+        self._next_survey: float = 0
         self._holder: ShardHolder | None = None
-        self._reclaim_at: float = 0
-        self._keepers_version_by_shard: dict[int, int] = {}
         self._is_reading_inbox = False
 
     def attach(self, holder: ShardHolder) -> None:
@@ -55,7 +58,12 @@
 
     def on_acquired(self, held: HeldShard) -> None:
         """Load a shard that this entry now holds."""
-        journal = Journal(self._store, held, self._fenced)
+        journal = Journal(
+            self._store,
+            held,
+            partial(self._is_current, held),
+            self._fenced,
+        )
         plan = ShardPlan(held, journal, self._ports)
         self._plan_by_shard[held.shard] = plan
         self._load(plan)
@@ -63,13 +71,18 @@
     def on_lost(self, shard: int) -> None:
         """Drop a shard; its next holder reads all from the table."""
         self._plan_by_shard.pop(shard, None)
-        self._keepers_version_by_shard.pop(shard, None)
 
-    def grants(self, agent_id: str) -> tuple[LeaseGrant, ...]:
-        """Grant an agent the right to run tasks of the held shards."""
+    def grants(self, record: AgentRecord) -> tuple[LeaseGrant, ...]:
+        """Grant an agent the right to run tasks of the held shards.
+
+        An agent whose worker does not answer gets none: nobody knows what
+        runs there, so its leases are left to run out.
+        """
         held = self._holder.held() if self._holder else []
-        if held:
-            self._granted_at_by_agent[agent_id] = self._ports.clock.now()
+        if not held or not record.worker_boot:
+            return ()
+        key = (record.agent_id, record.worker_boot)
+        self._granted_at[key] = self._ports.clock.now()
         times = self._ports.times
         return tuple(
             LeaseGrant(
@@ -94,9 +107,8 @@
     def tick(self) -> None:
         """Place waiting tasks, notice lapsed ones, write what changed."""
         plans = self._usable_plans()
-        self._reclaim_lapsed(plans)
-        for plan in plans:
-            self._ensure_keepers(plan)
+        if self._ports.clock.now() >= self._next_survey:
+            self._survey(plans)
         self._assigner.place_waiting(plans)
         for usable in plans:
             usable.flush()
@@ -173,29 +185,56 @@
             if plan is not None:
                 plan.take_letter(row)
 
-    def _reclaim_lapsed(self, plans: list[ShardPlan]) -> None:
-        """Look over all tasks once a second; leases last many seconds."""
+    def _is_current(self, held: HeldShard) -> bool:
+        return self._holder is not None and (
+            self._holder.get(held.shard) == held
+        )
+
+    def _survey(self, plans: Sequence[ShardPlan]) -> None:
+        """Look over all tasks for what time alone changes."""
         now = self._ports.clock.now()
-        if now < self._reclaim_at:
-            return
-        self._reclaim_at = now + _RECLAIM_MS
+        self._next_survey = now + _SURVEY_MS
         for plan in plans:
-            plan.reclaim_lapsed(self._granted_at_by_agent)
-
-    def _ensure_keepers(self, plan: ShardPlan) -> None:
-        """Take in keeper sets, once for each version of configuration."""
-        version = self._ports.configuration.version
-        if self._keepers_version_by_shard.get(plan.held.shard) == version:
+            plan.reclaim_lapsed(self._granted_at)
+            self._keep_up(plan)
+            plan.forget_finished()
+        oldest = now - _REMEMBER_GRANTS_MS
+        self._granted_at = {
+            key: granted_at
+            for key, granted_at in self._granted_at.items()
+            if granted_at > oldest
+        }
+        self._gauge_keepers(plans)
+
+    def _keep_up(self, plan: ShardPlan) -> None:
+        """Bring a plan's keeper sets to what the configuration says."""
+        configuration = self._ports.configuration
+        if self._holder is None or not configuration.is_known:
             return
-        self._keepers_version_by_shard[plan.held.shard] = version
-        for policy in self._ports.configuration.policies():
-            job_id = f'keeper-{policy.service_name.replace("/", "-")}'
+        if plan.keepers_version == configuration.version:
+            return
+        plan.keepers_version = configuration.version
+        count_by_service = dict.fromkeys(plan.keeper_services(), 0)
+        for policy in configuration.policies():
+            job_id = keeper_job_id(policy.service_name)
             is_keeper = policy.kind == TaskKind.KEEPER.value
-            shards = self._holder.shards if self._holder else 1
-            if is_keeper and shard_of(job_id, shards) == plan.held.shard:
-                plan.accept_job(
-                    job_id,
-                    policy.service_name,
-                    TaskKind.KEEPER,
-                    policy.keepers,
-                )
+            shard = shard_of(job_id, self._holder.shards)
+            if is_keeper and shard == plan.held.shard:
+                count_by_service[policy.service_name] = policy.keepers
+        for service_name, count in count_by_service.items():
+            plan.keep_up(service_name, count)
+
+    def _gauge_keepers(self, plans: Sequence[ShardPlan]) -> None:
+        keepers = [
+            planned.task
+            for plan in plans
+            for planned in plan.index.tasks
+            if planned.chunk.kind is TaskKind.KEEPER
+        ]
+        wanted = [task for task in keepers if not task.is_final]
+        running = sum(
+            task.state is TaskState.ASSIGNED and task.is_confirmed
+            for task in wanted
+        )
+        self._ports.metrics.gauge('keepers_wanted', len(wanted))
+        self._ports.metrics.gauge('keepers_running', running)
--- a/hyssopring/placement/records.py
+++ b/hyssopring/placement/records.py
@@ -33,7 +33,10 @@
     Attributes:
         attempt: Grows with each assignment; fences older starts.
         failures: Attempts that ended in failure.
+        worker_boot: The boot of its worker that this attempt was meant for.
         is_confirmed: The agent has said that this attempt runs.
+        refusals: Starts in a row that ran nowhere.
+        is_overrun: Ran far past its declared time, and that was logged.
         sent_generation: Connection that the start was sent on; 0 for an
             attempt that an earlier planner assigned.
         not_before: Clock milliseconds before which it is not placed again.
@@ -48,7 +51,11 @@
     agent_id: str = ''
     checkpoint: str = ''
     failures: int = 0
+    worker_boot: str = ''
     is_confirmed: bool = False
+    confirmed_at: float = 0
+    refusals: int = 0
+    is_overrun: bool = False
     sent_generation: int = 0
     not_before: float = 0
     waiting_since: float = 0
@@ -69,6 +76,7 @@
             self.agent_id,
             self.checkpoint,
             self.failures,
+            self.worker_boot,
         ]
 
 
@@ -78,6 +86,7 @@
 
     Attributes:
         row_version: Version of the row as this planner last wrote or read it.
+        is_forgotten: To be deleted from the table.
         operations: Ids of own writes whose answers were lost.
     """
 
@@ -88,8 +97,7 @@
     kind: TaskKind
     tasks: list[TaskRecord]
     row_version: int = 0
-    is_dirty: bool = False
-    is_writing: bool = False
+    is_forgotten: bool = False
     operations: set[str] = field(default_factory=set)
 
     def to_document(self) -> Document:
@@ -128,8 +136,11 @@
         service_name: str,
         kind: TaskKind,
         count: int,
+        first_chunk: int = 0,
     ) -> list['Chunk']:
-        """Cut a new job's tasks into chunks."""
+        """Cut new tasks of a job into chunks."""
+        start = first_chunk * CHUNK_TASKS
+        end = start + count
         return [
             cls(
                 shard,
@@ -137,11 +148,19 @@
                 job_id,
                 service_name,
                 kind,
-                _new_tasks(job_id, first, min(first + CHUNK_TASKS, count)),
+                _new_tasks(job_id, first, min(first + CHUNK_TASKS, end)),
             )
-            for first in range(0, count, CHUNK_TASKS)
+            for first in range(start, end, CHUNK_TASKS)
         ]
 
+    def grow(self, count: int) -> list[TaskRecord]:
+        """Add tasks with the numbers that follow; return them."""
+        offset = int(self.key.rpartition('/')[2]) * CHUNK_TASKS
+        first = offset + len(self.tasks)
+        added = _new_tasks(self.job_id, first, first + count)
+        self.tasks.extend(added)
+        return added
+
 
 def chunk_prefix(shard: int) -> str:
     """Return the key prefix of a shard's chunks."""
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -1,13 +1,6 @@
-"""The tasks of one held shard, and every step that changes them.
+"""The jobs, keepers and tasks of one held shard."""
 
-A task is assigned in the table before its start is sent, under the shard's
-epoch and a new attempt number. It is placed anew only when its agent has said
-that the attempt is not there, or when the lease of an agent that cannot be
-reached has run out for certain.
-"""
-
-from functools import partial
-from types import MappingProxyType
+from typing import Mapping, Sequence
 
 from hyssopring.configuration import ServicePolicy
 from hyssopring.leases import HeldShard
@@ -15,33 +8,25 @@
 from hyssopring.membership import AgentRecord
 from hyssopring.placement.journal import Journal
 from hyssopring.placement.ports import PlannerPorts
-from hyssopring.placement.records import (
-    Chunk,
-    TaskRecord,
-    TaskState,
-)
+from hyssopring.placement.records import CHUNK_TASKS, Chunk, TaskRecord
 from hyssopring.placement.task_commands import TaskCommands
 from hyssopring.placement.task_index import PlannedTask, TaskIndex
-from hyssopring.protocol.messages import (
-    StartTask,
-    Resources,
-    TaskReport,
-    TaskStatus,
-)
+from hyssopring.placement.task_steps import GrantKey, TaskSteps
+from hyssopring.protocol.messages import Resources, TaskReport, TaskStatus
 from hyssopring.store.rows import Row
-from hyssopring.tasks import FINAL_PHASES, StopMode, TaskKind, TaskPhase
+from hyssopring.tasks import StopMode, TaskKind
+
+__all__ = ('ShardPlan', 'keeper_job_id')
 
-__all__ = ('PlannerPorts', 'ShardPlan')
+# Checkpoints that running tasks report are written this often at most.
+_PROGRESS_MS = 15_000.0
+# How long the rows of a finished job are kept.
+_RETENTION_MS = 3_600_000.0
 
-_BACKOFF_MS = 1000.0
-_MAX_BACKOFF_DOUBLINGS = 5
-# A worker that refused a task for want of room may have some soon; one that
-# failed it is tried again only when no other is left or much later.
-_AVOID_MS_BY_PHASE = MappingProxyType(
-    {TaskPhase.REFUSED: 1000.0, TaskPhase.FAILED: 600_000.0}
-)
-# An assignment whose start is still to be sent: no report can settle it.
-_NOT_SENT = 2**62
+
+def keeper_job_id(service_name: str) -> str:
+    """Return the id of a keeper set; no job or other set can have it."""
+    return f'keeper.{service_name.replace("/", ".")}'
 
 
 class ShardPlan:
@@ -57,33 +42,55 @@
         self.held = held
         self.is_loaded = False
         self.is_loading = False
+        self.keepers_version = -1
         self._journal = journal
         self._ports = ports
         self._commands = TaskCommands(held, ports.links)
         self.index = TaskIndex()
+        self._steps = TaskSteps(
+            held,
+            journal,
+            ports,
+            self._commands,
+            self.index.wait,
+        )
+        self._final_since_by_job: dict[str, float] = {}
+        self._progress_due: float = 0
 
-    def load(self, rows: list[Row]) -> None:
+    def load(self, rows: Sequence[Row]) -> None:
         """Take over what earlier planners recorded."""
         for row in rows:
-            self.index.add(self, Chunk.from_row(self.held.shard, row))
+            self._add(Chunk.from_row(self.held.shard, row))
         self.is_loaded = True
 
     def flush(self) -> None:
         """Write what changed."""
-        self._journal.flush(self.index.chunks)
+        now = self._ports.clock.now()
+        if self._steps.progressed and now >= self._progress_due:
+            self._progress_due = now + _PROGRESS_MS
+            for chunk in self._steps.progressed.values():
+                self._journal.mark(chunk)
+            self._steps.progressed.clear()
+        self._journal.flush()
 
     def take_letter(self, row: Row) -> None:
-        """Accept or cancel a job; the letter goes with the same write."""
+        """Accept or cancel a job; the letter goes once that is written.
+
+        Each letter has a key of its own and is read again until it is gone:
+        taking it twice changes nothing more.
+        """
+        job_id = row.document['job']
         if row.document['what'] == 'submit':
             self.accept_job(
-                row.document['job'],
+                job_id,
                 row.document['service'],
                 TaskKind(row.document['kind']),
                 row.document['tasks'],
             )
         else:
-            self.cancel_job(row.document['job'], row.document.get('task', ''))
-        self._journal.also_delete(row.key)
+            self.cancel_job(job_id, row.document.get('task', ''))
+        chunks = self.index.job_chunks(job_id)
+        self._journal.delete_after(row.key, chunks)
 
     def accept_job(
         self,
@@ -92,9 +99,11 @@
         kind: TaskKind,
         count: int,
     ) -> None:
-        """Take in a job's tasks; a job that is known stays as it is."""
-        if self.index.job_chunks(job_id):
-            return
+        """Take in a job's tasks; those that are known stay as they are.
+
+        A planner that died may have written only the first chunks.
+        """
+        known = {chunk.key for chunk in self.index.job_chunks(job_id)}
         chunks = Chunk.for_job(
             self.held.shard,
             job_id,
@@ -102,22 +111,60 @@
             kind,
             count,
         )
-        now = self._ports.clock.now()
-        for chunk in chunks:
-            chunk.is_dirty = True
-            self.index.add(self, chunk)
-            for task in chunk.tasks:
-                task.waiting_since = now
-        log_event(Event.JOB_ACCEPTED, job=job_id, tasks=count)
+        lacking = [chunk for chunk in chunks if chunk.key not in known]
+        for chunk in lacking:
+            self._add_new(chunk)
+        if lacking:
+            log_event(Event.JOB_ACCEPTED, job=job_id, tasks=count)
 
     def cancel_job(self, job_id: str, task_id: str = '') -> None:
         """Cancel a job's tasks that have not ended, or the one named."""
-        for planned in self.index.tasks:
-            is_meant = task_id in {'', planned.task.task_id}
-            if planned.chunk.job_id != job_id or planned.task.is_final:
+        for chunk in self.index.job_chunks(job_id):
+            for task in chunk.tasks:
+                if task_id in {'', task.task_id}:
+                    self._cancel(task)
+
+    def keep_up(self, service_name: str, count: int) -> None:
+        """Have so many keepers of a service; a withdrawn one has none.
+
+        A keeper that was cancelled may still run for a moment, or as long as
+        its lease where it cannot be reached: it is never taken up again, a
+        new keeper gets a new number.
+        """
+        job_id = keeper_job_id(service_name)
+        chunks = self.index.job_chunks(job_id)
+        wanted = [
+            task
+            for chunk in chunks
+            for task in chunk.tasks
+            if not task.is_final
+        ]
+        for surplus in wanted[count:]:
+            self._cancel(surplus)
+        lacking = count - len(wanted)
+        if lacking > 0:
+            log_event(Event.JOB_ACCEPTED, job=job_id, tasks=lacking)
+            self._add_keepers(job_id, service_name, lacking)
+
+    def keeper_services(self) -> set[str]:
+        """Return the services that this plan has keepers of."""
+        return {
+            chunk.service_name
+            for chunk in self.index.chunks
+            if chunk.kind is TaskKind.KEEPER
+        }
+
+    def forget_finished(self) -> None:
+        """Delete the rows of jobs that ended long ago; call each second."""
+        now = self._ports.clock.now()
+        for job_id in self.index.jobs:
+            chunks = self.index.job_chunks(job_id)
+            if not _is_over(chunks):
+                self._final_since_by_job.pop(job_id, None)
                 continue
-            if is_meant:
-                self._cancel(planned.chunk, planned.task)
+            since = self._final_since_by_job.setdefault(job_id, now)
+            if now - since > _RETENTION_MS:
+                self._forget(job_id, chunks)
 
     def assign(
         self,
@@ -127,28 +174,7 @@
         size: Resources,
     ) -> None:
         """Give a waiting task to an agent; its start follows the write."""
-        chunk, task = planned.chunk, planned.task
-        task.state = TaskState.ASSIGNED
-        task.attempt += 1
-        task.agent_id = agent_id
-        task.is_confirmed = False
-        task.sent_generation = _NOT_SENT
-        task.why_waiting = ''
-        task.share = 1
-        chunk.is_dirty = True
-        command = StartTask(
-            task_id=task.task_id,
-            shard=self.held.shard,
-            epoch=self.held.epoch,
-            attempt=task.attempt,
-            kind=chunk.kind.value,
-            service_name=chunk.service_name,
-            size=size,
-            checkpoint=task.checkpoint,
-            run_ms=policy.run_ms,
-            urgency=policy.urgency,
-        )
-        self._journal.when_written(partial(self._start, planned, command))
+        self._steps.assign(planned, agent_id, policy, size)
 
     def checkpoint(self, planned: PlannedTask) -> None:
         """Stop a task at a checkpoint; it waits again once it has stopped.
@@ -169,174 +195,72 @@
         planned.task.share = share
         self._commands.throttle(planned.task, share)
 
-    def reclaim_lapsed(self, granted_at_by_agent: dict[str, float]) -> None:
-        """Take back tasks of agents that are gone past their leases."""
-        now = self._ports.clock.now()
-        for planned in self.index.tasks:
-            task = planned.task
-            is_gone = self._ports.fleet.agent(task.agent_id) is None
-            if task.state is not TaskState.ASSIGNED or not is_gone:
-                continue
-            # An earlier planner may have granted until we took the shard.
-            granted_at = max(
-                granted_at_by_agent.get(task.agent_id, 0),
-                self.held.acquired_at,
-            )
-            lapse_ms = self._ports.times.lapse_ms(planned.chunk.kind)
-            if now > granted_at + lapse_ms:
-                self._to_waiting(planned.chunk, task, 'lease lapsed')
+    def reclaim_lapsed(self, granted_at: Mapping[GrantKey, float]) -> None:
+        """Take back tasks of workers out of reach past their leases."""
+        self._steps.reclaim_lapsed(granted_at)
 
     def take_status(self, record: AgentRecord, status: TaskStatus) -> None:
         """Take an agent's word on one attempt."""
         planned = self.index.task(status.task_id)
-        phase = TaskPhase(status.phase)
-        if planned is None or not _is_wanted(planned.task, record, status):
-            self._dismiss(record, status, phase)
+        if planned is None:
+            self._steps.dismiss(record, status)
             return
-        task = planned.task
-        if phase not in FINAL_PHASES:
-            task.is_confirmed = True
-            return
-        if task.state is TaskState.ASSIGNED:
-            self._end(planned.chunk, task, phase, status)
-        self._journal.when_written(
-            partial(self._commands.acknowledge, record.agent_id, status),
-        )
+        self._steps.take_status(planned, record, status)
 
     def reconcile(self, record: AgentRecord, report: TaskReport) -> None:
-        """An agent that knows our epoch has named all tasks that it runs.
+        """Take an agent's word on which tasks are not there."""
+        self._steps.reconcile(record, report)
 
-        A start sent on this same connection may have crossed the report on
-        its way; taking it for lost would run the task in two places. Only
-        starts of older connections or older planners are settled here.
-        """
-        if self.held.epoch != report.epoch:
-            return
-        present = {status.task_id for status in report.tasks}
-        for planned in self.index.tasks:
-            task = planned.task
-            is_here = (
-                task.state is TaskState.ASSIGNED
-                and task.agent_id == record.agent_id
-                and task.sent_generation < record.generation
-            )
-            if is_here and task.task_id not in present:
-                self._to_waiting(planned.chunk, task, 'not on its agent')
-
-    def _cancel(self, chunk: Chunk, task: TaskRecord) -> None:
-        was_assigned = task.state is TaskState.ASSIGNED
-        task.state = TaskState.CANCELLED
-        chunk.is_dirty = True
-        log_event(Event.TASK_CANCELLED, task=task.task_id)
-        if was_assigned:
-            self._journal.when_written(
-                partial(
-                    self._commands.stop,
-                    task.agent_id,
-                    task.task_id,
-                    task.attempt,
-                ),
-            )
+    def _add(self, chunk: Chunk) -> None:
+        self.index.add(self, chunk)
+        for task in chunk.tasks:
+            planned = self.index.task(task.task_id)
+            if planned is not None:
+                self._steps.adopt(planned)
 
-    def _start(self, planned: PlannedTask, command: StartTask) -> None:
-        task = planned.task
-        is_current = (
-            task.state is TaskState.ASSIGNED and task.attempt == command.attempt
+    def _cancel(self, task: TaskRecord) -> None:
+        planned = self.index.task(task.task_id)
+        if planned is not None:
+            self._steps.cancel(planned)
+
+    def _add_new(self, chunk: Chunk) -> None:
+        now = self._ports.clock.now()
+        for task in chunk.tasks:
+            task.waiting_since = now
+        self._add(chunk)
+        self._journal.mark(chunk)
+
+    def _add_keepers(self, job_id: str, service_name: str, count: int) -> None:
+        """Fill the last chunk, then cut new ones."""
+        chunks = self.index.job_chunks(job_id)
+        if chunks:
+            last = chunks[-1]
+            added = last.grow(min(count, CHUNK_TASKS - len(last.tasks)))
+            for task in added:
+                task.waiting_since = self._ports.clock.now()
+                self.index.add_task(self, last, task)
+            self._journal.mark(last)
+            count -= len(added)
+        new = Chunk.for_job(
+            self.held.shard,
+            job_id,
+            service_name,
+            TaskKind.KEEPER,
+            count,
+            len(chunks),
         )
-        if not is_current:
-            return
-        record = self._ports.fleet.agent(task.agent_id)
-        if record is None or not self._ports.links.send(
-            task.agent_id,
-            command,
-        ):
-            # Nothing was sent, so the attempt runs nowhere.
-            self._to_waiting(planned.chunk, task, 'agent has gone')
-            return
-        task.sent_generation = record.generation
+        for chunk in new:
+            self._add_new(chunk)
 
-    def _dismiss(
-        self,
-        record: AgentRecord,
-        status: TaskStatus,
-        phase: TaskPhase,
-    ) -> None:
-        """Answer a report of an attempt that is not wanted any more."""
-        if phase in FINAL_PHASES:
-            self._commands.acknowledge(record.agent_id, status)
-            return
-        self._commands.stop(record.agent_id, status.task_id, status.attempt)
+    def _forget(self, job_id: str, chunks: Sequence[Chunk]) -> None:
+        self.index.forget_job(job_id)
+        self._final_since_by_job.pop(job_id)
+        for chunk in chunks:
+            chunk.is_forgotten = True
+            self._journal.mark(chunk)
+        self._journal.delete_after(f'jobs/{job_id}', chunks)
+        log_event(Event.JOB_FORGOTTEN, job=job_id)
 
-    def _end(
-        self,
-        chunk: Chunk,
-        task: TaskRecord,
-        phase: TaskPhase,
-        status: TaskStatus,
-    ) -> None:
-        is_batch = chunk.kind is TaskKind.BATCH
-        self._note_health(chunk, task, phase)
-        task.checkpoint = status.checkpoint or task.checkpoint
-        if phase is TaskPhase.COMPLETED and is_batch:
-            task.state = TaskState.COMPLETED
-            chunk.is_dirty = True
-            self._ports.metrics.count('tasks_completed_total')
-            log_event(Event.TASK_FINISHED, task=task.task_id)
-            return
-        if phase is TaskPhase.FAILED:
-            task.failures += 1
-        self._to_waiting(chunk, task, status.detail)
-        policy = self._ports.configuration.policy(chunk.service_name)
-        limit = policy.max_attempts if policy else 1
-        if is_batch and task.failures >= limit:
-            task.state = TaskState.FAILED
-            log_event(Event.TASK_FAILED, task=task.task_id, tries=task.failures)
-
-    def _note_health(
-        self,
-        chunk: Chunk,
-        task: TaskRecord,
-        phase: TaskPhase,
-    ) -> None:
-        """Learn which workers fail what they start."""
-        now = self._ports.clock.now()
-        health = self._ports.health
-        if phase is TaskPhase.COMPLETED:
-            health.on_success(task.agent_id, chunk.service_name, now)
-        if phase is TaskPhase.FAILED:
-            workers = len(self._ports.fleet.agents)
-            health.on_failure(task.agent_id, chunk.service_name, now, workers)
-        avoid_ms = _AVOID_MS_BY_PHASE.get(phase)
-        if avoid_ms is not None:
-            task.avoid_until_by_agent[task.agent_id] = now + avoid_ms
-
-    def _to_waiting(self, chunk: Chunk, task: TaskRecord, why: str) -> None:
-        if chunk.kind is TaskKind.KEEPER:
-            log_event(
-                Event.KEEPER_LOST,
-                task=task.task_id,
-                agent=task.agent_id,
-                why=why,
-            )
-        task.state = TaskState.WAITING
-        self.index.wait(task.task_id)
-        task.is_confirmed = False
-        doublings = min(task.failures, _MAX_BACKOFF_DOUBLINGS)
-        backoff = _BACKOFF_MS * 2**doublings if task.failures else 0
-        now = self._ports.clock.now()
-        task.not_before = now + backoff
-        task.waiting_since = now
-        task.why_waiting = why
-        chunk.is_dirty = True
-
-
-def _is_wanted(
-    task: TaskRecord,
-    record: AgentRecord,
-    status: TaskStatus,
-) -> bool:
-    return (
-        not task.is_final
-        and task.attempt == status.attempt
-        and task.agent_id == record.agent_id
-    )
+
+def _is_over(chunks: Sequence[Chunk]) -> bool:
+    return all(task.is_final for chunk in chunks for task in chunk.tasks)
--- a/hyssopring/placement/task_index.py
+++ b/hyssopring/placement/task_index.py
@@ -39,6 +39,11 @@
         """All rows of tasks."""
         return self._chunk_by_key.values()
 
+    @property
+    def jobs(self) -> tuple[str, ...]:
+        """The ids of all jobs and keeper sets."""
+        return tuple(self._chunks_by_job)
+
     @property
     def tasks(self) -> tuple[PlannedTask, ...]:
         """All tasks."""
@@ -68,9 +73,27 @@
         self._chunk_by_key[chunk.key] = chunk
         self._chunks_by_job.setdefault(chunk.job_id, []).append(chunk)
         for task in chunk.tasks:
-            planned = PlannedTask(plan, chunk, task)
-            self._planned_by_task[task.task_id] = planned
-            self._waiting_by_task[task.task_id] = planned
+            self.add_task(plan, chunk, task)
+
+    def add_task(
+        self,
+        plan: 'ShardPlan',
+        chunk: Chunk,
+        task: TaskRecord,
+    ) -> PlannedTask:
+        """Take in one task of a known row."""
+        planned = PlannedTask(plan, chunk, task)
+        self._planned_by_task[task.task_id] = planned
+        self._waiting_by_task[task.task_id] = planned
+        return planned
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job's rows and tasks."""
+        for chunk in self._chunks_by_job.pop(job_id):
+            self._chunk_by_key.pop(chunk.key)
+            for task in chunk.tasks:
+                self._planned_by_task.pop(task.task_id)
+                self._waiting_by_task.pop(task.task_id, None)
 
     def wait(self, task_id: str) -> None:
         """A task waits again."""
--- a/hyssopring/protocol/inner.thrift
+++ b/hyssopring/protocol/inner.thrift
@@ -85,6 +85,7 @@
   4: required Resources free
   5: required bool stopping
   6: required list<TaskUsage> usage
+  7: required string worker_boot
 }
 
 struct LeaseGrant {
@@ -177,6 +178,7 @@
   8: required string checkpoint
   9: required double run_ms
   10: required i32 urgency
+  11: required string worker_boot
 }
 
 struct StopTask {
@@ -200,6 +202,7 @@
   2: required bool complete
   3: required i32 shard
   4: required i64 epoch
+  5: required string worker_boot
 }
 
 struct TaskReportAck {
--- a/hyssopring/protocol/messages.py
+++ b/hyssopring/protocol/messages.py
@@ -200,7 +200,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Sent by the agent each second; asks for leases and reports load."""
+    """Sent by the agent each second; asks for leases and reports load.
+
+    Attributes:
+        worker_boot: Empty while the agent's worker does not answer.
+    """
 
     sequence: int
     configuration_version: int
@@ -208,6 +212,7 @@
     free: Resources
     stopping: bool
     usage: tuple[TaskUsage, ...] = ()
+    worker_boot: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -340,7 +345,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Start one attempt of a task under the shard's lease."""
+    """Start one attempt of a task under the shard's lease.
+
+    Attributes:
+        worker_boot: The only boot of the worker that this start is for.
+    """
 
     task_id: str
     shard: int
@@ -352,6 +361,7 @@
     checkpoint: str
     run_ms: float
     urgency: int
+    worker_boot: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -382,12 +392,14 @@
 
     ``complete`` means that these are all tasks of ``shard`` here, said with
     knowledge of ``epoch``: commands of older epochs are refused from now on.
+    It speaks of what ``worker_boot`` runs and of no earlier boot.
     """
 
     tasks: tuple[TaskStatus, ...]
     complete: bool = False
     shard: int = 0
     epoch: int = 0
+    worker_boot: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/actors.py
+++ b/soak/actors.py
@@ -80,16 +80,18 @@
             if task['phase'] == 'running'
         }
 
-    def start(self, task_id, command, lease_ms):
+    def start(self, task_id, command, until, session):
         is_here = task_id in self.running()
+        if not super().start(task_id, command, until, session):
+            return False
         self.world.promises.check(
             not is_here, 'no task runs in two places', f'{task_id} twice here'
         )
-        super().start(task_id, command, lease_ms)
         task = self.task_by_id[task_id]
         if task['phase'] == 'running':
             self.world.promises.on_start(self.world.workers, self, task)
             self.world.moment(command['kind'], self.world.agent_of(self))
+        return True
 
     def end_all(self):
         """The VM is gone, and all that it ran."""
@@ -113,7 +115,7 @@
     }
     if any(key.startswith('chunks/') for key in keys):
         return _classify_chunks(transaction)
-    if any(key.endswith('-cancel') for key in keys):
+    if any('/1-cancel-' in key for key in keys):
         return 'cancellation'
     for prefix, area in area_by_prefix.items():
         if any(key.startswith(prefix) for key in keys):
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -16,7 +16,7 @@
 
 from hyssopring.agent.backends import AnnouncedBackend
 from hyssopring.agent.core import AgentCore, AgentIdentity
-from hyssopring.agent.tasks import WorkerTask
+from hyssopring.agent.worker import StopAnswer, WorkerListing, WorkerTask
 from hyssopring.clock import ManualClock
 from hyssopring.configuration import ConfigurationChange
 from hyssopring.entry.calls import Call
@@ -34,6 +34,7 @@
     Welcome,
 )
 from hyssopring.store.rows import Committed, Conflict, Row
+from hyssopring.tasks import TaskPhase
 from standins.table import Table
 from standins.worker import Worker
 
@@ -282,7 +283,11 @@
         self.agent = agent or Process()
         self.worker = Worker((clock or loop.clock).now, fails)
 
-    def start(self, command, lease_ms, done):
+    @property
+    def session(self):
+        return self.agent.core.identity.incarnation
+
+    def start(self, command, until, done):
         document = {
             'attempt': command.attempt,
             'kind': command.kind,
@@ -290,46 +295,79 @@
             'run_ms': command.run_ms,
             'command': command,
             'size': asdict(command.size),
+            'worker_boot': command.worker_boot,
         }
-        self.loop.later(
-            1.0,
-            self.take,
-            self._start,
-            command.task_id,
-            document,
-            lease_ms,
+        self._post(
+            lambda: self.worker.start(
+                command.task_id, document, until, self.session
+            ),
             done,
         )
 
-    def stop(self, task_id, mode, done):
-        self.loop.later(1.0, self.take, self._stop, task_id, done)
+    def stop(self, command, mode, done):
+        self._post(
+            lambda: self.worker.stop(
+                command.task_id,
+                command.attempt,
+                command.worker_boot,
+                self.session,
+            ),
+            lambda answer: done(
+                answer
+                and StopAnswer(TaskPhase(answer['phase']), answer['checkpoint'])
+            ),
+        )
 
     def throttle(self, task_id, share):
         self.worker.throttle(task_id, share)
 
-    def renew(self, lease_ms_by_task):
-        self.take(self.worker.renew, lease_ms_by_task)
+    def renew(self, until_by_task):
+        self.take(self.worker.renew, until_by_task, self.session)
 
     def list(self):
-        return [
-            WorkerTask(
-                task['task_id'],
-                task['attempt'],
-                task['phase'],
-                task['checkpoint'],
-                task['command']['command'],
-                Resources(**task['used']),
-                task['share'],
-            )
-            for task in self.worker.listing()
-        ]
-
-    def _start(self, task_id, document, lease_ms, done):
-        self.worker.start(task_id, document, lease_ms)
-        self.agent.take(done, True)
+        if self.is_paused or not self.is_alive:
+            return None
+        tasks = self.worker.listing(self.session)
+        if tasks is None:
+            return None
+        return WorkerListing(
+            self.worker.boot, tuple(_listed(task) for task in tasks)
+        )
 
-    def _stop(self, task_id, done):
-        self.agent.take(done, self.worker.stop(task_id))
+    def replace(self, fails=False):
+        """A new worker on a VM of the same name; the old one dies."""
+        self.worker = Worker(self.worker.now, fails)
+
+    def _post(self, work, done):
+        """Obey after the way there; give up waiting after two seconds."""
+        answered = []
+
+        def arrive():
+            answer = work()
+            if not answered:
+                answered.append(True)
+                self.agent.take(done, answer)
+
+        def give_up():
+            if not answered:
+                answered.append(False)
+                self.agent.take(done, None)
+
+        self.loop.later(1.0, self.take, arrive)
+        self.loop.later(2000.0, give_up)
+
+
+def _listed(task):
+    return WorkerTask(
+        task['task_id'],
+        task['attempt'],
+        task['phase'],
+        task['checkpoint'],
+        task['command']['command'],
+        Resources(**task['used']),
+        task['share'],
+        task['until'],
+    )
 
 
 class VirtualCallers:
@@ -368,6 +406,7 @@
             self.store,
             self.core.configuration,
             deployment.shard_settings.shards,
+            self.core.fleet,
         )
         loop = deployment.loop
         runs = lambda: self.is_alive  # noqa: E731
@@ -401,6 +440,7 @@
         self.backend_by_name = {}
         clock = deployment.clock_of(self.name)
         self.worker = VirtualWorker(deployment.loop, clock, agent=self)
+        deployment.workers.append(self.worker)
         self.core = AgentCore(
             clock,
             AgentIdentity(
@@ -425,6 +465,8 @@
         loop.every(1000, self._unless_paused(self.core.heartbeat), runs)
         loop.every(500, self._unless_paused(self._announce), runs)
         loop.every(500, self._unless_paused(self._list), runs)
+        progress = self.core.tasks.report_progress
+        loop.every(10_000, self._unless_paused(progress), runs)
         loop.every(300, self._unless_paused(self._dial), runs)
 
     def add_backend(self, backend):
@@ -454,8 +496,8 @@
                 self.core.backends.announce(backend.announcement())
 
     def _list(self):
-        if not self.worker.is_paused:
-            self.core.tasks.on_listing(self.worker.list())
+        asked_at = self.deployment.clock_of(self.name).now()
+        self.core.tasks.on_listing(self.worker.list(), asked_at)
 
     def _dial(self):
         directory = self.core.directory
@@ -620,6 +662,7 @@
         self.shard_settings = shard_settings
         self.lease_times = lease_times
         self.links = []
+        self.workers = []
         self.blocked_pairs = set()
         self.rate_by_name = rate_by_name or {}
         self.subset = subset
@@ -664,6 +707,19 @@
         rate = self.rate_by_name.get(name)
         return self.loop.clock if rate is None else RateClock(self.loop, rate)
 
+    def places_by_task(self):
+        """How many workers run each task now; more than one is a fault."""
+        living = {
+            id(each.worker): each.worker
+            for each in self.workers
+            if each.is_alive
+        }
+        return Counter(
+            task_id
+            for worker in living.values()
+            for task_id in worker.running()
+        )
+
     def entry(self, number=0):
         return self.entry_by_name[f'entry-{number}']
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,5 +1,8 @@
 """Stand-in for the platform's worker: runs tasks under leases, on timers.
 
+One agent session at a time is obeyed: the listing for a new one refuses what
+older ones still send. Deadlines are points of the VM's clock.
+
 HTTP: ``POST /tasks/ID/start``, ``/tasks/ID/stop``, ``/tasks/ID/throttle``,
 ``/leases``;
 ``GET /tasks``. A task whose lease is not renewed ends by itself. The log of
@@ -10,6 +13,7 @@
 import json
 import sys
 import time
+import uuid
 
 from twisted.web.resource import Resource
 from twisted.web.server import Site
@@ -18,17 +22,33 @@
 _NOTHING = {'cores': 0.0, 'memory_gb': 0.0, 'accelerators': 0}
 
 
+def vm_clock():
+    """Milliseconds of the clock that all processes of a VM share."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
 class Worker:
     """Tasks in memory, by id."""
 
-    def __init__(self, now=lambda: time.monotonic() * 1000, fails=False):
+    def __init__(self, now=vm_clock, fails=False):
         self.now = now
         self.fails = fails
+        self.boot = uuid.uuid4().hex
+        self.session = ''
+        self.retired = set()
         self.task_by_id = {}
         self.history = []
 
-    def start(self, task_id, command, lease_ms):
+    def start(self, task_id, command, until, session):
+        """Return whether it was started."""
         self.advance()
+        known = self.task_by_id.get(task_id)
+        is_stale = (
+            session != self.session or command['worker_boot'] != self.boot
+        )
+        is_old = known is not None and known['attempt'] >= command['attempt']
+        if is_stale or is_old or until <= self.now():
+            return False
         self.task_by_id[task_id] = {
             'task_id': task_id,
             'attempt': command['attempt'],
@@ -37,19 +57,26 @@
             'command': command,
             'share': 1.0,
             'used': dict(command.get('size') or _NOTHING),
-            'until': self.now() + lease_ms,
+            'until': until,
             'resumed_at': self.now(),
             'done_ms': float(command['checkpoint'] or 0),
         }
         self._note('start', task_id)
+        return True
 
-    def stop(self, task_id):
+    def stop(self, task_id, attempt, boot, session):
+        """Return phase and checkpoint, None to an old session."""
+        if session != self.session or boot != self.boot:
+            return None
         self.advance()
-        task = self.task_by_id.pop(task_id, None)
-        if task is None:
-            return ''
-        self._note('stop', task_id)
-        return task['checkpoint']
+        task = self.task_by_id.get(task_id)
+        if task is None or task['attempt'] != attempt:
+            return {'phase': 'stopped', 'checkpoint': ''}
+        self.task_by_id.pop(task_id)
+        if task['phase'] == 'running':
+            task['phase'] = 'stopped'
+            self._note('stop', task_id)
+        return {'phase': task['phase'], 'checkpoint': task['checkpoint']}
 
     def throttle(self, task_id, share):
         self.advance()
@@ -61,16 +88,32 @@
             task['share'] = share
             self._note('throttle', task_id)
 
-    def renew(self, lease_ms_by_task):
+    def renew(self, until_by_task, session):
         self.advance()
-        for task_id, lease_ms in lease_ms_by_task.items():
+        if session != self.session:
+            return
+        for task_id, until in until_by_task.items():
             if task_id in self.task_by_id:
-                self.task_by_id[task_id]['until'] = self.now() + lease_ms
+                self.task_by_id[task_id]['until'] = until
 
-    def listing(self):
+    def listing(self, session):
+        """All tasks, None to an old session; a new one becomes current."""
         self.advance()
+        if session in self.retired:
+            return None
+        if session != self.session:
+            self.retired.add(self.session)
+            self.session = session
         return list(self.task_by_id.values())
 
+    def running(self):
+        """Tasks that run now, also when no command has come for long."""
+        return [
+            task_id
+            for task_id, task in self.task_by_id.items()
+            if task['phase'] == 'running' and self.now() <= task['until']
+        ]
+
     def advance(self):
         """Let time take effect: progress, completion, lapsed leases."""
         now = self.now()
@@ -104,23 +147,38 @@
         self.worker = worker
 
     def render_GET(self, request):
-        return json.dumps({'tasks': self.worker.listing()}).encode()
+        session = request.args.get(b'session', [b''])[0].decode()
+        tasks = self.worker.listing(session)
+        if tasks is None:
+            request.setResponseCode(409)
+            return b'{}'
+        return json.dumps({'boot': self.worker.boot, 'tasks': tasks}).encode()
 
     def render_POST(self, request):
         body = json.loads(request.content.read())
         parts = request.path.decode().strip('/').split('/')
+        answer = self._obey(parts, body)
+        if answer is None:
+            request.setResponseCode(409)
+        return json.dumps(answer or {}).encode()
+
+    def _obey(self, parts, body):
+        session = body['session']
         if parts == ['leases']:
-            self.worker.renew(body)
-            return b'{}'
+            self.worker.renew(body['until'], session)
+            return {}
         _, task_id, verb = parts
         if verb == 'start':
-            self.worker.start(task_id, body['command'], body['lease_ms'])
-            return b'{}'
+            is_started = self.worker.start(
+                task_id, body['command'], body['until'], session
+            )
+            return {} if is_started else None
         if verb == 'throttle':
             self.worker.throttle(task_id, body['share'])
-            return b'{}'
-        checkpoint = self.worker.stop(task_id)
-        return json.dumps({'checkpoint': checkpoint}).encode()
+            return {}
+        return self.worker.stop(
+            task_id, body['attempt'], body['worker_boot'], session
+        )
 
 
 def listen(reactor, address, worker):
--- a/tests/test_making_room.py
+++ b/tests/test_making_room.py
@@ -3,6 +3,7 @@
 from hyssopring.agent.ledger import Ledger
 from hyssopring.agent.tail import TailWindow
 from hyssopring.agent.tasks import TaskSupervisor
+from hyssopring.agent.worker import StopAnswer, WorkerListing
 from hyssopring.clock import ManualClock
 from hyssopring.invariants import Invariants
 from hyssopring.leases import ShardLeases
@@ -14,6 +15,7 @@
     StopTask,
     ThrottleTask,
 )
+from hyssopring.tasks import TaskPhase
 
 
 class SlowWorker:
@@ -24,35 +26,36 @@
         self.stopping = {}
         self.shares = {}
 
-    def start(self, command, lease_ms, done):
+    def start(self, command, until, done):
         self.started.append(command.task_id)
         done(True)
 
-    def stop(self, task_id, mode, done):
-        self.stopping[task_id] = done
+    def stop(self, command, mode, done):
+        self.stopping[command.task_id] = lambda checkpoint: done(
+            StopAnswer(TaskPhase.STOPPED, checkpoint)
+        )
 
     def throttle(self, task_id, share):
         self.shares[task_id] = share
 
-    def renew(self, lease_ms_by_task):
+    def renew(self, until_by_task):
         pass
 
 
 def start(name, urgency, cores, kind='batch'):
     return StartTask(
         name, 1, 1, 1, kind, f't/{name}', Resources(cores, cores), '', 1e6,
-        urgency,
+        urgency, 'boot',
     )  # fmt: skip
 
 
 def supervisor(*commands, cores=16):
     clock = ManualClock(1000)
-    ledger = Ledger(Resources(cores, 60), Invariants(Metrics()))
+    metrics = Metrics()
+    ledger = Ledger(Resources(cores, 60), Invariants(metrics), metrics)
     worker, reports = SlowWorker(), []
-    tasks = TaskSupervisor(
-        clock, ledger, ShardLeases(clock), worker, reports.append
-    )
-    tasks.on_listing([])
+    tasks = TaskSupervisor(clock, ledger, ShardLeases(), worker, reports.append)
+    tasks.on_listing(WorkerListing('boot', ()), clock.now())
     tasks.on_grant(LeaseGrant(1, 1, 15_000, 60_000), clock.now())
     for command in commands:
         tasks.on_start(command)
@@ -96,7 +99,7 @@
     tasks.on_start(start('farrier', 9, 6))
     tasks.on_stop(StopTask('farrier', 1, 1, 1, 'cancel'))
     worker.stopping['ocr']('70')
-    worker.stopping['farrier']('')
+    assert 'farrier' not in worker.stopping, 'the worker never heard of it'
     assert worker.started == ['ocr']
     assert ledger.free.cores == 16
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -188,7 +188,7 @@
         return sorted(
             (task['task_id'], task['attempt'])
             for agent in deployment.agent_by_name.values()
-            for task in agent.worker.worker.listing()
+            for task in agent.worker.worker.task_by_id.values()
             if task['phase'] == 'running'
         )
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -123,11 +123,15 @@
 def test_waiting_task_says_why_and_a_cancelled_one_ends(operate):
     operate('submit template/giant FILE', SIZE.replace('1,', '900,') + '100}')
     operate('submit parameters/trust/giant FILE --wait', '{}')
-    assert operate('run big trust giant --tasks 2')[0] == 0
+    code, _, err = operate('run never trust giant --tasks 2')
+    assert code == 1 and 'no worker is large enough' in err
+    # It fits an empty VM only, and each VM has its backend server.
+    operate('submit template/whole FILE', SIZE.replace('1,', '16,') + '100}')
+    operate('submit parameters/trust/whole FILE --wait', '{}')
+    assert operate('run big trust whole --tasks 2')[0] == 0
     until(
         lambda: (
-            'no worker is large enough'
-            in operate('explain task big:1')[1] + operate('jobs')[1]
+            'no room' in operate('explain task big:1')[1] + operate('jobs')[1]
         )
     )
     assert operate('cancel big:0')[0] == 0
--- a/tests/test_random_runs.py
+++ b/tests/test_random_runs.py
@@ -30,7 +30,7 @@
     a VM is given more than it holds, and the run says so with a short cause."""
 
     def reserve(ledger, owner, size, *others, **options):
-        ledger._size_by_owner[owner] = size
+        ledger.adopt(owner, size)
         return True
 
     monkeypatch.setattr(Ledger, 'reserve', reserve)
