--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -93,6 +93,7 @@
                     'store_url': f'http://{self.table}',
                     'inner_secret': SECRET,
                     'operator_token': TOKEN,
+                    'notice_ms': 300.0,
                 },
             )
             self.spawn(f'entry-{number}', [*self.binary, 'entry', path])
--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -28,6 +28,7 @@
 _LEASES_S = 1.0
 _PROGRESS_S = 10.0
 _DRAIN_CHECK_S = 0.05
+_LAST_ANSWERS_S = 0.3
 _MILLIS_PER_SECOND = 1000.0
 
 
@@ -134,7 +135,8 @@
 
     def _drain(self, deadline: float) -> None:
         if self.core.is_idle or self._clock.now() > deadline:
-            self._reactor.callLater(_DRAIN_CHECK_S, self._finish)
+            # A while more, so that the last answers leave the process.
+            self._reactor.callLater(_LAST_ANSWERS_S, self._finish)
             return
         self._reactor.callLater(_DRAIN_CHECK_S, self._drain, deadline)
 
--- a/hyssopring/entry/callers.py
+++ b/hyssopring/entry/callers.py
@@ -3,7 +3,7 @@
 A caller sends any method to ``/<team>/<template>/<path>``. An error answer is
 JSON with the error kind, whether the request ran, when to come back, and where
 to ask when the outcome is unknown: ``GET /outcome/<request id>``. Each answer
-carries the request id.
+carries the request id. ``GET /healthz`` tells a balancer whether to send here.
 """
 
 import json
@@ -34,6 +34,8 @@
 _MILLIS_PER_SECOND = 1000
 _OUTCOME = re.compile(rb'/outcome/([0-9a-f]{32})')
 _PROOF_DIGITS = 32
+_OK = 200
+_UNAVAILABLE = 503
 
 
 def _nothing() -> None:
@@ -144,11 +146,18 @@
         self._core = core
         self._waiting = waiting
         self._default_deadline_ms = default_deadline_ms
+        self.is_ready = True
 
     def render(self, request: BoundedRequest) -> int:
         """Take one HTTP request."""
         request_id = uuid.uuid4().hex
         request.setHeader('Hyssopring-Request-Id', request_id)
+        if not self.is_ready:
+            # The balancer's kept connections are to move to other entries.
+            request.setHeader('connection', 'close')
+        if request.path == b'/healthz':
+            self._show_health(request)
+            return NOT_DONE_YET
         if request.is_too_large:
             write_failure(request, Failure(ErrorKind.TOO_LARGE, 'the body'))
             return NOT_DONE_YET
@@ -159,6 +168,14 @@
             self._inquire(request, request_id, asked[1].decode())
         return NOT_DONE_YET
 
+    def _show_health(self, request: BoundedRequest) -> None:
+        why_not = self._core.why_not_ready if self.is_ready else 'stopping'
+        answer = Answer(
+            _UNAVAILABLE if why_not else _OK,
+            body=f'{why_not or "ready"}\n'.encode(),
+        )
+        write_answer(request, answer)
+
     def _submit(self, request: BoundedRequest, request_id: str) -> None:
         call = call_from_http(
             _http_request(request),
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -276,6 +276,13 @@
         registry.lowest_agent_version = self.fleet.lowest_version()
         self.shards.poll()
 
+    @property
+    def why_not_ready(self) -> str:
+        """Why a balancer should send nothing here, empty if it may."""
+        if not self.configuration.is_known:
+            return 'no configuration yet'
+        return '' if self.fleet.agents else 'no agents yet'
+
     def stop(self) -> None:
         """Begin a planned stop: nothing new, calls in flight finish."""
         self.router.stop()
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -32,9 +32,11 @@
 _SILENCE_CHECK_S = 0.25
 _POLL_S = 0.5
 _RENEW_S = 1.0
+_UNGREETED_S = 1.0
 _CLEAN_S = 5.0
 _DAY_S = 86_400
 _DRAIN_CHECK_S = 0.05
+_LAST_ANSWERS_S = 0.3
 _MILLIS_PER_SECOND = 1000.0
 
 
@@ -80,7 +82,13 @@
             self.core.expire_calls,
             lambda: self.core.router.is_busy,
         ).wake
-        self._ports: list[Any] = []
+        self._callers = CallerResource(
+            self._clock,
+            self.core,
+            self._waiting,
+            settings.default_deadline_ms,
+        )
+        self._caller_port: Any = None
         self._loops: list[LoopingCall] = []
         self.core.metrics.collect(self._gauge)
 
@@ -92,16 +100,10 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         settings = self._settings
-        callers = CallerResource(
-            self._clock,
-            self.core,
-            self._waiting,
-            settings.default_deadline_ms,
-        )
         self._listen(settings.inner_address, self._links)
-        self._listen(
+        self._caller_port = self._listen(
             settings.caller_address,
-            bounded_site(callers, settings.max_body_bytes),
+            bounded_site(self._callers, settings.max_body_bytes),
         )
         self._listen(
             settings.operator_address,
@@ -110,6 +112,7 @@
         self._every(_PLAN_S, self.core.plan)
         self._every(_SILENCE_CHECK_S, self.core.drop_silent)
         self._every(_POLL_S, self.core.poll_table)
+        self._every(_UNGREETED_S, self._links.drop_ungreeted)
         self._every(_RENEW_S, self.core.renew)
         self._every(_CLEAN_S, self.core.cleaner.sweep)
         log_event(
@@ -124,10 +127,17 @@
         if not self._operators.is_ready:
             return
         self._operators.is_ready = False
+        self._callers.is_ready = False
         log_event(Event.PROCESS_STOPPING, pending=self.core.router.pending)
+        # A balancer that has not noticed yet still sends requests here; each
+        # one refused now would have been served a moment ago.
+        notice_s = self._settings.notice_ms / _MILLIS_PER_SECOND
+        self._reactor.callLater(notice_s, self._end_notice)
+
+    def _end_notice(self) -> None:
+        self._caller_port.stopListening()
         self.core.stop()
-        deadline = self._clock.now() + self._settings.drain_ms
-        self._drain(deadline)
+        self._drain(self._clock.now() + self._settings.drain_ms)
 
     def _build_core(self) -> EntryCore:
         settings = self._settings
@@ -156,10 +166,9 @@
             _today,
         )
 
-    def _listen(self, address: str, factory: Any) -> None:
+    def _listen(self, address: str, factory: Any) -> Any:
         host, port = parse_address(address)
-        listening = self._reactor.listenTCP(port, factory, interface=host)
-        self._ports.append(listening)
+        return self._reactor.listenTCP(port, factory, interface=host)
 
     def _gauge(self) -> None:
         metrics = self.core.metrics
@@ -180,8 +189,8 @@
     def _drain(self, deadline: float) -> None:
         is_done = not self.core.router.pending
         if is_done or self._clock.now() > deadline:
-            # One more turn, so that the last answers leave the process.
-            self._reactor.callLater(_DRAIN_CHECK_S, self._finish)
+            # A while more, so that the last answers leave the process.
+            self._reactor.callLater(_LAST_ANSWERS_S, self._finish)
             return
         self._reactor.callLater(_DRAIN_CHECK_S, self._drain, deadline)
 
--- a/hyssopring/entry/links.py
+++ b/hyssopring/entry/links.py
@@ -11,6 +11,7 @@
 from hyssopring.errors import ErrorKind
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord
+from hyssopring.protocol.codec import MAX_FRAME_BYTES
 from hyssopring.protocol.connection import InnerConnection, Traffic, prove
 from hyssopring.protocol.messages import (
     PROTOCOL_VERSION,
@@ -22,10 +23,14 @@
 
 __all__ = ('AgentLinks',)
 
+_MAX_GREETING_BYTES = 65_536
+_GREETING_MS = 5000.0
+
 
 @dataclass(slots=True)
 class _Session:
     nonce: str
+    opened_at: float
     record: AgentRecord | None = None
 
 
@@ -63,7 +68,7 @@
 
     def buildProtocol(self, addr: object) -> InnerConnection:
         """Make the protocol of one accepted connection."""
-        return InnerConnection(
+        connection = InnerConnection(
             self._clock,
             self._opened,
             self._received,
@@ -71,6 +76,17 @@
             self._closed,
             self.traffic,
         )
+        # A peer that has not shown the secret could fill the memory.
+        connection.MAX_LENGTH = _MAX_GREETING_BYTES
+        return connection
+
+    def drop_ungreeted(self) -> None:
+        """Abort connections that opened and did not greet in time."""
+        now = self._clock.now()
+        for connection, session in tuple(self._session_by_connection.items()):
+            age = now - session.opened_at
+            if session.record is None and age > _GREETING_MS:
+                connection.abort()
 
     def send(self, agent_id: str, message: Message) -> bool:
         """Write a message; False if the agent is not connected."""
@@ -88,7 +104,9 @@
 
     def _opened(self, connection: InnerConnection) -> None:
         nonce = uuid.uuid4().hex
-        self._session_by_connection[connection] = _Session(nonce)
+        self._session_by_connection[connection] = _Session(
+            nonce, self._clock.now()
+        )
         entry_id = self._core.identity.entry_id if self._core else ''
         connection.send(Challenge(PROTOCOL_VERSION, entry_id, nonce))
 
@@ -120,7 +138,8 @@
         hello: Hello,
     ) -> None:
         expected = prove(self._secret, session.nonce, hello.agent_id)
-        if not hmac.compare_digest(expected, hello.proof):
+        given = hello.proof.encode()
+        if not hmac.compare_digest(expected.encode(), given):
             self._refuse(connection, ErrorKind.UNAUTHORIZED, 'wrong proof')
             return
         refusal = self._core.refusal(hello) if self._core else None
@@ -132,6 +151,7 @@
         if older is not None:
             older.abort()
         if self._core is not None:
+            connection.MAX_LENGTH = MAX_FRAME_BYTES
             session.record = self._core.on_hello(hello)
 
     def _refuse(
--- a/hyssopring/entry/operators.py
+++ b/hyssopring/entry/operators.py
@@ -93,8 +93,7 @@
             _write(request, _OK, self._core.metrics.render(), 'text/plain')
             return
         why_not = '' if self.is_ready else 'stopping'
-        if not self._core.configuration.is_known:
-            why_not = why_not or 'no configuration yet'
+        why_not = why_not or self._core.why_not_ready
         status = _UNAVAILABLE if why_not else _OK
         _write(request, status, f'{why_not or "ready"}\n')
 
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -43,6 +43,11 @@
 __all__ = ('CallRouter',)
 
 
+# Refusals of an agent or a backend server that is leaving. Sending elsewhere
+# adds no load, so a planned stop fails no request for want of a send budget.
+_LEFT = frozenset((ErrorKind.STOPPING, ErrorKind.NO_BACKEND))
+
+
 class CallRouter:
     """Routes calls; one instance per entry, driven by one thread."""
 
@@ -284,10 +289,20 @@
         if not_run and pending.row is not None:
             self._keyed.move(pending, failure)
             return
-        may_repeat = not_run or pending.idempotent
-        if not (may_repeat and self.sender.resend(pending)):
+        if not self._repeat(pending, failure, not_run):
             self._calls.fail(pending, failure)
 
+    def _repeat(
+        self,
+        pending: PendingCall,
+        failure: Failure,
+        not_run: bool,
+    ) -> bool:
+        """Send again what may be; False if nothing was sent."""
+        if not_run and failure.kind in _LEFT:
+            return self.sender.rescue(pending)
+        return (not_run or pending.idempotent) and self.sender.resend(pending)
+
     def _cancel(self, pending: PendingCall) -> None:
         for attempt in pending.attempts:
             # What it follows is another caller's, who may still wait.
--- a/hyssopring/entry/sending.py
+++ b/hyssopring/entry/sending.py
@@ -95,8 +95,9 @@
     def rescue(self, pending: PendingCall) -> bool:
         """Send to another agent; False if there is none or no time left.
 
-        A rescue takes nothing from the send budget: the agent behind a lost
-        connection has the load of the first copy no more, or one copy of it.
+        A rescue takes nothing from the send budget. Its first copy was lost
+        with a connection or refused by who is leaving; a service that fails
+        its calls gets no more load by it.
         """
         left = pending.call.deadline - self._clock.now()
         if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
--- a/hyssopring/protocol/connection.py
+++ b/hyssopring/protocol/connection.py
@@ -64,6 +64,7 @@
         self._on_message = on_message
         self._on_error = on_error
         self._on_close = on_close
+        self._is_broken = False
         self.last_heard = clock.now()
         self._traffic = traffic or Traffic()
 
@@ -81,21 +82,28 @@
 
     def stringReceived(self, string: bytes) -> None:
         """Decode one frame; a frame that does not decode ends the peer."""
+        if self._is_broken:
+            return
         try:
             message = decode(string)
         except ProtocolError as error:
-            self._on_error(self, str(error))
+            self._break(str(error))
             return
         self._on_message(self, message)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Refuse a frame longer than the protocol allows."""
-        self._on_error(self, f'a frame of {length} bytes is too long')
+        self._break(f'a frame of {length} bytes is too long')
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Tell the owner that the connection is gone."""
         self._on_close(self)
 
+    def _break(self, detail: str) -> None:
+        # What follows a broken frame in the same read is not to be trusted.
+        self._is_broken = True
+        self._on_error(self, detail)
+
     def send(self, message: Message) -> None:
         """Write one message."""
         payload = encode(message)
--- a/hyssopring/settings/models.py
+++ b/hyssopring/settings/models.py
@@ -171,6 +171,13 @@
         _Millis,
         Field(description='Longest wait for requests in flight at a stop.'),
     ] = 30_000
+    notice_ms: Annotated[
+        _Millis,
+        Field(
+            description='At a stop, how long new requests are still taken '
+            'while /healthz tells the balancer.',
+        ),
+    ] = 3000
 
     @model_validator(mode='after')
     def check_together(self) -> Self:
