Entry: one log line per good request, cheaply written

Cause: the profile's first cost in the entry was its log lines: two a request, each with a time formatted by the library, and a decision record made readable that is seldom read. Ruled out: a line without the library (the users want loguru), leaving out the routing line (each decision is to be logged). Change: good answers are logged at DEBUG, failed ones as an event of their own; the time of day is formatted once a second; the decision ring keeps raw events and formats when asked.

--- a/hyssopring/entry/decisions.py
+++ b/hyssopring/entry/decisions.py
@@ -17,11 +17,11 @@
 _REQUESTS = 8192
 _TROUBLES = 4096
 _TASKS = 8192
-_NO_ERROR = 'none'
 _SUBJECTS: Final = ('request', 'task', 'job')
 # Kept apart, so that a flood of good requests does not push them out.
 _TROUBLE: Final = frozenset(
     (
+        Event.REQUEST_FAILED,
         Event.REQUEST_REFUSED,
         Event.REQUEST_RETRIED,
         Event.REQUEST_OUTCOME_ASKED,
@@ -48,29 +48,15 @@
     where: str
     why: str
 
-    @classmethod
-    def from_event(
-        cls,
-        event: Event,
-        subject: str,
-        fields: Fields,
-    ) -> 'Decision':
-        """Take over a log event's fields."""
-        shown = {
-            name: found
-            for name, found in fields.items()
-            if name not in {'agent', 'why', *_SUBJECTS}
-        }
-        rest = ' '.join(f'{name}={found}' for name, found in shown.items())
-        why = str(fields.get('why', ''))
-        return cls(
-            at=time.time(),
-            subject=subject,
-            event=event.value,
-            what=event.name,
-            where=str(fields.get('agent', '')),
-            why=f'{why} ({rest})' if why and rest else why or rest,
-        )
+
+@dataclass(frozen=True, slots=True)
+class _KeptEvent:
+    """An event as it was logged; made readable only when asked for."""
+
+    at: float
+    subject: str
+    event: Event
+    fields: Fields
 
 
 class DecisionLog:
@@ -78,38 +64,56 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._requests: deque[Decision] = deque(maxlen=_REQUESTS)
-        self._troubles: deque[Decision] = deque(maxlen=_TROUBLES)
-        self._tasks: deque[Decision] = deque(maxlen=_TASKS)
+        self._requests: deque[_KeptEvent] = deque(maxlen=_REQUESTS)
+        self._troubles: deque[_KeptEvent] = deque(maxlen=_TROUBLES)
+        self._tasks: deque[_KeptEvent] = deque(maxlen=_TASKS)
 
     def take(self, event: Event, fields: Fields) -> None:
         """Keep an event that is about a request, a task or a job."""
         subject = _subject(fields)
-        if not subject:
-            return
-        decision = Decision.from_event(event, subject, fields)
-        self._ring(event, fields).append(decision)
+        if subject:
+            kept = _KeptEvent(time.time(), subject, event, fields)
+            self._ring(event, fields).append(kept)
 
     def explain(self, subject: str) -> list[Mapping[str, Any]]:
         """Return what is kept of one request, task or job, oldest first."""
         found = [
-            decision
+            kept
             for ring in (self._requests, self._troubles, self._tasks)
-            for decision in ring
-            if decision.subject == subject
+            for kept in ring
+            if kept.subject == subject
         ]
-        found.sort(key=lambda decision: decision.at)
-        return [asdict(decision) for decision in found]
+        found.sort(key=lambda kept: kept.at)
+        return [asdict(_decision(kept)) for kept in found]
 
-    def _ring(self, event: Event, fields: Fields) -> deque[Decision]:
-        if fields.get('request') is None:
+    def _ring(self, event: Event, fields: Fields) -> deque[_KeptEvent]:
+        if 'request' not in fields:
             return self._tasks
-        has_failed = fields.get('error', _NO_ERROR) != _NO_ERROR
-        if has_failed or event in _TROUBLE:
-            return self._troubles
-        return self._requests
+        return self._troubles if event in _TROUBLE else self._requests
+
+
+def _decision(kept: _KeptEvent) -> Decision:
+    """Make a kept event readable."""
+    shown = {
+        name: found
+        for name, found in kept.fields.items()
+        if name not in {'agent', 'why', *_SUBJECTS}
+    }
+    rest = ' '.join(f'{name}={found}' for name, found in shown.items())
+    why = str(kept.fields.get('why', ''))
+    return Decision(
+        at=kept.at,
+        subject=kept.subject,
+        event=kept.event.value,
+        what=kept.event.name,
+        where=str(kept.fields.get('agent', '')),
+        why=f'{why} ({rest})' if why and rest else why or rest,
+    )
 
 
 def _subject(fields: Fields) -> str:
-    subjects = (fields.get(name) for name in _SUBJECTS)
-    return str(next((name for name in subjects if name is not None), ''))
+    for name in _SUBJECTS:
+        subject = fields.get(name)
+        if subject is not None:
+            return str(subject)
+    return ''
--- a/hyssopring/entry/pending.py
+++ b/hyssopring/entry/pending.py
@@ -189,7 +189,7 @@
         kind = answer.failure.kind.value if answer.failure else 'none'
         self._metrics.count(f'requests_total{{error="{kind}"}}')
         log_event(
-            Event.REQUEST_ANSWERED,
+            Event.REQUEST_FAILED if answer.failure else Event.REQUEST_ANSWERED,
             request=call.request_id,
             service=call.service_name,
             status=answer.status,
--- a/hyssopring/logs/__init__.py
+++ b/hyssopring/logs/__init__.py
@@ -3,6 +3,7 @@
 from hyssopring.logs._emit import (
     Fields,
     configure_logging,
+    level_of,
     listen_to_events,
     log_event,
 )
@@ -12,6 +13,7 @@
     'Event',
     'Fields',
     'configure_logging',
+    'level_of',
     'listen_to_events',
     'log_event',
 )
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -1,35 +1,53 @@
-"""Writes structured log lines through loguru."""
+"""Writes structured log lines through loguru.
+
+A line is written for each routing decision, so its cost counts: the time of
+day is formatted once a second here instead of once a line by the library, and
+a line below the level is not put together at all.
+"""
 
 import sys
+import time
+from types import MappingProxyType
 from typing import Callable, Mapping
 
 from loguru import logger
 
 from hyssopring.logs.events import Event
 
-_LINE_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} {message}'
+# The message carries its own time and level, see ``_Stamp``.
+_LINE_FORMAT = '{message}'
+_MILLIS_PER_SECOND = 1000
 
 Fields = Mapping[str, object]
 Listener = Callable[[Event, Fields], None]
 
-_ERROR_EVENTS = frozenset((Event.INVARIANT_VIOLATED,))
-_WARNING_EVENTS = frozenset(
-    (
-        Event.CONNECTION_SILENT,
-        Event.KEEPER_LOST,
-        Event.PEER_ERROR,
-        Event.STORE_UNREACHABLE,
-        Event.TASK_LAPSED,
-        Event.VM_OVERCOMMITTED,
-        Event.WORKER_SILENT,
-        Event.TASK_UNKNOWN,
-        Event.BACKEND_SIZE_UNKNOWN,
-    )
+# Events that are not at the INFO level.
+_LEVEL_BY_EVENT: Mapping[Event, str] = MappingProxyType(
+    {
+        Event.INVARIANT_VIOLATED: 'ERROR',
+        Event.CONNECTION_SILENT: 'WARNING',
+        Event.KEEPER_LOST: 'WARNING',
+        Event.PEER_ERROR: 'WARNING',
+        Event.STORE_UNREACHABLE: 'WARNING',
+        Event.TASK_LAPSED: 'WARNING',
+        Event.BACKEND_SIZE_UNKNOWN: 'WARNING',
+        Event.TASK_UNKNOWN: 'WARNING',
+        Event.VM_OVERCOMMITTED: 'WARNING',
+        Event.WORKER_SILENT: 'WARNING',
+        Event.REQUEST_ANSWERED: 'DEBUG',
+    }
+)
+_NUMBER_BY_LEVEL: Mapping[str, int] = MappingProxyType(
+    {
+        level: logger.level(level).no
+        for level in ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+    }
 )
 
 
 def configure_logging(level: str = 'INFO') -> None:
     """Send log lines of ``level`` and above to standard error."""
+    _threshold.number = logger.level(level).no
     logger.remove()
     logger.add(
         sys.stderr,
@@ -40,7 +58,35 @@
     )
 
 
+class _Stamp:
+    """The local time of day, to the millisecond."""
+
+    def __init__(self) -> None:
+        self._second = -1
+        self._text = ''
+
+    def read(self) -> str:
+        now = time.time()
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._text = time.strftime(
+                '%Y-%m-%dT%H:%M:%S',
+                time.localtime(second),
+            )
+        millis = int((now - second) * _MILLIS_PER_SECOND)
+        return f'{self._text}.{millis:03}'
+
+
+class _Threshold:
+    """The lowest level number that is written."""
+
+    number = 0
+
+
 _listeners: list[Listener] = []
+_stamp = _Stamp()
+_threshold = _Threshold()
 
 
 def listen_to_events(listener: Listener) -> None:
@@ -48,12 +94,22 @@
     _listeners.append(listener)
 
 
+def level_of(event: Event) -> str:
+    """Return the level at which an event is written."""
+    return _LEVEL_BY_EVENT.get(event, 'INFO')
+
+
 def log_event(event: Event, **fields: object) -> None:
     """Write one line: event number, event name, then ``key=value`` pairs."""
-    pairs = ' '.join(
-        f'{name}={_quoted(field)}' for name, field in fields.items()
-    )
-    logger.log(_level(event), 'E{} {} {}', event.value, event.name, pairs)
+    level = level_of(event)
+    if _NUMBER_BY_LEVEL[level] >= _threshold.number:
+        pairs = ' '.join(
+            [f'{name}={_quoted(field)}' for name, field in fields.items()]
+        )
+        logger.log(
+            level,
+            f'{_stamp.read()} {level:<7} E{event.value} {event.name} {pairs}',
+        )
     for listener in _listeners:
         listener(event, fields)
 
@@ -64,11 +120,3 @@
         escaped = text.replace('"', "'").replace('\n', ' ')
         return f'"{escaped}"'
     return text
-
-
-def _level(event: Event) -> str:
-    if event in _ERROR_EVENTS:
-        return 'ERROR'
-    if event in _WARNING_EVENTS:
-        return 'WARNING'
-    return 'INFO'
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,8 +4,7 @@
 import pathlib
 
 from hyssopring.errors import ANSWERS_BY_KIND, ErrorKind
-from hyssopring.logs import Event
-from hyssopring.logs._emit import _level
+from hyssopring.logs import Event, level_of
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -38,7 +37,7 @@
     for event in Event:
         names = ', '.join(sorted(fields[event.name])) or '-'
         number = str(event.value)
-        expected[number] = [number, event.name, _level(event), names]
+        expected[number] = [number, event.name, level_of(event), names]
     found = table('docs/EVENTS.md', 4)
     lacking = [
         f'| {" | ".join(row)} | WHEN | WHAT TO DO |'
