--- a/hyssopring/agent/links.py
+++ b/hyssopring/agent/links.py
@@ -144,7 +144,7 @@
         self.secret = secret
         self.traffic = Traffic()
         self._core: AgentCore | None = None
-        self._link_by_address: dict[str, _Link] = {}
+        self._open_links: set[_Link] = set()
         self._link_by_entry: dict[str, _Link] = {}
 
     @property
@@ -166,7 +166,7 @@
         """Dial what is due, leave what is not needed; call often."""
         for address in self.core.directory.due():
             link = _Link(self, address)
-            self._link_by_address[address] = link
+            self._open_links.add(link)
             link.dial()
         for entry_id in self.core.to_leave():
             link = self._link_by_entry[entry_id]
@@ -189,7 +189,7 @@
     def check_silence(self) -> None:
         """Abort connections on which nothing was heard for too long."""
         now = self.clock.now()
-        for link in list(self._link_by_address.values()):
+        for link in list(self._open_links):
             link.check_silence(now)
 
     def is_current(self, link: _Link) -> bool:
@@ -208,13 +208,15 @@
 
     def closed(self, link: _Link) -> None:
         """A connection is gone, or could not be made."""
-        if self._link_by_address.get(link.address) is not link:
+        if link not in self._open_links:
             return
-        self._link_by_address.pop(link.address)
+        self._open_links.discard(link)
+        directory = self.core.directory
         if link.is_skipped:
-            self.core.directory.skipped(link.address)
-        else:
-            self.core.directory.closed(link.address, link.is_refused)
-        if self.is_current(link):
+            directory.skipped(link.address)
+        elif not link.entry_id:
+            directory.closed(link.address, link.is_refused)
+        elif self.is_current(link):
             self._link_by_entry.pop(link.entry_id)
+            directory.lost(link.entry_id)
             self.core.on_disconnected(link.entry_id)
--- a/hyssopring/membership/directory.py
+++ b/hyssopring/membership/directory.py
@@ -121,6 +121,7 @@
         self._members_by_source[source] = members
         self._members = None
         self._kept = self.members
+        self._free_seed(source)
         self._holders = holders or self._holders
 
     def pin(self, shards: Iterable[int]) -> None:
@@ -158,27 +159,32 @@
         return entry_id not in self.connected
 
     def opened(self, address: str, entry_id: str) -> None:
-        """An entry has welcomed this agent."""
+        """An entry has welcomed this agent, on the newest connection to it."""
+        self._detach(entry_id)
         known = self._known(address)
         known.is_dialling = False
         known.entry_id = entry_id
         known.attempts = 0
         known.failing_since = None
 
+    def lost(self, entry_id: str) -> None:
+        """The newest connection to an entry has ended."""
+        known = self._detach(entry_id)
+        self._members_by_source.pop(entry_id, None)
+        self._members = None
+        self._told_by_source.pop(entry_id, None)
+        if known is not None:
+            self.closed(known.address)
+
     def closed(self, address: str, is_refused: bool = False) -> None:
-        """A connection has ended, or could not be made."""
+        """A connection ended before it was welcomed, or was not made."""
         now = self._clock.now()
         known = self._known(address)
-        source = known.entry_id
         known.is_dialling = False
-        known.entry_id = ''
         known.attempts += 1
         if known.failing_since is None:
             known.failing_since = now
         known.next_at = now + self._pause(known, is_refused)
-        self._members_by_source.pop(source, None)
-        self._members = None
-        self._told_by_source.pop(source, None)
         self._forget(now)
 
     def skipped(self, address: str) -> None:
@@ -220,6 +226,34 @@
                 lacking_by_source[source] = lacking
         return lacking_by_source
 
+    def _free_seed(self, entry_id: str) -> None:
+        """Count a connection made through a seed as one to the entry itself.
+
+        Else a balancer's address would stay taken for as long as the entry
+        that it first led to lives, and the entries behind it would be seen
+        by no agent that did not happen to land on them.
+        """
+        own = [
+            member.address
+            for member in self._members_by_source[entry_id]
+            if member.entry_id == entry_id
+        ]
+        known = self._detach(entry_id)
+        if known is None:
+            return
+        if not own or known.address in own:
+            known.entry_id = entry_id
+            return
+        self.skipped(known.address)
+        self.opened(own[0], entry_id)
+
+    def _detach(self, entry_id: str) -> _Address | None:
+        for known in self._address_by_text.values():
+            if known.entry_id == entry_id:
+                known.entry_id = ''
+                return known
+        return None
+
     def _targets(self) -> set[EntryMember]:
         """The subset, a replacement for each that is down, and holders."""
         members = self.members
@@ -307,6 +341,7 @@
         }
         for address in gone.difference(self._seeds):
             self._address_by_text.pop(address)
-        self._kept = tuple(
-            member for member in self._kept if member.address not in gone
-        )
+        kept = tuple(each for each in self._kept if each.address not in gone)
+        if kept != self._kept:
+            self._kept = kept
+            self._members = None
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -540,6 +540,7 @@
         self._last_at_agent = 0.0
         self._last_at_entry = 0.0
         self.record = None
+        self.is_welcomed = False
         identity = agent.core.identity
         hello = identity.hello('', agent.core.configuration.version)
         if entry.core.refusal(hello) is not None:
@@ -596,9 +597,16 @@
         self.is_open_at_agent = False
         if self.agent.link_by_entry.get(self.entry.name) is self:
             self.agent.link_by_entry.pop(self.entry.name)
-        self.agent.take(self.agent.core.directory.closed, self.address)
+        self.agent.take(self._closed_at_agent)
         self.agent.take(self.agent.core.on_disconnected, self.entry.name)
 
+    def _closed_at_agent(self):
+        directory = self.agent.core.directory
+        if self.is_welcomed:
+            directory.lost(self.entry.name)
+        else:
+            directory.closed(self.address)
+
     def _end_at_entry(self):
         if not self.is_open_at_entry:
             return
@@ -625,6 +633,7 @@
             return
         self.heard_by_agent = self.deployment.loop.now
         if isinstance(message, Welcome):
+            self.is_welcomed = True
             self.agent.core.directory.opened(self.address, self.entry.name)
             self.agent.core.on_connected(message.entry_id)
         else:
