--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(BIN)/python -m bench.placement $(ARGS)
 
 binary: setup
+	mkdir -p dist
 	$(BIN)/shiv --quiet --compressed -e hyssopring.cli.main:main -o dist/hyssopring -p '/usr/bin/env python3' .
 
 # Long randomised runs, see docs/SOAK.md; JOBS processes side by side.
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -148,11 +148,19 @@
     def wait_ready(self):
         deadline = time.monotonic() + 40
         while time.monotonic() < deadline:
+            self.check_alive()
             if all(self.sees_all(number) for number in range(ENTRIES)):
                 return
             time.sleep(0.2)
         raise SystemExit(f'not ready in time; logs are in {self.work}')
 
+    def check_alive(self):
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                raise SystemExit(
+                    f'{name} has ended; see {self.work}/{name}.log'
+                )
+
     def sees_all(self, number):
         try:
             status, body = self.operate('GET', 'status', entry=number)
@@ -301,6 +309,10 @@
     binary = None
     if '--binary' in sys.argv:
         binary = sys.argv[sys.argv.index('--binary') + 1]
+        if not pathlib.Path(binary).is_file():
+            raise SystemExit(f'{binary}: no such file; run make binary first')
+    # Ends the deployment like Ctrl-C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     deployment = Deployment(binary)
     deployment.start()
     try:
--- a/hyssopring/cli/commands.py
+++ b/hyssopring/cli/commands.py
@@ -153,10 +153,17 @@
         self._accepted(client, client.delete(key, version), wait)
 
     @_command
-    def show(self, key: str = '') -> None:
-        """Show the configuration, or the items whose keys start with KEY."""
+    def show(self, key: str = '', *, number: bool = False) -> None:
+        """Show the configuration, or the items whose keys start with KEY.
+
+        --number shows only the version of the one item KEY, 0 if there is
+        none, as change and withdraw take it.
+        """
         page = good(self._connect().get(f'configuration/{key}'))
-        views.show_items(page, as_json=self._as_json)
+        if number:
+            say(str(views.item_version(page, key)))
+        else:
+            views.show_items(page, as_json=self._as_json)
 
     @_command
     def run(
@@ -236,11 +243,8 @@
         """Let a drained AGENT's VM take work again."""
         client = self._connect()
         key = f'drain/{agent}'
-        items = good(client.get(f'configuration/{key}'))['items']
-        version = next(
-            (item['version'] for item in items if item['key'] == key),
-            0,
-        )
+        page = good(client.get(f'configuration/{key}'))
+        version = views.item_version(page, key)
         if not version:
             line = f'{agent} is not drained'
             fail(CommandFailure(ExitCode.REFUSED, line))
--- a/hyssopring/cli/main.py
+++ b/hyssopring/cli/main.py
@@ -18,7 +18,7 @@
 
 _HELP = frozenset(('--help', '-h', 'help'))
 # Flags without a value: the parser would take the next argument for it.
-_SWITCHES = frozenset(('--wait', '--json', '--keepers'))
+_SWITCHES = frozenset(('--wait', '--json', '--keepers', '--number'))
 # The parser ends a command's arguments at a lone dash, which stands for
 # standard input here; nobody types this character.
 _SEPARATOR = '\x1f'
--- a/hyssopring/cli/views.py
+++ b/hyssopring/cli/views.py
@@ -13,6 +13,7 @@
 __all__ = (
     'VIEW_BY_NAME',
     'Answer',
+    'item_version',
     'show_decisions',
     'show_items',
     'show_job',
@@ -31,6 +32,12 @@
     say(render_table(('key', 'version', 'document'), page['items']))
 
 
+def item_version(page: _Page, key: str) -> int:
+    """Return the version of one item, 0 if it is not in force."""
+    versions = {item['key']: item['version'] for item in page['items']}
+    return int(versions.get(key, 0))
+
+
 def show_job(found: _Page, *, as_json: bool) -> None:
     """Show one job's tasks by state."""
     if as_json:
--- a/hyssopring/entry/status.py
+++ b/hyssopring/entry/status.py
@@ -69,7 +69,8 @@
     """Return the keepers of the shards that this entry plans."""
     planned_by_service: dict[str, list[PlannedTask]] = {}
     for planned in core.planner.tasks():
-        if planned.chunk.kind is TaskKind.KEEPER:
+        is_keeper = planned.chunk.kind is TaskKind.KEEPER
+        if is_keeper and not planned.task.is_final:
             name = planned.chunk.service_name
             planned_by_service.setdefault(name, []).append(planned)
     return {
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -176,6 +176,8 @@
     connection.request('POST', '/trust/booking/lessons', 'rider')
     response = connection.getresponse()
     headers = {name.lower(): text for name, text in response.getheaders()}
+    # Each once: the backend server's own replace the library's.
+    assert len(headers) == len(response.getheaders())
     connection.close()
     return response.status, None, headers
 
