Hedge the very late also when most slots are taken

Cause: with noisy waves the remaining backends are more than 80% full, so that nothing was hedged; p99.9 of idempotent calls was 823 ms there.

Change: calls older than twice p95 are hedged whatever the utilization.

--- a/hyssopring/entry/hedges.py
+++ b/hyssopring/entry/hedges.py
@@ -19,6 +19,7 @@
 __all__ = ('HedgeSender', 'Hedges')
 
 _MAX_UTILIZATION: Final = 0.8
+_VERY_LATE: Final = 2
 
 
 class HedgeSender(Protocol):
@@ -74,9 +75,11 @@
 
     def _hedge(self, pending: PendingCall, age: float, p95: float) -> None:
         # Both copies run to their end, and late calls are the long ones:
-        # with few slots free, hedges would fill them all.
+        # with few slots free, hedges would fill them all. The very late are
+        # few, and are hedged also then.
         service_name = pending.call.service_name
-        if self._selector.utilization(service_name) > _MAX_UTILIZATION:
+        is_busy = self._selector.utilization(service_name) > _MAX_UTILIZATION
+        if is_busy and age < p95 * _VERY_LATE:
             return
         if not self._sender.resend(pending):
             return
