--- a/hyssopring/entry/http.py
+++ b/hyssopring/entry/http.py
@@ -4,12 +4,13 @@
 import io
 from typing import Any
 
+from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
 from hyssopring.web_server import QuietSite
 
-__all__ = ('BoundedRequest', 'bounded_site')
+__all__ = ('BoundedChannel', 'BoundedRequest', 'bounded_site')
 
 # A body up to so many times the limit is read to its end and thrown away, so
 # that its sender gets a whole answer; a longer one has its connection closed.
@@ -61,10 +62,24 @@
             self.channel.loseConnection()
 
 
+class BoundedChannel(HTTPChannel):
+    """Answers a header line that is too long; the library only hangs up."""
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse the request and close."""
+        self.transport.write(
+            b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+            b'content-length: 0\r\nconnection: close\r\n\r\n',
+        )
+        self.loseConnection()
+
+
 def bounded_site(resource: Resource, max_body_bytes: int) -> QuietSite:
     """Return a site that reads bodies up to a limit and parses none."""
-    return QuietSite(
+    site = QuietSite(
         resource,
         functools.partial(BoundedRequest, max_body_bytes),
         parsePOSTFormSubmission=False,
     )
+    site.protocol = BoundedChannel
+    return site
