Soak: backend servers count towards the VM, keepers are known by their kind

Change: the capacity check counts the sizes of backend servers that have long been up beside the running tasks, as the agents now do; what an agent reserves for tasks must equal what its worker runs after each drain.

--- a/soak/actors.py
+++ b/soak/actors.py
@@ -3,6 +3,7 @@
 import zlib
 
 from hyssopring.placement.records import TaskState
+from hyssopring.protocol.messages import Resources
 from standins.virtual import VirtualBackend, VirtualCallers
 from standins.worker import Worker
 
@@ -14,6 +15,8 @@
 )
 
 
+BACKEND_SIZE = Resources(1.0, 2.0, 0)
+_KNOWN_MS = 1500.0
 _FACTORS = (1.0, 1.0, 0.2, 1.0, 4.0)
 
 
@@ -24,8 +27,18 @@
         super().__init__(world.loop, name, service_name, slots)
         self.world = world
         self.left_at = None
+        self.up_since = self.loop.now
         self.running = {}
 
+    def is_long_up(self):
+        """Whether its agent must know of it."""
+        return not self.is_dead and self.loop.now > self.up_since + _KNOWN_MS
+
+    def come_up(self):
+        """The same name, a new process."""
+        self.is_dead = False
+        self.up_since = self.loop.now
+
     def __str__(self):
         return self.name
 
@@ -101,6 +114,15 @@
             self.world.moment(command['kind'], self.world.agent_of(self))
         return True
 
+    def backend_sizes(self):
+        """Sizes of the VM's backend servers that have long been up."""
+        agent = self.world.agent_of(self)
+        return [
+            BACKEND_SIZE
+            for backend in agent.backend_by_name.values()
+            if backend.is_long_up()
+        ]
+
     def end_all(self):
         """The VM is gone, and all that it ran."""
         for task_id in self.task_by_id:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -294,11 +294,7 @@
             return None
         backend.kill()
 
-        def restart():
-            # The same name, a new process.
-            backend.is_dead = False
-
-        return restart
+        return backend.come_up
 
     def _backend_leave(self, agent, choices, span_ms):
         backend = _pick(list(agent.backend_by_name.values()), choices[2])
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -193,6 +193,7 @@
             task['command']['command'].size
             for task in worker.running().values()
         ]
+        sizes.extend(worker.backend_sizes())
         capacity = worker.capacity
         self.check(
             sum(size.cores for size in sizes) <= capacity.cores
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,10 +6,11 @@
 
 from hyssopring.invariants import Invariants
 from hyssopring.placement.records import TaskState
+from hyssopring.tasks import TaskKind
 from soak.faults import Faults
 from soak.promises import Violation
 from soak.schedule import ROUND_MS, draw_schedule
-from soak.world import World
+from soak.world import KEEPERS, World
 
 __all__ = ('Run', 'RunReport', 'run_schedule', 'run_seed', 'shrink')
 
@@ -187,31 +188,29 @@
         return self.world.deployment.table.rows_by_key
 
     def _keepers_missing(self):
-        for number in range(2):
-            task_id = f'keeper-viva-index:{number}'
-            places = [
-                worker.name
-                for worker in self.world.workers
-                if task_id in worker.running()
-            ]
-            if len(places) != 1:
-                return f'keeper {task_id} runs at {places}'
+        places = sorted(
+            (task_id, worker.name)
+            for worker in self.world.workers
+            for task_id, task in worker.running().items()
+            if task['command']['kind'] == TaskKind.KEEPER.value
+        )
+        if len(places) != KEEPERS or len(dict(places)) != KEEPERS:
+            return f'keepers run at {places}'
         return ''
 
     def _leftovers(self):
         """What still runs or is reserved although nothing needs it."""
         for agent in self.world.agents():
             running = agent.worker.worker.running()
-            extra = [name for name in running if 'keeper' not in name]
+            extra = [name for name in running if not name.startswith('keeper')]
             if extra:
                 return f'{agent.name} still runs {extra}'
-            cores = sum(
-                task['command']['command'].size.cores
-                for task in running.values()
-            )
-            free = agent.core.ledger.free.cores
-            if free != agent.core.identity.capacity.cores - cores:
-                return f'{agent.name} ledger: {free} free, {cores} running'
+            reserved = agent.core.ledger._size_by_owner
+            tasks = {
+                name for name in reserved if ':' in name and '/' not in name
+            }
+            if tasks != set(running):
+                return f'{agent.name} reserves {tasks}, runs {set(running)}'
         return ''
 
     def _check_quiet(self):
