--- a/bench/peers.py
+++ b/bench/peers.py
@@ -2,7 +2,7 @@
 
 ``agents ADDRESS COUNT BACKENDS [paced]``: agents that dial an entry, beat each
 second (``paced``: when the entry asks for it), and answer each call at once.
-``entries PORTS TASKS CALLS_PER_S``: entries
+``entries PORTS TASKS CALLS_PER_S STARTS_PER_S``: entries
 that grant leases, start tasks and send calls to the agent that dials them.
 """
 
@@ -21,6 +21,7 @@
 
 CLOCK = MonotonicClock()
 LEASE_MS = 3_600_000.0
+SHORT_MS = 300.0
 
 
 class Peer(Factory):
@@ -79,6 +80,11 @@
                     message.request_id, 'answered', 200, (), b'x' * 200
                 )
             )
+        elif isinstance(message, m.StartTask):
+            self.report(connection, message, 'running')
+            reactor.callLater(
+                0.5, self.report, connection, message, 'completed'
+            )
         elif isinstance(message, m.ConfigurationUpdate):
             self.version = max(self.version, message.version)
 
@@ -88,6 +94,16 @@
         else:
             LoopingCall(self.beat, connection).start(HEARTBEAT_MS / 1000)
 
+    def report(self, connection, command, phase):
+        status = m.TaskStatus(
+            command.task_id,
+            command.shard,
+            command.epoch,
+            command.attempt,
+            phase,
+        )
+        connection.send(m.TaskReport((status,)))
+
     def beat(self, connection):
         self.sequence += 1
         connection.send(
@@ -97,17 +113,21 @@
                 self.reports,
                 m.Resources(16, 60),
                 False,
+                worker_boot='boot',
             )
         )
 
 
 class EmulatedEntry(Peer):
-    def __init__(self, number, tasks, calls_per_s):
+    def __init__(self, number, tasks, calls_per_s, starts_per_s):
+        self.starts_per_s = starts_per_s
+        self.starts = 0
         self.number = number
         self.tasks = tasks
         self.calls_per_s = calls_per_s
         self.calls = 0
         self.has_started = False
+        self.boot = ''
         self.grants = tuple(
             m.LeaseGrant(shard, 1, LEASE_MS, LEASE_MS) for shard in range(2)
         )
@@ -124,9 +144,18 @@
             connection.send(m.Welcome(self.name, 0))
             if self.calls_per_s:
                 LoopingCall(self.call, connection).start(1 / self.calls_per_s)
+            if self.starts_per_s:
+                reactor.callLater(
+                    2,
+                    LoopingCall(self.start_short, connection).start,
+                    1 / self.starts_per_s,
+                )
         elif isinstance(message, m.Heartbeat):
+            self.boot = message.worker_boot
             connection.send(m.HeartbeatAck(message.sequence, 0, self.grants))
-        elif isinstance(message, m.TaskReport) and message.complete:
+        elif isinstance(message, m.TaskReport) and not message.complete:
+            connection.send(m.TaskReportAck(message.tasks))
+        elif isinstance(message, m.TaskReport):
             if not self.has_started:
                 self.has_started = True
                 self.start(connection)
@@ -145,9 +174,28 @@
                     '',
                     LEASE_MS,
                     5,
+                    self.boot,
                 )
             )
 
+    def start_short(self, connection):
+        self.starts += 1
+        connection.send(
+            m.StartTask(
+                f'short:{self.starts}',
+                0,
+                1,
+                1,
+                'batch',
+                'trust/feed',
+                m.Resources(0.25, 0.25),
+                '',
+                SHORT_MS,
+                5,
+                self.boot,
+            )
+        )
+
     def call(self, connection):
         self.calls += 1
         connection.send(
@@ -174,9 +222,11 @@
         )
 
 
-def listen(ports, tasks, calls_per_s):
+def listen(ports, tasks, calls_per_s, starts_per_s):
     for number, port in enumerate(ports.split(',')):
-        entry = EmulatedEntry(number, int(tasks), float(calls_per_s))
+        entry = EmulatedEntry(
+            number, int(tasks), float(calls_per_s), float(starts_per_s)
+        )
         reactor.listenTCP(int(port), entry, interface='127.0.0.1')
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,6 +8,7 @@
 
 import argparse
 import datetime
+import itertools
 import json
 import os
 import pathlib
@@ -30,28 +31,38 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--quick', action='store_true')
-    parser.add_argument('--only', default='', choices=['', 'daemons', 'cores'])
+    parser.add_argument('--only', default='', metavar='PREFIX')
     parser.add_argument('--out', type=pathlib.Path)
     asked = parser.parse_args()
-    points = {}
-    if asked.only != 'daemons':
-        points.update(slopes_cores.run(asked.quick))
-    if asked.only != 'cores':
-        window_s, settle_s = (1.0, 1.5) if asked.quick else (6.0, 3.0)
-        points.update(Daemons(window_s, settle_s, asked.quick).run())
-    record = {
+    window_s, settle_s = (1.0, 1.5) if asked.quick else (4.5, 2.5)
+    daemons = Daemons(window_s, settle_s, asked.quick)
+    record = begin(asked.out)
+    for points in itertools.chain(
+        slopes_cores.run(asked.only, asked.quick),
+        daemons.run(asked.only),
+    ):
+        for name, each in points.items():
+            slope = {'run': len(record['runs']) - 1, **slope_record(each)}
+            record['slopes'][name] = slope
+            show(name, slope)
+        if asked.out:
+            text = json.dumps(record, indent=1, sort_keys=True)
+            asked.out.write_text(f'{text}\n')
+
+
+def begin(path):
+    """What a file keeps of earlier runs, and this run."""
+    run = {
         'date': datetime.date.today().isoformat(),
-        'command': f'python -m bench.slopes {" ".join(sys.argv[1:])}'.strip(),
+        'command': ' '.join(['python -m bench.slopes', *sys.argv[1:]]),
         'machine': f'one shared machine, {os.cpu_count()} cores',
         'python': sys.version.split()[0],
-        'slopes': {
-            name: slope_record(each) for name, each in sorted(points.items())
-        },
     }
-    for name, slope in record['slopes'].items():
-        show(name, slope)
-    if asked.out:
-        asked.out.write_text(json.dumps(record, indent=1) + '\n')
+    kept = json.loads(path.read_text()) if path and path.exists() else {}
+    return {
+        'runs': [*kept.get('runs', []), run],
+        'slopes': kept.get('slopes', {}),
+    }
 
 
 def show(name, slope):
--- a/bench/slopes_cores.py
+++ b/bench/slopes_cores.py
@@ -6,27 +6,31 @@
 import resource
 import subprocess
 import sys
+import time
 
 from result import Ok
 
-from hyssopring.clock import ManualClock
+from hyssopring.clock import ManualClock, MonotonicClock
 from hyssopring.configuration import (
     ConfigurationChange,
     ConfigurationKeeper,
     ConfigurationState,
 )
 from hyssopring.logs import configure_logging
-from hyssopring.membership import Fleet
+from hyssopring.membership import EntryDirectory, Fleet
 from hyssopring.metrics import Metrics
 from hyssopring.leases import HeldShard
 from hyssopring.placement import LeaseTimes, Planner, PlannerPorts
 from hyssopring.protocol import messages as m
 from hyssopring.protocol.codec import encode
-from hyssopring.store.rows import Committed, Conflict, Row
+from hyssopring.store.client import StoreClient
+from hyssopring.store.rows import Committed, Conflict, Put, Row, Transaction
 from hyssopring.tasks import TaskKind
 from standins.table import Table
 
-SIZE = {'cores': 0.01, 'memory_gb': 0.01}
+from bench.slopes_processes import Processes, free_address
+
+SIZE = {'cores': 0.001, 'memory_gb': 0.001}
 
 
 def cpu_ms():
@@ -155,6 +159,13 @@
         self.bytes += len(encode(report))
         self.planner.on_report(self.fleet.agent(agent_id), report)
 
+    def start_all(self, tasks):
+        for _ in range(1000):
+            if self.starts >= tasks:
+                return
+            self.planner.tick()
+        raise SystemExit(f'{self.starts} of {tasks} tasks started')
+
     def submit(self, job, tasks):
         self.plan.accept_job(job, 'team-0/template-0', TaskKind.BATCH, tasks)
 
@@ -189,11 +200,12 @@
     before = resident_kb()
     for first in range(0, tasks, 1000):
         bench.submit(f'job-{first}', min(1000, tasks - first))
-    while bench.starts < tasks:
-        bench.planner.tick()
+    bench.start_all(tasks)
+    record = bench.fleet.agents[0]
     return {
         'memory': resident_kb() - before,
         'cpu': cost_ms(bench.planner.tick),
+        'beat': cost_ms(lambda: bench.planner.on_heartbeat(record)),
     }
 
 
@@ -202,8 +214,7 @@
     bench = PlannerBench(agents)
     bench.submit('job', tasks)
     start = cpu_ms()
-    while bench.starts < tasks:
-        bench.planner.tick()
+    bench.start_all(tasks)
     return {
         'cpu': cpu_ms() - start,
         'bytes': bench.bytes,
@@ -264,15 +275,76 @@
     return {'memory': resident_kb() - before}
 
 
+def store_client(commits_per_s):
+    """The client over a socket: commits of one row, processor time of it."""
+    from twisted.internet import reactor
+    from twisted.internet.task import LoopingCall
+
+    seconds = 4.0
+    marks = []
+    with Processes() as processes:
+        table = free_address()
+        processes.spawn('standins.table', table)
+        time.sleep(1)
+        client = StoreClient(reactor, MonotonicClock(), f'http://{table}')
+        commit = LoopingCall(
+            lambda: client.commit(
+                Transaction((), (Put('a', {'b': 1}),)), lambda answer: None
+            )
+        )
+        if commits_per_s:
+            commit.start(1 / commits_per_s)
+        for due in (1.0, 1.0 + seconds):
+            reactor.callLater(due, lambda: marks.append(cpu_ms()))
+        reactor.callLater(1.1 + seconds, reactor.stop)
+        reactor.run()
+    return {'cpu': (marks[1] - marks[0]) / seconds}
+
+
+def directory_turn(entries):
+    """An agent's look at whom to dial and leave, with all as wanted."""
+    clock = ManualClock(1_000_000)
+    directory = EntryDirectory(
+        clock, 'agent-0001', ['10.0.0.1:7001'], random.Random(1)
+    )
+    members = tuple(
+        m.EntryMember(f'entry-{each:03}', f'10.1.{each}.1:7001', f'z{each % 7}')
+        for each in range(entries)
+    )
+    directory.opened('10.0.0.1:7001', members[0].entry_id)
+    directory.learn(members[0].entry_id, members, ())
+    for address in directory.due():
+        member = next(each for each in members if each.address == address)
+        directory.opened(address, member.entry_id)
+        directory.learn(member.entry_id, members, ())
+
+    def turn():
+        clock.advance(100)
+        directory.due()
+        directory.surplus()
+
+    return {'cpu': cost_ms(turn)}
+
+
 def messages_bytes(count):
     """Frames, with their length prefix, by how many parts they carry."""
 
-    def beat(backends):
+    usage = m.TaskUsage(
+        'hemeroteca/ocr',
+        'batch',
+        3,
+        9,
+        m.Resources(9, 9),
+        m.Resources(4, 4),
+        1.0,
+    )
+
+    def beat(backends, used=()):
         report = m.BackendReport(
             'trust/booking', 'backend-0001', 8, 64, False, 3, 0, 20.0
         )
         return m.Heartbeat(
-            7, 9, (report,) * backends, m.Resources(16, 60), False
+            7, 9, (report,) * backends, m.Resources(16, 60), False, used
         )
 
     ack = m.HeartbeatAck(7, 9, (m.LeaseGrant(3, 9, 15e3, 60e3),) * count)
@@ -286,11 +358,12 @@
         'ack': len(encode(ack)) + 4,
         'update': len(encode(update)) + 4,
         'report': len(encode(m.TaskReport((status,) * count))) + 4,
+        'usage': len(encode(beat(0, (usage,) * count))) + 4,
     }
 
 
 CORES = {
-    'planner.tasks': (planner_tick, (1000, 2000, 4000, 8000)),
+    'planner.tasks': (planner_tick, (2000, 4000, 8000, 16000)),
     'planner.starts': (planner_starts, (256, 512, 1024, 2048)),
     'planner.agents': (
         lambda agents: planner_starts(512, agents),
@@ -298,15 +371,17 @@
     ),
     'configuration.items': (change_cost, (100, 200, 400, 800)),
     'configuration.teams': (configuration_memory, (50, 100, 200, 400)),
+    'store.commits': (store_client, (0, 20, 40, 80)),
+    'directory.entries': (directory_turn, (50, 100, 200, 400)),
     'message.parts': (messages_bytes, (0, 1, 8, 32)),
 }
 
 
-def run(is_quick):
+def run(prefix, is_quick):
     """Each size in a process of its own, so that memory starts clean."""
-    points = {}
     for name, (_, sizes) in CORES.items():
-        for size in sizes:
+        points = {}
+        for size in sizes if name.startswith(prefix) else ():
             size = size // 4 if is_quick else size
             output = subprocess.run(
                 [sys.executable, '-m', 'bench.slopes_cores', name, str(size)],
@@ -316,7 +391,7 @@
             ).stdout
             for metric, figure in json.loads(output).items():
                 points.setdefault(f'{name}.{metric}', []).append((size, figure))
-    return points
+        yield points
 
 
 if __name__ == '__main__':
--- a/bench/slopes_daemons.py
+++ b/bench/slopes_daemons.py
@@ -1,10 +1,11 @@
 """Slopes of whole daemons over loopback sockets."""
 
 import http.client
+import os
 import threading
 import time
 
-from bench.slopes_processes import Processes, free_address
+from bench.slopes_processes import TOKEN, Processes, free_address
 
 METRICS = ('cpu', 'memory', 'sent', 'received')
 
@@ -28,49 +29,74 @@
         self.is_quick = is_quick
 
     def sizes(self, *full):
-        return [size // 4 for size in full] if self.is_quick else full
+        return [size // 3 for size in full] if self.is_quick else full
 
-    def run(self):
+    def experiments(self):
+        """What to grow, the sizes, how to measure one, and what of it."""
+        starts = ('cpu', 'sent', 'received', 'commits')
+        table = (*METRICS, 'commits', 'reads')
         return {
-            **grow(
-                'entry.agents',
-                self.sizes(0, 40, 80, 160, 320),
+            'entry.agents': (
+                (0, 40, 80, 160, 320),
                 lambda agents: self.entry(agents=agents),
-                (*METRICS, 'commits', 'reads'),
+                table,
             ),
-            **grow(
-                'entry.backends',
-                self.sizes(0, 4, 8, 16, 24),
+            'entry.backends': (
+                (0, 4, 8, 16, 24),
                 lambda each: self.entry(agents=40, backends=each),
+                METRICS,
             ),
-            **grow(
-                'entry.requests',
-                self.sizes(0, 60, 120, 180, 240),
+            'entry.requests': (
+                (0, 60, 120, 180, 240),
                 lambda rate: self.entry(agents=12, rate=rate),
+                METRICS,
             ),
-            **grow(
-                'agent.entries',
-                self.sizes(0, 4, 8, 16, 32),
+            'entry.starts': (
+                (0, 30, 60, 120),
+                lambda rate: self.entry(
+                    agents=24, tasks=int(rate * self.window_s)
+                ),
+                starts,
+            ),
+            'agent.entries': (
+                (0, 3, 6, 9, 12),
                 lambda entries: self.agent(entries=entries),
+                METRICS,
             ),
-            **grow(
-                'agent.backends',
-                self.sizes(0, 4, 8, 16),
+            'agent.backends': (
+                (0, 4, 8, 16),
                 lambda backends: self.agent(entries=4, backends=backends),
+                METRICS,
             ),
-            **grow(
-                'agent.tasks',
-                self.sizes(0, 16, 32, 64, 128),
+            'agent.tasks': (
+                (0, 16, 32, 64, 128),
                 lambda tasks: self.agent(entries=1, tasks=tasks),
+                METRICS,
             ),
-            **grow(
-                'agent.requests',
-                self.sizes(0, 40, 80, 160),
+            'agent.requests': (
+                (0, 40, 80, 160),
                 lambda rate: self.agent(entries=1, backends=1, rate=rate),
+                METRICS,
+            ),
+            'agent.starts': (
+                (0, 4, 8, 16),
+                lambda starts: self.agent(entries=1, starts=starts),
+                METRICS,
+            ),
+            'operator.agents': (
+                (0, 40, 80, 160),
+                self.operator,
+                ('cpu', 'memory'),
             ),
         }
 
-    def entry(self, agents=0, backends=1, rate=0):
+    def run(self, prefix):
+        """Yield each experiment's points as soon as they are measured."""
+        for name, (sizes, measure, metrics) in self.experiments().items():
+            if name.startswith(prefix):
+                yield grow(name, self.sizes(*sizes), measure, metrics)
+
+    def entry(self, agents=0, backends=1, rate=0, tasks=0):
         with Processes() as processes:
             table = free_address()
             processes.spawn('standins.table', table)
@@ -84,17 +110,53 @@
             time.sleep(self.settle_s + agents * 0.003)
             seen = node.scrape()['inner_connections']
             assert seen == agents, f'{seen} agents connected, not {agents}'
+            job = {'job_id': 'j', 'team': 'trust', 'template': 'feed'}
+            if tasks:
+                node.operate('POST', 'jobs', {**job, 'tasks': tasks})
             with Callers(node.callers, rate):
-                return node.measure(self.window_s)
-
-    def agent(self, entries=0, backends=0, tasks=0, rate=0):
+                figures = node.measure(self.window_s)
+            if not tasks:
+                return figures
+            done = node.operate('GET', 'jobs/j')['tasks']
+            assert done == {'completed': tasks}, done
+            return figures
+
+    def operator(self, agents):
+        """One ``status`` command, the whole process."""
+        with Processes() as processes:
+            table = free_address()
+            processes.spawn('standins.table', table)
+            time.sleep(0.7)
+            node = processes.entry(table)
+            if agents:
+                processes.spawn('bench.peers', 'agents', node.inner, agents, 1)
+            time.sleep(self.settle_s)
+            command = processes.spawn(
+                'hyssopring',
+                'status',
+                '--entry',
+                node.scraped,
+                '--token',
+                TOKEN,
+            )
+            _, status, usage = os.wait4(command.pid, 0)
+            command.returncode = status
+            assert status == 0, status
+            return {
+                'cpu': (usage.ru_utime + usage.ru_stime) * 1000,
+                'memory': usage.ru_maxrss * 1.024,
+            }
+
+    def agent(self, entries=0, backends=0, tasks=0, rate=0, starts=0):
         with Processes() as processes:
             worker = free_address()
             processes.spawn('standins.worker', worker)
             addresses = [free_address() for _ in range(max(entries, 1))]
             if entries:
                 ports = ','.join(each.split(':')[1] for each in addresses)
-                processes.spawn('bench.peers', 'entries', ports, tasks, rate)
+                processes.spawn(
+                    'bench.peers', 'entries', ports, tasks, rate, starts
+                )
             time.sleep(0.7)
             node = processes.agent(addresses, worker)
             for number in range(backends):
@@ -107,6 +169,9 @@
             time.sleep(self.settle_s)
             seen = node.scrape()['inner_connections']
             assert seen == entries, f'{seen} entries connected, not {entries}'
+            run = node.scrape()['tasks_running']
+            assert run >= tasks, f'{run} tasks run, not {tasks}'
+            assert bool(starts) <= bool(run), 'no short task was started'
             return node.measure(self.window_s)
 
 
--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -61,6 +61,8 @@
                 'store_url': f'http://{table}',
                 'inner_secret': SECRET,
                 'operator_token': TOKEN,
+                # As at the coming size: one shard for each entry.
+                'shards': 1,
             }
         )
         node.process = self.spawn('hyssopring', 'entry', path)
@@ -129,6 +131,8 @@
         for key, document in (
             ('template/booking', {'kind': 'service', 'size': SIZE}),
             ('parameters/trust/booking', {'urgency': 8}),
+            ('template/feed', {'kind': 'batch', 'size': SIZE}),
+            ('parameters/trust/feed', {}),
         ):
             self.operate('PUT', f'configuration/{key}', document)
 
--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -116,6 +116,7 @@
         metrics.gauge('inner_sent_bytes', traffic.bytes_sent)
         metrics.gauge('inner_received_bytes', traffic.bytes_received)
         metrics.gauge('inner_connections', self._links.connected)
+        metrics.gauge('tasks_running', self.core.tasks.running)
 
     def _every(self, seconds: float, action: Any) -> None:
         loop = LoopingCall(action)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -11,7 +11,7 @@
 import sys
 
 from twisted.internet.task import LoopingCall
-from twisted.web.client import Agent, readBody
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.iweb import IBodyProducer
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
@@ -87,7 +87,9 @@
 
 class Announcer:
     def __init__(self, reactor, agent_address, announcement):
-        self.agent = Agent(reactor)
+        # One kept connection: a new one for each announcement would cost
+        # the agent half as much again.
+        self.agent = Agent(reactor, pool=HTTPConnectionPool(reactor))
         self.url = f'http://{agent_address}/announce'.encode()
         self.announcement = announcement
 
