--- a/standins/backend.py
+++ b/standins/backend.py
@@ -87,8 +87,8 @@
 
 class Announcer:
     def __init__(self, reactor, agent_address, announcement):
-        # One kept connection: a new one for each announcement would cost
-        # the agent half as much again.
+        # One kept connection: a new one for each announcement costs the
+        # agent more (docs/CAPACITY.md, at rest).
         self.agent = Agent(reactor, pool=HTTPConnectionPool(reactor))
         self.url = f'http://{agent_address}/announce'.encode()
         self.announcement = announcement
