Store: a queue that merges, paces and probes; lost answers are decided

Cause: the client sent each transaction by itself, repeated each on its own after an outage, and gave every caller the same fixed timeout, so that a table that answered after three seconds was never heard. An error did not say whether the commit had been sent at all.

Change: a queue without sockets merges transactions on separate rows into one, each row with its own operation id; on a conflict only those whose own checks failed hear of it. Kinds of rows take turns. While the table is down one call at a time probes it, after a jittered pause that doubles; the timeout grows while answers are slow. A commit that was never sent fails as store-unavailable, one in doubt as outcome-unknown.

--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -21,7 +21,7 @@
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.placement import LeaseTimes
 from hyssopring.settings import EntrySettings
-from hyssopring.store.client import StoreClient
+from hyssopring.store.client import store_queue
 from hyssopring.ticker import Ticker
 from hyssopring.web_server import QuietSite
 
@@ -55,7 +55,7 @@
         self._clock = clock or MonotonicClock()
         self._links = AgentLinks(self._clock, settings.inner_secret)
         self._waiting = WaitingCallers(settings.inner_secret)
-        self._store = StoreClient(
+        self._store = store_queue(
             reactor,
             self._clock,
             settings.store_url,
--- a/hyssopring/entry/jobs.py
+++ b/hyssopring/entry/jobs.py
@@ -177,8 +177,7 @@
     answer: Result[Committed | Conflict, Failure],
 ) -> Result[Mapping[str, Any], Failure]:
     if answer.is_err():
-        detail = answer.unwrap_err().detail
-        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+        return Err(answer.unwrap_err())
     if isinstance(answer.unwrap(), Conflict):
         return Err(Failure(ErrorKind.CONFLICT, f'job {job} exists'))
     return Ok({'job': job, 'accepted': True})
--- a/hyssopring/store/client.py
+++ b/hyssopring/store/client.py
@@ -1,12 +1,8 @@
-"""Client of the platform's table service over HTTP (Twisted shell).
-
-Bounded: at most ``max_pending`` calls wait or run; more fail at once, so an
-outage cannot fill the memory. A commit whose answer is lost is sent again;
-if the retry then conflicts with rows that carry this transaction's own
-operation id, the first copy had taken effect and the commit succeeded.
-"""
+"""The table service over HTTP (Twisted shell of the queue)."""
 
 import json
+import random
+import uuid
 from typing import Any, Callable
 
 from result import Err, Ok, Result
@@ -14,164 +10,135 @@
 
 from hyssopring.clock import Clock
 from hyssopring.errors import ErrorKind, Failure
-from hyssopring.logs import Event, log_event
+from hyssopring.store.groups import Group
+from hyssopring.store.queue import StoreQueue, StoreTimes
 from hyssopring.store.rows import (
-    CommitCallback,
     Committed,
     Conflict,
     ReadCallback,
     Row,
-    Transaction,
 )
-from hyssopring.web_client import fetch
+from hyssopring.web_client import FetchedAnswer, fetch
 
-__all__ = ('StoreClient',)
+__all__ = ('HttpTransport', 'store_queue')
 
 _OK = 200
 _CONFLICT = 409
-_MAX_ATTEMPTS = 3
-_RETRY_DELAY_S = 0.2
 _MAX_CONNECTIONS = 8
+_MILLIS_PER_SECOND = 1000.0
 
 
-class StoreClient:
-    """Commits transactions and reads rows at the table service."""
+class HttpTransport:
+    """Sends the queue's calls to the table service."""
 
-    def __init__(
-        self,
-        reactor: Any,
-        clock: Clock,
-        url: str,
-        timeout_ms: float = 2000,
-        max_pending: int = 1000,
-    ) -> None:
+    def __init__(self, reactor: Any, url: str) -> None:
         """Connect lazily to the table service at ``url``."""
         self._reactor = reactor
-        self._clock = clock
         self._url = url.rstrip('/')
-        self._timeout_ms = timeout_ms
-        self._max_pending = max_pending
-        self._pending = 0
         pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = _MAX_CONNECTIONS
         # A pooled connection may have gone silent; the library's own retry
         # would repeat a commit without telling us.
         pool.retryAutomatically = False
         self._agent = Agent(reactor, pool=pool)
-        self.available = True
-        self.commits = 0
-        self.reads = 0
 
-    def commit(self, transaction: Transaction, done: CommitCallback) -> None:
-        """Commit a transaction; an ``Err`` means that its effect is unknown."""
-        self._commit(transaction, done, 1)
+    def send_commit(
+        self,
+        group: Group,
+        timeout_ms: float,
+        done: Callable[[Result[Committed | Conflict, Failure]], None],
+    ) -> None:
+        """Send one transaction; each row carries its own operation id."""
+        document = {
+            'checks': [[check.key, check.version] for check in group.checks],
+            'puts': [
+                [put.key, put.document, operation]
+                for put, operation in group.puts
+            ],
+        }
+        self._call(
+            'POST',
+            '/transactions',
+            json.dumps(document).encode(),
+            timeout_ms,
+            lambda answer: done(answer.map(_outcome)),
+        )
 
-    def read(self, prefix: str, done: ReadCallback) -> None:
-        """Read all rows under a prefix."""
-        self.reads += 1
+    def send_read(
+        self,
+        prefix: str,
+        timeout_ms: float,
+        done: ReadCallback,
+    ) -> None:
+        """Send one read."""
         self._call(
             'GET',
             f'/rows?prefix={prefix}',
             b'',
+            timeout_ms,
             lambda answer: done(answer.map(_rows_of)),
         )
 
-    def _commit(
-        self,
-        transaction: Transaction,
-        done: CommitCallback,
-        attempt: int,
-    ) -> None:
-        self.commits += 1
-
-        def finish(answer: Result[Any, Failure]) -> None:  # noqa: WPS430
-            if answer.is_err() and attempt < _MAX_ATTEMPTS:
-                self._reactor.callLater(
-                    _RETRY_DELAY_S * attempt,
-                    self._commit,
-                    transaction,
-                    done,
-                    attempt + 1,
-                )
-                return
-            done(answer.map(lambda body: _outcome(transaction, body)))
-
-        body = json.dumps(_transaction_body(transaction)).encode()
-        self._call('POST', '/transactions', body, finish)
+    def call_later(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Call ``action`` after a while."""
+        self._reactor.callLater(delay_ms / _MILLIS_PER_SECOND, action)
 
     def _call(
         self,
         method: str,
         path: str,
         body: bytes,
+        timeout_ms: float,
         finish: Callable[[Result[Any, Failure]], None],
     ) -> None:
-        if self._pending >= self._max_pending:
-            failure = Failure(
-                ErrorKind.STORE_UNAVAILABLE,
-                'too many store calls are waiting',
-            )
-            finish(Err(failure))
-            return
-        self._pending += 1
         deferred = fetch(
             self._reactor,
             self._agent,
             method,
             self._url + path,
             body,
-            self._timeout_ms,
-        )
-        deferred.addCallbacks(
-            lambda answer: self._answered(answer, finish),
-            lambda failure: self._failed(failure, finish),
+            timeout_ms,
         )
+        deferred.addCallbacks(_parsed, _failed)
+        deferred.addCallback(finish)
 
-    def _answered(
-        self,
-        answer: Any,
-        finish: Callable[[Result[Any, Failure]], None],
-    ) -> None:
-        if answer.status not in {_OK, _CONFLICT}:
-            self._failed(f'status {answer.status}', finish)
-            return
-        self._pending -= 1
-        if not self.available:
-            self.available = True
-            log_event(Event.STORE_RECOVERED)
-        finish(Ok(json.loads(answer.body)))
-
-    def _failed(
-        self,
-        reason: object,
-        finish: Callable[[Result[Any, Failure]], None],
-    ) -> None:
-        self._pending -= 1
-        detail = str(getattr(reason, 'value', reason))
-        if self.available:
-            self.available = False
-            log_event(Event.STORE_UNREACHABLE, detail=detail)
-        finish(Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail)))
+
+def store_queue(
+    reactor: Any,
+    clock: Clock,
+    url: str,
+    timeout_ms: float,
+) -> StoreQueue:
+    """Return the store of a running entry."""
+    return StoreQueue(
+        clock,
+        HttpTransport(reactor, url),
+        random.Random(uuid.uuid4().int),
+        StoreTimes(timeout_ms=timeout_ms),
+    )
+
+
+def _parsed(answer: FetchedAnswer) -> Result[Any, Failure]:
+    if answer.status not in {_OK, _CONFLICT}:
+        detail = f'the table answered with status {answer.status}'
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+    try:
+        return Ok(json.loads(answer.body))
+    except ValueError as error:
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
 
 
-def _transaction_body(transaction: Transaction) -> dict[str, Any]:
-    return {
-        'operation': transaction.operation,
-        'checks': [[check.key, check.version] for check in transaction.checks],
-        'puts': [[put.key, put.document] for put in transaction.puts],
-    }
+def _failed(reason: Any) -> Result[Any, Failure]:
+    detail = str(getattr(reason, 'value', reason))
+    return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
 
 
 def _rows_of(body: Any) -> list[Row]:
     return [Row(*fields) for fields in body['rows']]
 
 
-def _outcome(transaction: Transaction, body: Any) -> Committed | Conflict:
+def _outcome(body: Any) -> Committed | Conflict:
     versions = body.get('versions')
     if versions is not None:
         return Committed(versions)
-    rows = tuple(_rows_of(body))
-    own = [row for row in rows if row.operation == transaction.operation]
-    if own:
-        return Committed({row.key: row.version for row in own})
-    return Conflict(rows)
+    return Conflict(tuple(_rows_of(body)))
--- a/standins/table.py
+++ b/standins/table.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's transactional table service and object store.
 
-HTTP: ``POST /transactions`` with ``operation``, ``checks`` and ``puts``;
+HTTP: ``POST /transactions`` with ``checks`` and ``puts``, each put with the
+id of its own operation;
 ``GET /rows?prefix=P``. ``POST /switches`` sets ``outage`` (no answers),
 ``delay_ms`` and ``lose_answers`` (that many commits take effect unanswered).
 Run: ``python -m standins.table HOST:PORT``.
@@ -32,13 +33,19 @@
             return {'rows': [self.row(key) for key in conflicts]}
         self.commits += 1
         versions = {}
-        for key, document in puts:
+        for key, document, *own in puts:
             version = self.row(key)[1] + 1
             versions[key] = version
             if document is None:
                 self.rows_by_key.pop(key, None)
             else:
-                self.rows_by_key[key] = [key, version, operation, document]
+                own_operation = own[0] if own else operation
+                self.rows_by_key[key] = [
+                    key,
+                    version,
+                    own_operation,
+                    document,
+                ]
         return {'versions': versions}
 
     def row(self, key):
@@ -75,7 +82,7 @@
         return self._later(
             request,
             lambda: self.table.commit(
-                body['operation'], body['checks'], body['puts']
+                body.get('operation', ''), body['checks'], body['puts']
             ),
             True,
         )
