Planner: grants nothing before its plan was read

A task was also assigned to an agent whose worker was not known yet, so that no report could settle it.

Change: grants are of shards whose plan is read; only agents whose worker answers are candidates. Keepers follow the configuration at once again.

--- a/hyssopring/placement/assigner.py
+++ b/hyssopring/placement/assigner.py
@@ -101,7 +101,9 @@
                 is_probe=health.is_quarantined(record.agent_id),
             )
             for record in agents
-            if not record.is_stopping and health.is_usable(record.agent_id, now)
+            if record.worker_boot
+            and not record.is_stopping
+            and health.is_usable(record.agent_id, now)
         }
         return _Round(now, candidate_by_agent, team_use)
 
--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -76,9 +76,11 @@
         """Grant an agent the right to run tasks of the held shards.
 
         An agent whose worker does not answer gets none: nobody knows what
-        runs there, so its leases are left to run out.
+        runs there, so its leases are left to run out. Nor is anything
+        granted before the plan was read: an agent answers the first grant
+        of an epoch with all that it runs, once, and that must be heard.
         """
-        held = self._holder.held() if self._holder else []
+        held = [plan.held for plan in self._usable_plans()]
         if not held or not record.worker_boot:
             return ()
         key = (record.agent_id, record.worker_boot)
@@ -109,6 +111,8 @@
         plans = self._usable_plans()
         if self._ports.clock.now() >= self._next_survey:
             self._survey(plans)
+        for plan in plans:
+            self._keep_up(plan)
         self._assigner.place_waiting(plans)
         for usable in plans:
             usable.flush()
@@ -196,7 +200,6 @@
         self._next_survey = now + _SURVEY_MS
         for plan in plans:
             plan.reclaim_lapsed(self._granted_at)
-            self._keep_up(plan)
             plan.forget_finished()
         oldest = now - _REMEMBER_GRANTS_MS
         self._granted_at = {
--- a/hyssopring/placement/task_steps.py
+++ b/hyssopring/placement/task_steps.py
@@ -93,7 +93,7 @@
             'no task is assigned that may still run',
             task.task_id,
         )
-        if record is None or not may_start:
+        if record is None or not record.worker_boot or not may_start:
             return
         task.state = TaskState.ASSIGNED
         task.attempt += 1
