--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -69,11 +69,11 @@
         node.wait()
         return node
 
-    def agent(self, entries, worker):
+    def agent(self, entries, worker, number=0):
         node = Node(free_address())
         path = self.settings(
             {
-                'id': 'agent-0',
+                'id': f'agent-{number}',
                 'zone': 'paddock',
                 'rack': 'rack-0',
                 'capacity': {'cores': 64, 'memory_gb': 64},
