--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: soak setup demo test lint format binary slopes thrift clean bench-placement
+.PHONY: soak setup demo test lint format binary slopes thrift clean bench-placement bench-routing
 
 setup: .venv/ready
 
@@ -56,3 +56,7 @@
 
 clean:
 	rm -rf .venv build dist
+
+# ARGS='--scenarios steady slow --seeds 1' for a part of it.
+bench-routing: setup
+	$(BIN)/python -m bench.routing $(ARGS)
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -65,10 +65,10 @@
 def all_runs(arguments):
     return [
         Run(site, scenario, policy, seed)
+        for seed in range(1, arguments.seeds + 1)
         for site in arguments.sites
         for scenario in arguments.scenarios
         for policy in arguments.policies
-        for seed in range(1, arguments.seeds + 1)
     ]
 
 
