Agent: its own pause does not free the room of its backend servers

An agent paused for longer than announcements live dropped its backend servers at the first heartbeat after the pause, the ledger released their sizes, and tasks were started in that room before the next announcement: the VM was overfull. Ruled out: a longer time to live, which a longer pause outlives.

Change: a silent backend server gets no new work at once, but is dropped only after three looks that found it silent, between which the agent listened.

--- a/hyssopring/agent/backends.py
+++ b/hyssopring/agent/backends.py
@@ -15,6 +15,8 @@
 _ANNOUNCEMENT_TTL_MS = 2000
 # The promise: no new work this long after it left or last announced.
 _LEAVING_MS = 3000
+# Looks that find a backend silent before its size counts as free.
+_LOOKS_BEFORE_DROP = 3
 _LATENCY_WEIGHT = 0.2
 
 
@@ -37,6 +39,7 @@
     heard_at: float = 0
     in_flight: int = 0
     latency_ms: float = 0
+    silent_looks: int = 0
     tail: TailWindow = field(default_factory=TailWindow)
     left_at: float | None = None
 
@@ -92,7 +95,14 @@
         return backend is not None and backend.leaving
 
     def expire(self) -> None:
-        """Drop backends that stopped announcing and have nothing running."""
+        """Drop backends that stopped announcing and have nothing running.
+
+        An agent that was paused has heard nothing of a backend server that
+        runs on: taken for gone at the first look after the pause, its size
+        would be given to tasks and the VM be overfull. So it gets no new work
+        at once, but is dropped only after looks between which the agent did
+        listen. Call it with each heartbeat.
+        """
         now = self._clock.now()
         for backend in list(self._backend_by_id.values()):
             is_silent = now - backend.heard_at > _ANNOUNCEMENT_TTL_MS
@@ -100,7 +110,9 @@
                 backend.leaving = True
                 backend.left_at = backend.heard_at
                 log_event(Event.BACKEND_EXPIRED, backend=backend.backend_id)
-            if is_silent and not backend.in_flight:
+            backend.silent_looks = backend.silent_looks + 1 if is_silent else 0
+            is_gone = backend.silent_looks >= _LOOKS_BEFORE_DROP
+            if is_gone and not backend.in_flight:
                 self._backend_by_id.pop(backend.backend_id)
 
     def service_by_id(self) -> dict[str, str]:
