Placement: a start lost behind an ended attempt is found

An attempt was stopped, the start of the next went out on a connection that had gone silent, and the agent's full report on the new connection still named the stopped attempt. The task's id alone counted as present, so the lost start was never settled, and a full report is sent once per connection: the job never ended. Ruled out: the lease's lapse, as the agent stays connected.

Change: an ended attempt in a full report stands only for itself; a running one of any number still holds its task back, so nothing runs in two places.

--- a/hyssopring/placement/task_steps.py
+++ b/hyssopring/placement/task_steps.py
@@ -195,18 +195,28 @@
         A start sent on this same connection may have crossed the report on
         its way; taking it for lost would run the task in two places. Only
         starts of older connections or older planners are settled here, and
-        only those for the worker boot that the report speaks of.
+        only those for the worker boot that the report speaks of. An earlier
+        attempt that has ended there does not stand for the present one, whose
+        start was lost with its connection: no later report would tell.
         """
         if self._held.epoch != report.epoch or not report.worker_boot:
             return
-        present = {status.task_id for status in report.tasks}
+        present = {
+            status.task_id
+            for status in report.tasks
+            if TaskPhase(status.phase) not in FINAL_PHASES
+        }
+        ended = {(status.task_id, status.attempt) for status in report.tasks}
         for planned in list(self._assigned[record.agent_id].values()):
             task = planned.task
             is_settled = (
                 task.sent_generation < record.generation
                 and task.worker_boot == report.worker_boot
             )
-            if is_settled and task.task_id not in present:
+            is_named = (
+                task.task_id in present or (task.task_id, task.attempt) in ended
+            )
+            if is_settled and not is_named:
                 self._to_waiting(planned, 'not on its agent')
 
     def _has_lapsed(self, planned: PlannedTask, granted_at: float) -> bool:
