Agent: names all its tasks to each planner again and again

Its planner recorded the assignment and lost its lease before the start was sent; the agents' full reports reached the next planner while its lease was in doubt, were dropped, and are sent once per connection and epoch. Ruled out: the lease's lapse (the agent stays connected); taking reports without a good lease (that would act for a planner that may be deposed). The new test fails without the repeat.

--- a/hyssopring/agent/core.py
+++ b/hyssopring/agent/core.py
@@ -9,12 +9,7 @@
 from hyssopring.agent.backends import Backends
 from hyssopring.agent.calls import BackendCaller, CallExecutor
 from hyssopring.agent.ledger import Ledger
-from hyssopring.agent.sessions import (
-    HEARTBEAT_MS,
-    EntrySession,
-    EntrySessions,
-    News,
-)
+from hyssopring.agent.sessions import HEARTBEAT_MS, EntrySessions, News
 from hyssopring.agent.tasks import TaskSupervisor
 from hyssopring.agent.worker import Worker
 from hyssopring.clock import Clock
@@ -34,7 +29,6 @@
     Heartbeat,
     HeartbeatAck,
     Hello,
-    LeaseGrant,
     Message,
     OutcomeQuery,
     Ping,
@@ -42,7 +36,6 @@
     Resources,
     StartTask,
     StopTask,
-    TaskReport,
     TaskReportAck,
     ThrottleTask,
 )
@@ -226,7 +219,7 @@
             return
         for grant in message.grants:
             self.tasks.on_grant(grant, asked_at)
-            report = _first_report(self.tasks, session, grant)
+            report = session.due_report(self.tasks, grant, self._clock.now())
             if report is not None:
                 self._links.send(entry_id, report)
         if message.configuration_version > self.configuration.version:
@@ -308,17 +301,3 @@
                 self.tasks.worker_boot,
             ),
         )
-
-
-def _first_report(
-    tasks: TaskSupervisor,
-    session: EntrySession,
-    grant: LeaseGrant,
-) -> TaskReport | None:
-    """Name all tasks once per connection and planner's epoch."""
-    if session.reported_epoch_by_shard.get(grant.shard) == grant.epoch:
-        return None
-    report = tasks.full_report(grant.shard, grant.epoch)
-    if report is not None:
-        session.reported_epoch_by_shard[grant.shard] = grant.epoch
-    return report
--- a/hyssopring/agent/sessions.py
+++ b/hyssopring/agent/sessions.py
@@ -3,18 +3,27 @@
 from dataclasses import dataclass, field
 from typing import Callable, Final, Iterable
 
+from hyssopring.agent.tasks import TaskSupervisor
 from hyssopring.clock import Clock
 from hyssopring.membership import silence_limit
+from hyssopring.protocol.messages import LeaseGrant, TaskReport
 
 __all__ = ('EntrySession', 'EntrySessions', 'HEARTBEAT_MS', 'News')
 
 HEARTBEAT_MS: Final = 1000.0
 _REMEMBERED_BEATS: Final = 16
 _LEAVING_MS: Final = 3000.0
+_REPORT_AGAIN_MS: Final = 10_000.0
 
 News = tuple[object, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    epoch: int
+    at: float
+
+
 @dataclass(slots=True)
 class EntrySession:
     """One connection to an entry.
@@ -26,12 +35,33 @@
     """
 
     sent_at_by_sequence: dict[int, float] = field(default_factory=dict)
-    reported_epoch_by_shard: dict[int, int] = field(default_factory=dict)
+    reported_by_shard: dict[int, _Reported] = field(default_factory=dict)
     beat_ms: float = HEARTBEAT_MS
     due_at: float = 0
     told: News = ()
     leaving_since: float | None = None
 
+    def due_report(
+        self,
+        tasks: TaskSupervisor,
+        grant: LeaseGrant,
+        now: float,
+    ) -> TaskReport | None:
+        """Return the list of all tasks of a shard, if it is due.
+
+        At once for a new epoch, then again and again: a planner drops what
+        comes while its lease is in doubt, and would otherwise wait for good
+        for an assigned task whose start never reached this agent.
+        """
+        known = self.reported_by_shard.get(grant.shard)
+        is_same = known is not None and known.epoch == grant.epoch
+        if known is not None and is_same and now < known.at + _REPORT_AGAIN_MS:
+            return None
+        report = tasks.full_report(grant.shard, grant.epoch)
+        if report is not None:
+            self.reported_by_shard[grant.shard] = _Reported(grant.epoch, now)
+        return report
+
     def beat(self, sequence: int, now: float, news: News) -> None:
         """A heartbeat is being sent."""
         self.told = news
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -160,6 +160,41 @@
     assert ends == [f'morning:{number}' for number in range(8)]
 
 
+def test_assigned_task_whose_start_was_never_sent_is_placed_again(monkeypatch):
+    """A job waits for good although every worker is idle.
+
+    A planner records an assignment and dies before the start is sent. The
+    agents name their tasks to the next planner just as its lease is in
+    doubt, so it drops their word, and they had named them only once.
+    """
+    deployment = deployed()
+    submit(deployment, 3)
+    planners = [
+        entry.core.planner for entry in deployment.entry_by_name.values()
+    ]
+    dropped = []
+    for planner in planners:
+        monkeypatch.setattr(
+            planner, 'on_report', lambda *word: dropped.append(word)
+        )
+    for agent in deployment.agent_by_name.values():
+        monkeypatch.setattr(agent.core.tasks, 'on_start', lambda *word: None)
+    deployment.run(3000)
+    monkeypatch.undo()
+    for planner in planners:
+        monkeypatch.setattr(
+            planner, 'on_report', lambda *word: dropped.append(word)
+        )
+    for agent in deployment.agent_by_name.values():
+        for link in list(agent.link_by_entry.values()):
+            link.close()
+    deployment.run(3000)
+    monkeypatch.undo()
+    assert dropped
+    run_checked(deployment, 20_000)
+    assert counts(deployment) == {'completed': 3}
+
+
 def test_evicted_task_resumes_from_its_checkpoint():
     deployment = deployed(run_ms=8000.0)
     submit(deployment, 1)
