Soak: a seed repeats its run in every process

Cause: three runs of seed 204 gave three different runs: the program's unique ids came from the system's random numbers, and agents dialled entries in the order of a set, which differs with the hash seed. Ruled out: fixing the hash seed for the command only, which would leave the order of dialling to chance in the daemons too. Change: a run draws its ids from its seed; the directory's targets are ordered (subset, replacements, holders) and entries sort by id and address.

--- a/hyssopring/membership/directory.py
+++ b/hyssopring/membership/directory.py
@@ -95,7 +95,9 @@
         if self._members is None:
             lists = list(self._members_by_source.values())
             found = {member for each in lists for member in each} or self._kept
-            by_id = sorted(found, key=lambda member: member.entry_id)
+            by_id = sorted(
+                found, key=lambda each: (each.entry_id, each.address)
+            )
             self._members = tuple(by_id)
             self._subset_by_down.clear()
         return self._members
@@ -254,19 +256,24 @@
                 return known
         return None
 
-    def _targets(self) -> set[EntryMember]:
-        """The subset, a replacement for each that is down, and holders."""
+    def _targets(self) -> tuple[EntryMember, ...]:
+        """The subset, a replacement for each that is down, and holders.
+
+        In that order and without repeats, the same in each run: the order of
+        dialling follows from it.
+        """
         members = self.members
         holders = {
             holder
             for shard, holder in enumerate(self._holders)
             if shard in self._pinned
         }
-        return {
+        targets = [
             *self._subset(frozenset()),
             *self._chosen_of_those_up(),
             *(member for member in members if member.entry_id in holders),
-        }
+        ]
+        return tuple(dict.fromkeys(targets))
 
     def _chosen_of_those_up(self) -> tuple[EntryMember, ...]:
         down_since = self._clock.now() - _DOWN_MS
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 from hyssopring.placement.records import TaskState
 from hyssopring.tasks import TaskKind
 from soak.faults import Faults
+from soak.ids import seeded_ids
 from soak.promises import Violation
 from soak.schedule import ROUND_MS, draw_schedule
 from soak.world import KEEPERS, World
@@ -256,6 +257,11 @@
 
 def run_schedule(seed, schedule, go_on=()):
     """Run a schedule and report; promises in ``go_on`` are only counted."""
+    with seeded_ids(seed):
+        return _run_schedule(seed, schedule, go_on)
+
+
+def _run_schedule(seed, schedule, go_on):
     before = Invariants.is_strict
     Invariants.is_strict = True
     started = time.process_time()
--- a/tests/test_random_runs.py
+++ b/tests/test_random_runs.py
@@ -1,5 +1,10 @@
 """Randomised runs of the whole deployment: the harness proves itself."""
 
+import os
+import re
+import subprocess
+import sys
+
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -12,6 +17,9 @@
 from soak.schedule import FAULTS, PAIRS, Step, draw_schedule
 
 
+SOAK = (sys.executable, '-m', 'soak')
+
+
 @pytest.fixture(autouse=True)
 def _without_log():
     logger.disable('hyssopring')
@@ -28,6 +36,28 @@
     assert first.checks == second.checks
 
 
+def test_seed_repeats_its_run_whatever_the_hash_seed():
+    """A seed that was printed as failing must fail again elsewhere.
+
+    Sets and ids are ordered by hashes that differ from process to process;
+    an order that reaches a decision makes another run of the same seed.
+    """
+    lines = set()
+    for hash_seed in ('1', '2'):
+        ran = subprocess.run(
+            [*SOAK, '--seed', '204', '--seeds', '1', '--steps', '200'],
+            env={**os.environ, 'PYTHONHASHSEED': hash_seed},
+            capture_output=True,
+            text=True,
+            timeout=100,
+        )
+        verdict = [
+            line for line in ran.stdout.splitlines() if 'seed 204:' in line
+        ]
+        lines.add(re.sub(r'[0-9.]+ s processor', '', verdict[0]))
+    assert len(lines) == 1, lines
+
+
 def test_broken_ledger_is_found_and_shrunk(monkeypatch):
     """Proof that the checks can fail: with the agent's admission taken out,
     a VM is given more than it holds, and the run says so with a short cause."""
