--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -96,7 +96,7 @@
 def test_every_status_page_answers(operate):
     fleet = rows(operate, 'status')
     assert [agent['id'] for agent in fleet] == ['agent-0', 'agent-1', 'agent-2']
-    until(lambda: rows(operate, 'status keepers')[0]['up'] == 2)
+    until(lambda: [row['up'] for row in rows(operate, 'status keepers')] == [2])
     teams = {row['team']: row for row in rows(operate, 'status teams')}
     assert teams['trust']['cores_used'] >= 2
     assert len(rows(operate, 'status versions')) == 5
