Stand-ins, soak and bench: long modules become packages of small ones

Change: standins/virtual/ has one module for each of loop, process, store, backend, worker, callers, entry, agent, links and deployment, and exports the same names. soak/faults/ has one module for each kind of target; a table of makers by fault replaces the look-up of methods by a name put together at run time, and makers no longer take a span that none used. bench/common.py, which only the routing experiments used, becomes routing_sites, routing_backend, routing_deployment and routing_load. The lambda that two nodes gave a name is now one method of Process.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -12,10 +12,15 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict, dataclass
 
-from bench.common import SITES, WARM_UP_MS, Deployment, Load, quiet, rate_at
+from loguru import logger
+
 from bench.policies import BASELINES, POLICIES
+from bench.routing_deployment import Deployment
+from bench.routing_load import Load, rate_at
+from bench.routing_sites import SITES
 from bench.scenarios import MEASURED_MS, SCENARIOS
 
+WARM_UP_MS = 2000.0
 COLUMNS = (
     'p50', 'p99', 'p999', 'refused', 'late', 'unknown', 'extra', 'goodput',
 )  # fmt: skip
@@ -31,7 +36,8 @@
 
 def measure(run):
     """Run one experiment and return its figures by column."""
-    quiet()
+    # Log lines are written by the daemons, not by experiments.
+    logger.remove()
     site = SITES[run.site]
     scenario = SCENARIOS[run.scenario]
     deployment = Deployment(site, run.seed, POLICIES[run.policy])
--- /dev/null
+++ b/bench/routing_backend.py
@@ -0,0 +1,51 @@
+"""A backend server of the routing experiments."""
+
+from hyssopring.errors import ErrorKind
+from hyssopring.outcomes import CallOutcome
+from hyssopring.protocol.messages import CallResponse
+from bench.routing_sites import SERVICE_MS, SLOTS
+from standins.virtual import VirtualBackend
+
+# Service time = one request's own work x what this execution meets; a small
+# share of executions pauses besides.
+EXECUTION_SIGMA = 0.5
+PAUSE_SHARE = 0.005
+PAUSE_MS = (100.0, 400.0)
+
+
+class BenchBackend(VirtualBackend):
+    """A backend whose executions can be slowed or stall."""
+
+    def __init__(self, loop, name, service_name, rng):
+        super().__init__(loop, name, service_name, SLOTS)
+        self.rng = rng
+        self.factor = 1.0
+        self.is_stalled = False
+
+    def serve(self, request, timeout_ms, done):
+        if self.is_dead or self.is_stalled:
+            failed = CallResponse(
+                request.request_id,
+                CallOutcome.FAILED.value,
+                error=ErrorKind.BACKEND_FAILED.value,
+            )
+            self.loop.later(timeout_ms, done, failed)
+            return
+        took = float(request.path) * self.factor * self._execution()
+        answer = CallResponse(
+            request.request_id, CallOutcome.ANSWERED.value, 200
+        )
+        if took > timeout_ms:
+            answer = CallResponse(
+                request.request_id,
+                CallOutcome.FAILED.value,
+                error=ErrorKind.BACKEND_FAILED.value,
+            )
+        self.loop.later(min(took, timeout_ms), done, answer)
+
+    def _execution(self):
+        sigma = EXECUTION_SIGMA
+        factor = self.rng.lognormvariate(-sigma * sigma / 2, sigma)
+        if self.rng.random() < PAUSE_SHARE:
+            factor += self.rng.uniform(*PAUSE_MS) / SERVICE_MS
+        return factor
--- /dev/null
+++ b/standins/virtual/agent.py
@@ -0,0 +1,99 @@
+"""An agent's core as a process of a virtual deployment."""
+
+import random
+from functools import partial
+
+from hyssopring.agent.core import AgentCore, AgentIdentity
+from hyssopring.membership import EntryDirectory
+from hyssopring.metrics import Metrics
+from standins.virtual.links import Link
+from standins.virtual.process import Process
+from standins.virtual.worker import VirtualWorker
+
+__all__ = ('AgentNode',)
+
+
+class AgentNode(Process):
+    """An agent's core with its links, worker and backend servers."""
+
+    def __init__(self, deployment, number, zone, rack, capacity, incarnation=0):
+        super().__init__()
+        self.deployment = deployment
+        self.name = f'agent-{number}'
+        self.link_by_entry = {}
+        self.backend_by_name = {}
+        clock = deployment.clock_of(self.name)
+        self.worker = VirtualWorker(deployment.loop, clock, agent=self)
+        deployment.workers.append(self.worker)
+        self.core = AgentCore(
+            clock,
+            AgentIdentity(
+                self.name, f'{self.name}-{incarnation}', zone, rack, capacity
+            ),
+            self,
+            self,
+            self.worker,
+            Metrics(),
+            EntryDirectory(
+                clock,
+                self.name,
+                deployment.seeds,
+                random.Random(f'{deployment.seed} {self.name} {incarnation}'),
+                deployment.subset,
+            ),
+        )
+        every = partial(self._every, deployment.loop)
+        every(20, self.core.tick)
+        every(1000, self.core.tasks.tick)
+        every(1000, self.core.heartbeat)
+        every(500, self._announce)
+        every(500, self._list)
+        every(10_000, self.core.tasks.report_progress)
+        every(300, self._dial)
+
+    def add_backend(self, backend):
+        self.backend_by_name[backend.name] = backend
+        self.core.backends.announce(backend.announcement())
+
+    def call(self, address, request, timeout_ms, done):
+        backend = self.backend_by_name[address]
+        backend.serve(
+            request, timeout_ms, lambda answer: self.take(done, answer)
+        )
+
+    def send(self, entry_id, message):
+        link = self.link_by_entry.get(entry_id)
+        if link is None:
+            return False
+        link.to_entry(message)
+        return True
+
+    def broadcast(self, message):
+        for entry_id in list(self.link_by_entry):
+            self.send(entry_id, message)
+
+    def _announce(self):
+        for backend in self.backend_by_name.values():
+            if not backend.is_dead:
+                self.core.backends.announce(backend.announcement())
+
+    def _list(self):
+        asked_at = self.deployment.clock_of(self.name).now()
+        self.core.tasks.on_listing(self.worker.list(), asked_at)
+
+    def _dial(self):
+        directory = self.core.directory
+        for address in directory.due():
+            entry = self.deployment.resolve(address)
+            if entry is None or not self.deployment.can_dial(self, entry):
+                directory.closed(address)
+            elif directory.greets(address, entry.name):
+                Link(self.deployment, entry, self, address)
+            else:
+                directory.skipped(address)
+        for entry_id in self.core.to_leave():
+            self.link_by_entry[entry_id].close()
+        for name, link in list(self.link_by_entry.items()):
+            limit = self.core.sessions.silence_limit(name)
+            if link.heard_by_agent + limit < self.deployment.loop.now:
+                link.close_by_agent()
--- /dev/null
+++ b/standins/virtual/callers.py
@@ -0,0 +1,14 @@
+"""The callers of an entry under the virtual clock."""
+
+__all__ = ('VirtualCallers',)
+
+
+class VirtualCallers:
+    """Collects the answers by request id; a second answer is an error."""
+
+    def __init__(self):
+        self.answer_by_id = {}
+
+    def answer(self, request_id, answer):
+        assert request_id not in self.answer_by_id, 'answered twice'
+        self.answer_by_id[request_id] = answer
--- /dev/null
+++ b/standins/virtual/worker.py
@@ -0,0 +1,107 @@
+"""A worker under the virtual clock."""
+
+from dataclasses import asdict
+
+from hyssopring.agent.worker import StopAnswer, WorkerListing, WorkerTask
+from hyssopring.protocol.messages import Resources
+from hyssopring.tasks import TaskPhase
+from standins.virtual.process import Process
+from standins.worker import Worker
+
+__all__ = ('VirtualWorker',)
+
+
+class VirtualWorker(Process):
+    """The worker stand-in behind the agent's port."""
+
+    def __init__(self, loop, clock=None, fails=False, agent=None):
+        super().__init__()
+        self.loop = loop
+        self.agent = agent or Process()
+        self.worker = Worker((clock or loop.clock).now, fails)
+
+    @property
+    def session(self):
+        return self.agent.core.identity.incarnation
+
+    def start(self, command, until, done):
+        document = {
+            'attempt': command.attempt,
+            'kind': command.kind,
+            'checkpoint': command.checkpoint,
+            'run_ms': command.run_ms,
+            'command': command,
+            'size': asdict(command.size),
+            'worker_boot': command.worker_boot,
+        }
+        self._post(
+            lambda: self.worker.start(
+                command.task_id, document, until, self.session
+            ),
+            done,
+        )
+
+    def stop(self, command, mode, done):
+        self._post(
+            lambda: self.worker.stop(
+                command.task_id,
+                command.attempt,
+                command.worker_boot,
+                self.session,
+            ),
+            lambda answer: done(
+                answer
+                and StopAnswer(TaskPhase(answer['phase']), answer['checkpoint'])
+            ),
+        )
+
+    def throttle(self, task_id, share):
+        self.worker.throttle(task_id, share)
+
+    def renew(self, until_by_task):
+        self.take(self.worker.renew, until_by_task, self.session)
+
+    def list(self):
+        if self.is_paused or not self.is_alive:
+            return None
+        tasks = self.worker.listing(self.session)
+        if tasks is None:
+            return None
+        return WorkerListing(
+            self.worker.boot, tuple(_listed(task) for task in tasks)
+        )
+
+    def replace(self, fails=False):
+        """A new worker on a VM of the same name; the old one dies."""
+        self.worker = Worker(self.worker.now, fails)
+
+    def _post(self, work, done):
+        """Obey after the way there; give up waiting after two seconds."""
+        answered = []
+
+        def arrive():
+            answer = work()
+            if not answered:
+                answered.append(True)
+                self.agent.take(done, answer)
+
+        def give_up():
+            if not answered:
+                answered.append(False)
+                self.agent.take(done, None)
+
+        self.loop.later(1.0, self.take, arrive)
+        self.loop.later(2000.0, give_up)
+
+
+def _listed(task):
+    return WorkerTask(
+        task['task_id'],
+        task['attempt'],
+        task['phase'],
+        task['checkpoint'],
+        task['command']['command'],
+        Resources(**task['used']),
+        task['share'],
+        task['until'],
+    )
