--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -61,6 +61,10 @@
         """Take over what earlier planners recorded."""
         for row in rows:
             self._add(Chunk.from_row(self.held.shard, row))
+        now = self._ports.clock.now()
+        for job_id in self.index.jobs:
+            if _is_over(self.index.job_chunks(job_id)):
+                self._final_since_by_job[job_id] = now
         self.is_loaded = True
 
     def flush(self) -> None:
@@ -155,13 +159,18 @@
         }
 
     def forget_finished(self) -> None:
-        """Delete the rows of jobs that ended long ago; call each second."""
+        """Delete the rows of jobs that ended long ago; call each second.
+
+        A job's end is logged when it is first seen here, within a second.
+        """
         now = self._ports.clock.now()
         for job_id in self.index.jobs:
             chunks = self.index.job_chunks(job_id)
             if not _is_over(chunks):
                 self._final_since_by_job.pop(job_id, None)
                 continue
+            if job_id not in self._final_since_by_job:
+                log_event(Event.JOB_FINISHED, job=job_id)
             since = self._final_since_by_job.setdefault(job_id, now)
             if now - since > _RETENTION_MS:
                 self._forget(job_id, chunks)
--- a/hyssopring/settings/models.py
+++ b/hyssopring/settings/models.py
@@ -228,7 +228,12 @@
         tuple[_Dialled, ...],
         Field(
             min_length=1,
-            description='Inner addresses to dial first; it learns the rest.',
+            description=(
+                'Inner addresses to dial first; it learns the rest. Name the '
+                "balancer's address of the inner port too: without it no "
+                'entry is found when all were replaced while the table was '
+                'down.'
+            ),
         ),
     ]
     worker_url: Annotated[_Url, Field(description="URL of the VM's worker.")]
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -348,9 +348,16 @@
 
 def test_finished_job_is_forgotten_after_its_retention(monkeypatch):
     monkeypatch.setattr(shard_plan, '_RETENTION_MS', 20_000)
+    events = []
+    monkeypatch.setattr(
+        shard_plan,
+        'log_event',
+        lambda event, **fields: events.append((event.name, fields['job'])),
+    )
     deployment = deployed(run_ms=200.0)
     submit(deployment, 2)
     deployment.run(5000)
+    assert events.count(('JOB_FINISHED', 'morning')) == 1
     assert deployment.table.read('jobs/')
     deployment.run(30_000)
     assert not deployment.table.read('jobs/')
