Routing: a retry that goes nowhere uses up no send budget

Cause: a retry chose a backend server, took one send from the budget, and only then looked at the deadline and the number of attempts; then it chose again. Calls that were too late or had been sent three times spent the budget of those that could still be retried, and every retry paid for two choices.

Ruled out: giving the send back to the budget when nothing was sent. The second choice, which may differ from the first, would stay.

Change: the deadline and the attempts are looked at first, one choice is made, and the budget is asked last.

Conclusion: one choice per retry; the budget counts sends only.

--- a/hyssopring/entry/sending.py
+++ b/hyssopring/entry/sending.py
@@ -87,10 +87,16 @@
         self._links.send(attempt.agent_id, self._request(pending))
 
     def resend(self, pending: PendingCall) -> bool:
-        """Retry within the send budget; False if nothing was sent."""
-        if self.choose(pending) is None or not self._budget.take():
+        """Retry within the send budget; False if nothing was sent.
+
+        The budget is asked last: a call that goes nowhere must not use up
+        the retry of one that could.
+        """
+        choice = self._choose_again(pending)
+        if choice is None or not self._budget.take():
             return False
-        return self.rescue(pending)
+        self._retry(pending, choice)
+        return True
 
     def rescue(self, pending: PendingCall) -> bool:
         """Send to another agent; False if there is none or no time left.
@@ -99,12 +105,23 @@
         with a connection or refused by who is leaving; a service that fails
         its calls gets no more load by it.
         """
-        left = pending.call.deadline - self._clock.now()
-        if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
-            return False
-        choice = self.choose(pending)
+        choice = self._choose_again(pending)
         if choice is None:
             return False
+        self._retry(pending, choice)
+        return True
+
+    def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
+        """Send again to the run of the agent that may already have it."""
+        self._links.send(attempt.agent_id, self._request(pending))
+
+    def _choose_again(self, pending: PendingCall) -> Choice | None:
+        left = pending.call.deadline - self._clock.now()
+        if pending.sent_count >= _MAX_ATTEMPTS or left < _MIN_RETRY_MS:
+            return None
+        return self.choose(pending)
+
+    def _retry(self, pending: PendingCall, choice: Choice) -> None:
         log_event(
             Event.REQUEST_RETRIED,
             request=pending.call.request_id,
@@ -112,11 +129,6 @@
         )
         self._metrics.count('retries_total')
         self.dispatch(pending, choice)
-        return True
-
-    def repeat(self, pending: PendingCall, attempt: Attempt) -> None:
-        """Send again to the run of the agent that may already have it."""
-        self._links.send(attempt.agent_id, self._request(pending))
 
     def _request(self, pending: PendingCall) -> CallRequest:
         left = pending.call.deadline - self._clock.now()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,8 +3,13 @@
 import pytest
 from support import booking_deployment, kind_of, ran_at, runs_of
 
+from hyssopring.entry.calls import Call, PendingCall
 from hyssopring.entry.inquiries import Inquiry
-from hyssopring.protocol.messages import CallResponse, OutcomeQuery
+from hyssopring.protocol.messages import (
+    CallRequest,
+    CallResponse,
+    OutcomeQuery,
+)
 
 
 def book(deployment, ms=20, body=b'ana', budget=2000.0, entry=0):
@@ -217,3 +222,34 @@
     assert {kind_of(deployment, each) for each in asked} == {'none'}
     assert backend.runs_by_request == running
     assert runs_of(deployment, *asked) == len(asked)
+
+
+def test_retries_that_go_nowhere_use_up_no_send_budget(monkeypatch):
+    """Callers with short deadlines fail in a row, each too late for a retry.
+    A call with time left finds the send budget spent, though nothing was sent
+    on it: the budget was taken before the deadline was looked at."""
+    deployment = booking_deployment(idempotent=True)
+    sender = deployment.entry(0).core.router.sender
+    choices = []
+    choose = sender.selector.choose
+
+    def counted(candidates, now):
+        choices.append(choose(candidates, now))
+        return choices[-1]
+
+    monkeypatch.setattr(sender.selector, 'choose', counted)
+
+    def resend(left_ms, sent_count=1):
+        deadline = deployment.clock_of(deployment.entry(0).name).now() + left_ms
+        call = Call('r', 'trust/booking', 'GET', '/', (), b'', deadline)
+        request = CallRequest(
+            'r', 'trust/booking', 'GET', '/', (), b'', left_ms, 8, True
+        )
+        pending = PendingCall(call, request, True, 0)
+        pending.sent_count = sent_count
+        return sender.resend(pending)
+
+    assert not any(resend(5.0) for _ in range(30))
+    assert not any(resend(2000.0, sent_count=3) for _ in range(30))
+    assert resend(2000.0)
+    assert len(choices) == 1
