Placement: task steps, task states and evidence in modules of their own

Ruled out: functions over a shared record. The index of assigned tasks must change together with the states, so one class keeps both.

Change: task_steps keeps assign and cancel, with the invariant that no task is assigned that may still run; task_states moves tasks between states and keeps which agent has which; task_evidence takes reports, reconciliation and lapsed leases.

Conclusion: behaviour unchanged; the tests are untouched.

--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -17,8 +17,8 @@
 from hyssopring.placement.relief import Relief
 from hyssopring.placement.shard_plan import ShardPlan, keeper_job_id
 from hyssopring.placement.sizes import LearnedSizes
+from hyssopring.placement.task_evidence import GrantKey
 from hyssopring.placement.task_index import PlannedTask
-from hyssopring.placement.task_steps import GrantKey
 from hyssopring.protocol.messages import LeaseGrant, TaskReport
 from hyssopring.store.rows import Row, Store
 from hyssopring.tasks import TaskKind
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -10,8 +10,10 @@
 from hyssopring.placement.ports import PlannerPorts
 from hyssopring.placement.records import CHUNK_TASKS, Chunk, TaskRecord
 from hyssopring.placement.task_commands import TaskCommands
+from hyssopring.placement.task_evidence import GrantKey, TaskEvidence
 from hyssopring.placement.task_index import PlannedTask, TaskIndex
-from hyssopring.placement.task_steps import GrantKey, TaskSteps
+from hyssopring.placement.task_states import TaskStates
+from hyssopring.placement.task_steps import TaskSteps
 from hyssopring.protocol.messages import Resources, TaskReport, TaskStatus
 from hyssopring.store.rows import Row
 from hyssopring.tasks import StopMode, TaskKind
@@ -47,13 +49,20 @@
         self._ports = ports
         self._commands = TaskCommands(held, ports.links)
         self.index = TaskIndex()
-        self._steps = TaskSteps(
-            held,
+        self._states = TaskStates(
             journal,
             ports,
             self._commands,
             self.index.wait,
         )
+        self._steps = TaskSteps(held, journal, ports, self._states)
+        self._evidence = TaskEvidence(
+            held,
+            journal,
+            ports,
+            self._commands,
+            self._states,
+        )
         self._final_since_by_job: dict[str, float] = {}
         self._progress_due: float = 0
 
@@ -70,11 +79,11 @@
     def flush(self) -> None:
         """Write what changed."""
         now = self._ports.clock.now()
-        if self._steps.progressed and now >= self._progress_due:
+        if self._evidence.progressed and now >= self._progress_due:
             self._progress_due = now + _PROGRESS_MS
-            for chunk in self._steps.progressed.values():
+            for chunk in self._evidence.progressed.values():
                 self._journal.mark(chunk)
-            self._steps.progressed.clear()
+            self._evidence.progressed.clear()
         self._journal.flush()
 
     def take_letter(self, row: Row) -> None:
@@ -206,26 +215,26 @@
 
     def reclaim_lapsed(self, granted_at: Mapping[GrantKey, float]) -> None:
         """Take back tasks of workers out of reach past their leases."""
-        self._steps.reclaim_lapsed(granted_at)
+        self._evidence.reclaim_lapsed(granted_at)
 
     def take_status(self, record: AgentRecord, status: TaskStatus) -> None:
         """Take an agent's word on one attempt."""
         planned = self.index.task(status.task_id)
         if planned is None:
-            self._steps.dismiss(record, status)
+            self._evidence.dismiss(record, status)
             return
-        self._steps.take_status(planned, record, status)
+        self._evidence.take_status(planned, record, status)
 
     def reconcile(self, record: AgentRecord, report: TaskReport) -> None:
         """Take an agent's word on which tasks are not there."""
-        self._steps.reconcile(record, report)
+        self._evidence.reconcile(record, report)
 
     def _add(self, chunk: Chunk) -> None:
         self.index.add(self, chunk)
         for task in chunk.tasks:
             planned = self.index.task(task.task_id)
             if planned is not None:
-                self._steps.adopt(planned)
+                self._states.adopt(planned)
 
     def _cancel(self, task: TaskRecord) -> None:
         planned = self.index.task(task.task_id)
