Membership: dialling of addresses apart from the entry directory

Ruled out: splitting off the seeds too. A seed becomes an entry's address once a list names it, so both need the lists.

Change: membership/dialling.py keeps each address's pauses, failures and connection; the directory keeps lists, subset and seeds. Draws from the random generator come in the same order.

Conclusion: behaviour unchanged; the tests are untouched.

--- a/hyssopring/membership/directory.py
+++ b/hyssopring/membership/directory.py
@@ -10,50 +10,21 @@
 """
 
 import random
-from dataclasses import dataclass
 from typing import Final, Iterable, Sequence
 
 from hyssopring.clock import Clock
+from hyssopring.membership.dialling import DialledAddresses
 from hyssopring.membership.subset import FULL_MESH, choose_entries
 from hyssopring.protocol.messages import EntryMember
 
 __all__ = ('EntryDirectory',)
 
-_REDIAL_MIN_MS: Final = 200.0
-_REDIAL_MAX_MS: Final = 3000.0
-# With many entries the agents of one that comes back are many, too.
-_REDIAL_MAX_LARGE_MS: Final = 10_000.0
-_REFUSED_MIN_MS: Final = 15_000.0
-_REFUSED_MAX_MS: Final = 45_000.0
-# Seeds are dialled again in this time, sooner while an entry is missing.
-_SEED_MS: Final = 30_000.0
-_SEED_HASTE_MS: Final = 3000.0
-# An entry that has not answered for this long is replaced in the subset.
-_DOWN_MS: Final = 5000.0
-_FORGET_MS: Final = 600_000.0
 _TELL_MS: Final = 10_000.0
 _MAX_SUBSETS: Final = 16
 
 _Subset = tuple[EntryMember, ...]
 
 
-@dataclass(slots=True)
-class _Address:
-    """What is known of one address.
-
-    Attributes:
-        entry_id: The entry at its other end while connected.
-        failing_since: When it first failed in a row, None if it did not.
-    """
-
-    address: str
-    next_at: float
-    entry_id: str = ''
-    is_dialling: bool = False
-    attempts: int = 0
-    failing_since: float | None = None
-
-
 class EntryDirectory:
     """The entries that one agent knows, wants and is connected to."""
 
@@ -78,8 +49,7 @@
         self._clock = clock
         self._agent_id = agent_id
         self._seeds = tuple(seeds)
-        self._rng = rng
-        self._address_by_text: dict[str, _Address] = {}
+        self._addresses = DialledAddresses(clock, rng)
         self._members_by_source: dict[str, tuple[EntryMember, ...]] = {}
         self._kept: tuple[EntryMember, ...] = ()
         self._told_by_source: dict[str, set[str]] = {}
@@ -105,11 +75,7 @@
     @property
     def connected(self) -> tuple[str, ...]:
         """Ids of the connected entries."""
-        return tuple(
-            known.entry_id
-            for known in self._address_by_text.values()
-            if known.entry_id
-        )
+        return self._addresses.connected
 
     def learn(
         self,
@@ -136,21 +102,14 @@
 
     def due(self) -> list[str]:
         """Return the addresses to dial now, and count them as being dialled."""
-        now = self._clock.now()
         connected = self.connected
         wanted = [
             member.address
             for member in self._targets()
             if member.entry_id not in connected
         ]
-        dialled = []
-        for address in dict.fromkeys([*wanted, *self._due_seeds(bool(wanted))]):
-            known = self._known(address)
-            is_idle = not (known.is_dialling or known.entry_id)
-            if is_idle and known.next_at <= now:
-                known.is_dialling = True
-                dialled.append(address)
-        return dialled
+        due = dict.fromkeys([*wanted, *self._due_seeds(bool(wanted))])
+        return [each for each in due if self._addresses.dial(each)]
 
     def greets(self, address: str, entry_id: str) -> bool:
         """Whether to greet the entry found at an address.
@@ -162,40 +121,26 @@
 
     def opened(self, address: str, entry_id: str) -> None:
         """An entry has welcomed this agent, on the newest connection to it."""
-        self._detach(entry_id)
-        known = self._known(address)
-        known.is_dialling = False
-        known.entry_id = entry_id
-        known.attempts = 0
-        known.failing_since = None
+        self._addresses.attach(address, entry_id)
 
     def lost(self, entry_id: str) -> None:
         """The newest connection to an entry has ended."""
-        known = self._detach(entry_id)
+        address = self._addresses.detach(entry_id)
         self._members_by_source.pop(entry_id, None)
         self._members = None
         self._told_by_source.pop(entry_id, None)
-        if known is not None:
-            self.closed(known.address)
+        if address is not None:
+            self.closed(address)
 
     def closed(self, address: str, is_refused: bool = False) -> None:
         """A connection ended before it was welcomed, or was not made."""
-        now = self._clock.now()
-        known = self._known(address)
-        known.is_dialling = False
-        known.attempts += 1
-        if known.failing_since is None:
-            known.failing_since = now
-        known.next_at = now + self._pause(known, is_refused)
-        self._forget(now)
+        is_large = len(self.members) > FULL_MESH
+        self._addresses.fail(address, is_refused, is_large)
+        self._forget()
 
     def skipped(self, address: str) -> None:
         """The address led to an entry that is connected already."""
-        known = self._known(address)
-        known.is_dialling = False
-        known.attempts = 0
-        known.failing_since = None
-        known.next_at = self._clock.now() + self._seed_pause(_SEED_MS)
+        self._addresses.rest(address)
 
     def surplus(self) -> list[str]:
         """Return connected entries to leave: all wanted ones are there."""
@@ -210,7 +155,7 @@
         """Return, by entry, the connected entries that its list lacks.
 
         Only an entry that this agent is connected to is told of, so that a
-        dead one is not kept alive by hearsay.
+        dead one does not stay in the lists by being passed on.
         """
         now = self._clock.now()
         if now < self._told_at + _TELL_MS:
@@ -240,22 +185,12 @@
             for member in self._members_by_source[entry_id]
             if member.entry_id == entry_id
         ]
-        known = self._detach(entry_id)
-        if known is None:
-            return
-        if not own or known.address in own:
-            known.entry_id = entry_id
+        address = self._addresses.address_of(entry_id)
+        if address is None or not own or address in own:
             return
-        self.skipped(known.address)
+        self.skipped(address)
         self.opened(own[0], entry_id)
 
-    def _detach(self, entry_id: str) -> _Address | None:
-        for known in self._address_by_text.values():
-            if known.entry_id == entry_id:
-                known.entry_id = ''
-                return known
-        return None
-
     def _targets(self) -> tuple[EntryMember, ...]:
         """The subset, a replacement for each that is down, and holders.
 
@@ -276,14 +211,7 @@
         return tuple(dict.fromkeys(targets))
 
     def _chosen_of_those_up(self) -> tuple[EntryMember, ...]:
-        down_since = self._clock.now() - _DOWN_MS
-        down = (
-            known.address
-            for known in self._address_by_text.values()
-            if known.failing_since is not None
-            and known.failing_since < down_since
-        )
-        return self._subset(frozenset(down))
+        return self._subset(self._addresses.down)
 
     def _subset(self, down: frozenset[str]) -> _Subset:
         """Choose among all but the addresses that are down.
@@ -305,49 +233,18 @@
         listed = {member.address for member in self.members}
         is_missing = is_missing or not self.connected
         seeds = [seed for seed in self._seeds if seed not in listed]
-        soon = self._clock.now() + _SEED_HASTE_MS
-        for seed in seeds:
-            known = self._known(seed)
-            if is_missing and known.next_at > soon and not known.attempts:
-                known.next_at = soon
+        if is_missing:
+            self._addresses.hasten(seeds)
         return seeds
 
-    def _known(self, address: str) -> _Address:
-        if address not in self._address_by_text:
-            self._address_by_text[address] = _Address(
-                address,
-                self._clock.now(),
-            )
-        return self._address_by_text[address]
-
-    def _pause(self, known: _Address, is_refused: bool) -> float:
-        """Spread over time, so that agents do not return in step."""
-        if is_refused:
-            return self._rng.uniform(_REFUSED_MIN_MS, _REFUSED_MAX_MS)
-        is_large = len(self.members) > FULL_MESH
-        highest = _REDIAL_MAX_LARGE_MS if is_large else _REDIAL_MAX_MS
-        ceiling = min(_REDIAL_MIN_MS * 2**known.attempts, highest)
-        return self._rng.uniform(_REDIAL_MIN_MS, ceiling)
-
-    def _seed_pause(self, millis: float) -> float:
-        return self._rng.uniform(millis / 2, millis)
-
-    def _forget(self, now: float) -> None:
+    def _forget(self) -> None:
         """Drop what has failed for long and no connected entry lists."""
         listed = {
             member.address
             for each in self._members_by_source.values()
             for member in each
         }
-        gone = {
-            known.address
-            for known in self._address_by_text.values()
-            if known.address not in listed
-            and known.failing_since is not None
-            and now >= known.failing_since + _FORGET_MS
-        }
-        for address in gone.difference(self._seeds):
-            self._address_by_text.pop(address)
+        gone = self._addresses.forget_failed(listed, self._seeds)
         kept = tuple(each for each in self._kept if each.address not in gone)
         if kept != self._kept:
             self._kept = kept
