Daemons: one lifecycle, and one way to make a pooled HTTP client

Cause: the entry's and the agent's daemon held the same code for repeated timers, for draining and for the last log line; the table client built the connection pool that never repeats a request by hand, next to the function that builds it.

Ruled out: a base class for both daemons; what they share is this alone. Left as they are: constructors, protocols and their implementations, import lists, which look alike and say different things.

Change: lifecycle.py has the timers and the drain; the table client uses pooled_agent, with the idle time of 240 s that the library gave it before.

--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -4,14 +4,13 @@
 import uuid
 from typing import Any
 
-from twisted.internet.task import LoopingCall
-
 from hyssopring.addresses import parse_address
 from hyssopring.agent.announce import AnnounceResource
 from hyssopring.agent.core import HEARTBEAT_MS, AgentCore, AgentIdentity
 from hyssopring.agent.links import EntryLinks
 from hyssopring.agent.outside import HttpBackendCaller, HttpWorker
 from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import EntryDirectory
 from hyssopring.metrics import Metrics, gauge_process
@@ -27,8 +26,6 @@
 _LISTING_S = 0.5
 _LEASES_S = 1.0
 _PROGRESS_S = 10.0
-_DRAIN_CHECK_S = 0.05
-_LAST_ANSWERS_S = 0.3
 _MILLIS_PER_SECOND = 1000.0
 
 
@@ -80,7 +77,7 @@
             self.core.tick,
             lambda: bool(self.core.calls.unfinished),
         ).wake
-        self._loops: list[LoopingCall] = []
+        self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
         self.core.metrics.collect(self._gauge)
 
     def start(self) -> None:
@@ -88,12 +85,15 @@
         host, port = parse_address(self._settings.announce_address)
         site = QuietSite.from_resource(self._announce)
         self._reactor.listenTCP(port, site, interface=host)
-        self._every(_TURN_S, self._turn)
-        self._every(_LEASES_S, self.core.tasks.tick)
-        self._every(HEARTBEAT_MS / _MILLIS_PER_SECOND, self.core.heartbeat)
-        self._every(_SILENCE_CHECK_S, self._links.check_silence)
-        self._every(_LISTING_S, self._list_tasks)
-        self._every(_PROGRESS_S, self.core.tasks.report_progress)
+        self._lifecycle.every(_TURN_S, self._turn)
+        self._lifecycle.every(_LEASES_S, self.core.tasks.tick)
+        self._lifecycle.every(
+            HEARTBEAT_MS / _MILLIS_PER_SECOND,
+            self.core.heartbeat,
+        )
+        self._lifecycle.every(_SILENCE_CHECK_S, self._links.check_silence)
+        self._lifecycle.every(_LISTING_S, self._list_tasks)
+        self._lifecycle.every(_PROGRESS_S, self.core.tasks.report_progress)
         log_event(Event.PROCESS_STARTED, role='agent', id=self._settings.id)
 
     def stop(self) -> None:
@@ -107,7 +107,10 @@
             tasks=self.core.tasks.running,
         )
         self.core.stop()
-        self._drain(self._clock.now() + self._settings.drain_ms)
+        self._lifecycle.drain(
+            lambda: self.core.is_idle,
+            self._settings.drain_ms,
+        )
 
     def _gauge(self) -> None:
         metrics = self.core.metrics
@@ -118,12 +121,6 @@
         metrics.gauge('inner_connections', self._links.connected)
         metrics.gauge('tasks_running', self.core.tasks.running)
 
-    def _every(self, seconds: float, action: Any) -> None:
-        loop = LoopingCall(action)
-        loop.clock = self._reactor
-        loop.start(seconds, now=False)
-        self._loops.append(loop)
-
     def _turn(self) -> None:
         self.core.expire_backends()
         self._links.dial()
@@ -133,14 +130,3 @@
         self._worker.list(
             lambda listing: self.core.tasks.on_listing(listing, asked_at),
         )
-
-    def _drain(self, deadline: float) -> None:
-        if self.core.is_idle or self._clock.now() > deadline:
-            # A while more, so that the last answers leave the process.
-            self._reactor.callLater(_LAST_ANSWERS_S, self._finish)
-            return
-        self._reactor.callLater(_DRAIN_CHECK_S, self._drain, deadline)
-
-    def _finish(self) -> None:
-        log_event(Event.PROCESS_STOPPED, role='agent')
-        self._reactor.stop()
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -5,8 +5,6 @@
 import uuid
 from typing import Any
 
-from twisted.internet.task import LoopingCall
-
 from hyssopring.addresses import parse_address
 from hyssopring.clock import Clock, MonotonicClock
 from hyssopring.entry.callers import CallerResource, WaitingCallers
@@ -17,6 +15,7 @@
 from hyssopring.entry.links import AgentLinks
 from hyssopring.entry.operators import OperatorResource
 from hyssopring.leases import ShardSettings
+from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, listen_to_events, log_event
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.placement import LeaseTimes
@@ -35,8 +34,6 @@
 _UNGREETED_S = 1.0
 _CLEAN_S = 5.0
 _DAY_S = 86_400
-_DRAIN_CHECK_S = 0.05
-_LAST_ANSWERS_S = 0.3
 _MILLIS_PER_SECOND = 1000.0
 
 
@@ -89,7 +86,7 @@
             settings.default_deadline_ms,
         )
         self._caller_port: Any = None
-        self._loops: list[LoopingCall] = []
+        self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
         self.core.metrics.collect(self._gauge)
 
     @property
@@ -109,12 +106,12 @@
             settings.operator_address,
             QuietSite.from_resource(self._operators),
         )
-        self._every(_PLAN_S, self.core.plan)
-        self._every(_SILENCE_CHECK_S, self.core.drop_silent)
-        self._every(_POLL_S, self.core.poll_table)
-        self._every(_UNGREETED_S, self._links.drop_ungreeted)
-        self._every(_RENEW_S, self.core.renew)
-        self._every(_CLEAN_S, self.core.cleaner.sweep)
+        self._lifecycle.every(_PLAN_S, self.core.plan)
+        self._lifecycle.every(_SILENCE_CHECK_S, self.core.drop_silent)
+        self._lifecycle.every(_POLL_S, self.core.poll_table)
+        self._lifecycle.every(_UNGREETED_S, self._links.drop_ungreeted)
+        self._lifecycle.every(_RENEW_S, self.core.renew)
+        self._lifecycle.every(_CLEAN_S, self.core.cleaner.sweep)
         log_event(
             Event.PROCESS_STARTED,
             role='entry',
@@ -137,7 +134,10 @@
     def _end_notice(self) -> None:
         self._caller_port.stopListening()
         self.core.stop()
-        self._drain(self._clock.now() + self._settings.drain_ms)
+        self._lifecycle.drain(
+            lambda: not self.core.router.pending,
+            self._settings.drain_ms,
+        )
 
     def _build_core(self) -> EntryCore:
         settings = self._settings
@@ -180,24 +180,6 @@
         metrics.gauge('store_commits', self._store.commits)
         metrics.gauge('store_reads', self._store.reads)
 
-    def _every(self, seconds: float, action: Any) -> None:
-        loop = LoopingCall(action)
-        loop.clock = self._reactor
-        loop.start(seconds, now=False)
-        self._loops.append(loop)
-
-    def _drain(self, deadline: float) -> None:
-        is_done = not self.core.router.pending
-        if is_done or self._clock.now() > deadline:
-            # A while more, so that the last answers leave the process.
-            self._reactor.callLater(_LAST_ANSWERS_S, self._finish)
-            return
-        self._reactor.callLater(_DRAIN_CHECK_S, self._drain, deadline)
-
-    def _finish(self) -> None:
-        log_event(Event.PROCESS_STOPPED, role='entry')
-        self._reactor.stop()
-
 
 def _today() -> int:
     return int(time.time() // _DAY_S)
--- a/hyssopring/store/client.py
+++ b/hyssopring/store/client.py
@@ -6,7 +6,6 @@
 from typing import Any, Callable
 
 from result import Err, Ok, Result
-from twisted.web.client import Agent, HTTPConnectionPool
 
 from hyssopring.clock import Clock
 from hyssopring.errors import ErrorKind, Failure
@@ -18,13 +17,14 @@
     ReadCallback,
     Row,
 )
-from hyssopring.web_client import FetchedAnswer, fetch
+from hyssopring.web_client import FetchedAnswer, fetch, pooled_agent
 
 __all__ = ('HttpTransport', 'store_queue')
 
 _OK = 200
 _CONFLICT = 409
 _MAX_CONNECTIONS = 8
+_IDLE_S = 240
 _MILLIS_PER_SECOND = 1000.0
 
 
@@ -35,12 +35,7 @@
         """Connect lazily to the table service at ``url``."""
         self._reactor = reactor
         self._url = url.rstrip('/')
-        pool = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = _MAX_CONNECTIONS
-        # A pooled connection may have gone silent; the library's own retry
-        # would repeat a commit without telling us.
-        pool.retryAutomatically = False
-        self._agent = Agent(reactor, pool=pool)
+        self._agent = pooled_agent(reactor, _MAX_CONNECTIONS, _IDLE_S)
 
     def send_commit(
         self,
