Names: inbox rows and reports instead of letters and words

Cause: an inbox row was called a letter, and a report or response a peer's word, in names and comments; a newcomer finds neither in the table's rows nor in the protocol.

Ruled out: renaming the inbox itself, which is the common term, and the key prefix in the table, which would need a migration.

Conclusion: behaviour unchanged.

--- a/hyssopring/agent/runs.py
+++ b/hyssopring/agent/runs.py
@@ -1,7 +1,7 @@
 """Attempts on the worker: how they go on, and how it is known that they ended.
 
-An attempt counts as ended only on the worker's word, or when the last deadline
-that the worker may have heard of has passed.
+An attempt counts as ended only when the worker says so, or when the last
+deadline that the worker may have heard of has passed.
 """
 
 from functools import partial
--- a/hyssopring/agent/tasks.py
+++ b/hyssopring/agent/tasks.py
@@ -6,7 +6,7 @@
   present boot, and only if the ledger can hold it.
 * The worker itself ends a task at its deadline, so a paused or dead agent
   leaves nothing running.
-* An attempt counts as ended only on the worker's word, or when the last
+* An attempt counts as ended only when the worker says so, or when the last
   deadline that the worker may have heard of has passed.
 * A finished attempt is reported until a planner says that it is recorded.
 """
--- a/hyssopring/configuration/state.py
+++ b/hyssopring/configuration/state.py
@@ -106,8 +106,8 @@
         """Whether this process has a configuration to work by.
 
         A fresh process knows nothing until the table has answered or a peer
-        has told it; that there are no items at all counts only on the
-        table's word. Until then "no such service" would be a guess.
+        has told it; that there are no items at all counts only when the
+        table says so. Until then "no such service" would be a guess.
         """
         return self._is_known
 
--- a/hyssopring/entry/doubt.py
+++ b/hyssopring/entry/doubt.py
@@ -1,7 +1,7 @@
 """What becomes of calls whose connection broke or went silent.
 
 Such a call may have run. An idempotent one is sent elsewhere. For any other
-one the same run of the agent is asked, and only its word makes "not run"
+one the same run of the agent is asked, and only its response makes "not run"
 certain. When it cannot be asked any more - it was restarted, or has stayed
 away - the caller is told at once that the outcome is unknown.
 """
--- a/hyssopring/entry/inquiries.py
+++ b/hyssopring/entry/inquiries.py
@@ -33,7 +33,7 @@
 
     Attributes:
         agent_id: The agent to ask, or empty for all that are connected.
-        is_final: Whether that agent's "not run" is the last word.
+        is_final: Whether that agent's "not run" is final.
     """
 
     request_id: str
@@ -78,7 +78,7 @@
         self._expire(opened)
 
     def on_response(self, record: AgentRecord, response: CallResponse) -> bool:
-        """Take an agent's word; False if nobody has asked for it."""
+        """Take an agent's response; False if nobody has asked for it."""
         found = [
             opened
             for opened in self._open
@@ -122,7 +122,7 @@
 
 
 def _answer(inquiry: Inquiry, response: CallResponse) -> Answer | None:
-    """Return what an agent's word settles, None if it settles nothing."""
+    """Return what an agent's response settles, None if it settles nothing."""
     outcome = CallOutcome.from_wire(response.outcome)
     if outcome is CallOutcome.ANSWERED:
         return Answer(response.status, response.headers, response.body)
--- a/hyssopring/entry/jobs.py
+++ b/hyssopring/entry/jobs.py
@@ -1,6 +1,6 @@
 """Takes jobs from operators and puts them into the table.
 
-Any entry accepts a job: it writes ``jobs/<id>`` and a letter in the inbox of
+Any entry accepts a job: it writes ``jobs/<id>`` and a row in the inbox of
 the job's shard, in one transaction. The shard's planner takes it from there.
 """
 
@@ -122,9 +122,9 @@
         document: Document,
         done: JobCallback,
     ) -> None:
-        """Post a letter that sorts after the job's own.
+        """Write an inbox row that sorts after the job's own.
 
-        Each letter has its own key: deleting one that was read twice can
+        Each inbox row has its own key: deleting one that was read twice can
         never delete a later one unread.
         """
         key = f'{self._inbox(job)}/1-cancel-{uuid.uuid4().hex}'
--- a/hyssopring/entry/pending.py
+++ b/hyssopring/entry/pending.py
@@ -87,7 +87,7 @@
         return attempt
 
     def add_attempt(self, pending: PendingCall, attempt: Attempt) -> None:
-        """Expect an agent's word on this attempt."""
+        """Expect an agent's response to this attempt."""
         self._invariants.check(
             pending.idempotent or not pending.attempts,
             'a non-idempotent request is with one agent at a time',
--- a/hyssopring/errors.py
+++ b/hyssopring/errors.py
@@ -47,7 +47,7 @@
 
     @classmethod
     def from_wire(cls, text: str) -> 'ErrorKind':
-        """Return the kind; a peer's word that is not known is PROTOCOL."""
+        """Return the kind; a text that is not known is PROTOCOL."""
         try:
             return cls(text)
         except ValueError:
--- a/hyssopring/membership/fleet.py
+++ b/hyssopring/membership/fleet.py
@@ -22,7 +22,7 @@
     """One backend server as this entry sees it.
 
     Attributes:
-        report: The agent's latest word, as old as ``reported_at``.
+        report: The agent's latest report, as old as ``reported_at``.
         in_flight: Calls that this entry has sent and not seen answered.
         since: When this entry first heard of it, for slow start.
     """
@@ -147,7 +147,7 @@
         beat: Heartbeat,
         now: float,
     ) -> None:
-        """Take an agent's word for its own state; it is complete."""
+        """Take an agent's report of its own state; it is complete."""
         record.heard_at = now
         record.sequence = beat.sequence
         record.free = beat.free
--- a/hyssopring/membership/roster.py
+++ b/hyssopring/membership/roster.py
@@ -48,11 +48,11 @@
         return tuple(member_by_id[each] for each in sorted(member_by_id))
 
     def listed(self, members: Sequence[EntryMember]) -> None:
-        """Take the table's word for who is registered."""
+        """Take the entries that the table has registered."""
         self._listed = tuple(members)
 
     def heard(self, members: Sequence[EntryMember]) -> None:
-        """Take an agent's word for whom it is connected to."""
+        """Take the entries that an agent says it is connected to."""
         now = self._clock.now()
         for member in members:
             self._heard_by_id[member.entry_id] = _Heard(member, now)
--- a/hyssopring/outcomes.py
+++ b/hyssopring/outcomes.py
@@ -22,7 +22,7 @@
 
     @classmethod
     def from_wire(cls, text: str) -> 'CallOutcome':
-        """Return the outcome; a word that is not known means UNKNOWN."""
+        """Return the outcome; a text that is not known means UNKNOWN."""
         try:
             return cls(text)
         except ValueError:
--- a/hyssopring/placement/journal.py
+++ b/hyssopring/placement/journal.py
@@ -61,7 +61,7 @@
     def delete_after(self, key: str, chunks: Sequence[Chunk]) -> None:
         """Delete another row no sooner than these chunks are written.
 
-        A job of many chunks takes many transactions. With its letter gone
+        A job of many chunks takes many transactions. With its inbox row gone
         before the last, a planner that dies in between loses tasks.
         """
         chunk_keys = frozenset(chunk.key for chunk in chunks)
--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -53,7 +53,7 @@
         self._is_reading_inbox = False
 
     def attach(self, holder: ShardHolder) -> None:
-        """Use the holder's word for which leases are good."""
+        """Ask this holder which leases are good."""
         self._holder = holder
 
     def on_acquired(self, held: HeldShard) -> None:
@@ -130,7 +130,7 @@
         self._relief.forget(agent_id)
 
     def on_report(self, record: AgentRecord, report: TaskReport) -> None:
-        """Take an agent's word on its tasks."""
+        """Take an agent's report of its tasks."""
         for status in report.tasks:
             plan = self._usable(status.shard)
             if plan is not None:
@@ -187,7 +187,7 @@
         for row in answer.unwrap():
             plan = self._usable(int(row.key.split('/')[1]))
             if plan is not None:
-                plan.take_letter(row)
+                plan.take_inbox_row(row)
 
     def _is_current(self, held: HeldShard) -> bool:
         return self._holder is not None and (
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -86,10 +86,10 @@
             self._evidence.progressed.clear()
         self._journal.flush()
 
-    def take_letter(self, row: Row) -> None:
-        """Accept or cancel a job; the letter goes once that is written.
+    def take_inbox_row(self, row: Row) -> None:
+        """Accept or cancel a job; the row goes once that is written.
 
-        Each letter has a key of its own and is read again until it is gone:
+        Each inbox row has a key of its own and is read again until it is gone:
         taking it twice changes nothing more.
         """
         job_id = row.document['job']
@@ -218,7 +218,7 @@
         self._evidence.reclaim_lapsed(granted_at)
 
     def take_status(self, record: AgentRecord, status: TaskStatus) -> None:
-        """Take an agent's word on one attempt."""
+        """Take an agent's report of one attempt."""
         planned = self.index.task(status.task_id)
         if planned is None:
             self._evidence.dismiss(record, status)
@@ -226,7 +226,7 @@
         self._evidence.take_status(planned, record, status)
 
     def reconcile(self, record: AgentRecord, report: TaskReport) -> None:
-        """Take an agent's word on which tasks are not there."""
+        """Take an agent's complete report: what it lacks is not there."""
         self._evidence.reconcile(record, report)
 
     def _add(self, chunk: Chunk) -> None:
--- a/hyssopring/placement/sizes.py
+++ b/hyssopring/placement/sizes.py
@@ -27,7 +27,7 @@
         self._learned_by_service: dict[str, Resources] = {}
 
     def observe(self, usage: Iterable[TaskUsage]) -> None:
-        """Take one agent's word on what its tasks use."""
+        """Take one agent's report of what its tasks use."""
         for group in usage:
             if group.running and group.used.cores:
                 self._add(group)
--- a/hyssopring/routing/tracks.py
+++ b/hyssopring/routing/tracks.py
@@ -102,7 +102,7 @@
         self.sent_since += 1
 
     def hear(self, now: float) -> None:
-        """Any word came from the backend."""
+        """A response of any kind came from the backend."""
         gap = min(now - self.answered_at, _LONG_GAP_MS)
         self.gap_ms += _GAP_WEIGHT * (gap - self.gap_ms)
         self.answered_at = now
