--- a/hyssopring/agent/__init__.py
+++ b/hyssopring/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: one per VM, between the entries and what runs on the VM."""
--- a/hyssopring/cli/__init__.py
+++ b/hyssopring/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: daemons, settings and the operators' commands."""
--- a/hyssopring/configuration/batch.py
+++ b/hyssopring/configuration/batch.py
@@ -15,7 +15,7 @@
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.messages import ConfigurationItem
-from hyssopring.store.rows import Check, Conflict, Put, Row, Transaction
+from hyssopring.store import Check, Conflict, Put, Row, Transaction
 
 __all__ = (
     'AcceptedChange',
--- a/hyssopring/configuration/changes.py
+++ b/hyssopring/configuration/changes.py
@@ -29,7 +29,7 @@
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.messages import ConfigurationUpdate
-from hyssopring.store.rows import Committed, Conflict, Row, Store
+from hyssopring.store import Committed, Conflict, Row, Store
 
 __all__ = ('ConfigurationKeeper',)
 
--- a/hyssopring/configuration/follower.py
+++ b/hyssopring/configuration/follower.py
@@ -16,7 +16,7 @@
 from hyssopring.errors import Failure
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.messages import ConfigurationUpdate
-from hyssopring.store.rows import Row, Store
+from hyssopring.store import Row, Store
 
 __all__ = ('TableFollower',)
 
--- a/hyssopring/configuration/rows.py
+++ b/hyssopring/configuration/rows.py
@@ -9,7 +9,7 @@
 from typing import Any, Final, Mapping, Sequence
 
 from hyssopring.protocol.messages import ConfigurationItem, ConfigurationUpdate
-from hyssopring.store.rows import Row
+from hyssopring.store import Row
 
 __all__ = (
     'HEAD',
--- a/hyssopring/entry/core.py
+++ b/hyssopring/entry/core.py
@@ -40,7 +40,7 @@
     TaskReport,
     Welcome,
 )
-from hyssopring.store.rows import Store
+from hyssopring.store import Store
 
 __all__ = ('EntryCore', 'EntryIdentity')
 
--- a/hyssopring/entry/jobs.py
+++ b/hyssopring/entry/jobs.py
@@ -19,7 +19,7 @@
 from hyssopring.placement import shard_of
 from hyssopring.placement.choice import why_impossible
 from hyssopring.placement.records import chunk_prefix
-from hyssopring.store.rows import (
+from hyssopring.store import (
     Check,
     Committed,
     Conflict,
--- a/hyssopring/leases/registry.py
+++ b/hyssopring/leases/registry.py
@@ -15,7 +15,7 @@
 from hyssopring.clock import Clock
 from hyssopring.errors import Failure
 from hyssopring.protocol.messages import EntryMember
-from hyssopring.store.rows import (
+from hyssopring.store import (
     Check,
     Committed,
     Conflict,
--- a/hyssopring/leases/shards.py
+++ b/hyssopring/leases/shards.py
@@ -23,7 +23,7 @@
 )
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.messages import EntryMember
-from hyssopring.store.rows import (
+from hyssopring.store import (
     Check,
     Committed,
     Conflict,
--- a/hyssopring/placement/journal.py
+++ b/hyssopring/placement/journal.py
@@ -13,7 +13,7 @@
 from hyssopring.leases import HeldShard
 from hyssopring.leases.shards import shard_key
 from hyssopring.placement.records import Chunk
-from hyssopring.store.rows import (
+from hyssopring.store import (
     Check,
     Committed,
     Conflict,
--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -20,7 +20,7 @@
 from hyssopring.placement.task_evidence import GrantKey
 from hyssopring.placement.task_index import PlannedTask
 from hyssopring.protocol.messages import LeaseGrant, TaskReport
-from hyssopring.store.rows import Row, Store
+from hyssopring.store import Row, Store
 from hyssopring.tasks import TaskKind
 
 __all__ = ('Planner', 'shard_of')
--- a/hyssopring/placement/records.py
+++ b/hyssopring/placement/records.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Sequence
 
-from hyssopring.store.rows import Document, Row
+from hyssopring.store import Document, Row
 from hyssopring.tasks import TaskKind
 
 __all__ = ('CHUNK_TASKS', 'Chunk', 'TaskRecord', 'TaskState', 'chunk_prefix')
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -15,7 +15,7 @@
 from hyssopring.placement.task_states import TaskStates
 from hyssopring.placement.task_steps import TaskSteps
 from hyssopring.protocol.messages import Resources, TaskReport, TaskStatus
-from hyssopring.store.rows import Row
+from hyssopring.store import Row
 from hyssopring.tasks import StopMode, TaskKind
 
 __all__ = ('ShardPlan', 'keeper_job_id')
--- a/hyssopring/protocol/__init__.py
+++ b/hyssopring/protocol/__init__.py
@@ -1,13 +1,8 @@
-"""The inner protocol between entries and agents."""
+"""The inner protocol between entries and agents.
+
+Its messages are in ``protocol.messages``.
+"""
 
 from hyssopring.protocol.codec import ProtocolError, decode, encode
-from hyssopring.protocol.messages import PROTOCOL_VERSION, Message, Resources
 
-__all__ = (
-    'PROTOCOL_VERSION',
-    'Message',
-    'ProtocolError',
-    'Resources',
-    'decode',
-    'encode',
-)
+__all__ = ('ProtocolError', 'decode', 'encode')
--- a/hyssopring/routing/limits.py
+++ b/hyssopring/routing/limits.py
@@ -4,8 +4,7 @@
 from typing import Final
 
 from hyssopring.clock import Clock
-from hyssopring.configuration import ConfigurationState
-from hyssopring.configuration.state import ServicePolicy
+from hyssopring.configuration import ConfigurationState, ServicePolicy
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.routing.choice import Choice
 
--- a/hyssopring/store/__init__.py
+++ b/hyssopring/store/__init__.py
@@ -2,9 +2,12 @@
 
 from hyssopring.store.rows import (
     Check,
+    CommitCallback,
     Committed,
     Conflict,
+    Document,
     Put,
+    ReadCallback,
     Row,
     Store,
     Transaction,
@@ -12,9 +15,12 @@
 
 __all__ = (
     'Check',
+    'CommitCallback',
     'Committed',
     'Conflict',
+    'Document',
     'Put',
+    'ReadCallback',
     'Row',
     'Store',
     'Transaction',
