Router: taking a call in three short steps

Ruled out: moving the refusals to Admission, which knows quotas and deadlines and nothing of an entry that stops.

Change: one method says why a service's calls are refused now, one builds the pending call; the three ports name CallSender.

Conclusion: behaviour unchanged.

--- a/hyssopring/entry/doubt.py
+++ b/hyssopring/entry/doubt.py
@@ -26,7 +26,7 @@
 
 
 class Resender(Protocol):
-    """Sends a call again; the router."""
+    """Sends a call again; ``CallSender``."""
 
     def rescue(self, pending: PendingCall) -> bool:
         """Send to another agent; False if there is none or no time left."""
--- a/hyssopring/entry/hedges.py
+++ b/hyssopring/entry/hedges.py
@@ -23,7 +23,7 @@
 
 
 class HedgeSender(Protocol):
-    """Sends a call again; the router."""
+    """Sends a call again; ``CallSender``."""
 
     def resend(self, pending: PendingCall) -> bool:
         """Send to another agent; False if nothing was sent."""
--- a/hyssopring/entry/keyed.py
+++ b/hyssopring/entry/keyed.py
@@ -25,7 +25,7 @@
 
 
 class Dispatcher(Protocol):
-    """Chooses backends and sends calls; the router."""
+    """Chooses backends and sends calls; ``CallSender``."""
 
     def choose(self, pending: PendingCall) -> Choice | None:
         """Return a backend that the call has not been sent to."""
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -9,8 +9,10 @@
 
 import random
 
+from result import Err, Ok, Result
+
 from hyssopring.clock import Clock
-from hyssopring.configuration import ConfigurationState
+from hyssopring.configuration import ConfigurationState, ServicePolicy
 from hyssopring.entry.calls import (
     Answer,
     Attempt,
@@ -129,44 +131,11 @@
 
     def submit(self, call: Call) -> None:
         """Take a caller's request; its answer comes through ``callers``."""
-        policy = self._configuration.policy(call.service_name)
-        if self._is_stopping:
-            self._calls.refuse(
-                call,
-                Failure(ErrorKind.STOPPING, 'entry is stopping'),
-            )
-            return
-        if not self._configuration.is_known:
-            # A fresh entry in a store outage must not take a service for
-            # unknown: the caller would not come back.
-            self._calls.refuse(
-                call,
-                Failure(ErrorKind.STORE_UNAVAILABLE, 'no configuration yet'),
-            )
-            return
-        if policy is None or policy.kind != 'service':
-            self._calls.refuse(
-                call,
-                Failure(ErrorKind.UNKNOWN_SERVICE, call.service_name),
-            )
+        admitted = self._admitted_policy(call.service_name)
+        if isinstance(admitted, Err):
+            self._calls.refuse(call, admitted.err_value)
             return
-        over_quota = self.admission.quota_failure(policy)
-        if over_quota is not None:
-            self._calls.refuse(call, over_quota)
-            return
-        now = self._clock.now()
-        request = CallRequest(
-            request_id=call.request_id,
-            service_name=call.service_name,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            body=call.body,
-            budget_ms=call.deadline - now,
-            urgency=policy.urgency,
-            idempotent=policy.idempotent,
-        )
-        pending = PendingCall(call, request, policy.idempotent, now)
+        pending = self._new_call(call, admitted.ok_value)
         self._calls.add(pending)
         choice = self.sender.choose(pending)
         if choice is None:
@@ -247,6 +216,39 @@
             self._calls or self._inquiries.is_busy or self._claims.is_busy,
         )
 
+    def _admitted_policy(
+        self,
+        service_name: str,
+    ) -> Result[ServicePolicy, Failure]:
+        """Return a service's policy, or why its calls are refused now."""
+        if self._is_stopping:
+            return Err(Failure(ErrorKind.STOPPING, 'entry is stopping'))
+        if not self._configuration.is_known:
+            # A fresh entry in a store outage must not take a service for
+            # unknown: the caller would not come back.
+            detail = 'no configuration yet'
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        policy = self._configuration.policy(service_name)
+        if policy is None or policy.kind != 'service':
+            return Err(Failure(ErrorKind.UNKNOWN_SERVICE, service_name))
+        over_quota = self.admission.quota_failure(policy)
+        return Ok(policy) if over_quota is None else Err(over_quota)
+
+    def _new_call(self, call: Call, policy: ServicePolicy) -> PendingCall:
+        now = self._clock.now()
+        request = CallRequest(
+            request_id=call.request_id,
+            service_name=call.service_name,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            budget_ms=call.deadline - now,
+            urgency=policy.urgency,
+            idempotent=policy.idempotent,
+        )
+        return PendingCall(call, request, policy.idempotent, now)
+
     def _admit(self, pending: PendingCall, choice: Choice) -> None:
         request = pending.request
         too_late = self.admission.deadline_failure(
