Clock: milliseconds per second are named once

Cause: seven modules each had their own constant for it next to the clock's.

Ruled out: the same for HTTP status 200; the language names that one, and the five modules that write it are best left to one change of their own.

Change: clock exports MILLIS_PER_SECOND.

Conclusion: behaviour unchanged.

--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -9,7 +9,7 @@
 from hyssopring.agent.core import HEARTBEAT_MS, AgentCore, AgentIdentity
 from hyssopring.agent.links import EntryLinks
 from hyssopring.agent.outside import HttpBackendCaller, HttpWorker
-from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import EntryDirectory
@@ -26,7 +26,6 @@
 _LISTING_S = 0.5
 _LEASES_S = 1.0
 _PROGRESS_S = 10.0
-_MILLIS_PER_SECOND = 1000.0
 
 
 class AgentDaemon:
@@ -88,7 +87,7 @@
         self._lifecycle.every(_TURN_S, self._turn)
         self._lifecycle.every(_LEASES_S, self.core.tasks.tick)
         self._lifecycle.every(
-            HEARTBEAT_MS / _MILLIS_PER_SECOND,
+            HEARTBEAT_MS / MILLIS_PER_SECOND,
             self.core.heartbeat,
         )
         self._lifecycle.every(_SILENCE_CHECK_S, self._links.check_silence)
--- a/hyssopring/clock.py
+++ b/hyssopring/clock.py
@@ -3,9 +3,9 @@
 import time
 from typing import Protocol
 
-__all__ = ('Clock', 'ManualClock', 'MonotonicClock')
+__all__ = ('MILLIS_PER_SECOND', 'Clock', 'ManualClock', 'MonotonicClock')
 
-_MILLIS_PER_SECOND = 1000.0
+MILLIS_PER_SECOND = 1000
 
 
 class Clock(Protocol):
@@ -24,7 +24,7 @@
 
     def now(self) -> float:
         """Return the milliseconds since the VM was booted."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME) * _MILLIS_PER_SECOND
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MILLIS_PER_SECOND
 
 
 class ManualClock:
--- a/hyssopring/entry/callers.py
+++ b/hyssopring/entry/callers.py
@@ -15,7 +15,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from hyssopring.clock import Clock
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.entry.calls import Answer
 from hyssopring.entry.core import EntryCore
 from hyssopring.entry.http import BoundedRequest
@@ -31,7 +31,6 @@
 
 __all__ = ('CallerResource', 'WaitingCallers', 'write_failure')
 
-_MILLIS_PER_SECOND = 1000
 _OUTCOME = re.compile(rb'/outcome/([0-9a-f]{32})')
 _PROOF_DIGITS = 32
 _OK = 200
@@ -122,7 +121,7 @@
     request.setHeader('content-type', 'application/json')
     request.setHeader('content-length', str(len(body)))
     if row.retry_after_ms is not None:
-        seconds = -(-row.retry_after_ms // _MILLIS_PER_SECOND)
+        seconds = -(-row.retry_after_ms // MILLIS_PER_SECOND)
         request.setHeader('retry-after', str(seconds))
     request.write(body)
     request.finish()
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from hyssopring.addresses import parse_address
-from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
 from hyssopring.entry.callers import CallerResource, WaitingCallers
 from hyssopring.entry.core import EntryCore, EntryIdentity
 from hyssopring.entry.decisions import DecisionLog
@@ -34,7 +34,6 @@
 _UNGREETED_S = 1.0
 _CLEAN_S = 5.0
 _DAY_S = 86_400
-_MILLIS_PER_SECOND = 1000.0
 
 
 class EntryDaemon:
@@ -128,7 +127,7 @@
         log_event(Event.PROCESS_STOPPING, pending=self.core.router.pending)
         # A balancer that has not noticed yet still sends requests here; each
         # one refused now would have been served a moment ago.
-        notice_s = self._settings.notice_ms / _MILLIS_PER_SECOND
+        notice_s = self._settings.notice_ms / MILLIS_PER_SECOND
         self._reactor.callLater(notice_s, self._end_notice)
 
     def _end_notice(self) -> None:
--- a/hyssopring/entry/status.py
+++ b/hyssopring/entry/status.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from typing import Any, Iterable, Mapping
 
+from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.configuration import ServicePolicy
 from hyssopring.entry.core import EntryCore
 from hyssopring.membership import AgentRecord
@@ -22,7 +23,6 @@
     'team_status',
 )
 
-_MILLIS_PER_SECOND = 1000
 
 _Page = Mapping[str, Any]
 
@@ -184,7 +184,7 @@
         'service': name,
         'declared': policy.keepers if policy else 0,
         'up': len(planned) - len(down),
-        'down_s': round(longest / _MILLIS_PER_SECOND, 1),
+        'down_s': round(longest / MILLIS_PER_SECOND, 1),
         'down': [task.task_id for task in down],
         'why': '; '.join(
             sorted({task.why_waiting for task in down if task.why_waiting}),
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -12,11 +12,11 @@
 
 from loguru import logger
 
+from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.logs.events import Event
 
 # The message carries its own time and level, see ``_Stamp``.
 _LINE_FORMAT = '{message}'
-_MILLIS_PER_SECOND = 1000
 
 Fields = Mapping[str, object]
 Listener = Callable[[Event, Fields], None]
@@ -74,7 +74,7 @@
                 '%Y-%m-%dT%H:%M:%S',
                 time.localtime(second),
             )
-        millis = int((now - second) * _MILLIS_PER_SECOND)
+        millis = int((now - second) * MILLIS_PER_SECOND)
         return f'{self._text}.{millis:03}'
 
 
--- a/hyssopring/store/client.py
+++ b/hyssopring/store/client.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from hyssopring.clock import Clock
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.store.groups import Group
 from hyssopring.store.queue import StoreQueue, StoreTimes
@@ -25,7 +25,6 @@
 _CONFLICT = 409
 _MAX_CONNECTIONS = 8
 _IDLE_S = 240
-_MILLIS_PER_SECOND = 1000.0
 
 
 class HttpTransport:
@@ -76,7 +75,7 @@
 
     def call_later(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Call ``action`` after a while."""
-        self._reactor.callLater(delay_ms / _MILLIS_PER_SECOND, action)
+        self._reactor.callLater(delay_ms / MILLIS_PER_SECOND, action)
 
     def _call(
         self,
--- a/hyssopring/web_client.py
+++ b/hyssopring/web_client.py
@@ -13,6 +13,8 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from hyssopring.clock import MILLIS_PER_SECOND
+
 __all__ = (
     'FetchedAnswer',
     'TooLargeAnswer',
@@ -21,7 +23,6 @@
     'pooled_agent',
 )
 
-_MILLIS_PER_SECOND = 1000.0
 _DEFAULT_IDLE_S = 60
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _JSON = (('content-type', 'application/json'),)
@@ -169,7 +170,7 @@
         _BytesProducer(body) if body else None,
     )
     deferred.addCallback(_gather)
-    deferred.addTimeout(timeout_ms / _MILLIS_PER_SECOND, reactor)
+    deferred.addTimeout(timeout_ms / MILLIS_PER_SECOND, reactor)
     return deferred
 
 
