Store: what an answer means for a group is its outcome, not a verdict

Cause: Group.judge returned a Verdict, a metaphor for dividing one answer of the table among the transactions that were committed together.

Ruled out: plain tuples; the members to be sent again and those decided are easily mixed up.

Change: Group.divide returns a GroupOutcome.

Conclusion: behaviour unchanged.

--- a/hyssopring/store/groups.py
+++ b/hyssopring/store/groups.py
@@ -18,7 +18,7 @@
     Transaction,
 )
 
-__all__ = ('Group', 'Pending', 'Verdict')
+__all__ = ('Group', 'GroupOutcome', 'Pending')
 
 _MAX_PUTS = 256
 
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class GroupOutcome:
     """What an answer means for the members of a group.
 
     Attributes:
@@ -94,7 +94,7 @@
             self._checked[check.key] = check.version
         return True
 
-    def judge(self, answer: Committed | Conflict) -> Verdict:
+    def divide(self, answer: Committed | Conflict) -> GroupOutcome:
         """Divide an answer among the members.
 
         A row with a member's own operation id shows that an earlier copy
@@ -107,34 +107,34 @@
         took_effect = any(
             _rows_of(member, row_by_key, is_own=True) for member in self.members
         )
-        verdict = Verdict({}, [])
+        divided = GroupOutcome({}, [])
         for member in self.members:
             operation = member.transaction.operation
             own = _rows_of(member, row_by_key, is_own=True)
             foreign = _rows_of(member, row_by_key, is_own=False)
             if foreign:
-                verdict.outcome_by_operation[operation] = Conflict(foreign)
+                divided.outcome_by_operation[operation] = Conflict(foreign)
             elif took_effect:
                 versions = {row.key: row.version for row in own}
-                verdict.outcome_by_operation[operation] = Committed(versions)
+                divided.outcome_by_operation[operation] = Committed(versions)
             else:
-                verdict.again.append(member)
-        return verdict
+                divided.again.append(member)
+        return divided
 
     def _agrees(self, check: Check) -> bool:
         known = self._checked.get(check.key, check.version)
         return check.key not in self._written and known == check.version
 
-    def _committed(self, answer: Committed) -> Verdict:
-        verdict = Verdict({}, [])
+    def _committed(self, answer: Committed) -> GroupOutcome:
+        divided = GroupOutcome({}, [])
         for member in self.members:
             versions = {
                 put.key: answer.version_by_key[put.key]
                 for put in member.transaction.puts
             }
             operation = member.transaction.operation
-            verdict.outcome_by_operation[operation] = Committed(versions)
-        return verdict
+            divided.outcome_by_operation[operation] = Committed(versions)
+        return divided
 
 
 def _rows_of(
--- a/hyssopring/store/queue.py
+++ b/hyssopring/store/queue.py
@@ -232,13 +232,13 @@
             self._repeats.append(group)
             self._go_on()
             return
-        verdict = group.judge(answer.unwrap())
-        for pending in reversed(verdict.again):
+        divided = group.divide(answer.unwrap())
+        for pending in reversed(divided.again):
             kind = pending.transaction.puts[0].key.partition('/')[0]
             self._lane_by_kind.setdefault(kind, deque()).appendleft(pending)
         for member in group.members:
             operation = member.transaction.operation
-            outcome = verdict.outcome_by_operation.get(operation)
+            outcome = divided.outcome_by_operation.get(operation)
             if outcome is not None:
                 self._pending -= 1
                 member.done(Ok(outcome))
