Agent: a backend server's room counts as free only after time listened

Its agent and backend servers were paused; three looks were to pass before a silent backend server's room is given away, but looks come ten times a second, so all three passed before the first announcement after the pause. A fresh agent had the same gap until the first announcements. Ruled out: spacing the looks by the clock (a pause lies between two looks). Change: the agent counts the time in which it listened, a pause as one look of at most a second; a backend server is dropped after 3 s listened in vain, and an agent that has not listened for 2 s starts nothing. The test with looks 20 ms apart is stricter than the one it extends.

--- a/hyssopring/agent/backend_sizes.py
+++ b/hyssopring/agent/backend_sizes.py
@@ -2,7 +2,8 @@
 
 A backend server announces its service and slots; its size is that of the
 service's template and parameters. It runs whether it fits or not. While the
-size of one is unknown, the agent cannot say what is free, and starts nothing.
+size of one is unknown, or a fresh agent has not listened long enough to know
+of all, the agent cannot say what is free, and starts nothing.
 """
 
 from hyssopring.agent.backends import Backends
@@ -53,7 +54,8 @@
         for backend_id in sorted(unknown - self._unknown):
             log_event(Event.BACKEND_SIZE_UNKNOWN, backend=backend_id)
         self._unknown = unknown
-        self._ledger.has_unknown = bool(unknown)
+        is_settled = self._backends.is_settled
+        self._ledger.has_unknown = bool(unknown) or not is_settled
 
 
 def _owner(backend_id: str) -> str:
--- a/hyssopring/agent/backends.py
+++ b/hyssopring/agent/backends.py
@@ -15,8 +15,10 @@
 _ANNOUNCEMENT_TTL_MS = 2000
 # The promise: no new work this long after it left or last announced.
 _LEAVING_MS = 3000
-# Looks that find a backend silent before its size counts as free.
-_LOOKS_BEFORE_DROP = 3
+# Listened to in vain for this long, a backend's size counts as free.
+_DROP_MS = 3000
+# What one look adds to the time listened, however long ago the last one was.
+_MAX_LOOK_MS = 1000
 _LATENCY_WEIGHT = 0.2
 
 
@@ -27,6 +29,7 @@
     Attributes:
         address: ``host:port`` where it takes requests.
         heard_at: When it last announced itself.
+        heard_at_listened: The agent's time listened at that moment.
         left_at: Since when it takes no new work, None while it does.
     """
 
@@ -39,7 +42,7 @@
     heard_at: float = 0
     in_flight: int = 0
     latency_ms: float = 0
-    silent_looks: int = 0
+    heard_at_listened: float = 0
     tail: TailWindow = field(default_factory=TailWindow)
     left_at: float | None = None
 
@@ -61,11 +64,14 @@
         self._invariants = invariants
         self._backend_by_id: dict[str, AnnouncedBackend] = {}
         self._queued_by_service: dict[str, int] = {}
+        self._looked_at = clock.now()
+        self._listened_ms: float = 0
 
     def announce(self, backend: AnnouncedBackend) -> None:
         """Take or renew an announcement."""
         now = self._clock.now()
         backend.heard_at = now
+        backend.heard_at_listened = self._listened_ms
         if backend.leaving:
             backend.left_at = now
         known = self._backend_by_id.get(backend.backend_id)
@@ -88,6 +94,7 @@
         known.connections = backend.connections
         known.leaving = backend.leaving
         known.heard_at = backend.heard_at
+        known.heard_at_listened = backend.heard_at_listened
 
     def is_leaving(self, backend_id: str) -> bool:
         """Whether this backend has said that it is leaving."""
@@ -98,23 +105,31 @@
         """Drop backends that stopped announcing and have nothing running.
 
         An agent that was paused has heard nothing of a backend server that
-        runs on: taken for gone at the first look after the pause, its size
-        would be given to tasks and the VM be overfull. So it gets no new work
-        at once, but is dropped only after looks between which the agent did
-        listen. Call it with each heartbeat.
+        runs on: taken for gone after the pause, its size would be given to
+        tasks and the VM be overfull. So it gets no new work at once, but is
+        dropped only after time in which the agent did listen; a pause counts
+        as one look. Call it with each heartbeat.
         """
         now = self._clock.now()
+        self._listen(now)
         for backend in list(self._backend_by_id.values()):
             is_silent = now - backend.heard_at > _ANNOUNCEMENT_TTL_MS
             if is_silent and not backend.leaving:
                 backend.leaving = True
                 backend.left_at = backend.heard_at
                 log_event(Event.BACKEND_EXPIRED, backend=backend.backend_id)
-            backend.silent_looks = backend.silent_looks + 1 if is_silent else 0
-            is_gone = backend.silent_looks >= _LOOKS_BEFORE_DROP
-            if is_gone and not backend.in_flight:
+            silent_ms = self._listened_ms - backend.heard_at_listened
+            if silent_ms > _DROP_MS and not backend.in_flight:
                 self._backend_by_id.pop(backend.backend_id)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether each backend server has had time to announce itself.
+
+        A fresh agent knows of none yet, although some may run on its VM.
+        """
+        return self._listened_ms >= _ANNOUNCEMENT_TTL_MS
+
     def service_by_id(self) -> dict[str, str]:
         """Return the service of each known backend server."""
         return {
@@ -211,6 +226,11 @@
             for backend in self._backend_by_id.values()
         )
 
+    def _listen(self, now: float) -> None:
+        """Count the time in which this agent was awake to hear."""
+        self._listened_ms += min(now - self._looked_at, _MAX_LOOK_MS)
+        self._looked_at = now
+
     def _takes_work(self, backend: AnnouncedBackend) -> bool:
         # Its age is looked at here too: an agent that was paused may take a
         # request before its timer has found the backend silent.
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -23,13 +23,28 @@
     announcement."""
     clock, backends, announce = _announced()
     clock.advance(10_000)
-    backends.expire()
+    for _ in range(5):
+        backends.expire()
+        clock.advance(20)
     assert not backends.has_service('trust/booking')
     assert backends.service_by_id() == {'runner': 'trust/booking'}
     announce()
     assert backends.has_service('trust/booking')
 
 
+def test_fresh_agent_knows_nothing_until_it_has_listened():
+    """A VM gets more work than it holds: its agent was restarted and gave the
+    room of a backend server to tasks before that server's next announcement."""
+    clock, backends, _ = _announced()
+    assert not backends.is_settled
+    clock.advance(10_000)
+    backends.expire()
+    assert not backends.is_settled
+    clock.advance(1000)
+    backends.expire()
+    assert backends.is_settled
+
+
 def test_silent_backend_is_dropped_while_the_agent_listens():
     clock, backends, _ = _announced()
     for _ in range(6):
