Bench: slopes and membership start again

Cause: both imported StoreClient, which the store's queue has replaced. Change: the store's client is measured through store_queue.

--- a/bench/slopes_cores.py
+++ b/bench/slopes_cores.py
@@ -23,7 +23,7 @@
 from hyssopring.placement import LeaseTimes, Planner, PlannerPorts
 from hyssopring.protocol import messages as m
 from hyssopring.protocol.codec import encode
-from hyssopring.store.client import StoreClient
+from hyssopring.store.client import store_queue
 from hyssopring.store.rows import Committed, Conflict, Put, Row, Transaction
 from hyssopring.tasks import TaskKind
 from standins.table import Table
@@ -31,6 +31,7 @@
 from bench.slopes_processes import Processes, free_address
 
 SIZE = {'cores': 0.001, 'memory_gb': 0.001}
+STORE_TIMEOUT_MS = 2000.0
 
 
 def cpu_ms():
@@ -286,7 +287,9 @@
         table = free_address()
         processes.spawn('standins.table', table)
         time.sleep(1)
-        client = StoreClient(reactor, MonotonicClock(), f'http://{table}')
+        client = store_queue(
+            reactor, MonotonicClock(), f'http://{table}', STORE_TIMEOUT_MS
+        )
         commit = LoopingCall(
             lambda: client.commit(
                 Transaction((), (Put('a', {'b': 1}),)), lambda answer: None
