Rolling restart test: its balancer drops connections to a stopped entry

A caller whose 1.5 s request to one entry outlasted the whole restart of the other (300 ms notice, drain, start) never saw that entry unhealthy and wrote on a connection to a process that had ended. Ruled out: the entry closing connections with requests in flight (the failed writes came after the process had gone). Change: the test's balancer drops its connections to an entry when its health goes bad, as a real one does; a request cut off in flight fails as before.

--- a/tests/test_processes_requests.py
+++ b/tests/test_processes_requests.py
@@ -312,6 +312,7 @@
         self.served = 0
         self.failures = []
         self.healthy = [True] * len(deployment.entries)
+        self.stops = [0] * len(deployment.entries)
         self.threads = [threading.Thread(target=self._balance)]
         for number in range(8):
             thread = threading.Thread(target=self._call, args=(number,))
@@ -333,41 +334,48 @@
                     status, _ = http_call(entry['callers'], 'GET', '/healthz')
                 except OSError:
                     status = 0
+                if self.healthy[number] and status != 200:
+                    self.stops[number] += 1
                 self.healthy[number] = status == 200
             time.sleep(0.05)
 
     def _call(self, number):
-        """Send over kept connections, as a balancer does."""
+        """Send over kept connections, as a balancer does.
+
+        A balancer drops its connections to an entry once its health is bad; a
+        caller whose request to another entry outlasts the whole restart would
+        else write on a connection to a process that ended long ago.
+        """
         kept = {}
         turn = number
         while not self.is_over:
             turn += 1
             entry = turn % len(self.healthy)
             if not self.healthy[entry]:
-                kept.pop(entry, None)
                 continue
+            stops = self.stops[entry]
             path = ('/trust/booking/', '/trust/page/')[turn // 2 % 2]
             # Most callers' requests last longer than a process that is told
             # to stop would live if it waited for none.
             path += '?ms=1500' if number > 1 else ''
             text = f'{number}-{turn}'
-            if entry not in kept:
+            if (entry, stops) not in kept:
                 host, port = self.deployment.entries[entry]['callers'].split(
                     ':'
                 )
-                kept[entry] = http.client.HTTPConnection(
+                kept[entry, stops] = http.client.HTTPConnection(
                     host, int(port), timeout=15
                 )
             try:
-                kept[entry].request('POST', path, text)
-                reply = Reply(kept[entry].getresponse(), 0)
+                kept[entry, stops].request('POST', path, text)
+                reply = Reply(kept[entry, stops].getresponse(), 0)
             except ConnectionRefusedError:
                 # Nothing was sent; a balancer takes another entry.
-                kept.pop(entry)
+                kept.pop((entry, stops))
                 continue
             except OSError as error:
                 self.failures.append(repr(error))
-                kept.pop(entry)
+                kept.pop((entry, stops))
                 continue
             if reply.status == 200 and reply.document['echo'] == text:
                 self.served += 1
