Placement: starts of a dropped plan keep no room

A planner assigned tasks while the table was down and lost its lease before they were sent; the starts under way of that dropped plan stayed assigned in memory and kept their room for good. Ruled out: the agents' reports of free room (they were right). Change: a plan that is dropped with its shard is marked, and its starts count no more. The new test fails without the change.

--- a/hyssopring/placement/planner.py
+++ b/hyssopring/placement/planner.py
@@ -70,7 +70,9 @@
 
     def on_lost(self, shard: int) -> None:
         """Drop a shard; its next holder reads all from the table."""
-        self._plan_by_shard.pop(shard, None)
+        plan = self._plan_by_shard.pop(shard, None)
+        if plan is not None:
+            plan.is_dropped = True
 
     def grants(self, record: AgentRecord) -> tuple[LeaseGrant, ...]:
         """Grant an agent the right to run tasks of the held shards.
--- a/hyssopring/placement/shard_plan.py
+++ b/hyssopring/placement/shard_plan.py
@@ -44,6 +44,7 @@
         self.held = held
         self.is_loaded = False
         self.is_loading = False
+        self.is_dropped = False
         self.keepers_version = -1
         self._journal = journal
         self._ports = ports
--- a/hyssopring/placement/underway.py
+++ b/hyssopring/placement/underway.py
@@ -2,7 +2,9 @@
 
 Guard: a report that was sent before a start arrived still names its room as
 free, and a second task would be sent there only to be refused. A start counts
-until a heartbeat has come after the one that first found it confirmed.
+until a heartbeat has come after the one that first found it confirmed. One of
+a plan that was dropped with its shard counts no more: nothing would ever
+confirm it here, and its room would be kept from all later tasks.
 """
 
 from dataclasses import dataclass
@@ -58,7 +60,8 @@
         is_current = (
             task.state is TaskState.ASSIGNED and task.attempt == start.attempt
         )
-        if not is_current or record is None:
+        is_dropped = start.planned.plan.is_dropped
+        if not is_current or record is None or is_dropped:
             return False
         if start.confirmed_at is None:
             if task.is_confirmed:
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -195,6 +195,25 @@
     assert counts(deployment) == {'completed': 3}
 
 
+def test_starts_of_a_dropped_plan_keep_no_room():
+    """Jobs wait for room for good on an idle fleet.
+
+    A planner assigns tasks, and the table answers no more. Its lease lapses
+    and the plan is dropped with the assignments unsent; their room is still
+    counted when the same entry plans the shard again.
+    """
+    deployment = deployed(run_ms=1000.0, entries=1)
+    submit(deployment, 60)
+    planners = [each.core.planner for each in deployment.entry_by_name.values()]
+    while not any(list(planner.tasks()) for planner in planners):
+        deployment.run(1)
+    deployment.table.outage = True
+    deployment.run(12_000)
+    deployment.table.outage = False
+    run_checked(deployment, 40_000)
+    assert counts(deployment) == {'completed': 60}
+
+
 def test_evicted_task_resumes_from_its_checkpoint():
     deployment = deployed(run_ms=8000.0)
     submit(deployment, 1)
