Backends: proof that a fresh agent refuses starts until it has listened

Cause: the test that came with the guard checked only that it says it has not listened; without the guard it failed on a missing name, which shows nothing of a start being refused. Ruled out: the whole deployment, which hides the gap behind its own start. Change: one more test, through the ledger.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,9 +1,13 @@
 """The backend servers of a VM, as their agent knows them."""
 
+from hyssopring.agent.backend_sizes import BackendSizes
 from hyssopring.agent.backends import AnnouncedBackend, Backends
+from hyssopring.agent.ledger import Ledger
 from hyssopring.clock import ManualClock
+from hyssopring.configuration import ConfigurationState
 from hyssopring.invariants import Invariants
 from hyssopring.metrics import Metrics
+from hyssopring.protocol.messages import Resources
 
 
 def _announced():
@@ -45,6 +49,23 @@
     assert backends.is_settled
 
 
+def test_fresh_agent_gives_no_room_to_tasks_until_it_has_listened():
+    """A VM gets more work than it holds: its agent was restarted, and a start
+    came before the next announcement of the backend server that runs there."""
+    clock = ManualClock(1000)
+    invariants = Invariants(Metrics())
+    backends = Backends(clock, invariants)
+    ledger = Ledger(Resources(8, 32, 0), invariants, Metrics())
+    sizes = BackendSizes(ledger, backends, ConfigurationState())
+    sizes.account()
+    assert not ledger.reserve('job:0', Resources(1, 1, 0))
+    for _ in range(2):
+        clock.advance(1000)
+        backends.expire()
+    sizes.account()
+    assert ledger.reserve('job:0', Resources(1, 1, 0))
+
+
 def test_silent_backend_is_dropped_while_the_agent_listens():
     clock, backends, _ = _announced()
     for _ in range(6):
