--- /dev/null
+++ b/hyssopring/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps: what they are, who owns them, where their tasks run."""
--- /dev/null
+++ b/hyssopring/jobs/agent_core.py
@@ -0,0 +1,335 @@
+"""The agent's part in jobs: the only caller of its worker.
+
+Owners order, the agent carries out what fits, and tells each owner all that
+runs, has ended or may still start. An owner that is new learns from it what
+its predecessor had started.
+"""
+
+from functools import singledispatchmethod
+from typing import Any, Callable
+
+from hyssopring.clock import Clock
+from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
+from hyssopring.jobs.messages import (
+    EndReport,
+    EndsRecorded,
+    Grant,
+    JobsMessage,
+    ReportQuestion,
+    StartOrder,
+    StartRefusal,
+    StopOrder,
+    TaskFacts,
+    WorkerReport,
+)
+from hyssopring.jobs.model import Size
+from hyssopring.jobs.orders import WorkerOrders
+from hyssopring.jobs.pacing import Pacer
+from hyssopring.jobs.rights import Rights
+from hyssopring.jobs.shards import shard_of_task
+from hyssopring.jobs.watch import WorkerWatch
+from hyssopring.jobs.worker_port import EndRow, Listing, WorkerPort
+from hyssopring.logs import Event, log_event
+
+__all__ = ('JobAgentCore',)
+
+Send = Callable[[str, JobsMessage], None]
+
+
+class JobAgentCore:
+    """Takes owners' orders for one worker."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        port: WorkerPort,
+        send: Send,
+    ) -> None:
+        """Talk to the worker by ``port`` and to entries by ``send``."""
+        self._reactor = reactor
+        self._clock = clock
+        self._send = send
+        self.watch = WorkerWatch(reactor, clock, port)
+        self.table = AttemptTable()
+        self._rights = Rights()
+        self._orders = WorkerOrders(
+            reactor,
+            clock,
+            port,
+            self.watch,
+            self.table,
+            self._refused,
+        )
+        self._pacer = Pacer(self._orders.set_pace)
+        self._end_by_number: dict[int, EndReport] = {}
+        self._highest_end = 0
+        self._sequence = 0
+        self._reported_at_by_entry: dict[str, float] = {}
+        self._orders_by_entry: dict[str, int] = {}
+        self._is_report_due = False
+        self.watch.on_boot = self._new_boot
+        self.watch.on_listing = self._listed
+        self.watch.on_lapse = self._lapsed
+        self.watch.hold_limit = lambda: self._rights.latest
+        self.watch.has_unrecorded = lambda: bool(self._end_by_number)
+        self.watch.recorded = self._recorded
+
+    def connected(self, entry_id: str) -> None:
+        """An entry is connected: tell it of the worker."""
+        self._orders_by_entry[entry_id] = 0
+        self._report(entry_id)
+
+    def disconnected(self, entry_id: str) -> None:
+        """An entry is not connected any more."""
+        self._reported_at_by_entry.pop(entry_id, None)
+
+    def turn(self) -> None:
+        """Regular work; call a few times a second."""
+        now = self._clock.now()
+        self.watch.check()
+        for entry_id, reported_at in list(self._reported_at_by_entry.items()):
+            if self._rights.is_due(now, reported_at):
+                self._report(entry_id)
+        for attempt in list(self.table.by_task.values()):
+            # A shard whose owner was not heard of for long: another one may
+            # count its tasks as ended from now on.
+            if self._rights.until(attempt.shard) < now:
+                self._orders.stop(attempt)
+
+    @singledispatchmethod
+    def take(self, message: JobsMessage, entry_id: str) -> None:
+        """Take an entry's message."""
+        log_event(
+            Event.PEER_ERROR,
+            entry=entry_id,
+            detail=f'unexpected {type(message).__name__}',
+        )
+
+    @take.register
+    def _take_grant(self, message: Grant, entry_id: str) -> None:
+        self._rights.granted(
+            entry_id,
+            message.sequence,
+            message.reigns,
+            message.ttl_ms,
+        )
+
+    @take.register
+    def _take_question(self, message: ReportQuestion, entry_id: str) -> None:
+        for asked in message.reigns:
+            self._rights.learn(asked.shard, asked.reign, entry_id)
+        self._report(entry_id)
+
+    @take.register
+    def _take_recorded(self, message: EndsRecorded, entry_id: str) -> None:
+        if message.boot != self.watch.boot:
+            return
+        for number in message.numbers:
+            self._end_by_number.pop(number, None)
+
+    @take.register
+    def _take_facts(self, message: TaskFacts, entry_id: str) -> None:
+        attempt = self.table.by_task.get(message.task)
+        if attempt is not None and attempt.number == message.attempt:
+            attempt.facts = message
+
+    @take.register
+    def _take_start(self, message: StartOrder, entry_id: str) -> None:
+        self._orders_by_entry[entry_id] += 1
+        facts = message.facts
+        reason = self._objection(message, entry_id)
+        if reason:
+            log_event(
+                Event.TASK_REFUSED,
+                task=facts.task,
+                attempt=facts.attempt,
+                reason=reason,
+            )
+            self._send(
+                entry_id,
+                StartRefusal(facts.task, facts.attempt, reason),
+            )
+            return
+        attempt = Attempt(
+            facts.task,
+            facts.attempt,
+            message.shard,
+            Phase.STARTING,
+            self._clock.now(),
+            facts,
+            message.checkpoint,
+        )
+        self.table.add(attempt)
+        self._orders.start(message, attempt)
+        self._report_soon()
+
+    @take.register
+    def _take_stop(self, message: StopOrder, entry_id: str) -> None:
+        if not self._rights.learn(message.shard, message.reign, entry_id):
+            return
+        attempt = self.table.by_task.get(message.task)
+        if attempt is not None and attempt.number <= message.attempt:
+            self._orders.stop(attempt)
+        else:
+            self.table.close(message.task, message.attempt)
+
+    def _objection(self, order: StartOrder, entry_id: str) -> str:
+        """Why a start is not carried out, empty if it is."""
+        facts = order.facts
+        if not self._rights.learn(order.shard, order.reign, entry_id):
+            return 'deposed'
+        if order.boot != self.watch.boot:
+            return 'boot'
+        if self.watch.is_leaving:
+            return 'leaving'
+        if self._rights.until(order.shard) <= self._clock.now():
+            return 'no-grant'
+        return self._task_objection(facts)
+
+    def _task_objection(self, facts: TaskFacts) -> str:
+        if facts.task in self.table.by_task:
+            return 'running'
+        if self.table.is_closed(facts.task, facts.attempt):
+            return 'closed'
+        if not self.table.is_sized:
+            return 'unsized'
+        cpu = 0 if facts.fills else facts.cpu_millis
+        size = Size(cpu, facts.memory_mb, facts.accelerators)
+        # What is being stopped counts until the worker has listed its end.
+        if not self.table.used().plus(size).fits_in(self.watch.room):
+            return 'room'
+        return ''
+
+    def _refused(self, attempt: Attempt, reason: str) -> None:
+        owner = self._rights.owner_of(attempt.shard)
+        log_event(
+            Event.TASK_REFUSED,
+            task=attempt.task,
+            attempt=attempt.number,
+            reason=reason,
+        )
+        self._send(owner, StartRefusal(attempt.task, attempt.number, reason))
+
+    def _new_boot(self) -> None:
+        self.table.clear()
+        self._end_by_number.clear()
+        self._highest_end = 0
+        self._report_soon()
+
+    def _lapsed(self) -> None:
+        """The worker is silent, and nothing it was given can still run."""
+        for attempt in list(self.table.by_task.values()):
+            self.table.ended(attempt.task, attempt.number)
+        self._report_soon()
+
+    def _listed(self, listing: Listing, sent_at: float) -> None:
+        now = self._clock.now()
+        has_news = False
+        for end in listing.ends:
+            if end.number > self._highest_end:
+                has_news = True
+                self._take_end(end)
+        listed = set()
+        for row in listing.rows:
+            listed.add(row.task)
+            if row.task not in self.table.by_task:
+                has_news = True
+            self.table.listed(row, now)
+        has_news |= self._drop_unlisted(listed, sent_at)
+        self._pacer.turn(self.table.by_task.values())
+        if has_news:
+            self._report_soon()
+
+    def _take_end(self, end: EndRow) -> None:
+        self._highest_end = end.number
+        self.table.ended(end.task, end.attempt)
+        self._end_by_number[end.number] = EndReport(
+            end.number,
+            end.task,
+            end.attempt,
+            end.how.value,
+            end.checkpoint,
+        )
+        log_event(
+            Event.TASK_FINISHED,
+            task=end.task,
+            attempt=end.attempt,
+            how=end.how.value,
+            number=end.number,
+        )
+
+    def _drop_unlisted(self, listed: set[str], sent_at: float) -> bool:
+        """Drop what was settled before the look and is not in its lists."""
+        dropped = [
+            attempt
+            for attempt in self.table.by_task.values()
+            if attempt.task not in listed
+            and _settled_at(attempt) is not None
+            and (_settled_at(attempt) or 0) < sent_at
+        ]
+        for attempt in dropped:
+            self.table.ended(attempt.task, attempt.number)
+        return bool(dropped)
+
+    def _recorded(self) -> int:
+        """Return the number up to which all ends are durable."""
+        return min(self._end_by_number, default=self._highest_end + 1) - 1
+
+    def _report_soon(self) -> None:
+        """Report once for all that happens in this turn of the reactor."""
+        if not self._is_report_due:
+            self._is_report_due = True
+            self._reactor.callLater(0, self._report_owners)
+
+    def _report_owners(self) -> None:
+        self._is_report_due = False
+        for entry_id in list(self._reported_at_by_entry):
+            if self._rights.reigns(entry_id):
+                self._report(entry_id)
+
+    def _report(self, entry_id: str) -> None:
+        now = self._clock.now()
+        self._sequence += 1
+        self._reported_at_by_entry[entry_id] = now
+        self._rights.sent(self._sequence, now)
+        reigns = self._rights.reigns(entry_id)
+        own = {known.shard for known in reigns}
+        attempts = self.table.by_task.values()
+        foreign = Size()
+        for attempt in attempts:
+            if attempt.shard not in own:
+                foreign = foreign.plus(attempt.charge())
+        watch = self.watch
+        self._send(
+            entry_id,
+            WorkerReport(
+                self._sequence,
+                watch.boot,
+                watch.service,
+                list(watch.labels),
+                watch.room.cpu_millis,
+                watch.room.memory_mb,
+                watch.room.accelerators,
+                watch.is_leaving,
+                watch.remaining_ms,
+                watch.silent_ms,
+                reigns,
+                [each.report() for each in attempts if each.shard in own],
+                [
+                    end
+                    for end in self._end_by_number.values()
+                    if shard_of_task(end.task) in own
+                ],
+                foreign.cpu_millis,
+                foreign.memory_mb,
+                foreign.accelerators,
+                self._orders_by_entry[entry_id],
+            ),
+        )
+
+
+def _settled_at(attempt: Attempt) -> float | None:
+    if attempt.stop_taken_at is not None:
+        return attempt.stop_taken_at
+    return attempt.confirmed_at
--- /dev/null
+++ b/hyssopring/jobs/book.py
@@ -0,0 +1,202 @@
+"""One accepted job as its owner keeps it: what is done, runs and waits."""
+
+from dataclasses import dataclass, field
+from typing import Final, Iterator
+
+from hyssopring.jobs.documents import JobRow, ProgressRow
+from hyssopring.jobs.model import Job, JobState, Step, TaskName
+
+__all__ = ('JobRecord', 'StepRun')
+
+# Attempts of a reign are numbered from a base of their own: a new owner need
+# not know the numbers that its predecessor gave.
+_ATTEMPTS_PER_REIGN: Final = 1000
+
+
+@dataclass
+class StepRun:
+    """One step of one occurrence.
+
+    Attributes:
+        waiting: Indices of tasks that neither run nor are done.
+        running: Indices of tasks with an attempt that may run.
+    """
+
+    occurrence: int
+    number: int
+    step: Step
+    done: int = 0
+    waiting: set[int] = field(default_factory=set)
+    running: set[int] = field(default_factory=set)
+
+    @property
+    def name(self) -> str:
+        """The step's name within its job."""
+        return f'{self.occurrence}.{self.number}'
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks have ended as done."""
+        return self.done.bit_count() == self.step.count
+
+    def is_done_task(self, index: int) -> bool:
+        """Whether this task has ended as done."""
+        return bool(self.done >> index & 1)
+
+    def placed(self, index: int) -> None:
+        """An attempt of the task may run from now on."""
+        self.waiting.discard(index)
+        self.running.add(index)
+
+    def finished(self, index: int) -> None:
+        """The task is done."""
+        self.waiting.discard(index)
+        self.running.discard(index)
+        self.done |= 1 << index
+
+    def returned(self, index: int) -> None:
+        """The task's attempt is over and it must run again."""
+        self.running.discard(index)
+        if not self.is_done_task(index):
+            self.waiting.add(index)
+
+
+@dataclass
+class JobRecord:
+    """A job of a shard that this entry owns.
+
+    Attributes:
+        accepted_ms: Since 1970, by the clock of the entry that accepted.
+        is_inherited: Accepted under an earlier reign: tasks of it may run.
+        state: The state as it is durably known.
+        final_state: The state that is decided; it may not be durable yet.
+    """
+
+    job: Job
+    accepted_ms: float
+    reign: int
+    is_inherited: bool
+    progress: ProgressRow = field(default_factory=ProgressRow)
+    step_runs: dict[str, StepRun] = field(default_factory=dict)
+    checkpoint_by_task: dict[str, str] = field(default_factory=dict)
+    number_by_task: dict[str, int] = field(default_factory=dict)
+    state: JobState = JobState.QUEUED
+    final_state: JobState | None = None
+
+    @classmethod
+    def from_row(
+        cls,
+        row: JobRow,
+        reign: int,
+        is_inherited: bool,
+        progress: ProgressRow | None = None,
+    ) -> 'JobRecord':
+        """Take over a stored job."""
+        record = cls(row.job, row.accepted_ms, reign, is_inherited)
+        if progress is not None:
+            record.progress = progress
+        record.open_occurrence(0)
+        if progress is not None and progress.state:
+            record.state = JobState(progress.state)
+            record.final_state = record.state
+        elif record.has_begun:
+            record.state = JobState.ACTIVE
+        return record
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a task is known to have started."""
+        return bool(
+            self.progress.done
+            or self.progress.failed
+            or any(run.running for run in self.step_runs.values())
+        )
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Make the steps of an occurrence known, as far as done so far."""
+        for number, step in enumerate(self.job.steps):
+            run = StepRun(occurrence, number, step)
+            run.done = self.progress.done.get(run.name, 0)
+            run.waiting = {
+                index
+                for index in range(step.count)
+                if not run.is_done_task(index)
+            }
+            self.step_runs[run.name] = run
+
+    def run_of(self, name: TaskName) -> StepRun | None:
+        """Return the step run of a task, None if the job has none such."""
+        run = self.step_runs.get(f'{name.occurrence}.{name.step}')
+        if run is None or not 0 <= name.index < run.step.count:
+            return None
+        return run
+
+    def open_runs(self) -> Iterator[StepRun]:
+        """Step runs with waiting tasks whose turn has come."""
+        if self.final_state is not None:
+            return
+        for run in self.step_runs.values():
+            if run.waiting and self._is_ready(run):
+                yield run
+
+    def next_number(self, task: str) -> int:
+        """Number a new attempt above all earlier ones of the task."""
+        base = self.reign * _ATTEMPTS_PER_REIGN if self.is_inherited else 0
+        number = self.number_by_task.get(task, base) + 1
+        self.number_by_task[task] = number
+        return number
+
+    def saw_number(self, task: str, number: int) -> None:
+        """An attempt with this number exists."""
+        known = self.number_by_task.get(task, 0)
+        self.number_by_task[task] = max(known, number)
+
+    def keep_checkpoint(self, task: str, checkpoint: str) -> None:
+        """Note what a task can be resumed from; empty says nothing new."""
+        if checkpoint:
+            self.checkpoint_by_task[task] = checkpoint
+
+    def take_done(self, name: TaskName) -> bool:
+        """Note a task's end; False if it was known."""
+        run = self.run_of(name)
+        if run is None or run.is_done_task(name.index):
+            return False
+        run.finished(name.index)
+        self.progress.done[run.name] = run.done
+        self.checkpoint_by_task.pop(str(name), None)
+        if self.is_all_done:
+            self.final_state = self.final_state or JobState.COMPLETED
+        return True
+
+    def take_failed(self, name: TaskName) -> bool:
+        """Count a failed attempt; True if the job fails by it."""
+        key = f'{name.occurrence}.{name.step}.{name.index}'
+        count = self.progress.failed.get(key, 0) + 1
+        self.progress.failed[key] = count
+        run = self.run_of(name)
+        if run is None or run.step.is_keeper or self.final_state is not None:
+            return False
+        if run.is_done_task(name.index) or count < self.job.queue.max_attempts:
+            return False
+        self.final_state = JobState.FAILED
+        return True
+
+    @property
+    def is_all_done(self) -> bool:
+        """Whether each task of each occurrence has ended as done."""
+        opened = len(self.step_runs) // len(self.job.steps)
+        return opened == self.job.occurrences and all(
+            run.is_done for run in self.step_runs.values()
+        )
+
+    def deadline(self) -> float:
+        """When the job should be completed, in ms since 1970."""
+        queue = self.job.queue
+        allowed = queue.slack_factor * self.job.chain_ms + queue.target_ms
+        return self.accepted_ms + allowed
+
+    def _is_ready(self, run: StepRun) -> bool:
+        return all(
+            self.step_runs[f'{run.occurrence}.{earlier}'].is_done
+            for earlier in run.step.after
+        )
--- /dev/null
+++ b/hyssopring/jobs/documents.py
@@ -0,0 +1,181 @@
+"""The rows of jobs, and their text.
+
+========== ============== =============== ================================
+table      part           key             written by
+========== ============== =============== ================================
+hs_jobs    shard          job id          the entry that accepts, once
+hs_jobs    shard          job id + '/x'   an entry that cancels, once
+hs_done    shard          job id          the shard's owner
+hs_owner   shard          'owner'         whoever becomes the owner
+hs_entry   (empty)        entry id        the entry, each second
+hs_agent   (empty)        agent id        an entry that meets a new agent
+========== ============== =============== ================================
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter, ValidationError
+
+from hyssopring.jobs.model import Job
+from hyssopring.jobs.rows import RowKey
+from hyssopring.jobs.shards import shard_of
+
+__all__ = (
+    'AGENTS',
+    'CANCEL_SUFFIX',
+    'DONE',
+    'ENTRIES',
+    'JOBS',
+    'OWNERS',
+    'EntryRow',
+    'JobRow',
+    'OwnerRow',
+    'ProgressRow',
+    'UnreadableRow',
+    'cancel_key',
+    'job_key',
+    'owner_key',
+    'part_of',
+    'progress_key',
+)
+
+JOBS = 'hs_jobs'
+DONE = 'hs_done'
+OWNERS = 'hs_owner'
+ENTRIES = 'hs_entry'
+AGENTS = 'hs_agent'
+CANCEL_SUFFIX = '/x'
+
+
+class UnreadableRow(Exception):
+    """A row of ours that does not hold what it should."""
+
+
+def part_of(shard: int) -> str:
+    """Return the part that holds a shard's rows."""
+    return f's{shard}'
+
+
+def job_key(job_id: str) -> RowKey:
+    """Where an accepted job lies."""
+    return RowKey(JOBS, part_of(shard_of(job_id)), job_id)
+
+
+def cancel_key(job_id: str) -> RowKey:
+    """Where a job's cancellation lies."""
+    return RowKey(JOBS, part_of(shard_of(job_id)), job_id + CANCEL_SUFFIX)
+
+
+def progress_key(job_id: str) -> RowKey:
+    """Where a job's ends lie."""
+    return RowKey(DONE, part_of(shard_of(job_id)), job_id)
+
+
+def owner_key(shard: int) -> RowKey:
+    """Where a shard's owner lies."""
+    return RowKey(OWNERS, part_of(shard), 'owner')
+
+
+@dataclass(frozen=True)
+class JobRow:
+    """An accepted job; ``accepted_ms`` is in milliseconds since 1970."""
+
+    job: Job
+    accepted_ms: float
+
+    @classmethod
+    def from_text(cls, text: str) -> 'JobRow':
+        """Read a row; raises UnreadableRow."""
+        try:
+            return _JOB_ROW.validate_json(text)
+        except ValidationError as error:
+            raise UnreadableRow(f'job: {error.errors()[0]}') from error
+
+    def to_text(self) -> str:
+        """Return the row's text."""
+        return _JOB_ROW.dump_json(self, exclude_defaults=True).decode()
+
+
+@dataclass
+class ProgressRow:
+    """What has durably ended of a job.
+
+    Attributes:
+        state: A final state, or empty.
+        done: By 'occurrence.step': the done tasks' indices as a bit set.
+        failed: By 'occurrence.step.index': how many attempts failed.
+        ended_ms: When the state became final, since 1970.
+    """
+
+    state: str = ''
+    done: dict[str, int] = field(default_factory=dict)
+    failed: dict[str, int] = field(default_factory=dict)
+    ended_ms: float = 0
+
+    @classmethod
+    def from_text(cls, text: str) -> 'ProgressRow':
+        """Read a row; raises UnreadableRow."""
+        try:
+            return _PROGRESS_ROW.validate_json(text)
+        except ValidationError as error:
+            raise UnreadableRow(f'progress: {error.errors()[0]}') from error
+
+    def to_text(self) -> str:
+        """Return the row's text."""
+        return json.dumps(
+            {
+                'state': self.state,
+                'done': self.done,
+                'failed': self.failed,
+                'ended_ms': self.ended_ms,
+            },
+        )
+
+
+@dataclass(frozen=True)
+class OwnerRow:
+    """Who owns a shard. ``incarnation`` is one process of the entry."""
+
+    entry_id: str
+    incarnation: str
+    reign: int
+
+    @classmethod
+    def from_text(cls, text: str) -> 'OwnerRow':
+        """Read a row; raises UnreadableRow."""
+        try:
+            return _OWNER_ROW.validate_json(text)
+        except ValidationError as error:
+            raise UnreadableRow(f'owner: {error.errors()[0]}') from error
+
+    def to_text(self) -> str:
+        """Return the row's text."""
+        return _OWNER_ROW.dump_json(self).decode()
+
+
+@dataclass(frozen=True)
+class EntryRow:
+    """A live entry: where it listens, and which shards it owns."""
+
+    address: str
+    incarnation: str
+    shards: tuple[int, ...] = ()
+
+    @classmethod
+    def from_text(cls, text: str) -> 'EntryRow':
+        """Read a row; raises UnreadableRow."""
+        try:
+            return _ENTRY_ROW.validate_json(text)
+        except ValidationError as error:
+            raise UnreadableRow(f'entry: {error.errors()[0]}') from error
+
+    def to_text(self) -> str:
+        """Return the row's text."""
+        return _ENTRY_ROW.dump_json(self).decode()
+
+
+_JOB_ROW = TypeAdapter(JobRow)
+_PROGRESS_ROW = TypeAdapter(ProgressRow)
+_OWNER_ROW = TypeAdapter(OwnerRow)
+_ENTRY_ROW = TypeAdapter(EntryRow)
--- /dev/null
+++ b/hyssopring/jobs/entries.py
@@ -0,0 +1,301 @@
+"""Which entries live, and which shards this one owns.
+
+Each entry renews a row of its own. One whose row stays unchanged while the
+store answers is taken for dead, and another entry takes its shards by a
+transaction on the shard's owner row. What an entry does as an owner is
+checked against that row, so an entry that was wrongly taken for dead can
+write nothing more.
+"""
+
+from dataclasses import dataclass
+from typing import Any, Callable, Final
+
+from twisted.python.failure import Failure as TwistedFailure
+
+from hyssopring.clock import Clock
+from hyssopring.jobs.documents import (
+    ENTRIES,
+    EntryRow,
+    OwnerRow,
+    UnreadableRow,
+    owner_key,
+)
+from hyssopring.jobs.rows import (
+    Committed,
+    Page,
+    Row,
+    RowCheck,
+    RowKey,
+    RowPut,
+    RowStore,
+    StoreRefused,
+    StoreUncertain,
+    Transaction,
+)
+from hyssopring.jobs.shards import SHARDS
+from hyssopring.jobs.times import AUTHORITY_MS, ENTRY_SILENT_MS, RENEW_MS
+from hyssopring.logs import Event, log_event
+
+__all__ = ('Acquired', 'EntryMembership')
+
+# After a longer gap between two readings of the store nothing can be said of
+# the others' silence: they may have been kept from renewing, too.
+_MAX_GAP_MS: Final = 1.8 * RENEW_MS
+# Rows of entries that were silent for this long are removed.
+_FORGET_MS: Final = 60_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Acquired:
+    """A shard that this entry owns from now on."""
+
+    shard: int
+    reign: int
+    version: int
+
+
+@dataclass(slots=True)
+class _Seen:
+    """Another entry's row, and since when it has not changed."""
+
+    row: EntryRow
+    version: int
+    since: float
+
+
+class EntryMembership:
+    """Renews this entry's row and watches the others'."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        store: RowStore,
+        entry_id: str,
+        incarnation: str,
+        address: str,
+    ) -> None:
+        """Set the callbacks before ``turn`` is first called."""
+        self._reactor = reactor
+        self._clock = clock
+        self._store = store
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._address = address
+        self._renewed_at: float | None = None
+        self._read_at: float | None = None
+        self._seen_by_entry: dict[str, _Seen] = {}
+        self._is_renewing = False
+        self._taking: set[int] = set()
+        self._free_since: dict[int, float] = {}
+        self._missing_since: dict[str, float] = {}
+        self._is_stopping = False
+        self.owned: Callable[[], tuple[int, ...]] = tuple
+        self.on_acquired: Callable[[Acquired], None] = _ignore
+        self.on_entries: Callable[[], None] = _nothing
+
+    @property
+    def may_act(self) -> bool:
+        """Whether the last renewal is young enough to act as an owner."""
+        if self._renewed_at is None:
+            return False
+        return self._clock.now() - self._renewed_at < AUTHORITY_MS
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store has answered this entry of late."""
+        if self._renewed_at is None:
+            return False
+        return self._clock.now() - self._renewed_at < 2 * RENEW_MS
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses of all entries that live, by id; not this one's."""
+        return {
+            entry_id: seen.row.address
+            for entry_id, seen in self._seen_by_entry.items()
+            if self._is_live(entry_id)
+        }
+
+    def owner_of(self, shard: int) -> str:
+        """Return the id of the entry that said last that it owns a shard."""
+        for entry_id, seen in self._seen_by_entry.items():
+            if shard in seen.row.shards and self._is_live(entry_id):
+                return entry_id
+        return ''
+
+    def turn(self) -> None:
+        """Renew and look at the others; call each ``RENEW_MS``."""
+        self._renew()
+        reading = self._store.read(ENTRIES, '')
+        reading.addCallbacks(self._entries_read, self._failed)
+        reading.addErrback(self._failed)
+
+    def stop(self) -> None:
+        """Take no shard any more."""
+        self._is_stopping = True
+
+    def release(self, shard: int, version: int, reign: int) -> Any:
+        """Give a shard up, so that another entry need not wait."""
+        place = owner_key(shard)
+        released = OwnerRow('', '', reign)
+        releasing = self._store.commit(
+            Transaction(
+                (RowCheck(place, version),),
+                (RowPut(place, released.to_text()),),
+            ),
+        )
+        releasing.addErrback(self._failed)
+        return releasing
+
+    def renew_now(self) -> None:
+        """Tell at once which shards are owned."""
+        self._renew()
+
+    def _renew(self) -> None:
+        if self._is_renewing:
+            return
+        self._is_renewing = True
+        sent_at = self._clock.now()
+        row = EntryRow(self._address, self._incarnation, self.owned())
+        renewing = self._store.commit(
+            Transaction(
+                puts=(
+                    RowPut(RowKey(ENTRIES, '', self._entry_id), row.to_text()),
+                ),
+            ),
+        )
+        renewing.addCallbacks(
+            self._renewed,
+            self._renewal_failed,
+            callbackArgs=(sent_at,),
+        )
+
+    def _renewed(self, _outcome: object, sent_at: float) -> None:
+        self._is_renewing = False
+        self._renewed_at = sent_at
+
+    def _renewal_failed(self, failure: TwistedFailure) -> None:
+        self._is_renewing = False
+        self._failed(failure)
+
+    def _failed(self, failure: TwistedFailure) -> None:
+        """The store's client logs when the store is lost and regained."""
+        failure.trap(StoreRefused, StoreUncertain, UnreadableRow)
+
+    def _entries_read(self, page: Page) -> None:
+        now = self._clock.now()
+        is_gap = self._read_at is None or now - self._read_at > _MAX_GAP_MS
+        self._read_at = now
+        rows = {row.place.key: row for row in page.rows}
+        rows.pop(self._entry_id, None)
+        for gone in self._seen_by_entry.keys() - rows.keys():
+            self._seen_by_entry.pop(gone)
+        for entry_id, row in rows.items():
+            self._see(entry_id, row, now, is_gap)
+        self.on_entries()
+        if not self._is_stopping:
+            self._contend(now)
+
+    def _see(self, entry_id: str, row: Row, now: float, is_gap: bool) -> None:
+        seen = self._seen_by_entry.get(entry_id)
+        if seen is None or seen.version != row.version:
+            self._seen_by_entry[entry_id] = _Seen(
+                EntryRow.from_text(row.text),
+                row.version,
+                now,
+            )
+        elif is_gap:
+            seen.since = now
+        elif now - seen.since > _FORGET_MS:
+            removing = self._store.commit(
+                Transaction(
+                    (RowCheck(row.place, row.version),),
+                    (),
+                    (row.place,),
+                ),
+            )
+            removing.addErrback(self._failed)
+
+    def _is_live(self, entry_id: str) -> bool:
+        seen = self._seen_by_entry[entry_id]
+        return self._clock.now() - seen.since < ENTRY_SILENT_MS
+
+    def _contend(self, now: float) -> None:
+        """Take shards that no live entry owns, after those ranked before."""
+        for shard in range(SHARDS):
+            if shard in self.owned() or self.owner_of(shard):
+                self._free_since.pop(shard, None)
+                continue
+            since = self._free_since.setdefault(shard, now)
+            wait_ms = self._rank(shard) * RENEW_MS
+            if now - since >= wait_ms and shard not in self._taking:
+                self._taking.add(shard)
+                self._take(shard)
+
+    def _rank(self, shard: int) -> int:
+        """How many live entries come before this one for a shard."""
+        live = [each for each in self._seen_by_entry if self._is_live(each)]
+        ranked = sorted([self._entry_id, *live])
+        place = ranked.index(self._entry_id)
+        return (place - shard) % len(ranked)
+
+    def _take(self, shard: int) -> None:
+        reading = self._store.read_one(owner_key(shard))
+        reading.addCallback(self._owner_read, shard)
+        reading.addErrback(self._failed)
+        reading.addBoth(lambda _done: self._taking.discard(shard))
+
+    def _is_owner_live(self, former: OwnerRow) -> bool:
+        """Whether the entry in an owner row may still be at work.
+
+        A process of this entry's name that came before this one is dead.
+        """
+        entry_id = former.entry_id
+        if not entry_id or entry_id == self._entry_id:
+            return False
+        seen = self._seen_by_entry.get(entry_id)
+        if seen is not None:
+            is_same = seen.row.incarnation == former.incarnation
+            return is_same and self._is_live(entry_id)
+        now = self._clock.now()
+        since = self._missing_since.setdefault(former.incarnation, now)
+        return now - since < ENTRY_SILENT_MS
+
+    def _owner_read(self, row: Row | None, shard: int) -> Any:
+        former = OwnerRow.from_text(row.text) if row else None
+        if former is not None and self._is_owner_live(former):
+            return None
+        reign = former.reign + 1 if former else 1
+        taken = OwnerRow(self._entry_id, self._incarnation, reign)
+        place = owner_key(shard)
+        taking = self._store.commit(
+            Transaction(
+                (RowCheck(place, row.version if row else 0),),
+                (RowPut(place, taken.to_text()),),
+            ),
+        )
+        taking.addCallback(self._taken, Acquired(shard, reign, 0))
+        return taking
+
+    def _taken(self, outcome: object, acquired: Acquired) -> None:
+        if not isinstance(outcome, Committed) or self._is_stopping:
+            return
+        self._free_since.pop(acquired.shard, None)
+        log_event(
+            Event.SHARD_ACQUIRED,
+            shard=acquired.shard,
+            reign=acquired.reign,
+        )
+        self.on_acquired(
+            Acquired(acquired.shard, acquired.reign, outcome.version),
+        )
+        self.renew_now()
+
+
+def _nothing() -> None:
+    """No owner is set yet."""
+
+
+def _ignore(_acquired: Acquired) -> None:
+    """No owner is set yet."""
--- /dev/null
+++ b/hyssopring/jobs/entry_core.py
@@ -0,0 +1,216 @@
+"""The entry's part in jobs: its agents, its shards and its peers."""
+
+from functools import singledispatchmethod
+from typing import Any, Callable, Final
+
+from twisted.python.failure import Failure as TwistedFailure
+
+from hyssopring.clock import Clock
+from hyssopring.jobs.desk import JobDesk
+from hyssopring.jobs.documents import AGENTS, JobRow
+from hyssopring.jobs.entries import Acquired, EntryMembership
+from hyssopring.jobs.fleet import Fleet, Worker
+from hyssopring.jobs.messages import (
+    CancelNotice,
+    Grant,
+    JobAnswer,
+    JobNotice,
+    JobQuestion,
+    JobsMessage,
+    PendingAnswer,
+    PendingQuestion,
+    StartRefusal,
+    WorkerReport,
+)
+from hyssopring.jobs.owned_shard import OwnedShard
+from hyssopring.jobs.owner import JobOwner
+from hyssopring.jobs.questions import Peers, Questions
+from hyssopring.jobs.rows import (
+    RowKey,
+    RowPut,
+    RowStore,
+    StoreRefused,
+    StoreUncertain,
+    Transaction,
+)
+from hyssopring.logs import Event, log_event
+
+__all__ = ('JobEntryCore',)
+
+# Ended jobs are asked for two minutes long; they are kept a while longer.
+_KEEP_MS: Final = 180_000.0
+
+
+class JobEntryCore:
+    """Takes agents' reports and other entries' messages."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        wall_ms: Callable[[], float],
+        store: RowStore,
+        membership: EntryMembership,
+        peers: Peers,
+    ) -> None:
+        """Build the owner and connect the membership's callbacks."""
+        self._reactor = reactor
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._store = store
+        self._membership = membership
+        self._peers = peers
+        self.fleet = Fleet()
+        self.owner = JobOwner(
+            reactor,
+            clock,
+            self.fleet,
+            peers.answer,
+            lambda: membership.may_act,
+        )
+        self._questions = Questions(reactor, peers)
+        self.desk = JobDesk(
+            reactor,
+            clock,
+            wall_ms,
+            store,
+            membership,
+            self.owner.shards,
+            peers,
+            self._questions,
+        )
+        membership.owned = lambda: tuple(self.owner.shards.by_shard)
+        membership.on_acquired = self._acquired
+
+    def agent_connected(self, agent_id: str, zone: str) -> None:
+        """An agent has opened a connection."""
+        worker = self.fleet.connected(agent_id, zone)
+        log_event(Event.AGENT_CONNECTED, agent=agent_id)
+        self._list(worker)
+        self.owner.agent_connected(worker)
+
+    def agent_gone(self, agent_id: str) -> None:
+        """An agent's connection is gone."""
+        if agent_id in self.fleet.by_agent:
+            log_event(Event.AGENT_DISCONNECTED, agent=agent_id)
+            self.fleet.disconnected(agent_id)
+
+    @singledispatchmethod
+    def take(self, message: JobsMessage, peer_id: str) -> None:
+        """Take a message of an agent or an entry."""
+        log_event(
+            Event.PEER_ERROR,
+            peer=peer_id,
+            detail=f'unexpected {type(message).__name__}',
+        )
+
+    @take.register
+    def _take_report(self, message: WorkerReport, peer_id: str) -> None:
+        worker = self.fleet.by_agent[peer_id]
+        if not self.owner.shards.by_shard:
+            # The agent takes any answer for a sign of life.
+            self._peers.answer(peer_id, Grant(message.sequence, [], 0))
+        self.owner.take(message, worker)
+
+    @take.register
+    def _take_refusal(self, message: StartRefusal, peer_id: str) -> None:
+        self.owner.take(message, self.fleet.by_agent[peer_id])
+
+    @take.register
+    def _take_notice(self, message: JobNotice, peer_id: str) -> None:
+        self.owner.shards.accept(JobRow.from_text(message.document))
+
+    @take.register
+    def _take_cancel(self, message: CancelNotice, peer_id: str) -> None:
+        self.owner.shards.cancel(message.job_id)
+
+    @take.register
+    def _take_question(self, message: JobQuestion, peer_id: str) -> None:
+        state = self.owner.shards.state_of(message.job_id)
+        self._peers.answer(
+            peer_id,
+            JobAnswer(message.number, state.value if state else ''),
+        )
+
+    @take.register
+    def _take_pending(self, message: PendingQuestion, peer_id: str) -> None:
+        self._peers.answer(
+            peer_id,
+            PendingAnswer(
+                message.number,
+                list(self.owner.shards.by_shard),
+                self.owner.shards.waiting(message.queue),
+            ),
+        )
+
+    @take.register
+    def _take_state(self, message: JobAnswer, peer_id: str) -> None:
+        self._questions.answered(message.number, message)
+
+    @take.register
+    def _take_count(self, message: PendingAnswer, peer_id: str) -> None:
+        self._questions.answered(message.number, message)
+
+    def turn(self) -> None:
+        """Call a few times a second."""
+        self.owner.turn()
+
+    def poll(self) -> None:
+        """Look for jobs that nobody has told of; call each second or so."""
+        for owned in list(self.owner.shards.by_shard.values()):
+            owned.poll()
+            owned.forget_ended(self._wall_ms() - _KEEP_MS)
+        for worker in self.fleet.by_agent.values():
+            if worker.is_connected and not worker.is_listed:
+                self._list(worker)
+
+    def release(self) -> None:
+        """Give all shards up, before a planned stop."""
+        self._membership.stop()
+        for owned in list(self.owner.shards.by_shard.values()):
+            self.owner.drop(owned)
+            self._membership.release(owned.shard, owned.version, owned.reign)
+        self._membership.renew_now()
+
+    def _acquired(self, acquired: Acquired) -> None:
+        owned = OwnedShard(
+            acquired.shard,
+            acquired.reign,
+            acquired.version,
+            self._clock.now(),
+            self._reactor,
+            self._clock,
+            self._wall_ms,
+            self._store,
+            self.owner.recorded,
+            self._deposed,
+            self.owner.accepted,
+            self.owner.cancelled,
+            self.owner.ask_all,
+        )
+        self.owner.acquire(owned)
+
+    def _deposed(self, owned: OwnedShard) -> None:
+        self.owner.drop(owned)
+        self._membership.renew_now()
+
+    def _list(self, worker: Worker) -> None:
+        """Make an agent known in the store before it gets a task.
+
+        A later owner asks all agents listed there what they run.
+        """
+        listing = self._store.commit(
+            Transaction(
+                puts=(RowPut(RowKey(AGENTS, '', worker.agent_id), ''),),
+            ),
+        )
+        listing.addCallbacks(self._listed, _retried, callbackArgs=(worker,))
+
+    def _listed(self, _outcome: object, worker: Worker) -> None:
+        worker.is_listed = True
+        self.owner.plan_soon()
+
+
+def _retried(failure: TwistedFailure) -> None:
+    """The next poll tries again."""
+    failure.trap(StoreRefused, StoreUncertain)
--- /dev/null
+++ b/hyssopring/jobs/fleet.py
@@ -0,0 +1,154 @@
+"""The workers as one entry knows them, and what its shards use of them."""
+
+from dataclasses import dataclass, field
+
+from hyssopring.jobs.messages import AttemptReport, Grant, WorkerReport
+from hyssopring.jobs.model import Size, Step, TaskName
+from hyssopring.jobs.times import GRANT_MS, LOST_AFTER_MS
+
+__all__ = ('GRANT_TTL_MS', 'Fleet', 'Placed', 'Worker')
+
+# A worker that has not answered its agent for this long gets no new tasks.
+_SILENT_MS = 1500
+
+
+@dataclass(slots=True)
+class Placed:
+    """An attempt that was ordered, and may run.
+
+    Attributes:
+        order: The place of its order on the agent's connection; 0 when it
+            was sent on an earlier one.
+        is_known: Whether a report has named it.
+    """
+
+    name: TaskName
+    number: int
+    step: Step
+    boot: str
+    order: int
+    placed_at: float
+    checkpoint: str = ''
+    percent: int = 0
+    load: int = 0
+    pace: int = 100
+    is_known: bool = False
+    is_stopping: bool = False
+
+    def take(self, told: AttemptReport) -> None:
+        """Take over what a report says of the attempt."""
+        self.is_known = True
+        self.percent = told.percent
+        self.load = told.load
+        self.pace = told.pace
+
+
+@dataclass
+class Worker:
+    """One agent and its worker."""
+
+    agent_id: str
+    zone: str
+    is_connected: bool = False
+    is_listed: bool = False
+    report: WorkerReport | None = None
+    reported_at: float = 0
+    granted_at: float = 0
+    orders: int = 0
+    placed_by_task: dict[str, Placed] = field(default_factory=dict)
+
+    @property
+    def boot(self) -> str:
+        """The worker's life, empty while none is known."""
+        return self.report.boot if self.report else ''
+
+    @property
+    def rack(self) -> str:
+        """The rack's label; the kind comes first among the labels."""
+        labels = self.report.labels if self.report else []
+        return labels[-1] if labels else ''
+
+    @property
+    def room(self) -> Size:
+        """All that the worker has."""
+        report = self.report
+        if report is None:
+            return Size()
+        return Size(
+            report.cpu_millis,
+            report.memory_mb,
+            report.accelerators,
+        )
+
+    def free(self) -> Size:
+        """What is left beside all attempts that are known here."""
+        report = self.report
+        if report is None:
+            return Size()
+        used = Size(
+            report.foreign_cpu,
+            report.foreign_memory,
+            report.foreign_accelerators,
+        )
+        for placed in self.placed_by_task.values():
+            used = used.plus(placed.step.charge)
+        return self.room.minus(used)
+
+    def filling(self) -> int:
+        """Thousandths of a core that its fillers ask for."""
+        return sum(
+            placed.step.size.cpu_millis
+            for placed in self.placed_by_task.values()
+            if placed.step.fills
+        )
+
+    def targets(self) -> int:
+        """How many keepers with a target run there."""
+        return sum(
+            bool(placed.step.target_ms)
+            for placed in self.placed_by_task.values()
+        )
+
+    def takes_tasks(self) -> bool:
+        """Whether a new task may be sent there now."""
+        report = self.report
+        if report is None or not report.boot or report.is_leaving:
+            return False
+        is_reached = self.is_connected and report.silent_ms < _SILENT_MS
+        return is_reached and self.is_listed
+
+    def grant(self, grant: Grant, now: float) -> Grant:
+        """Note that a grant leaves now."""
+        self.granted_at = now
+        return grant
+
+    def is_lost(self, now: float) -> bool:
+        """Whether nothing that was ordered there can run any more."""
+        return now - self.granted_at > LOST_AFTER_MS
+
+
+class Fleet:
+    """All agents that an entry has met."""
+
+    def __init__(self) -> None:
+        """Know no agent."""
+        self.by_agent: dict[str, Worker] = {}
+
+    def connected(self, agent_id: str, zone: str) -> Worker:
+        """An agent has opened a connection."""
+        worker = self.by_agent.get(agent_id)
+        if worker is None:
+            worker = Worker(agent_id, zone)
+            self.by_agent[agent_id] = worker
+        worker.is_connected = True
+        worker.orders = 0
+        for placed in worker.placed_by_task.values():
+            placed.order = 0
+        return worker
+
+    def disconnected(self, agent_id: str) -> None:
+        """The agent's connection is gone."""
+        self.by_agent[agent_id].is_connected = False
+
+
+GRANT_TTL_MS = int(GRANT_MS)
--- /dev/null
+++ b/hyssopring/jobs/messages.py
@@ -0,0 +1,325 @@
+"""Messages about jobs between entries and agents. Times are milliseconds.
+
+Tasks are named by their dotted text. A shard's ``reign`` only grows: whoever
+has heard of a higher one takes no order of a lower one.
+"""
+
+from types import MappingProxyType
+from typing import Any, Final, get_args
+
+from hyssopring.protocol.structs import (
+    ProtocolError,
+    read_struct,
+    struct,
+    write_struct,
+)
+
+__all__ = (
+    'AgentGreeting',
+    'AttemptReport',
+    'CancelNotice',
+    'EndReport',
+    'EndsRecorded',
+    'EntryAddresses',
+    'EntryGreeting',
+    'Grant',
+    'JobAnswer',
+    'JobNotice',
+    'JobQuestion',
+    'JobsMessage',
+    'PendingAnswer',
+    'PendingQuestion',
+    'ReportQuestion',
+    'ShardReign',
+    'StartOrder',
+    'StartRefusal',
+    'StopOrder',
+    'StoreAnswer',
+    'StoreRequest',
+    'TaskFacts',
+    'WorkerReport',
+    'pack',
+    'unpack',
+)
+
+
+@struct
+class ShardReign:
+    """One shard and the reign that is meant or known."""
+
+    shard: int
+    reign: int
+
+
+@struct
+class EntryGreeting:
+    """The first message of an entry that dials another one."""
+
+    entry_id: str
+
+
+@struct
+class AgentGreeting:
+    """The first message of an agent to an entry."""
+
+    agent_id: str
+    zone: str
+
+
+@struct
+class AttemptReport:
+    """One attempt that runs, or may still be starting.
+
+    Attributes:
+        percent: How much of its work is done; for a keeper 100 at work.
+        load: Tail latency in ms of a keeper with a target, otherwise the
+            thousandths of a core in use.
+        pace: The share of processor time that the agent leaves it.
+        is_sized: Whether the agent knows what the attempt takes.
+    """
+
+    task: str
+    attempt: int
+    checkpoint: str
+    percent: int
+    load: int
+    pace: int
+    is_sized: bool
+
+
+@struct
+class EndReport:
+    """One attempt that has ended; ``number`` is the worker's own."""
+
+    number: int
+    task: str
+    attempt: int
+    how: str
+    checkpoint: str
+
+
+@struct
+class WorkerReport:
+    """What an agent knows of its worker, sent on changes and regularly.
+
+    Attributes:
+        boot: The worker's life; empty while none is known.
+        is_leaving: It gets no new tasks.
+        remaining_ms: How long it still runs while it leaves.
+        silent_ms: How long the worker has not answered its agent.
+        reigns: The shards that this entry owns as far as the agent knows;
+            of these shards the report names all attempts and ends.
+        foreign_cpu: With the next two: what other owners' tasks take.
+        orders: How many starts this entry has sent on this connection and
+            the agent has taken; a start among them that is not in the
+            lists is over.
+    """
+
+    sequence: int
+    boot: str
+    service: str
+    labels: list[str]
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    is_leaving: bool
+    remaining_ms: int
+    silent_ms: int
+    reigns: list[ShardReign]
+    attempts: list[AttemptReport]
+    ends: list[EndReport]
+    foreign_cpu: int
+    foreign_memory: int
+    foreign_accelerators: int
+    orders: int
+
+
+@struct
+class Grant:
+    """Answers a report: the agent may keep the shards' tasks for a while.
+
+    ``ttl_ms`` counts from the sending of the report with this sequence.
+    """
+
+    sequence: int
+    reigns: list[ShardReign]
+    ttl_ms: int
+
+
+@struct
+class ReportQuestion:
+    """Asks an agent for a report at once, under these reigns."""
+
+    reigns: list[ShardReign]
+
+
+@struct
+class TaskFacts:
+    """What an attempt takes, for an agent that did not start it itself."""
+
+    task: str
+    attempt: int
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    target_ms: int
+    fills: bool
+
+
+@struct
+class StartOrder:
+    """Start one attempt on this boot of the worker and on no other."""
+
+    shard: int
+    reign: int
+    boot: str
+    payload: str
+    checkpoint: str
+    facts: TaskFacts
+
+
+@struct
+class StartRefusal:
+    """The attempt was not started here and will not be."""
+
+    task: str
+    attempt: int
+    reason: str
+
+
+@struct
+class StopOrder:
+    """Stop one attempt, and let it never start here."""
+
+    shard: int
+    reign: int
+    task: str
+    attempt: int
+
+
+@struct
+class EndsRecorded:
+    """These ends are durable; the worker may forget them."""
+
+    boot: str
+    numbers: list[int]
+
+
+@struct
+class JobNotice:
+    """A job was accepted; ``document`` is its stored row."""
+
+    job_id: str
+    document: str
+
+
+@struct
+class CancelNotice:
+    """A job was cancelled, and the store says so."""
+
+    job_id: str
+
+
+@struct
+class JobQuestion:
+    """Asks the owner of a job's shard for the job's state."""
+
+    number: int
+    job_id: str
+
+
+@struct
+class JobAnswer:
+    """The state, or empty if the entry cannot say."""
+
+    number: int
+    state: str
+
+
+@struct
+class PendingQuestion:
+    """Asks how many jobs of a queue wait for their first start."""
+
+    number: int
+    queue: str
+
+
+@struct
+class PendingAnswer:
+    """Counts the waiting jobs of the shards that the entry owns."""
+
+    number: int
+    shards: list[int]
+    waiting: int
+
+
+@struct
+class StoreRequest:
+    """A call to the store that its sender was refused, to be made for it.
+
+    ``document`` is the call as text; see ``jobs.relay``.
+    """
+
+    number: int
+    document: str
+
+
+@struct
+class StoreAnswer:
+    """The result of a relayed call; ``document`` is its text form."""
+
+    number: int
+    document: str
+
+
+@struct
+class EntryAddresses:
+    """Where entries listen, for an agent that may know older ones."""
+
+    addresses: list[str]
+
+
+JobsMessage = (
+    EntryGreeting
+    | AgentGreeting
+    | WorkerReport
+    | Grant
+    | ReportQuestion
+    | StartOrder
+    | StartRefusal
+    | StopOrder
+    | EndsRecorded
+    | JobNotice
+    | CancelNotice
+    | JobQuestion
+    | JobAnswer
+    | PendingQuestion
+    | PendingAnswer
+    | StoreRequest
+    | StoreAnswer
+    | TaskFacts
+    | EntryAddresses
+)
+
+# The first byte of a frame is the class's place here: new ones go last.
+_CLASSES: Final = get_args(JobsMessage)
+_CODE_BY_CLASS: Final = MappingProxyType(
+    {each: code for code, each in enumerate(_CLASSES)},
+)
+
+
+def pack(message: Any) -> bytes:
+    """Return the payload of a frame with one message."""
+    code = _CODE_BY_CLASS[type(message)]
+    return bytes((code,)) + write_struct(message)
+
+
+def unpack(payload: bytes) -> Any:
+    """Return the message in a frame.
+
+    Raises:
+        ProtocolError: The payload is not one whole known message.
+    """
+    if not payload or payload[0] >= len(_CLASSES):
+        raise ProtocolError('a frame of no known kind')
+    return read_struct(_CLASSES[payload[0]], payload[1:])
--- /dev/null
+++ b/hyssopring/jobs/orders.py
@@ -0,0 +1,162 @@
+"""Carries starts, stops and paces to the worker until they are settled."""
+
+from typing import Any, Callable, Final
+
+from twisted.python.failure import Failure as TwistedFailure
+
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
+from hyssopring.jobs.messages import StartOrder
+from hyssopring.jobs.watch import WorkerWatch
+from hyssopring.jobs.worker_port import (
+    Start,
+    StartOutcome,
+    WorkerPort,
+    WorkerReplaced,
+    WorkerUnreachable,
+)
+
+__all__ = ('WorkerOrders',)
+
+# An order without an answer is repeated: the same attempt starts once only.
+_REPEAT_MS: Final = 100.0
+# After so many sendings a start is given up, by a stop that also keeps
+# copies still under way from being carried out.
+_MAX_TRIES: Final = 6
+
+
+class WorkerOrders:
+    """Owns the calls under way for one worker's attempts."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        port: WorkerPort,
+        watch: WorkerWatch,
+        table: AttemptTable,
+        on_refused: Callable[[Attempt, str], None],
+    ) -> None:
+        """Report starts that did not happen to ``on_refused``."""
+        self._reactor = reactor
+        self._clock = clock
+        self._port = port
+        self._watch = watch
+        self._table = table
+        self._on_refused = on_refused
+
+    def start(self, order: StartOrder, attempt: Attempt) -> None:
+        """Send a start, again until it is answered or given up."""
+        if not self._is_current(order.boot, attempt):
+            return
+        if attempt.phase is not Phase.STARTING:
+            return
+        if attempt.tries >= _MAX_TRIES:
+            self.stop(attempt)
+            return
+        attempt.tries += 1
+        watch = self._watch
+        asked = self._port.start(
+            Start(
+                order.boot,
+                watch.fence,
+                attempt.task,
+                attempt.number,
+                order.payload,
+                order.checkpoint,
+                watch.worker_time(watch.hold_until()),
+            ),
+        )
+        asked.addCallbacks(
+            self._started,
+            self._unanswered,
+            callbackArgs=(order, attempt),
+            errbackArgs=(self.start, order, attempt),
+        )
+
+    def stop(self, attempt: Attempt) -> None:
+        """Stop an attempt, again until the worker has taken the order."""
+        attempt.phase = Phase.STOPPING
+        if attempt.is_stop_under_way or attempt.stop_taken_at is not None:
+            return
+        self._send_stop(self._watch.boot, attempt)
+
+    def set_pace(self, attempt: Attempt, percent: int) -> None:
+        """Let an attempt work at this share of its processor time."""
+        attempt.pace = percent
+        watch = self._watch
+        asked = self._port.set_pace(
+            watch.boot,
+            watch.fence,
+            attempt.task,
+            attempt.number,
+            percent,
+        )
+        asked.addErrback(self._pace_unknown, attempt)
+
+    def _send_stop(self, boot: str, attempt: Attempt) -> None:
+        attempt.is_stop_under_way = False
+        if not self._is_current(boot, attempt):
+            return
+        attempt.is_stop_under_way = True
+        asked = self._port.stop(
+            boot,
+            self._watch.fence,
+            attempt.task,
+            attempt.number,
+        )
+        asked.addCallbacks(
+            self._stopped,
+            self._unanswered,
+            callbackArgs=(attempt,),
+            errbackArgs=(self._send_stop, boot, attempt),
+        )
+
+    def _started(
+        self,
+        outcome: StartOutcome,
+        order: StartOrder,
+        attempt: Attempt,
+    ) -> None:
+        if not self._is_current(order.boot, attempt):
+            return
+        if outcome is StartOutcome.STARTED:
+            if attempt.phase is Phase.STARTING:
+                attempt.phase = Phase.RUNNING
+            attempt.confirmed_at = self._clock.now()
+        elif outcome in {StartOutcome.FENCED, StartOutcome.LATE}:
+            self._watch.raise_fence()
+            self._again(self.start, order, attempt)
+        elif outcome is StartOutcome.OLD and attempt.tries > 1:
+            # An earlier copy ran: the worker lists how it ended.
+            attempt.confirmed_at = self._clock.now()
+        else:
+            self._table.ended(attempt.task, attempt.number)
+            self._on_refused(attempt, outcome.value)
+
+    def _stopped(self, _taken: object, attempt: Attempt) -> None:
+        attempt.is_stop_under_way = False
+        attempt.stop_taken_at = self._clock.now()
+
+    def _unanswered(
+        self,
+        failure: TwistedFailure,
+        again: Callable[..., None],
+        *order: Any,
+    ) -> None:
+        failure.trap(WorkerUnreachable, WorkerReplaced)
+        self._again(again, *order)
+
+    def _again(self, again: Callable[..., None], *order: Any) -> None:
+        self._reactor.callLater(_REPEAT_MS / MILLIS_PER_SECOND, again, *order)
+
+    def _pace_unknown(self, failure: TwistedFailure, attempt: Attempt) -> None:
+        """The next look at the tails decides anew."""
+        failure.trap(WorkerUnreachable, WorkerReplaced)
+        attempt.pace = -1
+
+    def _is_current(self, boot: str, attempt: Attempt) -> bool:
+        return (
+            boot == self._watch.boot
+            and self._table.by_task.get(attempt.task) is attempt
+        )
--- /dev/null
+++ b/hyssopring/jobs/owned_shards.py
@@ -0,0 +1,74 @@
+"""All shards that this entry owns, and the jobs in them."""
+
+from hyssopring.jobs.book import JobRecord
+from hyssopring.jobs.documents import JobRow
+from hyssopring.jobs.messages import ShardReign, WorkerReport
+from hyssopring.jobs.model import JobState
+from hyssopring.jobs.owned_shard import OwnedShard
+from hyssopring.jobs.shards import shard_of
+
+__all__ = ('OwnedShards',)
+
+
+class OwnedShards:
+    """Finds an owned shard or job."""
+
+    def __init__(self) -> None:
+        """Own none."""
+        self.by_shard: dict[int, OwnedShard] = {}
+
+    def record_of(self, job_id: str) -> JobRecord | None:
+        """Return a job of an owned shard."""
+        owned = self.by_shard.get(shard_of(job_id))
+        return owned.by_job.get(job_id) if owned else None
+
+    def accept(self, row: JobRow) -> None:
+        """A job was accepted for a shard that may be an owned one."""
+        owned = self.by_shard.get(shard_of(row.job.job_id))
+        if owned is not None:
+            owned.add(row)
+
+    def cancel(self, job_id: str) -> None:
+        """A job's cancellation is durable."""
+        owned = self.by_shard.get(shard_of(job_id))
+        if owned is not None:
+            owned.cancel(job_id)
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return the state of an owned job, as it is durably known."""
+        record = self.record_of(job_id)
+        return record.state if record else None
+
+    def waiting(self, queue: str) -> int:
+        """Count a queue's owned jobs that have not begun."""
+        return sum(
+            record.job.queue.name == queue and record.state is JobState.QUEUED
+            for owned in self.by_shard.values()
+            for record in owned.live_jobs()
+        )
+
+    def startable(self) -> list[JobRecord]:
+        """Return the jobs whose tasks may start."""
+        return [
+            record
+            for owned in self.by_shard.values()
+            if owned.is_loaded
+            for record in owned.live_jobs()
+            if owned.may_start(record)
+        ]
+
+    def known_to(self, report: WorkerReport) -> set[int]:
+        """The owned shards that the agent knows under their reign."""
+        told = {known.shard: known.reign for known in report.reigns}
+        return {
+            owned.shard
+            for owned in self.by_shard.values()
+            if told.get(owned.shard) == owned.reign
+        }
+
+    def reigns(self) -> list[ShardReign]:
+        """Return each owned shard with its reign."""
+        return [
+            ShardReign(owned.shard, owned.reign)
+            for owned in self.by_shard.values()
+        ]
--- /dev/null
+++ b/hyssopring/jobs/owner.py
@@ -0,0 +1,275 @@
+"""The owner's part in jobs: what starts where, and what its end means."""
+
+from functools import singledispatchmethod
+from typing import Any, Callable, Iterable
+
+from hyssopring.clock import Clock
+from hyssopring.jobs.book import JobRecord, StepRun
+from hyssopring.jobs.choice import PlacementRound
+from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Placed, Worker
+from hyssopring.jobs.messages import (
+    EndsRecorded,
+    Grant,
+    JobsMessage,
+    ReportQuestion,
+    StartOrder,
+    StartRefusal,
+    StopOrder,
+    TaskFacts,
+    WorkerReport,
+)
+from hyssopring.jobs.model import JobState, TaskName
+from hyssopring.jobs.owned_shard import Ack, OwnedShard
+from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.reports import ReportReader
+from hyssopring.jobs.shards import shard_of, shard_of_task
+from hyssopring.jobs.task_facts import facts_of
+from hyssopring.logs import Event, log_event
+
+__all__ = ('JobOwner',)
+
+Send = Callable[[str, JobsMessage], bool]
+
+
+class JobOwner:
+    """Plans the shards that this entry owns."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        fleet: Fleet,
+        send: Send,
+        may_act: Callable[[], bool],
+    ) -> None:
+        """Order agents by ``send`` while ``may_act`` says that it may."""
+        self._reactor = reactor
+        self._clock = clock
+        self._fleet = fleet
+        self._send = send
+        self._may_act = may_act
+        self.shards = OwnedShards()
+        self._is_plan_due = False
+        self._reader = ReportReader(clock, fleet, self.shards, self)
+
+    def acquire(self, owned: OwnedShard) -> None:
+        """Own a shard from now on."""
+        self.shards.by_shard[owned.shard] = owned
+        owned.load()
+        self.ask_all()
+
+    def ask_all(self) -> None:
+        """Ask all agents what they run of the owned shards."""
+        for worker in self._fleet.by_agent.values():
+            if worker.is_connected:
+                self._ask(worker)
+
+    def drop(self, owned: OwnedShard) -> None:
+        """Own a shard no more."""
+        owned.is_dropped = True
+        if self.shards.by_shard.get(owned.shard) is owned:
+            self.shards.by_shard.pop(owned.shard)
+        log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.reign)
+        for worker in self._fleet.by_agent.values():
+            for task in list(worker.placed_by_task):
+                if shard_of_task(task) == owned.shard:
+                    worker.placed_by_task.pop(task)
+
+    def accepted(self, record: JobRecord) -> None:
+        """A job came to an owned shard."""
+        self.plan_soon()
+
+    def cancelled(self, record: JobRecord) -> None:
+        """A job must not run any more."""
+        self.stop_job(record)
+
+    def recorded(self, acks: Iterable[Ack]) -> None:
+        """Ends are durable: the agents may forget them."""
+        numbers_by_boot: dict[tuple[str, str], list[int]] = {}
+        for ack in acks:
+            place = (ack.agent_id, ack.boot)
+            numbers_by_boot.setdefault(place, []).append(ack.number)
+        for (agent_id, boot), numbers in numbers_by_boot.items():
+            self._send(agent_id, EndsRecorded(boot, numbers))
+
+    def tell_facts(self, worker: Worker, facts: TaskFacts) -> None:
+        """Tell an agent what an attempt takes."""
+        self._send(worker.agent_id, facts)
+
+    def agent_connected(self, worker: Worker) -> None:
+        """Ask an agent what it runs of the owned shards."""
+        self._ask(worker)
+
+    @singledispatchmethod
+    def take(self, message: JobsMessage, worker: Worker) -> None:
+        """Take an agent's message."""
+        log_event(
+            Event.PEER_ERROR,
+            agent=worker.agent_id,
+            detail=f'unexpected {type(message).__name__}',
+        )
+
+    @take.register
+    def _take_report(self, message: WorkerReport, worker: Worker) -> None:
+        worker.report = message
+        worker.reported_at = self._clock.now()
+        known = self.shards.known_to(message)
+        if self.shards.by_shard and self._may_act():
+            self._grant(message, worker)
+            if known != set(self.shards.by_shard):
+                self._ask(worker)
+        for shard in known:
+            owned = self.shards.by_shard[shard]
+            if owned.is_loaded:
+                self._reader.reconcile(worker, message, owned)
+            else:
+                # Read again with the next report, once the jobs are known.
+                worker.reported_at = 0
+        self.plan_soon()
+
+    @take.register
+    def _take_refusal(self, message: StartRefusal, worker: Worker) -> None:
+        placed = worker.placed_by_task.get(message.task)
+        if placed is not None and placed.number == message.attempt:
+            self._reader.gone(worker, placed, message.reason)
+
+    def turn(self) -> None:
+        """Notice what has lapsed; call a few times a second."""
+        now = self._clock.now()
+        for worker in self._fleet.by_agent.values():
+            if worker.placed_by_task and worker.is_lost(now):
+                for placed in list(worker.placed_by_task.values()):
+                    self._reader.gone(worker, placed, 'lapsed')
+        self.plan_soon()
+
+    def plan_soon(self) -> None:
+        """Plan once for all that happens in this turn of the reactor."""
+        if not self._is_plan_due:
+            self._is_plan_due = True
+            self._reactor.callLater(0, self._plan)
+
+    def _plan(self) -> None:
+        self._is_plan_due = False
+        if not self._may_act():
+            return
+        open_runs = [
+            (self._urgency(record, run), record, run)
+            for record in self.shards.startable()
+            for run in record.open_runs()
+        ]
+        if not open_runs:
+            return
+        open_runs.sort(key=lambda row: row[0])
+        placement = PlacementRound(
+            worker
+            for worker in self._fleet.by_agent.values()
+            if worker.takes_tasks()
+        )
+        for _urgency, record, run in open_runs:
+            self._place(placement, record, run)
+
+    def _urgency(
+        self,
+        record: JobRecord,
+        run: StepRun,
+    ) -> tuple[int, float]:
+        latest_start = record.deadline() - record.job.tails[run.number]
+        return record.job.queue.priority, latest_start
+
+    def _place(
+        self,
+        placement: PlacementRound,
+        record: JobRecord,
+        run: StepRun,
+    ) -> None:
+        for index in sorted(run.waiting):
+            name = TaskName(
+                record.job.job_id,
+                run.occurrence,
+                run.number,
+                index,
+            )
+            worker = placement.choose(
+                record.job.queue.service,
+                run.step,
+                name,
+            )
+            if worker is None:
+                return
+            self._start(record, run, name, worker)
+
+    def _start(
+        self,
+        record: JobRecord,
+        run: StepRun,
+        name: TaskName,
+        worker: Worker,
+    ) -> None:
+        task = str(name)
+        number = record.next_number(task)
+        checkpoint = record.checkpoint_by_task.get(task, '')
+        owned = self.shards.by_shard[shard_of(name.job_id)]
+        order = StartOrder(
+            owned.shard,
+            owned.reign,
+            worker.boot,
+            record.job.payload,
+            checkpoint,
+            facts_of(task, number, run.step),
+        )
+        if not self._send(worker.agent_id, order):
+            return
+        worker.orders += 1
+        worker.placed_by_task[task] = Placed(
+            name,
+            number,
+            run.step,
+            worker.boot,
+            worker.orders,
+            self._clock.now(),
+            checkpoint,
+        )
+        run.placed(name.index)
+        if record.state is JobState.QUEUED:
+            record.state = JobState.ACTIVE
+        log_event(
+            Event.TASK_PLACED,
+            task=task,
+            attempt=number,
+            agent=worker.agent_id,
+            resumed=bool(checkpoint),
+            report_age_ms=int(self._clock.now() - worker.reported_at),
+        )
+
+    def _ask(self, worker: Worker) -> None:
+        if self.shards.by_shard:
+            self._send(worker.agent_id, ReportQuestion(self.shards.reigns()))
+
+    def _grant(self, report: WorkerReport, worker: Worker) -> None:
+        grant = Grant(report.sequence, self.shards.reigns(), GRANT_TTL_MS)
+        self._send(
+            worker.agent_id,
+            worker.grant(grant, self._clock.now()),
+        )
+
+    def stop_job(self, record: JobRecord) -> None:
+        """Order the stop of all that runs of a job."""
+        owned = self.shards.by_shard[shard_of(record.job.job_id)]
+        for worker in self._fleet.by_agent.values():
+            for task, placed in worker.placed_by_task.items():
+                if placed.name.job_id == record.job.job_id:
+                    placed.is_stopping = True
+                    self.stop(owned, worker, task, placed.number)
+
+    def stop(
+        self,
+        owned: OwnedShard,
+        worker: Worker,
+        task: str,
+        attempt: int,
+    ) -> None:
+        """Order an attempt's stop."""
+        self._send(
+            worker.agent_id,
+            StopOrder(owned.shard, owned.reign, task, attempt),
+        )
--- /dev/null
+++ b/hyssopring/jobs/reports.py
@@ -0,0 +1,245 @@
+"""What agents' reports mean for the jobs of the owned shards."""
+
+from typing import Final, Iterable, Protocol, TypeVar
+
+from hyssopring.clock import Clock
+from hyssopring.jobs.book import JobRecord, StepRun
+from hyssopring.jobs.fleet import Fleet, Placed, Worker
+from hyssopring.jobs.messages import (
+    AttemptReport,
+    EndReport,
+    TaskFacts,
+    WorkerReport,
+)
+from hyssopring.jobs.model import AttemptEnd, JobState, TaskName
+from hyssopring.jobs.owned_shard import Ack, OwnedShard
+from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.shards import shard_of, shard_of_task
+from hyssopring.jobs.task_facts import facts_of
+from hyssopring.logs import Event, log_event
+
+__all__ = ('ReportReader', 'ReportSink')
+
+_KEPT_ENDS: Final = 2000
+
+_Told = TypeVar('_Told', AttemptReport, EndReport)
+
+
+class ReportSink(Protocol):
+    """What a report asks the owner to do."""
+
+    def stop(
+        self, owned: OwnedShard, worker: Worker, task: str, attempt: int
+    ) -> None:
+        """Order an attempt's stop."""
+
+    def stop_job(self, record: JobRecord) -> None:
+        """Order the stop of all that runs of a job."""
+
+    def tell_facts(self, worker: Worker, facts: TaskFacts) -> None:
+        """Tell an agent what an attempt takes."""
+
+    def recorded(self, acks: Iterable[Ack]) -> None:
+        """Tell agents that ends need no keeping any more."""
+
+
+class ReportReader:
+    """Compares what agents tell with what was ordered."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        fleet: Fleet,
+        shards: OwnedShards,
+        sink: ReportSink,
+    ) -> None:
+        """Hand what follows from a report to ``sink``."""
+        self._clock = clock
+        self._fleet = fleet
+        self._shards = shards
+        self._sink = sink
+        self._seen_ends: dict[Ack, None] = {}
+
+    def reconcile(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        owned: OwnedShard,
+    ) -> None:
+        """Take a report that names all attempts of a shard on a worker."""
+        if not report.boot:
+            # A new agent has not met its worker yet, where tasks may run on.
+            return
+        for end in _of_shard(report.ends, owned.shard):
+            self._take_end(worker, report.boot, end, owned)
+        for attempt in _of_shard(report.attempts, owned.shard):
+            self._take_attempt(worker, report.boot, attempt, owned)
+        self._drop_unlisted(worker, report, owned)
+        owned.unheard.discard(worker.agent_id)
+
+    def _drop_unlisted(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        owned: OwnedShard,
+    ) -> None:
+        listed = {attempt.task for attempt in report.attempts}
+        ordered = [
+            (task, placed)
+            for task, placed in worker.placed_by_task.items()
+            if shard_of(placed.name.job_id) == owned.shard
+        ]
+        for task, placed in ordered:
+            if placed.boot != report.boot:
+                self.gone(worker, placed, 'worker replaced')
+            elif task not in listed and placed.order <= report.orders:
+                # An order that the report knows nothing of may still come.
+                self.gone(worker, placed, 'not listed')
+
+    def _take_attempt(
+        self,
+        worker: Worker,
+        boot: str,
+        told: AttemptReport,
+        owned: OwnedShard,
+    ) -> None:
+        name = TaskName.from_text(told.task)
+        record = owned.by_job.get(name.job_id)
+        placed = worker.placed_by_task.get(told.task)
+        if placed is None or placed.number < told.attempt:
+            placed = self._adopt(worker, boot, told, record)
+        if placed is None or record is None:
+            self._sink.stop(owned, worker, told.task, told.attempt)
+            return
+        placed.take(told)
+        record.keep_checkpoint(told.task, told.checkpoint)
+        self._answer(worker, told, placed, owned)
+
+    def _answer(
+        self,
+        worker: Worker,
+        told: AttemptReport,
+        placed: Placed,
+        owned: OwnedShard,
+    ) -> None:
+        """Tell the agent what it lacks about an attempt."""
+        if not told.is_sized:
+            facts = facts_of(told.task, told.attempt, placed.step)
+            self._sink.tell_facts(worker, facts)
+        if placed.is_stopping:
+            self._sink.stop(owned, worker, told.task, told.attempt)
+
+    def _adopt(
+        self,
+        worker: Worker,
+        boot: str,
+        told: AttemptReport,
+        record: JobRecord | None,
+    ) -> Placed | None:
+        """Take over an attempt that a former owner has started."""
+        if record is None:
+            return None
+        name = TaskName.from_text(told.task)
+        run = record.run_of(name)
+        record.saw_number(told.task, told.attempt)
+        if run is None:
+            return None
+        is_wanted = (
+            record.final_state is None
+            and not run.is_done_task(name.index)
+            and name.index not in run.running
+        )
+        placed = Placed(
+            name,
+            told.attempt,
+            run.step,
+            boot,
+            0,
+            self._clock.now(),
+            is_stopping=not is_wanted,
+        )
+        worker.placed_by_task[told.task] = placed
+        if is_wanted:
+            run.placed(name.index)
+            if record.state is JobState.QUEUED:
+                record.state = JobState.ACTIVE
+        return placed
+
+    def _take_end(
+        self,
+        worker: Worker,
+        boot: str,
+        end: EndReport,
+        owned: OwnedShard,
+    ) -> None:
+        ack = Ack(worker.agent_id, boot, end.number)
+        if ack in self._seen_ends:
+            return
+        self._seen_ends[ack] = None
+        if len(self._seen_ends) > _KEPT_ENDS:
+            self._seen_ends.pop(next(iter(self._seen_ends)))
+        name = TaskName.from_text(end.task)
+        record = owned.by_job.get(name.job_id)
+        if record is None or record.run_of(name) is None:
+            self._sink.recorded([ack])
+            return
+        placed = worker.placed_by_task.get(end.task)
+        if placed is not None and placed.number <= end.attempt:
+            worker.placed_by_task.pop(end.task)
+        self._apply_end(record, name, end, owned)
+        owned.save(record, ack)
+
+    def _apply_end(
+        self,
+        record: JobRecord,
+        name: TaskName,
+        end: EndReport,
+        owned: OwnedShard,
+    ) -> None:
+        run = record.run_of(name)
+        assert run is not None, 'the caller has looked it up'
+        record.keep_checkpoint(end.task, end.checkpoint)
+        if end.how == AttemptEnd.DONE.value and not run.step.is_keeper:
+            record.take_done(name)
+            for worker, placed in self.places(name):
+                placed.is_stopping = True
+                self._sink.stop(owned, worker, end.task, placed.number)
+        elif end.how == AttemptEnd.FAILED.value:
+            if record.take_failed(name):
+                self._sink.stop_job(record)
+        if not run.is_done_task(name.index):
+            self._return(run, name)
+
+    def gone(self, worker: Worker, placed: Placed, reason: str) -> None:
+        """An attempt does not run and never will."""
+        task = str(placed.name)
+        worker.placed_by_task.pop(task, None)
+        record = self._shards.record_of(placed.name.job_id)
+        run = record.run_of(placed.name) if record else None
+        log_event(
+            Event.TASK_LAPSED,
+            task=task,
+            attempt=placed.number,
+            agent=worker.agent_id,
+            reason=reason,
+        )
+        if run is not None:
+            self._return(run, placed.name)
+
+    def _return(self, run: StepRun, name: TaskName) -> None:
+        """Let a task wait again, unless it runs elsewhere."""
+        if not self.places(name):
+            run.returned(name.index)
+
+    def places(self, name: TaskName) -> list[tuple[Worker, Placed]]:
+        """Return where attempts of a task may run."""
+        task = str(name)
+        return [
+            (worker, worker.placed_by_task[task])
+            for worker in self._fleet.by_agent.values()
+            if task in worker.placed_by_task
+        ]
+
+
+def _of_shard(told: list[_Told], shard: int) -> list[_Told]:
+    return [each for each in told if shard_of_task(each.task) == shard]
--- /dev/null
+++ b/hyssopring/jobs/task_facts.py
@@ -0,0 +1,19 @@
+"""What an agent must know of a task beside its name."""
+
+from hyssopring.jobs.messages import TaskFacts
+from hyssopring.jobs.model import Step
+
+__all__ = ('facts_of',)
+
+
+def facts_of(task: str, attempt: int, step: Step) -> TaskFacts:
+    """Return what an attempt of a step's task takes."""
+    return TaskFacts(
+        task,
+        attempt,
+        step.size.cpu_millis,
+        step.size.memory_mb,
+        step.size.accelerators,
+        step.target_ms if step.is_keeper else 0,
+        step.fills,
+    )
--- /dev/null
+++ b/hyssopring/jobs/worker_port.py
@@ -0,0 +1,152 @@
+"""What an agent's core asks of its worker, whatever the worker speaks."""
+
+import enum
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hyssopring.jobs.model import AttemptEnd, Size
+
+__all__ = (
+    'Announcement',
+    'EndRow',
+    'Listing',
+    'Look',
+    'Start',
+    'StartOutcome',
+    'WorkerPort',
+    'WorkerReplaced',
+    'WorkerRow',
+    'WorkerUnreachable',
+)
+
+
+class WorkerUnreachable(Exception):
+    """No usable answer came; what was asked may still be carried out."""
+
+
+class WorkerReplaced(Exception):
+    """Another boot of the worker answered; nothing was done."""
+
+
+class StartOutcome(enum.Enum):
+    """What a worker says to a start.
+
+    OLD: this attempt or a higher one has run or was stopped here before.
+    """
+
+    STARTED = 'started'
+    FENCED = 'fenced'
+    OLD = 'old'
+    LATE = 'late'
+    NO_ROOM = 'no-room'
+    UNHEALTHY = 'unhealthy'
+    INVALID = 'invalid'
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """A worker's report about itself.
+
+    Attributes:
+        boot: One life of the worker.
+        sequence: Rises with each report of a boot, so that a late one shows.
+        clock_ms: The worker's own steady clock.
+        remaining_ms: While it leaves: how long it still runs at least.
+    """
+
+    boot: str
+    service: str
+    room: Size
+    labels: tuple[str, ...]
+    is_leaving: bool
+    remaining_ms: int
+    sequence: int
+    clock_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Look:
+    """A request for the worker's lists that also extends its hold.
+
+    Attributes:
+        fence: Orders with a lower one are void from now on.
+        recorded: Ends up to this number may be forgotten.
+        until_ms: On the worker's clock; None extends nothing.
+        wait_ms: How long the answer may wait for an end.
+    """
+
+    boot: str
+    fence: int
+    recorded: int
+    until_ms: int | None
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """An order to start one attempt."""
+
+    boot: str
+    fence: int
+    task: str
+    attempt: int
+    payload: str
+    checkpoint: str
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRow:
+    """An attempt on the worker; see ``AttemptReport`` for the figures."""
+
+    task: str
+    attempt: int
+    checkpoint: str
+    percent: int
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndRow:
+    """The end of an attempt; numbers rise within a boot."""
+
+    number: int
+    task: str
+    attempt: int
+    how: AttemptEnd
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All that runs on a worker, and the ends not yet forgotten."""
+
+    clock_ms: int
+    rows: tuple[WorkerRow, ...]
+    ends: tuple[EndRow, ...]
+
+
+class WorkerPort(Protocol):
+    """Calls to the worker; each returns a Twisted ``Deferred``.
+
+    They fail with ``WorkerUnreachable`` or ``WorkerReplaced``.
+    """
+
+    def look(self, look: Look) -> Any:
+        """Return a deferred ``Listing``."""
+
+    def start(self, start: Start) -> Any:
+        """Return a deferred ``StartOutcome``."""
+
+    def stop(self, boot: str, fence: int, task: str, attempt: int) -> Any:
+        """Return a deferred that fires when the stop was taken."""
+
+    def set_pace(
+        self,
+        boot: str,
+        fence: int,
+        task: str,
+        attempt: int,
+        percent: int,
+    ) -> Any:
+        """Return a deferred that fires when the pace was taken."""
--- /dev/null
+++ b/hyssopring/platform/daemons.py
@@ -0,0 +1,253 @@
+"""The entry's and the agent's process on the platform."""
+
+import time
+import uuid
+from typing import Any, Final
+
+from twisted.internet.tcp import Port
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+
+from hyssopring.addresses import parse_address
+from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
+from hyssopring.jobs.agent_core import JobAgentCore
+from hyssopring.jobs.entries import EntryMembership
+from hyssopring.jobs.entry_core import JobEntryCore
+from hyssopring.jobs.links import TURN_S, LinkDialler, LinkListener
+from hyssopring.jobs.messages import (
+    AgentGreeting,
+    EntryAddresses,
+    EntryGreeting,
+    JobsMessage,
+)
+from hyssopring.jobs.queues import QueueTable
+from hyssopring.jobs.times import RENEW_MS
+from hyssopring.lifecycle import Lifecycle
+from hyssopring.logs import Event, log_event
+from hyssopring.platform.callers import CallersResource
+from hyssopring.platform.configuration import ConfigurationFollower
+from hyssopring.platform.reports import ReportsResource
+from hyssopring.platform.settings import NodeSettings
+from hyssopring.platform.store import PlatformStore
+from hyssopring.platform.worker import PlatformWorker
+from hyssopring.web_server import QuietSite
+
+__all__ = ('AgentProcess', 'EntryProcess')
+
+_OWNER_TURN_S: Final = 0.2
+_POLL_S: Final = 1.5
+# The balancer sends no new connections after two missed checks, a second
+# apart; requests on open connections are served for this long as well.
+_LINGER_S: Final = 3.0
+_DRAIN_MS: Final = 1500.0
+
+
+class _ReadyResource(Resource):
+    """GET /-/readyz."""
+
+    isLeaf = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_ready = False
+
+    def render_GET(self, request: Request) -> bytes:
+        request.setResponseCode(200 if self.is_ready else 503)
+        return b''
+
+
+class EntryProcess:
+    """One running entry."""
+
+    def __init__(self, reactor: Any, settings: NodeSettings) -> None:
+        """Build the core and its shell; ``start`` opens the ports."""
+        self._reactor = reactor
+        self._settings = settings
+        self._clock: Clock = MonotonicClock()
+        store = PlatformStore(reactor, settings.platform.address)
+        self._membership = EntryMembership(
+            reactor,
+            self._clock,
+            store,
+            settings.node_name,
+            uuid.uuid4().hex,
+            settings.inner_address,
+        )
+        self._membership.on_entries = self._entries_known
+        self.core = JobEntryCore(
+            reactor,
+            self._clock,
+            _wall_ms,
+            store,
+            self._membership,
+            self,
+        )
+        self._dialler = LinkDialler(
+            reactor,
+            self._clock,
+            EntryGreeting(settings.node_name),
+            _ignore,
+            self._take,
+            _ignore,
+        )
+        self._listener = LinkListener(
+            self._clock,
+            settings.node_name,
+            self._greeted,
+            self._take,
+            self.core.agent_gone,
+        )
+        self._callers = CallersResource(self._clock, self.core.desk)
+        self._ready = _ReadyResource()
+        self._follower = ConfigurationFollower(reactor, store, self._configured)
+        self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
+        self._is_stopping = False
+
+    def to_entry(self, entry_id: str, message: JobsMessage) -> bool:
+        """See ``Peers``."""
+        return self._dialler.send(entry_id, message)
+
+    def answer(self, peer_id: str, message: JobsMessage) -> bool:
+        """See ``Peers``."""
+        return self._listener.send(peer_id, message)
+
+    def start(self) -> None:
+        """Open the ports and begin."""
+        bind = self._settings.bind_addresses
+        _listen(self._reactor, bind.frontend, QuietSite(self._callers))
+        _listen(self._reactor, bind.ready, QuietSite(self._ready))
+        _listen(self._reactor, self._settings.inner_address, self._listener)
+        self._follower.start()
+        self._membership.turn()
+        every = self._lifecycle.every
+        every(RENEW_MS / MILLIS_PER_SECOND, self._renew)
+        every(_OWNER_TURN_S, self.core.turn)
+        every(_POLL_S, self.core.poll)
+        every(TURN_S, self._dialler.turn)
+        every(_OWNER_TURN_S, self._listener.check_silence)
+        log_event(
+            Event.PROCESS_STARTED,
+            role='entry',
+            id=self._settings.node_name,
+        )
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown: open requests are answered first."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        log_event(
+            Event.PROCESS_STOPPING,
+            calls=self._callers.open_requests,
+            tasks=0,
+        )
+        self._ready.is_ready = False
+        self._callers.is_stopping = True
+        self.core.release()
+        self._reactor.callLater(_LINGER_S, self._drain)
+
+    def _drain(self) -> None:
+        self._lifecycle.drain(
+            lambda: not self._callers.open_requests,
+            _DRAIN_MS,
+        )
+
+    def _renew(self) -> None:
+        self._membership.turn()
+        self._ready.is_ready = (
+            not self._is_stopping
+            and self._callers.table is not None
+            and self._membership.is_in_touch
+        )
+
+    def _configured(self, table: QueueTable) -> None:
+        self._callers.table = table
+
+    def _entries_known(self) -> None:
+        self._dialler.keep(self._membership.addresses.values())
+
+    def _greeted(self, peer_id: str, greeting: JobsMessage) -> None:
+        if isinstance(greeting, AgentGreeting):
+            self.core.agent_connected(peer_id, greeting.zone)
+            addresses = list(self._membership.addresses.values())
+            self.answer(peer_id, EntryAddresses(addresses))
+
+    def _take(self, peer_id: str, message: JobsMessage) -> None:
+        self.core.take(message, peer_id)
+
+
+class AgentProcess:
+    """One running agent."""
+
+    def __init__(self, reactor: Any, settings: NodeSettings) -> None:
+        """Build the core and its shell; ``start`` opens the port."""
+        self._reactor = reactor
+        self._settings = settings
+        self._clock: Clock = MonotonicClock()
+        self.core = JobAgentCore(
+            reactor,
+            self._clock,
+            PlatformWorker(reactor, settings.app),
+            self._send,
+        )
+        self._dialler = LinkDialler(
+            reactor,
+            self._clock,
+            AgentGreeting(settings.node_name, settings.zone),
+            self.core.connected,
+            self._take,
+            self.core.disconnected,
+        )
+        self._reports = ReportsResource(
+            self.core.watch.announce,
+            self.core.watch.withdraw,
+        )
+        self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
+
+    def start(self) -> None:
+        """Open the port and begin."""
+        settings = self._settings
+        _listen(
+            self._reactor,
+            settings.bind_addresses.control_plane,
+            QuietSite(self._reports),
+        )
+        self._dialler.learn(settings.seed_addresses)
+        self._lifecycle.every(TURN_S, self._turn)
+        self._turn()
+        log_event(Event.PROCESS_STARTED, role='agent', id=settings.node_name)
+
+    def stop(self) -> None:
+        """End at once: the worker keeps its tasks until the next agent."""
+        log_event(
+            Event.PROCESS_STOPPING,
+            calls=0,
+            tasks=len(self.core.table.by_task),
+        )
+        self._lifecycle.drain(lambda: True, 0)
+
+    def _turn(self) -> None:
+        self._dialler.turn()
+        self.core.turn()
+
+    def _send(self, entry_id: str, message: JobsMessage) -> None:
+        self._dialler.send(entry_id, message)
+
+    def _take(self, entry_id: str, message: JobsMessage) -> None:
+        if isinstance(message, EntryAddresses):
+            self._dialler.learn(message.addresses)
+        else:
+            self.core.take(message, entry_id)
+
+
+def _listen(reactor: Any, address: str, factory: Any) -> Port:
+    host, port = parse_address(address)
+    return reactor.listenTCP(port, factory, interface=host)
+
+
+def _wall_ms() -> float:
+    return time.time() * MILLIS_PER_SECOND
+
+
+def _ignore(_entry_id: str) -> None:
+    """Nothing depends on connections between entries being open."""
--- a/hyssopring/protocol/__init__.py
+++ b/hyssopring/protocol/__init__.py
@@ -1,8 +1,6 @@
 """The inner protocol between entries and agents.
 
-Its messages are in ``protocol.messages``.
+Its messages are in ``protocol.messages`` and ``jobs.messages``. Nothing is
+imported here: the codec of the generated messages takes a quarter of the
+start-up of a process that needs only the structs.
 """
-
-from hyssopring.protocol.codec import ProtocolError, decode, encode
-
-__all__ = ('ProtocolError', 'decode', 'encode')
--- a/hyssopring/protocol/codec.py
+++ b/hyssopring/protocol/codec.py
@@ -22,11 +22,12 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from hyssopring.protocol import messages
+from hyssopring.protocol.frames import MAX_FRAME_BYTES
 from hyssopring.protocol.generated import ttypes
+from hyssopring.protocol.structs import ProtocolError
 
 __all__ = ('MAX_FRAME_BYTES', 'ProtocolError', 'decode', 'encode')
 
-MAX_FRAME_BYTES: Final = 9 * 1024 * 1024
 _MAX_ITEMS: Final = 100_000
 
 # What the library raises for bytes that are no message.
@@ -43,10 +44,6 @@
 _Converter = Callable[[Any], Any]
 
 
-class ProtocolError(Exception):
-    """A peer sent something that is not a message of this protocol."""
-
-
 def encode(message: messages.Message) -> bytes:
     """Return the frame payload for one message."""
     message_class = type(message)
