Jobs: pace after an agent's restart, first grants, starved jobs

A new agent also stopped all that it found, as it had no grant yet (80 stops in 4 s). Fillers waited for leftover processor time while their job had nothing running. Ruled out: the roster wait (all 11 agents were heard within 0.6 s).

Change: an unknown pace is set anew; a new agent waits 1.5 s for grants and does not extend the hold meanwhile; a job with nothing running for 1 s gets one task started.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -6,7 +6,7 @@
 """
 
 from functools import singledispatchmethod
-from typing import Any, Callable
+from typing import Any, Callable, Final
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
@@ -33,6 +33,10 @@
 
 __all__ = ('JobAgentCore',)
 
+# How long a new agent waits for the owners of the tasks that it finds. Links
+# are made within half a second; the hold of its predecessor lasts longer.
+_GRANTS_WAIT_MS: Final = 1500.0
+
 Send = Callable[[str, JobsMessage], None]
 
 
@@ -68,10 +72,11 @@
         self._reported_at_by_entry: dict[str, float] = {}
         self._orders_by_entry: dict[str, int] = {}
         self._is_report_due = False
+        self._met_at = clock.now()
         self.watch.on_boot = self._new_boot
         self.watch.on_listing = self._listed
         self.watch.on_lapse = self._lapsed
-        self.watch.hold_limit = lambda: self._rights.latest
+        self.watch.hold_limit = self._hold_limit
         self.watch.has_unrecorded = lambda: bool(self._end_by_number)
         self.watch.recorded = self._recorded
 
@@ -91,11 +96,8 @@
         for entry_id, reported_at in list(self._reported_at_by_entry.items()):
             if self._rights.is_due(now, reported_at):
                 self._report(entry_id)
-        for attempt in list(self.table.by_task.values()):
-            # A shard whose owner was not heard of for long: another one may
-            # count its tasks as ended from now on.
-            if self._rights.until(attempt.shard) < now:
-                self._orders.stop(attempt)
+        if self._rights.latest > now and not self._awaits_grants(now):
+            self._stop_ungranted(now)
 
     @singledispatchmethod
     def take(self, message: JobsMessage, entry_id: str) -> None:
@@ -212,6 +214,7 @@
         self._send(owner, StartRefusal(attempt.task, attempt.number, reason))
 
     def _new_boot(self) -> None:
+        self._met_at = self._clock.now()
         self.table.clear()
         self._end_by_number.clear()
         self._highest_end = 0
@@ -223,6 +226,35 @@
             self.table.ended(attempt.task, attempt.number)
         self._report_soon()
 
+    def _hold_limit(self) -> float:
+        """Until when the worker may keep its tasks.
+
+        A hold covers all tasks of a worker. A new agent finds tasks of shards
+        whose owners it has not heard: to extend the hold for one owner would
+        keep another's tasks alive past their grant.
+        """
+        if self._awaits_grants(self._clock.now()):
+            return 0
+        return self._rights.latest
+
+    def _awaits_grants(self, now: float) -> bool:
+        if now - self._met_at > _GRANTS_WAIT_MS:
+            return False
+        return any(
+            self._rights.until(attempt.shard) <= now
+            for attempt in self.table.by_task.values()
+        )
+
+    def _stop_ungranted(self, now: float) -> None:
+        """Stop tasks that another owner's grant would keep alive.
+
+        Their own owner was not heard of for so long that its successor may
+        count them as ended. Without any grant the hold lapses by itself.
+        """
+        for attempt in list(self.table.by_task.values()):
+            if self._rights.until(attempt.shard) <= now:
+                self._orders.stop(attempt)
+
     def _listed(self, listing: Listing, sent_at: float) -> None:
         now = self._clock.now()
         has_news = False
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -8,9 +8,17 @@
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.worker_port import WorkerRow
 
-__all__ = ('Attempt', 'AttemptTable', 'Phase')
+__all__ = (
+    'FULL_PACE',
+    'UNKNOWN_PACE',
+    'Attempt',
+    'AttemptTable',
+    'Phase',
+)
 
 FULL_PACE = 100
+# A new agent does not know what pace its predecessor has set.
+UNKNOWN_PACE = -1
 # Stops and refusals are remembered for the last so many tasks, so that an
 # order that was overtaken by its own stop is not carried out.
 _MAX_CLOSED = 4000
@@ -101,6 +109,7 @@
                 shard_of_task(row.task),
                 Phase.RUNNING,
                 now,
+                pace=UNKNOWN_PACE,
             )
             self.add(known)
         if known.number == row.attempt:
--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -70,6 +70,7 @@
         is_inherited: Accepted under an earlier reign: tasks of it may run.
         state: The state as it is durably known.
         final_state: The state that is decided; it may not be durable yet.
+        idle_since: Since when tasks wait and none runs.
     """
 
     job: Job
@@ -82,6 +83,7 @@
     number_by_task: dict[str, int] = field(default_factory=dict)
     state: JobState = JobState.QUEUED
     final_state: JobState | None = None
+    idle_since: float | None = None
 
     @classmethod
     def from_row(
@@ -139,6 +141,15 @@
             if run.waiting and self._is_ready(run):
                 yield run
 
+    def idle_ms(self, now: float) -> float:
+        """For how long tasks have waited while none of the job runs."""
+        if any(run.running for run in self.step_runs.values()):
+            self.idle_since = None
+            return 0
+        if self.idle_since is None:
+            self.idle_since = now
+        return now - self.idle_since
+
     def next_number(self, task: str) -> int:
         """Number a new attempt above all earlier ones of the task."""
         base = self.reign * _ATTEMPTS_PER_REIGN if self.is_inherited else 0
--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -46,11 +46,11 @@
         """Processor time that neither tasks nor fillers ask for."""
         return self.free.cpu_millis - self.filling
 
-    def allows(self, step: Step) -> bool:
-        """Whether one more task of the step has room here."""
+    def allows(self, step: Step, is_starved: bool) -> bool:
+        """Whether one more task of the step may start here."""
         if not step.charge.fits_in(self.free):
             return False
-        if step.fills and self.filling:
+        if step.fills and self.filling and not is_starved:
             return self.idle >= _FILL_PART * step.size.cpu_millis
         return True
 
@@ -100,16 +100,20 @@
         service: str,
         step: Step,
         name: TaskName,
+        is_starved: bool,
     ) -> Worker | None:
         """Return the best worker for a task, None if none has room.
 
+        A starved job's task starts beside others that it slows down.
+
         The task counts there from now on; it is also to be put into the
         worker's table before the next call.
         """
         allowed = [
             option
             for option in self._options_by_service.get(service, ())
-            if option.allows(step) and self._permits(option, step, name)
+            if option.allows(step, is_starved)
+            and self._permits(option, step, name)
         ]
         if not allowed:
             return None
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -5,7 +5,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
-from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
+from hyssopring.jobs.attempts import UNKNOWN_PACE, Attempt, AttemptTable, Phase
 from hyssopring.jobs.messages import StartOrder
 from hyssopring.jobs.watch import WorkerWatch
 from hyssopring.jobs.worker_port import (
@@ -153,7 +153,7 @@
     def _pace_unknown(self, failure: TwistedFailure, attempt: Attempt) -> None:
         """The next look at the tails decides anew."""
         failure.trap(WorkerUnreachable, WorkerReplaced)
-        attempt.pace = -1
+        attempt.pace = UNKNOWN_PACE
 
     def _is_current(self, boot: str, attempt: Attempt) -> bool:
         return (
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -1,7 +1,7 @@
 """The owner's part in jobs: what starts where, and what its end means."""
 
 from functools import singledispatchmethod
-from typing import Any, Callable, Iterable
+from typing import Any, Callable, Final, Iterable
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
@@ -28,6 +28,10 @@
 
 __all__ = ('JobOwner',)
 
+# A job none of whose tasks has run for this long gets one started wherever
+# there is room, also where it slows others down: nothing waits for ever.
+_STARVED_MS: Final = 1000.0
+
 Send = Callable[[str, JobsMessage], bool]
 
 
@@ -182,6 +186,7 @@
         record: JobRecord,
         run: StepRun,
     ) -> None:
+        is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
         for index in sorted(run.waiting):
             name = TaskName(
                 record.job.job_id,
@@ -193,7 +198,9 @@
                 record.job.queue.service,
                 run.step,
                 name,
+                is_starved,
             )
+            is_starved = False
             if worker is None:
                 return
             self._start(record, run, name, worker)
--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass
 from typing import Callable, Final, Iterable
 
-from hyssopring.jobs.attempts import FULL_PACE, Attempt, Phase
+from hyssopring.jobs.attempts import (
+    FULL_PACE,
+    UNKNOWN_PACE,
+    Attempt,
+    Phase,
+)
 
 __all__ = ('Pacer',)
 
@@ -52,10 +57,12 @@
 
     def _turn_filler(self, attempt: Attempt, worst: float) -> None:
         wanted = attempt.pace
-        if worst > 1:
+        if wanted == UNKNOWN_PACE:
+            wanted = FULL_PACE if worst < _CALM_PART else _DOWN[1]
+        elif worst > 1:
             lower = [pace for pace in _DOWN if pace < attempt.pace]
             wanted = lower[0] if lower else 0
         elif worst < _CALM_PART:
-            wanted = min(FULL_PACE, max(attempt.pace, 0) + _RISE)
+            wanted = min(FULL_PACE, attempt.pace + _RISE)
         if wanted != attempt.pace:
             self._set_pace(attempt, wanted)
