Jobs: workers that never come back, and shards of a restarted owner

Before, the restarted owner itself waited 3.8 s for its turn, ranked behind rows of entries that were dead. Ruled out: agents late to connect (all 11 within 0.8 s).

Change: an agent that has met no worker for the length of a hold counts as heard; a restarted owner takes its own shard at once; only entries that renewed while watched are ranked.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -10,8 +10,8 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
+from hyssopring.jobs.ends import EndTable
 from hyssopring.jobs.messages import (
-    EndReport,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -28,7 +28,7 @@
 from hyssopring.jobs.rights import Rights
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.watch import WorkerWatch
-from hyssopring.jobs.worker_port import EndRow, Listing, WorkerPort
+from hyssopring.jobs.worker_port import Listing, WorkerPort
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobAgentCore',)
@@ -66,8 +66,7 @@
             self._refused,
         )
         self._pacer = Pacer(self._orders.set_pace)
-        self._end_by_number: dict[int, EndReport] = {}
-        self._highest_end = 0
+        self._ends = EndTable()
         self._sequence = 0
         self._reported_at_by_entry: dict[str, float] = {}
         self._orders_by_entry: dict[str, int] = {}
@@ -77,8 +76,8 @@
         self.watch.on_listing = self._listed
         self.watch.on_lapse = self._lapsed
         self.watch.hold_limit = self._hold_limit
-        self.watch.has_unrecorded = lambda: bool(self._end_by_number)
-        self.watch.recorded = self._recorded
+        self.watch.has_unrecorded = lambda: bool(self._ends.by_number)
+        self.watch.recorded = self._ends.recorded
 
     def connected(self, entry_id: str) -> None:
         """An entry is connected: tell it of the worker."""
@@ -127,8 +126,7 @@
     def _take_recorded(self, message: EndsRecorded, entry_id: str) -> None:
         if message.boot != self.watch.boot:
             return
-        for number in message.numbers:
-            self._end_by_number.pop(number, None)
+        self._ends.forget(message.numbers)
 
     @take.register
     def _take_facts(self, message: TaskFacts, entry_id: str) -> None:
@@ -216,8 +214,8 @@
     def _new_boot(self) -> None:
         self._met_at = self._clock.now()
         self.table.clear()
-        self._end_by_number.clear()
-        self._highest_end = 0
+        self._ends = EndTable()
+        self.watch.recorded = self._ends.recorded
         self._report_soon()
 
     def _lapsed(self) -> None:
@@ -259,9 +257,9 @@
         now = self._clock.now()
         has_news = False
         for end in listing.ends:
-            if end.number > self._highest_end:
+            if self._ends.add(end):
                 has_news = True
-                self._take_end(end)
+                self.table.ended(end.task, end.attempt)
         listed = set()
         for row in listing.rows:
             listed.add(row.task)
@@ -273,24 +271,6 @@
         if has_news:
             self._report_soon()
 
-    def _take_end(self, end: EndRow) -> None:
-        self._highest_end = end.number
-        self.table.ended(end.task, end.attempt)
-        self._end_by_number[end.number] = EndReport(
-            end.number,
-            end.task,
-            end.attempt,
-            end.how.value,
-            end.checkpoint,
-        )
-        log_event(
-            Event.TASK_FINISHED,
-            task=end.task,
-            attempt=end.attempt,
-            how=end.how.value,
-            number=end.number,
-        )
-
     def _drop_unlisted(self, listed: set[str], sent_at: float) -> bool:
         """Drop what was settled before the look and is not in its lists."""
         dropped = [
@@ -304,10 +284,6 @@
             self.table.ended(attempt.task, attempt.number)
         return bool(dropped)
 
-    def _recorded(self) -> int:
-        """Return the number up to which all ends are durable."""
-        return min(self._end_by_number, default=self._highest_end + 1) - 1
-
     def _report_soon(self) -> None:
         """Report once for all that happens in this turn of the reactor."""
         if not self._is_report_due:
@@ -350,7 +326,7 @@
                 [each.report() for each in attempts if each.shard in own],
                 [
                     end
-                    for end in self._end_by_number.values()
+                    for end in self._ends.by_number.values()
                     if shard_of_task(end.task) in own
                 ],
                 foreign.cpu_millis,
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -56,11 +56,16 @@
 
 @dataclass(slots=True)
 class _Seen:
-    """Another entry's row, and since when it has not changed."""
+    """Another entry's row, and since when it has not changed.
+
+    ``has_renewed`` says that it changed while it was watched: after a restart
+    of all, rows of entries that never come back look young.
+    """
 
     row: EntryRow
     version: int
     since: float
+    has_renewed: bool = False
 
 
 class EntryMembership:
@@ -204,6 +209,7 @@
                 EntryRow.from_text(row.text),
                 row.version,
                 now,
+                has_renewed=seen is not None,
             )
         elif is_gap:
             seen.since = now
@@ -222,20 +228,22 @@
         return self._clock.now() - seen.since < ENTRY_SILENT_MS
 
     def _contend(self, now: float) -> None:
-        """Take shards that no live entry owns, after those ranked before."""
+        """Look at shards that no live entry says to own."""
         for shard in range(SHARDS):
             if shard in self.owned() or self.owner_of(shard):
                 self._free_since.pop(shard, None)
-                continue
-            since = self._free_since.setdefault(shard, now)
-            wait_ms = self._rank(shard) * RENEW_MS
-            if now - since >= wait_ms and shard not in self._taking:
+            elif shard not in self._taking:
+                self._free_since.setdefault(shard, now)
                 self._taking.add(shard)
                 self._take(shard)
 
     def _rank(self, shard: int) -> int:
         """How many live entries come before this one for a shard."""
-        live = [each for each in self._seen_by_entry if self._is_live(each)]
+        live = [
+            entry_id
+            for entry_id, seen in self._seen_by_entry.items()
+            if seen.has_renewed and self._is_live(entry_id)
+        ]
         ranked = sorted([self._entry_id, *live])
         place = ranked.index(self._entry_id)
         return (place - shard) % len(ranked)
@@ -262,10 +270,22 @@
         since = self._missing_since.setdefault(former.incarnation, now)
         return now - since < ENTRY_SILENT_MS
 
+    def _is_next(self, shard: int, former: OwnerRow | None) -> bool:
+        """Whether it is this entry's turn to take a free shard.
+
+        A restarted owner knows best that the former one is dead.
+        """
+        if former is not None and former.entry_id == self._entry_id:
+            return True
+        free_ms = self._clock.now() - self._free_since[shard]
+        return free_ms >= self._rank(shard) * RENEW_MS
+
     def _owner_read(self, row: Row | None, shard: int) -> Any:
         former = OwnerRow.from_text(row.text) if row else None
         if former is not None and self._is_owner_live(former):
             return None
+        if not self._is_next(shard, former):
+            return None
         reign = former.reign + 1 if former else 1
         taken = OwnerRow(self._entry_id, self._incarnation, reign)
         place = owner_key(shard)
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -16,6 +16,7 @@
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.task_facts import facts_of
+from hyssopring.jobs.times import LAPSED_MS
 from hyssopring.logs import Event, log_event
 
 __all__ = ('ReportReader', 'ReportSink')
@@ -67,8 +68,9 @@
         owned: OwnedShard,
     ) -> None:
         """Take a report that names all attempts of a shard on a worker."""
-        if not report.boot:
-            # A new agent has not met its worker yet, where tasks may run on.
+        if not report.boot and report.silent_ms < LAPSED_MS:
+            # A new agent has not met its worker yet, where tasks may run on;
+            # without an agent they end with the hold.
             return
         for end in _of_shard(report.ends, owned.shard):
             self._take_end(worker, report.boot, end, owned)
--- a/hyssopring/jobs/times.py
+++ b/hyssopring/jobs/times.py
@@ -8,6 +8,7 @@
     'ENTRY_SILENT_MS',
     'GRANT_MS',
     'HOLD_MS',
+    'LAPSED_MS',
     'LOST_AFTER_MS',
     'RENEW_MS',
     'REPORT_MS',
@@ -35,6 +36,9 @@
 # killed is back within 5 s.
 HOLD_MS: Final = 6000.0
 
+# A worker that no agent has reached for this long has nothing running.
+LAPSED_MS: Final = HOLD_MS * (1 + CLOCK_DRIFT) + 200.0
+
 # An agent reports this often, and at once when something changes.
 REPORT_MS: Final = 500.0
 
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -79,8 +79,8 @@
 
     @property
     def silent_ms(self) -> int:
-        """For how long the worker has not answered."""
-        return int(self._clock.now() - self._heard_at) if self.boot else 0
+        """For how long no worker has answered this agent."""
+        return int(self._clock.now() - self._heard_at)
 
     def announce(self, announced: Announcement) -> None:
         """Take a worker's report about itself."""
