--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -68,6 +68,7 @@
     Attributes:
         accepted_ms: Since 1970, by the clock of the entry that accepted.
         is_inherited: Accepted under an earlier reign: tasks of it may run.
+        version: The progress row's, 0 for none.
         state: The state as it is durably known.
         final_state: The state that is decided; it may not be durable yet.
         idle_since: Since when tasks wait and none runs.
@@ -78,6 +79,7 @@
     reign: int
     is_inherited: bool
     progress: ProgressRow = field(default_factory=ProgressRow)
+    version: int = 0
     step_runs: dict[str, StepRun] = field(default_factory=dict)
     checkpoint_by_task: dict[str, str] = field(default_factory=dict)
     number_by_task: dict[str, int] = field(default_factory=dict)
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -34,6 +34,7 @@
     'ProgressRow',
     'UnreadableRow',
     'cancel_key',
+    'is_job_key',
     'job_key',
     'owner_key',
     'part_of',
@@ -62,6 +63,11 @@
     return RowKey(JOBS, part_of(shard_of(job_id)), job_id)
 
 
+def is_job_key(key: str) -> bool:
+    """Whether a key of the table of jobs is a job's, not a cancellation's."""
+    return not key.endswith(CANCEL_SUFFIX)
+
+
 def cancel_key(job_id: str) -> RowKey:
     """Where a job's cancellation lies."""
     return RowKey(JOBS, part_of(shard_of(job_id)), job_id + CANCEL_SUFFIX)
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -20,6 +20,7 @@
     UnreadableRow,
     owner_key,
 )
+from hyssopring.jobs.owned_shard import ShardReign
 from hyssopring.jobs.rows import (
     Committed,
     Page,
@@ -34,9 +35,8 @@
 )
 from hyssopring.jobs.shards import SHARDS
 from hyssopring.jobs.times import AUTHORITY_MS, ENTRY_SILENT_MS, RENEW_MS
-from hyssopring.logs import Event, log_event
 
-__all__ = ('Acquired', 'EntryMembership')
+__all__ = ('EntryMembership',)
 
 # After a longer gap between two readings of the store nothing can be said of
 # the others' silence: they may have been kept from renewing, too.
@@ -45,15 +45,6 @@
 _FORGET_MS: Final = 60_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class Acquired:
-    """A shard that this entry owns from now on."""
-
-    shard: int
-    reign: int
-    version: int
-
-
 @dataclass(slots=True)
 class _Seen:
     """Another entry's row, and since when it has not changed.
@@ -96,7 +87,7 @@
         self._missing_since: dict[str, float] = {}
         self._is_stopping = False
         self.owned: Callable[[], tuple[int, ...]] = tuple
-        self.on_acquired: Callable[[Acquired], None] = _ignore
+        self.on_acquired: Callable[[ShardReign], None] = _ignore
         self.on_entries: Callable[[], None] = _nothing
 
     @property
@@ -295,20 +286,15 @@
                 (RowPut(place, taken.to_text()),),
             ),
         )
-        taking.addCallback(self._taken, Acquired(shard, reign, 0))
+        taking.addCallback(self._taken, shard, reign)
         return taking
 
-    def _taken(self, outcome: object, acquired: Acquired) -> None:
+    def _taken(self, outcome: object, shard: int, reign: int) -> None:
         if not isinstance(outcome, Committed) or self._is_stopping:
             return
-        self._free_since.pop(acquired.shard, None)
-        log_event(
-            Event.SHARD_ACQUIRED,
-            shard=acquired.shard,
-            reign=acquired.reign,
-        )
+        self._free_since.pop(shard, None)
         self.on_acquired(
-            Acquired(acquired.shard, acquired.reign, outcome.version),
+            ShardReign(shard, reign, outcome.version, self._clock.now()),
         )
         self.renew_now()
 
@@ -317,5 +303,5 @@
     """No owner is set yet."""
 
 
-def _ignore(_acquired: Acquired) -> None:
+def _ignore(_taken: ShardReign) -> None:
     """No owner is set yet."""
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -8,7 +8,7 @@
 from hyssopring.clock import Clock
 from hyssopring.jobs.desk import JobDesk
 from hyssopring.jobs.documents import AGENTS, JobRow
-from hyssopring.jobs.entries import Acquired, EntryMembership
+from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.fleet import Fleet, Worker
 from hyssopring.jobs.messages import (
     CancelNotice,
@@ -22,7 +22,11 @@
     StartRefusal,
     WorkerReport,
 )
-from hyssopring.jobs.owned_shard import OwnedShard
+from hyssopring.jobs.owned_shard import (
+    OwnedShard,
+    ShardEvents,
+    ShardReign,
+)
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.questions import Peers, Questions
 from hyssopring.jobs.rows import (
@@ -172,21 +176,20 @@
             self._membership.release(owned.shard, owned.version, owned.reign)
         self._membership.renew_now()
 
-    def _acquired(self, acquired: Acquired) -> None:
+    def _acquired(self, acquired: ShardReign) -> None:
         owned = OwnedShard(
-            acquired.shard,
-            acquired.reign,
-            acquired.version,
-            self._clock.now(),
+            acquired,
             self._reactor,
             self._clock,
             self._wall_ms,
             self._store,
-            self.owner.recorded,
-            self._deposed,
-            self.owner.accepted,
-            self.owner.cancelled,
-            self.owner.ask_all,
+            ShardEvents(
+                self.owner.recorded,
+                self._deposed,
+                self.owner.accepted,
+                self.owner.cancelled,
+                self.owner.ask_all,
+            ),
         )
         self.owner.acquire(owned)
 
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -70,7 +70,7 @@
 
     def drop(self, owned: OwnedShard) -> None:
         """Own a shard no more."""
-        owned.is_dropped = True
+        owned.drop()
         if self.shards.by_shard.get(owned.shard) is owned:
             self.shards.by_shard.pop(owned.shard)
         log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.reign)
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -27,6 +27,8 @@
 # leaves time for their recording.
 _UNRECORDED_PAUSE_MS: Final = 60.0
 _RETRY_MS: Final = 150.0
+# Two looks were not answered.
+_SILENT_MS: Final = 1500
 _PAST_BOOTS: Final = 16
 
 
@@ -109,7 +111,13 @@
         return int(self._clock_base + millis)
 
     def hold_until(self) -> float:
-        """Until when (own clock) tasks may be held now."""
+        """Until when (own clock) tasks may be held now.
+
+        What a silent worker is sent may arrive all the same: its hold would
+        be extended again and again, and its tasks could never be given up.
+        """
+        if self.silent_ms > _SILENT_MS:
+            return self._held_until
         now = self._clock.now()
         until = min(self.hold_limit(), now + HOLD_MS)
         self._held_until = max(self._held_until, until)
@@ -144,18 +152,21 @@
         self.fence = max(self.fence + 1, self.worker_time(self._clock.now()))
 
     def _look_again(self) -> None:
-        now = self._clock.now()
-        until = self.hold_until()
         self._send(
             Look(
                 self.boot,
                 self.fence,
                 self.recorded(),
-                self.worker_time(until) if until > now else None,
+                self._extension(),
                 _WAIT_MS,
             ),
         )
 
+    def _extension(self) -> int | None:
+        """Until when a look extends the hold, None if there is no right."""
+        until = self.hold_until()
+        return self.worker_time(until) if until > self._clock.now() else None
+
     def _send(self, look: Look) -> None:
         self._is_looking = True
         sent_at = self._clock.now()
--- /dev/null
+++ b/standins/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform under the jobs' cores, in virtual time."""
--- /dev/null
+++ b/standins/jobs/deployment.py
@@ -0,0 +1,318 @@
+"""Entries, agents, workers and the store, run under one virtual clock."""
+
+import itertools
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as Reactor
+
+from hyssopring.clock import MILLIS_PER_SECOND
+from hyssopring.jobs.agent_core import JobAgentCore
+from hyssopring.jobs.entries import EntryMembership
+from hyssopring.jobs.entry_core import JobEntryCore
+from hyssopring.jobs.messages import pack, unpack
+from hyssopring.jobs.model import Job, Queue, Size, Step
+from hyssopring.jobs.times import RENEW_MS
+from standins.jobs.rows import MemoryRows
+from standins.jobs.worker import Book, SimWorker
+
+LINK_S = 0.001
+AGENT_TURN_S = 0.1
+ENTRY_TURN_S = 0.2
+POLL_S = 1.5
+BEAT_S = 1.5
+REDIAL_S = 0.3
+STEP_S = 0.01
+WALL_MS = 1_700_000_000_000
+
+
+class ReactorClock:
+    """The product's clock on the virtual reactor."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def now(self):
+        return self.reactor.seconds() * MILLIS_PER_SECOND
+
+
+class Process:
+    """One process: dead or frozen ones get neither timers nor messages."""
+
+    def __init__(self, deployment, name):
+        self.deployment = deployment
+        self.reactor = ProcessReactor(deployment.reactor, self)
+        self.clock = ReactorClock(deployment.reactor)
+        self.name = name
+        self.is_alive = True
+        self.thaws_at = None
+
+    def every(self, seconds, action):
+        def again():
+            action()
+            self.reactor.callLater(seconds, again)
+
+        self.reactor.callLater(seconds, again)
+
+
+class ProcessReactor:
+    """Drops what a dead process has waiting, and holds a frozen one's."""
+
+    def __init__(self, reactor, process):
+        self._reactor = reactor
+        self._process = process
+
+    def seconds(self):
+        return self._reactor.seconds()
+
+    def callLater(self, seconds, action, *given):
+        return self._reactor.callLater(seconds, self.run, action, *given)
+
+    def run(self, action, *given):
+        process = self._process
+        if not process.is_alive:
+            return
+        if process.thaws_at is not None and process.thaws_at > self.seconds():
+            wait = process.thaws_at - self.seconds()
+            self._reactor.callLater(wait, self.run, action, *given)
+            return
+        action(*given)
+
+
+class Entry(Process):
+    """An entry's core and its timers."""
+
+    def __init__(self, deployment, name, incarnation):
+        super().__init__(deployment, name)
+        client = deployment.rows.client(name, self.reactor)
+        self.membership = EntryMembership(
+            self.reactor, self.clock, client, name, incarnation, name
+        )
+        self.core = JobEntryCore(
+            self.reactor,
+            self.clock,
+            deployment.wall_ms,
+            client,
+            self.membership,
+            self,
+        )
+        self.every(RENEW_MS / MILLIS_PER_SECOND, self.membership.turn)
+        self.every(ENTRY_TURN_S, self.core.turn)
+        self.every(POLL_S, self.core.poll)
+        self.reactor.callLater(0, self.membership.turn)
+
+    def to_entry(self, entry_id, message):
+        return self.deployment.carry(self, entry_id, message)
+
+    def answer(self, peer_id, message):
+        return self.deployment.carry(self, peer_id, message)
+
+    def take(self, message, sender):
+        self.core.take(message, sender)
+
+
+class WorkerLink:
+    """An agent's calls to its worker; a dead or frozen agent hears nothing."""
+
+    def __init__(self, worker, process_reactor):
+        self.worker = worker
+        self.process_reactor = process_reactor
+
+    def look(self, look):
+        return self._carry(self.worker.look(look))
+
+    def start(self, start):
+        return self._carry(self.worker.start(start))
+
+    def stop(self, *order):
+        return self._carry(self.worker.stop(*order))
+
+    def set_pace(self, *order):
+        return self._carry(self.worker.set_pace(*order))
+
+    def _carry(self, answer):
+        heard = Deferred()
+        run = self.process_reactor.run
+        answer.addCallbacks(
+            lambda outcome: run(heard.callback, outcome),
+            lambda failure: run(heard.errback, failure),
+        )
+        return heard
+
+
+class Agent(Process):
+    """An agent's core and its timers; its worker lives on without it."""
+
+    def __init__(self, deployment, name, worker):
+        super().__init__(deployment, name)
+        self.worker = worker
+        port = WorkerLink(worker, self.reactor)
+        self.core = JobAgentCore(self.reactor, self.clock, port, self.send)
+        self.links = set()
+        self.every(AGENT_TURN_S, self.core.turn)
+        self.every(BEAT_S, self.beat)
+        self.every(REDIAL_S, self.dial)
+        self.reactor.callLater(0, self.beat)
+        self.reactor.callLater(0, self.dial)
+
+    def beat(self):
+        if not self.worker.is_dark:
+            self.core.watch.announce(self.worker.announcement())
+
+    def dial(self):
+        for name, entry in self.deployment.entries.items():
+            if (self.name, name) in self.deployment.links:
+                continue
+            if entry.is_alive and not self.deployment.is_cut(self.name, name):
+                self.deployment.link(self, entry)
+
+    def send(self, entry_id, message):
+        self.deployment.carry(self, entry_id, message)
+
+    def take(self, message, sender):
+        self.core.take(message, sender)
+
+
+class Deployment:
+    """Three entries and some workers, with the faults of a day."""
+
+    def __init__(self, workers=4, entries=3, work_ms=lambda task: 1000, rate=1):
+        self.reactor = Reactor()
+        self.rows = MemoryRows(self.reactor)
+        self.book = Book()
+        self.links = {}
+        self.cut = set()
+        self._incarnations = itertools.count(1)
+        self.workers = [
+            SimWorker(
+                self.reactor, f'worker-{number}', self.book, work_ms, rate=rate
+            )
+            for number in range(workers)
+        ]
+        self.entries = {}
+        self.agents = {}
+        for number in range(entries):
+            self.start_entry(f'entry-{number}')
+        for number, worker in enumerate(self.workers):
+            self.start_agent(f'agent-{number}', worker)
+
+    def wall_ms(self):
+        return WALL_MS + self.reactor.seconds() * MILLIS_PER_SECOND
+
+    def start_entry(self, name):
+        self.entries[name] = Entry(self, name, str(next(self._incarnations)))
+
+    def start_agent(self, name, worker):
+        self.agents[name] = Agent(self, name, worker)
+
+    def kill_entry(self, name):
+        self.entries[name].is_alive = False
+        self._unlink(name)
+
+    def kill_agent(self, name):
+        self.agents[name].is_alive = False
+        self._unlink(name)
+
+    def is_cut(self, one, other):
+        return one in self.cut or other in self.cut
+
+    def cut_off(self, name):
+        """No message reaches or leaves this process; it runs on."""
+        self.cut.add(name)
+        self._unlink(name)
+
+    def heal(self, name):
+        self.cut.discard(name)
+
+    def link(self, agent, entry):
+        generation = object()
+        self.links[agent.name, entry.name] = generation
+        entry.core.agent_connected(agent.name, 'zone')
+        agent.core.connected(entry.name)
+
+    def _unlink(self, name):
+        for pair in [pair for pair in self.links if name in pair]:
+            self.links.pop(pair)
+            agent, entry = self.agents[pair[0]], self.entries[pair[1]]
+            if agent.is_alive:
+                agent.core.disconnected(entry.name)
+            if entry.is_alive:
+                entry.core.agent_gone(agent.name)
+
+    def carry(self, sender, name, message):
+        """Write a message on a link; what is under way is lost with it."""
+        receiver = self.entries.get(name) or self.agents.get(name)
+        if (
+            receiver is None
+            or not receiver.is_alive
+            or self.is_cut(sender.name, name)
+        ):
+            return False
+        pair = (
+            (sender.name, name)
+            if sender.name in self.agents
+            else (name, sender.name)
+        )
+        generation = self.links.get(pair)
+        is_agent_link = name in self.agents or sender.name in self.agents
+        if is_agent_link and generation is None:
+            return False
+        payload = pack(message)
+        self.reactor.callLater(
+            LINK_S, self._deliver, sender, receiver, pair, generation, payload
+        )
+        return True
+
+    def _deliver(self, sender, receiver, pair, generation, payload):
+        if self.links.get(pair) is not generation or not receiver.is_alive:
+            return
+        receiver.reactor.run(receiver.take, unpack(payload), sender.name)
+
+    def run(self, seconds):
+        for _step in range(round(seconds / STEP_S)):
+            self.reactor.advance(STEP_S)
+            for worker in self.workers:
+                worker.settle()
+            assert not self.book.broken, self.book.broken
+
+    def submit(self, job, entry='entry-0'):
+        """Hand a job in; the outcomes are appended to the list returned."""
+        outcomes = []
+        for step in job.steps:
+            self.book.sizes[job.job_id] = step.charge
+        for number, step in enumerate(job.steps):
+            if step.is_keeper:
+                self.book.keepers.update(map(str, job.tasks(0, number)))
+        until = self.wall_ms() - WALL_MS + 2000
+        self.entries[entry].core.desk.submit(job, until).addCallback(
+            outcomes.append
+        )
+        return outcomes
+
+    def state(self, job_id, entry='entry-0'):
+        states = []
+        self.entries[entry].core.desk.state(job_id).addCallback(states.append)
+        self.run(1)
+        return states[0].unwrap() if states else None
+
+    @property
+    def owner(self):
+        """The name of the entry that owns the first shard."""
+        return next(
+            name
+            for name, entry in self.entries.items()
+            if entry.is_alive and entry.core.owner.shards.by_shard
+        )
+
+
+def a_job(number=1, steps=((4, ()),), attempts=3, **changes):
+    """A job of equal steps, each given as (tasks, steps before it)."""
+    size = Size(1000, 1000, 0)
+    made = tuple(
+        Step(count, size, 1000, after, **changes) for count, after in steps
+    )
+    return Job(
+        f'{number:016x}',
+        Queue('queue', 'service', 0, attempts, 2, 1000),
+        'x',
+        made,
+    )
--- /dev/null
+++ b/standins/jobs/rows.py
@@ -0,0 +1,156 @@
+"""The platform's store in memory, with its faults."""
+
+from twisted.internet.defer import Deferred
+
+from hyssopring.jobs.rows import (
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLost,
+    Page,
+    Row,
+    StoreRefused,
+    StoreUncertain,
+)
+
+ANSWER_S = 0.009
+TIMEOUT_S = 1.2
+PAGE_ROWS = 500
+
+
+class MemoryRows:
+    """Rows with versions from one counter.
+
+    Attributes:
+        is_down: Every call is refused.
+        is_silent: No call is answered, and nothing is done.
+        shunned: Clients whose calls are refused.
+        lose_next: So many commits are done and not answered.
+        late_s: Commits that are not answered are done this much later.
+    """
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.rows = {}
+        self.version = 0
+        self.changes = []
+        self.kept_from = 0
+        self.is_down = False
+        self.is_silent = False
+        self.shunned = set()
+        self.lose_next = 0
+        self.late_s = 0
+        self.calls = 0
+
+    def client(self, name, process_reactor):
+        return RowsClient(self, name, process_reactor)
+
+    def forget_history(self):
+        self.kept_from = self.version
+        self.changes = []
+
+    def apply(self, transaction):
+        parts = {each.place.part for each in transaction.checks}
+        parts |= {put.place.part for put in transaction.puts}
+        parts |= {place.part for place in transaction.removals}
+        assert len(parts) == 1, 'a transaction stays in one part'
+        for check in transaction.checks:
+            row = self.rows.get(check.place)
+            if (row.version if row else 0) != check.version:
+                found = [
+                    self.rows.get(each.place) for each in transaction.checks
+                ]
+                return Conflict(tuple(row for row in found if row))
+        self.version += 1
+        for put in transaction.puts:
+            row = Row(put.place, put.text, self.version)
+            self.rows[put.place] = row
+            self.changes.append(row)
+        for place in transaction.removals:
+            if self.rows.pop(place, None):
+                self.changes.append(
+                    Row(place, '', self.version, is_removed=True)
+                )
+        return Committed(self.version)
+
+
+class RowsClient:
+    """One process's calls."""
+
+    def __init__(self, store, name, process_reactor):
+        self.store = store
+        self.name = name
+        self.process_reactor = process_reactor
+
+    def commit(self, transaction):
+        store = self.store
+        if store.lose_next and not self._fault():
+            store.lose_next -= 1
+            store.reactor.callLater(store.late_s, store.apply, transaction)
+            return self._fail(StoreUncertain('lost'), TIMEOUT_S)
+        return self._call(lambda: store.apply(transaction), StoreUncertain)
+
+    def read(self, table, part, first=''):
+        return self._call(lambda: self._page(table, part, first), StoreRefused)
+
+    def read_one(self, place):
+        return self._call(lambda: self.store.rows.get(place), StoreRefused)
+
+    def changes(self, table, after, wait_ms):
+        return self._call(lambda: self._changes(table, after), StoreRefused)
+
+    def _page(self, table, part, first):
+        rows = sorted(
+            (
+                row
+                for place, row in self.store.rows.items()
+                if place.table == table
+                and place.part == part
+                and place.key >= first
+            ),
+            key=lambda row: row.place.key,
+        )
+        page = tuple(rows[:PAGE_ROWS])
+        return Page(page, len(rows) > PAGE_ROWS, self.store.version)
+
+    def _changes(self, table, after):
+        if after < self.store.kept_from:
+            raise HistoryLost
+        rows = [
+            row
+            for row in self.store.changes
+            if row.place.table == table and row.version > after
+        ]
+        return Changes(tuple(rows), self.store.version)
+
+    def _fault(self):
+        return (
+            self.store.is_down
+            or self.store.is_silent
+            or self.name in self.store.shunned
+        )
+
+    def _call(self, action, silent_error):
+        store = self.store
+        store.calls += 1
+        if store.is_silent:
+            return self._fail(silent_error('silent'), TIMEOUT_S)
+        if self._fault():
+            return self._fail(StoreRefused('refused'), ANSWER_S)
+        answer = Deferred()
+        store.reactor.callLater(ANSWER_S, self._answer, answer, action)
+        return answer
+
+    def _answer(self, answer, action):
+        run = self.process_reactor.run
+        try:
+            outcome = action()
+        except HistoryLost as error:
+            run(answer.errback, error)
+        else:
+            run(answer.callback, outcome)
+
+    def _fail(self, error, seconds):
+        answer = Deferred()
+        self.process_reactor.callLater(seconds, answer.errback, error)
+        return answer
--- /dev/null
+++ b/standins/jobs/worker.py
@@ -0,0 +1,251 @@
+"""The platform's runner in virtual time, with its faults."""
+
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred
+
+from hyssopring.jobs.model import AttemptEnd, Size
+from hyssopring.jobs.worker_port import (
+    Announcement,
+    EndRow,
+    Listing,
+    StartOutcome,
+    WorkerReplaced,
+    WorkerRow,
+    WorkerUnreachable,
+)
+
+CALL_S = 0.001
+TIMEOUT_S = 0.4
+HOLD_MAX_MS = 10_000
+STOP_S = 0.2
+SECOND_MS = 1000
+
+
+@dataclass
+class Run:
+    """One run of a task."""
+
+    task: str
+    number: int
+    ends_at: float
+    checkpoint: str
+    stops_at: float | None = None
+
+
+class Book:
+    """What all workers of a deployment have run; asserts the promises."""
+
+    def __init__(self):
+        self.running = {}
+        self.noted_done = set()
+        self.starts = []
+        self.ends = []
+        self.sizes = {}
+        self.keepers = set()
+        self.broken = []
+
+    def started(self, now, worker, run):
+        self.starts.append((now, worker.name, run.task, run.number))
+        holders = self.running.setdefault(run.task, set())
+        if holders:
+            self.broken.append(
+                f'{now:.2f} {run.task} runs twice: {holders}, {worker.name}'
+            )
+        if run.task in self.noted_done and run.task not in self.keepers:
+            self.broken.append(f'{now:.2f} {run.task} starts though it is done')
+        holders.add(worker.boot)
+
+    def ended(self, now, worker, run, how):
+        self.running[run.task].discard(worker.boot)
+        self.ends.append((now, run.task, run.number, how))
+
+    def noted(self, task):
+        self.noted_done.add(task)
+
+
+class SimWorker:
+    """A runner that guards nothing: it starts what it is told to start.
+
+    Attributes:
+        rate: How fast its steady clock runs.
+        is_dark: It answers nothing and runs on.
+        lose_next: So many orders are carried out and not answered.
+        late_s: How much later such orders are carried out.
+    """
+
+    def __init__(self, reactor, name, book, work_ms, room=None, rate=1):
+        self.reactor = reactor
+        self.name = name
+        self.book = book
+        self.work_ms = work_ms
+        self.room = room or Size(16_000, 64_000, 0)
+        self.rate = rate
+        self.is_dark = False
+        self.is_leaving = False
+        self.lose_next = 0
+        self.late_s = 0
+        self.lives = 0
+        self.sequence = 0
+        self.fails = lambda task: False
+        self.fill_tasks = set()
+        self.begin()
+
+    def begin(self):
+        """A new life."""
+        self.lives += 1
+        self.boot = f'{self.name}-{self.lives}'
+        self.born_at = self.reactor.seconds()
+        self.fence = 0
+        self.hold_ms = 0
+        self.runs = {}
+        self.ends = []
+        self.number = 0
+        self.highest_by_task = {}
+
+    def crash(self):
+        now = self.reactor.seconds()
+        for run in self.runs.values():
+            self.book.ended(now, self, run, 'crash')
+        self.runs = {}
+        self.begin()
+
+    def clock_ms(self):
+        return (
+            int((self.reactor.seconds() - self.born_at) * SECOND_MS * self.rate)
+            + 1000
+        )
+
+    def announcement(self):
+        self.sequence += 1
+        return Announcement(
+            self.boot,
+            'service',
+            self.room,
+            ('a', 'r1'),
+            self.is_leaving,
+            0,
+            self.sequence,
+            self.clock_ms(),
+        )
+
+    def look(self, look):
+        return self._call(look.boot, lambda: self._look(look))
+
+    def start(self, start):
+        return self._order(start.boot, lambda: self._start(start))
+
+    def stop(self, boot, fence, task, attempt):
+        return self._order(boot, lambda: self._stop(fence, task, attempt))
+
+    def set_pace(self, boot, fence, task, attempt, percent):
+        return self._order(boot, lambda: None)
+
+    def settle(self):
+        """End what is over by now; call before any look at the lists."""
+        now = self.reactor.seconds()
+        if self.runs and self.hold_ms and self.clock_ms() > self.hold_ms:
+            for run in list(self.runs.values()):
+                self._end(run, AttemptEnd.LOST)
+        for run in list(self.runs.values()):
+            if run.stops_at is not None and run.stops_at <= now:
+                self._end(run, AttemptEnd.STOPPED)
+            elif run.ends_at <= now:
+                failed = self.fails(run.task)
+                self._end(run, AttemptEnd.FAILED if failed else AttemptEnd.DONE)
+
+    def _order(self, boot, action):
+        if self.lose_next and not self.is_dark:
+            self.lose_next -= 1
+            self.reactor.callLater(self.late_s, self._if_same, boot, action)
+            return self._fail(WorkerUnreachable('lost'), TIMEOUT_S)
+        return self._call(boot, action)
+
+    def _if_same(self, boot, action):
+        if boot == self.boot:
+            self.settle()
+            action()
+
+    def _call(self, boot, action):
+        if self.is_dark:
+            return self._fail(WorkerUnreachable('dark'), TIMEOUT_S)
+        if boot != self.boot:
+            return self._fail(WorkerReplaced(), CALL_S)
+        answer = Deferred()
+        self.reactor.callLater(CALL_S, self._answer, answer, boot, action)
+        return answer
+
+    def _answer(self, answer, boot, action):
+        if boot != self.boot:
+            answer.errback(WorkerReplaced())
+            return
+        self.settle()
+        answer.callback(action())
+
+    def _fail(self, error, seconds):
+        answer = Deferred()
+        self.reactor.callLater(seconds, answer.errback, error)
+        return answer
+
+    def _hold(self, until_ms):
+        if until_ms is not None:
+            most = self.clock_ms() + HOLD_MAX_MS
+            self.hold_ms = max(self.hold_ms, min(until_ms, most))
+
+    def _look(self, look):
+        if look.fence >= self.fence:
+            self.fence = look.fence
+            self._hold(look.until_ms)
+            for end in self.ends:
+                if end.number <= look.recorded and end.how is AttemptEnd.DONE:
+                    self.book.noted(end.task)
+            self.ends = [end for end in self.ends if end.number > look.recorded]
+        rows = tuple(
+            WorkerRow(run.task, run.number, run.checkpoint, 50, 0)
+            for run in self.runs.values()
+        )
+        return Listing(self.clock_ms(), rows, tuple(self.ends))
+
+    def _start(self, start):
+        if start.fence < self.fence:
+            return StartOutcome.FENCED
+        self.fence = start.fence
+        self._hold(start.until_ms)
+        known = self.runs.get(start.task)
+        if known is not None and known.number == start.attempt:
+            return StartOutcome.STARTED
+        if start.attempt <= self.highest_by_task.get(start.task, 0):
+            return StartOutcome.OLD
+        if start.until_ms <= self.clock_ms():
+            return StartOutcome.LATE
+        self.highest_by_task[start.task] = start.attempt
+        ends_at = self.reactor.seconds() + self.work_ms(start.task) / SECOND_MS
+        run = Run(start.task, start.attempt, ends_at, start.checkpoint)
+        self.runs[start.task] = run
+        self.book.started(self.reactor.seconds(), self, run)
+        self._check_room()
+        return StartOutcome.STARTED
+
+    def _check_room(self):
+        used = Size()
+        for run in self.runs.values():
+            used = used.plus(self.book.sizes[run.task.split('.')[0]])
+        if not used.fits_in(self.room):
+            self.book.broken.append(f'{self.name} is over its room: {used}')
+
+    def _stop(self, fence, task, attempt):
+        if fence < self.fence:
+            return
+        highest = self.highest_by_task.get(task, 0)
+        self.highest_by_task[task] = max(highest, attempt)
+        run = self.runs.get(task)
+        if run is not None and run.number <= attempt and run.stops_at is None:
+            run.stops_at = self.reactor.seconds() + STOP_S
+
+    def _end(self, run, how):
+        self.runs.pop(run.task)
+        self.number += 1
+        self.ends.append(
+            EndRow(self.number, run.task, run.number, how, run.checkpoint)
+        )
+        self.book.ended(self.reactor.seconds(), self, run, how)
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,427 @@
+"""Jobs through entries, agents and workers in virtual time, under failures.
+
+The book of the stand-in workers asserts all the while that no task runs
+twice at once, that none starts after its end was noted, and that no worker
+holds more than its room.
+"""
+
+import pytest
+
+from hyssopring.jobs.model import JobState
+from standins.jobs.deployment import Deployment, a_job
+
+
+def settled(deployment=None, **options):
+    """A deployment whose first shard has an owner that knows all agents."""
+    deployment = deployment or Deployment(**options)
+    deployment.run(3)
+    assert deployment.owner
+    return deployment
+
+
+def starts_of(deployment, job):
+    return [
+        row for row in deployment.book.starts if row[2].startswith(job.job_id)
+    ]
+
+
+def test_a_job_of_two_steps_is_completed_in_order():
+    deployment = settled()
+    job = a_job(steps=((3, ()), (2, (0,))))
+    outcomes = deployment.submit(job)
+    deployment.run(4)
+    assert outcomes[0].is_ok()
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+    first_ends = [end[0] for end in deployment.book.ends if '.0.0.' in end[1]]
+    second_starts = [
+        row[0] for row in starts_of(deployment, job) if '.0.1.' in row[2]
+    ]
+    assert len(first_ends) == 3 and len(second_starts) == 2
+    assert max(first_ends) <= min(second_starts)
+
+
+def test_first_start_follows_the_acceptance_within_a_tenth_of_a_second():
+    deployment = settled()
+    handed_in = deployment.reactor.seconds()
+    job = a_job()
+    deployment.submit(job, 'entry-2')
+    deployment.run(1)
+    assert min(row[0] for row in starts_of(deployment, job)) - handed_in < 0.1
+
+
+def test_a_job_met_again_at_another_entry_remains_one_job():
+    """A caller gets no answer and hands the same job in elsewhere.
+
+    Both entries write the same row, which must not exist before: the second
+    one meets the first one's row and says that the job is accepted.
+    """
+    deployment = settled()
+    job = a_job()
+    first = deployment.submit(job, 'entry-0')
+    second = deployment.submit(job, 'entry-1')
+    deployment.run(4)
+    assert first[0].is_ok() and second[0].is_ok()
+    assert len(starts_of(deployment, job)) == 4
+
+
+def test_an_answer_of_the_store_lost_after_the_write_means_accepted():
+    """The store writes the job and its answer is lost.
+
+    The entry repeats the write, meets its own row and tells the caller that
+    the job is accepted; a refusal would be untrue, as the job runs.
+    """
+    deployment = settled()
+    deployment.rows.lose_next = 1
+    job = a_job()
+    outcomes = deployment.submit(job)
+    deployment.run(6)
+    assert outcomes[0].is_ok()
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+def test_a_job_is_refused_as_never_run_only_while_it_cannot_be_stored():
+    """The store refuses: the job is not accepted and never runs."""
+    deployment = settled()
+    deployment.rows.is_down = True
+    job = a_job()
+    outcomes = deployment.submit(job)
+    deployment.run(1)
+    assert outcomes[0].unwrap_err().answer.status == 503
+    deployment.rows.is_down = False
+    deployment.run(5)
+    assert not starts_of(deployment, job)
+
+
+def test_a_write_that_may_come_later_is_no_refusal():
+    """The store takes a job in and falls silent.
+
+    The write may be carried out seconds later, so that the caller must not
+    hear that the job never runs; it hears that the outcome is not known.
+    """
+    deployment = settled()
+    deployment.rows.lose_next = 1
+    deployment.rows.late_s = 4
+    job = a_job()
+    outcomes = deployment.submit(job)
+    deployment.run(0.1)
+    deployment.rows.is_down = True
+    deployment.run(3)
+    assert outcomes[0].unwrap_err().answer.status == 504
+    deployment.rows.is_down = False
+    deployment.run(6)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+def test_starts_go_on_while_the_store_is_away():
+    """The store is down for four seconds after a job was accepted.
+
+    Its second step starts all the same: the owner's authority outlasts the
+    outage, and only the ends' recording waits for the store.
+    """
+    deployment = settled()
+    job = a_job(steps=((2, ()), (2, (0,))))
+    deployment.submit(job)
+    deployment.run(0.3)
+    deployment.rows.is_down = True
+    deployment.run(2)
+    assert len(starts_of(deployment, job)) == 4
+    deployment.run(2)
+    assert deployment.state(job.job_id) is JobState.ACTIVE
+    deployment.rows.is_down = False
+    deployment.run(1)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+def test_an_owner_that_dies_is_replaced_and_nothing_runs_twice():
+    """The owner is killed while tasks run.
+
+    Another entry takes the shard after three missed renewals, asks all
+    agents what runs, and goes on from there.
+    """
+    deployment = settled(work_ms=lambda task: 3000)
+    job = a_job(steps=((6, ()), (2, (0,))))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.kill_entry(deployment.owner)
+    deployment.run(14)
+    survivor = deployment.owner
+    assert deployment.state(job.job_id, survivor) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 8
+
+
+def test_an_end_noted_by_nobody_before_the_owner_dies_is_told_again():
+    """A task ends, and the owner dies before it has recorded the end.
+
+    The worker lists the end until it is told that it is durable, so that the
+    next owner hears of it and does not start the task again.
+    """
+    deployment = settled(work_ms=lambda task: 1000)
+    job = a_job(steps=((2, ()),))
+    deployment.submit(job)
+    deployment.run(0.5)
+    deployment.rows.is_down = True
+    deployment.run(1.5)
+    deployment.kill_entry(deployment.owner)
+    deployment.rows.is_down = False
+    deployment.run(8)
+    assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 2
+
+
+def test_a_frozen_owner_that_wakes_starts_nothing_of_its_former_shard():
+    """The owner stands still for six seconds and another one takes over.
+
+    When it wakes it still takes itself for the owner; the agents have heard
+    of a newer reign and refuse its starts, the store its writes.
+    """
+    deployment = settled(work_ms=lambda task: 2500)
+    job = a_job(steps=((3, ()), (3, (0,))))
+    deployment.submit(job)
+    deployment.run(1)
+    frozen = deployment.owner
+    deployment.entries[frozen].thaws_at = deployment.reactor.seconds() + 6
+    deployment.run(14)
+    others = [name for name in deployment.entries if name != frozen]
+    assert deployment.state(job.job_id, others[0]) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 6
+
+
+def test_an_entry_that_the_store_turns_away_loses_its_shard():
+    """The store refuses the owner's calls and serves the others'."""
+    deployment = settled(work_ms=lambda task: 2000)
+    job = a_job(steps=((3, ()), (3, (0,))))
+    deployment.submit(job)
+    deployment.run(1)
+    shunned = deployment.owner
+    deployment.rows.shunned.add(shunned)
+    deployment.run(14)
+    owners = [
+        name
+        for name, entry in deployment.entries.items()
+        if name != shunned and entry.core.owner.shards.by_shard
+    ]
+    assert len(owners) == 1
+    assert deployment.state(job.job_id, owners[0]) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 6
+
+
+def test_an_agent_that_dies_finds_its_tasks_again():
+    """An agent is killed and is back three seconds later.
+
+    Its worker kept the tasks under the hold; the new agent lists them, does
+    not stop them for want of a grant, and the owner keeps them.
+    """
+    deployment = settled(workers=1, work_ms=lambda task: 6000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.kill_agent('agent-0')
+    deployment.run(3)
+    deployment.start_agent('agent-0', deployment.workers[0])
+    deployment.run(6)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 4
+
+
+def test_tasks_of_a_cut_off_agent_start_elsewhere_only_after_its_grant():
+    """An agent is cut off from all entries for good; its worker runs on.
+
+    The agent stops extending the hold when its grant is over, and the owner
+    starts the tasks elsewhere no sooner, also when the worker's clock is 2%
+    slow: the hold is set by its clock, and set shorter by as much.
+    """
+    deployment = settled(workers=2, rate=0.98, work_ms=lambda task: 20_000)
+    job = a_job(steps=((6, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.cut_off('agent-0')
+    deployment.run(15)
+    moved = [row for row in starts_of(deployment, job) if row[3] > 1]
+    assert len(moved) == 3
+    assert all(row[1] == 'worker-1' for row in moved)
+
+
+def test_a_worker_that_is_born_again_frees_its_tasks_at_once():
+    """A worker crashes; its next life runs nothing and says so."""
+    deployment = settled(workers=2, work_ms=lambda task: 4000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.workers[0].crash()
+    deployment.run(3)
+    again = [row for row in starts_of(deployment, job) if row[3] > 1]
+    assert len(again) == 2
+    deployment.run(5)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+def test_a_report_of_an_older_life_is_not_believed():
+    """A heartbeat of a dead life comes late, after the next one's.
+
+    The agent asks the worker under that life before it believes the report;
+    the worker says that it is another one.
+    """
+    deployment = settled(workers=1)
+    worker = deployment.workers[0]
+    late = worker.announcement()
+    worker.crash()
+    deployment.run(3)
+    watch = deployment.agents['agent-0'].core.watch
+    assert watch.boot == worker.boot
+    watch.announce(late)
+    deployment.run(1)
+    assert watch.boot == worker.boot
+    job = a_job()
+    deployment.submit(job)
+    deployment.run(3)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize('late_s', [0, 1, 3, 8])
+def test_a_start_whose_answer_is_lost_runs_once(late_s):
+    """Starts get no answer and are carried out at once or seconds later.
+
+    The agent repeats the same attempt, which a worker starts only once, and
+    a copy that comes after the end of the attempt is refused as old.
+    """
+    deployment = settled(workers=2)
+    for worker in deployment.workers:
+        worker.lose_next = 2
+        worker.late_s = late_s
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(12)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 4
+
+
+def test_a_silent_worker_s_tasks_are_given_up_after_the_hold():
+    """A worker answers nothing any more; its agent lives.
+
+    The agent knows until when the hold lasts at most and tells the owner then.
+    """
+    deployment = settled(workers=2, work_ms=lambda task: 9000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.workers[0].is_dark = True
+    deployment.run(8)
+    again = [row for row in starts_of(deployment, job) if row[3] > 1]
+    assert len(again) == 2
+
+
+def test_a_task_that_fails_too_often_fails_its_job():
+    deployment = settled()
+    for worker in deployment.workers:
+        worker.fails = lambda task: task.endswith('.1')
+    job = a_job(attempts=2)
+    deployment.submit(job)
+    deployment.run(6)
+    assert deployment.state(job.job_id) is JobState.FAILED
+    assert (
+        len(
+            [row for row in starts_of(deployment, job) if row[2].endswith('.1')]
+        )
+        == 2
+    )
+
+
+def test_failed_attempts_count_over_a_change_of_owner():
+    """One attempt failed, then the owner dies: one more may start, not two."""
+    deployment = settled()
+    for worker in deployment.workers:
+        worker.fails = lambda task: True
+    job = a_job(steps=((1, ()),), attempts=2)
+    deployment.submit(job)
+    deployment.run(1.3)
+    deployment.kill_entry(deployment.owner)
+    deployment.run(10)
+    assert len(starts_of(deployment, job)) == 2
+    assert deployment.state(job.job_id, deployment.owner) is JobState.FAILED
+
+
+def test_a_cancelled_job_stops_everywhere_and_stays_cancelled():
+    deployment = settled(work_ms=lambda task: 20_000)
+    job = a_job()
+    deployment.submit(job)
+    deployment.run(1)
+    answers = []
+    entry = deployment.entries['entry-1']
+    entry.core.desk.cancel(job.job_id, 1e12).addCallback(answers.append)
+    deployment.run(2)
+    assert answers[0].unwrap() is True
+    assert not any(worker.runs for worker in deployment.workers)
+    assert deployment.state(job.job_id) is JobState.CANCELLED
+
+
+def test_cancelling_what_nobody_handed_in_is_answered_as_unknown():
+    deployment = settled()
+    answers = []
+    desk = deployment.entries['entry-1'].core.desk
+    desk.cancel('00000000000000aa', 1e12).addCallback(answers.append)
+    deployment.run(1)
+    assert answers[0].unwrap() is False
+
+
+def test_a_keeper_is_started_again_however_it_ends():
+    deployment = settled(work_ms=lambda task: 2000)
+    job = a_job(steps=((2, ()),), is_keeper=True)
+    deployment.submit(job)
+    deployment.run(9)
+    assert len(starts_of(deployment, job)) >= 6
+    assert sum(len(worker.runs) for worker in deployment.workers) == 2
+    assert deployment.state(job.job_id) is JobState.ACTIVE
+
+
+def test_the_history_of_the_store_may_be_gone():
+    """A job's notice and the store's history are lost: the rows tell."""
+    deployment = settled()
+    owner = deployment.owner
+    other = next(name for name in deployment.entries if name != owner)
+    deployment.entries[other].core.desk._peers = DeafPeers()
+    job = a_job()
+    deployment.submit(job, other)
+    deployment.run(0.1)
+    deployment.rows.forget_history()
+    deployment.run(6)
+    assert deployment.state(job.job_id, owner) is JobState.COMPLETED
+
+
+class DeafPeers:
+    """Connections to other entries are gone."""
+
+    def to_entry(self, entry_id, message):
+        return False
+
+    def answer(self, peer_id, message):
+        return False
+
+
+def test_a_leaving_worker_gets_no_new_tasks():
+    deployment = settled(workers=2)
+    deployment.workers[0].is_leaving = True
+    deployment.run(2)
+    job = a_job()
+    deployment.submit(job)
+    deployment.run(3)
+    assert {row[1] for row in starts_of(deployment, job)} == {'worker-1'}
+
+
+def test_all_processes_die_at_once_and_the_jobs_go_on():
+    """Everything but the workers and the store is killed and restarted."""
+    deployment = settled(work_ms=lambda task: 3000)
+    job = a_job(steps=((6, ()), (6, (0,))))
+    deployment.submit(job)
+    deployment.run(1)
+    for name in list(deployment.agents):
+        deployment.kill_agent(name)
+    for name in list(deployment.entries):
+        deployment.kill_entry(name)
+    deployment.run(1.5)
+    for name in list(deployment.entries):
+        deployment.start_entry(name)
+    for number, worker in enumerate(deployment.workers):
+        deployment.start_agent(f'agent-{number}', worker)
+    deployment.run(14)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 12
