Jobs: gangs, occurrences, evacuation; logs as JSON lines that never block

Cause: jobs with times ran at once and once, gang members started one by one, tasks of a leaving worker went down with it and were missed only after its hold; log lines were text on standard error and could block on their reader.

--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -11,6 +11,7 @@
 # Attempts of a reign are numbered from a base of their own: a new owner need
 # not know the numbers that its predecessor gave.
 _ATTEMPTS_PER_REIGN: Final = 1000
+_DUE_MARGIN_MS: Final = 30.0
 
 
 @dataclass
@@ -34,6 +35,11 @@
         """The step's name within its job."""
         return f'{self.occurrence}.{self.number}'
 
+    @property
+    def is_gang_ready(self) -> bool:
+        """Whether no member of a gang is done, runs or may still run."""
+        return len(self.waiting) == self.step.count
+
     @property
     def is_done(self) -> bool:
         """Whether all tasks have ended as done."""
@@ -99,7 +105,8 @@
         record = cls(row.job, row.accepted_ms, reign, is_inherited)
         if progress is not None:
             record.progress = progress
-        record.open_occurrence(0)
+        if not row.job.schedule.times:
+            record.open_occurrence(0)
         if progress is not None and progress.state:
             record.state = JobState(progress.state)
             record.final_state = record.state
@@ -128,6 +135,18 @@
             }
             self.step_runs[run.name] = run
 
+    def open_due(self, wall_ms: float) -> None:
+        """Open the occurrences whose time has come.
+
+        Times of day differ between VMs by some milliseconds; an occurrence
+        begins this much after its time, never before.
+        """
+        while self._opened < self.job.occurrences:
+            due_ms = self.job.schedule.due_ms(self._opened)
+            if wall_ms < due_ms + _DUE_MARGIN_MS:
+                return
+            self.open_occurrence(self._opened)
+
     def run_of(self, name: TaskName) -> StepRun | None:
         """Return the step run of a task, None if the job has none such."""
         run = self.step_runs.get(f'{name.occurrence}.{name.step}')
@@ -159,6 +178,18 @@
         self.number_by_task[task] = number
         return number
 
+    def next_gang_number(self, names: list[TaskName]) -> int:
+        """Number an attempt of a whole gang: its members share it."""
+        number = max(self.next_number(str(name)) for name in names)
+        for name in names:
+            self.number_by_task[str(name)] = number
+        return number
+
+    def gang_checkpoint(self, names: list[TaskName]) -> str:
+        """Return what a gang can be resumed from: any member's will do."""
+        known = [self.checkpoint_by_task.get(str(name), '') for name in names]
+        return max(known)
+
     def saw_number(self, task: str, number: int) -> None:
         """An attempt with this number exists."""
         known = self.number_by_task.get(task, 0)
@@ -183,11 +214,15 @@
 
     def take_failed(self, name: TaskName) -> bool:
         """Count a failed attempt; True if the job fails by it."""
-        key = f'{name.occurrence}.{name.step}.{name.index}'
+        run = self.run_of(name)
+        if run is None:
+            return False
+        # A gang fails as one, whichever member it was.
+        index = 0 if run.step.is_gang else name.index
+        key = f'{run.name}.{index}'
         count = self.progress.failed.get(key, 0) + 1
         self.progress.failed[key] = count
-        run = self.run_of(name)
-        if run is None or run.step.is_keeper or self.final_state is not None:
+        if run.step.is_keeper or self.final_state is not None:
             return False
         if run.is_done_task(name.index) or count < self.job.queue.max_attempts:
             return False
@@ -197,16 +232,21 @@
     @property
     def is_all_done(self) -> bool:
         """Whether each task of each occurrence has ended as done."""
-        opened = len(self.step_runs) // len(self.job.steps)
-        return opened == self.job.occurrences and all(
+        return self._opened == self.job.occurrences and all(
             run.is_done for run in self.step_runs.values()
         )
 
-    def deadline(self) -> float:
-        """When the job should be completed, in ms since 1970."""
+    def deadline(self, occurrence: int = 0) -> float:
+        """When an occurrence should be completed, in ms since 1970."""
         queue = self.job.queue
         allowed = queue.slack_factor * self.job.chain_ms + queue.target_ms
-        return self.accepted_ms + allowed
+        due_ms = self.job.schedule.due_ms(occurrence)
+        return max(self.accepted_ms, due_ms) + allowed
+
+    @property
+    def _opened(self) -> int:
+        """How many occurrences are open."""
+        return len(self.step_runs) // len(self.job.steps)
 
     def _is_ready(self, run: StepRun) -> bool:
         return all(
--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -1,6 +1,7 @@
 """Which worker a waiting task is sent to."""
 
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, replace
 from typing import Final, Iterable
 
 from hyssopring.jobs.fleet import Worker
@@ -54,14 +55,14 @@
             return self.idle >= _FILL_PART * step.size.cpu_millis
         return True
 
-    def score(self, step: Step) -> float:
+    def score(self, step: Step, rack: str = '') -> float:
         """The higher, the better for one more task of the step."""
         score = float(self.idle)
         if self.targets:
             score += -_BESIDE_TARGET if step.fills else _TARGETS_TOGETHER
         if step.target_ms:
             score -= _TARGET_BESIDE_FILLER * self.fillers
-        if step.rack and step.rack != self.worker.rack:
+        if rack and rack != self.worker.rack:
             score -= _WRONG_RACK
         return score
 
@@ -74,6 +75,13 @@
         if step.target_ms:
             self.targets += 1
 
+    def has_label(self, step: Step) -> bool:
+        """Whether the worker is of the kind that the step needs."""
+        report = self.worker.report
+        return not step.label or (
+            report is not None and step.label in report.labels
+        )
+
     def count(self, name: TaskName) -> int:
         """How many tasks of a step and occurrence are here."""
         return sum(
@@ -117,18 +125,84 @@
         ]
         if not allowed:
             return None
-        best = max(allowed, key=lambda option: option.score(step))
+        rack = step.rack
+        if step.is_local and not rack:
+            rack = self._rack_of(service, name)
+        best = max(allowed, key=lambda option: option.score(step, rack))
         best.take(step)
         return best.worker
 
+    def _rack_of(self, service: str, name: TaskName) -> str:
+        """Return the rack that most tasks of a step are in."""
+        counts: Counter[str] = Counter()
+        for option in self._options_by_service.get(service, ()):
+            counts[option.worker.rack] += option.count(name)
+        rack, count = counts.most_common(1)[0]
+        return rack if count else ''
+
+    def choose_all(
+        self,
+        service: str,
+        step: Step,
+        names: list[TaskName],
+    ) -> list[Worker]:
+        """Return a worker for each member of a gang, or none at all.
+
+        Members that slow each other across racks go to one rack if one has
+        room for all.
+        """
+        options = self._options_by_service.get(service, [])
+        groups = [options]
+        if step.is_local:
+            by_rack: dict[str, list[_Option]] = {}
+            for option in options:
+                by_rack.setdefault(option.worker.rack, []).append(option)
+            groups = [*by_rack.values(), options]
+        for group in groups:
+            chosen = _fit_all(group, step, names)
+            if chosen:
+                for option in chosen:
+                    option.take(step)
+                return [option.worker for option in chosen]
+        return []
+
     def _permits(
         self,
         option: _Option,
         step: Step,
         name: TaskName,
     ) -> bool:
-        report = option.worker.report
-        if step.label and (report is None or step.label not in report.labels):
+        if not option.has_label(step):
             return False
         limit = step.max_per_worker
         return not limit or option.count(name) < limit
+
+
+def _fit_all(
+    options: list[_Option],
+    step: Step,
+    names: list[TaskName],
+) -> list[_Option]:
+    """Fit a gang on copies of the options; return the originals, or none."""
+    trials = [
+        (option, replace(option))
+        for option in options
+        if option.has_label(step)
+    ]
+    used: Counter[str] = Counter()
+    chosen: list[_Option] = []
+    limit = step.max_per_worker or len(names)
+    while len(chosen) < len(names):
+        allowed = [
+            (trial.score(step), number)
+            for number, (option, trial) in enumerate(trials)
+            if trial.allows(step, is_starved=True)
+            and used[option.worker.agent_id] < limit
+        ]
+        if not allowed:
+            return []
+        option, trial = trials[max(allowed)[1]]
+        trial.take(step)
+        used[option.worker.agent_id] += 1
+        chosen.append(option)
+    return chosen
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -157,7 +157,7 @@
 
     def turn(self) -> None:
         """Call a few times a second."""
-        self.owner.turn()
+        self.owner.turn(self._wall_ms())
 
     def poll(self) -> None:
         """Look for jobs that nobody has told of; call each second or so."""
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -139,6 +139,12 @@
     interval_ms: int = 0
     times: int = 0
 
+    def due_ms(self, occurrence: int) -> float:
+        """When an occurrence may begin, since 1970; 0 for at once."""
+        if not self.times:
+            return 0
+        return self.first_ms + occurrence * self.interval_ms
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -32,6 +32,10 @@
 # there is room, also where it slows others down: nothing waits for ever.
 _STARVED_MS: Final = 1000.0
 
+# A leaving worker's tasks are stopped this long before it goes: a stop takes
+# up to 0.9 s, and its end is noticed and told within 0.1 s.
+_EVACUATE_MS: Final = 1200.0
+
 Send = Callable[[str, JobsMessage], bool]
 
 
@@ -137,15 +141,37 @@
         if placed is not None and placed.number == message.attempt:
             self._reader.gone(worker, placed, message.reason)
 
-    def turn(self) -> None:
-        """Notice what has lapsed; call a few times a second."""
+    def turn(self, wall_ms: float) -> None:
+        """Notice what is due or lapsed; call a few times a second."""
         now = self._clock.now()
+        for record in self.shards.startable():
+            record.open_due(wall_ms)
+        for leaving in self._fleet.by_agent.values():
+            self._evacuate(leaving)
         for worker in self._fleet.by_agent.values():
             if worker.placed_by_task and worker.is_lost(now):
                 for placed in list(worker.placed_by_task.values()):
                     self._reader.gone(worker, placed, 'lapsed')
         self.plan_soon()
 
+    def _evacuate(self, worker: Worker) -> None:
+        """Stop what a leaving worker would only take down with it.
+
+        A stop saves a checkpoint and frees the task for another worker at
+        once; a worker that is gone is known to be only when its hold is over.
+        """
+        report = worker.report
+        if report is None or not report.is_leaving:
+            return
+        age_ms = self._clock.now() - worker.reported_at
+        is_urgent = report.remaining_ms - age_ms < _EVACUATE_MS
+        for task, placed in worker.placed_by_task.items():
+            owned = self.shards.by_shard.get(shard_of_task(task))
+            is_due = is_urgent or placed.step.is_keeper
+            if owned is not None and is_due and not placed.is_stopping:
+                placed.is_stopping = True
+                self.stop(owned, worker, task, placed.number)
+
     def plan_soon(self) -> None:
         """Plan once for all that happens in this turn of the reactor."""
         if not self._is_plan_due:
@@ -177,7 +203,8 @@
         record: JobRecord,
         run: StepRun,
     ) -> tuple[int, float]:
-        latest_start = record.deadline() - record.job.tails[run.number]
+        deadline = record.deadline(run.occurrence)
+        latest_start = deadline - record.job.tails[run.number]
         return record.job.queue.priority, latest_start
 
     def _place(
@@ -186,6 +213,9 @@
         record: JobRecord,
         run: StepRun,
     ) -> None:
+        if run.step.is_gang:
+            self._place_gang(placement, record, run)
+            return
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
         for index in sorted(run.waiting):
             name = TaskName(
@@ -203,7 +233,37 @@
             is_starved = False
             if worker is None:
                 return
-            self._start(record, run, name, worker)
+            task = str(name)
+            self._start(
+                record,
+                run,
+                name,
+                worker,
+                record.next_number(task),
+                record.checkpoint_by_task.get(task, ''),
+            )
+
+    def _place_gang(
+        self,
+        placement: PlacementRound,
+        record: JobRecord,
+        run: StepRun,
+    ) -> None:
+        """Start all members or none: alone they would only hold room."""
+        if not run.is_gang_ready:
+            return
+        names = list(record.job.tasks(run.occurrence, run.number))
+        workers = placement.choose_all(
+            record.job.queue.service,
+            run.step,
+            names,
+        )
+        if not workers:
+            return
+        number = record.next_gang_number(names)
+        checkpoint = record.gang_checkpoint(names)
+        for name, worker in zip(names, workers, strict=True):
+            self._start(record, run, name, worker, number, checkpoint)
 
     def _start(
         self,
@@ -211,10 +271,10 @@
         run: StepRun,
         name: TaskName,
         worker: Worker,
+        number: int,
+        checkpoint: str,
     ) -> None:
         task = str(name)
-        number = record.next_number(task)
-        checkpoint = record.checkpoint_by_task.get(task, '')
         owned = self.shards.by_shard[shard_of(name.job_id)]
         order = StartOrder(
             owned.shard,
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -202,15 +202,48 @@
         assert run is not None, 'the caller has looked it up'
         record.keep_checkpoint(end.task, end.checkpoint)
         if end.how == AttemptEnd.DONE.value and not run.step.is_keeper:
-            record.take_done(name)
-            for worker, placed in self.places(name):
-                placed.is_stopping = True
-                self._sink.stop(owned, worker, end.task, placed.number)
+            self._take_done(record, run, name, owned)
         elif end.how == AttemptEnd.FAILED.value:
             if record.take_failed(name):
                 self._sink.stop_job(record)
         if not run.is_done_task(name.index):
             self._return(run, name)
+            self._break_gang(run, name)
+
+    def _take_done(
+        self,
+        record: JobRecord,
+        run: StepRun,
+        name: TaskName,
+        owned: OwnedShard,
+    ) -> None:
+        if run.step.is_gang:
+            # The end of one member stands for all.
+            for member in record.job.tasks(run.occurrence, run.number):
+                record.take_done(member)
+            return
+        record.take_done(name)
+        for worker, placed in self.places(name):
+            self._stop_placed(worker, placed, owned)
+
+    def _break_gang(self, run: StepRun, name: TaskName) -> None:
+        """Stop a gang that has lost a member, before it ends as alone."""
+        if not run.step.is_gang:
+            return
+        owned = self._shards.by_shard[shard_of(name.job_id)]
+        for index in list(run.running):
+            member = TaskName(name.job_id, name.occurrence, name.step, index)
+            for worker, placed in self.places(member):
+                self._stop_placed(worker, placed, owned)
+
+    def _stop_placed(
+        self,
+        worker: Worker,
+        placed: Placed,
+        owned: OwnedShard,
+    ) -> None:
+        placed.is_stopping = True
+        self._sink.stop(owned, worker, str(placed.name), placed.number)
 
     def gone(self, worker: Worker, placed: Placed, reason: str) -> None:
         """An attempt does not run and never will."""
@@ -227,6 +260,7 @@
         )
         if run is not None:
             self._return(run, placed.name)
+            self._break_gang(run, placed.name)
 
     def _return(self, run: StepRun, name: TaskName) -> None:
         """Let a task wait again, unless it runs elsewhere."""
--- a/hyssopring/logs/__init__.py
+++ b/hyssopring/logs/__init__.py
@@ -2,6 +2,7 @@
 
 from hyssopring.logs._emit import (
     Fields,
+    configure_json_logging,
     configure_logging,
     level_of,
     listen_to_events,
@@ -12,6 +13,7 @@
 __all__ = (
     'Event',
     'Fields',
+    'configure_json_logging',
     'configure_logging',
     'level_of',
     'listen_to_events',
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -5,6 +5,7 @@
 a line below the level is not put together at all.
 """
 
+import json
 import sys
 import time
 from types import MappingProxyType
@@ -14,6 +15,7 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.logs.events import Event
+from hyssopring.logs.line_writer import LineWriter
 
 # The message carries its own time and level, see ``_Stamp``.
 _LINE_FORMAT = '{message}'
@@ -58,6 +60,23 @@
     )
 
 
+def configure_json_logging(level: str = 'INFO') -> LineWriter:
+    """Write one JSON object a line to standard output, never blocking."""
+    _threshold.number = logger.level(level).no
+    _threshold.is_json = True
+    writer = LineWriter(sys.stdout.fileno())
+    logger.remove()
+    logger.add(
+        writer.write,
+        level=level,
+        format=_LINE_FORMAT,
+        backtrace=False,
+        diagnose=False,
+        catch=False,
+    )
+    return writer
+
+
 class _Stamp:
     """The local time of day, to the millisecond."""
 
@@ -82,6 +101,7 @@
     """The lowest level number that is written."""
 
     number = 0
+    is_json = False
 
 
 _listeners: list[Listener] = []
@@ -103,17 +123,30 @@
     """Write one line: event number, event name, then ``key=value`` pairs."""
     level = level_of(event)
     if _NUMBER_BY_LEVEL[level] >= _threshold.number:
-        pairs = ' '.join(
-            [f'{name}={_quoted(field)}' for name, field in fields.items()]
-        )
-        logger.log(
-            level,
-            f'{_stamp.read()} {level:<7} E{event.value} {event.name} {pairs}',
-        )
+        render = _json_line if _threshold.is_json else _text_line
+        logger.log(level, render(level, event, fields))
     for listener in _listeners:
         listener(event, fields)
 
 
+def _text_line(level: str, event: Event, fields: Fields) -> str:
+    pairs = ' '.join(
+        [f'{name}={_quoted(field)}' for name, field in fields.items()]
+    )
+    return f'{_stamp.read()} {level:<7} E{event.value} {event.name} {pairs}'
+
+
+def _json_line(level: str, event: Event, fields: Fields) -> str:
+    line = {
+        'at': _stamp.read(),
+        'level': level,
+        'event': event.value,
+        'name': event.name,
+        **fields,
+    }
+    return json.dumps(line, default=str)
+
+
 def _quoted(field: object) -> str:
     text = str(field)
     if not text or ' ' in text or '\n' in text or '"' in text:
--- a/hyssopring/platform/__main__.py
+++ b/hyssopring/platform/__main__.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from hyssopring.errors import Failure
-from hyssopring.logs import configure_logging
+from hyssopring.logs import configure_json_logging
 from hyssopring.platform.settings import (
     NodeSettings,
     load_node_settings,
@@ -23,7 +23,7 @@
     if loaded.is_err():
         failure: Failure = loaded.unwrap_err()
         _fail(failure.detail)
-    configure_logging()
+    configure_json_logging()
     _run(arguments[0], loaded.unwrap())
 
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -5,10 +5,12 @@
 holds more than its room.
 """
 
+from dataclasses import replace
+
 import pytest
 
-from hyssopring.jobs.model import JobState
-from standins.jobs.deployment import Deployment, a_job
+from hyssopring.jobs.model import JobState, Schedule, Size, Step
+from standins.jobs.deployment import WALL_MS, Deployment, a_job
 
 
 def settled(deployment=None, **options):
@@ -407,6 +409,68 @@
     assert {row[1] for row in starts_of(deployment, job)} == {'worker-1'}
 
 
+def test_occurrences_begin_at_their_times_and_not_before():
+    """A job runs three times, a second apart; the runs overlap."""
+    deployment = settled(work_ms=lambda task: 1500)
+    first_ms = int(deployment.wall_ms()) + 2000
+    job = replace(a_job(steps=((2, ()),)), schedule=Schedule(first_ms, 1000, 3))
+    deployment.submit(job)
+    deployment.run(8)
+    for started_at, _worker, task, _number in starts_of(deployment, job):
+        due_ms = first_ms + 1000 * int(task.split('.')[1])
+        late_ms = WALL_MS + started_at * 1000 - due_ms
+        assert 0 <= late_ms < 400
+    assert len(starts_of(deployment, job)) == 6
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+def test_a_gang_starts_as_a_whole_or_not_at_all():
+    """Two gangs of three large tasks each, and room for four tasks.
+
+    A member started alone would wait for the others and end in vain.
+    """
+    deployment = settled(workers=4)
+    gangs = [
+        replace(
+            a_job(number),
+            steps=(Step(3, Size(9000, 1000, 0), 1000, is_gang=True),),
+        )
+        for number in (1, 2)
+    ]
+    for gang in gangs:
+        deployment.submit(gang)
+    deployment.run(0.5)
+    assert sorted(len(starts_of(deployment, gang)) for gang in gangs) == [0, 3]
+    deployment.run(4)
+    assert [len(starts_of(deployment, gang)) for gang in gangs] == [3, 3]
+
+
+def test_a_gang_that_loses_a_member_is_stopped_and_starts_again_as_one():
+    deployment = settled(workers=4, work_ms=lambda task: 6000)
+    gang = replace(
+        a_job(), steps=(Step(3, Size(9000, 1000, 0), 6000, is_gang=True),)
+    )
+    deployment.submit(gang)
+    deployment.run(1)
+    lost = starts_of(deployment, gang)[0][1]
+    next(worker for worker in deployment.workers if worker.name == lost).crash()
+    deployment.run(5)
+    numbers = [row[3] for row in starts_of(deployment, gang)]
+    assert numbers == [1, 1, 1, 2, 2, 2]
+
+
+def test_tasks_of_a_leaving_worker_are_stopped_before_it_goes():
+    """A worker says that it leaves: its tasks save and go on elsewhere."""
+    deployment = settled(workers=2, work_ms=lambda task: 9000)
+    job = a_job()
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.workers[0].is_leaving = True
+    deployment.run(4)
+    assert not deployment.workers[0].runs
+    assert len(deployment.workers[1].runs) == 4
+
+
 def test_all_processes_die_at_once_and_the_jobs_go_on():
     """Everything but the workers and the store is killed and restarted."""
     deployment = settled(work_ms=lambda task: 3000)
