--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -171,6 +171,15 @@
             self.idle_since = now
         return now - self.idle_since
 
+    def work_left(self) -> float:
+        """Estimated core-milliseconds of tasks that are not done."""
+        return sum(
+            (run.step.count - run.done.bit_count())
+            * run.step.estimate_ms
+            * run.step.size.cpu_millis
+            for run in self.step_runs.values()
+        )
+
     def next_number(self, task: str) -> int:
         """Number a new attempt above all earlier ones of the task."""
         base = self.reign * _ATTEMPTS_PER_REIGN if self.is_inherited else 0
--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Final, Iterable
 
-from hyssopring.jobs.fleet import Worker
+from hyssopring.jobs.fleet import Placed, Worker
 from hyssopring.jobs.model import Size, Step, TaskName
 
 __all__ = ('PlacementRound',)
@@ -12,6 +12,14 @@
 # A filler starts where at least this part of its processor time is left:
 # started earlier it would only take the time of those that run.
 _FILL_PART: Final = 0.7
+# Keepers with a target use about half of what they reserve; fillers may take
+# the rest, at the pace that the agent finds bearable.
+_KEEPER_UNUSED: Final = 0.5
+# Beside keepers no filler is added while those that are there are slowed down
+# to less than this pace, while a tail is above this part of its target, or
+# while the effect of the last one does not show yet.
+_LOW_PACE: Final = 60
+_HIGH_TAIL: Final = 0.55
 # In thousandths of a core, compared with free processor time: keepers with a
 # target are kept together, with what does not disturb them, so that fillers
 # find workers without any. A filler beside one is slowed or does harm.
@@ -19,45 +27,67 @@
 _TARGETS_TOGETHER: Final = 20_000
 _TARGET_BESIDE_FILLER: Final = 4000
 _WRONG_RACK: Final = 4000
+_FULL_PACE: Final = 100
 
 
 @dataclass(slots=True)
 class _Option:
-    """One worker and what is left of it while a round goes on."""
+    """One worker and what is left of it while a round goes on.
+
+    Attributes:
+        filling: Thousandths of a core that fillers ask for at their pace.
+        unused: Thousandths of a core that keepers reserve and do not use.
+        is_strained: Whether fillers disturb the keepers enough already.
+    """
 
     worker: Worker
     free: Size
-    filling: int
+    filling: float
+    unused: float
     targets: int
     fillers: int
+    is_strained: bool
 
     @classmethod
     def from_worker(cls, worker: Worker) -> '_Option':
-        placed = worker.placed_by_task.values()
+        fillers = worker.fillers()
+        keepers = worker.keepers()
+        paces = [max(placed.pace, 0) for placed in fillers]
+        reserved = sum(placed.step.size.cpu_millis for placed in keepers)
+        asked = sum(
+            placed.step.size.cpu_millis * pace
+            for placed, pace in zip(fillers, paces, strict=True)
+        )
         return cls(
             worker,
             worker.free(),
-            worker.filling(),
-            worker.targets(),
-            sum(each.step.fills for each in placed),
+            asked / _FULL_PACE,
+            reserved * _KEEPER_UNUSED,
+            len(keepers),
+            len(fillers),
+            bool(keepers) and _is_strained(fillers, keepers),
         )
 
     @property
-    def idle(self) -> int:
+    def idle(self) -> float:
         """Processor time that neither tasks nor fillers ask for."""
-        return self.free.cpu_millis - self.filling
+        return self.free.cpu_millis + self.unused - self.filling
 
     def allows(self, step: Step, is_starved: bool) -> bool:
         """Whether one more task of the step may start here."""
         if not step.charge.fits_in(self.free):
             return False
-        if step.fills and self.filling and not is_starved:
-            return self.idle >= _FILL_PART * step.size.cpu_millis
-        return True
+        if not step.fills or is_starved:
+            return True
+        if self.is_strained:
+            return False
+        if not self.filling and not self.targets:
+            return True
+        return self.idle >= _FILL_PART * step.size.cpu_millis
 
     def score(self, step: Step, rack: str = '') -> float:
         """The higher, the better for one more task of the step."""
-        score = float(self.idle)
+        score = self.idle
         if self.targets:
             score += -_BESIDE_TARGET if step.fills else _TARGETS_TOGETHER
         if step.target_ms:
@@ -72,6 +102,7 @@
         if step.fills:
             self.filling += step.size.cpu_millis
             self.fillers += 1
+            self.is_strained = bool(self.targets)
         if step.target_ms:
             self.targets += 1
 
@@ -92,6 +123,16 @@
         )
 
 
+def _is_strained(fillers: list[Placed], keepers: list[Placed]) -> bool:
+    paces = [max(placed.pace, 0) for placed in fillers]
+    if any(not placed.has_shown for placed in fillers):
+        return True
+    if sum(paces) < _LOW_PACE * len(paces):
+        return True
+    tails = [placed.load / placed.step.target_ms for placed in keepers]
+    return max(tails) > _HIGH_TAIL
+
+
 class PlacementRound:
     """Chooses workers for all waiting tasks of one planning round."""
 
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -71,6 +71,7 @@
             self.fleet,
             peers.answer,
             lambda: membership.may_act,
+            wall_ms,
         )
         self._questions = Questions(reactor, peers)
         self.desk = JobDesk(
@@ -157,7 +158,7 @@
 
     def turn(self) -> None:
         """Call a few times a second."""
-        self.owner.turn(self._wall_ms())
+        self.owner.turn()
 
     def poll(self) -> None:
         """Look for jobs that nobody has told of; call each second or so."""
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -10,6 +10,7 @@
 
 # A worker that has not answered its agent for this long gets no new tasks.
 _SILENT_MS = 1500
+_REPORTS_TO_SHOW = 2
 
 
 @dataclass(slots=True)
@@ -19,7 +20,7 @@
     Attributes:
         order: The place of its order on the agent's connection; 0 when it
             was sent on an earlier one.
-        is_known: Whether a report has named it.
+        reports: How many reports have named it.
     """
 
     name: TaskName
@@ -32,12 +33,20 @@
     percent: int = 0
     load: int = 0
     pace: int = 100
-    is_known: bool = False
+    reports: int = 0
     is_stopping: bool = False
 
+    @property
+    def has_shown(self) -> bool:
+        """Whether what it does to tasks beside it may show in their figures.
+
+        They are for half a second, and reported as often.
+        """
+        return self.reports > _REPORTS_TO_SHOW
+
     def take(self, told: AttemptReport) -> None:
         """Take over what a report says of the attempt."""
-        self.is_known = True
+        self.reports += 1
         self.percent = told.percent
         self.load = told.load
         self.pace = told.pace
@@ -94,20 +103,21 @@
             used = used.plus(placed.step.charge)
         return self.room.minus(used)
 
-    def filling(self) -> int:
-        """Thousandths of a core that its fillers ask for."""
-        return sum(
-            placed.step.size.cpu_millis
+    def fillers(self) -> list[Placed]:
+        """The fillers that were ordered there."""
+        return [
+            placed
             for placed in self.placed_by_task.values()
             if placed.step.fills
-        )
+        ]
 
-    def targets(self) -> int:
-        """How many keepers with a target run there."""
-        return sum(
-            bool(placed.step.target_ms)
+    def keepers(self) -> list[Placed]:
+        """The keepers with a target that were ordered there."""
+        return [
+            placed
             for placed in self.placed_by_task.values()
-        )
+            if placed.step.target_ms
+        ]
 
     def takes_tasks(self) -> bool:
         """Whether a new task may be sent there now."""
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -164,6 +164,7 @@
     accelerators: int
     target_ms: int
     fills: bool
+    image: str
 
 
 @struct
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -24,6 +24,7 @@
 from hyssopring.jobs.reports import ReportReader
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.task_facts import facts_of
+from hyssopring.jobs.urgency import urgency
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
@@ -49,6 +50,7 @@
         fleet: Fleet,
         send: Send,
         may_act: Callable[[], bool],
+        wall_ms: Callable[[], float],
     ) -> None:
         """Order agents by ``send`` while ``may_act`` says that it may."""
         self._reactor = reactor
@@ -56,6 +58,7 @@
         self._fleet = fleet
         self._send = send
         self._may_act = may_act
+        self._wall_ms = wall_ms
         self.shards = OwnedShards()
         self._is_plan_due = False
         self._reader = ReportReader(clock, fleet, self.shards, self)
@@ -141,11 +144,11 @@
         if placed is not None and placed.number == message.attempt:
             self._reader.gone(worker, placed, message.reason)
 
-    def turn(self, wall_ms: float) -> None:
+    def turn(self) -> None:
         """Notice what is due or lapsed; call a few times a second."""
         now = self._clock.now()
         for record in self.shards.startable():
-            record.open_due(wall_ms)
+            record.open_due(self._wall_ms())
         for leaving in self._fleet.by_agent.values():
             self._evacuate(leaving)
         for worker in self._fleet.by_agent.values():
@@ -182,8 +185,9 @@
         self._is_plan_due = False
         if not self._may_act():
             return
+        wall_ms = self._wall_ms()
         open_runs = [
-            (self._urgency(record, run), record, run)
+            (urgency(record, run, wall_ms), record, run)
             for record in self.shards.startable()
             for run in record.open_runs()
         ]
@@ -198,15 +202,6 @@
         for _urgency, record, run in open_runs:
             self._place(placement, record, run)
 
-    def _urgency(
-        self,
-        record: JobRecord,
-        run: StepRun,
-    ) -> tuple[int, float]:
-        deadline = record.deadline(run.occurrence)
-        latest_start = deadline - record.job.tails[run.number]
-        return record.job.queue.priority, latest_start
-
     def _place(
         self,
         placement: PlacementRound,
--- a/hyssopring/jobs/task_facts.py
+++ b/hyssopring/jobs/task_facts.py
@@ -16,4 +16,5 @@
         step.size.accelerators,
         step.target_ms if step.is_keeper else 0,
         step.fills,
+        step.image,
     )
--- /dev/null
+++ b/hyssopring/jobs/urgency.py
@@ -0,0 +1,50 @@
+"""In which order steps get workers.
+
+Answers the pattern of a burst of large jobs beyond what the workers can do in
+time: ordered by deadline alone, each job waits behind jobs that are late
+anyway, until all are late.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from hyssopring.jobs.book import JobRecord, StepRun
+
+__all__ = ('Urgency', 'urgency')
+
+# A job that ends after three times its objective earns its caller nothing
+# more than one that ends much later.
+_LATEST: Final = 3
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Urgency:
+    """Compares step runs; the smaller comes first.
+
+    Attributes:
+        priority: The queue's.
+        lateness: 0 while the job can end in time, 1 while it can end late,
+            2 after that.
+        order: Among jobs in time the latest start that still is in time;
+            among late ones the work that is left, so that most of them end.
+    """
+
+    priority: int
+    lateness: int
+    order: float
+
+
+def urgency(record: JobRecord, run: StepRun, wall_ms: float) -> Urgency:
+    """Return the urgency of a step's waiting tasks at a time of day."""
+    priority = record.job.queue.priority
+    deadline = record.deadline(run.occurrence)
+    latest_start = deadline - record.job.tails[run.number]
+    if wall_ms <= latest_start:
+        return Urgency(priority, 0, record.work_left())
+    begun = max(
+        record.accepted_ms,
+        record.job.schedule.due_ms(run.occurrence),
+    )
+    allowed = _LATEST * (deadline - begun)
+    is_over = wall_ms + record.job.tails[run.number] > begun + allowed
+    return Urgency(priority, 2 if is_over else 1, record.work_left())
