Jobs: a failed attempt counts once, whoever hears of it

The owner had made the failed attempt durable and was killed before it said so; the worker listed the end again, and the next owner counted it a second time.

Change: the numbers of failed attempts are stored, not their count.

--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -221,7 +221,7 @@
             self.final_state = self.final_state or JobState.COMPLETED
         return True
 
-    def take_failed(self, name: TaskName) -> bool:
+    def take_failed(self, name: TaskName, attempt: int) -> bool:
         """Count a failed attempt; True if the job fails by it."""
         run = self.run_of(name)
         if run is None:
@@ -229,8 +229,10 @@
         # A gang fails as one, whichever member it was.
         index = 0 if run.step.is_gang else name.index
         key = f'{run.name}.{index}'
-        count = self.progress.failed.get(key, 0) + 1
-        self.progress.failed[key] = count
+        failed = self.progress.failed.setdefault(key, [])
+        if attempt not in failed:
+            failed.append(attempt)
+        count = len(failed)
         if run.step.is_keeper or self.final_state is not None:
             return False
         if run.is_done_task(name.index) or count < self.job.queue.max_attempts:
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -110,13 +110,14 @@
     Attributes:
         state: A final state, or empty.
         done: By 'occurrence.step': the done tasks' indices as a bit set.
-        failed: By 'occurrence.step.index': how many attempts failed.
+        failed: By 'occurrence.step.index': the numbers of the attempts that
+            failed. An end may be heard of by two owners; it counts once.
         ended_ms: When the state became final, since 1970.
     """
 
     state: str = ''
     done: dict[str, int] = field(default_factory=dict)
-    failed: dict[str, int] = field(default_factory=dict)
+    failed: dict[str, list[int]] = field(default_factory=dict)
     ended_ms: float = 0
 
     @classmethod
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -204,7 +204,7 @@
         if end.how == AttemptEnd.DONE.value and not run.step.is_keeper:
             self._take_done(record, run, name, owned)
         elif end.how == AttemptEnd.FAILED.value:
-            if record.take_failed(name):
+            if record.take_failed(name, end.attempt):
                 self._sink.stop_job(record)
         if not run.is_done_task(name.index):
             self._return(run, name)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -489,3 +489,25 @@
     deployment.run(14)
     assert deployment.state(job.job_id) is JobState.COMPLETED
     assert len(starts_of(deployment, job)) == 12
+
+
+def test_a_failed_end_that_two_owners_hear_of_counts_once():
+    """An owner records a failed attempt and dies before it has said so.
+
+    The worker lists the end again, and the next owner hears of it too. Its
+    count must not rise: a job was shown as failed after a single failure.
+    """
+    deployment = settled(work_ms=lambda task: 1000)
+    failures = iter([True])
+    for worker in deployment.workers:
+        worker.fails = lambda task: next(failures, False)
+    job = a_job(steps=((1, ()),), attempts=2)
+    deployment.submit(job)
+    owner = deployment.entries[deployment.owner]
+    owner.core.owner.recorded = lambda acks: None
+    for owned in owner.core.owner.shards.by_shard.values():
+        owned._writer._on_acks = lambda acks: None
+    deployment.run(1.3)
+    deployment.kill_entry(owner.name)
+    deployment.run(10)
+    assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
