Pace: cut only above the target; a quarter of keepers' reservation is unused

Half of the reservation taken for unused put too many fillers beside keepers.

Change: cut above 1.0, rise below 0.7, a quarter counts as unused.

--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -14,7 +14,7 @@
 _FILL_PART: Final = 0.7
 # Keepers with a target use about half of what they reserve; fillers may take
 # the rest, at the pace that the agent finds bearable.
-_KEEPER_UNUSED: Final = 0.5
+_KEEPER_UNUSED: Final = 0.25
 # Beside keepers no filler is added while those that are there are slowed down
 # to less than this pace, while a tail is above this part of its target, or
 # while the effect of the last one does not show yet.
--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -18,8 +18,8 @@
 
 # Tails are parts of a keeper's target. Above the first paces are cut, below
 # the second they rise; in between they stay.
-_HIGH: Final = 0.8
-_CALM: Final = 0.6
+_HIGH: Final = 1.0
+_CALM: Final = 0.7
 # A cut aims at this part of the target, and takes at most so much at once.
 _AIM: Final = 0.5
 _DEEPEST_CUT: Final = 0.15
