Placement: fillers that are held still move to workers without keepers

Change: a filler below pace 40 for 2 s is stopped, with its checkpoint, when a worker without keepers has room; tests of the load for placement, pace, order and moves, without network or clock.

--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -140,8 +140,7 @@
         """Look at these workers once; what is placed is counted here."""
         self._options_by_service: dict[str, list[_Option]] = {}
         for worker in workers:
-            service = worker.report.service if worker.report else ''
-            options = self._options_by_service.setdefault(service, [])
+            options = self._options_by_service.setdefault(worker.service, [])
             options.append(_Option.from_worker(worker))
 
     def choose(
@@ -207,6 +206,16 @@
                 return [option.worker for option in chosen]
         return []
 
+    def take_quiet_room(self, service: str, step: Step) -> bool:
+        """Whether a filler fits beside no keeper; if so, it counts there."""
+        for option in self._options_by_service.get(service, ()):
+            if option.targets or not option.has_label(step):
+                continue
+            if option.allows(step, is_starved=False):
+                option.take(step)
+                return True
+        return False
+
     def _permits(
         self,
         option: _Option,
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -11,6 +11,7 @@
 # A worker that has not answered its agent for this long gets no new tasks.
 _SILENT_MS = 1500
 _REPORTS_TO_SHOW = 2
+_SLOW_PACE = 40
 
 
 @dataclass(slots=True)
@@ -21,6 +22,7 @@
         order: The place of its order on the agent's connection; 0 when it
             was sent on an earlier one.
         reports: How many reports have named it.
+        slow_since: Since when its pace is low.
     """
 
     name: TaskName
@@ -34,6 +36,7 @@
     load: int = 0
     pace: int = 100
     reports: int = 0
+    slow_since: float | None = None
     is_stopping: bool = False
 
     @property
@@ -44,9 +47,17 @@
         """
         return self.reports > _REPORTS_TO_SHOW
 
-    def take(self, told: AttemptReport) -> None:
+    def slow_ms(self, now: float) -> float:
+        """For how long the attempt has been slowed down a lot."""
+        return 0 if self.slow_since is None else now - self.slow_since
+
+    def take(self, told: AttemptReport, now: float) -> None:
         """Take over what a report says of the attempt."""
         self.reports += 1
+        if told.pace >= _SLOW_PACE:
+            self.slow_since = None
+        elif self.slow_since is None:
+            self.slow_since = now
         self.percent = told.percent
         self.load = told.load
         self.pace = told.pace
@@ -71,6 +82,11 @@
         """The worker's life, empty while none is known."""
         return self.report.boot if self.report else ''
 
+    @property
+    def service(self) -> str:
+        """The service that the worker belongs to."""
+        return self.report.service if self.report else ''
+
     @property
     def rack(self) -> str:
         """The rack's label; the kind comes first among the labels."""
@@ -160,5 +176,9 @@
         """The agent's connection is gone."""
         self.by_agent[agent_id].is_connected = False
 
+    def takers(self) -> list[Worker]:
+        """Return the workers that new tasks may be sent to now."""
+        return [each for each in self.by_agent.values() if each.takes_tasks()]
+
 
 GRANT_TTL_MS = int(GRANT_MS)
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -37,6 +37,11 @@
 # up to 0.9 s, and its end is noticed and told within 0.1 s.
 _EVACUATE_MS: Final = 1200.0
 
+# A filler that is slowed for this long is moved, if its work is saved or it
+# has done less than this percentage of it.
+_SLOW_MS: Final = 2000.0
+_LITTLE_PERCENT: Final = 15
+
 Send = Callable[[str, JobsMessage], bool]
 
 
@@ -151,6 +156,8 @@
             record.open_due(self._wall_ms())
         for leaving in self._fleet.by_agent.values():
             self._evacuate(leaving)
+        if self._may_act():
+            self._relieve()
         for worker in self._fleet.by_agent.values():
             if worker.placed_by_task and worker.is_lost(now):
                 for placed in list(worker.placed_by_task.values()):
@@ -175,6 +182,28 @@
                 placed.is_stopping = True
                 self.stop(owned, worker, task, placed.number)
 
+    def _relieve(self) -> None:
+        """Move fillers that are held still beside keepers to quiet workers.
+
+        A job ends with its slowest task: one filler held at nothing for
+        twenty seconds made a job late whose other tasks took ten.
+        """
+        now = self._clock.now()
+        held = [
+            (worker, placed)
+            for worker in self._fleet.by_agent.values()
+            for placed in worker.fillers()
+            if _is_movable(placed, now)
+        ]
+        if not held:
+            return
+        placement = PlacementRound(self._fleet.takers())
+        for worker, placed in held:
+            if placement.take_quiet_room(worker.service, placed.step):
+                owned = self.shards.by_shard[shard_of(placed.name.job_id)]
+                placed.is_stopping = True
+                self.stop(owned, worker, str(placed.name), placed.number)
+
     def plan_soon(self) -> None:
         """Plan once for all that happens in this turn of the reactor."""
         if not self._is_plan_due:
@@ -194,11 +223,7 @@
         if not open_runs:
             return
         open_runs.sort(key=lambda row: row[0])
-        placement = PlacementRound(
-            worker
-            for worker in self._fleet.by_agent.values()
-            if worker.takes_tasks()
-        )
+        placement = PlacementRound(self._fleet.takers())
         for _urgency, record, run in open_runs:
             self._place(placement, record, run)
 
@@ -335,3 +360,9 @@
             worker.agent_id,
             StopOrder(owned.shard, owned.reign, task, attempt),
         )
+
+
+def _is_movable(placed: Placed, now: float) -> bool:
+    if placed.is_stopping or placed.slow_ms(now) < _SLOW_MS:
+        return False
+    return placed.step.saves or placed.percent < _LITTLE_PERCENT
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -113,7 +113,7 @@
         if placed is None or record is None:
             self._sink.stop(owned, worker, told.task, told.attempt)
             return
-        placed.take(told)
+        placed.take(told, self._clock.now())
         record.keep_checkpoint(told.task, told.checkpoint)
         self._answer(worker, told, placed, owned)
 
--- /dev/null
+++ b/tests/test_jobs_load.py
@@ -0,0 +1,250 @@
+"""What waits, where it goes and how fast it may work, under load.
+
+No network and no clock: decisions only, on workers made by hand.
+"""
+
+from dataclasses import replace
+
+from hyssopring.clock import ManualClock
+from hyssopring.jobs.attempts import Attempt, Phase
+from hyssopring.jobs.book import JobRecord
+from hyssopring.jobs.choice import PlacementRound
+from hyssopring.jobs.documents import JobRow
+from hyssopring.jobs.fleet import Fleet, Placed, Worker
+from hyssopring.jobs.messages import (
+    AttemptReport,
+    StopOrder,
+    TaskFacts,
+    WorkerReport,
+)
+from hyssopring.jobs.model import Job, Queue, Size, Step, TaskName
+from hyssopring.jobs.owner import JobOwner
+from hyssopring.jobs.pacing import Pacer
+from hyssopring.jobs.urgency import urgency
+
+FILLER = Step(
+    1, Size(2000, 2000, 0), 3000, fills=True, saves=True, image='filler'
+)
+KEEPER = Step(
+    1, Size(3000, 6000, 0), 0, is_keeper=True, target_ms=100, image='keeper'
+)
+QUICK = Step(1, Size(300, 500, 0), 1000)
+
+
+def worker_with(name, *steps, load=0, pace=100):
+    """A worker of 16 cores on which one task of each step runs."""
+    report = WorkerReport(
+        1,
+        f'boot-{name}',
+        'service',
+        ['a', 'r1'],
+        16_000,
+        64_000,
+        0,
+        False,
+        0,
+        0,
+        [],
+        [],
+        [],
+        0,
+        0,
+        0,
+        0,
+    )
+    worker = Worker(
+        name, 'zone', is_connected=True, is_listed=True, report=report
+    )
+    for number, step in enumerate(steps):
+        placed = Placed(
+            TaskName(f'{name}{number}', 0, 0, 0),
+            1,
+            step,
+            report.boot,
+            0,
+            0,
+            reports=9,
+        )
+        placed.load = load if step.target_ms else 0
+        placed.pace = pace
+        worker.placed_by_task[str(placed.name)] = placed
+    return worker
+
+
+def chosen(step, *workers):
+    worker = PlacementRound(workers).choose(
+        'service', step, TaskName('new', 0, 0, 0), is_starved=False
+    )
+    return worker and worker.agent_id
+
+
+def test_keepers_go_together_and_fillers_apart_from_them():
+    """Spread over all workers, each filler sits beside a keeper.
+
+    It is slowed to nothing there, and no job of fillers ends in time.
+    """
+    busy, empty = worker_with('busy', KEEPER), worker_with('empty')
+    assert chosen(KEEPER, busy, empty) == 'busy'
+    assert chosen(QUICK, busy, empty) == 'busy'
+    assert chosen(FILLER, busy, empty) == 'empty'
+
+
+def test_a_filler_waits_where_it_would_only_take_the_time_of_others():
+    full = worker_with('full', *[FILLER] * 8)
+    assert chosen(FILLER, full) is None
+    assert chosen(FILLER, worker_with('nearly', *[FILLER] * 7)) == 'nearly'
+
+
+def test_fillers_are_added_beside_keepers_one_by_one():
+    """Four fillers of one image at once put a tail to six times its target.
+
+    The next one starts only when the last one shows in the figures, and while
+    the tails are far from their targets.
+    """
+    calm = worker_with('calm', KEEPER, KEEPER, load=30)
+    placement = PlacementRound([calm])
+    first = placement.choose(
+        'service', FILLER, TaskName('new', 0, 0, 0), is_starved=False
+    )
+    second = placement.choose(
+        'service', FILLER, TaskName('new', 0, 0, 1), is_starved=False
+    )
+    assert first is calm and second is None
+    assert chosen(FILLER, worker_with('high', KEEPER, FILLER, load=80)) is None
+    assert (
+        chosen(FILLER, worker_with('slowed', KEEPER, FILLER, load=30, pace=20))
+        is None
+    )
+    assert (
+        chosen(FILLER, worker_with('well', KEEPER, FILLER, load=30)) == 'well'
+    )
+
+
+def attempt_of(step, load=0, pace=100):
+    facts = TaskFacts(
+        'task',
+        1,
+        step.size.cpu_millis,
+        step.size.memory_mb,
+        0,
+        step.target_ms,
+        step.fills,
+        step.image,
+    )
+    return Attempt('task', 1, 0, Phase.RUNNING, 0, facts, load=load, pace=pace)
+
+
+def paces(filler, *loads):
+    """The filler's pace after each look at a keeper's tail."""
+    pacer = Pacer(lambda attempt, pace: setattr(attempt, 'pace', pace))
+    seen = []
+    for load in loads:
+        pacer.turn([filler, attempt_of(KEEPER, load)])
+        seen.append(filler.pace)
+    return seen
+
+
+def test_a_filler_is_slowed_while_a_tail_is_over_its_target():
+    assert paces(attempt_of(FILLER), 90, 200) == [100, 25]
+
+
+def test_a_falling_tail_is_not_cut_twice():
+    """The figures lag by half a second and fall for some looks after a cut.
+
+    A cut at each of them holds the fillers still for seconds, for one peak.
+    """
+    assert paces(attempt_of(FILLER), 600, 300, 150, 60) == [15, 15, 15, 30]
+
+
+def test_a_new_agent_sets_a_pace_that_it_does_not_know():
+    """Its predecessor had set nothing at all, and the filler stood still."""
+    assert paces(attempt_of(FILLER, pace=-1), 10, 10) == [50, 65]
+
+
+def test_fillers_without_keepers_beside_them_work_at_full_pace():
+    filler = attempt_of(FILLER, pace=0)
+    pacer = Pacer(lambda attempt, pace: setattr(attempt, 'pace', pace))
+    for _look in range(8):
+        pacer.turn([filler])
+    assert filler.pace == 100
+
+
+def record_of(job_id, accepted_ms, steps, priority=2):
+    queue = Queue('queue', 'service', priority, 2, 2, 1000)
+    return JobRecord.from_row(
+        JobRow(Job(job_id, queue, 'x', steps), accepted_ms), 1, False
+    )
+
+
+def order_at(wall_ms, *records):
+    runs = [
+        (urgency(record, next(record.open_runs()), wall_ms), record)
+        for record in records
+    ]
+    return [
+        record.job.job_id
+        for _rank, record in sorted(runs, key=lambda row: row[0])
+    ]
+
+
+def test_a_burst_is_served_smallest_work_first_and_late_jobs_last():
+    """More large jobs come at once than can end in time.
+
+    In the order of their deadlines each waits behind jobs that are late
+    anyway, until all are late.
+    """
+    large = record_of('large', 20_000, (replace(FILLER, count=20),))
+    small = record_of('small', 20_100, (replace(FILLER, count=3),))
+    late = record_of('late', 11_000, (FILLER,))
+    urgent = record_of('urgent', 20_200, (replace(QUICK, count=30),), priority=0)
+    assert order_at(20_300, large, late, small, urgent) == [
+        'urgent',
+        'small',
+        'large',
+        'late',
+    ]
+
+
+def relieved(
+    placed_at_pace, quiet_worker, step=FILLER, slow_ms=3000, percent=50
+):
+    """The stops that an owner orders for a filler beside a keeper."""
+    clock = ManualClock()
+    fleet, stops = Fleet(), []
+
+    def send(agent_id, message):
+        if isinstance(message, StopOrder):
+            stops.append((agent_id, message.task))
+        return True
+
+    owner = JobOwner(None, clock, fleet, send, lambda: True, lambda: 0)
+    held = worker_with('00000000', KEEPER, step)
+    task, placed = list(held.placed_by_task.items())[1]
+    placed.take(
+        AttemptReport(task, 1, '', percent, 0, placed_at_pace, True),
+        clock.now(),
+    )
+    for worker in (held, quiet_worker):
+        fleet.by_agent[worker.agent_id] = worker
+    owner.shards.by_shard[0] = type(
+        'Owned', (), {'shard': 0, 'reign': 1, 'is_loaded': False}
+    )()
+    clock.advance(slow_ms)
+    owner._relieve()
+    return stops
+
+
+def test_a_filler_that_is_held_still_moves_to_a_quiet_worker():
+    """A job ends with its slowest task, held at nothing beside a keeper."""
+    assert relieved(0, worker_with('quiet')) == [
+        ('00000000', '000000001.0.0.0')
+    ]
+
+
+def test_a_filler_stays_where_moving_gains_nothing():
+    quiet = worker_with('quiet')
+    assert not relieved(100, quiet)
+    assert not relieved(0, quiet, slow_ms=500)
+    assert not relieved(0, worker_with('keepers', KEEPER))
+    assert not relieved(0, worker_with('full', *[FILLER] * 8))
+    assert not relieved(0, quiet, step=replace(FILLER, saves=False), percent=60)
