Platform: settings reload, an HTTP stand-in, and tests of the whole path

Change: a settings file that changed is loaded again, with SIGHUP or without; invalid ones change nothing and are logged. standins/platform.py serves the store and runners over HTTP from the virtual deployment's models; two entries, two agents and it run as processes in a test. The adapter's translations, the names' place, and refused settings have tests.

--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -34,8 +34,6 @@
     'StartOrder',
     'StartRefusal',
     'StopOrder',
-    'StoreAnswer',
-    'StoreRequest',
     'TaskFacts',
     'WorkerReport',
     'pack',
@@ -254,25 +252,6 @@
     waiting: int
 
 
-@struct
-class StoreRequest:
-    """A call to the store that its sender was refused, to be made for it.
-
-    ``document`` is the call as text; see ``jobs.relay``.
-    """
-
-    number: int
-    document: str
-
-
-@struct
-class StoreAnswer:
-    """The result of a relayed call; ``document`` is its text form."""
-
-    number: int
-    document: str
-
-
 @struct
 class EntryAddresses:
     """Where entries listen, for an agent that may know older ones."""
@@ -296,8 +275,6 @@
     | JobAnswer
     | PendingQuestion
     | PendingAnswer
-    | StoreRequest
-    | StoreAnswer
     | TaskFacts
     | EntryAddresses
 )
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -30,6 +30,7 @@
         Event.CONNECTION_SILENT: 'WARNING',
         Event.KEEPER_LOST: 'WARNING',
         Event.PEER_ERROR: 'WARNING',
+        Event.SETTINGS_REFUSED: 'WARNING',
         Event.STORE_UNREACHABLE: 'WARNING',
         Event.TASK_LAPSED: 'WARNING',
         Event.BACKEND_SIZE_UNKNOWN: 'WARNING',
--- a/hyssopring/platform/__main__.py
+++ b/hyssopring/platform/__main__.py
@@ -2,7 +2,8 @@
 
 import signal
 import sys
-from typing import Any
+from functools import partial
+from typing import Any, Callable
 
 from hyssopring.errors import Failure
 from hyssopring.logs import configure_json_logging
@@ -34,18 +35,29 @@
         AgentProcess,
         EntryProcess,
     )
+    from hyssopring.platform.reloading import SettingsWatch  # noqa: WPS433
 
     made: Any = EntryProcess if role == 'entry' else AgentProcess
     process = made(reactor, settings)
     process.start()
+    watch = SettingsWatch(reactor, node_file(), process.reload)
+    watch.start()
+    for number, action in (
+        (signal.SIGTERM, process.stop),
+        (signal.SIGINT, process.stop),
+        (signal.SIGHUP, watch.load),
+    ):
+        signal.signal(number, partial(_hand_over, reactor, action))
+    reactor.run(installSignalHandlers=False)
 
-    def stop(*_signal: object) -> None:  # noqa: WPS430 -- a signal handler
-        reactor.callFromThread(process.stop)
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    reactor.run(installSignalHandlers=False)
+def _hand_over(
+    reactor: Any,
+    action: Callable[[], None],
+    *_signal: object,
+) -> None:
+    """Leave the signal's handler: the reactor carries the action out."""
+    reactor.callFromThread(action)
 
 
 def _fail(line: str) -> None:
--- a/hyssopring/platform/daemons.py
+++ b/hyssopring/platform/daemons.py
@@ -131,6 +131,10 @@
             id=self._settings.node_name,
         )
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take new settings; addresses that are bound stay as they are."""
+        self._settings = settings
+
     def stop(self) -> None:
         """Begin a graceful shutdown: open requests are answered first."""
         if self._is_stopping:
@@ -217,6 +221,11 @@
         self._turn()
         log_event(Event.PROCESS_STARTED, role='agent', id=settings.node_name)
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take new settings: entries may be found at other seeds."""
+        self._settings = settings
+        self._dialler.learn(settings.seed_addresses)
+
     def stop(self) -> None:
         """End at once: the worker keeps its tasks until the next agent."""
         log_event(
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -196,7 +196,9 @@
     large = record_of('large', 20_000, (replace(FILLER, count=20),))
     small = record_of('small', 20_100, (replace(FILLER, count=3),))
     late = record_of('late', 11_000, (FILLER,))
-    urgent = record_of('urgent', 20_200, (replace(QUICK, count=30),), priority=0)
+    urgent = record_of(
+        'urgent', 20_200, (replace(QUICK, count=30),), priority=0
+    )
     assert order_at(20_300, large, late, small, urgent) == [
         'urgent',
         'small',
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,426 @@
+"""The platform's adapter: names, settings, and the whole path over HTTP."""
+
+import contextlib
+import json
+import pathlib
+import re
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+from twisted.internet.defer import succeed
+
+from hyssopring.jobs.model import AttemptEnd, Queue
+from hyssopring.jobs.rows import (
+    Conflict,
+    RowCheck,
+    RowKey,
+    StoreRefused,
+    StoreUncertain,
+    Transaction,
+)
+from hyssopring.jobs.worker_port import Start, StartOutcome, WorkerReplaced
+from hyssopring.platform.callers import read_job
+from hyssopring.platform.configuration import read_configuration
+from hyssopring.platform.json_calls import JsonAnswer
+from hyssopring.platform.settings import load_node_settings
+from hyssopring.platform.store import PlatformStore
+from hyssopring.platform.worker import PlatformWorker
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WIRE_NAMES = re.compile(
+    'run-start|run-stop|rows-tx|rows-get|rows-feed|untilMs|fencingToken|freeCapacity|lastSeen|pathPrefix|'
+    'longRunning|localitySensitive|antiAffinity|checkpointing|runId|memMb|clockMs|HYSSOPRING_NODE_FILE'
+)
+PATIENCE_S = 30
+
+
+def test_only_the_platform_s_folder_knows_its_names():
+    leaks = [
+        str(path)
+        for path in (ROOT / 'hyssopring').rglob('*.py')
+        if 'platform' not in path.parts[-2:]
+        and WIRE_NAMES.search(path.read_text())
+    ]
+    assert not leaks
+
+
+def node(tmp_path, **changes):
+    document = {
+        'nodeName': 'edge-1',
+        'ip': '127.0.0.1',
+        'zone': 'z',
+        'bindAddresses': {
+            'frontend': '127.0.0.1:1',
+            'ready': '127.0.0.1:2',
+            'controlPlane': '127.0.0.1:3',
+        },
+        'internalPorts': [7720, 7735],
+        'seeds': ['10.1.0.13:8166'],
+        'platform': {'address': '10.200.1.7:8169', 'form': 'table'},
+        'commandMode': 'invocation',
+        'aFieldOfTheFuture': {'x': 1},
+        **changes,
+    }
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(document))
+    return load_node_settings(str(path))
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    settings = node(tmp_path).unwrap()
+    assert settings.inner_address == '127.0.0.1:7720'
+    assert settings.seed_addresses == ('10.1.0.13:7720',)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'words'),
+    [
+        ({'ip': None}, 'ip'),
+        ({'internalPorts': 'many'}, 'internalPorts'),
+        ({'platform': {}}, 'address'),
+        ({'commandMode': 'heartbeat'}, 'commandMode'),
+    ],
+)
+def test_settings_that_cannot_be_used_are_one_clear_line(
+    tmp_path, changes, words
+):
+    line = node(tmp_path, **changes).unwrap_err().detail
+    assert words in line and '\n' not in line
+
+
+def test_a_huge_settings_file_is_refused_by_its_size(tmp_path):
+    path = tmp_path / 'node.json'
+    path.write_bytes(b' ' * 2_000_000)
+    assert 'at most' in load_node_settings(str(path)).unwrap_err().detail
+
+
+def test_a_submission_becomes_a_job_of_steps():
+    body = {
+        'spec': 'text',
+        'steps': [
+            {
+                'count': 4,
+                'cpu': 500,
+                'memMb': 256,
+                'estimateMs': 900,
+                'affinity': 'r1-3',
+            },
+            {
+                'count': 20,
+                'cpu': 2000,
+                'memMb': 1024,
+                'estimateMs': 7000,
+                'after': [0],
+                'checkpointing': True,
+            },
+        ],
+    }
+    job = read_job(
+        '5c0e7a21d94b36f8', Queue('q', 's'), json.dumps(body).encode()
+    )
+    assert (
+        job.steps[0].rack == 'r1-3'
+        and job.steps[1].after == (0,)
+        and job.steps[1].saves
+    )
+    assert job.chain_ms == 7900
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'{"steps":[{"count":4',
+        b'{"steps":[]}',
+        b'{"steps":[{"count":1,"after":[0]}]}',
+    ],
+)
+def test_a_body_that_is_cut_short_or_impossible_is_refused(body):
+    with pytest.raises(ValueError):  # noqa: PT011
+        read_job('5c0e7a21d94b36f8', Queue('q', 's'), body)
+
+
+def test_the_longest_path_of_a_host_wins():
+    route = {
+        'name': 'a',
+        'host': 'h.example',
+        'pathPrefix': '/a/',
+        'service': 's',
+        'type': 'non_idempotent',
+    }
+    longer = {**route, 'name': 'b', 'pathPrefix': '/a/b/'}
+    table = read_configuration(
+        json.dumps({'version': 7, 'routes': [route, longer]})
+    )
+    assert table.find('H.example', '/a/b/x').queue.name == 'b'
+    assert table.find('h.example', '/a/x').queue.name == 'a'
+    assert table.find('other.example', '/a/x') is None
+
+
+class Answers:
+    """Stands for the HTTP client: gives one answer, or fails."""
+
+    def __init__(self, status=200, fields=None, error=None):
+        self.answer = JsonAnswer(status, fields or {})
+        self.error = error
+        self.calls = []
+
+    def call(self, *call):
+        self.calls.append(call)
+        answer = succeed(self.answer)
+        if self.error:
+            answer.addCallback(self._fail)
+        return answer
+
+    def _fail(self, _answer):
+        raise self.error
+
+
+def result_of(deferred):
+    outcomes = []
+    deferred.addBoth(outcomes.append)
+    return outcomes[0]
+
+
+def store_with(answers):
+    store = PlatformStore(None, '127.0.0.1:1')
+    store._client = answers
+    return store
+
+
+PLACE = RowKey('my', 'p7', 'owner')
+
+
+@pytest.mark.parametrize(
+    ('answers', 'error'),
+    [
+        (Answers(503), StoreRefused),
+        (Answers(429), StoreRefused),
+        (Answers(500), StoreUncertain),
+        (Answers(error=TimeoutError()), StoreUncertain),
+    ],
+)
+def test_a_commit_without_a_clear_answer_is_in_doubt_and_never_refused(
+    answers, error
+):
+    assert result_of(store_with(answers).commit(Transaction())).check(error)
+
+
+def test_a_conflict_names_the_rows_that_exist():
+    row = {
+        'table': 'my',
+        'part': 'p7',
+        'key': 'owner',
+        'value': 'bm9kZS0x',
+        'ver': 412,
+    }
+    answers = Answers(412, {'rows': [row], 'ver': 412})
+    conflict = result_of(
+        store_with(answers).commit(Transaction((RowCheck(PLACE, 0),)))
+    )
+    assert isinstance(conflict, Conflict) and conflict.rows[0].text == 'node-1'
+    sent = answers.calls[0][2]
+    assert sent['precondition'] == [
+        {'table': 'my', 'part': 'p7', 'key': 'owner', 'ver': 0}
+    ]
+
+
+def worker_with(answers):
+    worker = PlatformWorker(None, '127.0.0.1:1')
+    worker._client = answers
+    return worker
+
+
+START = Start('i-1', 7, '5c0e7a21d94b36f8.0.1.17', 2, 'text', '', 486000)
+
+
+@pytest.mark.parametrize(
+    ('answers', 'outcome'),
+    [
+        (Answers(200, {'clockMs': 1}), StartOutcome.STARTED),
+        (Answers(409, {'reason': 'fence'}), StartOutcome.FENCED),
+        (Answers(409, {'reason': 'old'}), StartOutcome.OLD),
+        (Answers(409, {'reason': 'room'}), StartOutcome.NO_ROOM),
+        (Answers(503), StartOutcome.UNHEALTHY),
+    ],
+)
+def test_a_start_s_answer_is_translated(answers, outcome):
+    assert result_of(worker_with(answers).start(START)) is outcome
+    assert answers.calls[0][4] == (('Expected-Instance', 'i-1'),)
+    assert 'checkpoint' not in answers.calls[0][2]
+
+
+def test_another_incarnation_is_told_from_silence():
+    assert result_of(worker_with(Answers(421)).start(START)).check(
+        WorkerReplaced
+    )
+
+
+def test_a_listing_is_translated():
+    fields = {
+        'clockMs': 482113,
+        'running': [['5c0e7a21d94b36f8.0.1.17', 2, 'c', 41, 1000]],
+        'finished': [[58, '5c0e7a21d94b36f8.0.1.9', 1, 'lapsed', '']],
+    }
+    listing = result_of(
+        worker_with(Answers(200, fields)).look(type('Look', (), LOOK))
+    )
+    assert listing.rows[0].percent == 41 and listing.rows[0].load == 1000
+    assert listing.ends[0].how is AttemptEnd.LOST
+
+
+LOOK = {
+    'boot': 'i-1',
+    'fence': 1,
+    'recorded': 0,
+    'until_ms': None,
+    'wait_ms': 0,
+}
+
+
+# The whole path: real processes, the stand-in platform, plain HTTP.
+
+
+def free_ports(count):
+    with contextlib.ExitStack() as opened:
+        sockets = [
+            opened.enter_context(socket.socket()) for _each in range(count)
+        ]
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+@contextlib.contextmanager
+def platform(tmp_path):
+    """Two entries, two agents and the stand-in, each a process."""
+    ports = iter(free_ports(14))
+    store = f'127.0.0.1:{next(ports)}'
+    front = [next(ports), next(ports)]
+    inner = [next(ports), next(ports)]
+    runners = [
+        {
+            'app': f'127.0.0.1:{next(ports)}',
+            'control': f'127.0.0.1:{next(ports)}',
+        }
+        for _each in range(2)
+    ]
+    route = {
+        'name': 'q',
+        'host': 'h.example',
+        'pathPrefix': '/q/',
+        'service': 'service',
+        'maxAttempts': 2,
+    }
+    standin = {
+        'store': store,
+        'runners': runners,
+        'configuration': {'version': 3, 'routes': [route]},
+    }
+    (tmp_path / 'standin.json').write_text(json.dumps(standin))
+    commands = [['standins.platform', str(tmp_path / 'standin.json')]]
+    environments = [{}]
+    for number in range(2):
+        bind = {
+            'frontend': f'127.0.0.1:{front[number]}',
+            'ready': f'127.0.0.1:{next(ports)}',
+        }
+        name = f'entry-{number}'
+        environments.append(
+            settings_file(
+                tmp_path, name, inner[number], bind, store, inner[0], ''
+            )
+        )
+        commands.append(['hyssopring.platform', 'entry'])
+    for number, runner in enumerate(runners):
+        name = f'agent-{number}'
+        bind = {'controlPlane': runner['control']}
+        environments.append(
+            settings_file(
+                tmp_path, name, inner[0], bind, store, inner[0], runner['app']
+            )
+        )
+        commands.append(['hyssopring.platform', 'agent'])
+    with contextlib.ExitStack() as running:
+        for command, environment in zip(commands, environments, strict=True):
+            started = subprocess.Popen(
+                [sys.executable, '-m', *command],
+                cwd=ROOT,
+                env={'PATH': '/usr/bin', **environment},
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+            running.callback(started.wait)
+            running.callback(started.terminate)
+        yield front
+
+
+def settings_file(tmp_path, name, inner, bind, store, seed, app):
+    document = {
+        'nodeName': name,
+        'ip': '127.0.0.1',
+        'zone': 'z',
+        'bindAddresses': bind,
+        'internalPorts': [inner, inner],
+        'seeds': [f'127.0.0.1:{seed}'],
+        'platform': {'address': store},
+        'app': app,
+    }
+    path = tmp_path / f'{name}.json'
+    path.write_text(json.dumps(document))
+    return {'HYSSOPRING_NODE_FILE': str(path)}
+
+
+def call(port, method, path, body=None):
+    """Return status and body; 0 while nobody listens."""
+    request = urllib.request.Request(
+        f'http://127.0.0.1:{port}{path}',
+        data=None if body is None else json.dumps(body).encode(),
+        method=method,
+        headers={'Host': 'h.example', 'Content-Type': 'application/json'},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, json.loads(answer.read())
+    except urllib.error.HTTPError as error:
+        return error.code, {}
+    except OSError:
+        return 0, {}
+
+
+def eventually(wanted, *request):
+    ends_at = time.monotonic() + PATIENCE_S
+    while (found := call(*request)) != wanted:
+        assert time.monotonic() < ends_at, found
+        time.sleep(0.1)
+
+
+def test_a_job_goes_through_real_processes_and_is_one_job_at_each_entry(
+    tmp_path,
+):
+    """A caller hands the same job in at two entries and asks at both."""
+    steps = [
+        {'count': 3, 'cpu': 500, 'memMb': 10},
+        {'count': 2, 'cpu': 500, 'memMb': 10, 'after': [0]},
+    ]
+    path = '/q/5c0e7a21d94b36f8'
+    with platform(tmp_path) as (first, second):
+        eventually((200, {'pending': 0}), first, 'GET', '/q/')
+        eventually((200, {'pending': 0}), second, 'GET', '/q/')
+        assert (
+            call(first, 'POST', path, {'spec': 'x', 'steps': steps})[0] == 200
+        )
+        assert (
+            call(second, 'POST', path, {'spec': 'x', 'steps': steps})[0] == 200
+        )
+        eventually((200, {'state': 'completed'}), first, 'GET', path)
+        eventually((200, {'state': 'completed'}), second, 'GET', path)
+        assert call(first, 'GET', '/q/00000000000000aa')[0] == 410
+        assert call(first, 'DELETE', '/q/00000000000000aa')[0] == 410
+        assert call(first, 'GET', '/other/')[0] == 404
+        assert call(first, 'POST', path, {'steps': 'none'})[0] == 400
