Agents: entries are found in the store, and new ones are told of

No agent connected, nothing ran. Entries that were added later were unknown to agents as well: the list was sent once, with the greeting.

Change: an agent without any entry for 0.8 s reads the entries' rows; each change of the entries' list goes to all agents.

Figures: both new tests fail without their part of the change (jobs stay queued) and pass with it.

--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -87,6 +87,15 @@
         membership.owned = lambda: tuple(self.owner.shards.by_shard)
         membership.on_acquired = self._acquired
 
+    @property
+    def agents(self) -> list[str]:
+        """Ids of the connected agents."""
+        return [
+            worker.agent_id
+            for worker in self.fleet.by_agent.values()
+            if worker.is_connected
+        ]
+
     def agent_connected(self, agent_id: str, zone: str) -> None:
         """An agent has opened a connection."""
         worker = self.fleet.connected(agent_id, zone)
--- a/hyssopring/platform/daemons.py
+++ b/hyssopring/platform/daemons.py
@@ -1,16 +1,14 @@
 """The entry's and the agent's process on the platform."""
 
+import random
 import time
 import uuid
 from typing import Any, Final
 
-from twisted.internet.tcp import Port
-from twisted.web.http import Request
-from twisted.web.resource import Resource
-
 from hyssopring.addresses import parse_address
 from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
 from hyssopring.jobs.agent_core import JobAgentCore
+from hyssopring.jobs.discovery import EntryDiscovery
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.links import TURN_S, LinkDialler, LinkListener
@@ -26,6 +24,7 @@
 from hyssopring.logs import Event, log_event
 from hyssopring.platform.callers import CallersResource
 from hyssopring.platform.configuration import ConfigurationFollower
+from hyssopring.platform.readiness import ReadyResource
 from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
@@ -42,20 +41,6 @@
 _DRAIN_MS: Final = 1500.0
 
 
-class _ReadyResource(Resource):
-    """GET /-/readyz."""
-
-    isLeaf = True
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.is_ready = False
-
-    def render_GET(self, request: Request) -> bytes:
-        request.setResponseCode(200 if self.is_ready else 503)
-        return b''
-
-
 class EntryProcess:
     """One running entry."""
 
@@ -98,10 +83,11 @@
             self.core.agent_gone,
         )
         self._callers = CallersResource(self._clock, self.core.desk)
-        self._ready = _ReadyResource()
+        self._ready = ReadyResource()
         self._follower = ConfigurationFollower(reactor, store, self._configured)
         self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
         self._is_stopping = False
+        self._addresses: list[str] = []
 
     def to_entry(self, entry_id: str, message: JobsMessage) -> bool:
         """See ``Peers``."""
@@ -168,13 +154,17 @@
         self._callers.table = table
 
     def _entries_known(self) -> None:
-        self._dialler.keep(self._membership.addresses.values())
+        addresses = sorted(self._membership.addresses.values())
+        if addresses != self._addresses:
+            self._addresses = addresses
+            self._dialler.keep(addresses)
+            for agent_id in self.core.agents:
+                self.answer(agent_id, EntryAddresses(addresses))
 
     def _greeted(self, peer_id: str, greeting: JobsMessage) -> None:
         if isinstance(greeting, AgentGreeting):
             self.core.agent_connected(peer_id, greeting.zone)
-            addresses = list(self._membership.addresses.values())
-            self.answer(peer_id, EntryAddresses(addresses))
+            self.answer(peer_id, EntryAddresses(self._addresses))
 
     def _take(self, peer_id: str, message: JobsMessage) -> None:
         self.core.take(message, peer_id)
@@ -202,6 +192,12 @@
             self._take,
             self.core.disconnected,
         )
+        self._discovery = EntryDiscovery(
+            self._clock,
+            PlatformStore(reactor, settings.platform.address),
+            self._dialler,
+            random.Random(uuid.uuid4().int),
+        )
         self._reports = ReportsResource(
             self.core.watch.announce,
             self.core.watch.withdraw,
@@ -237,6 +233,7 @@
 
     def _turn(self) -> None:
         self._dialler.turn()
+        self._discovery.turn()
         self.core.turn()
 
     def _send(self, entry_id: str, message: JobsMessage) -> None:
@@ -249,7 +246,7 @@
             self.core.take(message, entry_id)
 
 
-def _listen(reactor: Any, address: str, factory: Any) -> Port:
+def _listen(reactor: Any, address: str, factory: Any) -> Any:
     host, port = parse_address(address)
     return reactor.listenTCP(port, factory, interface=host)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -297,8 +297,11 @@
 
 
 @contextlib.contextmanager
-def platform(tmp_path):
-    """Two entries, two agents and the stand-in, each a process."""
+def platform(tmp_path, agents_seed=None, second_entry_after_s=0):
+    """Two entries, two agents and the stand-in, each a process.
+
+    Agents are told of the first entry only, or of ``agents_seed``.
+    """
     ports = iter(free_ports(14))
     store = f'127.0.0.1:{next(ports)}'
     front = [next(ports), next(ports)]
@@ -340,14 +343,21 @@
     for number, runner in enumerate(runners):
         name = f'agent-{number}'
         bind = {'controlPlane': runner['control']}
+        seed = inner[0] if agents_seed is None else agents_seed
         environments.append(
             settings_file(
-                tmp_path, name, inner[0], bind, store, inner[0], runner['app']
+                tmp_path, name, seed, bind, store, seed, runner['app']
             )
         )
         commands.append(['hyssopring.platform', 'agent'])
+    # The second entry comes last, and later if that is asked.
+    commands.append(commands.pop(2))
+    environments.append(environments.pop(2))
     with contextlib.ExitStack() as running:
+        processes = []
         for command, environment in zip(commands, environments, strict=True):
+            if 'entry-1' in str(environment):
+                time.sleep(second_entry_after_s)
             started = subprocess.Popen(
                 [sys.executable, '-m', *command],
                 cwd=ROOT,
@@ -355,9 +365,10 @@
                 stdout=subprocess.DEVNULL,
                 stderr=subprocess.DEVNULL,
             )
+            processes.append(started)
             running.callback(started.wait)
             running.callback(started.terminate)
-        yield front
+        yield front, (processes[1], processes[-1])
 
 
 def settings_file(tmp_path, name, inner, bind, store, seed, app):
@@ -409,7 +420,7 @@
         {'count': 2, 'cpu': 500, 'memMb': 10, 'after': [0]},
     ]
     path = '/q/5c0e7a21d94b36f8'
-    with platform(tmp_path) as (first, second):
+    with platform(tmp_path) as ((first, second), _entries):
         eventually((200, {'pending': 0}), first, 'GET', '/q/')
         eventually((200, {'pending': 0}), second, 'GET', '/q/')
         assert (
@@ -424,3 +435,49 @@
         assert call(first, 'DELETE', '/q/00000000000000aa')[0] == 410
         assert call(first, 'GET', '/other/')[0] == 404
         assert call(first, 'POST', path, {'steps': 'none'})[0] == 400
+
+
+def test_agents_find_entries_whose_seeds_are_all_stale(tmp_path):
+    """Everything restarts, and the seeds name machines that are gone.
+
+    The agents read in the store which entries there are; before, they dialled
+    the seeds for ever, and nothing ran any more.
+    """
+    with platform(tmp_path, agents_seed=free_ports(1)[0]) as (
+        (first, _second),
+        _entries,
+    ):
+        eventually((200, {'pending': 0}), first, 'GET', '/q/')
+        assert (
+            call(
+                first,
+                'POST',
+                '/q/5c0e7a21d94b36f8',
+                {'steps': [{'count': 3, 'cpu': 500}]},
+            )[0]
+            == 200
+        )
+        eventually(
+            (200, {'state': 'completed'}), first, 'GET', '/q/5c0e7a21d94b36f8'
+        )
+
+
+def test_agents_learn_of_entries_that_come_later(tmp_path):
+    """The only entry that the agents were told of is gone for good.
+
+    They have learned of the other one from it, also if that one started later.
+    """
+    with platform(tmp_path, second_entry_after_s=2) as (
+        (first, second),
+        entries,
+    ):
+        eventually((200, {'pending': 0}), first, 'GET', '/q/')
+        eventually((200, {'pending': 0}), second, 'GET', '/q/')
+        time.sleep(2.5)
+        entries[0].kill()
+        path = '/q/5c0e7a21d94b36f8'
+        assert (
+            call(second, 'POST', path, {'steps': [{'count': 3, 'cpu': 500}]})[0]
+            == 200
+        )
+        eventually((200, {'state': 'completed'}), second, 'GET', path)
