--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -511,3 +511,23 @@
     deployment.kill_entry(owner.name)
     deployment.run(10)
     assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+
+
+def test_a_new_owner_waits_for_an_agent_that_it_cannot_reach():
+    """An agent is cut off with running tasks, and then the owner dies.
+
+    Nobody tells the next owner that these tasks run. It knows from the store
+    that there is an agent which it has not heard, and starts tasks of older
+    jobs only when that agent's grants must be over.
+    """
+    deployment = settled(workers=2, work_ms=lambda task: 30_000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.cut_off('agent-0')
+    deployment.run(0.5)
+    deployment.kill_entry(deployment.owner)
+    deployment.run(24)
+    moved = [row for row in starts_of(deployment, job) if row[3] > 1]
+    assert len(moved) == 2
+    assert {row[1] for row in moved} == {'worker-1'}
