Tests: reports before the worker is met, and the agent's admission

Cause: with these two guards taken out (trial copies) no test failed: the virtual agent met its worker within a millisecond, and one owner alone never orders more than it sees.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hyssopring.jobs.messages import StartOrder, StartRefusal, TaskFacts
 from hyssopring.jobs.model import JobState, Schedule, Size, Step
 from standins.jobs.deployment import WALL_MS, Deployment, a_job
 
@@ -531,3 +532,50 @@
     moved = [row for row in starts_of(deployment, job) if row[3] > 1]
     assert len(moved) == 2
     assert {row[1] for row in moved} == {'worker-1'}
+
+
+def test_a_new_agent_that_has_not_met_its_worker_says_nothing_of_tasks():
+    """An agent is killed and restarted; its worker kept the tasks.
+
+    The worker answers nothing for a second, so that the agent's first reports
+    name no task. An owner that believed them would start the tasks elsewhere
+    while they run.
+    """
+    deployment = settled(workers=2, work_ms=lambda task: 9000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.kill_agent('agent-0')
+    deployment.run(1)
+    deployment.workers[0].is_dark = True
+    deployment.start_agent('agent-0', deployment.workers[0])
+    deployment.run(1)
+    deployment.workers[0].is_dark = False
+    deployment.run(12)
+    assert len(starts_of(deployment, job)) == 4
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+
+
+def test_an_agent_admits_no_more_than_its_worker_has():
+    """An order for more than is left comes, from an owner that knows less.
+
+    The worker would start whatever it is told; the agent refuses.
+    """
+    deployment = settled(workers=1)
+    agent = deployment.agents['agent-0']
+    sent = []
+    agent.core._send = lambda entry_id, message: sent.append(message)
+    reign = (
+        deployment.entries[deployment.owner].core.owner.shards.by_shard[0].reign
+    )
+    for index in range(3):
+        task = f'{1:016x}.0.0.{index}'
+        facts = TaskFacts(task, 1, 6000, 1000, 0, 0, False, '')
+        deployment.book.sizes[f'{1:016x}'] = Size(6000, 1000, 0)
+        order = StartOrder(0, reign, agent.worker.boot, 'x', '', facts)
+        agent.core.take(order, deployment.owner)
+    refusals = [
+        message for message in sent if isinstance(message, StartRefusal)
+    ]
+    assert [refusal.reason for refusal in refusals] == ['room']
+    assert len(agent.core.table.by_task) == 2
