Owner: ends of a lost shard count anew when it is taken back

Cause: found by reading. An owner remembers the ends that it has heard of, so that a repeated listing is not taken twice. It kept them when it lost the shard; taking the shard back it took ends for known that were never written: the tasks started again (4 starts for 2 tasks in the new test) and the worker listed the ends for ever. Ruled out: the next owner hearing of them (a test of its own passes).

Change: what was heard of a shard is forgotten with the shard.

Figures: the new test fails without the change and passes with it.

--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -83,6 +83,7 @@
     def drop(self, owned: OwnedShard) -> None:
         """Own a shard no more."""
         owned.drop()
+        self._reader.forget(owned.shard)
         if self.shards.by_shard.get(owned.shard) is owned:
             self.shards.by_shard.pop(owned.shard)
         log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.reign)
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -59,7 +59,19 @@
         self._fleet = fleet
         self._shards = shards
         self._sink = sink
-        self._seen_ends: dict[Ack, None] = {}
+        self._seen_ends: dict[Ack, int] = {}
+
+    def forget(self, shard: int) -> None:
+        """A shard is lost: its ends count anew if it is taken back.
+
+        Some may not be durable; taken for known they would never be written,
+        and their tasks would start again.
+        """
+        self._seen_ends = {
+            ack: end_shard
+            for ack, end_shard in self._seen_ends.items()
+            if end_shard != shard
+        }
 
     def reconcile(
         self,
@@ -177,7 +189,7 @@
         ack = Ack(worker.agent_id, boot, end.number)
         if ack in self._seen_ends:
             return
-        self._seen_ends[ack] = None
+        self._seen_ends[ack] = owned.shard
         if len(self._seen_ends) > _KEPT_ENDS:
             self._seen_ends.pop(next(iter(self._seen_ends)))
         name = TaskName.from_text(end.task)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -579,3 +579,24 @@
     ]
     assert [refusal.reason for refusal in refusals] == ['room']
     assert len(agent.core.table.by_task) == 2
+
+
+def test_an_owner_that_loses_its_shard_and_takes_it_back_hears_ends_again():
+    """An owner hears of an end, cannot write it, and loses the shard.
+
+    It takes the shard back later, and the worker still lists the end. An
+    owner that took it for known would start the task again, and the worker
+    would list the end for ever.
+    """
+    deployment = settled(workers=1, entries=1, work_ms=lambda task: 1000)
+    job = a_job(steps=((2, ()),))
+    deployment.submit(job)
+    deployment.run(0.5)
+    deployment.rows.is_down = True
+    deployment.run(1.5)
+    core = deployment.entries['entry-0'].core
+    core.owner.drop(core.owner.shards.by_shard[0])
+    deployment.rows.is_down = False
+    deployment.run(8)
+    assert deployment.state(job.job_id) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 2
