--- a/hyssopring/jobs/questions.py
+++ b/hyssopring/jobs/questions.py
@@ -9,8 +9,8 @@
 
 __all__ = ('Peers', 'Questions')
 
-# A question to another entry takes two milliseconds; after this time the
-# store is read instead.
+# Entries are a millisecond apart; after this time, which is assumed, the store
+# is read instead.
 _ASK_S: Final = 0.4
 
 
--- a/hyssopring/jobs/shards.py
+++ b/hyssopring/jobs/shards.py
@@ -4,8 +4,9 @@
 
 __all__ = ('SHARDS', 'shard_of', 'shard_of_task')
 
-# How many planners a deployment can have. One planner sees all room at once;
-# measured on the deployments of 11 workers it uses a third of an entry.
+# How many planners a deployment can have. One planner sees all room at once.
+# On a calm day with 11 workers the busiest entry used 0.05 cores, of the 0.43
+# to 1.07 that entries have there; nothing is measured beyond 11 workers.
 SHARDS: Final = 1
 _DIGITS: Final = 8
 _HEX: Final = 16
--- a/hyssopring/logs/line_writer.py
+++ b/hyssopring/logs/line_writer.py
@@ -6,8 +6,8 @@
 
 __all__ = ('LineWriter',)
 
-# A reader that stops for a moment loses nothing: a busy entry writes some
-# 100 KB a second. What comes beyond is counted and left out.
+# Assumed: room for some 1,500 lines, so that a reader that stops for a moment
+# loses nothing. What comes beyond is counted and left out.
 _MAX_BYTES: Final = 256 * 1024
 
 
--- a/hyssopring/protocol/__init__.py
+++ b/hyssopring/protocol/__init__.py
@@ -1,6 +1,6 @@
 """The inner protocol between entries and agents.
 
 Its messages are in ``protocol.messages`` and ``jobs.messages``. Nothing is
-imported here: the codec of the generated messages takes a quarter of the
-start-up of a process that needs only the structs.
+imported here: importing the codec of the generated messages takes 0.16 s, and
+the entry of the users' platform, which needs only the structs, 0.59 s in all.
 """
