Takeover: what a new owner may start, and for whom it waits

An end of an occurrence that the new owner had not opened yet was acknowledged without being kept. Found beside them: starts refused because another entry owns the shard were sent again fifty times a second; tasks of a job that the new owner had not read were stopped without being counted, and could start again while they stopped. Change: the roster lies in the shard's part and is written by the owner under its row's check; agents on which nothing can run are struck off. A task seen running under the reign, and a step after one, start without the roster. A former owner that gave up or whose process is dead is not waited for. An attempt shows that its occurrence has begun. A refusal names the newest reign. Agents that are away and hold nothing are forgotten.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -146,9 +146,10 @@
                 attempt=facts.attempt,
                 reason=reason,
             )
+            reign = self._rights.reign_of(message.shard)
             self._send(
                 entry_id,
-                StartRefusal(facts.task, facts.attempt, reason),
+                StartRefusal(facts.task, facts.attempt, reason, reign),
             )
             return
         attempt = Attempt(
@@ -209,7 +210,11 @@
             attempt=attempt.number,
             reason=reason,
         )
-        self._send(owner, StartRefusal(attempt.task, attempt.number, reason))
+        reign = self._rights.reign_of(attempt.shard)
+        self._send(
+            owner,
+            StartRefusal(attempt.task, attempt.number, reason, reign),
+        )
 
     def _new_boot(self) -> None:
         self._met_at = self._clock.now()
--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -21,6 +21,7 @@
     Attributes:
         waiting: Indices of tasks that neither run nor are done.
         running: Indices of tasks with an attempt that may run.
+        located: Indices of tasks that were seen running under this reign.
     """
 
     occurrence: int
@@ -29,6 +30,7 @@
     done: int = 0
     waiting: set[int] = field(default_factory=set)
     running: set[int] = field(default_factory=set)
+    located: set[int] = field(default_factory=set)
 
     @property
     def name(self) -> str:
@@ -53,6 +55,7 @@
         """An attempt of the task may run from now on."""
         self.waiting.discard(index)
         self.running.add(index)
+        self.located.add(index)
 
     def finished(self, index: int) -> None:
         """The task is done."""
@@ -148,12 +151,30 @@
             self.open_occurrence(self._opened)
 
     def run_of(self, name: TaskName) -> StepRun | None:
-        """Return the step run of a task, None if the job has none such."""
+        """Return the step run of a task, None if the job has none such.
+
+        An attempt shows that its occurrence has begun, also where this owner
+        has not opened it yet: a former owner started it. Taken for unknown,
+        its end would be dropped and the task would run again.
+        """
+        while self._opened <= name.occurrence < self.job.occurrences:
+            self.open_occurrence(self._opened)
         run = self.step_runs.get(f'{name.occurrence}.{name.step}')
         if run is None or not 0 <= name.index < run.step.count:
             return None
         return run
 
+    def located_waiting(self, run: StepRun) -> set[int]:
+        """Waiting tasks that surely run nowhere, whoever has not been heard.
+
+        A task that was seen running under this reign runs nowhere else. A
+        step after one with such a task was never begun before, as that task
+        was not done.
+        """
+        if self._is_untouched(run):
+            return run.waiting
+        return run.waiting & run.located
+
     def open_runs(self) -> Iterator[StepRun]:
         """Step runs with waiting tasks whose turn has come."""
         if self.final_state is not None:
@@ -259,6 +280,13 @@
         """How many occurrences are open."""
         return len(self.step_runs) // len(self.job.steps)
 
+    def _is_untouched(self, run: StepRun) -> bool:
+        """Whether no task of a step was ever started before this reign."""
+        return any(
+            self.step_runs[f'{run.occurrence}.{earlier}'].located
+            for earlier in run.step.after
+        )
+
     def _is_ready(self, run: StepRun) -> bool:
         return all(
             self.step_runs[f'{run.occurrence}.{earlier}'].is_done
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -8,7 +8,7 @@
 hs_done    shard          job id          the shard's owner
 hs_owner   shard          'owner'         whoever becomes the owner
 hs_entry   (empty)        entry id        the entry, each second
-hs_agent   (empty)        agent id        an entry that meets a new agent
+hs_agent   shard          agent id        the shard's owner, see ``Roster``
 ========== ============== =============== ================================
 """
 
@@ -33,6 +33,7 @@
     'OwnerRow',
     'ProgressRow',
     'UnreadableRow',
+    'agent_key',
     'cancel_key',
     'is_job_key',
     'job_key',
@@ -78,6 +79,11 @@
     return RowKey(DONE, part_of(shard_of(job_id)), job_id)
 
 
+def agent_key(shard: int, agent_id: str) -> RowKey:
+    """Where it is said that an agent may hold tasks of a shard."""
+    return RowKey(AGENTS, part_of(shard), agent_id)
+
+
 def owner_key(shard: int) -> RowKey:
     """Where a shard's owner lies."""
     return RowKey(OWNERS, part_of(shard), 'owner')
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -286,15 +286,35 @@
                 (RowPut(place, taken.to_text()),),
             ),
         )
-        taking.addCallback(self._taken, shard, reign)
+        taking.addCallback(self._taken, shard, reign, self._is_over(former))
         return taking
 
-    def _taken(self, outcome: object, shard: int, reign: int) -> None:
+    def _is_over(self, former: OwnerRow | None) -> bool:
+        """Whether a former owner surely orders nothing more.
+
+        It has given the shard up, or was a process of this entry's name,
+        which is dead. One that is only silent may be frozen or cut off.
+        """
+        return former is None or former.entry_id in {'', self._entry_id}
+
+    def _taken(
+        self,
+        outcome: object,
+        shard: int,
+        reign: int,
+        is_former_over: bool,
+    ) -> None:
         if not isinstance(outcome, Committed) or self._is_stopping:
             return
         self._free_since.pop(shard, None)
         self.on_acquired(
-            ShardReign(shard, reign, outcome.version, self._clock.now()),
+            ShardReign(
+                shard,
+                reign,
+                outcome.version,
+                self._clock.now(),
+                is_former_over,
+            ),
         )
         self.renew_now()
 
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -3,13 +3,11 @@
 from functools import singledispatchmethod
 from typing import Any, Callable, Final
 
-from twisted.python.failure import Failure as TwistedFailure
-
 from hyssopring.clock import Clock
 from hyssopring.jobs.desk import JobDesk
-from hyssopring.jobs.documents import AGENTS, JobRow
+from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.entries import EntryMembership
-from hyssopring.jobs.fleet import Fleet, Worker
+from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.messages import (
     CancelNotice,
     Grant,
@@ -29,14 +27,7 @@
 )
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.questions import Peers, Questions
-from hyssopring.jobs.rows import (
-    RowKey,
-    RowPut,
-    RowStore,
-    StoreRefused,
-    StoreUncertain,
-    Transaction,
-)
+from hyssopring.jobs.rows import RowStore
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobEntryCore',)
@@ -64,7 +55,7 @@
         self._store = store
         self._membership = membership
         self._peers = peers
-        self.fleet = Fleet()
+        self.fleet = Fleet(clock)
         self.owner = JobOwner(
             reactor,
             clock,
@@ -72,6 +63,7 @@
             peers.answer,
             lambda: membership.may_act,
             wall_ms,
+            self._deposed,
         )
         self._questions = Questions(reactor, peers)
         self.desk = JobDesk(
@@ -90,17 +82,12 @@
     @property
     def agents(self) -> list[str]:
         """Ids of the connected agents."""
-        return [
-            worker.agent_id
-            for worker in self.fleet.by_agent.values()
-            if worker.is_connected
-        ]
+        return self.fleet.connected_agents()
 
     def agent_connected(self, agent_id: str, zone: str) -> None:
         """An agent has opened a connection."""
         worker = self.fleet.connected(agent_id, zone)
         log_event(Event.AGENT_CONNECTED, agent=agent_id)
-        self._list(worker)
         self.owner.agent_connected(worker)
 
     def agent_gone(self, agent_id: str) -> None:
@@ -120,7 +107,9 @@
 
     @take.register
     def _take_report(self, message: WorkerReport, peer_id: str) -> None:
-        worker = self.fleet.by_agent[peer_id]
+        worker = self.fleet.by_agent.get(peer_id)
+        if worker is None:
+            return
         if not self.owner.shards.by_shard:
             # The agent takes any answer for a sign of life.
             self._peers.answer(peer_id, Grant(message.sequence, [], 0))
@@ -128,7 +117,9 @@
 
     @take.register
     def _take_refusal(self, message: StartRefusal, peer_id: str) -> None:
-        self.owner.take(message, self.fleet.by_agent[peer_id])
+        worker = self.fleet.by_agent.get(peer_id)
+        if worker is not None:
+            self.owner.take(message, worker)
 
     @take.register
     def _take_notice(self, message: JobNotice, peer_id: str) -> None:
@@ -174,9 +165,6 @@
         for owned in list(self.owner.shards.by_shard.values()):
             owned.poll()
             owned.forget_ended(self._wall_ms() - _KEEP_MS)
-        for worker in self.fleet.by_agent.values():
-            if worker.is_connected and not worker.is_listed:
-                self._list(worker)
 
     def release(self) -> None:
         """Give all shards up, before a planned stop."""
@@ -198,7 +186,8 @@
                 self._deposed,
                 self.owner.accepted,
                 self.owner.cancelled,
-                self.owner.ask_all,
+                self.owner.shard_loaded,
+                self.owner.plan_soon,
             ),
         )
         self.owner.acquire(owned)
@@ -206,24 +195,3 @@
     def _deposed(self, owned: OwnedShard) -> None:
         self.owner.drop(owned)
         self._membership.renew_now()
-
-    def _list(self, worker: Worker) -> None:
-        """Make an agent known in the store before it gets a task.
-
-        A later owner asks all agents listed there what they run.
-        """
-        listing = self._store.commit(
-            Transaction(
-                puts=(RowPut(RowKey(AGENTS, '', worker.agent_id), ''),),
-            ),
-        )
-        listing.addCallbacks(self._listed, _retried, callbackArgs=(worker,))
-
-    def _listed(self, _outcome: object, worker: Worker) -> None:
-        worker.is_listed = True
-        self.owner.plan_soon()
-
-
-def _retried(failure: TwistedFailure) -> None:
-    """The next poll tries again."""
-    failure.trap(StoreRefused, StoreUncertain)
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from hyssopring.clock import Clock
 from hyssopring.jobs.messages import AttemptReport, Grant, WorkerReport
 from hyssopring.jobs.model import Size, Step, TaskName
 from hyssopring.jobs.times import GRANT_MS, LOST_AFTER_MS
@@ -70,7 +71,6 @@
     agent_id: str
     zone: str
     is_connected: bool = False
-    is_listed: bool = False
     report: WorkerReport | None = None
     reported_at: float = 0
     granted_at: float = 0
@@ -140,8 +140,7 @@
         report = self.report
         if report is None or not report.boot or report.is_leaving:
             return False
-        is_reached = self.is_connected and report.silent_ms < _SILENT_MS
-        return is_reached and self.is_listed
+        return self.is_connected and report.silent_ms < _SILENT_MS
 
     def grant(self, grant: Grant, now: float) -> Grant:
         """Note that a grant leaves now."""
@@ -156,8 +155,9 @@
 class Fleet:
     """All agents that an entry has met."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Know no agent."""
+        self._clock = clock
         self.by_agent: dict[str, Worker] = {}
 
     def connected(self, agent_id: str, zone: str) -> Worker:
@@ -176,6 +176,27 @@
         """The agent's connection is gone."""
         self.by_agent[agent_id].is_connected = False
 
+    def is_lost(self, agent_id: str) -> bool:
+        """Whether an agent is away and nothing ordered there can run."""
+        worker = self.by_agent.get(agent_id)
+        if worker is None:
+            return True
+        return not worker.is_connected and worker.is_lost(self._clock.now())
+
+    def connected_agents(self) -> list[str]:
+        """Return the ids of the agents with an open connection."""
+        return [
+            worker.agent_id
+            for worker in self.by_agent.values()
+            if worker.is_connected
+        ]
+
+    def forget_lost(self) -> None:
+        """Forget agents that are away and hold nothing, as VMs are replaced."""
+        for agent_id, worker in list(self.by_agent.items()):
+            if not worker.placed_by_task and self.is_lost(agent_id):
+                self.by_agent.pop(agent_id)
+
     def takers(self) -> list[Worker]:
         """Return the workers that new tasks may be sent to now."""
         return [each for each in self.by_agent.values() if each.takes_tasks()]
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -179,11 +179,16 @@
 
 @struct
 class StartRefusal:
-    """The attempt was not started here and will not be."""
+    """The attempt was not started here and will not be.
+
+    Attributes:
+        reign: The newest reign of the task's shard that the agent knows.
+    """
 
     task: str
     attempt: int
     reason: str
+    reign: int
 
 
 @struct
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -6,7 +6,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.book import JobRecord
+from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.documents import (
     JobRow,
     ProgressRow,
@@ -17,6 +17,7 @@
 )
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
+from hyssopring.jobs.roster import Roster
 from hyssopring.jobs.rows import (
     Committed,
     Row,
@@ -26,7 +27,7 @@
     Transaction,
 )
 from hyssopring.jobs.shard_reader import ShardReader
-from hyssopring.jobs.times import ROSTER_WAIT_MS
+from hyssopring.jobs.times import LOST_AFTER_MS, ROSTER_WAIT_MS
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Ack', 'OwnedShard', 'ShardEvents', 'ShardReign')
@@ -37,12 +38,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardReign:
-    """A shard that was taken. ``version`` is that of its owner row."""
+    """A shard that was taken.
+
+    Attributes:
+        version: The owner row's.
+        is_former_over: Whether the former owner surely orders nothing more:
+            it has given the shard up, or its process is dead.
+    """
 
     shard: int
     reign: int
     version: int
     acquired_at: float
+    is_former_over: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +62,7 @@
     on_job: Callable[[JobRecord], None]
     on_cancelled: Callable[[JobRecord], None]
     on_loaded: Callable[[], None]
+    on_listed: Callable[[], None]
 
 
 class OwnedShard:
@@ -77,7 +86,8 @@
         self.shard = taken.shard
         self.reign = taken.reign
         self.version = taken.version
-        self._acquired_at = taken.acquired_at
+        wait_ms = LOST_AFTER_MS if taken.is_former_over else ROSTER_WAIT_MS
+        self._roster_until = taken.acquired_at + wait_ms
         self._clock = clock
         self._store = store
         self._events = events
@@ -88,6 +98,12 @@
         self._live: dict[str, JobRecord] = {}
         self._early: list[JobRow] = []
         self._check = owner_check(taken.shard, taken.version)
+        self.roster = Roster(
+            store,
+            taken.shard,
+            self._check,
+            events.on_listed,
+        )
         self._reader = ShardReader(reactor, store, self)
         self._writer = ProgressWriter(
             reactor,
@@ -108,15 +124,28 @@
         self.is_dropped = True
         self._writer.is_stopped = True
 
-    def may_start(self, record: JobRecord) -> bool:
-        """Whether tasks of a job may start as far as the shard is known.
+    def startable(self, record: JobRecord, run: StepRun) -> set[int]:
+        """Return the waiting tasks of a step that may start now.
 
         A job of an earlier reign may have tasks on an agent that was not
         heard yet; started elsewhere they would run twice.
         """
         if not record.is_inherited or not self.unheard:
-            return True
-        return self._clock.now() > self._acquired_at + ROSTER_WAIT_MS
+            return run.waiting
+        return record.located_waiting(run)
+
+    def turn(self, is_lost: Callable[[str], bool]) -> None:
+        """Give up agents on which nothing can run any more.
+
+        Args:
+            is_lost: Whether an agent is away and its last grant of this owner
+                is over.
+        """
+        if self._clock.now() > self._roster_until:
+            self.unheard.clear()
+        for agent_id in self.roster.agents:
+            if agent_id not in self.unheard and is_lost(agent_id):
+                self.roster.strike(agent_id)
 
     def live_jobs(self) -> list[JobRecord]:
         """Return the jobs whose final state is not decided."""
@@ -175,7 +204,7 @@
         ends: list[Row],
     ) -> None:
         """Take over all stored rows."""
-        self.unheard = {row.place.key for row in agents}
+        self.unheard = self.roster.loaded(agents)
         end_by_job = {row.place.key: row for row in ends}
         for row in jobs:
             if is_job_key(row.place.key):
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -1,6 +1,6 @@
 """All shards that this entry owns, and the jobs in them."""
 
-from hyssopring.jobs.book import JobRecord
+from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.messages import ShardReign, WorkerReport
 from hyssopring.jobs.model import JobState
@@ -47,16 +47,24 @@
             for record in owned.live_jobs()
         )
 
-    def startable(self) -> list[JobRecord]:
-        """Return the jobs whose tasks may start."""
+    def live_jobs(self) -> list[JobRecord]:
+        """Return the jobs whose final state is not decided."""
         return [
             record
             for owned in self.by_shard.values()
             if owned.is_loaded
             for record in owned.live_jobs()
-            if owned.may_start(record)
         ]
 
+    def startable(self, record: JobRecord, run: StepRun) -> set[int]:
+        """Return the waiting tasks of a step that may start now."""
+        owned = self.by_shard[shard_of(record.job.job_id)]
+        return owned.startable(record, run)
+
+    def are_listed_on(self, agent_id: str) -> bool:
+        """Whether a next owner of any shard will ask this agent."""
+        return all(agent_id in owned.roster for owned in self.by_shard.values())
+
     def known_to(self, report: WorkerReport) -> set[int]:
         """The owned shards that the agent knows under their reign."""
         told = {known.shard: known.reign for known in report.reigns}
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -1,5 +1,6 @@
 """The owner's part in jobs: what starts where, and what its end means."""
 
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, Callable, Final, Iterable
 
@@ -19,12 +20,13 @@
     WorkerReport,
 )
 from hyssopring.jobs.model import JobState, TaskName
+from hyssopring.jobs.moves import TaskMoves
 from hyssopring.jobs.owned_shard import Ack, OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.reports import ReportReader
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.task_facts import facts_of
-from hyssopring.jobs.urgency import urgency
+from hyssopring.jobs.urgency import Urgency, urgency
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
@@ -33,16 +35,17 @@
 # there is room, also where it slows others down: nothing waits for ever.
 _STARVED_MS: Final = 1000.0
 
-# A leaving worker's tasks are stopped this long before it goes: a stop takes
-# up to 0.9 s, and its end is noticed and told within 0.1 s.
-_EVACUATE_MS: Final = 1200.0
+Send = Callable[[str, JobsMessage], bool]
 
-# A filler that is slowed for this long is moved, if its work is saved or it
-# has done less than this percentage of it.
-_SLOW_MS: Final = 2000.0
-_LITTLE_PERCENT: Final = 15
 
-Send = Callable[[str, JobsMessage], bool]
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """The tasks of a step that may start now."""
+
+    urgency: Urgency
+    record: JobRecord
+    run: StepRun
+    indices: set[int]
 
 
 class JobOwner:
@@ -56,8 +59,10 @@
         send: Send,
         may_act: Callable[[], bool],
         wall_ms: Callable[[], float],
+        on_deposed: Callable[[OwnedShard], None],
     ) -> None:
         """Order agents by ``send`` while ``may_act`` says that it may."""
+        self._on_deposed = on_deposed
         self._reactor = reactor
         self._clock = clock
         self._fleet = fleet
@@ -67,15 +72,17 @@
         self.shards = OwnedShards()
         self._is_plan_due = False
         self._reader = ReportReader(clock, fleet, self.shards, self)
+        self._moves = TaskMoves(clock, fleet, self.shards, self.stop)
 
     def acquire(self, owned: OwnedShard) -> None:
         """Own a shard from now on."""
         self.shards.by_shard[owned.shard] = owned
         owned.load()
-        self.ask_all()
+        self.shard_loaded()
 
-    def ask_all(self) -> None:
+    def shard_loaded(self) -> None:
         """Ask all agents what they run of the owned shards."""
+        self._list_agents()
         for worker in self._fleet.by_agent.values():
             if worker.is_connected:
                 self._ask(worker)
@@ -94,6 +101,7 @@
 
     def accepted(self, record: JobRecord) -> None:
         """A job came to an owned shard."""
+        self._reader.job_known(record)
         self.plan_soon()
 
     def cancelled(self, record: JobRecord) -> None:
@@ -115,6 +123,7 @@
 
     def agent_connected(self, worker: Worker) -> None:
         """Ask an agent what it runs of the owned shards."""
+        self._list_agents()
         self._ask(worker)
 
     @singledispatchmethod
@@ -149,61 +158,36 @@
         placed = worker.placed_by_task.get(message.task)
         if placed is not None and placed.number == message.attempt:
             self._reader.gone(worker, placed, message.reason)
+        owned = self.shards.by_shard.get(shard_of_task(message.task))
+        if owned is not None and message.reign > owned.reign:
+            # Another entry owns the shard: the agents would refuse all else,
+            # and each refused task would be sent again at once.
+            self._on_deposed(owned)
 
     def turn(self) -> None:
         """Notice what is due or lapsed; call a few times a second."""
         now = self._clock.now()
-        for record in self.shards.startable():
+        for record in self.shards.live_jobs():
             record.open_due(self._wall_ms())
-        for leaving in self._fleet.by_agent.values():
-            self._evacuate(leaving)
+        self._moves.evacuate()
         if self._may_act():
-            self._relieve()
+            self._moves.relieve(self.takers())
         for worker in self._fleet.by_agent.values():
             if worker.placed_by_task and worker.is_lost(now):
                 for placed in list(worker.placed_by_task.values()):
                     self._reader.gone(worker, placed, 'lapsed')
+        self._list_agents()
+        for owned in self.shards.by_shard.values():
+            owned.turn(self._fleet.is_lost)
+        self._fleet.forget_lost()
         self.plan_soon()
 
-    def _evacuate(self, worker: Worker) -> None:
-        """Stop what a leaving worker would only take down with it.
-
-        A stop saves a checkpoint and frees the task for another worker at
-        once; a worker that is gone is known to be only when its hold is over.
-        """
-        report = worker.report
-        if report is None or not report.is_leaving:
-            return
-        age_ms = self._clock.now() - worker.reported_at
-        is_urgent = report.remaining_ms - age_ms < _EVACUATE_MS
-        for task, placed in worker.placed_by_task.items():
-            owned = self.shards.by_shard.get(shard_of_task(task))
-            is_due = is_urgent or placed.step.is_keeper
-            if owned is not None and is_due and not placed.is_stopping:
-                placed.is_stopping = True
-                self.stop(owned, worker, task, placed.number)
-
-    def _relieve(self) -> None:
-        """Move fillers that are held still beside keepers to quiet workers.
-
-        A job ends with its slowest task: one filler held at nothing for
-        twenty seconds made a job late whose other tasks took ten.
-        """
-        now = self._clock.now()
-        held = [
-            (worker, placed)
-            for worker in self._fleet.by_agent.values()
-            for placed in worker.fillers()
-            if _is_movable(placed, now)
-        ]
-        if not held:
-            return
-        placement = PlacementRound(self._fleet.takers())
-        for worker, placed in held:
-            if placement.take_quiet_room(worker.service, placed.step):
-                owned = self.shards.by_shard[shard_of(placed.name.job_id)]
-                placed.is_stopping = True
-                self.stop(owned, worker, str(placed.name), placed.number)
+    def _list_agents(self) -> None:
+        """Make agents known to next owners before they get a task."""
+        agents = self._fleet.connected_agents()
+        for owned in self.shards.by_shard.values():
+            if owned.is_loaded:
+                owned.roster.add(agents)
 
     def plan_soon(self) -> None:
         """Plan once for all that happens in this turn of the reactor."""
@@ -216,29 +200,34 @@
         if not self._may_act():
             return
         wall_ms = self._wall_ms()
-        open_runs = [
-            (urgency(record, run, wall_ms), record, run)
-            for record in self.shards.startable()
+        waiting = [
+            _Waiting(urgency(record, run, wall_ms), record, run, indices)
+            for record in self.shards.live_jobs()
             for run in record.open_runs()
+            if (indices := self.shards.startable(record, run))
         ]
-        if not open_runs:
+        if not waiting:
             return
-        open_runs.sort(key=lambda row: row[0])
-        placement = PlacementRound(self._fleet.takers())
-        for _urgency, record, run in open_runs:
-            self._place(placement, record, run)
+        waiting.sort(key=lambda each: each.urgency)
+        placement = PlacementRound(self.takers())
+        for each in waiting:
+            self._place(placement, each)
+
+    def takers(self) -> list[Worker]:
+        """Workers for new tasks: those that next owners will ask."""
+        return [
+            worker
+            for worker in self._fleet.takers()
+            if self.shards.are_listed_on(worker.agent_id)
+        ]
 
-    def _place(
-        self,
-        placement: PlacementRound,
-        record: JobRecord,
-        run: StepRun,
-    ) -> None:
+    def _place(self, placement: PlacementRound, waiting: '_Waiting') -> None:
+        record, run = waiting.record, waiting.run
         if run.step.is_gang:
-            self._place_gang(placement, record, run)
+            self._place_gang(placement, waiting)
             return
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
-        for index in sorted(run.waiting):
+        for index in sorted(waiting.indices):
             name = TaskName(
                 record.job.job_id,
                 run.occurrence,
@@ -267,11 +256,11 @@
     def _place_gang(
         self,
         placement: PlacementRound,
-        record: JobRecord,
-        run: StepRun,
+        waiting: '_Waiting',
     ) -> None:
         """Start all members or none: alone they would only hold room."""
-        if not run.is_gang_ready:
+        record, run = waiting.record, waiting.run
+        if not run.is_gang_ready or len(waiting.indices) < run.step.count:
             return
         names = list(record.job.tasks(run.occurrence, run.number))
         workers = placement.choose_all(
@@ -361,9 +350,3 @@
             worker.agent_id,
             StopOrder(owned.shard, owned.reign, task, attempt),
         )
-
-
-def _is_movable(placed: Placed, now: float) -> bool:
-    if placed.is_stopping or placed.slow_ms(now) < _SLOW_MS:
-        return False
-    return placed.step.saves or placed.percent < _LITTLE_PERCENT
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -22,6 +22,10 @@
 __all__ = ('ReportReader', 'ReportSink')
 
 _KEPT_ENDS: Final = 2000
+_KEPT_UNKNOWN: Final = 1000
+# A job that an agent knows and the shard does not is found by a poll within a
+# second or two of the store's answering; outages last up to nine.
+_UNKNOWN_MS: Final = 15_000.0
 
 _Told = TypeVar('_Told', AttemptReport, EndReport)
 
@@ -60,6 +64,7 @@
         self._shards = shards
         self._sink = sink
         self._seen_ends: dict[Ack, int] = {}
+        self._unknown_since: dict[str, float] = {}
 
     def forget(self, shard: int) -> None:
         """A shard is lost: its ends count anew if it is taken back.
@@ -73,6 +78,21 @@
             if end_shard != shard
         }
 
+    def job_known(self, record: JobRecord) -> None:
+        """Read again what agents have told of a job that was not known.
+
+        The former owner may have started it after this one read the shard:
+        started again here, its tasks would run twice.
+        """
+        job_id = record.job.job_id
+        if self._unknown_since.pop(job_id, None) is None:
+            return
+        owned = self._shards.by_shard[shard_of(job_id)]
+        for worker in self._fleet.by_agent.values():
+            report = worker.report
+            if report is not None and not owned.is_dropped:
+                self._take_job(worker, report, owned, job_id)
+
     def reconcile(
         self,
         worker: Worker,
@@ -91,6 +111,28 @@
         self._drop_unlisted(worker, report, owned)
         owned.unheard.discard(worker.agent_id)
 
+    def _take_job(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        owned: OwnedShard,
+        job_id: str,
+    ) -> None:
+        for end in report.ends:
+            if TaskName.from_text(end.task).job_id == job_id:
+                self._take_end(worker, report.boot, end, owned)
+        for attempt in report.attempts:
+            if TaskName.from_text(attempt.task).job_id == job_id:
+                self._take_attempt(worker, report.boot, attempt, owned)
+
+    def _is_forgotten(self, job_id: str) -> bool:
+        """Whether an unknown job will not be found any more."""
+        now = self._clock.now()
+        since = self._unknown_since.setdefault(job_id, now)
+        if len(self._unknown_since) > _KEPT_UNKNOWN:
+            self._unknown_since.pop(next(iter(self._unknown_since)))
+        return now - since > _UNKNOWN_MS
+
     def _drop_unlisted(
         self,
         worker: Worker,
@@ -119,6 +161,8 @@
     ) -> None:
         name = TaskName.from_text(told.task)
         record = owned.by_job.get(name.job_id)
+        if record is None and not self._is_forgotten(name.job_id):
+            return
         placed = worker.placed_by_task.get(told.task)
         if placed is None or placed.number < told.attempt:
             placed = self._adopt(worker, boot, told, record)
@@ -189,11 +233,13 @@
         ack = Ack(worker.agent_id, boot, end.number)
         if ack in self._seen_ends:
             return
+        name = TaskName.from_text(end.task)
+        record = owned.by_job.get(name.job_id)
+        if record is None and not self._is_forgotten(name.job_id):
+            return
         self._seen_ends[ack] = owned.shard
         if len(self._seen_ends) > _KEPT_ENDS:
             self._seen_ends.pop(next(iter(self._seen_ends)))
-        name = TaskName.from_text(end.task)
-        record = owned.by_job.get(name.job_id)
         if record is None or record.run_of(name) is None:
             self._sink.recorded([ack])
             return
--- a/hyssopring/jobs/shard_reader.py
+++ b/hyssopring/jobs/shard_reader.py
@@ -78,7 +78,7 @@
 
     @inlineCallbacks
     def _load(self) -> Any:
-        agents = yield self._read_part(AGENTS, '')
+        agents = yield self._read_part(AGENTS, self._part)
         jobs = yield self._read_part(JOBS, self._part)
         ends = yield self._read_part(DONE, self._part)
         if not self._rows.is_dropped:
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -110,6 +110,11 @@
         self.runs = {}
         self.begin()
 
+    def fail_all(self):
+        """Let all that runs end as failed."""
+        for run in list(self.runs.values()):
+            self._end(run, AttemptEnd.FAILED)
+
     def clock_ms(self):
         return (
             int((self.reactor.seconds() - self.born_at) * SECOND_MS * self.rate)
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -52,9 +52,7 @@
         0,
         0,
     )
-    worker = Worker(
-        name, 'zone', is_connected=True, is_listed=True, report=report
-    )
+    worker = Worker(name, 'zone', is_connected=True, report=report)
     for number, step in enumerate(steps):
         placed = Placed(
             TaskName(f'{name}{number}', 0, 0, 0),
@@ -212,14 +210,14 @@
 ):
     """The stops that an owner orders for a filler beside a keeper."""
     clock = ManualClock()
-    fleet, stops = Fleet(), []
+    fleet, stops = Fleet(clock), []
 
     def send(agent_id, message):
         if isinstance(message, StopOrder):
             stops.append((agent_id, message.task))
         return True
 
-    owner = JobOwner(None, clock, fleet, send, lambda: True, lambda: 0)
+    owner = JobOwner(None, clock, fleet, send, lambda: True, lambda: 0, print)
     held = worker_with('00000000', KEEPER, step)
     task, placed = list(held.placed_by_task.items())[1]
     placed.take(
@@ -229,10 +227,10 @@
     for worker in (held, quiet_worker):
         fleet.by_agent[worker.agent_id] = worker
     owner.shards.by_shard[0] = type(
-        'Owned', (), {'shard': 0, 'reign': 1, 'is_loaded': False}
+        'Owned', (), {'shard': 0, 'reign': 1, 'roster': fleet.by_agent}
     )()
     clock.advance(slow_ms)
-    owner._relieve()
+    owner._moves.relieve(owner.takers())
     return stops
 
 
--- /dev/null
+++ b/tests/test_jobs_takeover.py
@@ -0,0 +1,184 @@
+"""What a new owner of a shard may start, and for whom it waits."""
+
+from dataclasses import replace
+
+from hyssopring.jobs.documents import JobRow
+from hyssopring.jobs.model import JobState, Schedule
+from standins.jobs.deployment import Deployment, a_job
+from tests.test_jobs import settled, starts_of
+
+
+def replace_owner(deployment):
+    """Kill the owner and wait until another entry owns the shard."""
+    deployment.kill_entry(deployment.owner)
+    deployment.run(6)
+    assert deployment.owner
+
+
+def test_a_vm_that_left_for_good_does_not_hold_up_later_owners():
+    """A VM is taken away, and later the owner dies; then a keeper fails.
+
+    The next owner read the lost VM's agent from the store and waited 18 s for
+    it before it started anything again. The keeper was away for all of that.
+    """
+    deployment = settled(workers=3, work_ms=lambda task: 60_000)
+    job = a_job(steps=((2, ()),), is_keeper=True)
+    deployment.submit(job)
+    deployment.run(1)
+    idle = next(
+        number
+        for number, worker in enumerate(deployment.workers)
+        if not worker.runs
+    )
+    deployment.workers[idle].is_dark = True
+    deployment.kill_agent(f'agent-{idle}')
+    deployment.run(10)
+    replace_owner(deployment)
+    busy = next(each for each in deployment.workers if each.runs)
+    busy.fail_all()
+    deployment.run(1)
+    assert len(starts_of(deployment, job)) == 3
+
+
+def test_a_task_that_a_new_owner_has_seen_needs_no_roster():
+    """A VM goes dark, the owner dies with it, and a keeper elsewhere fails.
+
+    Nothing can be known of the dark VM for seconds. The keeper that failed was
+    seen running by the new owner, so that it runs nowhere else: it starts
+    again at once.
+    """
+    deployment = settled(workers=3, work_ms=lambda task: 60_000)
+    job = a_job(steps=((3, ()),), is_keeper=True, max_per_worker=1)
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.workers[0].is_dark = True
+    deployment.kill_agent('agent-0')
+    replace_owner(deployment)
+    before = len(starts_of(deployment, job))
+    deployment.workers[1].fail_all()
+    deployment.run(1)
+    assert len(starts_of(deployment, job)) == before + 1
+
+
+def test_a_next_step_starts_although_an_agent_is_not_heard():
+    """A VM goes dark and the owner dies while a first step runs elsewhere.
+
+    The step was not done when the owner died: no task of the next step can
+    have been started by it, on the dark VM or anywhere.
+    """
+    deployment = settled(workers=2, work_ms=lambda task: 7000)
+    deployment.cut_off('agent-0')
+    deployment.run(10)
+    job = a_job(steps=((1, ()), (2, (0,))))
+    deployment.heal('agent-0')
+    deployment.run(1)
+    deployment.cut_off('agent-0')
+    deployment.run(0.1)
+    deployment.submit(job)
+    deployment.run(1)
+    replace_owner(deployment)
+    deployment.run(2)
+    assert len(starts_of(deployment, job)) == 3
+
+
+def test_an_owner_that_comes_back_waits_for_its_own_last_grants_only():
+    """All entries are restarted while a VM is dark for good.
+
+    The first one to come back is the former owner's successor under the same
+    name: the former process is dead, and its last grants end 8.4 s later.
+    """
+    deployment = settled(workers=2, entries=1, work_ms=lambda task: 60_000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.workers[0].is_dark = True
+    deployment.kill_agent('agent-0')
+    deployment.kill_entry('entry-0')
+    deployment.run(1)
+    deployment.start_entry('entry-0')
+    deployment.run(11)
+    moved = [row for row in starts_of(deployment, job) if row[3] > 1]
+    assert len(moved) == 2
+
+
+def test_an_end_of_an_occurrence_that_a_new_owner_has_not_opened_counts():
+    """An occurrence ends while nobody owns the shard.
+
+    The new owner opens occurrences a moment after it has read the shard; the
+    agents' lists come earlier. An end of an occurrence that it did not know
+    was acknowledged without being kept, and the task ran again.
+    """
+    deployment = settled(work_ms=lambda task: 2500)
+    first_ms = int(deployment.wall_ms()) + 1000
+    job = replace(a_job(steps=((2, ()),)), schedule=Schedule(first_ms, 500, 4))
+    deployment.submit(job)
+    deployment.run(3)
+    replace_owner(deployment)
+    deployment.run(6)
+    assert len(starts_of(deployment, job)) == 8
+    assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+
+
+def test_an_agent_that_comes_back_is_listed_before_it_gets_a_task():
+    """A VM is away for so long that it is struck off, and returns.
+
+    It gets tasks only once it is listed again; then the owner dies, and the
+    next one waits for it, as its row is there.
+    """
+    deployment = Deployment(workers=1)
+    deployment.run(3)
+    deployment.cut_off('agent-0')
+    deployment.run(12)
+    listed = [row for row in deployment.rows.rows if row.table == 'hs_agent']
+    assert not listed
+    deployment.heal('agent-0')
+    job = a_job(steps=((1, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    assert len(starts_of(deployment, job)) == 1
+    listed = [row for row in deployment.rows.rows if row.table == 'hs_agent']
+    assert [row.key for row in listed] == ['agent-0']
+
+
+def test_a_running_task_of_a_job_that_is_found_later_is_not_started_again():
+    """A former owner starts a job just after its successor read the shard.
+
+    The successor hears of a task of a job that it does not know. It stopped
+    the task, found the job by a poll a moment later, and started the task
+    elsewhere while the first run was still stopping.
+    """
+    deployment = settled(work_ms=lambda task: 3000)
+    job = a_job(steps=((3, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    core = deployment.entries[deployment.owner].core
+    owned = core.owner.shards.by_shard[0]
+    record = owned.by_job.pop(job.job_id)
+    owned._live.pop(job.job_id)
+    for worker in core.fleet.by_agent.values():
+        worker.placed_by_task.clear()
+    deployment.run(0.7)
+    owned.add(JobRow(record.job, record.accepted_ms), is_inherited=True)
+    deployment.run(4)
+    assert len(starts_of(deployment, job)) == 3
+    assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+
+
+def test_an_owner_gives_up_when_an_agent_tells_of_another_one():
+    """The store turns the owner away, and another entry takes the shard.
+
+    The former owner still has authority for seconds, and starts an occurrence
+    that is due. Agents refuse, as they know the newer owner; it sent the same
+    start again and again, fifty times a second.
+    """
+    deployment = settled(work_ms=lambda task: 500)
+    first_ms = int(deployment.wall_ms()) + 1000
+    job = replace(a_job(steps=((1, ()),)), schedule=Schedule(first_ms, 500, 20))
+    deployment.submit(job)
+    former = deployment.owner
+    deployment.rows.shunned.add(former)
+    deployment.run(7)
+    assert not deployment.entries[former].core.owner.shards.by_shard
+    assert deployment.owner != former
+    deployment.run(6)
+    assert len(starts_of(deployment, job)) == 20
