Store calls of an entry that is turned away go through a peer

Ruled out: room (first starts took 17 ms in the median), the agents. Change: RelayedStore makes a call through a connected peer when the direct way fails, and probes the direct way each second. Counts without an owner are refused. Handing in is answered after 0.45 of the caller's time. The agent's process does not import the entry's modules; daemons.py is two modules.

--- a/hyssopring/jobs/desk.py
+++ b/hyssopring/jobs/desk.py
@@ -8,6 +8,7 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.jobs.deadlines import answer_by
 from hyssopring.jobs.documents import (
     JobRow,
     ProgressRow,
@@ -78,14 +79,26 @@
         self._questions = questions
         self._pending_by_queue: dict[str, _Pending] = {}
 
-    @inlineCallbacks
     def submit(self, job: Job, until: float) -> Any:
         """Store a job.
 
+        Args:
+            job: What was handed in.
+            until: When the caller is answered at the latest, by the clock.
+                The store may hold a call for seconds; another entry may be
+                served at once, where the caller can hand the job in again.
+
         Returns:
             A deferred ``Result``: Ok once the job is stored, however often
             it was handed in; else a failure that says whether it may be.
         """
+        seconds = (until - self._clock.now()) / MILLIS_PER_SECOND
+        late = Failure(ErrorKind.OUTCOME_UNKNOWN, 'the store is too slow')
+        working = self._submit(job, until)
+        return answer_by(self._reactor, working, seconds, Err(late))
+
+    @inlineCallbacks
+    def _submit(self, job: Job, until: float) -> Any:
         row = JobRow(job, self._wall_ms())
         place = job_key(job.job_id)
         transaction = Transaction(
@@ -142,26 +155,32 @@
 
     @inlineCallbacks
     def pending(self, queue: str) -> Any:
-        """Count a queue's jobs without a start; may be a second old."""
+        """Count a queue's jobs without a start; may be a second old.
+
+        Returns:
+            A deferred ``Result``: a failure while a shard has no owner that
+            knows its jobs. Counted as none, they would seem to be gone.
+        """
         known = self._pending_by_queue.get(queue)
         now = self._clock.now()
         if known is not None and now - known.at < _PENDING_AGE_MS:
-            return known.waiting
+            return Ok(known.waiting)
         waiting = self._shards.waiting(queue)
-        foreign = {
-            self._membership.owner_of(shard)
-            for shard in range(SHARDS)
-            if shard not in self._shards.by_shard
-        }
+        missing = set(range(SHARDS)) - set(self._shards.counted())
 
         def question(number: int) -> JobsMessage:  # noqa: WPS430 -- for each
             return PendingQuestion(number, queue)
 
-        for entry_id in foreign:
+        owners = {self._membership.owner_of(shard) for shard in missing}
+        for entry_id in owners:
             answer = yield self._questions.ask(entry_id, question)
-            waiting += answer.waiting if answer else 0
+            if answer is not None:
+                waiting += answer.waiting
+                missing -= set(answer.shards)
+        if missing:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, 'no owner counts'))
         self._pending_by_queue[queue] = _Pending(waiting, now)
-        return waiting
+        return Ok(waiting)
 
     @inlineCallbacks
     def _commit(self, transaction: Transaction, until: float) -> Any:
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -17,6 +17,10 @@
     JobsMessage,
     PendingAnswer,
     PendingQuestion,
+    RelayedAnswer,
+    RelayedChanges,
+    RelayedCommit,
+    RelayedRead,
     StartRefusal,
     WorkerReport,
 )
@@ -27,7 +31,7 @@
 )
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.questions import Peers, Questions
-from hyssopring.jobs.rows import RowStore
+from hyssopring.jobs.relay import RelayedStore
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobEntryCore',)
@@ -44,7 +48,7 @@
         reactor: Any,
         clock: Clock,
         wall_ms: Callable[[], float],
-        store: RowStore,
+        store: RelayedStore,
         membership: EntryMembership,
         peers: Peers,
     ) -> None:
@@ -143,7 +147,7 @@
             peer_id,
             PendingAnswer(
                 message.number,
-                list(self.owner.shards.by_shard),
+                self.owner.shards.counted(),
                 self.owner.shards.waiting(message.queue),
             ),
         )
@@ -156,6 +160,16 @@
     def _take_count(self, message: PendingAnswer, peer_id: str) -> None:
         self._questions.answered(message.number, message)
 
+    @take.register(RelayedCommit)
+    @take.register(RelayedRead)
+    @take.register(RelayedChanges)
+    def _take_relayed(self, message: JobsMessage, peer_id: str) -> None:
+        self._store.serve(message, peer_id)
+
+    @take.register
+    def _take_outcome(self, message: RelayedAnswer, peer_id: str) -> None:
+        self._store.answered(message)
+
     def turn(self) -> None:
         """Call a few times a second."""
         self.owner.turn()
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -39,12 +39,17 @@
         record = self.record_of(job_id)
         return record.state if record else None
 
+    def counted(self) -> list[int]:
+        """The shards whose jobs are known."""
+        return [
+            shard for shard, owned in self.by_shard.items() if owned.is_loaded
+        ]
+
     def waiting(self, queue: str) -> int:
-        """Count a queue's owned jobs that have not begun."""
+        """Count a queue's jobs without a start in the counted shards."""
         return sum(
             record.job.queue.name == queue and record.state is JobState.QUEUED
-            for owned in self.by_shard.values()
-            for record in owned.live_jobs()
+            for record in self.live_jobs()
         )
 
     def live_jobs(self) -> list[JobRecord]:
--- a/hyssopring/jobs/questions.py
+++ b/hyssopring/jobs/questions.py
@@ -38,6 +38,7 @@
         self,
         entry_id: str,
         question: Callable[[int], JobsMessage],
+        timeout_s: float = _ASK_S,
     ) -> Deferred:
         """Ask another entry; None if no answer comes in time."""
         self._number += 1
@@ -46,7 +47,7 @@
             return succeed(None)
         asked: Deferred = Deferred()
         self._asked_by_number[number] = asked
-        asked.addTimeout(_ASK_S, self._reactor)
+        asked.addTimeout(timeout_s, self._reactor)
         asked.addErrback(self._unanswered, number)
         return asked
 
--- a/hyssopring/platform/__main__.py
+++ b/hyssopring/platform/__main__.py
@@ -31,14 +31,9 @@
 def _run(role: str, settings: NodeSettings) -> None:
     from twisted.internet import reactor  # noqa: PLC0415, WPS433
 
-    from hyssopring.platform.daemons import (  # noqa: WPS433
-        AgentProcess,
-        EntryProcess,
-    )
     from hyssopring.platform.reloading import SettingsWatch  # noqa: WPS433
 
-    made: Any = EntryProcess if role == 'entry' else AgentProcess
-    process = made(reactor, settings)
+    process = _process_class(role)(reactor, settings)
     process.start()
     watch = SettingsWatch(reactor, node_file(), process.reload)
     watch.start()
@@ -51,6 +46,21 @@
     reactor.run(installSignalHandlers=False)
 
 
+def _process_class(role: str) -> Any:
+    """Import one role's modules: the other's would only take memory."""
+    if role == 'entry':
+        from hyssopring.platform.entry_process import (  # noqa: WPS433
+            EntryProcess,
+        )
+
+        return EntryProcess
+    from hyssopring.platform.agent_process import (  # noqa: WPS433
+        AgentProcess,
+    )
+
+    return AgentProcess
+
+
 def _hand_over(
     reactor: Any,
     action: Callable[[], None],
--- /dev/null
+++ b/hyssopring/platform/agent_process.py
@@ -0,0 +1,101 @@
+"""The agent's process on the platform."""
+
+import random
+import uuid
+from typing import Any
+
+from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.jobs.agent_core import JobAgentCore
+from hyssopring.jobs.discovery import EntryDiscovery
+from hyssopring.jobs.links import TURN_S, LinkDialler
+from hyssopring.jobs.messages import (
+    AgentGreeting,
+    EntryAddresses,
+    JobsMessage,
+)
+from hyssopring.lifecycle import Lifecycle
+from hyssopring.logs import Event, log_event
+from hyssopring.platform.listening import listen
+from hyssopring.platform.reports import ReportsResource
+from hyssopring.platform.settings import NodeSettings
+from hyssopring.platform.store import PlatformStore
+from hyssopring.platform.worker import PlatformWorker
+from hyssopring.web_server import QuietSite
+
+__all__ = ('AgentProcess',)
+
+
+class AgentProcess:
+    """One running agent."""
+
+    def __init__(self, reactor: Any, settings: NodeSettings) -> None:
+        """Build the core and its shell; ``start`` opens the port."""
+        self._reactor = reactor
+        self._settings = settings
+        self._clock: Clock = MonotonicClock()
+        self.core = JobAgentCore(
+            reactor,
+            self._clock,
+            PlatformWorker(reactor, settings.app),
+            self._send,
+        )
+        self._dialler = LinkDialler(
+            reactor,
+            self._clock,
+            AgentGreeting(settings.node_name, settings.zone),
+            self.core.connected,
+            self._take,
+            self.core.disconnected,
+        )
+        self._discovery = EntryDiscovery(
+            self._clock,
+            PlatformStore(reactor, settings.platform.address),
+            self._dialler,
+            random.Random(uuid.uuid4().int),
+        )
+        self._reports = ReportsResource(
+            self.core.watch.announce,
+            self.core.watch.withdraw,
+        )
+        self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
+
+    def start(self) -> None:
+        """Open the port and begin."""
+        settings = self._settings
+        listen(
+            self._reactor,
+            settings.bind_addresses.control_plane,
+            QuietSite(self._reports),
+        )
+        self._dialler.learn(settings.seed_addresses)
+        self._lifecycle.every(TURN_S, self._turn)
+        self._turn()
+        log_event(Event.PROCESS_STARTED, role='agent', id=settings.node_name)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take new settings: entries may be found at other seeds."""
+        self._settings = settings
+        self._dialler.learn(settings.seed_addresses)
+
+    def stop(self) -> None:
+        """End at once: the worker keeps its tasks until the next agent."""
+        log_event(
+            Event.PROCESS_STOPPING,
+            calls=0,
+            tasks=len(self.core.table.by_task),
+        )
+        self._lifecycle.drain(lambda: True, 0)
+
+    def _turn(self) -> None:
+        self._dialler.turn()
+        self._discovery.turn()
+        self.core.turn()
+
+    def _send(self, entry_id: str, message: JobsMessage) -> None:
+        self._dialler.send(entry_id, message)
+
+    def _take(self, entry_id: str, message: JobsMessage) -> None:
+        if isinstance(message, EntryAddresses):
+            self._dialler.learn(message.addresses)
+        else:
+            self.core.take(message, entry_id)
--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -26,8 +26,10 @@
 _ID: Final = re.compile('[0-9a-f]{16}')
 _DEADLINE_HEADER: Final = 'deadline-ms'
 _DEADLINE_MS: Final = 3000.0
-# A caller's answer leaves this much before its deadline.
-_MARGIN: Final = 0.85
+# The parts of a caller's time after which it is answered in any case. One that
+# hands a job in has the rest to try another entry.
+_SUBMIT_PART: Final = 0.45
+_ASK_PART: Final = 0.85
 _GONE: Final = 410
 
 
@@ -180,7 +182,8 @@
             return _refuse(request, Failure(ErrorKind.MALFORMED, detail))
         except ValueError as error:
             return _refuse(request, Failure(ErrorKind.MALFORMED, str(error)))
-        submitting = self._desk.submit(job, self._until(request))
+        until = self._until(request, _SUBMIT_PART)
+        submitting = self._desk.submit(job, until)
         return submitting.addCallback(self._submitted, request, job_id)
 
     def _submitted(
@@ -202,7 +205,8 @@
             _answer(request, {})
 
     def _cancel(self, request: Request, job_id: str) -> Deferred:
-        cancelling = self._desk.cancel(job_id, self._until(request))
+        until = self._until(request, _ASK_PART)
+        cancelling = self._desk.cancel(job_id, until)
         return cancelling.addCallback(_cancelled, request)
 
     def _state(self, request: Request, job_id: str) -> Deferred:
@@ -211,14 +215,12 @@
 
     def _pending(self, request: Request, queue: Queue) -> Deferred:
         counting = self._desk.pending(queue.name)
-        return counting.addCallback(
-            lambda waiting: _answer(request, {'pending': waiting}),
-        )
+        return counting.addCallback(_counted, request)
 
-    def _until(self, request: Request) -> float:
+    def _until(self, request: Request, part: float) -> float:
         text = request.getHeader(_DEADLINE_HEADER) or ''
         allowed = float(text) if text.isdigit() else _DEADLINE_MS
-        return self._clock.now() + allowed * _MARGIN
+        return self._clock.now() + allowed * part
 
     def _broken(self, failure: TwistedFailure, request: Request) -> None:
         """An error of ours: say so, whatever the request was."""
@@ -240,6 +242,13 @@
         _answer(request, {}, _GONE)
 
 
+def _counted(outcome: Result[int, Failure], request: Request) -> None:
+    if outcome.is_err():
+        _refuse(request, outcome.unwrap_err())
+    else:
+        _answer(request, {'pending': outcome.unwrap()})
+
+
 def _told(
     outcome: Result[JobState | None, Failure],
     request: Request,
--- a/hyssopring/platform/daemons.py
+++ b/hyssopring/platform/entry_process.py
@@ -1,14 +1,10 @@
-"""The entry's and the agent's process on the platform."""
+"""The entry's process on the platform."""
 
-import random
 import time
 import uuid
 from typing import Any, Final
 
-from hyssopring.addresses import parse_address
 from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
-from hyssopring.jobs.agent_core import JobAgentCore
-from hyssopring.jobs.discovery import EntryDiscovery
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.links import TURN_S, LinkDialler, LinkListener
@@ -19,19 +15,19 @@
     JobsMessage,
 )
 from hyssopring.jobs.queues import QueueTable
+from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.times import RENEW_MS
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.platform.callers import CallersResource
 from hyssopring.platform.configuration import ConfigurationFollower
+from hyssopring.platform.listening import listen
 from hyssopring.platform.readiness import ReadyResource
-from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
-from hyssopring.platform.worker import PlatformWorker
 from hyssopring.web_server import QuietSite
 
-__all__ = ('AgentProcess', 'EntryProcess')
+__all__ = ('EntryProcess',)
 
 _OWNER_TURN_S: Final = 0.2
 _POLL_S: Final = 1.5
@@ -49,7 +45,12 @@
         self._reactor = reactor
         self._settings = settings
         self._clock: Clock = MonotonicClock()
-        store = PlatformStore(reactor, settings.platform.address)
+        store = RelayedStore(
+            reactor,
+            self._clock,
+            PlatformStore(reactor, settings.platform.address),
+            self,
+        )
         self._membership = EntryMembership(
             reactor,
             self._clock,
@@ -89,6 +90,11 @@
         self._is_stopping = False
         self._addresses: list[str] = []
 
+    @property
+    def connected_entries(self) -> list[str]:
+        """See ``RelayPeers``."""
+        return self._dialler.connected
+
     def to_entry(self, entry_id: str, message: JobsMessage) -> bool:
         """See ``Peers``."""
         return self._dialler.send(entry_id, message)
@@ -100,9 +106,14 @@
     def start(self) -> None:
         """Open the ports and begin."""
         bind = self._settings.bind_addresses
-        _listen(self._reactor, bind.frontend, QuietSite(self._callers))
-        _listen(self._reactor, bind.ready, QuietSite(self._ready))
-        _listen(self._reactor, self._settings.inner_address, self._listener)
+        listen(self._reactor, bind.frontend, QuietSite(self._callers))
+        listen(self._reactor, bind.ready, QuietSite(self._ready))
+        listen(self._reactor, self._settings.inner_address, self._listener)
+        # An entry that the store turns away from its start learns of others
+        # by these alone.
+        own = self._settings.inner_address
+        seeds = set(self._settings.seed_addresses) - {own}
+        self._dialler.learn(seeds)
         self._follower.start()
         self._membership.turn()
         every = self._lifecycle.every
@@ -170,87 +181,6 @@
         self.core.take(message, peer_id)
 
 
-class AgentProcess:
-    """One running agent."""
-
-    def __init__(self, reactor: Any, settings: NodeSettings) -> None:
-        """Build the core and its shell; ``start`` opens the port."""
-        self._reactor = reactor
-        self._settings = settings
-        self._clock: Clock = MonotonicClock()
-        self.core = JobAgentCore(
-            reactor,
-            self._clock,
-            PlatformWorker(reactor, settings.app),
-            self._send,
-        )
-        self._dialler = LinkDialler(
-            reactor,
-            self._clock,
-            AgentGreeting(settings.node_name, settings.zone),
-            self.core.connected,
-            self._take,
-            self.core.disconnected,
-        )
-        self._discovery = EntryDiscovery(
-            self._clock,
-            PlatformStore(reactor, settings.platform.address),
-            self._dialler,
-            random.Random(uuid.uuid4().int),
-        )
-        self._reports = ReportsResource(
-            self.core.watch.announce,
-            self.core.watch.withdraw,
-        )
-        self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
-
-    def start(self) -> None:
-        """Open the port and begin."""
-        settings = self._settings
-        _listen(
-            self._reactor,
-            settings.bind_addresses.control_plane,
-            QuietSite(self._reports),
-        )
-        self._dialler.learn(settings.seed_addresses)
-        self._lifecycle.every(TURN_S, self._turn)
-        self._turn()
-        log_event(Event.PROCESS_STARTED, role='agent', id=settings.node_name)
-
-    def reload(self, settings: NodeSettings) -> None:
-        """Take new settings: entries may be found at other seeds."""
-        self._settings = settings
-        self._dialler.learn(settings.seed_addresses)
-
-    def stop(self) -> None:
-        """End at once: the worker keeps its tasks until the next agent."""
-        log_event(
-            Event.PROCESS_STOPPING,
-            calls=0,
-            tasks=len(self.core.table.by_task),
-        )
-        self._lifecycle.drain(lambda: True, 0)
-
-    def _turn(self) -> None:
-        self._dialler.turn()
-        self._discovery.turn()
-        self.core.turn()
-
-    def _send(self, entry_id: str, message: JobsMessage) -> None:
-        self._dialler.send(entry_id, message)
-
-    def _take(self, entry_id: str, message: JobsMessage) -> None:
-        if isinstance(message, EntryAddresses):
-            self._dialler.learn(message.addresses)
-        else:
-            self.core.take(message, entry_id)
-
-
-def _listen(reactor: Any, address: str, factory: Any) -> Any:
-    host, port = parse_address(address)
-    return reactor.listenTCP(port, factory, interface=host)
-
-
 def _wall_ms() -> float:
     return time.time() * MILLIS_PER_SECOND
 
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -11,6 +11,7 @@
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.messages import pack, unpack
 from hyssopring.jobs.model import Job, Queue, Size, Step
+from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.times import RENEW_MS
 from standins.jobs.rows import MemoryRows
 from standins.jobs.worker import Book, SimWorker
@@ -83,7 +84,13 @@
 
     def __init__(self, deployment, name, incarnation):
         super().__init__(deployment, name)
-        client = deployment.rows.client(name, self.reactor)
+        self.has_peers = True
+        client = RelayedStore(
+            self.reactor,
+            self.clock,
+            deployment.rows.client(name, self.reactor),
+            self,
+        )
         self.membership = EntryMembership(
             self.reactor, self.clock, client, name, incarnation, name
         )
@@ -100,6 +107,17 @@
         self.every(POLL_S, self.core.poll)
         self.reactor.callLater(0, self.membership.turn)
 
+    @property
+    def connected_entries(self):
+        return [
+            name
+            for name, entry in self.deployment.entries.items()
+            if entry.is_alive
+            and self.has_peers
+            and entry is not self
+            and not self.deployment.is_cut(self.name, name)
+        ]
+
     def to_entry(self, entry_id, message):
         return self.deployment.carry(self, entry_id, message)
 
--- /dev/null
+++ b/tests/test_jobs_relay.py
@@ -0,0 +1,175 @@
+"""Entries that the store turns away make their calls through a peer."""
+
+import pytest
+from twisted.internet.defer import fail, succeed
+from twisted.internet.task import Clock
+
+from hyssopring.jobs.messages import RelayedAnswer
+from hyssopring.jobs.model import JobState
+from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.rows import StoreRefused
+from standins.jobs.deployment import ReactorClock, a_job
+from tests.test_jobs import settled, starts_of
+
+
+def another_than(deployment, name):
+    return next(each for each in deployment.entries if each != name)
+
+
+def test_an_owner_that_the_store_turns_away_goes_on():
+    """The store refuses the owner's calls and serves its peers'.
+
+    Nobody is told. Ends could not be recorded, and the jobs were shown as
+    completed only once another entry had taken the shard, 3.5 s later.
+    """
+    deployment = settled()
+    owner = deployment.owner
+    deployment.rows.shunned.add(owner)
+    job = a_job(steps=((2, ()), (2, (0,))))
+    outcomes = deployment.submit(job, another_than(deployment, owner))
+    deployment.run(2.5)
+    assert outcomes[0].is_ok()
+    assert deployment.owner == owner
+    assert deployment.state(job.job_id, owner) is JobState.COMPLETED
+    deployment.run(10)
+    assert deployment.owner == owner
+    assert len(starts_of(deployment, job)) == 4
+
+
+def test_an_entry_that_the_store_turns_away_accepts_jobs():
+    """A caller reaches an entry that alone is turned away: no refusal."""
+    deployment = settled()
+    shunned = another_than(deployment, deployment.owner)
+    deployment.rows.shunned.add(shunned)
+    job = a_job()
+    outcomes = deployment.submit(job, shunned)
+    deployment.run(0.2)
+    assert outcomes[0].is_ok()
+    deployment.run(2)
+    assert deployment.state(job.job_id, shunned) is JobState.COMPLETED
+
+
+def test_the_direct_way_is_taken_again_once_it_is_open():
+    deployment = settled()
+    owner = deployment.owner
+    deployment.rows.shunned.add(owner)
+    deployment.run(3)
+    deployment.rows.shunned.clear()
+    deployment.run(3)
+    deployment.entries[owner].has_peers = False
+    deployment.run(12)
+    assert deployment.owner == owner
+
+
+class _Direct:
+    """A store that refuses while ``is_away``."""
+
+    def __init__(self):
+        self.is_away = True
+        self.calls = 0
+
+    def read(self, table, part, first=''):
+        self.calls += 1
+        return fail(StoreRefused('away')) if self.is_away else succeed('page')
+
+    changes = read
+
+
+class _Peer:
+    """A peer that answers when the test says so."""
+
+    connected_entries = ['peer']
+
+    def __init__(self):
+        self.asked = []
+
+    def to_entry(self, _entry_id, message):
+        self.asked.append(message)
+        return True
+
+
+def test_a_relayed_answer_that_comes_late_does_not_close_the_direct_way():
+    """A relayed call waits for changes while the store serves again.
+
+    Its answer says nothing of the direct way; taken for a sign that the entry
+    is still turned away, each wait sent all calls through the peer again.
+    """
+    reactor, direct, peer = Clock(), _Direct(), _Peer()
+    store = RelayedStore(reactor, ReactorClock(reactor), direct, peer)
+    waits = [store.changes('op', 0, 800)]
+    store.answered(RelayedAnswer(peer.asked[0].number, 'changes', 1, [], False))
+    waits.append(store.changes('op', 1, 800))
+    direct.is_away = False
+    reactor.advance(1.1)
+    store.read('op', '')
+    store.answered(RelayedAnswer(peer.asked[1].number, 'changes', 2, [], False))
+    asked, calls = len(peer.asked), direct.calls
+    store.read('op', '')
+    assert len(peer.asked) == asked
+    assert direct.calls == calls + 1
+
+
+@pytest.mark.parametrize('late_s', [0, 1])
+def test_a_relayed_write_without_an_answer_is_no_refusal(late_s):
+    """The peer's write is done, now or later, and its answer is lost.
+
+    The entry itself was refused. Said to be refused, the job would run all the
+    same: the outcome is unknown until the write is met again.
+    """
+    deployment = settled()
+    shunned = another_than(deployment, deployment.owner)
+    deployment.rows.shunned.add(shunned)
+    deployment.run(0.05)
+    deployment.rows.lose_next = 1
+    deployment.rows.late_s = late_s
+    job = a_job()
+    outcomes = deployment.submit(job, shunned)
+    deployment.run(6)
+    assert outcomes[0].is_ok() or outcomes[0].unwrap_err().answer.status == 504
+    assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+
+
+def test_a_store_that_serves_nobody_is_told_of_at_once():
+    """No peer is served either: the caller hears so without a delay."""
+    deployment = settled()
+    deployment.rows.is_down = True
+    outcomes = deployment.submit(a_job())
+    deployment.run(0.1)
+    assert outcomes[0].unwrap_err().answer.status == 503
+
+
+def test_no_count_is_given_while_nobody_knows_the_jobs():
+    """The owner dies while jobs wait, and another entry is asked for them.
+
+    It knows of no owner. None waiting would be untrue.
+    """
+    deployment = settled(workers=1, work_ms=lambda task: 9000)
+    for number in range(1, 12):
+        deployment.submit(a_job(number, steps=((8, ()),)))
+    deployment.run(1)
+    owner = deployment.owner
+    deployment.kill_entry(owner)
+    deployment.run(3.2)
+    counts = []
+    entry = deployment.entries[another_than(deployment, owner)]
+    entry.core.desk.pending('queue').addCallback(counts.append)
+    deployment.run(1)
+    assert counts[0].is_err() or counts[0].unwrap() >= 5
+
+
+def test_a_caller_is_answered_in_time_although_the_store_is_silent():
+    """The store takes a call and says nothing; so it does to the peers.
+
+    The direct call and the relayed one together took 2.7 s of the caller's
+    3 s. It is told in time to hand the job in elsewhere, and that the outcome
+    is unknown; the write goes on, and the job is met if it is done late.
+    """
+    deployment = settled()
+    deployment.rows.is_silent = True
+    job = a_job()
+    outcomes = []
+    entry = deployment.entries['entry-0']
+    until = entry.clock.now() + 1300
+    entry.core.desk.submit(job, until).addCallback(outcomes.append)
+    deployment.run(1.4)
+    assert outcomes[0].unwrap_err().answer.status == 504
