Planning leaves time for all else, and goes to strong entries

After the loss of power it had 340 jobs, and each of some 120 reports a second made it compare all waiting steps with all 61 workers. From 55 s all agents found it silent for 2 s and more, again and again, while it renewed its row and so remained the owner. Ruled out: the agents (0.03 cores), the store, memory (42.6 MB at most). Change: a size that found no room in a round is not looked up again, nor is a larger one; after a round the owner plans nothing for twice as long as the round took. Entries' rows name their cores; the strongest one comes first for a free shard, and an owner with much less gives its shard up. A renewal that was under way when a shard was won or lost is followed by another at once.

--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -30,6 +30,16 @@
 _FULL_PACE: Final = 100
 
 
+@dataclass(frozen=True, slots=True)
+class _Kind:
+    """Tasks of one kind need the same of a worker but for their size."""
+
+    service: str
+    label: str
+    fills: bool
+    is_starved: bool
+
+
 @dataclass(slots=True)
 class _Option:
     """One worker and what is left of it while a round goes on.
@@ -138,6 +148,7 @@
 
     def __init__(self, workers: Iterable[Worker]) -> None:
         """Look at these workers once; what is placed is counted here."""
+        self._unfit_by_kind: dict[_Kind, list[Size]] = {}
         self._options_by_service: dict[str, list[_Option]] = {}
         for worker in workers:
             options = self._options_by_service.setdefault(worker.service, [])
@@ -157,12 +168,18 @@
         The task counts there from now on; it is also to be put into the
         worker's table before the next call.
         """
-        allowed = [
+        kind = _Kind(service, step.label, step.fills, is_starved)
+        if self._is_unfit(kind, step.size):
+            return None
+        roomy = [
             option
             for option in self._options_by_service.get(service, ())
-            if option.allows(step, is_starved)
-            and self._permits(option, step, name)
+            if option.allows(step, is_starved) and option.has_label(step)
         ]
+        if not roomy:
+            self._unfit_by_kind.setdefault(kind, []).append(step.size)
+            return None
+        allowed = [option for option in roomy if _permits(option, step, name)]
         if not allowed:
             return None
         rack = step.rack
@@ -172,6 +189,18 @@
         best.take(step)
         return best.worker
 
+    def _is_unfit(self, kind: '_Kind', size: Size) -> bool:
+        """Whether a task that is no larger has found no room in this round.
+
+        Room only shrinks during a round. With 150 steps waiting for 61 full
+        workers a round looked at each pair, many times a second, and took all
+        of a small entry's processor time: its agents heard nothing for 2 s.
+        """
+        return any(
+            smaller.fits_in(size)
+            for smaller in self._unfit_by_kind.get(kind, ())
+        )
+
     def _rack_of(self, service: str, name: TaskName) -> str:
         """Return the rack that most tasks of a step are in."""
         counts: Counter[str] = Counter()
@@ -216,16 +245,10 @@
                 return True
         return False
 
-    def _permits(
-        self,
-        option: _Option,
-        step: Step,
-        name: TaskName,
-    ) -> bool:
-        if not option.has_label(step):
-            return False
-        limit = step.max_per_worker
-        return not limit or option.count(name) < limit
+
+def _permits(option: _Option, step: Step, name: TaskName) -> bool:
+    limit = step.max_per_worker
+    return not limit or option.count(name) < limit
 
 
 def _fit_all(
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -169,11 +169,18 @@
 
 @dataclass(frozen=True)
 class EntryRow:
-    """A live entry: where it listens, and which shards it owns."""
+    """A live entry.
+
+    Attributes:
+        address: Where it listens for others of the system.
+        shards: Those that it owns.
+        cores: What it has of processor time; planning goes to the strongest.
+    """
 
     address: str
     incarnation: str
     shards: tuple[int, ...] = ()
+    cores: float = 0
 
     @classmethod
     def from_text(cls, text: str) -> 'EntryRow':
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -45,6 +45,16 @@
 _FORGET_MS: Final = 60_000.0
 
 
+# How long an entry leaves a free shard to each one that comes before it: each
+# looks once in ``RENEW_MS``, and its transaction takes some time.
+_PRECEDENCE_MS: Final = 1.5 * RENEW_MS
+
+# An entry gives its shards to one with this many times its processor time,
+# but not more often than this: a handover stops planning for up to a second.
+_MUCH_STRONGER: Final = 1.5
+_YIELD_EACH_MS: Final = 30_000.0
+
+
 @dataclass(slots=True)
 class _Seen:
     """Another entry's row, and since when it has not changed.
@@ -70,8 +80,10 @@
         entry_id: str,
         incarnation: str,
         address: str,
+        cores: float = 0,
     ) -> None:
         """Set the callbacks before ``turn`` is first called."""
+        self._cores = cores
         self._reactor = reactor
         self._clock = clock
         self._store = store
@@ -82,6 +94,7 @@
         self._read_at: float | None = None
         self._seen_by_entry: dict[str, _Seen] = {}
         self._is_renewing = False
+        self._is_stale = False
         self._taking: set[int] = set()
         self._free_since: dict[int, float] = {}
         self._missing_since: dict[str, float] = {}
@@ -89,6 +102,8 @@
         self.owned: Callable[[], tuple[int, ...]] = tuple
         self.on_acquired: Callable[[ShardReign], None] = _ignore
         self.on_entries: Callable[[], None] = _nothing
+        self.on_yield: Callable[[], None] = _nothing
+        self._yields_at = clock.now()
 
     @property
     def may_act(self) -> bool:
@@ -122,7 +137,7 @@
 
     def turn(self) -> None:
         """Renew and look at the others; call each ``RENEW_MS``."""
-        self._renew()
+        self.renew()
         reading = self._store.read(ENTRIES, '')
         reading.addCallbacks(self._entries_read, self._failed)
         reading.addErrback(self._failed)
@@ -144,16 +159,21 @@
         releasing.addErrback(self._failed)
         return releasing
 
-    def renew_now(self) -> None:
-        """Tell at once which shards are owned."""
-        self._renew()
-
-    def _renew(self) -> None:
+    def renew(self) -> None:
+        """Show that this entry lives, and which shards it owns."""
         if self._is_renewing:
+            # What is under way may say that this entry owns what it does not.
+            self._is_stale = True
             return
         self._is_renewing = True
+        self._is_stale = False
         sent_at = self._clock.now()
-        row = EntryRow(self._address, self._incarnation, self.owned())
+        row = EntryRow(
+            self._address,
+            self._incarnation,
+            self.owned(),
+            self._cores,
+        )
         renewing = self._store.commit(
             Transaction(
                 puts=(
@@ -170,6 +190,8 @@
     def _renewed(self, _outcome: object, sent_at: float) -> None:
         self._is_renewing = False
         self._renewed_at = sent_at
+        if self._is_stale:
+            self.renew()
 
     def _renewal_failed(self, failure: TwistedFailure) -> None:
         self._is_renewing = False
@@ -191,6 +213,7 @@
             self._see(entry_id, row, now, is_gap)
         self.on_entries()
         if not self._is_stopping:
+            self._yield_to_stronger(now)
             self._contend(now)
 
     def _see(self, entry_id: str, row: Row, now: float, is_gap: bool) -> None:
@@ -229,16 +252,36 @@
                 self._take(shard)
 
     def _rank(self, shard: int) -> int:
-        """How many live entries come before this one for a shard."""
-        live = [
-            entry_id
-            for entry_id, seen in self._seen_by_entry.items()
-            if seen.has_renewed and self._is_live(entry_id)
-        ]
-        ranked = sorted([self._entry_id, *live])
+        """How many live entries come before this one for a shard.
+
+        Those with more processor time come first: a planner that has too
+        little for all agents is silent to them while it looks alive.
+        """
+        cores_by_entry = self._live_cores()
+        cores_by_entry[self._entry_id] = self._cores
+        ranked = sorted(
+            cores_by_entry,
+            key=lambda entry_id: (-cores_by_entry[entry_id], entry_id),
+        )
         place = ranked.index(self._entry_id)
         return (place - shard) % len(ranked)
 
+    def _live_cores(self) -> dict[str, float]:
+        """The processor time of the entries that were seen to renew."""
+        return {
+            entry_id: seen.row.cores
+            for entry_id, seen in self._seen_by_entry.items()
+            if seen.has_renewed and self._is_live(entry_id)
+        }
+
+    def _yield_to_stronger(self, now: float) -> None:
+        """Give shards up for an entry that has far more processor time."""
+        strongest = max(self._live_cores().values(), default=0)
+        is_weak = strongest > _MUCH_STRONGER * self._cores
+        if is_weak and self.owned() and now > self._yields_at:
+            self._yields_at = now + _YIELD_EACH_MS
+            self.on_yield()
+
     def _take(self, shard: int) -> None:
         reading = self._store.read_one(owner_key(shard))
         reading.addCallback(self._owner_read, shard)
@@ -267,9 +310,10 @@
         A restarted owner knows best that the former one is dead.
         """
         if former is not None and former.entry_id == self._entry_id:
-            return True
+            if former.incarnation != self._incarnation:
+                return True
         free_ms = self._clock.now() - self._free_since[shard]
-        return free_ms >= self._rank(shard) * RENEW_MS
+        return free_ms >= self._rank(shard) * _PRECEDENCE_MS
 
     def _owner_read(self, row: Row | None, shard: int) -> Any:
         former = OwnerRow.from_text(row.text) if row else None
@@ -316,7 +360,7 @@
                 is_former_over,
             ),
         )
-        self.renew_now()
+        self.renew()
 
 
 def _nothing() -> None:
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -82,6 +82,7 @@
         )
         membership.owned = lambda: tuple(self.owner.shards.by_shard)
         membership.on_acquired = self._acquired
+        membership.on_yield = self._release_shards
 
     @property
     def agents(self) -> list[str]:
@@ -183,10 +184,13 @@
     def release(self) -> None:
         """Give all shards up, before a planned stop."""
         self._membership.stop()
+        self._release_shards()
+
+    def _release_shards(self) -> None:
         for owned in list(self.owner.shards.by_shard.values()):
             self.owner.drop(owned)
             self._membership.release(owned.shard, owned.version, owned.reign)
-        self._membership.renew_now()
+        self._membership.renew()
 
     def _acquired(self, acquired: ShardReign) -> None:
         owned = OwnedShard(
@@ -208,4 +212,4 @@
 
     def _deposed(self, owned: OwnedShard) -> None:
         self.owner.drop(owned)
-        self._membership.renew_now()
+        self._membership.renew()
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 from typing import Any, Callable, Final, Iterable
 
-from hyssopring.clock import Clock
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.choice import PlacementRound
 from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Placed, Worker
@@ -35,6 +35,12 @@
 # there is room, also where it slows others down: nothing waits for ever.
 _STARVED_MS: Final = 1000.0
 
+# After a round the owner plans nothing for this many times as long as the round
+# took: however long the queue, two thirds of its time are left for reports,
+# grants and callers. Without it an owner of 0.5 cores with 340 jobs after a
+# loss of power was silent to all 61 agents.
+_PLAN_REST: Final = 2
+
 Send = Callable[[str, JobsMessage], bool]
 
 
@@ -71,6 +77,7 @@
         self._wall_ms = wall_ms
         self.shards = OwnedShards()
         self._is_plan_due = False
+        self._plan_at = clock.now()
         self._reader = ReportReader(clock, fleet, self.shards, self)
         self._moves = TaskMoves(clock, fleet, self.shards, self.stop)
 
@@ -193,12 +200,23 @@
         """Plan once for all that happens in this turn of the reactor."""
         if not self._is_plan_due:
             self._is_plan_due = True
-            self._reactor.callLater(0, self._plan)
+            wait_ms = max(0, self._plan_at - self._clock.now())
+            self._reactor.callLater(
+                wait_ms / MILLIS_PER_SECOND,
+                self._plan_within_share,
+            )
 
-    def _plan(self) -> None:
+    def _plan_within_share(self) -> None:
+        """Plan, and note when the next round may begin."""
         self._is_plan_due = False
         if not self._may_act():
             return
+        begun_at = self._clock.now()
+        self._plan()
+        ended_at = self._clock.now()
+        self._plan_at = ended_at + _PLAN_REST * (ended_at - begun_at)
+
+    def _plan(self) -> None:
         wall_ms = self._wall_ms()
         waiting = [
             _Waiting(urgency(record, run, wall_ms), record, run, indices)
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -58,6 +58,7 @@
             settings.node_name,
             uuid.uuid4().hex,
             settings.inner_address,
+            settings.limits.cpu_quota * settings.limits.cores,
         )
         self._membership.on_entries = self._entries_known
         self.core = JobEntryCore(
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -48,6 +48,13 @@
     grace_s: float = 6
 
 
+class Limits(_Model):
+    """What a process may use; the quota is of a core, cores times as fast."""
+
+    cpu_quota: float = 1
+    cores: float = 1
+
+
 class NodeSettings(_Model):
     """What one process is told."""
 
@@ -59,6 +66,7 @@
     seeds: tuple[str, ...] = ()
     platform: StoreSettings
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     command_mode: str = 'invocation'
     app: str = ''
     service: str = ''
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -92,7 +92,13 @@
             self,
         )
         self.membership = EntryMembership(
-            self.reactor, self.clock, client, name, incarnation, name
+            self.reactor,
+            self.clock,
+            client,
+            name,
+            incarnation,
+            name,
+            deployment.cores_by_entry.get(name, 1),
         )
         self.core = JobEntryCore(
             self.reactor,
@@ -193,7 +199,15 @@
 class Deployment:
     """Three entries and some workers, with the faults of a day."""
 
-    def __init__(self, workers=4, entries=3, work_ms=lambda task: 1000, rate=1):
+    def __init__(
+        self,
+        workers=4,
+        entries=3,
+        work_ms=lambda task: 1000,
+        rate=1,
+        cores_by_entry=(),
+    ):
+        self.cores_by_entry = dict(cores_by_entry)
         self.reactor = Reactor()
         self.rows = MemoryRows(self.reactor)
         self.book = Book()
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -4,8 +4,12 @@
 """
 
 from dataclasses import replace
+from itertools import pairwise
+
+from twisted.internet.task import Clock
 
 from hyssopring.clock import ManualClock
+from hyssopring.jobs import choice
 from hyssopring.jobs.attempts import Attempt, Phase
 from hyssopring.jobs.book import JobRecord
 from hyssopring.jobs.choice import PlacementRound
@@ -21,6 +25,7 @@
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.urgency import urgency
+from standins.jobs.deployment import ReactorClock
 
 FILLER = Step(
     1, Size(2000, 2000, 0), 3000, fills=True, saves=True, image='filler'
@@ -205,6 +210,59 @@
     ]
 
 
+def test_a_long_queue_before_full_workers_is_looked_at_once(monkeypatch):
+    """After a loss of power 150 steps wait for 61 full workers.
+
+    A round compared each step with each worker, 9,150 times, and the owner did
+    so at each report: agents did not hear from it for seconds. The figures are
+    those of a deployment of 61 workers on an entry of half a core.
+    """
+    looks = []
+    allows = choice._Option.allows
+
+    def counted(option, *given):
+        looks.append(option)
+        return allows(option, *given)
+
+    monkeypatch.setattr(choice._Option, 'allows', counted)
+    full = [worker_with(f'w{number}', *[KEEPER] * 5) for number in range(61)]
+    placement = PlacementRound(full)
+    for number in range(150):
+        step = replace(QUICK, size=Size(2000 + number, 500, 0))
+        name = TaskName(f'{number:016x}', 0, 0, 0)
+        assert placement.choose('service', step, name, False) is None
+    assert len(looks) == 61
+
+
+def test_a_smaller_task_still_finds_room_after_a_larger_one_has_not():
+    placement = PlacementRound([worker_with('almost', *[KEEPER] * 5)])
+    large = replace(QUICK, size=Size(2000, 500, 0))
+    name = TaskName('1', 0, 0, 0)
+    assert placement.choose('service', large, name, False) is None
+    assert placement.choose('service', QUICK, name, False) is not None
+
+
+def test_planning_leaves_most_of_the_time_to_all_else():
+    """Rounds that take 30 ms are 60 ms apart, however much happens."""
+    reactor = Clock()
+    clock = ReactorClock(reactor)
+    owner = JobOwner(reactor, clock, Fleet(clock), None, None, None, None)
+    owner._may_act = lambda: True
+    rounds = []
+
+    def plan():
+        rounds.append(clock.now())
+        reactor.rightNow += 0.03
+
+    owner._plan = plan
+    for _millisecond in range(500):
+        owner.plan_soon()
+        reactor.advance(0.001)
+    gaps = [later - earlier for earlier, later in pairwise(rounds)]
+    assert len(gaps) > 5
+    assert min(gaps) > 89.9
+
+
 def relieved(
     placed_at_pace, quiet_worker, step=FILLER, slow_ms=3000, percent=50
 ):
--- a/tests/test_jobs_takeover.py
+++ b/tests/test_jobs_takeover.py
@@ -183,3 +183,25 @@
     assert deployment.owner != former
     deployment.run(6)
     assert len(starts_of(deployment, job)) == 20
+
+
+def test_a_shard_goes_to_an_entry_with_far_more_processor_time():
+    """The first entry to start is a weak one, and takes the shard.
+
+    With 61 agents to hear it was silent to all of them for seconds after a
+    loss of power, while it renewed its row and seemed well. It gives the shard
+    up for a strong one; tasks run on and none runs twice.
+    """
+    deployment = Deployment(
+        cores_by_entry={'entry-0': 0.5, 'entry-1': 0.5, 'entry-2': 2},
+        work_ms=lambda task: 4000,
+    )
+    deployment.run(1)
+    job = a_job(steps=((4, ()), (2, (0,))))
+    deployment.submit(job)
+    deployment.run(5)
+    assert deployment.owner == 'entry-2'
+    deployment.run(8)
+    assert deployment.owner == 'entry-2'
+    assert deployment.state(job.job_id, 'entry-2') is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 6
