A process that is behind judges nobody by silence

Ruled out: the agents, which told the ends at once, and the leases. A peer that is in doubt about a relayed call ends the round of peers, as the store is then silent to all.

--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -19,6 +19,7 @@
     pack,
     unpack,
 )
+from hyssopring.jobs.stalls import StallWatch
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.frames import Codec, FramedConnection, Traffic
 
@@ -87,6 +88,7 @@
         self._on_greeting = on_greeting
         self._on_close = on_close
         self.traffic = Traffic()
+        self._stalls = StallWatch(clock)
         self._open: set[_Peer] = set()
         self._by_id: dict[str, _Peer] = {}
 
@@ -114,6 +116,8 @@
 
     def check_silence(self) -> None:
         """Drop connections on which nothing came; call regularly."""
+        if not self._stalls.has_kept_up():
+            return
         limit = self._clock.now() - _SILENCE_MS
         for peer in list(self._open):
             connection = peer.connection
@@ -169,9 +173,9 @@
             self.owner.traffic,
         )
 
-    def turn(self, now: float) -> None:
+    def turn(self, now: float, may_judge: bool) -> None:
         if self.connection is not None:
-            self._check(self.connection, now)
+            self._check(self.connection, now, may_judge)
         elif not self.is_dialling and now >= self.next_at:
             self.is_dialling = True
             host, port = parse_address(self.address)
@@ -187,8 +191,13 @@
         if self.connection is not None:
             self.connection.close()
 
-    def _check(self, connection: FramedConnection, now: float) -> None:
-        if now - connection.last_heard > _SILENCE_MS:
+    def _check(
+        self,
+        connection: FramedConnection,
+        now: float,
+        may_judge: bool,
+    ) -> None:
+        if may_judge and now - connection.last_heard > _SILENCE_MS:
             log_event(Event.CONNECTION_SILENT, entry=self.address)
             connection.abort()
         elif self.owner.is_pinging and now - self.greeted_at >= _PING_MS:
@@ -252,6 +261,7 @@
         self._on_open = on_open
         self._on_close = on_close
         self.traffic = Traffic()
+        self._stalls = StallWatch(clock)
         self._by_address: dict[str, _Dialled] = {}
         self._by_entry: dict[str, _Dialled] = {}
 
@@ -276,8 +286,9 @@
     def turn(self) -> None:
         """Dial what is due and drop what is silent; call regularly."""
         now = self.clock.now()
+        may_judge = self._stalls.has_kept_up()
         for dialled in list(self._by_address.values()):
-            dialled.turn(now)
+            dialled.turn(now, may_judge)
 
     def send(self, entry_id: str, message: JobsMessage) -> bool:
         """Write a message; False if the entry is not connected."""
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -1,7 +1,10 @@
 """All shards that this entry owns, and the jobs in them."""
 
+from typing import Iterable
+
 from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.documents import JobRow
+from hyssopring.jobs.fleet import Worker
 from hyssopring.jobs.messages import ShardReign, WorkerReport
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.owned_shard import OwnedShard
@@ -66,9 +69,16 @@
         owned = self.by_shard[shard_of(record.job.job_id)]
         return owned.startable(record, run)
 
-    def are_listed_on(self, agent_id: str) -> bool:
-        """Whether a next owner of any shard will ask this agent."""
-        return all(agent_id in owned.roster for owned in self.by_shard.values())
+    def listed(self, workers: Iterable[Worker]) -> list[Worker]:
+        """Return the workers that the next owner of any shard will ask."""
+        return [
+            worker
+            for worker in workers
+            if all(
+                worker.agent_id in owned.roster
+                for owned in self.by_shard.values()
+            )
+        ]
 
     def known_to(self, report: WorkerReport) -> set[int]:
         """The owned shards that the agent knows under their reign."""
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -25,6 +25,7 @@
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.reports import ReportReader
 from hyssopring.jobs.shards import shard_of, shard_of_task
+from hyssopring.jobs.stalls import StallWatch
 from hyssopring.jobs.task_facts import facts_of
 from hyssopring.jobs.urgency import Urgency, urgency
 from hyssopring.logs import Event, log_event
@@ -78,6 +79,7 @@
         self.shards = OwnedShards()
         self._is_plan_due = False
         self._plan_at = clock.now()
+        self._stalls = StallWatch(clock)
         self._reader = ReportReader(clock, fleet, self.shards, self)
         self._moves = TaskMoves(clock, fleet, self.shards, self.stop)
 
@@ -178,16 +180,20 @@
             record.open_due(self._wall_ms())
         self._moves.evacuate()
         if self._may_act():
-            self._moves.relieve(self.takers())
+            self._moves.relieve(self.shards.listed(self._fleet.takers()))
+        if self._stalls.has_kept_up():
+            self._give_up_lost(now)
+        self._list_agents()
+        self.plan_soon()
+
+    def _give_up_lost(self, now: float) -> None:
         for worker in self._fleet.by_agent.values():
             if worker.placed_by_task and worker.is_lost(now):
                 for placed in list(worker.placed_by_task.values()):
                     self._reader.gone(worker, placed, 'lapsed')
-        self._list_agents()
         for owned in self.shards.by_shard.values():
             owned.turn(self._fleet.is_lost)
         self._fleet.forget_lost()
-        self.plan_soon()
 
     def _list_agents(self) -> None:
         """Make agents known to next owners before they get a task."""
@@ -227,18 +233,10 @@
         if not waiting:
             return
         waiting.sort(key=lambda each: each.urgency)
-        placement = PlacementRound(self.takers())
+        placement = PlacementRound(self.shards.listed(self._fleet.takers()))
         for each in waiting:
             self._place(placement, each)
 
-    def takers(self) -> list[Worker]:
-        """Workers for new tasks: those that next owners will ask."""
-        return [
-            worker
-            for worker in self._fleet.takers()
-            if self.shards.are_listed_on(worker.agent_id)
-        ]
-
     def _place(self, placement: PlacementRound, waiting: '_Waiting') -> None:
         record, run = waiting.record, waiting.run
         if run.step.is_gang:
--- a/hyssopring/jobs/relay.py
+++ b/hyssopring/jobs/relay.py
@@ -201,6 +201,10 @@
                 answer = IN_DOUBT
             if is_served(answer):
                 self._peer = peer_id
+            if is_in_doubt(answer):
+                # It is silent to the peer as well: to ask the others would
+                # cost each of them its own time limit.
+                self._rests_until = self._clock.now() + _REST_MS
             if not is_refused(answer):
                 return answer
         self._rests_until = self._clock.now() + _REST_MS
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -288,7 +288,7 @@
         'Owned', (), {'shard': 0, 'reign': 1, 'roster': fleet.by_agent}
     )()
     clock.advance(slow_ms)
-    owner._moves.relieve(owner.takers())
+    owner._moves.relieve(fleet.takers())
     return stops
 
 
