Metrics of the platform's processes, and a line for each pace

Change: jobs/measures.py counts the events that are logged anyway; the store's calls are counted by status and timed; both roles serve text at 9464/metrics, which the deploy file names; docs/METRICS.md is compared by a test. Event 3026 tells each pace with its cause. PlatformStore takes the registry: the tests that make one pass it, their assertions are as they were.

--- /dev/null
+++ b/hyssopring/jobs/measures.py
@@ -0,0 +1,68 @@
+"""Counters and histograms of jobs, from the events that are logged anyway.
+
+Each decision has one log line; counted here, a series and the lines of the
+same name cannot tell different stories. docs/METRICS.md lists the series.
+"""
+
+from types import MappingProxyType
+from typing import Final, Mapping
+
+from hyssopring.logs import Event
+from hyssopring.metrics import Metrics
+
+__all__ = ('JobMeasures',)
+
+Fields = Mapping[str, object]
+
+# Counters of events by one of their fields: the series, and the field, empty
+# for a plain count.
+_COUNTED: Final = MappingProxyType(
+    {
+        Event.JOB_ACCEPTED: ('jobs_accepted_total', ''),
+        Event.JOB_FINISHED: ('jobs_finished_total', 'state'),
+        Event.REQUEST_REFUSED: ('requests_refused_total', 'kind'),
+        Event.TASK_PLACED: ('starts_ordered_total', ''),
+        Event.TASK_REFUSED: ('starts_refused_total', 'reason'),
+        Event.TASK_FINISHED: ('attempts_ended_total', 'how'),
+        Event.TASK_LAPSED: ('attempts_given_up_total', 'reason'),
+        Event.TASK_PACED: ('paces_set_total', ''),
+        Event.SHARD_ACQUIRED: ('shards_acquired_total', ''),
+        Event.SHARD_LOST: ('shards_lost_total', ''),
+        Event.STORE_RELAYED: ('store_relays_begun_total', ''),
+        Event.STORE_UNREACHABLE: ('store_losses_total', ''),
+        Event.CONNECTION_SILENT: ('connections_silent_total', ''),
+        Event.INVARIANT_VIOLATED: ('invariant_violations_total', ''),
+    }
+)
+
+
+class JobMeasures:
+    """Takes all events of one process."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Count into ``metrics``."""
+        self._metrics = metrics
+
+    def take(self, event: Event, fields: Fields) -> None:
+        """Count one event; a listener of ``listen_to_events``."""
+        counted = _COUNTED.get(event)
+        if counted is None:
+            return
+        series, name = counted
+        label = f'{{{name}="{fields.get(name, "")}"}}' if name else ''
+        self._metrics.count(series + label)
+        if event is Event.JOB_FINISHED:
+            self._finished(fields)
+        elif event is Event.TASK_PLACED:
+            self._observe('report_age', fields.get('report_age_ms'))
+
+    def _finished(self, fields: Fields) -> None:
+        age_ms, due_ms = fields.get('age_ms'), fields.get('due_ms')
+        self._observe('job_age', age_ms)
+        if isinstance(age_ms, int) and isinstance(due_ms, int):
+            if age_ms > due_ms:
+                self._metrics.count('jobs_late_total')
+
+    def _observe(self, series: str, millis: object) -> None:
+        if isinstance(millis, int):
+            self._metrics.observe(series, millis)
--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -13,6 +13,7 @@
     Attempt,
     Phase,
 )
+from hyssopring.logs import Event, log_event
 
 __all__ = ('Pacer',)
 
@@ -66,6 +67,13 @@
         elif tail > _HIGH and not is_falling:
             wanted = round(pace * max(_AIM / tail, _DEEPEST_CUT))
         if wanted != pace:
+            log_event(
+                Event.TASK_PACED,
+                task=attempt.task,
+                pace=wanted,
+                before=pace,
+                tail_percent=round(tail * FULL_PACE),
+            )
             self._set_pace(attempt, wanted)
 
 
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -15,7 +15,9 @@
 )
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
+from hyssopring.metrics import Metrics
 from hyssopring.platform.listening import listen
+from hyssopring.platform.metrics import serve_metrics
 from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
@@ -33,6 +35,8 @@
         self._reactor = reactor
         self._settings = settings
         self._clock: Clock = MonotonicClock()
+        self._metrics = Metrics()
+        self._metrics.collect(self._gauge)
         self.core = JobAgentCore(
             reactor,
             self._clock,
@@ -49,7 +53,7 @@
         )
         self._discovery = EntryDiscovery(
             self._clock,
-            PlatformStore(reactor, settings.platform.address),
+            PlatformStore(reactor, settings.platform.address, self._metrics),
             self._dialler,
             random.Random(uuid.uuid4().int),
         )
@@ -67,6 +71,7 @@
             settings.bind_addresses.control_plane,
             QuietSite(self._reports),
         )
+        serve_metrics(self._reactor, settings.ip, self._metrics)
         self._dialler.learn(settings.seed_addresses)
         self._lifecycle.every(TURN_S, self._turn)
         self._turn()
@@ -86,6 +91,12 @@
         )
         self._lifecycle.drain(lambda: True, 0)
 
+    def _gauge(self) -> None:
+        gauge = self._metrics.gauge
+        gauge('attempts_running', len(self.core.table.by_task))
+        gauge('worker_silent_ms', self.core.watch.silent_ms)
+        gauge('entries_connected', len(self._dialler.connected))
+
     def _turn(self) -> None:
         self._dialler.turn()
         self._discovery.turn()
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -19,9 +19,11 @@
 from hyssopring.jobs.times import RENEW_MS
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
+from hyssopring.metrics import Metrics
 from hyssopring.platform.callers import CallersResource
 from hyssopring.platform.configuration import ConfigurationFollower
 from hyssopring.platform.listening import listen
+from hyssopring.platform.metrics import serve_metrics
 from hyssopring.platform.readiness import ReadyResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
@@ -45,10 +47,12 @@
         self._reactor = reactor
         self._settings = settings
         self._clock: Clock = MonotonicClock()
+        self._metrics = Metrics()
+        self._metrics.collect(self._gauge)
         store = RelayedStore(
             reactor,
             self._clock,
-            PlatformStore(reactor, settings.platform.address),
+            PlatformStore(reactor, settings.platform.address, self._metrics),
             self,
         )
         self._membership = EntryMembership(
@@ -110,11 +114,8 @@
         listen(self._reactor, bind.frontend, QuietSite(self._callers))
         listen(self._reactor, bind.ready, QuietSite(self._ready))
         listen(self._reactor, self._settings.inner_address, self._listener)
-        # An entry that the store turns away from its start learns of others
-        # by these alone.
-        own = self._settings.inner_address
-        seeds = set(self._settings.seed_addresses) - {own}
-        self._dialler.learn(seeds)
+        self._learn_seeds()
+        serve_metrics(self._reactor, self._settings.ip, self._metrics)
         self._follower.start()
         self._membership.turn()
         every = self._lifecycle.every
@@ -162,6 +163,21 @@
             and self._membership.is_in_touch
         )
 
+    def _learn_seeds(self) -> None:
+        """Dial the seeds: an entry that the store turns away has these only."""
+        own = self._settings.inner_address
+        self._dialler.learn(set(self._settings.seed_addresses) - {own})
+
+    def _gauge(self) -> None:
+        gauge = self._metrics.gauge
+        shards = self.core.owner.shards
+        gauge('shards_owned', len(shards.by_shard))
+        gauge('jobs_live', len(shards.live_jobs()))
+        gauge('agents_connected', len(self.core.agents))
+        gauge('requests_open', self._callers.open_requests)
+        table = self._callers.table
+        gauge('configuration_version', table.version if table else 0)
+
     def _configured(self, table: QueueTable) -> None:
         self._callers.table = table
 
--- /dev/null
+++ b/hyssopring/platform/metrics.py
@@ -0,0 +1,48 @@
+"""Serves a process's metrics as text."""
+
+from typing import Any, Final
+
+from twisted.internet.error import CannotListenError
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+
+from hyssopring.jobs.measures import JobMeasures
+from hyssopring.logs import Event, listen_to_events, log_event
+from hyssopring.metrics import Metrics, gauge_process
+from hyssopring.platform.listening import listen
+from hyssopring.web_server import QuietSite
+
+__all__ = ('METRICS_PATH', 'METRICS_PORT', 'serve_metrics')
+
+# The settings file names no port for metrics; the deploy file does, with these
+# same figures. 9464 is the usual port of metrics exporters.
+METRICS_PORT: Final = 9464
+METRICS_PATH: Final = 'metrics'
+
+
+class _MetricsResource(Resource):
+    """GET on any path of the port."""
+
+    isLeaf = True
+
+    def __init__(self, metrics: Metrics) -> None:
+        super().__init__()
+        self._metrics = metrics
+
+    def render_GET(self, request: Request) -> bytes:
+        request.setHeader('content-type', 'text/plain; version=0.0.4')
+        return self._metrics.render().encode()
+
+
+def serve_metrics(reactor: Any, ip: str, metrics: Metrics) -> None:
+    """Count the process's events, and listen for scrapes.
+
+    A port that is taken costs the metrics, not the service: it is logged.
+    """
+    listen_to_events(JobMeasures(metrics).take)
+    metrics.collect(lambda: gauge_process(metrics))
+    site = QuietSite(_MetricsResource(metrics))
+    try:
+        listen(reactor, f'{ip}:{METRICS_PORT}', site)
+    except CannotListenError as error:
+        log_event(Event.PEER_ERROR, peer='metrics', detail=str(error))
--- a/hyssopring/platform/store.py
+++ b/hyssopring/platform/store.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
+from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.jobs.rows import (
     Changes,
     Committed,
@@ -23,6 +24,7 @@
     Transaction,
 )
 from hyssopring.logs import Event, log_event
+from hyssopring.metrics import Metrics
 from hyssopring.platform.json_calls import JsonAnswer, JsonClient
 
 __all__ = ('PlatformStore',)
@@ -42,8 +44,10 @@
 class PlatformStore:
     """Carries calls, and tells what an answer means for the caller."""
 
-    def __init__(self, reactor: Any, address: str) -> None:
+    def __init__(self, reactor: Any, address: str, metrics: Metrics) -> None:
         """Connect lazily to the store at HOST:PORT."""
+        self._reactor = reactor
+        self._metrics = metrics
         self._client = JsonClient(
             reactor,
             address,
@@ -59,7 +63,7 @@
             'writes': [_put(put) for put in transaction.puts],
             'remove': [_place(place) for place in transaction.removals],
         }
-        calling = self._client.call('POST', _TX, fields, _TIMEOUT_MS)
+        calling = self._call('POST', _TX, fields, _TIMEOUT_MS)
         calling.addCallbacks(self._committed, self._uncertain)
         return calling
 
@@ -84,7 +88,7 @@
     def changes(self, table: str, after: int, wait_ms: int) -> Deferred:
         """See ``RowStore``."""
         asked = {'table': table, 'after': str(after), 'waitMs': str(wait_ms)}
-        calling = self._client.call(
+        calling = self._call(
             'GET',
             f'{_FEED}?{urlencode(asked)}',
             None,
@@ -94,7 +98,7 @@
         return calling.addCallback(_changes)
 
     def _read(self, asked: dict[str, str]) -> Deferred:
-        calling = self._client.call(
+        calling = self._call(
             'GET',
             f'{_GET}?{urlencode(asked)}',
             None,
@@ -103,6 +107,38 @@
         calling.addCallbacks(self._answered, self._unread)
         return calling
 
+    def _call(
+        self,
+        method: str,
+        path: str,
+        fields: dict[str, Any] | None,
+        timeout_ms: float,
+    ) -> Deferred:
+        begun_s = self._reactor.seconds()
+        calling = self._client.call(method, path, fields, timeout_ms)
+        return calling.addCallbacks(
+            self._measured,
+            self._unanswered,
+            callbackArgs=(begun_s, path),
+        )
+
+    def _measured(
+        self,
+        answer: JsonAnswer,
+        begun_s: float,
+        path: str,
+    ) -> JsonAnswer:
+        self._metrics.count(f'store_calls_total{{status="{answer.status}"}}')
+        if not path.startswith(_FEED):
+            # A call for changes waits for one: its time says nothing.
+            seconds = self._reactor.seconds() - begun_s
+            self._metrics.observe('store_call', seconds * MILLIS_PER_SECOND)
+        return answer
+
+    def _unanswered(self, failure: TwistedFailure) -> TwistedFailure:
+        self._metrics.count('store_calls_total{status="none"}')
+        return failure
+
     def _committed(self, answer: JsonAnswer) -> Committed | Conflict:
         if answer.status == HTTPStatus.OK:
             self._found()
--- /dev/null
+++ b/tests/test_measures.py
@@ -0,0 +1,67 @@
+"""Series of the platform's processes, and their page."""
+
+import pathlib
+import re
+import tomllib
+
+from hyssopring.jobs.measures import JobMeasures
+from hyssopring.logs import Event
+from hyssopring.metrics import Metrics
+from hyssopring.platform.metrics import METRICS_PATH, METRICS_PORT
+
+GAUGES = {
+    'shards_owned',
+    'jobs_live',
+    'agents_connected',
+    'requests_open',
+    'configuration_version',
+    'attempts_running',
+    'worker_silent_ms',
+    'entries_connected',
+    'process_cpu_seconds',
+    'process_resident_bytes',
+    'store_calls_total',
+    'store_call_ms',
+}
+
+
+def counted():
+    metrics = Metrics()
+    measures = JobMeasures(metrics)
+    for event in Event:
+        measures.take(
+            event,
+            {'state': 'completed', 'age_ms': 9, 'due_ms': 5, 'how': 'done'},
+        )
+    measures.take(Event.TASK_PLACED, {'report_age_ms': 7})
+    return metrics
+
+
+def test_the_page_lists_each_series_and_nothing_else():
+    page = pathlib.Path('docs/METRICS.md').read_text()
+    listed = {
+        name
+        for row in page.splitlines()
+        if row.startswith('| `')
+        for name in re.findall('`([a-z_]+)`', row.split('|')[1])
+    }
+    rendered = {
+        re.match('hyssopring_([a-z_]+)', line)[1].removesuffix('_count')
+        for line in counted().render().splitlines()
+    }
+    assert listed == rendered | GAUGES
+
+
+def test_events_are_counted_by_what_decides_what_to_do():
+    metrics = counted()
+    assert metrics.counter('jobs_finished_total{state="completed"}') == 1
+    assert metrics.counter('jobs_late_total') == 1
+    assert metrics.counter('starts_ordered_total') == 2
+    assert metrics.percentile('report_age', 50) >= 7
+
+
+def test_the_deploy_file_names_the_port_and_path_that_are_served():
+    text = pathlib.Path('deploy/system.toml').read_text()
+    roles = tomllib.loads(text)['roles']
+    for role in roles.values():
+        assert role['metrics'] == f'{METRICS_PORT}/{METRICS_PATH}'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 
 import pytest
 from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
 
 from hyssopring.jobs.model import AttemptEnd, Queue
 from hyssopring.jobs.rows import (
@@ -24,6 +25,7 @@
     Transaction,
 )
 from hyssopring.jobs.worker_port import Start, StartOutcome, WorkerReplaced
+from hyssopring.metrics import Metrics
 from hyssopring.platform.callers import read_job
 from hyssopring.platform.configuration import read_configuration
 from hyssopring.platform.json_calls import JsonAnswer
@@ -188,7 +190,7 @@
 
 
 def store_with(answers):
-    store = PlatformStore(None, '127.0.0.1:1')
+    store = PlatformStore(Clock(), '127.0.0.1:1', Metrics())
     store._client = answers
     return store
 
