--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -348,3 +348,17 @@
         'x',
         made,
     )
+
+
+def settled(deployment=None, **options):
+    """A deployment whose first shard has an owner that knows all agents."""
+    deployment = deployment or Deployment(**options)
+    deployment.run(3)
+    assert deployment.owner
+    return deployment
+
+
+def starts_of(deployment, job):
+    return [
+        row for row in deployment.book.starts if row[2].startswith(job.job_id)
+    ]
--- a/tests/test_jobs_relay.py
+++ b/tests/test_jobs_relay.py
@@ -8,8 +8,7 @@
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.rows import StoreRefused
-from standins.jobs.deployment import ReactorClock, a_job
-from tests.test_jobs import settled, starts_of
+from standins.jobs.deployment import ReactorClock, a_job, settled, starts_of
 
 
 def another_than(deployment, name):
--- a/tests/test_jobs_stalls.py
+++ b/tests/test_jobs_stalls.py
@@ -1,7 +1,6 @@
 """A process that is behind judges nobody by silence."""
 
-from standins.jobs.deployment import a_job
-from tests.test_jobs import settled, starts_of
+from standins.jobs.deployment import a_job, settled, starts_of
 
 
 def test_an_owner_that_was_behind_counts_no_task_as_lapsed_at_once():
--- a/tests/test_jobs_takeover.py
+++ b/tests/test_jobs_takeover.py
@@ -4,8 +4,7 @@
 
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.model import JobState, Schedule
-from standins.jobs.deployment import Deployment, a_job
-from tests.test_jobs import settled, starts_of
+from standins.jobs.deployment import Deployment, a_job, settled, starts_of
 
 
 def replace_owner(deployment):
