Reports: an unknown job has its whole time under each reign

Cause, found by reading: the time since when a job is not known outlived the loss of its shard. Taken back within the time that an entry remembers, tasks of a job that is not read yet were stopped at once and their ends dropped. Ruled out: the ends that are known; they are forgotten with the shard already. Change: forget() drops these times too. The test fails without it.

--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -77,6 +77,14 @@
             for ack, end_shard in self._seen_ends.items()
             if end_shard != shard
         }
+        # A job that is not found yet has its whole time again under a new
+        # reign: counted from the old one, its tasks would be stopped and their
+        # ends dropped before the rows are read.
+        self._unknown_since = {
+            job_id: since
+            for job_id, since in self._unknown_since.items()
+            if shard_of(job_id) != shard
+        }
 
     def job_known(self, record: JobRecord) -> None:
         """Read again what agents have told of a job that was not known.
--- a/tests/test_jobs_takeover.py
+++ b/tests/test_jobs_takeover.py
@@ -163,6 +163,32 @@
     assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
 
 
+def test_a_job_that_is_not_found_has_its_whole_time_under_each_reign():
+    """An owner hears of a job that it does not know, and loses the shard.
+
+    It takes the shard back and hears of the job again,
+    before its row is found. Counted from the first time, the job would be given
+    up at once: its tasks were stopped, although they do what was asked.
+    """
+    deployment = settled(work_ms=lambda task: 30_000)
+    job = a_job(steps=((2, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    core = deployment.entries[deployment.owner].core
+    owned = core.owner.shards.by_shard[0]
+    record = owned.by_job.pop(job.job_id)
+    owned._live.pop(job.job_id)
+    for worker in core.fleet.by_agent.values():
+        worker.placed_by_task.clear()
+    deployment.run(1)
+    core.owner._reader.forget(0)
+    deployment.run(15)
+    owned.add(JobRow(record.job, record.accepted_ms), is_inherited=True)
+    deployment.run(1)
+    assert len(starts_of(deployment, job)) == 2
+    assert not deployment.book.ends
+
+
 def test_an_owner_gives_up_when_an_agent_tells_of_another_one():
     """The store turns the owner away, and another entry takes the shard.
 
