Twins: one refusal in the agent, one reader of row texts

Cause: the agent logged and sent a refusal in two places with the same lines, and four rows read their text with the same four lines. owner.shard_loaded was called for more than its name said. Change: JobAgentCore._refuse, documents._read, owner.ask_all. No behaviour changes; the tests of jobs pass as they are.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -140,17 +140,7 @@
         facts = message.facts
         reason = self._objection(message, entry_id)
         if reason:
-            log_event(
-                Event.TASK_REFUSED,
-                task=facts.task,
-                attempt=facts.attempt,
-                reason=reason,
-            )
-            reign = self._rights.reign_of(message.shard)
-            self._send(
-                entry_id,
-                StartRefusal(facts.task, facts.attempt, reason, reign),
-            )
+            self._refuse(entry_id, message.shard, facts, reason)
             return
         attempt = Attempt(
             facts.task,
@@ -203,17 +193,29 @@
         return ''
 
     def _refused(self, attempt: Attempt, reason: str) -> None:
+        """The worker has not taken a start; only a sized one is ever sent."""
+        assert attempt.facts is not None, 'a start comes with its facts'
         owner = self._rights.owner_of(attempt.shard)
+        self._refuse(owner, attempt.shard, attempt.facts, reason)
+
+    def _refuse(
+        self,
+        entry_id: str,
+        shard: int,
+        facts: TaskFacts,
+        reason: str,
+    ) -> None:
+        """Tell an entry that a start was not carried out."""
         log_event(
             Event.TASK_REFUSED,
-            task=attempt.task,
-            attempt=attempt.number,
+            task=facts.task,
+            attempt=facts.attempt,
             reason=reason,
         )
-        reign = self._rights.reign_of(attempt.shard)
+        reign = self._rights.reign_of(shard)
         self._send(
-            owner,
-            StartRefusal(attempt.task, attempt.number, reason, reign),
+            entry_id,
+            StartRefusal(facts.task, facts.attempt, reason, reign),
         )
 
     def _new_boot(self) -> None:
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -14,6 +14,7 @@
 
 import json
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from pydantic import TypeAdapter, ValidationError
 
@@ -42,6 +43,8 @@
     'progress_key',
 )
 
+_Document = TypeVar('_Document')
+
 JOBS = 'hs_jobs'
 DONE = 'hs_done'
 OWNERS = 'hs_owner'
@@ -99,10 +102,7 @@
     @classmethod
     def from_text(cls, text: str) -> 'JobRow':
         """Read a row; raises UnreadableRow."""
-        try:
-            return _JOB_ROW.validate_json(text)
-        except ValidationError as error:
-            raise UnreadableRow(f'job: {error.errors()[0]}') from error
+        return _read(_JOB_ROW, 'job', text)
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -129,10 +129,7 @@
     @classmethod
     def from_text(cls, text: str) -> 'ProgressRow':
         """Read a row; raises UnreadableRow."""
-        try:
-            return _PROGRESS_ROW.validate_json(text)
-        except ValidationError as error:
-            raise UnreadableRow(f'progress: {error.errors()[0]}') from error
+        return _read(_PROGRESS_ROW, 'progress', text)
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -157,10 +154,7 @@
     @classmethod
     def from_text(cls, text: str) -> 'OwnerRow':
         """Read a row; raises UnreadableRow."""
-        try:
-            return _OWNER_ROW.validate_json(text)
-        except ValidationError as error:
-            raise UnreadableRow(f'owner: {error.errors()[0]}') from error
+        return _read(_OWNER_ROW, 'owner', text)
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -185,16 +179,20 @@
     @classmethod
     def from_text(cls, text: str) -> 'EntryRow':
         """Read a row; raises UnreadableRow."""
-        try:
-            return _ENTRY_ROW.validate_json(text)
-        except ValidationError as error:
-            raise UnreadableRow(f'entry: {error.errors()[0]}') from error
+        return _read(_ENTRY_ROW, 'entry', text)
 
     def to_text(self) -> str:
         """Return the row's text."""
         return _ENTRY_ROW.dump_json(self).decode()
 
 
+def _read(adapter: TypeAdapter[_Document], kind: str, text: str) -> _Document:
+    try:
+        return adapter.validate_json(text)
+    except ValidationError as error:
+        raise UnreadableRow(f'{kind}: {error.errors()[0]}') from error
+
+
 _JOB_ROW = TypeAdapter(JobRow)
 _PROGRESS_ROW = TypeAdapter(ProgressRow)
 _OWNER_ROW = TypeAdapter(OwnerRow)
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -204,7 +204,7 @@
                 self._deposed,
                 self.owner.accepted,
                 self.owner.cancelled,
-                self.owner.shard_loaded,
+                self.owner.ask_all,
                 self.owner.plan_soon,
             ),
         )
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -87,10 +87,10 @@
         """Own a shard from now on."""
         self.shards.by_shard[owned.shard] = owned
         owned.load()
-        self.shard_loaded()
+        self.ask_all()
 
-    def shard_loaded(self) -> None:
-        """Ask all agents what they run of the owned shards."""
+    def ask_all(self) -> None:
+        """List all agents, and ask what they run of the owned shards."""
         self._list_agents()
         for worker in self._fleet.by_agent.values():
             if worker.is_connected:
@@ -131,7 +131,7 @@
         self._send(worker.agent_id, facts)
 
     def agent_connected(self, worker: Worker) -> None:
-        """Ask an agent what it runs of the owned shards."""
+        """List an agent, and ask what it runs of the owned shards."""
         self._list_agents()
         self._ask(worker)
 
