Owner: planning has a module of its own

Change: planning.py holds the rounds, owner.py the rest. No behaviour changes; the load test drives the planner instead of the owner, with the same assertions.

--- /dev/null
+++ b/hyssopring/jobs/planning.py
@@ -0,0 +1,197 @@
+"""Sends waiting steps to workers, in rounds."""
+
+from dataclasses import dataclass
+from typing import Any, Callable, Final
+
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.jobs.book import JobRecord, StepRun
+from hyssopring.jobs.choice import PlacementRound
+from hyssopring.jobs.fleet import Fleet, Placed, Worker
+from hyssopring.jobs.messages import JobsMessage, StartOrder
+from hyssopring.jobs.model import JobState, TaskName
+from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.shards import shard_of
+from hyssopring.jobs.task_facts import facts_of
+from hyssopring.jobs.urgency import Urgency, urgency
+from hyssopring.logs import Event, log_event
+
+__all__ = ('Send', 'StepPlanner')
+
+# A job none of whose tasks has run for this long gets one started wherever
+# there is room, also where it slows others down: nothing waits for ever.
+_STARVED_MS: Final = 1000.0
+
+# After a round the owner plans nothing for this many times as long as the round
+# took: however long the queue, two thirds of its time are left for reports,
+# grants and callers. Without it an owner of 0.5 cores with 340 jobs after a
+# loss of power was silent to all 61 agents.
+_PLAN_REST: Final = 2
+
+Send = Callable[[str, JobsMessage], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """The tasks of a step that may start now."""
+
+    urgency: Urgency
+    record: JobRecord
+    run: StepRun
+    indices: set[int]
+
+
+class StepPlanner:
+    """Orders the starts of the owned shards' tasks."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        fleet: Fleet,
+        shards: OwnedShards,
+        send: Send,
+        may_act: Callable[[], bool],
+        wall_ms: Callable[[], float],
+    ) -> None:
+        """Order agents by ``send`` while ``may_act`` says that it may."""
+        self._reactor = reactor
+        self._clock = clock
+        self._fleet = fleet
+        self._shards = shards
+        self._send = send
+        self._may_act = may_act
+        self._wall_ms = wall_ms
+        self._is_plan_due = False
+        self._plan_at = clock.now()
+
+    def plan_soon(self) -> None:
+        """Plan once for all that happens in this turn of the reactor."""
+        if not self._is_plan_due:
+            self._is_plan_due = True
+            wait_ms = max(0, self._plan_at - self._clock.now())
+            self._reactor.callLater(
+                wait_ms / MILLIS_PER_SECOND,
+                self._plan_within_share,
+            )
+
+    def _plan_within_share(self) -> None:
+        """Plan, and note when the next round may begin."""
+        self._is_plan_due = False
+        if not self._may_act():
+            return
+        begun_at = self._clock.now()
+        self._plan()
+        ended_at = self._clock.now()
+        self._plan_at = ended_at + _PLAN_REST * (ended_at - begun_at)
+
+    def _plan(self) -> None:
+        wall_ms = self._wall_ms()
+        waiting = [
+            _Waiting(urgency(record, run, wall_ms), record, run, indices)
+            for record in self._shards.live_jobs()
+            for run in record.open_runs()
+            if (indices := self._shards.startable(record, run))
+        ]
+        if not waiting:
+            return
+        waiting.sort(key=lambda each: each.urgency)
+        placement = PlacementRound(self._shards.listed(self._fleet.takers()))
+        for each in waiting:
+            self._place(placement, each)
+
+    def _place(self, placement: PlacementRound, waiting: '_Waiting') -> None:
+        record, run = waiting.record, waiting.run
+        if run.step.is_gang:
+            self._place_gang(placement, waiting)
+            return
+        is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
+        for index in sorted(waiting.indices):
+            name = TaskName(
+                record.job.job_id,
+                run.occurrence,
+                run.number,
+                index,
+            )
+            worker = placement.choose(
+                record.job.queue.service,
+                run.step,
+                name,
+                is_starved,
+            )
+            is_starved = False
+            if worker is None:
+                return
+            task = str(name)
+            self._start(
+                record,
+                run,
+                name,
+                worker,
+                record.next_number(task),
+                record.checkpoint_by_task.get(task, ''),
+            )
+
+    def _place_gang(
+        self,
+        placement: PlacementRound,
+        waiting: '_Waiting',
+    ) -> None:
+        """Start all members or none: alone they would only hold room."""
+        record, run = waiting.record, waiting.run
+        if not run.is_gang_ready or len(waiting.indices) < run.step.count:
+            return
+        names = list(record.job.tasks(run.occurrence, run.number))
+        workers = placement.choose_all(
+            record.job.queue.service,
+            run.step,
+            names,
+        )
+        if not workers:
+            return
+        number = record.next_gang_number(names)
+        checkpoint = record.gang_checkpoint(names)
+        for name, worker in zip(names, workers, strict=True):
+            self._start(record, run, name, worker, number, checkpoint)
+
+    def _start(
+        self,
+        record: JobRecord,
+        run: StepRun,
+        name: TaskName,
+        worker: Worker,
+        number: int,
+        checkpoint: str,
+    ) -> None:
+        task = str(name)
+        owned = self._shards.by_shard[shard_of(name.job_id)]
+        order = StartOrder(
+            owned.shard,
+            owned.reign,
+            worker.boot,
+            record.job.payload,
+            checkpoint,
+            facts_of(task, number, run.step),
+        )
+        if not self._send(worker.agent_id, order):
+            return
+        worker.orders += 1
+        worker.placed_by_task[task] = Placed(
+            name,
+            number,
+            run.step,
+            worker.boot,
+            worker.orders,
+            self._clock.now(),
+            checkpoint,
+        )
+        run.placed(name.index)
+        if record.state is JobState.QUEUED:
+            record.state = JobState.ACTIVE
+        log_event(
+            Event.TASK_PLACED,
+            task=task,
+            attempt=number,
+            agent=worker.agent_id,
+            resumed=bool(checkpoint),
+            report_age_ms=int(self._clock.now() - worker.reported_at),
+        )
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -24,6 +24,7 @@
 from hyssopring.jobs.model import Job, Queue, Size, Step, TaskName
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.pacing import Pacer
+from hyssopring.jobs.planning import StepPlanner
 from hyssopring.jobs.urgency import urgency
 from standins.jobs.deployment import ReactorClock
 
@@ -246,17 +247,18 @@
     """Rounds that take 30 ms are 60 ms apart, however much happens."""
     reactor = Clock()
     clock = ReactorClock(reactor)
-    owner = JobOwner(reactor, clock, Fleet(clock), None, None, None, None)
-    owner._may_act = lambda: True
+    planner = StepPlanner(
+        reactor, clock, Fleet(clock), None, None, lambda: True, None
+    )
     rounds = []
 
     def plan():
         rounds.append(clock.now())
         reactor.rightNow += 0.03
 
-    owner._plan = plan
+    planner._plan = plan
     for _millisecond in range(500):
-        owner.plan_soon()
+        planner.plan_soon()
         reactor.advance(0.001)
     gaps = [later - earlier for earlier, later in pairwise(rounds)]
     assert len(gaps) > 5
