Entries: what is known of others apart from what is done about it

Change: peer_entries.py reads the others' rows and says who lives; entries.py renews and takes shards. The messages of relayed calls stand in relay_messages.py.

--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -7,7 +7,6 @@
 write nothing more.
 """
 
-from dataclasses import dataclass
 from typing import Any, Callable, Final
 
 from twisted.python.failure import Failure as TwistedFailure
@@ -21,6 +20,7 @@
     owner_key,
 )
 from hyssopring.jobs.owned_shard import ShardReign
+from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.rows import (
     Committed,
     Page,
@@ -38,13 +38,6 @@
 
 __all__ = ('EntryMembership',)
 
-# After a longer gap between two readings of the store nothing can be said of
-# the others' silence: they may have been kept from renewing, too.
-_MAX_GAP_MS: Final = 1.8 * RENEW_MS
-# Rows of entries that were silent for this long are removed.
-_FORGET_MS: Final = 60_000.0
-
-
 # How long an entry leaves a free shard to each one that comes before it: each
 # looks once in ``RENEW_MS``, and its transaction takes some time.
 _PRECEDENCE_MS: Final = 1.5 * RENEW_MS
@@ -55,20 +48,6 @@
 _YIELD_EACH_MS: Final = 30_000.0
 
 
-@dataclass(slots=True)
-class _Seen:
-    """Another entry's row, and since when it has not changed.
-
-    ``has_renewed`` says that it changed while it was watched: after a restart
-    of all, rows of entries that never come back look young.
-    """
-
-    row: EntryRow
-    version: int
-    since: float
-    has_renewed: bool = False
-
-
 class EntryMembership:
     """Renews this entry's row and watches the others'."""
 
@@ -91,8 +70,7 @@
         self._incarnation = incarnation
         self._address = address
         self._renewed_at: float | None = None
-        self._read_at: float | None = None
-        self._seen_by_entry: dict[str, _Seen] = {}
+        self._peers = PeerEntries(clock, entry_id)
         self._is_renewing = False
         self._is_stale = False
         self._taking: set[int] = set()
@@ -122,18 +100,11 @@
     @property
     def addresses(self) -> dict[str, str]:
         """Addresses of all entries that live, by id; not this one's."""
-        return {
-            entry_id: seen.row.address
-            for entry_id, seen in self._seen_by_entry.items()
-            if self._is_live(entry_id)
-        }
+        return self._peers.addresses
 
     def owner_of(self, shard: int) -> str:
         """Return the id of the entry that said last that it owns a shard."""
-        for entry_id, seen in self._seen_by_entry.items():
-            if shard in seen.row.shards and self._is_live(entry_id):
-                return entry_id
-        return ''
+        return self._peers.owner_of(shard)
 
     def turn(self) -> None:
         """Renew and look at the others; call each ``RENEW_MS``."""
@@ -203,48 +174,24 @@
 
     def _entries_read(self, page: Page) -> None:
         now = self._clock.now()
-        is_gap = self._read_at is None or now - self._read_at > _MAX_GAP_MS
-        self._read_at = now
-        rows = {row.place.key: row for row in page.rows}
-        rows.pop(self._entry_id, None)
-        for gone in self._seen_by_entry.keys() - rows.keys():
-            self._seen_by_entry.pop(gone)
-        for entry_id, row in rows.items():
-            self._see(entry_id, row, now, is_gap)
+        for row in self._peers.read(page.rows):
+            self._forget(row)
         self.on_entries()
         if not self._is_stopping:
             self._yield_to_stronger(now)
             self._contend(now)
 
-    def _see(self, entry_id: str, row: Row, now: float, is_gap: bool) -> None:
-        seen = self._seen_by_entry.get(entry_id)
-        if seen is None or seen.version != row.version:
-            self._seen_by_entry[entry_id] = _Seen(
-                EntryRow.from_text(row.text),
-                row.version,
-                now,
-                has_renewed=seen is not None,
-            )
-        elif is_gap:
-            seen.since = now
-        elif now - seen.since > _FORGET_MS:
-            removing = self._store.commit(
-                Transaction(
-                    (RowCheck(row.place, row.version),),
-                    (),
-                    (row.place,),
-                ),
-            )
-            removing.addErrback(self._failed)
-
-    def _is_live(self, entry_id: str) -> bool:
-        seen = self._seen_by_entry[entry_id]
-        return self._clock.now() - seen.since < ENTRY_SILENT_MS
+    def _forget(self, row: Row) -> None:
+        """Remove the row of an entry that is long gone."""
+        removing = self._store.commit(
+            Transaction((RowCheck(row.place, row.version),), (), (row.place,)),
+        )
+        removing.addErrback(self._failed)
 
     def _contend(self, now: float) -> None:
         """Look at shards that no live entry says to own."""
         for shard in range(SHARDS):
-            if shard in self.owned() or self.owner_of(shard):
+            if shard in self.owned() or self._peers.owner_of(shard):
                 self._free_since.pop(shard, None)
             elif shard not in self._taking:
                 self._free_since.setdefault(shard, now)
@@ -257,7 +204,7 @@
         Those with more processor time come first: a planner that has too
         little for all agents is silent to them while it looks alive.
         """
-        cores_by_entry = self._live_cores()
+        cores_by_entry = self._peers.live_cores()
         cores_by_entry[self._entry_id] = self._cores
         ranked = sorted(
             cores_by_entry,
@@ -266,17 +213,9 @@
         place = ranked.index(self._entry_id)
         return (place - shard) % len(ranked)
 
-    def _live_cores(self) -> dict[str, float]:
-        """The processor time of the entries that were seen to renew."""
-        return {
-            entry_id: seen.row.cores
-            for entry_id, seen in self._seen_by_entry.items()
-            if seen.has_renewed and self._is_live(entry_id)
-        }
-
     def _yield_to_stronger(self, now: float) -> None:
         """Give shards up for an entry that has far more processor time."""
-        strongest = max(self._live_cores().values(), default=0)
+        strongest = max(self._peers.live_cores().values(), default=0)
         is_weak = strongest > _MUCH_STRONGER * self._cores
         if is_weak and self.owned() and now > self._yields_at:
             self._yields_at = now + _YIELD_EACH_MS
@@ -296,10 +235,10 @@
         entry_id = former.entry_id
         if not entry_id or entry_id == self._entry_id:
             return False
-        seen = self._seen_by_entry.get(entry_id)
-        if seen is not None:
-            is_same = seen.row.incarnation == former.incarnation
-            return is_same and self._is_live(entry_id)
+        known = self._peers.incarnation_of(entry_id)
+        if known:
+            is_same = known == former.incarnation
+            return is_same and self._peers.is_live(entry_id)
         now = self._clock.now()
         since = self._missing_since.setdefault(former.incarnation, now)
         return now - since < ENTRY_SILENT_MS
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -17,10 +17,6 @@
     JobsMessage,
     PendingAnswer,
     PendingQuestion,
-    RelayedAnswer,
-    RelayedChanges,
-    RelayedCommit,
-    RelayedRead,
     StartRefusal,
     WorkerReport,
 )
@@ -32,6 +28,12 @@
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.questions import Peers, Questions
 from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.relay_messages import (
+    RelayedAnswer,
+    RelayedChanges,
+    RelayedCommit,
+    RelayedRead,
+)
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobEntryCore',)
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -7,6 +7,12 @@
 from types import MappingProxyType
 from typing import Any, Final, get_args
 
+from hyssopring.jobs.relay_messages import (
+    RelayedAnswer,
+    RelayedChanges,
+    RelayedCommit,
+    RelayedRead,
+)
 from hyssopring.protocol.structs import (
     ProtocolError,
     read_struct,
@@ -29,16 +35,11 @@
     'JobsMessage',
     'PendingAnswer',
     'PendingQuestion',
-    'RelayedAnswer',
-    'RelayedChanges',
-    'RelayedCommit',
-    'RelayedRead',
     'ReportQuestion',
     'ShardReign',
     'StartOrder',
     'StartRefusal',
     'StopOrder',
-    'StoredRow',
     'TaskFacts',
     'WorkerReport',
     'pack',
@@ -269,60 +270,6 @@
     addresses: list[str]
 
 
-@struct
-class StoredRow:
-    """A row, or where one lies and which version it must have."""
-
-    table: str
-    part: str
-    key: str
-    text: str
-    version: int
-    is_removed: bool
-
-
-@struct
-class RelayedCommit:
-    """Asks a peer to commit a transaction for an entry."""
-
-    number: int
-    checks: list[StoredRow]
-    puts: list[StoredRow]
-    removals: list[StoredRow]
-
-
-@struct
-class RelayedRead:
-    """Asks a peer to read a page of rows, or only the row ``first``."""
-
-    number: int
-    table: str
-    part: str
-    first: str
-    is_single: bool
-
-
-@struct
-class RelayedChanges:
-    """Asks a peer what has changed in a table."""
-
-    number: int
-    table: str
-    after: int
-    wait_ms: int
-
-
-@struct
-class RelayedAnswer:
-    """What the store has answered a peer; ``kind`` is a ``RelayedKind``."""
-
-    number: int
-    kind: str
-    version: int
-    rows: list[StoredRow]
-    has_more: bool
-
-
 JobsMessage = (
     EntryGreeting
     | AgentGreeting
--- a/hyssopring/jobs/relay.py
+++ b/hyssopring/jobs/relay.py
@@ -17,14 +17,14 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.documents import ENTRIES
-from hyssopring.jobs.messages import (
-    JobsMessage,
+from hyssopring.jobs.messages import JobsMessage
+from hyssopring.jobs.questions import Peers, Questions
+from hyssopring.jobs.relay_messages import (
     RelayedAnswer,
     RelayedChanges,
     RelayedCommit,
     RelayedRead,
 )
-from hyssopring.jobs.questions import Peers, Questions
 from hyssopring.jobs.relayed_calls import (
     IN_DOUBT,
     REFUSED,
--- a/hyssopring/jobs/relayed_calls.py
+++ b/hyssopring/jobs/relayed_calls.py
@@ -5,7 +5,11 @@
 
 from twisted.python.failure import Failure as TwistedFailure
 
-from hyssopring.jobs.messages import RelayedAnswer, RelayedCommit, StoredRow
+from hyssopring.jobs.relay_messages import (
+    RelayedAnswer,
+    RelayedCommit,
+    StoredRow,
+)
 from hyssopring.jobs.rows import (
     Changes,
     Committed,
--- a/tests/test_jobs_relay.py
+++ b/tests/test_jobs_relay.py
@@ -4,9 +4,9 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
-from hyssopring.jobs.messages import RelayedAnswer
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.relay_messages import RelayedAnswer
 from hyssopring.jobs.rows import StoreRefused
 from standins.jobs.deployment import ReactorClock, a_job, settled, starts_of
 
