--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -71,7 +71,7 @@
             settings.bind_addresses.control_plane,
             QuietSite(self._reports),
         )
-        serve_metrics(self._reactor, settings.ip, self._metrics)
+        serve_metrics(self._reactor, settings, self._metrics)
         self._dialler.learn(settings.seed_addresses)
         self._lifecycle.every(TURN_S, self._turn)
         self._turn()
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -115,7 +115,7 @@
         listen(self._reactor, bind.ready, QuietSite(self._ready))
         listen(self._reactor, self._settings.inner_address, self._listener)
         self._learn_seeds()
-        serve_metrics(self._reactor, self._settings.ip, self._metrics)
+        serve_metrics(self._reactor, self._settings, self._metrics)
         self._follower.start()
         self._membership.turn()
         every = self._lifecycle.every
--- a/hyssopring/platform/metrics.py
+++ b/hyssopring/platform/metrics.py
@@ -10,13 +10,12 @@
 from hyssopring.logs import Event, listen_to_events, log_event
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.platform.listening import listen
+from hyssopring.platform.settings import NodeSettings
 from hyssopring.web_server import QuietSite
 
-__all__ = ('METRICS_PATH', 'METRICS_PORT', 'serve_metrics')
+__all__ = ('METRICS_PATH', 'serve_metrics')
 
-# The settings file names no port for metrics; the deploy file does, with these
-# same figures. 9464 is the usual port of metrics exporters.
-METRICS_PORT: Final = 9464
+# As the deploy file says it.
 METRICS_PATH: Final = 'metrics'
 
 
@@ -34,7 +33,11 @@
         return self._metrics.render().encode()
 
 
-def serve_metrics(reactor: Any, ip: str, metrics: Metrics) -> None:
+def serve_metrics(
+    reactor: Any,
+    settings: NodeSettings,
+    metrics: Metrics,
+) -> None:
     """Count the process's events, and listen for scrapes.
 
     A port that is taken costs the metrics, not the service: it is logged.
@@ -43,6 +46,6 @@
     metrics.collect(lambda: gauge_process(metrics))
     site = QuietSite(_MetricsResource(metrics))
     try:
-        listen(reactor, f'{ip}:{METRICS_PORT}', site)
+        listen(reactor, f'{settings.ip}:{settings.metrics_port}', site)
     except CannotListenError as error:
         log_event(Event.PEER_ERROR, peer='metrics', detail=str(error))
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -4,19 +4,29 @@
 import pathlib
 from typing import Final
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic import alias_generators
 from result import Err, Ok, Result
 
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.problems import describe_problems
 
-__all__ = ('NodeSettings', 'load_node_settings', 'node_file')
+__all__ = (
+    'METRICS_PORT',
+    'NodeSettings',
+    'load_node_settings',
+    'node_file',
+)
 
 _FILE_VARIABLE: Final = 'HYSSOPRING_NODE_FILE'
 # A file of the platform has a few kilobytes; parsing stops long before it
 # takes a noticeable time.
 _MAX_BYTES: Final = 1024 * 1024
+_LAST_PORT: Final = 65_535
+
+# The platform's file names no port for metrics; the deploy file does, with this
+# same figure, the usual port of metrics exporters. Our own tests give another.
+METRICS_PORT: Final = 9464
 
 
 class _Model(BaseModel):
@@ -67,6 +77,7 @@
     platform: StoreSettings
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
+    metrics_port: int = Field(default=METRICS_PORT, ge=0, le=_LAST_PORT)
     command_mode: str = 'invocation'
     app: str = ''
     service: str = ''
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -7,7 +7,8 @@
 from hyssopring.jobs.measures import JobMeasures
 from hyssopring.logs import Event
 from hyssopring.metrics import Metrics
-from hyssopring.platform.metrics import METRICS_PATH, METRICS_PORT
+from hyssopring.platform.metrics import METRICS_PATH
+from hyssopring.platform.settings import METRICS_PORT
 
 GAUGES = {
     'shards_owned',
