--- a/standins/backend.py
+++ b/standins/backend.py
@@ -10,12 +10,12 @@
 import signal
 import sys
 
+from twisted.internet.defer import succeed
 from twisted.internet.task import LoopingCall
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.iweb import IBodyProducer
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
-from twisted.internet.defer import succeed
 from zope.interface import implementer
 
 _ANNOUNCE_S = 0.5
--- /dev/null
+++ b/standins/jobs/processes.py
@@ -0,0 +1,186 @@
+"""Entries and agents as processes of a virtual deployment."""
+
+from twisted.internet.defer import Deferred
+
+from hyssopring.clock import MILLIS_PER_SECOND
+from hyssopring.jobs.agent_core import JobAgentCore
+from hyssopring.jobs.entries import EntryMembership
+from hyssopring.jobs.entry_core import JobEntryCore
+from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.times import RENEW_MS
+
+AGENT_TURN_S = 0.1
+ENTRY_TURN_S = 0.2
+POLL_S = 1.5
+BEAT_S = 1.5
+REDIAL_S = 0.3
+
+
+class ReactorClock:
+    """The product's clock on the virtual reactor."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def now(self):
+        return self.reactor.seconds() * MILLIS_PER_SECOND
+
+
+class Process:
+    """One process: dead or frozen ones get neither timers nor messages."""
+
+    def __init__(self, deployment, name):
+        self.deployment = deployment
+        self.reactor = ProcessReactor(deployment.reactor, self)
+        self.clock = ReactorClock(deployment.reactor)
+        self.name = name
+        self.is_alive = True
+        self.thaws_at = None
+
+    def every(self, seconds, action):
+        def again():
+            action()
+            self.reactor.callLater(seconds, again)
+
+        self.reactor.callLater(seconds, again)
+
+
+class ProcessReactor:
+    """Drops what a dead process has waiting, and holds a frozen one's."""
+
+    def __init__(self, reactor, process):
+        self._reactor = reactor
+        self._process = process
+
+    def seconds(self):
+        return self._reactor.seconds()
+
+    def callLater(self, seconds, action, *given):
+        return self._reactor.callLater(seconds, self.run, action, *given)
+
+    def run(self, action, *given):
+        process = self._process
+        if not process.is_alive:
+            return
+        if process.thaws_at is not None and process.thaws_at > self.seconds():
+            wait = process.thaws_at - self.seconds()
+            self._reactor.callLater(wait, self.run, action, *given)
+            return
+        action(*given)
+
+
+class Entry(Process):
+    """An entry's core and its timers."""
+
+    def __init__(self, deployment, name, incarnation):
+        super().__init__(deployment, name)
+        self.has_peers = True
+        client = RelayedStore(
+            self.reactor,
+            self.clock,
+            deployment.rows.client(name, self.reactor),
+            self,
+        )
+        self.membership = EntryMembership(
+            self.reactor,
+            self.clock,
+            client,
+            name,
+            incarnation,
+            name,
+            deployment.cores_by_entry.get(name, 1),
+        )
+        self.core = JobEntryCore(
+            self.reactor,
+            self.clock,
+            deployment.wall_ms,
+            client,
+            self.membership,
+            self,
+        )
+        self.every(RENEW_MS / MILLIS_PER_SECOND, self.membership.turn)
+        self.every(ENTRY_TURN_S, self.core.turn)
+        self.every(POLL_S, self.core.poll)
+        self.reactor.callLater(0, self.membership.turn)
+
+    @property
+    def connected_entries(self):
+        return [
+            name
+            for name, entry in self.deployment.entries.items()
+            if entry.is_alive
+            and self.has_peers
+            and entry is not self
+            and not self.deployment.is_cut(self.name, name)
+        ]
+
+    def to_entry(self, entry_id, message):
+        return self.deployment.carry(self, entry_id, message)
+
+    def answer(self, peer_id, message):
+        return self.deployment.carry(self, peer_id, message)
+
+    def take(self, message, sender):
+        self.core.take(message, sender)
+
+
+class WorkerLink:
+    """An agent's calls to its worker; a dead or frozen agent hears nothing."""
+
+    def __init__(self, worker, process_reactor):
+        self.worker = worker
+        self.process_reactor = process_reactor
+
+    def look(self, look):
+        return self._carry(self.worker.look(look))
+
+    def start(self, start):
+        return self._carry(self.worker.start(start))
+
+    def stop(self, *order):
+        return self._carry(self.worker.stop(*order))
+
+    def set_pace(self, *order):
+        return self._carry(self.worker.set_pace(*order))
+
+    def _carry(self, answer):
+        heard = Deferred()
+        run = self.process_reactor.run
+        answer.addCallbacks(
+            lambda outcome: run(heard.callback, outcome),
+            lambda failure: run(heard.errback, failure),
+        )
+        return heard
+
+
+class Agent(Process):
+    """An agent's core and its timers; its worker lives on without it."""
+
+    def __init__(self, deployment, name, worker):
+        super().__init__(deployment, name)
+        self.worker = worker
+        port = WorkerLink(worker, self.reactor)
+        self.core = JobAgentCore(self.reactor, self.clock, port, self.send)
+        self.links = set()
+        self.every(AGENT_TURN_S, self.core.turn)
+        self.every(BEAT_S, self.beat)
+        self.every(REDIAL_S, self.dial)
+        self.reactor.callLater(0, self.beat)
+        self.reactor.callLater(0, self.dial)
+
+    def beat(self):
+        if not self.worker.is_dark:
+            self.core.watch.announce(self.worker.announcement())
+
+    def dial(self):
+        for name, entry in self.deployment.entries.items():
+            if (self.name, name) in self.deployment.links:
+                continue
+            if entry.is_alive and not self.deployment.is_cut(self.name, name):
+                self.deployment.link(self, entry)
+
+    def send(self, entry_id, message):
+        self.deployment.carry(self, entry_id, message)
+
+    def take(self, message, sender):
+        self.core.take(message, sender)
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -26,7 +26,7 @@
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.planning import StepPlanner
 from hyssopring.jobs.urgency import urgency
-from standins.jobs.deployment import ReactorClock
+from standins.jobs.processes import ReactorClock
 
 FILLER = Step(
     1, Size(2000, 2000, 0), 3000, fills=True, saves=True, image='filler'
--- a/tests/test_jobs_relay.py
+++ b/tests/test_jobs_relay.py
@@ -8,7 +8,8 @@
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.relay_messages import RelayedAnswer
 from hyssopring.jobs.rows import StoreRefused
-from standins.jobs.deployment import ReactorClock, a_job, settled, starts_of
+from standins.jobs.deployment import a_job, settled, starts_of
+from standins.jobs.processes import ReactorClock
 
 
 def another_than(deployment, name):
