Logs: by what an owner takes an attempt for over, and why it stops one

Purpose: the record shows a second start 15 ms after the first one, and an ordered stop; the logs could tell neither why the first was given up nor why it was stopped. Starts and lapses now carry the age of the owner's grant and of the agent's report, lapses the place of the order, and each ordered stop is one line with its reason. Run: the tests of jobs, events and pages.

--- a/hyssopring/jobs/moves.py
+++ b/hyssopring/jobs/moves.py
@@ -9,6 +9,7 @@
 from hyssopring.jobs.owned_shard import OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.shards import shard_of, shard_of_task
+from hyssopring.jobs.stopping import mark_stopping
 
 __all__ = ('TaskMoves',)
 
@@ -58,7 +59,7 @@
             owned = self._shards.by_shard.get(shard_of_task(task))
             is_due = is_urgent or placed.step.is_keeper
             if owned is not None and is_due and not placed.is_stopping:
-                placed.is_stopping = True
+                mark_stopping(placed, worker, 'the worker leaves')
                 self._stop(owned, worker, task, placed.number)
 
     def relieve(self, takers: Iterable[Worker]) -> None:
@@ -80,7 +81,7 @@
         for worker, placed in held:
             if placement.take_quiet_room(worker.service, placed.step):
                 owned = self._shards.by_shard[shard_of(placed.name.job_id)]
-                placed.is_stopping = True
+                mark_stopping(placed, worker, 'held still beside keepers')
                 self._stop(owned, worker, str(placed.name), placed.number)
 
 
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -23,6 +23,7 @@
 from hyssopring.jobs.reports import ReportReader
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.stalls import StallWatch
+from hyssopring.jobs.stopping import mark_stopping
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
@@ -202,7 +203,7 @@
         for worker in self._fleet.by_agent.values():
             for task, placed in worker.placed_by_task.items():
                 if placed.name.job_id == record.job.job_id:
-                    placed.is_stopping = True
+                    mark_stopping(placed, worker, 'its job has ended')
                     self.stop(owned, worker, task, placed.number)
 
     def stop(
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -193,5 +193,7 @@
             attempt=number,
             agent=worker.agent_id,
             resumed=bool(checkpoint),
+            reign=owned.reign,
             report_age_ms=int(self._clock.now() - worker.reported_at),
+            grant_age_ms=int(self._clock.now() - worker.granted_at),
         )
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -15,6 +15,7 @@
 from hyssopring.jobs.owned_shard import Ack, OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.shards import shard_of, shard_of_task
+from hyssopring.jobs.stopping import mark_stopping
 from hyssopring.jobs.task_facts import facts_of
 from hyssopring.jobs.times import LAPSED_MS
 from hyssopring.logs import Event, log_event
@@ -175,6 +176,13 @@
         if placed is None or placed.number < told.attempt:
             placed = self._adopt(worker, boot, told, record)
         if placed is None or record is None:
+            log_event(
+                Event.TASK_STOPPED,
+                task=told.task,
+                attempt=told.attempt,
+                agent=worker.agent_id,
+                why='its job is not known',
+            )
             self._sink.stop(owned, worker, told.task, told.attempt)
             return
         placed.take(told, self._clock.now())
@@ -222,9 +230,11 @@
             boot,
             0,
             self._clock.now(),
-            is_stopping=not is_wanted,
         )
         worker.placed_by_task[told.task] = placed
+        if not is_wanted:
+            why = 'another attempt runs, or the task has ended'
+            mark_stopping(placed, worker, why)
         if is_wanted:
             run.placed(name.index)
             if record.state is JobState.QUEUED:
@@ -308,7 +318,7 @@
         placed: Placed,
         owned: OwnedShard,
     ) -> None:
-        placed.is_stopping = True
+        mark_stopping(placed, worker, 'done elsewhere, or its gang is broken')
         self._sink.stop(owned, worker, str(placed.name), placed.number)
 
     def gone(self, worker: Worker, placed: Placed, reason: str) -> None:
@@ -317,12 +327,16 @@
         worker.placed_by_task.pop(task, None)
         record = self._shards.record_of(placed.name.job_id)
         run = record.run_of(placed.name) if record else None
+        now = self._clock.now()
         log_event(
             Event.TASK_LAPSED,
             task=task,
             attempt=placed.number,
             agent=worker.agent_id,
             reason=reason,
+            order=placed.order,
+            grant_age_ms=int(now - worker.granted_at),
+            report_age_ms=int(now - worker.reported_at),
         )
         if run is not None:
             self._return(run, placed.name)
