--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -33,6 +33,7 @@
         self.book = Book()
         self.links = {}
         self.cut = set()
+        self.blocked = set()
         self._incarnations = itertools.count(1)
         self.workers = [
             SimWorker(
@@ -81,14 +82,26 @@
         entry.core.agent_connected(agent.name, 'zone')
         agent.core.connected(entry.name)
 
+    def block(self, agent_name, entry_name):
+        """One agent and one entry have no connection any more."""
+        self.blocked.add((agent_name, entry_name))
+        self._unlink_pair((agent_name, entry_name))
+
+    def stop_agent(self, name):
+        """End an agent as planned."""
+        self.reactor.callLater(STEP_S, self.kill_agent, name)
+
     def _unlink(self, name):
         for pair in [pair for pair in self.links if name in pair]:
-            self.links.pop(pair)
-            agent, entry = self.agents[pair[0]], self.entries[pair[1]]
-            if agent.is_alive:
-                agent.core.disconnected(entry.name)
-            if entry.is_alive:
-                entry.core.agent_gone(agent.name)
+            self._unlink_pair(pair)
+
+    def _unlink_pair(self, pair):
+        self.links.pop(pair)
+        agent, entry = self.agents[pair[0]], self.entries[pair[1]]
+        if agent.is_alive:
+            agent.core.disconnected(entry.name)
+        if entry.is_alive:
+            entry.core.agent_gone(agent.name)
 
     def carry(self, sender, name, message):
         """Write a message on a link; what is under way is lost with it."""
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -174,7 +174,8 @@
 
     def dial(self):
         for name, entry in self.deployment.entries.items():
-            if (self.name, name) in self.deployment.links:
+            pair = (self.name, name)
+            if pair in self.deployment.links or pair in self.deployment.blocked:
                 continue
             if entry.is_alive and not self.deployment.is_cut(self.name, name):
                 self.deployment.link(self, entry)
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -72,6 +72,7 @@
         is_dark: It answers nothing and runs on.
         lose_next: So many orders are carried out and not answered.
         late_s: How much later such orders are carried out.
+        refuses: So many starts are refused, as by an unhealthy runner.
     """
 
     def __init__(self, reactor, name, book, work_ms, room=None, rate=1):
@@ -85,6 +86,7 @@
         self.is_leaving = False
         self.lose_next = 0
         self.late_s = 0
+        self.refuses = 0
         self.lives = 0
         self.sequence = 0
         self.fails = lambda task: False
@@ -138,6 +140,9 @@
         return self._call(look.boot, lambda: self._look(look))
 
     def start(self, start):
+        if self.refuses and not self.lose_next:
+            self.refuses -= 1
+            return self._call(start.boot, lambda: StartOutcome.UNHEALTHY)
         return self._order(start.boot, lambda: self._start(start))
 
     def stop(self, boot, fence, task, attempt):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,42 @@
 """Settings for all tests: a broken promise fails a test at once."""
 
+import pathlib
+
 import pytest
 
 from hyssopring.invariants import Invariants
 
+KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
+MOST_RED = 3
+
+
+def known_red():
+    """Lines of the tests that are known to fail: test, cause, issue."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line for line in lines if line.strip()]
+
+
+def pytest_collection_modifyitems(items):
+    """Pass over listed tests; one that passes again fails the run.
+
+    So that a line is taken off the list with its mend.
+    """
+    red = {line.split()[0]: line for line in known_red()}
+    assert len(red) <= MOST_RED, 'more tests are listed as red than may be'
+    for item in items:
+        if item.nodeid in red:
+            item.add_marker(
+                pytest.mark.xfail(reason=red[item.nodeid], strict=True)
+            )
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print what is passed over."""
+    for line in known_red():
+        terminalreporter.write_line(f'KNOWN RED: {line}')
+
 
 @pytest.fixture(autouse=True)
 def _strict_invariants(monkeypatch):
--- /dev/null
+++ b/tests/test_jobs_evidence.py
@@ -0,0 +1,84 @@
+"""What shows that an attempt is over, and what does not.
+
+Users saw two runs of one task some milliseconds apart just after a shard had
+got a new owner, and a keeper that ran nowhere for ten seconds while entries
+and VMs were replaced in turn.
+"""
+
+from hyssopring.jobs.model import JobState
+from standins.jobs.deployment import Deployment, a_job, settled
+
+
+STEP_S = 0.01
+PATIENCE = 2000
+
+
+def pair(**options):
+    """Two entries and two workers: the owner, and who takes over from it."""
+    deployment = settled(
+        Deployment(workers=2, entries=2, **options),
+    )
+    owner = deployment.owner
+    other = next(name for name in deployment.entries if name != owner)
+    return deployment, deployment.entries[owner], deployment.entries[other]
+
+
+def run_until_owned(deployment, entry):
+    """Stop in the moment in which an entry has taken the shard."""
+    for _each in range(PATIENCE):
+        if entry.core.owner.shards.by_shard:
+            return
+        deployment.run(STEP_S)
+    raise AssertionError('nobody has taken the shard')
+
+
+def test_an_agent_that_a_new_owner_has_not_heard_is_not_given_up():
+    """A job comes to an owner that has just taken the shard.
+
+    An agent answers the owner's first question late: it has its former grant,
+    but none of this owner. The owner sent it a start, and at its next turn
+    took the lack of a grant of its own for a grant that had run out. It
+    started the task elsewhere while the first start was carried out.
+    """
+    deployment, owner, successor = pair(work_ms=lambda task: 3000)
+    deployment.run(10)
+    deployment.kill_entry(owner.name)
+    run_until_owned(deployment, successor)
+    agent = deployment.agents['agent-0']
+    agent.thaws_at = deployment.reactor.seconds() + 1
+    deployment.run(0.1)
+    job = a_job(steps=((2, ()),))
+    deployment.submit(job, successor.name)
+    deployment.run(0.05)
+    deployment.block('agent-0', successor.name)
+    deployment.run(5)
+    assert deployment.state(job.job_id, successor.name) is JobState.COMPLETED
+
+
+def test_a_vm_that_leaves_while_entries_are_replaced_holds_up_no_keeper():
+    """A VM is taken away in planned work, and the owner is stopped after it.
+
+    The agent had told that its worker left and nothing ran there any more,
+    and ended for good. Its successor as an owner knew it from the roster only
+    and waited 8.4 s for it, before it started the keeper that ran there.
+    """
+    deployment = settled(workers=3, work_ms=lambda task: 60_000)
+    job = a_job(steps=((2, ()),), is_keeper=True, max_per_worker=1)
+    deployment.submit(job)
+    deployment.run(1)
+    number, worker = next(
+        (number, each)
+        for number, each in enumerate(deployment.workers)
+        if each.runs
+    )
+    worker.is_leaving = True
+    deployment.agents[f'agent-{number}'].beat()
+    owner = deployment.entries[deployment.owner]
+    owner.core.release()
+    deployment.run(1)
+    worker.is_dark = True
+    worker.runs.clear()
+    deployment.stop_agent(f'agent-{number}')
+    deployment.run(6)
+    running = [task for each in deployment.workers for task in each.runs]
+    assert len(running) == 2
--- a/tests/test_jobs_random.py
+++ b/tests/test_jobs_random.py
@@ -5,7 +5,7 @@
 from standins.jobs.faults import RandomDay
 
 
-@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('seed', [*range(6), 26])
 def test_random_day_keeps_the_promises(seed):
     """Jobs come while processes, workers, links and the store fail at random.
 
