Owner: an attempt is not given up for a grant that this owner never gave

Cause of the two runs in the users' record. An owner that has just taken a shard has granted nothing yet. It sent starts to each agent that was connected, and at its next turn, within 0.2 s, counted those of agents that had not answered it as lapsed: the age of its last grant to them was its whole life, or that of an earlier reign. The task started again elsewhere under the next number, and the first attempt was stopped as soon as its agent reported it. That is the record to the letter: attempts 1 and 2, 15 ms apart, all tasks of one worker, just after a takeover beside a slow store, the first ones stopped. Ruled out: two owners, as they would number from different bases. Change: a start goes only to agents that have confirmed the reign, and the time of a grant counts from that confirmation at the earliest, since the former owner may have granted until then.

--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -66,7 +66,12 @@
 
 @dataclass
 class Worker:
-    """One agent and its worker."""
+    """One agent and its worker.
+
+    Attributes:
+        granted_at: When its agent was last granted, by this owner or by a
+            former one as far as can be known.
+    """
 
     agent_id: str
     zone: str
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -69,6 +69,7 @@
     """One shard under one reign.
 
     Attributes:
+        heard: Agents that have told what they run and know this reign.
         unheard: Agents that have not told this reign yet what they run.
         is_loaded: Whether all stored jobs are known.
     """
@@ -92,6 +93,7 @@
         self._store = store
         self._events = events
         self.by_job: dict[str, JobRecord] = {}
+        self.heard: set[str] = set()
         self.unheard: set[str] = set()
         self.is_loaded = False
         self.is_dropped = False
@@ -134,6 +136,15 @@
             return run.waiting
         return record.located_waiting(run)
 
+    def may_start_on(self, agent_id: str) -> bool:
+        """Whether a start may be sent to an agent.
+
+        Its next owner must find it on the roster; and until it has confirmed
+        this reign, a former owner may still order and grant there, so that
+        nothing is known of what runs on it or for how long.
+        """
+        return agent_id in self.heard and agent_id in self.roster
+
     def turn(self, is_lost: Callable[[str], bool]) -> None:
         """Give up agents on which nothing can run any more.
 
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -69,13 +69,13 @@
         owned = self.by_shard[shard_of(record.job.job_id)]
         return owned.startable(record, run)
 
-    def listed(self, workers: Iterable[Worker]) -> list[Worker]:
-        """Return the workers that the next owner of any shard will ask."""
+    def startable_on(self, workers: Iterable[Worker]) -> list[Worker]:
+        """Return the workers that tasks of each owned shard may start on."""
         return [
             worker
             for worker in workers
             if all(
-                worker.agent_id in owned.roster
+                owned.may_start_on(worker.agent_id)
                 for owned in self.by_shard.values()
             )
         ]
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -135,6 +135,7 @@
                 self._ask(worker)
         for shard in known:
             owned = self.shards.by_shard[shard]
+            self._meet(worker, owned)
             if owned.is_loaded:
                 self._reader.reconcile(worker, message, owned)
             else:
@@ -142,6 +143,17 @@
                 worker.reported_at = 0
         self.plan_soon()
 
+    def _meet(self, worker: Worker, owned: OwnedShard) -> None:
+        """Note the first report of an agent that knows an owner's reign.
+
+        A former owner may have granted until now. Counted from this owner's
+        own grants only, an attempt there would be given up while it runs, and
+        run twice.
+        """
+        if worker.agent_id not in owned.heard:
+            owned.heard.add(worker.agent_id)
+            worker.granted_at = self._clock.now()
+
     @take.register
     def _take_refusal(self, message: StartRefusal, worker: Worker) -> None:
         placed = worker.placed_by_task.get(message.task)
@@ -160,7 +172,8 @@
             record.open_due(self._wall_ms())
         self._moves.evacuate()
         if self._may_act():
-            self._moves.relieve(self.shards.listed(self._fleet.takers()))
+            takers = self.shards.startable_on(self._fleet.takers())
+            self._moves.relieve(takers)
         if self._stalls.has_kept_up():
             self._give_up_lost(now)
         self._list_agents()
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -95,7 +95,8 @@
         if not waiting:
             return
         waiting.sort(key=lambda each: each.urgency)
-        placement = PlacementRound(self._shards.listed(self._fleet.takers()))
+        takers = self._shards.startable_on(self._fleet.takers())
+        placement = PlacementRound(takers)
         for each in waiting:
             self._place(placement, each)
 
