Tests: a former owner leaves jobs to its successor, red

Seen: two runs, as a job that was told to the successor is found in the store by the former owner, which has authority for seconds and reaches agents that the successor has not heard.

--- a/tests/test_jobs_evidence.py
+++ b/tests/test_jobs_evidence.py
@@ -6,7 +6,7 @@
 """
 
 from hyssopring.jobs.model import JobState
-from standins.jobs.deployment import Deployment, a_job, settled
+from standins.jobs.deployment import Deployment, a_job, settled, starts_of
 
 
 STEP_S = 0.01
@@ -82,3 +82,22 @@
     deployment.run(6)
     running = [task for each in deployment.workers for task in each.runs]
     assert len(running) == 2
+
+
+def test_a_deposed_owner_leaves_jobs_to_its_successor():
+    """An owner is cut from its successor, and has authority for seconds.
+
+    A job is told to the successor, which starts it at once, as no other owner
+    has heard of it. The former owner finds the job's row by its regular poll
+    and started it too, on an agent that had not heard of the successor.
+    """
+    deployment, former, successor = pair(work_ms=lambda task: 4000)
+    former.membership.renew = lambda: None
+    deployment.block('agent-1', successor.name)
+    run_until_owned(deployment, successor)
+    deployment.run(0.2)
+    assert former.core.owner.shards.by_shard
+    job = a_job(steps=((2, ()),))
+    deployment.submit(job, successor.name)
+    deployment.run(3)
+    assert len(starts_of(deployment, job)) == 2
