Agents: starts are counted by connection

Ruled out: the lists of the worker, which were right. Change: the owner names each connection; questions, starts and reports carry the name. A start of another connection is void, and a report that counts for another one says nothing of what is over; the owner then asks again. Test changed: the agent's admission names the connection in its orders, as an owner does.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -27,6 +27,7 @@
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.rights import Rights
 from hyssopring.jobs.shards import shard_of_task
+from hyssopring.jobs.taken_orders import TakenOrders
 from hyssopring.jobs.watch import WorkerWatch
 from hyssopring.jobs.worker_port import Listing, WorkerPort
 from hyssopring.logs import Event, log_event
@@ -69,7 +70,7 @@
         self._ends = EndTable()
         self._sequence = 0
         self._reported_at_by_entry: dict[str, float] = {}
-        self._orders_by_entry: dict[str, int] = {}
+        self._taken = TakenOrders()
         self._is_report_due = False
         self._met_at = clock.now()
         self.watch.on_boot = self._new_boot
@@ -81,7 +82,6 @@
 
     def connected(self, entry_id: str) -> None:
         """An entry is connected: tell it of the worker."""
-        self._orders_by_entry[entry_id] = 0
         self._report(entry_id)
 
     def disconnected(self, entry_id: str) -> None:
@@ -118,6 +118,7 @@
 
     @take.register
     def _take_question(self, message: ReportQuestion, entry_id: str) -> None:
+        self._taken.begin(entry_id, message.connection)
         for asked in message.reigns:
             self._rights.learn(asked.shard, asked.reign, entry_id)
         self._report(entry_id)
@@ -136,8 +137,10 @@
 
     @take.register
     def _take_start(self, message: StartOrder, entry_id: str) -> None:
-        self._orders_by_entry[entry_id] += 1
         facts = message.facts
+        if not self._taken.take(entry_id, message.connection):
+            self._refuse(entry_id, message.shard, facts, 'connection')
+            return
         reason = self._objection(message, entry_id)
         if reason:
             self._refuse(entry_id, message.shard, facts, reason)
@@ -339,7 +342,8 @@
                 foreign.cpu_millis,
                 foreign.memory_mb,
                 foreign.accelerators,
-                self._orders_by_entry[entry_id],
+                self._taken.count(entry_id),
+                self._taken.connection(entry_id),
             ),
         )
 
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -83,6 +83,11 @@
         self.on_yield: Callable[[], None] = _nothing
         self._yields_at = clock.now()
 
+    @property
+    def incarnation(self) -> str:
+        """The name of this process among all that this entry ever was."""
+        return self._incarnation
+
     @property
     def may_act(self) -> bool:
         """Whether the last renewal is young enough to act as an owner."""
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -61,7 +61,7 @@
         self._store = store
         self._membership = membership
         self._peers = peers
-        self.fleet = Fleet(clock)
+        self.fleet = Fleet(clock, membership.incarnation)
         self.owner = JobOwner(
             reactor,
             clock,
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -1,6 +1,7 @@
 """The workers as one entry knows them, and what its shards use of them."""
 
 from dataclasses import dataclass, field
+from itertools import count
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.messages import AttemptReport, Grant, WorkerReport
@@ -71,6 +72,8 @@
     Attributes:
         granted_at: When its agent was last granted, by this owner or by a
             former one as far as can be known.
+        connection: This entry's name for the agent's connection.
+        orders: How many starts were sent on it.
     """
 
     agent_id: str
@@ -79,6 +82,7 @@
     report: WorkerReport | None = None
     reported_at: float = 0
     granted_at: float = 0
+    connection: str = ''
     orders: int = 0
     placed_by_task: dict[str, Placed] = field(default_factory=dict)
 
@@ -140,6 +144,15 @@
             if placed.step.target_ms
         ]
 
+    def has_taken(self, placed: Placed, report: WorkerReport) -> bool:
+        """Whether the agent had taken an attempt's order when it reported.
+
+        An order that it had not taken may still come. A report counts the
+        orders of one connection, and says nothing of another one's.
+        """
+        is_counted = report.connection == self.connection
+        return is_counted and placed.order <= report.orders
+
     def takes_tasks(self) -> bool:
         """Whether a new task may be sent there now."""
         report = self.report
@@ -160,9 +173,11 @@
 class Fleet:
     """All agents that an entry has met."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Know no agent."""
+    def __init__(self, clock: Clock, incarnation: str = '') -> None:
+        """Know no agent; ``incarnation`` is the entry's process."""
         self._clock = clock
+        self._incarnation = incarnation
+        self._connections = count(1)
         self.by_agent: dict[str, Worker] = {}
 
     def connected(self, agent_id: str, zone: str) -> Worker:
@@ -172,6 +187,7 @@
             worker = Worker(agent_id, zone)
             self.by_agent[agent_id] = worker
         worker.is_connected = True
+        worker.connection = f'{self._incarnation}/{next(self._connections)}'
         worker.orders = 0
         for placed in worker.placed_by_task.values():
             placed.order = 0
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -114,9 +114,11 @@
         reigns: The shards that this entry owns as far as the agent knows;
             of these shards the report names all attempts and ends.
         foreign_cpu: With the next two: what other owners' tasks take.
-        orders: How many starts this entry has sent on this connection and
-            the agent has taken; a start among them that is not in the
+        orders: How many starts the agent has taken of those that this entry
+            has sent on ``connection``; a start among them that is not in the
             lists is over.
+        connection: The entry's name for the connection that ``orders`` counts
+            for; empty while the agent knows none.
     """
 
     sequence: int
@@ -136,6 +138,7 @@
     foreign_memory: int
     foreign_accelerators: int
     orders: int
+    connection: str = ''
 
 
 @struct
@@ -152,9 +155,15 @@
 
 @struct
 class ReportQuestion:
-    """Asks an agent for a report at once, under these reigns."""
+    """Asks an agent for a report at once, under these reigns.
+
+    Attributes:
+        connection: Names the connection that this is the first question on;
+            starts that name another one are void from now on.
+    """
 
     reigns: list[ShardReign]
+    connection: str = ''
 
 
 @struct
@@ -173,7 +182,10 @@
 
 @struct
 class StartOrder:
-    """Start one attempt on this boot of the worker and on no other."""
+    """Start one attempt on this boot of the worker and on no other.
+
+    ``connection`` is the one that it was sent on.
+    """
 
     shard: int
     reign: int
@@ -181,6 +193,7 @@
     payload: str
     checkpoint: str
     facts: TaskFacts
+    connection: str = ''
 
 
 @struct
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -131,7 +131,8 @@
         known = self.shards.known_to(message)
         if self.shards.by_shard and self._may_act():
             self._grant(message, worker)
-            if known != set(self.shards.by_shard):
+            is_counted = message.connection == worker.connection
+            if not is_counted or known != set(self.shards.by_shard):
                 self._ask(worker)
         for shard in known:
             owned = self.shards.by_shard[shard]
@@ -201,7 +202,8 @@
 
     def _ask(self, worker: Worker) -> None:
         if self.shards.by_shard:
-            self._send(worker.agent_id, ReportQuestion(self.shards.reigns()))
+            question = ReportQuestion(self.shards.reigns(), worker.connection)
+            self._send(worker.agent_id, question)
 
     def _grant(self, report: WorkerReport, worker: Worker) -> None:
         grant = Grant(report.sequence, self.shards.reigns(), GRANT_TTL_MS)
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -172,6 +172,7 @@
             record.job.payload,
             checkpoint,
             facts_of(task, number, run.step),
+            worker.connection,
         )
         if not self._send(worker.agent_id, order):
             return
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -157,8 +157,7 @@
         for task, placed in ordered:
             if placed.boot != report.boot:
                 self.gone(worker, placed, 'worker replaced')
-            elif task not in listed and placed.order <= report.orders:
-                # An order that the report knows nothing of may still come.
+            elif task not in listed and worker.has_taken(placed, report):
                 self.gone(worker, placed, 'not listed')
 
     def _take_attempt(
--- a/tests/test_jobs_agents.py
+++ b/tests/test_jobs_agents.py
@@ -168,14 +168,16 @@
     agent = deployment.agents['agent-0']
     sent = []
     agent.core._send = lambda entry_id, message: sent.append(message)
-    reign = (
-        deployment.entries[deployment.owner].core.owner.shards.by_shard[0].reign
-    )
+    owner = deployment.entries[deployment.owner].core
+    reign = owner.owner.shards.by_shard[0].reign
+    connection = owner.fleet.by_agent['agent-0'].connection
     for index in range(3):
         task = f'{1:016x}.0.0.{index}'
         facts = TaskFacts(task, 1, 6000, 1000, 0, 0, False, '')
         deployment.book.sizes[f'{1:016x}'] = Size(6000, 1000, 0)
-        order = StartOrder(0, reign, agent.worker.boot, 'x', '', facts)
+        order = StartOrder(
+            0, reign, agent.worker.boot, 'x', '', facts, connection
+        )
         agent.core.take(order, deployment.owner)
     refusals = [
         message for message in sent if isinstance(message, StartRefusal)
