Tests: a new agent and its predecessor's hold, red

Seen: an agent is restarted while nobody owns the shard, and its worker answers 600 ms late once; what runs there is dropped from the agent's list and started a second time by the next owner.

--- a/tests/test_jobs_evidence.py
+++ b/tests/test_jobs_evidence.py
@@ -101,3 +101,28 @@
     deployment.submit(job, successor.name)
     deployment.run(3)
     assert len(starts_of(deployment, job)) == 2
+
+
+def test_a_new_agent_does_not_take_its_predecessors_hold_for_over():
+    """An agent is restarted while nobody owns the shard.
+
+    Its worker's next answer takes 600 ms. The new agent has extended no hold
+    and took what it had found for lapsed, though its predecessor's hold had
+    seconds to go. The next owner heard of an idle worker, and started the
+    tasks a second time.
+    """
+    deployment = settled(workers=2, work_ms=lambda task: 12_000)
+    job = a_job(steps=((4, ()),))
+    deployment.submit(job)
+    deployment.run(1)
+    deployment.kill_entry(deployment.owner)
+    worker = deployment.workers[0]
+    deployment.kill_agent('agent-0')
+    deployment.run(1)
+    deployment.start_agent('agent-0', worker)
+    deployment.run(0.1)
+    worker.is_dark = True
+    deployment.run(0.8)
+    worker.is_dark = False
+    deployment.run(8)
+    assert len(starts_of(deployment, job)) == 4
