Agent: the hold of its predecessor counts until it may have run out

A new agent had extended no hold while it knew no owner. Each look waits up to 0.5 s, so that an answer a little late made it count the tasks that it had found as lapsed, while its predecessor's hold had up to 6 s to go. The next owner heard of an idle worker and started them again. Change: with the first boot that an agent meets, a hold may last 6 s from then. A later boot is another life of the worker, where nothing was held before. A worker that falls silent just after its agent's restart is given up at most 6 s later than before.

--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -65,6 +65,8 @@
         self._past_boots: deque[str] = deque(maxlen=_PAST_BOOTS)
         self._clock_base = float()
         self._held_until = clock.now()
+        # Until when a former agent of this VM may have held the tasks.
+        self._inherited_until = clock.now()
         self._has_lapsed = False
         self._is_looking = False
         self._heard_at = clock.now()
@@ -137,7 +139,8 @@
         """Notice a worker that is silent past its hold; call regularly."""
         if not self.boot or self._has_lapsed:
             return
-        lapse = self._held_until + CLOCK_DRIFT * HOLD_MS
+        held_until = max(self._held_until, self._inherited_until)
+        lapse = held_until + CLOCK_DRIFT * HOLD_MS
         if self.silent_ms > _WAIT_MS and self._clock.now() > lapse:
             self._has_lapsed = True
             log_event(
@@ -216,6 +219,11 @@
         if self.boot:
             self._past_boots.append(self.boot)
             log_event(Event.WORKER_REPLACED, boot=look.boot, before=self.boot)
+        else:
+            # A former agent may have extended the hold until now. Taken for
+            # over as this one never gave it, running tasks would be reported
+            # as gone by the first late answer, and start a second time.
+            self._inherited_until = self._clock.now() + HOLD_MS
         announced = self._candidate
         self._candidate = None
         self.boot = look.boot
