Owner: a job found in the store is taken only while the shard is still owned

A former owner goes on for up to 10 s without knowing of its successor. A job that was told to the successor, which starts it at once, lay in the store for the former owner's poll, and was started by it as well on an agent that the successor had not heard. Change: after rows of unknown jobs are read, by load or poll, the shard's owner row is read; whoever finds another version there gives the shard up. The successor's row is older than any job that it was told of. What a failed call keeps from being taken is read again. Cost: one reading more a load, and a poll that finds something (a job that the message has missed).

--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -114,7 +114,7 @@
             self._check,
             self.by_job,
             events.on_acks,
-            self._deposed,
+            self.deposed,
         )
 
     def load(self) -> None:
@@ -181,6 +181,14 @@
         self._keep(record)
         self._events.on_job(record)
 
+    def is_known(self, job_id: str) -> bool:
+        """Whether a job was read, found or told of before."""
+        return job_id in self.by_job
+
+    def deposed(self) -> None:
+        """Another owner has the shard."""
+        self._events.on_deposed(self)
+
     def found(self, row: Row) -> None:
         """A stored job that nobody has told of.
 
@@ -261,9 +269,6 @@
             for job_id in ended:
                 self.by_job.pop(job_id, None)
 
-    def _deposed(self) -> None:
-        self._events.on_deposed(self)
-
     def _inherit(self, row: Row, ends: Row | None) -> None:
         record = JobRecord.from_row(
             JobRow.from_text(row.text),
--- a/hyssopring/jobs/shard_reader.py
+++ b/hyssopring/jobs/shard_reader.py
@@ -11,6 +11,8 @@
     DONE,
     JOBS,
     UnreadableRow,
+    is_job_key,
+    owner_key,
     part_of,
 )
 from hyssopring.jobs.rows import (
@@ -33,6 +35,7 @@
     """What is read of a shard."""
 
     shard: int
+    version: int
     is_dropped: bool
 
     def loaded(
@@ -43,9 +46,15 @@
     ) -> None:
         """All rows of agents, of jobs and of their ends."""
 
+    def is_known(self, job_id: str) -> bool:
+        """Whether a job is known already."""
+
     def found(self, row: Row) -> None:
         """A job that nobody has told of."""
 
+    def deposed(self) -> None:
+        """Another owner has the shard."""
+
     def cancel(self, job_id: str) -> None:
         """A cancellation."""
 
@@ -60,6 +69,7 @@
         self._rows = rows
         self._part = part_of(rows.shard)
         self._is_polling = False
+        self._read_version = 0
         self._seen_version = 0
 
     def load(self) -> None:
@@ -81,10 +91,31 @@
         agents = yield self._read_part(AGENTS, self._part)
         jobs = yield self._read_part(JOBS, self._part)
         ends = yield self._read_part(DONE, self._part)
-        if not self._rows.is_dropped:
+        is_owner = yield self._is_owner()
+        if is_owner:
+            # Changes from here on are read by polls.
+            self._seen_version = self._read_version
             self._rows.loaded(agents, jobs, ends)
             self._take_cancellations(jobs)
 
+    @inlineCallbacks
+    def _is_owner(self) -> Any:
+        """Whether the shard was still this owner's when the rows were read.
+
+        A job is told to one owner, which starts it at once, as no other one
+        knows it. A former owner, which has authority for seconds, would find
+        the job's row and start it too, on an agent that its successor has not
+        heard. The successor's row was there before it was told of the job, so
+        that an owner row which is read after the job's shows it.
+        """
+        row = yield self._store.read_one(owner_key(self._rows.shard))
+        if self._rows.is_dropped:
+            return False
+        if row is not None and row.version == self._rows.version:
+            return True
+        self._rows.deposed()
+        return False
+
     @inlineCallbacks
     def _read_part(self, table: str, part: str) -> Any:
         rows: list[Row] = []
@@ -92,8 +123,7 @@
         while True:
             page: Page = yield self._store.read(table, part, first)
             if table == JOBS and not first:
-                # Changes from here on are read by polls.
-                self._seen_version = page.version
+                self._read_version = page.version
             rows.extend(page.rows)
             if not page.has_more:
                 return rows
@@ -110,18 +140,37 @@
         if not self._rows.is_dropped:
             self._reactor.callLater(_RETRY_S, self.load)
 
-    def _changed(self, changes: Changes) -> None:
+    @inlineCallbacks
+    def _changed(self, changes: Changes) -> Any:
+        rows = [row for row in changes.rows if not row.is_removed]
+        yield self._take(rows, changes.version)
         self._is_polling = False
-        self._seen_version = max(self._seen_version, changes.version)
-        self._take([row for row in changes.rows if not row.is_removed])
 
-    def _take(self, rows: list[Row]) -> None:
+    @inlineCallbacks
+    def _reread(self) -> Any:
+        """Read all jobs anew, as the history of changes is gone."""
+        rows: list[Row] = yield self._read_part(JOBS, self._part)
+        yield self._take(rows, self._read_version)
+
+    @inlineCallbacks
+    def _take(self, rows: list[Row], version: int) -> Any:
+        """Take jobs and cancellations that were read at a version."""
         own = [row for row in rows if row.place.part == self._part]
-        for row in own:
-            if not row.place.key.endswith(CANCEL_SUFFIX):
-                self._rows.found(row)
+        new = [row for row in own if self._is_new(row)]
+        is_owner = not new or (yield self._is_owner())
+        if not is_owner or self._rows.is_dropped:
+            return
+        # Not before: what a failed call kept from being taken is read again.
+        self._seen_version = max(self._seen_version, version)
+        for row in new:
+            self._rows.found(row)
         self._take_cancellations(own)
 
+    def _is_new(self, row: Row) -> bool:
+        """Whether a row is a job that is not known."""
+        key = row.place.key
+        return is_job_key(key) and not self._rows.is_known(key)
+
     def _take_cancellations(self, rows: list[Row]) -> None:
         for row in rows:
             if row.place.key.endswith(CANCEL_SUFFIX):
@@ -136,6 +185,4 @@
             UnreadableRow,
         )
         if reason is HistoryLost:
-            reading = self._read_part(JOBS, self._part)
-            reading.addCallback(self._take)
-            reading.addErrback(self._poll_failed)
+            self._reread().addErrback(self._poll_failed)
