Tests: two refusals that say less than was read into them, red

Seen: a worker leaves a start unanswered and refuses its second copy; the first one is carried out seconds later, while the task runs elsewhere. And an agent that refuses a start since an attempt of the task runs there is taken for idle.

--- a/tests/test_jobs_evidence.py
+++ b/tests/test_jobs_evidence.py
@@ -126,3 +126,45 @@
     worker.is_dark = False
     deployment.run(8)
     assert len(starts_of(deployment, job)) == 4
+
+
+def test_a_refusal_does_not_speak_for_an_earlier_copy_of_the_start():
+    """A worker leaves a start unanswered, and refuses the second copy.
+
+    It is unhealthy by then. The agent told the owner that nothing was
+    started, and the task went elsewhere; the first copy was carried out three
+    seconds later.
+    """
+    deployment = settled(workers=2, work_ms=lambda task: 6000)
+    job = a_job(steps=((1, ()),))
+    worker = deployment.workers[0]
+    worker.lose_next = 1
+    worker.late_s = 2
+    worker.refuses = 1
+    deployment.submit(job)
+    deployment.run(0.5)
+    worker.is_leaving = True
+    deployment.agents['agent-0'].beat()
+    deployment.run(12)
+    assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+
+
+def test_a_refused_start_leaves_what_runs_there_alone():
+    """An agent refuses a start, as an attempt of the task runs with it.
+
+    The owner, which had lost track of that attempt, took the refusal for a
+    sign that nothing runs there, and started the task on another worker.
+    """
+    deployment, owner, _other = pair(work_ms=lambda task: 4000)
+    job = a_job(steps=((1, ()),))
+    deployment.submit(job, owner.name)
+    deployment.run(0.5)
+    core = owner.core
+    for worker in core.fleet.by_agent.values():
+        for placed in list(worker.placed_by_task.values()):
+            core.owner._reader.gone(worker, placed, 'a wrong belief')
+    core.owner._planner._plan()
+    deployment.run(0.03)
+    deployment.block('agent-0', owner.name)
+    deployment.run(16)
+    assert deployment.state(job.job_id, owner.name) is JobState.COMPLETED
