Agents and owner: a refusal speaks for its own start only

A worker that leaves a start unanswered may carry it out seconds later; a second copy that it refuses meanwhile was told to the owner as not started. And a start that an agent refuses since an attempt of the task runs there was taken for a sign that nothing does. Change: after an unanswered copy a refused start is settled by a stop, which the worker keeps to for all copies. The first costs a call where a worker refuses a repeated start.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -12,6 +12,7 @@
 from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
 from hyssopring.jobs.ends import EndTable
 from hyssopring.jobs.messages import (
+    RUNNING_HERE,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -183,7 +184,7 @@
 
     def _task_objection(self, facts: TaskFacts) -> str:
         if facts.task in self.table.by_task:
-            return 'running'
+            return RUNNING_HERE
         if self.table.is_closed(facts.task, facts.attempt):
             return 'closed'
         if not self.table.is_sized:
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -21,6 +21,7 @@
 )
 
 __all__ = (
+    'RUNNING_HERE',
     'AgentGreeting',
     'AttemptReport',
     'CancelNotice',
@@ -196,10 +197,16 @@
     connection: str = ''
 
 
+# A reason of ``StartRefusal``: some attempt of the task is on the worker.
+RUNNING_HERE: Final = 'running'
+
+
 @struct
 class StartRefusal:
     """The attempt was not started here and will not be.
 
+    It says nothing of other attempts of the task.
+
     Attributes:
         reign: The newest reign of the task's shard that the agent knows.
     """
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -127,13 +127,25 @@
         elif outcome in {StartOutcome.FENCED, StartOutcome.LATE}:
             self._watch.raise_fence()
             self._again(self.start, order, attempt)
-        elif outcome is StartOutcome.OLD and attempt.tries > 1:
-            # An earlier copy ran: the worker lists how it ended.
-            attempt.confirmed_at = self._clock.now()
+        elif attempt.tries > 1:
+            self._copy_refused(outcome, attempt)
         else:
             self._table.ended(attempt.task, attempt.number)
             self._on_refused(attempt, outcome.value)
 
+    def _copy_refused(self, outcome: StartOutcome, attempt: Attempt) -> None:
+        """A start was refused of which an earlier copy had no answer.
+
+        That copy may be carried out later, and a refusal speaks for its own
+        only. Told as not started, the task would start elsewhere and then
+        here as well; a stop that the worker has taken bars all copies.
+        """
+        if outcome is StartOutcome.OLD:
+            # An earlier copy ran: the worker lists how it ended.
+            attempt.confirmed_at = self._clock.now()
+        else:
+            self.stop(attempt)
+
     def _stopped(self, _taken: object, attempt: Attempt) -> None:
         attempt.is_stop_under_way = False
         attempt.stop_taken_at = self._clock.now()
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -7,6 +7,7 @@
 from hyssopring.jobs.book import JobRecord
 from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Worker
 from hyssopring.jobs.messages import (
+    RUNNING_HERE,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -158,7 +159,11 @@
     @take.register
     def _take_refusal(self, message: StartRefusal, worker: Worker) -> None:
         placed = worker.placed_by_task.get(message.task)
-        if placed is not None and placed.number == message.attempt:
+        # Where an attempt of the task runs, it is none that this owner knows
+        # of: started elsewhere the task would run twice. The agent's next
+        # report names the attempt, or shows that it is over.
+        is_settled = message.reason != RUNNING_HERE
+        if placed and placed.number == message.attempt and is_settled:
             self._reader.gone(worker, placed, message.reason)
         owned = self.shards.by_shard.get(shard_of_task(message.task))
         if owned is not None and message.reign > owned.reign:
