--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -32,14 +32,13 @@
         self.rows = MemoryRows(self.reactor)
         self.book = Book()
         self.links = {}
+        self.link_s = _even_link
         self.cut = set()
         self.blocked = set()
+        self._work = {'work_ms': work_ms, 'rate': rate}
         self._incarnations = itertools.count(1)
         self.workers = [
-            SimWorker(
-                self.reactor, f'worker-{number}', self.book, work_ms, rate=rate
-            )
-            for number in range(workers)
+            self._worker(f'worker-{number}') for number in range(workers)
         ]
         self.entries = {}
         self.agents = {}
@@ -48,6 +47,16 @@
         for number, worker in enumerate(self.workers):
             self.start_agent(f'agent-{number}', worker)
 
+    def _worker(self, name):
+        return SimWorker(self.reactor, name, self.book, **self._work)
+
+    def add_vm(self, name):
+        """A VM that was not there before: a worker and its agent."""
+        worker = self._worker(f'worker-{name}')
+        self.workers.append(worker)
+        self.start_agent(f'agent-{name}', worker)
+        return worker
+
     def wall_ms(self):
         return WALL_MS + self.reactor.seconds() * MILLIS_PER_SECOND
 
@@ -123,7 +132,13 @@
             return False
         payload = pack(message)
         self.reactor.callLater(
-            LINK_S, self._deliver, sender, receiver, pair, generation, payload
+            self.link_s(self.reactor.seconds(), sender.name, name),
+            self._deliver,
+            sender,
+            receiver,
+            pair,
+            generation,
+            payload,
         )
         return True
 
@@ -169,6 +184,11 @@
         )
 
 
+def _even_link(_now, _sender, _receiver):
+    """How long a message takes where nothing slows links down."""
+    return LINK_S
+
+
 def a_job(number=1, steps=((4, ()),), attempts=3, **changes):
     """A job of equal steps, each given as (tasks, steps before it)."""
     size = Size(1000, 1000, 0)
--- a/standins/jobs/faults.py
+++ b/standins/jobs/faults.py
@@ -86,29 +86,31 @@
                 self.deployment.submit(job, self.random.choice(entries))
 
     def _fault(self):
-        fault = self.random.choice(
-            [
-                self._kill_entry,
-                self._freeze_entry,
-                self._kill_agent,
-                self._freeze_agent,
-                self._cut_agent,
-                self._crash_worker,
-                self._darken_worker,
-                self._lose_orders,
-                self._lose_commits,
-                self._store_down,
-                self._store_silent,
-                self._shun,
-                self._forget,
-                self._cancel,
-            ]
-        )
+        fault = self.random.choice(self._kinds())
         self.faults.append(
             (round(self.deployment.reactor.seconds(), 1), fault.__name__)
         )
         fault()
 
+    def _kinds(self):
+        """The faults that a day draws from; their order is part of a seed."""
+        return [
+            self._kill_entry,
+            self._freeze_entry,
+            self._kill_agent,
+            self._freeze_agent,
+            self._cut_agent,
+            self._crash_worker,
+            self._darken_worker,
+            self._lose_orders,
+            self._lose_commits,
+            self._store_down,
+            self._store_silent,
+            self._shun,
+            self._forget,
+            self._cancel,
+        ]
+
     def _later(self, low, high, action, *given):
         self.deployment.reactor.callLater(
             self.random.uniform(low, high), action, *given
--- a/standins/jobs/rows.py
+++ b/standins/jobs/rows.py
@@ -27,6 +27,8 @@
         shunned: Clients whose calls are refused.
         lose_next: So many commits are done and not answered.
         late_s: Commits that are not answered are done this much later.
+        pauses: Returns by how much a call is done later than usual, and by
+            how much its answer comes later still.
     """
 
     def __init__(self, reactor):
@@ -40,6 +42,7 @@
         self.shunned = set()
         self.lose_next = 0
         self.late_s = 0
+        self.pauses = no_pauses
         self.calls = 0
 
     def client(self, name, process_reactor):
@@ -138,19 +141,33 @@
         if self._fault():
             return self._fail(StoreRefused('refused'), ANSWER_S)
         answer = Deferred()
-        store.reactor.callLater(ANSWER_S, self._answer, answer, action)
+        before_s, after_s = store.pauses()
+        store.reactor.callLater(
+            ANSWER_S + before_s, self._answer, answer, action, after_s
+        )
         return answer
 
-    def _answer(self, answer, action):
-        run = self.process_reactor.run
+    def _answer(self, answer, action, after_s):
         try:
             outcome = action()
         except HistoryLost as error:
-            run(answer.errback, error)
+            self._tell(after_s, answer.errback, error)
         else:
-            run(answer.callback, outcome)
+            self._tell(after_s, answer.callback, outcome)
+
+    def _tell(self, after_s, tell, outcome):
+        run = self.process_reactor.run
+        if after_s:
+            self.store.reactor.callLater(after_s, run, tell, outcome)
+        else:
+            run(tell, outcome)
 
     def _fail(self, error, seconds):
         answer = Deferred()
         self.process_reactor.callLater(seconds, answer.errback, error)
         return answer
+
+
+def no_pauses():
+    """What a store that is not slow adds to each call."""
+    return 0, 0
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -17,6 +17,7 @@
 
 CALL_S = 0.001
 TIMEOUT_S = 0.4
+LOOK_TIMEOUT_S = 1.2
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2
 SECOND_MS = 1000
@@ -72,7 +73,10 @@
         is_dark: It answers nothing and runs on.
         lose_next: So many orders are carried out and not answered.
         late_s: How much later such orders are carried out.
-        refuses: So many starts are refused, as by an unhealthy runner.
+        slow_s: How long it takes over each call; half of it goes by before
+            the call is carried out. The agent waits for its timeout only.
+        is_unhealthy: It refuses all starts.
+        leaves_at: When its VM is taken away, None for never.
     """
 
     def __init__(self, reactor, name, book, work_ms, room=None, rate=1):
@@ -86,7 +90,9 @@
         self.is_leaving = False
         self.lose_next = 0
         self.late_s = 0
-        self.refuses = 0
+        self.slow_s = 0
+        self.is_unhealthy = False
+        self.leaves_at = None
         self.lives = 0
         self.sequence = 0
         self.fails = lambda task: False
@@ -131,18 +137,21 @@
             self.room,
             ('a', 'r1'),
             self.is_leaving,
-            0,
+            self._remaining_ms(),
             self.sequence,
             self.clock_ms(),
         )
 
+    def _remaining_ms(self):
+        if self.leaves_at is None:
+            return 0
+        left_s = self.leaves_at - self.reactor.seconds()
+        return max(0, int(left_s * SECOND_MS))
+
     def look(self, look):
-        return self._call(look.boot, lambda: self._look(look))
+        return self._call(look.boot, lambda: self._look(look), LOOK_TIMEOUT_S)
 
     def start(self, start):
-        if self.refuses and not self.lose_next:
-            self.refuses -= 1
-            return self._call(start.boot, lambda: StartOutcome.UNHEALTHY)
         return self._order(start.boot, lambda: self._start(start))
 
     def stop(self, boot, fence, task, attempt):
@@ -176,15 +185,31 @@
             self.settle()
             action()
 
-    def _call(self, boot, action):
+    def _call(self, boot, action, timeout_s=TIMEOUT_S):
         if self.is_dark:
             return self._fail(WorkerUnreachable('dark'), TIMEOUT_S)
+        if self.slow_s:
+            return self._call_slowly(boot, action, timeout_s)
         if boot != self.boot:
             return self._fail(WorkerReplaced(), CALL_S)
         answer = Deferred()
         self.reactor.callLater(CALL_S, self._answer, answer, boot, action)
         return answer
 
+    def _call_slowly(self, boot, action, timeout_s):
+        """Carry a call out late; the caller may have given up by then."""
+        heard = Deferred()
+        done = Deferred()
+        half_s = self.slow_s / 2
+        later = self.reactor.callLater
+        if self.slow_s > timeout_s:
+            later(timeout_s, heard.errback, WorkerUnreachable('slow'))
+            done.addBoth(_ignore)
+        else:
+            done.addBoth(lambda outcome: later(half_s, heard.callback, outcome))
+        later(half_s, self._answer, done, boot, action)
+        return heard
+
     def _answer(self, answer, boot, action):
         if boot != self.boot:
             answer.errback(WorkerReplaced())
@@ -228,6 +253,8 @@
             return StartOutcome.OLD
         if start.until_ms <= self.clock_ms():
             return StartOutcome.LATE
+        if self.is_unhealthy:
+            return StartOutcome.UNHEALTHY
         self.highest_by_task[start.task] = start.attempt
         ends_at = self.reactor.seconds() + self.work_ms(start.task) / SECOND_MS
         run = Run(start.task, start.attempt, ends_at, start.checkpoint)
@@ -259,3 +286,7 @@
             EndRow(self.number, run.task, run.number, how, run.checkpoint)
         )
         self.book.ended(self.reactor.seconds(), self, run, how)
+
+
+def _ignore(_outcome):
+    """Nobody waits for this answer any more."""
--- a/tests/test_jobs_evidence.py
+++ b/tests/test_jobs_evidence.py
@@ -140,9 +140,11 @@
     worker = deployment.workers[0]
     worker.lose_next = 1
     worker.late_s = 2
-    worker.refuses = 1
     deployment.submit(job)
-    deployment.run(0.5)
+    deployment.run(0.1)
+    worker.is_unhealthy = True
+    deployment.run(0.6)
+    worker.is_unhealthy = False
     worker.is_leaving = True
     deployment.agents['agent-0'].beat()
     deployment.run(12)
