--- /dev/null
+++ b/standins/jobs/rolling_days.py
@@ -0,0 +1,198 @@
+"""Seeded days of rolling replacements, with keepers beside batch jobs."""
+
+from hyssopring.jobs.model import Job, JobState, Queue, Size, Step
+from standins.jobs.faults import FAULT_EACH_S, JOB_EACH_S, QUIET_S
+from standins.jobs.keeper_watch import KeeperWatch
+from standins.jobs.rolling_faults import RollingFaults
+
+ROUNDS = 2
+TICK_S = 0.2
+CALM_S = 14
+CALM_MAX_S = 40
+FOREVER_MS = 1e9
+SIZE = Size(1500, 2000, 0)
+MOST_KEEPERS = 10
+KEEPER_PART = 0.15
+
+
+class RollingDay(RollingFaults):
+    """Storms of faults and calms in turn, while jobs keep coming.
+
+    The book of the workers asserts all the while that nothing runs twice,
+    starts after its noted end, or takes a worker over its room. A calm is
+    long enough to see that each keeper with room runs again.
+    """
+
+    def __init__(self, seed, workers=5):
+        super().__init__(seed, workers)
+        self.watch = KeeperWatch(self.deployment, self.calm)
+        self.cancels = {}
+
+    def play(self):
+        """Run the day and a quiet end; return what went wrong."""
+        self.deployment.run(3)
+        for _round in range(ROUNDS):
+            self._pass(self.random.uniform(8, 16), FAULT_EACH_S / 2)
+            self._heal()
+            self._pass_calm()
+        self._heal()
+        self._pass(QUIET_S, has_jobs=False)
+        return [*self.watch.missed.values(), *self._left()]
+
+    def _pass(self, seconds, fault_each_s=None, has_jobs=True):
+        end = self._now() + seconds
+        next_job = next_fault = self._now()
+        while self._now() < end:
+            self._tick()
+            if has_jobs and self._now() > next_job:
+                next_job += self.random.expovariate(1 / JOB_EACH_S)
+                self._submit()
+            if fault_each_s and self._now() > next_fault:
+                next_fault += self.random.expovariate(1 / fault_each_s)
+                self._fault()
+
+    def _pass_calm(self):
+        """Go on until nothing has been wrong for a while."""
+        end = self._now() + CALM_MAX_S
+        while self._now() < end and self.calm.lasted_s() < CALM_S:
+            self._pass(1)
+
+    def _tick(self):
+        self.deployment.run(TICK_S)
+        self.calm.look()
+        self.watch.look(self._live_keepers())
+
+    def _work_ms(self, task):
+        job_id, _occurrence, step, _index = task.split('.')
+        step = self.jobs[job_id].steps[int(step)]
+        if step.is_keeper:
+            return FOREVER_MS
+        # All members of a gang work equally long.
+        whose = task.rpartition('.')[0] if step.is_gang else task
+        drawn = self.chances.choice([200, 800, 2500])
+        return self.works.setdefault(whose, drawn)
+
+    def _submit(self):
+        entries = self._usable_entries()
+        if not entries:
+            return
+        self.number += 1
+        job = self._draw_job()
+        self.jobs[job.job_id] = job
+        count = 2 if self.random.random() < 0.3 else 1
+        self.accepted[job.job_id] = [
+            self.deployment.submit(job, entry)
+            for entry in self.random.sample(entries, min(count, len(entries)))
+        ]
+
+    def _draw_job(self):
+        wanted = sum(step.count for step in self._keeper_steps())
+        is_keeper = self.random.random() < KEEPER_PART
+        if is_keeper and wanted < MOST_KEEPERS:
+            steps = (self._draw_keeper(),)
+        else:
+            count = self.random.randint(1, 3)
+            steps = tuple(map(self._draw_step, range(count)))
+        queue = Queue('queue', 'service', 0, 6, 2, 1000)
+        return Job(f'{self.number:016x}', queue, 'x', steps)
+
+    def _draw_keeper(self):
+        return Step(self.random.choice([1, 1, 2, 3]), SIZE, is_keeper=True)
+
+    def _draw_step(self, number):
+        after = (number - 1,) if number else ()
+        if self.random.random() < 0.2:
+            count = self.random.randint(2, 4)
+            return Step(count, SIZE, 1000, after, is_gang=True)
+        return Step(self.random.randint(1, 5), SIZE, 1000, after)
+
+    def _keeper_steps(self):
+        return [step for job in self._live_keepers() for step in job.steps]
+
+    def _live_keepers(self):
+        """Jobs of keepers that are accepted and that nobody has cancelled."""
+        return [
+            job
+            for job_id, job in self.jobs.items()
+            if job.is_keeper
+            and job_id not in self.cancelled
+            and self._is_accepted(job_id)
+        ]
+
+    def _is_accepted(self, job_id):
+        return any(
+            outcomes and outcomes[0].is_ok()
+            for outcomes in self.accepted[job_id]
+        )
+
+    def _cancel(self):
+        """Cancel a job, as often a keeper's as any."""
+        keepers = [job.job_id for job in self._live_keepers()]
+        job_ids = self.random.choice([keepers, list(self.jobs)])
+        entries = self._usable_entries()
+        if not job_ids or not entries:
+            return
+        job_id = self.random.choice(job_ids)
+        self.cancelled.add(job_id)
+        desk = self.deployment.entries[self.random.choice(entries)].core.desk
+        answers = self.cancels.setdefault(job_id, [])
+        desk.cancel(job_id, 1e12).addCallback(answers.append)
+
+    def _is_surely_cancelled(self, job_id):
+        return any(
+            answer.is_ok() and answer.unwrap()
+            for answer in self.cancels.get(job_id, ())
+        )
+
+    def _left(self):
+        states = self._states()
+        for job_id, state in states.items():
+            yield from self._check_state(job_id, state)
+        wanted = {
+            str(task)
+            for job in self._live_keepers()
+            for task in job.tasks(0, 0)
+        }
+        running = {
+            task for task, held in self.deployment.book.running.items() if held
+        }
+        for task in sorted(wanted - running):
+            yield f'keeper {task} does not run at the end'
+        for task in sorted(running - wanted):
+            if self._should_be_over(task, states):
+                yield f'{task} still runs at the end'
+
+    def _should_be_over(self, task, states):
+        """Whether a task's job is final, or none of its tasks is a keeper."""
+        job_id = task.split('.')[0]
+        state = states.get(job_id)
+        is_final = state is not None and state.is_final
+        return is_final or not self.jobs[job_id].is_keeper
+
+    def _check_state(self, job_id, state):
+        is_over = state is not None and state.is_final
+        is_cancelled = job_id in self.cancelled
+        if self.jobs[job_id].is_keeper and not is_cancelled:
+            if state is not JobState.ACTIVE:
+                yield f'lost: the keeper job {job_id} is {state}'
+        elif not is_over and not self.jobs[job_id].is_keeper:
+            yield f'lost: {job_id} is {state}'
+        elif not is_over and self._is_surely_cancelled(job_id):
+            yield f'lost: {job_id} is cancelled and {state}'
+        if state is JobState.CANCELLED and not is_cancelled:
+            yield f'{job_id} was never cancelled'
+
+    def _states(self):
+        """Ask the owner for the states of all accepted jobs."""
+        desk = self.deployment.entries[self._owner()].core.desk
+        found = {}
+        for job_id in self.jobs:
+            if self._is_accepted(job_id):
+                found[job_id] = None
+                desk.state(job_id).addCallback(
+                    lambda state, job_id=job_id: found.update(
+                        {job_id: state.unwrap()}
+                    )
+                )
+        self.deployment.run(2)
+        return found
