--- /dev/null
+++ b/tests/test_jobs_rolling.py
@@ -0,0 +1,18 @@
+"""Days of rolling replacements; each seed that ever failed stays here."""
+
+import pytest
+
+from standins.jobs.rolling_days import RollingDay
+
+
+@pytest.mark.parametrize('seed', [0, 21, 31, 49, 53, 56, 67, 105, 112, 117])
+def test_rolling_day_keeps_the_promises(seed):
+    """Entries and VMs are replaced in turn over slow links, stores, workers.
+
+    The book of the workers asserts that no task runs twice, starts after its
+    end was noted, or takes a worker over its room. In each calm of 12 s all
+    keepers with room run; at the end each accepted batch job has ended, each
+    keeper that nobody cancelled runs, and nothing else does.
+    """
+    day = RollingDay(seed)
+    assert not day.play(), day.faults
