--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -33,6 +33,10 @@
         self.book = Book()
         self.links = {}
         self.link_s = _even_link
+        # A frozen process reads a closed connection's messages before it
+        # opens the next one, or never. The random days' seeds were drawn
+        # without this: there it may read them after.
+        self.drops_old = False
         self.cut = set()
         self.blocked = set()
         self._work = {'work_ms': work_ms, 'rate': rate}
@@ -145,7 +149,14 @@
     def _deliver(self, sender, receiver, pair, generation, payload):
         if self.links.get(pair) is not generation or not receiver.is_alive:
             return
-        receiver.reactor.run(receiver.take, unpack(payload), sender.name)
+        receiver.reactor.run(
+            self._take, sender, receiver, pair, generation, payload
+        )
+
+    def _take(self, sender, receiver, pair, generation, payload):
+        is_old = self.links.get(pair) is not generation
+        if not (is_old and self.drops_old):
+            receiver.take(unpack(payload), sender.name)
 
     def run(self, seconds):
         for _step in range(round(seconds / STEP_S)):
--- a/standins/jobs/rolling_faults.py
+++ b/standins/jobs/rolling_faults.py
@@ -38,6 +38,7 @@
         self.chances = random.Random(f'chances {seed}')
         self.links = SlowLinks(self.chances)
         self.deployment.link_s = self.links
+        self.deployment.drops_old = True
         self.leaving = set()
         self.gone = set()
         self.stopping = set()
