Agents: one that ends with its worker says so, and holds up no next owner

Cause of the keeper that ran nowhere, as far as the record goes: while entries were replaced in turn, agents ended for good with their workers and stayed on the shard's roster. Each next owner waited for them before it started anything of which it had not seen where it had run: 18.4 s at that time, and 8.4 s today after a planned stop, where a keeper is to be back within 6 s. Of agents that ended long before a takeover the roster had been cleared already; of those that ended during it or just before it had not. Change: an agent that is stopped while its worker leaves and runs nothing, or has withdrawn and is silent since, tells each entry so with its last ends. The next owner need not wait for it, if its former owner surely orders nothing more. Ruled out: a shorter wait, as agents that only lost their links still hold tasks. A VM that is lost unannounced during a takeover still costs its keepers the wait.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -13,6 +13,7 @@
 from hyssopring.jobs.ends import EndTable
 from hyssopring.jobs.messages import (
     RUNNING_HERE,
+    AgentLeft,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -73,6 +74,7 @@
         self._reported_at_by_entry: dict[str, float] = {}
         self._taken = TakenOrders()
         self._is_report_due = False
+        self._is_stopping = False
         self._met_at = clock.now()
         self.watch.on_boot = self._new_boot
         self.watch.on_listing = self._listed
@@ -89,6 +91,21 @@
         """An entry is not connected any more."""
         self._reported_at_by_entry.pop(entry_id, None)
 
+    def stop(self) -> None:
+        """Start nothing any more; the process ends.
+
+        A worker that stays keeps its tasks for the next agent. Where it leaves
+        and runs nothing each entry is told: the next owner of a shard would
+        wait for an agent that never comes back, and keepers with it.
+        """
+        self._is_stopping = True
+        is_idle = self.watch.is_leaving and not self.table.by_task
+        if not is_idle and not self.watch.has_ended:
+            return
+        ends = list(self._ends.by_number.values())
+        for entry_id in self._reported_at_by_entry:
+            self._send(entry_id, AgentLeft(self.watch.boot, ends))
+
     def turn(self) -> None:
         """Regular work; call a few times a second."""
         now = self._clock.now()
@@ -176,7 +193,7 @@
             return 'deposed'
         if order.boot != self.watch.boot:
             return 'boot'
-        if self.watch.is_leaving:
+        if self.watch.is_leaving or self._is_stopping:
             return 'leaving'
         if self._rights.until(order.shard) <= self._clock.now():
             return 'no-grant'
@@ -277,24 +294,11 @@
             if row.task not in self.table.by_task:
                 has_news = True
             self.table.listed(row, now)
-        has_news |= self._drop_unlisted(listed, sent_at)
+        has_news |= self.table.drop_unlisted(listed, sent_at)
         self._pacer.turn(self.table.by_task.values())
         if has_news:
             self._report_soon()
 
-    def _drop_unlisted(self, listed: set[str], sent_at: float) -> bool:
-        """Drop what was settled before the look and is not in its lists."""
-        dropped = [
-            attempt
-            for attempt in self.table.by_task.values()
-            if attempt.task not in listed
-            and _settled_at(attempt) is not None
-            and (_settled_at(attempt) or 0) < sent_at
-        ]
-        for attempt in dropped:
-            self.table.ended(attempt.task, attempt.number)
-        return bool(dropped)
-
     def _report_soon(self) -> None:
         """Report once for all that happens in this turn of the reactor."""
         if not self._is_report_due:
@@ -347,9 +351,3 @@
                 self._taken.connection(entry_id),
             ),
         )
-
-
-def _settled_at(attempt: Attempt) -> float | None:
-    if attempt.stop_taken_at is not None:
-        return attempt.stop_taken_at
-    return attempt.confirmed_at
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -57,6 +57,13 @@
     stop_taken_at: float | None = None
     is_stop_under_way: bool = False
 
+    @property
+    def settled_at(self) -> float | None:
+        """When the worker took the last order for it, None before that."""
+        if self.stop_taken_at is not None:
+            return self.stop_taken_at
+        return self.confirmed_at
+
     def charge(self) -> Size:
         """What the attempt takes of the worker's room."""
         facts = self.facts
@@ -123,6 +130,19 @@
             self.by_task.pop(task)
         self.close(task, number)
 
+    def drop_unlisted(self, listed: set[str], sent_at: float) -> bool:
+        """Drop what was settled before a look and is not in its lists."""
+        dropped = [
+            attempt
+            for attempt in self.by_task.values()
+            if attempt.task not in listed
+            and attempt.settled_at is not None
+            and attempt.settled_at < sent_at
+        ]
+        for attempt in dropped:
+            self.ended(attempt.task, attempt.number)
+        return bool(dropped)
+
     def close(self, task: str, number: int) -> None:
         """Neither this attempt nor an older one of the task starts here."""
         closed = self._closed_by_task
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -9,6 +9,7 @@
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.messages import (
+    AgentLeft,
     CancelNotice,
     Grant,
     JobAnswer,
@@ -122,6 +123,12 @@
             self._peers.answer(peer_id, Grant(message.sequence, [], 0))
         self.owner.take(message, worker)
 
+    @take.register
+    def _take_left(self, message: AgentLeft, peer_id: str) -> None:
+        worker = self.fleet.by_agent.get(peer_id)
+        if worker is not None:
+            self.owner.take(message, worker)
+
     @take.register
     def _take_refusal(self, message: StartRefusal, peer_id: str) -> None:
         worker = self.fleet.by_agent.get(peer_id)
@@ -206,7 +213,7 @@
                 self._deposed,
                 self.owner.accepted,
                 self.owner.cancelled,
-                self.owner.ask_all,
+                self.owner.loaded,
                 self.owner.plan_soon,
             ),
         )
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -4,15 +4,23 @@
 from itertools import count
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.messages import AttemptReport, Grant, WorkerReport
+from hyssopring.jobs.messages import (
+    AgentLeft,
+    AttemptReport,
+    Grant,
+    WorkerReport,
+)
 from hyssopring.jobs.model import Size, Step, TaskName
 from hyssopring.jobs.times import GRANT_MS, LOST_AFTER_MS
 
-__all__ = ('GRANT_TTL_MS', 'Fleet', 'Placed', 'Worker')
+__all__ = ('GRANT_TTL_MS', 'Departed', 'Fleet', 'Placed', 'Worker')
 
 # A worker that has not answered its agent for this long gets no new tasks.
 _SILENT_MS = 1500
 _REPORTS_TO_SHOW = 2
+# Some two days of VMs that are replaced; one that is remembered saves a next
+# owner a wait of seconds, one that is not costs it.
+_MAX_DEPARTED = 1000
 _SLOW_PACE = 40
 
 
@@ -170,18 +178,32 @@
         return now - self.granted_at > LOST_AFTER_MS
 
 
+@dataclass(frozen=True, slots=True)
+class Departed:
+    """An agent that has ended with nothing left on its worker."""
+
+    worker: Worker
+    message: AgentLeft
+
+
 class Fleet:
-    """All agents that an entry has met."""
+    """All agents that an entry has met.
+
+    Attributes:
+        departed: Those that said that they end, until they come back.
+    """
 
     def __init__(self, clock: Clock, incarnation: str = '') -> None:
         """Know no agent; ``incarnation`` is the entry's process."""
         self._clock = clock
         self._incarnation = incarnation
         self._connections = count(1)
+        self.departed: dict[str, Departed] = {}
         self.by_agent: dict[str, Worker] = {}
 
     def connected(self, agent_id: str, zone: str) -> Worker:
         """An agent has opened a connection."""
+        self.departed.pop(agent_id, None)
         worker = self.by_agent.get(agent_id)
         if worker is None:
             worker = Worker(agent_id, zone)
@@ -197,8 +219,18 @@
         """The agent's connection is gone."""
         self.by_agent[agent_id].is_connected = False
 
+    def left(self, worker: Worker, message: AgentLeft) -> 'Departed':
+        """An agent says that it ends, and that nothing runs there."""
+        departed = Departed(worker, message)
+        self.departed[worker.agent_id] = departed
+        if len(self.departed) > _MAX_DEPARTED:
+            self.departed.pop(next(iter(self.departed)))
+        return departed
+
     def is_lost(self, agent_id: str) -> bool:
         """Whether an agent is away and nothing ordered there can run."""
+        if agent_id in self.departed:
+            return True
         worker = self.by_agent.get(agent_id)
         if worker is None:
             return True
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -23,6 +23,7 @@
 __all__ = (
     'RUNNING_HERE',
     'AgentGreeting',
+    'AgentLeft',
     'AttemptReport',
     'CancelNotice',
     'EndReport',
@@ -290,6 +291,17 @@
     addresses: list[str]
 
 
+@struct
+class AgentLeft:
+    """An agent ends, and nothing runs on its worker, which leaves.
+
+    It takes no start any more. ``ends`` are those that are not durable.
+    """
+
+    boot: str
+    ends: list[EndReport]
+
+
 JobsMessage = (
     EntryGreeting
     | AgentGreeting
@@ -312,6 +324,7 @@
     | RelayedRead
     | RelayedChanges
     | RelayedAnswer
+    | AgentLeft
 )
 
 # The first byte of a frame is the class's place here: new ones go last.
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -69,6 +69,7 @@
     """One shard under one reign.
 
     Attributes:
+        is_former_over: See ``ShardReign``.
         heard: Agents that have told what they run and know this reign.
         unheard: Agents that have not told this reign yet what they run.
         is_loaded: Whether all stored jobs are known.
@@ -87,6 +88,7 @@
         self.shard = taken.shard
         self.reign = taken.reign
         self.version = taken.version
+        self.is_former_over = taken.is_former_over
         wait_ms = LOST_AFTER_MS if taken.is_former_over else ROSTER_WAIT_MS
         self._roster_until = taken.acquired_at + wait_ms
         self._clock = clock
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -8,6 +8,7 @@
 from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Worker
 from hyssopring.jobs.messages import (
     RUNNING_HERE,
+    AgentLeft,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -70,6 +71,14 @@
         owned.load()
         self.ask_all()
 
+    def loaded(self) -> None:
+        """A shard's jobs are known: hear what runs, and what has ended."""
+        for owned in self.shards.by_shard.values():
+            if owned.is_loaded:
+                for departed in list(self._fleet.departed.values()):
+                    self._reader.take_left(departed, owned)
+        self.ask_all()
+
     def ask_all(self) -> None:
         """List all agents, and ask what they run of the owned shards."""
         self._list_agents()
@@ -171,6 +180,20 @@
             # and each refused task would be sent again at once.
             self._on_deposed(owned)
 
+    @take.register
+    def _take_left(self, message: AgentLeft, worker: Worker) -> None:
+        departed = self._fleet.left(worker, message)
+        log_event(
+            Event.AGENT_LEFT,
+            agent=worker.agent_id,
+            boot=message.boot,
+            ends=len(message.ends),
+        )
+        for owned in self.shards.by_shard.values():
+            if owned.is_loaded:
+                self._reader.take_left(departed, owned)
+        self.plan_soon()
+
     def turn(self) -> None:
         """Notice what is due or lapsed; call a few times a second."""
         now = self._clock.now()
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -4,7 +4,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
-from hyssopring.jobs.fleet import Fleet, Placed, Worker
+from hyssopring.jobs.fleet import Departed, Fleet, Placed, Worker
 from hyssopring.jobs.messages import (
     AttemptReport,
     EndReport,
@@ -120,6 +120,21 @@
         self._drop_unlisted(worker, report, owned)
         owned.unheard.discard(worker.agent_id)
 
+    def take_left(self, departed: Departed, owned: OwnedShard) -> None:
+        """Take the last word of an agent on whose worker nothing runs.
+
+        While the former owner may still order, a next process of the agent
+        might take its orders: the agent is waited for like any other.
+        """
+        worker, message = departed.worker, departed.message
+        for end in _of_shard(message.ends, owned.shard):
+            self._take_end(worker, message.boot, end, owned)
+        for placed in list(worker.placed_by_task.values()):
+            if shard_of(placed.name.job_id) == owned.shard:
+                self.gone(worker, placed, 'agent left')
+        if owned.is_former_over:
+            owned.unheard.discard(worker.agent_id)
+
     def _take_job(
         self,
         worker: Worker,
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -29,6 +29,9 @@
 _RETRY_MS: Final = 150.0
 # Two looks were not answered.
 _SILENT_MS: Final = 1500
+# A worker that withdraws ends at once; a look under way is answered or fails
+# within this time.
+_ENDED_MS: Final = 500.0
 _PAST_BOOTS: Final = 16
 
 
@@ -59,6 +62,7 @@
         self.room = Size()
         self.labels: tuple[str, ...] = ()
         self.leaving_since: float | None = None
+        self._withdrawn_at: float | None = None
         self._leaves_at = clock.now()
         self._sequence = 0
         self._candidate: Announcement | None = None
@@ -76,6 +80,14 @@
         """Whether the worker gets no new tasks any more."""
         return self.leaving_since is not None
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the worker withdrew, and has answered nothing since."""
+        if self._withdrawn_at is None:
+            return False
+        since_ms = self._clock.now() - self._withdrawn_at
+        return _ENDED_MS < since_ms <= self.silent_ms
+
     @property
     def remaining_ms(self) -> int:
         """How long a leaving worker still runs at least."""
@@ -101,6 +113,7 @@
     def withdraw(self, boot: str) -> None:
         """The worker says that this boot ends."""
         if boot == self.boot:
+            self._withdrawn_at = self._clock.now()
             self._leave(0)
 
     def worker_time(self, at: float) -> int:
@@ -229,6 +242,7 @@
         self.boot = look.boot
         self.fence = look.fence
         self.leaving_since = None
+        self._withdrawn_at = None
         self._sequence = 0
         self._held_until = self._clock.now()
         self._update(announced)
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -84,6 +84,7 @@
 
     def stop(self) -> None:
         """End at once: the worker keeps its tasks until the next agent."""
+        self.core.stop()
         log_event(
             Event.PROCESS_STOPPING,
             calls=0,
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -101,7 +101,8 @@
         self._unlink_pair((agent_name, entry_name))
 
     def stop_agent(self, name):
-        """End an agent as planned."""
+        """End an agent as planned: it may still say something."""
+        self.agents[name].core.stop()
         self.reactor.callLater(STEP_S, self.kill_agent, name)
 
     def _unlink(self, name):
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -121,7 +121,7 @@
     def fail_all(self):
         """Let all that runs end as failed."""
         for run in list(self.runs.values()):
-            self._end(run, AttemptEnd.FAILED)
+            self.end(run, AttemptEnd.FAILED)
 
     def clock_ms(self):
         return (
@@ -165,13 +165,13 @@
         now = self.reactor.seconds()
         if self.runs and self.hold_ms and self.clock_ms() > self.hold_ms:
             for run in list(self.runs.values()):
-                self._end(run, AttemptEnd.LOST)
+                self.end(run, AttemptEnd.LOST)
         for run in list(self.runs.values()):
             if run.stops_at is not None and run.stops_at <= now:
-                self._end(run, AttemptEnd.STOPPED)
+                self.end(run, AttemptEnd.STOPPED)
             elif run.ends_at <= now:
                 failed = self.fails(run.task)
-                self._end(run, AttemptEnd.FAILED if failed else AttemptEnd.DONE)
+                self.end(run, AttemptEnd.FAILED if failed else AttemptEnd.DONE)
 
     def _order(self, boot, action):
         if self.lose_next and not self.is_dark:
@@ -279,7 +279,8 @@
         if run is not None and run.number <= attempt and run.stops_at is None:
             run.stops_at = self.reactor.seconds() + STOP_S
 
-    def _end(self, run, how):
+    def end(self, run, how):
+        """End a run, and list its end."""
         self.runs.pop(run.task)
         self.number += 1
         self.ends.append(
--- a/tests/test_jobs_evidence.py
+++ b/tests/test_jobs_evidence.py
@@ -5,7 +5,7 @@
 and VMs were replaced in turn.
 """
 
-from hyssopring.jobs.model import JobState
+from hyssopring.jobs.model import AttemptEnd, JobState
 from standins.jobs.deployment import Deployment, a_job, settled, starts_of
 
 
@@ -72,18 +72,48 @@
         if each.runs
     )
     worker.is_leaving = True
-    deployment.agents[f'agent-{number}'].beat()
     owner = deployment.entries[deployment.owner]
     owner.core.release()
+    deployment.agents[f'agent-{number}'].beat()
+    for run in list(worker.runs.values()):
+        worker.end(run, AttemptEnd.STOPPED)
     deployment.run(1)
     worker.is_dark = True
-    worker.runs.clear()
     deployment.stop_agent(f'agent-{number}')
     deployment.run(6)
     running = [task for each in deployment.workers for task in each.runs]
     assert len(running) == 2
 
 
+def test_a_worker_that_has_ended_before_its_agent_holds_up_no_keeper():
+    """A worker withdraws and ends with its tasks, then its agent is stopped.
+
+    Nobody owns the shard meanwhile, so that no owner has stopped the tasks
+    there, and the worker lists no ends any more. The agent knows that a
+    worker that withdrew and is silent since runs nothing.
+    """
+    deployment = settled(workers=3, work_ms=lambda task: 60_000)
+    job = a_job(steps=((2, ()),), is_keeper=True, max_per_worker=1)
+    deployment.submit(job)
+    deployment.run(1)
+    number, worker = next(
+        (number, each)
+        for number, each in enumerate(deployment.workers)
+        if each.runs
+    )
+    agent = deployment.agents[f'agent-{number}']
+    deployment.entries[deployment.owner].core.release()
+    agent.core.watch.withdraw(worker.boot)
+    worker.is_dark = True
+    for run in list(worker.runs.values()):
+        worker.end(run, AttemptEnd.STOPPED)
+    deployment.run(1)
+    deployment.stop_agent(agent.name)
+    deployment.run(6)
+    running = [task for each in deployment.workers for task in each.runs]
+    assert len(running) == 2
+
+
 def test_a_deposed_owner_leaves_jobs_to_its_successor():
     """An owner is cut from its successor, and has authority for seconds.
 
