Entries: an owner that has just come back is not taken for a dead process

Each had read the row of the owner's former process, which was older than the owner's taking of the shard, and concluded that the owner's process was dead. Change: an entry's row that is older than the owner's row says nothing of the owner. A renewal checks the version of the row that it replaces, so that a late one cannot follow one of the next process; a process takes no shard before it has written its row. Cost: a second call where a renewal's outcome was unknown.

--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -23,6 +23,7 @@
 from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.rows import (
     Committed,
+    Conflict,
     Page,
     Row,
     RowCheck,
@@ -71,6 +72,8 @@
         self._address = address
         self._renewed_at: float | None = None
         self._peers = PeerEntries(clock, entry_id)
+        # The version of this entry's row, 0 while there is none.
+        self._version = 0
         self._is_renewing = False
         self._is_stale = False
         self._taking: set[int] = set()
@@ -150,11 +153,13 @@
             self.owned(),
             self._cores,
         )
+        # A renewal that is carried out late must not follow one of the next
+        # process of this entry: that one would be taken for replaced.
+        place = RowKey(ENTRIES, '', self._entry_id)
         renewing = self._store.commit(
             Transaction(
-                puts=(
-                    RowPut(RowKey(ENTRIES, '', self._entry_id), row.to_text()),
-                ),
+                (RowCheck(place, self._version),),
+                (RowPut(place, row.to_text()),),
             ),
         )
         renewing.addCallbacks(
@@ -163,8 +168,16 @@
             callbackArgs=(sent_at,),
         )
 
-    def _renewed(self, _outcome: object, sent_at: float) -> None:
+    def _renewed(self, outcome: Committed | Conflict, sent_at: float) -> None:
         self._is_renewing = False
+        if isinstance(outcome, Conflict):
+            # A call without an answer, or a former process, has written.
+            self._version = max(
+                (row.version for row in outcome.rows), default=0
+            )
+            self.renew()
+            return
+        self._version = outcome.version
         self._renewed_at = sent_at
         if self._is_stale:
             self.renew()
@@ -195,6 +208,10 @@
 
     def _contend(self, now: float) -> None:
         """Look at shards that no live entry says to own."""
+        if self._renewed_at is None:
+            # Until this process has written its row, others can't tell it
+            # from a former one: what it took would be taken from it.
+            return
         for shard in range(SHARDS):
             if shard in self.owned() or self._peers.owner_of(shard):
                 self._free_since.pop(shard, None)
@@ -232,7 +249,7 @@
         reading.addErrback(self._failed)
         reading.addBoth(lambda _done: self._taking.discard(shard))
 
-    def _is_owner_live(self, former: OwnerRow) -> bool:
+    def _is_owner_live(self, former: OwnerRow, version: int) -> bool:
         """Whether the entry in an owner row may still be at work.
 
         A process of this entry's name that came before this one is dead.
@@ -240,10 +257,9 @@
         entry_id = former.entry_id
         if not entry_id or entry_id == self._entry_id:
             return False
-        known = self._peers.incarnation_of(entry_id)
-        if known:
-            is_same = known == former.incarnation
-            return is_same and self._peers.is_live(entry_id)
+        is_live = self._peers.is_owner_live(former, version)
+        if is_live is not None:
+            return is_live
         now = self._clock.now()
         since = self._missing_since.setdefault(former.incarnation, now)
         return now - since < ENTRY_SILENT_MS
@@ -261,7 +277,8 @@
 
     def _owner_read(self, row: Row | None, shard: int) -> Any:
         former = OwnerRow.from_text(row.text) if row else None
-        if former is not None and self._is_owner_live(former):
+        version = row.version if row else 0
+        if former is not None and self._is_owner_live(former, version):
             return None
         if not self._is_next(shard, former):
             return None
@@ -270,20 +287,23 @@
         place = owner_key(shard)
         taking = self._store.commit(
             Transaction(
-                (RowCheck(place, row.version if row else 0),),
+                (RowCheck(place, version),),
                 (RowPut(place, taken.to_text()),),
             ),
         )
-        taking.addCallback(self._taken, shard, reign, self._is_over(former))
+        is_over = self._is_over(former, version)
+        taking.addCallback(self._taken, shard, reign, is_over)
         return taking
 
-    def _is_over(self, former: OwnerRow | None) -> bool:
+    def _is_over(self, former: OwnerRow | None, version: int) -> bool:
         """Whether a former owner surely orders nothing more.
 
-        It has given the shard up, or was a process of this entry's name,
-        which is dead. One that is only silent may be frozen or cut off.
+        It has given the shard up, or another process has followed it under
+        its entry's name. One that is only silent may be frozen or cut off.
         """
-        return former is None or former.entry_id in {'', self._entry_id}
+        if former is None or former.entry_id in {'', self._entry_id}:
+            return True
+        return self._peers.is_replaced(former, version)
 
     def _taken(
         self,
--- a/hyssopring/jobs/peer_entries.py
+++ b/hyssopring/jobs/peer_entries.py
@@ -4,7 +4,7 @@
 from typing import Final, Iterable
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.documents import EntryRow
+from hyssopring.jobs.documents import EntryRow, OwnerRow
 from hyssopring.jobs.rows import Row
 from hyssopring.jobs.times import ENTRY_SILENT_MS, RENEW_MS
 
@@ -57,10 +57,33 @@
                 return entry_id
         return ''
 
-    def incarnation_of(self, entry_id: str) -> str:
-        """Return the process that an entry's row names, empty without one."""
-        seen = self._seen_by_entry.get(entry_id)
-        return seen.row.incarnation if seen else ''
+    def is_owner_live(self, former: OwnerRow, version: int) -> bool | None:
+        """Whether the process in an owner row lives, None if not known.
+
+        Args:
+            former: The owner row.
+            version: Its version. The row of an entry that names another
+                process may be older than the owner row: read before that
+                process had written its own, it says nothing of it.
+        """
+        seen = self._seen_by_entry.get(former.entry_id)
+        if seen is None:
+            return None
+        if seen.row.incarnation == former.incarnation:
+            return self.is_live(former.entry_id)
+        return False if seen.version > version else None
+
+    def is_replaced(self, former: OwnerRow, version: int) -> bool:
+        """Whether another process has followed the one in an owner row.
+
+        Both have the same VM, so that the former one is dead. An entry's row
+        is written on the version that its writer knows: no late write of a
+        dead process can come after one of its successor.
+        """
+        seen = self._seen_by_entry.get(former.entry_id)
+        if seen is None or seen.row.incarnation == former.incarnation:
+            return False
+        return seen.version > version
 
     def is_live(self, entry_id: str) -> bool:
         """Whether a known entry's row has changed of late."""
