Messages: what was sent is not taken for what was heard

Causes: an owner had told that an end is durable and never repeated it, though the message died with its link or its agent: the worker listed the end for ever. A worker that had seen a higher fence did nothing for a stop, and its answer was taken for done: a cancelled task ran on. A connection's name that came back set the count of its starts to nothing, so that the owner waited for ever for one of them. A connection that closed late removed the newer one of the same entry. A process that wakes from a freeze judged its worker by silence before it had read its answers. An attempt that replaced another one on its own worker was stopped as if it ran elsewhere. A forgotten job among those to write ended the writing. Change: an end that is still listed a second after it was told is told again; a stop that the fence refused is sent with a higher one; counts are kept by name; only the newest connection of an entry speaks for it; the rest as the causes say.

--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -184,6 +184,7 @@
 
     worker: Worker
     message: AgentLeft
+    at: float
 
 
 class Fleet:
@@ -221,7 +222,7 @@
 
     def left(self, worker: Worker, message: AgentLeft) -> 'Departed':
         """An agent says that it ends, and that nothing runs there."""
-        departed = Departed(worker, message)
+        departed = Departed(worker, message, self._clock.now())
         self.departed[worker.agent_id] = departed
         if len(self.departed) > _MAX_DEPARTED:
             self.departed.pop(next(iter(self.departed)))
--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -216,7 +216,7 @@
                 self.entry_id = message.entry_id
                 self.pause_ms = _REDIAL_MS
                 self.owner.greeted(self)
-        elif self.entry_id:
+        elif self.owner.is_current(self):
             self.owner.on_message(self.entry_id, message)
 
     def _broken(self, connection: FramedConnection, detail: str) -> None:
@@ -234,7 +234,7 @@
         self.next_at = self.owner.clock.now() + self.pause_ms
         self.pause_ms = min(2 * self.pause_ms, _REDIAL_MAX_MS)
         if entry_id:
-            self.owner.closed(entry_id)
+            self.owner.closed(self, entry_id)
 
 
 _PING_MS: Final = _SILENCE_MS / 4
@@ -303,9 +303,18 @@
         self._by_entry[dialled.entry_id] = dialled
         self._on_open(dialled.entry_id)
 
-    def closed(self, entry_id: str) -> None:
-        """The connection to an entry is gone."""
-        if self._by_entry.pop(entry_id, None) is not None:
+    def is_current(self, dialled: _Dialled) -> bool:
+        """Whether this is the newest connection to its entry.
+
+        An entry may be known by two addresses, or be back at another one
+        while its old connection hangs.
+        """
+        return self._by_entry.get(dialled.entry_id) is dialled
+
+    def closed(self, dialled: _Dialled, entry_id: str) -> None:
+        """A connection to an entry is gone; a newer one may be there."""
+        if self._by_entry.get(entry_id) is dialled:
+            self._by_entry.pop(entry_id)
             self._on_close(entry_id)
 
 
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -11,6 +11,7 @@
 from hyssopring.jobs.worker_port import (
     Start,
     StartOutcome,
+    WorkerFenced,
     WorkerPort,
     WorkerReplaced,
     WorkerUnreachable,
@@ -157,6 +158,8 @@
         *order: Any,
     ) -> None:
         failure.trap(WorkerUnreachable, WorkerReplaced)
+        if failure.check(WorkerFenced):
+            self._watch.raise_fence()
         self._again(again, *order)
 
     def _again(self, again: Callable[..., None], *order: Any) -> None:
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -1,7 +1,7 @@
 """The owner's part in jobs: what starts where, and what its end means."""
 
 from functools import singledispatchmethod
-from typing import Any, Callable, Iterable
+from typing import Any, Callable
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord
@@ -73,11 +73,15 @@
 
     def loaded(self) -> None:
         """A shard's jobs are known: hear what runs, and what has ended."""
+        self.hear_departed()
+        self.ask_all()
+
+    def hear_departed(self) -> None:
+        """Take what agents have said that ended before an owner was here."""
         for owned in self.shards.by_shard.values():
             if owned.is_loaded:
                 for departed in list(self._fleet.departed.values()):
                     self._reader.take_left(departed, owned)
-        self.ask_all()
 
     def ask_all(self) -> None:
         """List all agents, and ask what they run of the owned shards."""
@@ -107,8 +111,9 @@
         """A job must not run any more."""
         self.stop_job(record)
 
-    def recorded(self, acks: Iterable[Ack]) -> None:
+    def recorded(self, acks: list[Ack]) -> None:
         """Ends are durable: the agents may forget them."""
+        self._reader.recorded(acks)
         numbers_by_boot: dict[tuple[str, str], list[int]] = {}
         for ack in acks:
             place = (ack.agent_id, ack.boot)
@@ -210,13 +215,26 @@
 
     def _give_up_lost(self, now: float) -> None:
         for worker in self._fleet.by_agent.values():
-            if worker.placed_by_task and worker.is_lost(now):
+            if worker.placed_by_task and self._is_lost(worker, now):
                 for placed in list(worker.placed_by_task.values()):
                     self._reader.gone(worker, placed, 'lapsed')
         for owned in self.shards.by_shard.values():
             owned.turn(self._fleet.is_lost)
         self._fleet.forget_lost()
 
+    def _is_lost(self, worker: Worker, now: float) -> bool:
+        """Whether nothing that was ordered at an agent can run any more.
+
+        One that is away may have been restarted, and reach a former owner
+        only: the new process has not heard of this one, and takes the former
+        owner's grants while that one may act.
+        """
+        may_former_act = any(
+            owned.may_former_act for owned in self.shards.by_shard.values()
+        )
+        is_away = not worker.is_connected
+        return worker.is_lost(now) and not (is_away and may_former_act)
+
     def _list_agents(self) -> None:
         """Make agents known to next owners before they get a task."""
         agents = self._fleet.connected_agents()
--- a/hyssopring/jobs/progress_writer.py
+++ b/hyssopring/jobs/progress_writer.py
@@ -1,13 +1,13 @@
 """Makes the progress of a shard's jobs durable."""
 
 from dataclasses import dataclass
-from typing import Any, Callable, Final, Iterable, Mapping
+from typing import Any, Callable, Final, Mapping
 
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.jobs.book import JobRecord
-from hyssopring.jobs.documents import owner_key, progress_key
 from hyssopring.jobs.model import JobState
+from hyssopring.jobs.row_keys import owner_key, progress_key
 from hyssopring.jobs.rows import (
     Committed,
     Conflict,
@@ -57,7 +57,7 @@
         store: RowStore,
         owner_check: RowCheck,
         by_job: Mapping[str, JobRecord],
-        on_acks: Callable[[Iterable[Ack]], None],
+        on_acks: Callable[[list[Ack]], None],
         on_deposed: Callable[[], None],
     ) -> None:
         """Write what ``save`` names of ``by_job``."""
@@ -90,6 +90,12 @@
         taken = dict(list(self._dirty.items())[:_MAX_JOBS])
         for job_id in taken:
             self._dirty.pop(job_id)
+        # A job that has ended long ago may have been forgotten since.
+        taken = {
+            job_id: acks
+            for job_id, acks in taken.items()
+            if job_id in self._by_job
+        }
         checks = [self._row_check(job_id) for job_id in taken]
         puts = [self._put(job_id) for job_id in taken]
         states = {job_id: self._by_job[job_id].final_state for job_id in taken}
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -1,6 +1,7 @@
 """What agents' reports mean for the jobs of the owned shards."""
 
-from typing import Final, Iterable, Protocol, TypeVar
+from dataclasses import dataclass
+from typing import Final, Protocol, TypeVar
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
@@ -24,6 +25,9 @@
 
 _KEPT_ENDS: Final = 2000
 _KEPT_UNKNOWN: Final = 1000
+# An agent that has heard that an end is durable lists it no more with its next
+# report, which comes within half a second.
+_TELL_AGAIN_MS: Final = 1000.0
 # A job that an agent knows and the shard does not is found by a poll within a
 # second or two of the store's answering; outages last up to nine.
 _UNKNOWN_MS: Final = 15_000.0
@@ -31,6 +35,14 @@
 _Told = TypeVar('_Told', AttemptReport, EndReport)
 
 
+@dataclass(slots=True)
+class _SeenEnd:
+    """An end that was counted, and when its agent was told it is durable."""
+
+    shard: int
+    told_at: float | None = None
+
+
 class ReportSink(Protocol):
     """What a report asks the owner to do."""
 
@@ -45,7 +57,7 @@
     def tell_facts(self, worker: Worker, facts: TaskFacts) -> None:
         """Tell an agent what an attempt takes."""
 
-    def recorded(self, acks: Iterable[Ack]) -> None:
+    def recorded(self, acks: list[Ack]) -> None:
         """Tell agents that ends need no keeping any more."""
 
 
@@ -64,7 +76,7 @@
         self._fleet = fleet
         self._shards = shards
         self._sink = sink
-        self._seen_ends: dict[Ack, int] = {}
+        self._seen_ends: dict[Ack, _SeenEnd] = {}
         self._unknown_since: dict[str, float] = {}
 
     def forget(self, shard: int) -> None:
@@ -74,9 +86,9 @@
         and their tasks would start again.
         """
         self._seen_ends = {
-            ack: end_shard
-            for ack, end_shard in self._seen_ends.items()
-            if end_shard != shard
+            ack: seen
+            for ack, seen in self._seen_ends.items()
+            if seen.shard != shard
         }
         # A job that is not found yet has its whole time again under a new
         # reign: counted from the old one, its tasks would be stopped and their
@@ -102,6 +114,13 @@
             if report is not None and not owned.is_dropped:
                 self._take_job(worker, report, owned, job_id)
 
+    def recorded(self, acks: list[Ack]) -> None:
+        """Ends are durable, and their agents are told so now."""
+        for ack in acks:
+            seen = self._seen_ends.get(ack)
+            if seen is not None:
+                seen.told_at = self._clock.now()
+
     def reconcile(
         self,
         worker: Worker,
@@ -123,8 +142,8 @@
     def take_left(self, departed: Departed, owned: OwnedShard) -> None:
         """Take the last word of an agent on whose worker nothing runs.
 
-        While the former owner may still order, a next process of the agent
-        might take its orders: the agent is waited for like any other.
+        Unless the former owner had given the shard up by then, the agent is
+        waited for like any other: its next process may have taken orders.
         """
         worker, message = departed.worker, departed.message
         for end in _of_shard(message.ends, owned.shard):
@@ -132,7 +151,7 @@
         for placed in list(worker.placed_by_task.values()):
             if shard_of(placed.name.job_id) == owned.shard:
                 self.gone(worker, placed, 'agent left')
-        if owned.is_former_over:
+        if owned.has_given_up_before(departed.at):
             owned.unheard.discard(worker.agent_id)
 
     def _take_job(
@@ -232,10 +251,14 @@
         record.saw_number(told.task, told.attempt)
         if run is None:
             return None
+        # An attempt ordered here that this one has replaced is no other one.
+        runs_elsewhere = any(
+            other is not worker for other, _placed in self.places(name)
+        )
         is_wanted = (
             record.final_state is None
             and not run.is_done_task(name.index)
-            and name.index not in run.running
+            and not runs_elsewhere
         )
         placed = Placed(
             name,
@@ -263,13 +286,15 @@
         owned: OwnedShard,
     ) -> None:
         ack = Ack(worker.agent_id, boot, end.number)
-        if ack in self._seen_ends:
+        seen = self._seen_ends.get(ack)
+        if seen is not None:
+            self._tell_again(ack, seen)
             return
         name = TaskName.from_text(end.task)
         record = owned.by_job.get(name.job_id)
         if record is None and not self._is_forgotten(name.job_id):
             return
-        self._seen_ends[ack] = owned.shard
+        self._seen_ends[ack] = _SeenEnd(owned.shard)
         if len(self._seen_ends) > _KEPT_ENDS:
             self._seen_ends.pop(next(iter(self._seen_ends)))
         if record is None or record.run_of(name) is None:
@@ -281,6 +306,16 @@
         self._apply_end(record, name, end, owned)
         owned.save(record, ack)
 
+    def _tell_again(self, ack: Ack, seen: '_SeenEnd') -> None:
+        """Repeat that an end is durable to an agent that still lists it.
+
+        The message was lost with its connection, or its agent was killed; the
+        worker would list the end for ever, and each look would answer at once.
+        """
+        told_at = seen.told_at
+        if told_at is not None and self._clock.now() - told_at > _TELL_AGAIN_MS:
+            self._sink.recorded([ack])
+
     def _apply_end(
         self,
         record: JobRecord,
--- a/hyssopring/jobs/taken_orders.py
+++ b/hyssopring/jobs/taken_orders.py
@@ -1,16 +1,21 @@
 """How many starts an agent has taken of each entry."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Final
 
 __all__ = ('TakenOrders',)
 
+# Names of connections whose counts are kept; one is in use, and what was sent
+# on the last few may still be read.
+_KEPT: Final = 4
+
 
 @dataclass(slots=True)
-class _Count:
-    """Starts taken on one connection, by the entry's name for it."""
+class _Counts:
+    """Starts taken, by the entry's name for the connection."""
 
     connection: str = ''
-    orders: int = 0
+    by_connection: dict[str, int] = field(default_factory=dict)
 
 
 class TakenOrders:
@@ -24,27 +29,33 @@
 
     def __init__(self) -> None:
         """Know no connection."""
-        self._by_entry: dict[str, _Count] = {}
+        self._by_entry: dict[str, _Counts] = {}
 
     def begin(self, entry_id: str, connection: str) -> None:
-        """An entry names its connection; its starts on others are void."""
-        if connection != self.connection(entry_id):
-            self._by_entry[entry_id] = _Count(connection)
+        """An entry names its connection; its starts on others are void.
+
+        A name that comes back, as a late question of an earlier connection
+        came between, goes on from its own count.
+        """
+        counts = self._by_entry.setdefault(entry_id, _Counts())
+        counts.connection = connection
+        counts.by_connection.setdefault(connection, 0)
+        while len(counts.by_connection) > _KEPT:
+            counts.by_connection.pop(next(iter(counts.by_connection)))
 
     def take(self, entry_id: str, connection: str) -> bool:
         """Count a start; False if it is of another connection, and void."""
-        known = self._by_entry.get(entry_id)
-        if known is None or known.connection != connection:
+        if not connection or connection != self.connection(entry_id):
             return False
-        known.orders += 1
+        self._by_entry[entry_id].by_connection[connection] += 1
         return True
 
     def count(self, entry_id: str) -> int:
         """How many starts of an entry were taken on ``connection``."""
-        known = self._by_entry.get(entry_id)
-        return known.orders if known else 0
+        counts = self._by_entry.get(entry_id)
+        return counts.by_connection[counts.connection] if counts else 0
 
     def connection(self, entry_id: str) -> str:
         """The entry's name for its newest connection, empty for none."""
-        known = self._by_entry.get(entry_id)
-        return known.connection if known else ''
+        counts = self._by_entry.get(entry_id)
+        return counts.connection if counts else ''
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -7,6 +7,7 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.model import Size
+from hyssopring.jobs.stalls import StallWatch
 from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS
 from hyssopring.jobs.worker_port import (
     Announcement,
@@ -72,6 +73,7 @@
         # Until when a former agent of this VM may have held the tasks.
         self._inherited_until = clock.now()
         self._has_lapsed = False
+        self._stalls = StallWatch(clock)
         self._is_looking = False
         self._heard_at = clock.now()
 
@@ -150,7 +152,9 @@
 
     def check(self) -> None:
         """Notice a worker that is silent past its hold; call regularly."""
-        if not self.boot or self._has_lapsed:
+        # After a freeze an answer may lie unread: then silence says nothing.
+        has_kept_up = self._stalls.has_kept_up()
+        if not self.boot or self._has_lapsed or not has_kept_up:
             return
         held_until = max(self._held_until, self._inherited_until)
         lapse = held_until + CLOCK_DRIFT * HOLD_MS
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -13,6 +13,7 @@
     'Look',
     'Start',
     'StartOutcome',
+    'WorkerFenced',
     'WorkerPort',
     'WorkerReplaced',
     'WorkerRow',
@@ -24,6 +25,10 @@
     """No usable answer came; what was asked may still be carried out."""
 
 
+class WorkerFenced(WorkerUnreachable):
+    """The worker has seen a higher fence, and has done nothing."""
+
+
 class WorkerReplaced(Exception):
     """Another boot of the worker answered; nothing was done."""
 
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -14,6 +14,7 @@
     Look,
     Start,
     StartOutcome,
+    WorkerFenced,
     WorkerReplaced,
     WorkerRow,
     WorkerUnreachable,
@@ -162,7 +163,13 @@
 
 
 def _taken(answer: JsonAnswer) -> JsonAnswer:
-    """A conflict means that there is nothing left to do for the order."""
+    """A conflict means that there is nothing left to do for the order.
+
+    But for one: a worker that has seen a higher fence has done nothing, and
+    the order is to be sent again. Taken for done, a cancelled task ran on.
+    """
+    if answer.fields.get('reason') == 'fence':
+        raise WorkerFenced('an order with a higher fence came first')
     if answer.status not in {HTTPStatus.OK, HTTPStatus.CONFLICT}:
         raise WorkerUnreachable(f'the runner answered {answer.status}')
     return answer
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -1,5 +1,6 @@
 """The platform's runner in virtual time, with its faults."""
 
+import contextlib
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
@@ -10,6 +11,7 @@
     EndRow,
     Listing,
     StartOutcome,
+    WorkerFenced,
     WorkerReplaced,
     WorkerRow,
     WorkerUnreachable,
@@ -183,7 +185,8 @@
     def _if_same(self, boot, action):
         if boot == self.boot:
             self.settle()
-            action()
+            with contextlib.suppress(WorkerUnreachable):
+                action()
 
     def _call(self, boot, action, timeout_s=TIMEOUT_S):
         if self.is_dark:
@@ -215,7 +218,12 @@
             answer.errback(WorkerReplaced())
             return
         self.settle()
-        answer.callback(action())
+        try:
+            outcome = action()
+        except WorkerUnreachable as error:
+            answer.errback(error)
+        else:
+            answer.callback(outcome)
 
     def _fail(self, error, seconds):
         answer = Deferred()
@@ -272,7 +280,7 @@
 
     def _stop(self, fence, task, attempt):
         if fence < self.fence:
-            return
+            raise WorkerFenced('a higher fence was seen')
         highest = self.highest_by_task.get(task, 0)
         self.highest_by_task[task] = max(highest, attempt)
         run = self.runs.get(task)
