Owners: authority is over a shard, and a wait that is owed outlives its owner

Causes: an owner had authority as long as its own row was renewed, which says nothing of the shard: frozen, or turned away by the store for a while, it went on long after its successor's wait. The shorter wait after a former owner that is surely over forgot the one before it. A restarted agent that reached the former owner only was given up by the new one after its own last grant. Change: each poll reads the owner's row, and an owner acts for 10 s at most after the sending of a reading that showed it. Whoever takes a shard from an owner that may still act notes so in the shard's part, and clears it after the wait; while the note stands no next owner takes the short way. Until then an agent that is away is not given up. The age of a former owner's grants counts for what the agents run, too. A cancellation that overtakes its job is kept. Row keys have a module of their own. Cost: one reading each 1.5 s, and one more at a takeover. Ruled out: a check of the owner's row in each renewal, as the two lie in different parts. A VM that dies within 10 s of an unplanned takeover is now waited for until 18.4 s after it, unless the former owner says that it is over.

--- a/hyssopring/jobs/desk.py
+++ b/hyssopring/jobs/desk.py
@@ -9,13 +9,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.jobs.deadlines import answer_by
-from hyssopring.jobs.documents import (
-    JobRow,
-    ProgressRow,
-    cancel_key,
-    job_key,
-    progress_key,
-)
+from hyssopring.jobs.documents import JobRow, ProgressRow
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.messages import (
     CancelNotice,
@@ -27,6 +21,7 @@
 from hyssopring.jobs.model import Job, JobState
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.questions import Peers, Questions
+from hyssopring.jobs.row_keys import cancel_key, job_key, progress_key
 from hyssopring.jobs.rows import (
     Committed,
     RowCheck,
--- a/hyssopring/jobs/discovery.py
+++ b/hyssopring/jobs/discovery.py
@@ -6,8 +6,9 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.documents import ENTRIES, EntryRow, UnreadableRow
+from hyssopring.jobs.documents import EntryRow, UnreadableRow
 from hyssopring.jobs.links import LinkDialler
+from hyssopring.jobs.row_keys import ENTRIES
 from hyssopring.jobs.rows import (
     Page,
     RowStore,
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -7,6 +7,7 @@
 hs_jobs    shard          job id + '/x'   an entry that cancels, once
 hs_done    shard          job id          the shard's owner
 hs_owner   shard          'owner'         whoever becomes the owner
+hs_owner   shard          'wait'          who takes it from a silent owner
 hs_entry   (empty)        entry id        the entry, each second
 hs_agent   shard          agent id        the shard's owner, see ``Roster``
 ========== ============== =============== ================================
@@ -19,79 +20,22 @@
 from pydantic import TypeAdapter, ValidationError
 
 from hyssopring.jobs.model import Job
-from hyssopring.jobs.rows import RowKey
-from hyssopring.jobs.shards import shard_of
 
 __all__ = (
-    'AGENTS',
-    'CANCEL_SUFFIX',
-    'DONE',
-    'ENTRIES',
-    'JOBS',
-    'OWNERS',
     'EntryRow',
     'JobRow',
     'OwnerRow',
     'ProgressRow',
     'UnreadableRow',
-    'agent_key',
-    'cancel_key',
-    'is_job_key',
-    'job_key',
-    'owner_key',
-    'part_of',
-    'progress_key',
 )
 
 _Document = TypeVar('_Document')
 
-JOBS = 'hs_jobs'
-DONE = 'hs_done'
-OWNERS = 'hs_owner'
-ENTRIES = 'hs_entry'
-AGENTS = 'hs_agent'
-CANCEL_SUFFIX = '/x'
-
 
 class UnreadableRow(Exception):
     """A row of ours that does not hold what it should."""
 
 
-def part_of(shard: int) -> str:
-    """Return the part that holds a shard's rows."""
-    return f's{shard}'
-
-
-def job_key(job_id: str) -> RowKey:
-    """Where an accepted job lies."""
-    return RowKey(JOBS, part_of(shard_of(job_id)), job_id)
-
-
-def is_job_key(key: str) -> bool:
-    """Whether a key of the table of jobs is a job's, not a cancellation's."""
-    return not key.endswith(CANCEL_SUFFIX)
-
-
-def cancel_key(job_id: str) -> RowKey:
-    """Where a job's cancellation lies."""
-    return RowKey(JOBS, part_of(shard_of(job_id)), job_id + CANCEL_SUFFIX)
-
-
-def progress_key(job_id: str) -> RowKey:
-    """Where a job's ends lie."""
-    return RowKey(DONE, part_of(shard_of(job_id)), job_id)
-
-
-def agent_key(shard: int, agent_id: str) -> RowKey:
-    """Where it is said that an agent may hold tasks of a shard."""
-    return RowKey(AGENTS, part_of(shard), agent_id)
-
-
-def owner_key(shard: int) -> RowKey:
-    """Where a shard's owner lies."""
-    return RowKey(OWNERS, part_of(shard), 'owner')
-
-
 @dataclass(frozen=True)
 class JobRow:
     """An accepted job; ``accepted_ms`` is in milliseconds since 1970."""
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -7,20 +7,20 @@
 write nothing more.
 """
 
+from dataclasses import replace
 from typing import Any, Callable, Final
 
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.documents import (
-    ENTRIES,
     EntryRow,
     OwnerRow,
     UnreadableRow,
-    owner_key,
 )
 from hyssopring.jobs.owned_shard import ShardReign
 from hyssopring.jobs.peer_entries import PeerEntries
+from hyssopring.jobs.row_keys import ENTRIES, owner_key, wait_key
 from hyssopring.jobs.rows import (
     Committed,
     Conflict,
@@ -282,18 +282,45 @@
             return None
         if not self._is_next(shard, former):
             return None
+        reading = self._store.read_one(wait_key(shard))
+        return reading.addCallback(self._wait_read, shard, former, version)
+
+    def _wait_read(
+        self,
+        wait: Row | None,
+        shard: int,
+        former: OwnerRow | None,
+        version: int,
+    ) -> Any:
+        """Take the shard; ``wait`` says that an earlier owner may still act.
+
+        Without that row the next owner would know of its former one only, and
+        wait too little for one before it that was silent and then wakes.
+        """
+        is_over = wait is None and self._is_over(former, version)
         reign = former.reign + 1 if former else 1
         taken = OwnerRow(self._entry_id, self._incarnation, reign)
         place = owner_key(shard)
         taking = self._store.commit(
             Transaction(
                 (RowCheck(place, version),),
-                (RowPut(place, taken.to_text()),),
+                (
+                    RowPut(place, taken.to_text()),
+                    *(() if is_over else (RowPut(wait_key(shard), ''),)),
+                ),
             ),
         )
-        is_over = self._is_over(former, version)
-        taking.addCallback(self._taken, shard, reign, is_over)
-        return taking
+        sent_at = self._clock.now()
+        taken_reign = ShardReign(
+            shard,
+            reign,
+            version=0,
+            acquired_at=sent_at,
+            is_former_over=is_over,
+            confirmed_at=sent_at,
+            has_earlier=wait is not None,
+        )
+        return taking.addCallback(self._taken, taken_reign)
 
     def _is_over(self, former: OwnerRow | None, version: int) -> bool:
         """Whether a former owner surely orders nothing more.
@@ -305,23 +332,15 @@
             return True
         return self._peers.is_replaced(former, version)
 
-    def _taken(
-        self,
-        outcome: object,
-        shard: int,
-        reign: int,
-        is_former_over: bool,
-    ) -> None:
+    def _taken(self, outcome: object, taken: ShardReign) -> None:
         if not isinstance(outcome, Committed) or self._is_stopping:
             return
-        self._free_since.pop(shard, None)
+        self._free_since.pop(taken.shard, None)
         self.on_acquired(
-            ShardReign(
-                shard,
-                reign,
-                outcome.version,
-                self._clock.now(),
-                is_former_over,
+            replace(
+                taken,
+                version=outcome.version,
+                acquired_at=self._clock.now(),
             ),
         )
         self.renew()
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -73,7 +73,7 @@
             clock,
             self.fleet,
             peers.answer,
-            lambda: membership.may_act,
+            self._may_act,
             wall_ms,
             self._deposed,
         )
@@ -157,7 +157,8 @@
         self._given_up.take(message, self._clock.now())
         owned = self.owner.shards.by_shard.get(message.shard)
         if owned is not None:
-            self._given_up.tell(owned)
+            self._given_up.tell(owned, self.fleet)
+            self.owner.hear_departed()
 
     @take.register
     def _take_cancel(self, message: CancelNotice, peer_id: str) -> None:
@@ -237,13 +238,17 @@
                 self.owner.plan_soon,
             ),
         )
-        self._given_up.tell(owned)
+        self._given_up.tell(owned, self.fleet)
         self.owner.acquire(owned)
 
     def _deposed(self, owned: OwnedShard) -> None:
         self._drop(owned)
         self._membership.renew()
 
+    def _may_act(self) -> bool:
+        """Whether this entry may order and grant as an owner."""
+        return self._membership.may_act and self.owner.shards.are_confirmed
+
     def _drop(self, owned: OwnedShard) -> None:
         """Own a shard no more, and tell its next owner, whichever it is.
 
--- a/hyssopring/jobs/handover.py
+++ b/hyssopring/jobs/handover.py
@@ -35,8 +35,18 @@
         """Keep a message of a former owner, received now."""
         self._by_shard[message.shard] = (message, now)
 
-    def tell(self, owned: OwnedShard) -> None:
-        """Hand an owned shard what its former owner has said."""
+    def tell(self, owned: OwnedShard, fleet: Fleet) -> None:
+        """Use what the former owner of an owned shard has said.
+
+        It may have granted an agent later than this entry: one that has been
+        restarted, and reached the former owner only.
+        """
         message, received_at = self._by_shard.get(owned.shard, (None, 0))
-        if message is not None and message.reign == owned.reign - 1:
-            owned.former_gave_up(message, received_at)
+        if message is None or message.reign != owned.reign - 1:
+            return
+        owned.former_gave_up(message, received_at)
+        for grant in message.grants:
+            worker = fleet.by_agent.get(grant.agent_id)
+            if worker is not None:
+                granted_at = received_at - grant.age_ms
+                worker.granted_at = max(worker.granted_at, granted_at)
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -1,24 +1,23 @@
 """The jobs of one shard that this entry owns."""
 
 from dataclasses import dataclass
-from typing import Any, Callable, Final, Iterable
+from typing import Any, Callable, Final
 
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
-from hyssopring.jobs.documents import (
-    JobRow,
-    ProgressRow,
+from hyssopring.jobs.documents import JobRow, ProgressRow
+from hyssopring.jobs.messages import ShardGivenUp
+from hyssopring.jobs.model import JobState
+from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
+from hyssopring.jobs.roster import Roster
+from hyssopring.jobs.row_keys import (
     cancel_key,
     is_job_key,
     job_key,
     progress_key,
 )
-from hyssopring.jobs.messages import ShardGivenUp
-from hyssopring.jobs.model import JobState
-from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
-from hyssopring.jobs.roster import Roster
 from hyssopring.jobs.rows import (
     Committed,
     Row,
@@ -28,7 +27,11 @@
     Transaction,
 )
 from hyssopring.jobs.shard_reader import ShardReader
-from hyssopring.jobs.times import LOST_AFTER_MS, ROSTER_WAIT_MS
+from hyssopring.jobs.times import (
+    AUTHORITY_MS,
+    LOST_AFTER_MS,
+    ROSTER_WAIT_MS,
+)
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Ack', 'OwnedShard', 'ShardEvents', 'ShardReign')
@@ -43,8 +46,10 @@
 
     Attributes:
         version: The owner row's.
-        is_former_over: Whether the former owner surely orders nothing more:
-            it has given the shard up, or its process is dead.
+        is_former_over: Whether no former owner orders anything any more: each
+            has given the shard up, or its process is dead.
+        confirmed_at: When the call was sent that took the shard.
+        has_earlier: Whether an owner before the former one may still act.
     """
 
     shard: int
@@ -52,13 +57,15 @@
     version: int
     acquired_at: float
     is_former_over: bool
+    confirmed_at: float
+    has_earlier: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class ShardEvents:
     """Whom a shard tells of what happens in it."""
 
-    on_acks: Callable[[Iterable[Ack]], None]
+    on_acks: Callable[[list[Ack]], None]
     on_deposed: Callable[['OwnedShard'], None]
     on_job: Callable[[JobRecord], None]
     on_cancelled: Callable[[JobRecord], None]
@@ -90,9 +97,13 @@
         self.reign = taken.reign
         self.version = taken.version
         self.is_former_over = taken.is_former_over
+        self._has_earlier = taken.has_earlier
         wait_ms = LOST_AFTER_MS if taken.is_former_over else ROSTER_WAIT_MS
         self._roster_until = taken.acquired_at + wait_ms
         self._lost_at_by_agent: dict[str, float] = {}
+        self._confirmed_at = taken.confirmed_at
+        self._given_up_at: float | None = None
+        self._cancelled_early: set[str] = set()
         self._clock = clock
         self._store = store
         self._events = events
@@ -109,8 +120,9 @@
             taken.shard,
             self._check,
             events.on_listed,
+            not taken.is_former_over,
         )
-        self._reader = ShardReader(reactor, store, self)
+        self._reader = ShardReader(reactor, clock, store, self)
         self._writer = ProgressWriter(
             reactor,
             wall_ms,
@@ -140,9 +152,40 @@
             return run.waiting
         return record.located_waiting(run)
 
+    def confirmed(self, sent_at: float) -> None:
+        """A reading that was sent then shows that the shard is still owned."""
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the shard was surely owned a short while ago.
+
+        An entry's own row says nothing of its shards: an owner that was
+        frozen, or turned away by the store for a while, renews it and would
+        go on for ever, long after its successor's wait for it is over.
+        """
+        return self._clock.now() - self._confirmed_at < AUTHORITY_MS
+
+    @property
+    def may_former_act(self) -> bool:
+        """Whether a former owner may still order and grant."""
+        if self.is_former_over:
+            return False
+        return self._clock.now() <= self._roster_until
+
+    def has_given_up_before(self, at: float) -> bool:
+        """Whether the former owner had said by then that it orders nothing."""
+        return self._given_up_at is not None and self._given_up_at <= at
+
     def former_gave_up(self, told: ShardGivenUp, received_at: float) -> None:
-        """The former owner orders nothing more: its grants run out by age."""
+        """The former owner orders nothing more: its grants run out by age.
+
+        This says nothing of an owner before it that may still act.
+        """
+        if self._has_earlier:
+            return
         self.is_former_over = True
+        self._given_up_at = received_at
         for grant in told.grants:
             lost_at = received_at - grant.age_ms + LOST_AFTER_MS
             self._lost_at_by_agent[grant.agent_id] = lost_at
@@ -166,11 +209,15 @@
         now = self._clock.now()
         if now > self._roster_until:
             self.unheard.clear()
+            self.roster.waited()
         self.unheard -= {
             agent_id
             for agent_id, lost_at in self._lost_at_by_agent.items()
             if now > lost_at
         }
+        if self.may_former_act:
+            # It may have granted agents that are away, or their next process.
+            return
         for agent_id in self.roster.agents:
             if agent_id not in self.unheard and is_lost(agent_id):
                 self.roster.strike(agent_id)
@@ -192,10 +239,15 @@
             # The rows are read first: the former owner may have begun it.
             self._early.append(row)
             return
-        if row.job.job_id in self.by_job:
+        job_id = row.job.job_id
+        if job_id in self.by_job:
             return
         record = JobRecord.from_row(row, self.reign, is_inherited)
         self._keep(record)
+        if job_id in self._cancelled_early:
+            self._cancelled_early.discard(job_id)
+            self.cancel(job_id)
+            return
         self._events.on_job(record)
 
     def is_known(self, job_id: str) -> bool:
@@ -217,7 +269,11 @@
     def cancel(self, job_id: str) -> None:
         """A job's cancellation is durable."""
         record = self.by_job.get(job_id)
-        if record is None or record.final_state is not None:
+        if record is None:
+            # Its notice has overtaken the job's, which would be started.
+            self._cancelled_early.add(job_id)
+            return
+        if record.final_state is not None:
             return
         record.final_state = JobState.CANCELLED
         record.state = JobState.CANCELLED
@@ -231,6 +287,7 @@
     def poll(self) -> None:
         """Look for what messages have missed."""
         if self.is_loaded and not self.is_dropped:
+            self._cancelled_early.clear()
             self._reader.poll()
 
     def loaded(
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -69,6 +69,11 @@
         owned = self.by_shard[shard_of(record.job.job_id)]
         return owned.startable(record, run)
 
+    @property
+    def are_confirmed(self) -> bool:
+        """Whether each owned shard was surely owned a short while ago."""
+        return all(owned.is_confirmed for owned in self.by_shard.values())
+
     def startable_on(self, workers: Iterable[Worker]) -> list[Worker]:
         """Return the workers that tasks of each owned shard may start on."""
         return [
--- a/hyssopring/jobs/relay.py
+++ b/hyssopring/jobs/relay.py
@@ -16,7 +16,6 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
-from hyssopring.jobs.documents import ENTRIES
 from hyssopring.jobs.messages import JobsMessage
 from hyssopring.jobs.questions import Peers, Questions
 from hyssopring.jobs.relay_messages import (
@@ -38,6 +37,7 @@
     outcome_of,
     transaction_of,
 )
+from hyssopring.jobs.row_keys import ENTRIES
 from hyssopring.jobs.rows import (
     Page,
     RowKey,
--- a/hyssopring/jobs/roster.py
+++ b/hyssopring/jobs/roster.py
@@ -4,7 +4,7 @@
 
 from twisted.python.failure import Failure as TwistedFailure
 
-from hyssopring.jobs.documents import agent_key
+from hyssopring.jobs.row_keys import agent_key, wait_key
 from hyssopring.jobs.rows import (
     Committed,
     Conflict,
@@ -38,8 +38,15 @@
         shard: int,
         owner_check: RowCheck,
         on_listed: Callable[[], None],
+        owes_wait: bool = False,
     ) -> None:
-        """Write under ``owner_check``; ``on_listed`` hears of new rows."""
+        """Write under ``owner_check``; ``on_listed`` hears of new rows.
+
+        ``owes_wait`` says that a former owner may still act, and that the
+        store says so to next owners until ``waited``.
+        """
+        self.owes_wait = owes_wait
+        self._is_clearing = False
         self._store = store
         self._shard = shard
         self._check = owner_check
@@ -75,6 +82,16 @@
         adding.addCallbacks(self._added, _retried, callbackArgs=(batch,))
         adding.addBoth(self._settled)
 
+    def waited(self) -> None:
+        """No former owner acts any more: next owners need not wait for it."""
+        if not self.owes_wait or self._is_clearing:
+            return
+        self._is_clearing = True
+        place = wait_key(self._shard)
+        clearing = self._store.commit(Transaction((self._check,), (), (place,)))
+        clearing.addCallbacks(self._cleared, _retried)
+        clearing.addBoth(self._clearing_settled)
+
     def strike(self, agent_id: str) -> None:
         """Take an agent off the list, on which nothing can run any more.
 
@@ -103,6 +120,12 @@
     def _settled(self, _done: Any) -> None:
         self._is_adding = False
 
+    def _cleared(self, outcome: Committed | Conflict) -> None:
+        self.owes_wait = not isinstance(outcome, Committed)
+
+    def _clearing_settled(self, _done: Any) -> None:
+        self._is_clearing = False
+
 
 def _retried(failure: TwistedFailure) -> None:
     """An agent is added again; one that stays listed costs the next owner."""
--- a/hyssopring/jobs/shard_reader.py
+++ b/hyssopring/jobs/shard_reader.py
@@ -5,12 +5,13 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure as TwistedFailure
 
-from hyssopring.jobs.documents import (
+from hyssopring.clock import Clock
+from hyssopring.jobs.documents import UnreadableRow
+from hyssopring.jobs.row_keys import (
     AGENTS,
     CANCEL_SUFFIX,
     DONE,
     JOBS,
-    UnreadableRow,
     is_job_key,
     owner_key,
     part_of,
@@ -55,6 +56,9 @@
     def deposed(self) -> None:
         """Another owner has the shard."""
 
+    def confirmed(self, sent_at: float) -> None:
+        """A reading that was sent then shows that the shard is still owned."""
+
     def cancel(self, job_id: str) -> None:
         """A cancellation."""
 
@@ -62,9 +66,16 @@
 class ShardReader:
     """Loads one shard, and polls it for what messages have missed."""
 
-    def __init__(self, reactor: Any, store: RowStore, rows: ShardRows) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        store: RowStore,
+        rows: ShardRows,
+    ) -> None:
         """Hand what is read to ``rows``."""
         self._reactor = reactor
+        self._clock = clock
         self._store = store
         self._rows = rows
         self._part = part_of(rows.shard)
@@ -108,10 +119,12 @@
         heard. The successor's row was there before it was told of the job, so
         that an owner row which is read after the job's shows it.
         """
+        sent_at = self._clock.now()
         row = yield self._store.read_one(owner_key(self._rows.shard))
         if self._rows.is_dropped:
             return False
         if row is not None and row.version == self._rows.version:
+            self._rows.confirmed(sent_at)
             return True
         self._rows.deposed()
         return False
@@ -149,15 +162,17 @@
     @inlineCallbacks
     def _reread(self) -> Any:
         """Read all jobs anew, as the history of changes is gone."""
+        self._is_polling = True
         rows: list[Row] = yield self._read_part(JOBS, self._part)
         yield self._take(rows, self._read_version)
+        self._is_polling = False
 
     @inlineCallbacks
     def _take(self, rows: list[Row], version: int) -> Any:
         """Take jobs and cancellations that were read at a version."""
         own = [row for row in rows if row.place.part == self._part]
         new = [row for row in own if self._is_new(row)]
-        is_owner = not new or (yield self._is_owner())
+        is_owner = yield self._is_owner()
         if not is_owner or self._rows.is_dropped:
             return
         # Not before: what a failed call kept from being taken is read again.
--- /dev/null
+++ b/tests/test_jobs_former_owners.py
@@ -0,0 +1,228 @@
+"""Owners that go on without knowing of their successors.
+
+A link may be missing between one agent and one entry only, so that the former
+owner reaches an agent that the next one does not. Each of these days ran one
+task twice.
+"""
+
+from standins.jobs.deployment import Deployment, a_job, settled, starts_of
+
+LONG_MS = 90_000
+STEP_S = 0.01
+PATIENCE = 2000
+WAIT_S = 25
+
+
+def three(entries=2):
+    """Three workers, the owner, and an entry that is to take over."""
+    deployment = settled(
+        Deployment(workers=3, entries=entries, work_ms=lambda task: LONG_MS)
+    )
+    former = deployment.entries[deployment.owner]
+    others = [
+        entry for entry in deployment.entries.values() if entry is not former
+    ]
+    return deployment, former, others
+
+
+def busy(deployment):
+    """The number of a worker that runs something."""
+    return next(
+        number for number, each in enumerate(deployment.workers) if each.runs
+    )
+
+
+def idle(deployment):
+    """The number of a worker that runs nothing."""
+    return next(
+        number
+        for number, each in enumerate(deployment.workers)
+        if not each.runs
+    )
+
+
+def run_until_taken(deployment, entries):
+    """Go on until one of the entries owns the shard, and return it."""
+    for _each in range(PATIENCE):
+        for entry in entries:
+            if entry.core.owner.shards.by_shard:
+                return entry
+        deployment.run(STEP_S)
+    raise AssertionError('nobody has taken the shard')
+
+
+def silence(entry):
+    """The entry's row is not renewed any more; it goes on otherwise."""
+    entry.membership.renew = lambda: None
+
+
+def start_one(deployment, entry, count=1):
+    job = a_job(steps=((count, ()),), max_per_worker=1)
+    deployment.submit(job, entry.name)
+    deployment.run(1)
+    return job
+
+
+def test_an_owner_whose_row_is_renewed_again_is_still_deposed():
+    """An owner's renewals fail for some seconds, and go on after a takeover.
+
+    It had authority as long as its own row was renewed, which says nothing of
+    the shard, and kept an agent's tasks alive that its successor could not
+    reach, long after that one's wait was over.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former, 2)
+    deployment.block(f'agent-{busy(deployment)}', successor.name)
+    renew = former.membership.renew
+    silence(former)
+    run_until_taken(deployment, [successor])
+    former.membership.renew = renew
+    deployment.run(30)
+    assert not former.core.owner.shards.by_shard
+
+
+def test_an_owner_that_the_store_serves_again_starts_nothing():
+    """An owner is cut from the store and its peers for 19 s.
+
+    It gives an attempt up while it may not act. Served again, it renewed its
+    row and started the attempt on an agent that only it could reach.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former)
+    runs_at = busy(deployment)
+    deployment.block(f'agent-{idle(deployment)}', successor.name)
+    former.has_peers = False
+    deployment.rows.shunned.add(former.name)
+    run_until_taken(deployment, [successor])
+    deployment.run(1)
+    deployment.block(f'agent-{runs_at}', former.name)
+    deployment.run(18)
+    deployment.rows.shunned.discard(former.name)
+    deployment.run(10)
+
+
+def test_an_owner_that_wakes_gives_up_no_attempt_of_its_successor():
+    """An owner is frozen for 12 s while its successor goes on.
+
+    The agent of a running task is linked to the successor only. The owner
+    woke, counted the attempt as lapsed, renewed its row and started it on an
+    agent that was linked to itself only.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former)
+    runs_at = busy(deployment)
+    deployment.block(f'agent-{idle(deployment)}', successor.name)
+    former.thaws_at = deployment.reactor.seconds() + 12
+    deployment.block(f'agent-{runs_at}', former.name)
+    deployment.run(30)
+
+
+def test_a_second_takeover_waits_for_the_first_owner_too():
+    """An owner is cut off with one agent; its successor dies at once.
+
+    The successor's next process takes the shard back from its own former
+    process, which is dead, and waited only as long as that one's grants
+    last. The first owner still acted.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former, 2)
+    silence(former)
+    deployment.block(f'agent-{busy(deployment)}', successor.name)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.5)
+    deployment.kill_entry(successor.name)
+    deployment.run(0.7)
+    deployment.start_entry(successor.name)
+    deployment.run(WAIT_S)
+
+
+def test_a_planned_handover_does_not_forget_an_owner_that_may_act():
+    """As above, but the successor gives the shard up as planned."""
+    deployment, former, others = three(entries=3)
+    start_one(deployment, former, 2)
+    silence(former)
+    runs_at = busy(deployment)
+    for other in others:
+        deployment.block(f'agent-{runs_at}', other.name)
+    successor = run_until_taken(deployment, others)
+    deployment.run(0.5)
+    successor.core.release()
+    deployment.run(0.2)
+    deployment.kill_entry(successor.name)
+    deployment.run(WAIT_S)
+
+
+def test_a_wait_that_is_over_is_not_owed_any_more():
+    """A silent owner's successor has waited; the next one need not."""
+    deployment, former, (successor,) = three()
+    former.is_alive = False
+    deployment.kill_entry(former.name)
+    run_until_taken(deployment, [successor])
+    owed = [row for row in deployment.rows.rows if row.key == 'wait']
+    deployment.run(19)
+    left = [row for row in deployment.rows.rows if row.key == 'wait']
+    assert (len(owed), len(left)) == (1, 0)
+
+
+def test_a_restarted_agent_that_reaches_the_former_owner_only_keeps_tasks():
+    """An agent has heard of the new owner, is restarted, and loses its link.
+
+    The new process hears the former owner only, and takes its grants. The new
+    owner counted the attempts there as lapsed 8.4 s after its own last grant.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former)
+    number = busy(deployment)
+    silence(former)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.3)
+    deployment.kill_agent(f'agent-{number}')
+    deployment.run(0.2)
+    deployment.blocked.add((f'agent-{number}', successor.name))
+    deployment.start_agent(f'agent-{number}', deployment.workers[number])
+    deployment.run(WAIT_S)
+
+
+def test_a_restarted_agent_takes_no_second_attempt_from_a_former_owner():
+    """As above, but the attempt fails under the new owner first."""
+    deployment, former, (successor,) = three()
+    start_one(deployment, former)
+    number = busy(deployment)
+    silence(former)
+    for each in range(3):
+        deployment.block(f'agent-{each}', former.name)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.5)
+    worker = deployment.workers[number]
+    worker.fail_all()
+    deployment.run(0.5)
+    deployment.kill_agent(f'agent-{number}')
+    deployment.run(0.2)
+    deployment.blocked.discard((f'agent-{number}', former.name))
+    deployment.blocked.add((f'agent-{number}', successor.name))
+    deployment.start_agent(f'agent-{number}', worker)
+    deployment.run(WAIT_S)
+
+
+def test_a_job_that_a_former_owner_is_told_of_is_passed_on():
+    """A job's notice comes to an entry that has just lost the shard.
+
+    It was dropped, and the owner found the job by its poll only: a job that
+    may have begun, for which it waited until all agents were heard.
+    """
+    deployment, former, (successor,) = three()
+    deployment.block('agent-0', successor.name)
+    former.core.release()
+    run_until_taken(deployment, [successor])
+    deployment.run(0.2)
+    successor.core.poll = lambda: None
+    former.membership.owner_of = lambda shard: successor.name
+    desk = former.core.desk
+    job = a_job(steps=((1, ()),))
+    notices = []
+    desk._tell_owner = lambda shard, message: notices.append(message)
+    deployment.submit(job, former.name)
+    deployment.run(0.1)
+    former.core.take(notices[0], successor.name)
+    deployment.run(0.5)
+    assert len(starts_of(deployment, job)) == 1
