Stand-in: the faults of store and runner also over HTTP

The fault soak of the real programs needs a store that is slow, refuses, loses answers or has forgotten its history, and a runner that leaves. The HTTP stand-in ignored the faults of the rows; an order whose answer was lost was answered 503, which says not done. It is now left unanswered, as it may be done.

--- a/standins/jobs/rows.py
+++ b/standins/jobs/rows.py
@@ -29,6 +29,7 @@
         late_s: Commits that are not answered are done this much later.
         pauses: Returns by how much a call is done later than usual, and by
             how much its answer comes later still.
+        slow_s: How much later the store answers, where it is served by HTTP.
     """
 
     def __init__(self, reactor):
@@ -43,6 +44,7 @@
         self.lose_next = 0
         self.late_s = 0
         self.pauses = no_pauses
+        self.slow_s = 0
         self.calls = 0
 
     def client(self, name, process_reactor):
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -73,6 +73,7 @@
     Attributes:
         rate: How fast its steady clock runs.
         is_dark: It answers nothing and runs on.
+        is_gone: It has left for good, and reports no more.
         lose_next: So many orders are carried out and not answered.
         late_s: How much later such orders are carried out.
         slow_s: How long it takes over each call; half of it goes by before
@@ -90,6 +91,7 @@
         self.rate = rate
         self.is_dark = False
         self.is_leaving = False
+        self.is_gone = False
         self.lose_next = 0
         self.late_s = 0
         self.slow_s = 0
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import sys
+from dataclasses import replace
 
 from twisted.internet import reactor
 from twisted.web.client import Agent
@@ -60,51 +61,70 @@
     return {**fields, 'value': base64.b64encode(row.text.encode()).decode()}
 
 
+def _transaction(body):
+    return Transaction(
+        tuple(
+            RowCheck(_place(each), each['ver'])
+            for each in body.get('precondition', ())
+        ),
+        tuple(
+            RowPut(_place(each), base64.b64decode(each['value']).decode())
+            for each in body.get('writes', ())
+        ),
+        tuple(_place(each) for each in body.get('remove', ())),
+    )
+
+
 class StoreResource(Resource):
-    """/-/rows-tx, /-/rows-get and /-/rows-feed."""
+    """/-/rows-tx, /-/rows-get and /-/rows-feed, with the faults of the rows.
+
+    ``seen_as`` gives texts that its callers see in place of others in rows:
+    so a process finds a proxy where another one wrote its own address.
+    """
 
     isLeaf = True
 
-    def __init__(self, rows):
+    def __init__(self, rows, seen_as=None):
         super().__init__()
         self.rows = rows
+        self.seen_as = seen_as or {}
 
-    def render_POST(self, request):
-        body = json.loads(request.content.read())
-        outcome = self.rows.apply(
-            Transaction(
-                tuple(
-                    RowCheck(_place(each), each['ver'])
-                    for each in body.get('precondition', ())
-                ),
-                tuple(
-                    RowPut(
-                        _place(each), base64.b64decode(each['value']).decode()
-                    )
-                    for each in body.get('writes', ())
-                ),
-                tuple(_place(each) for each in body.get('remove', ())),
-            )
-        )
+    def render(self, request):
+        """Half of the time that a slow store takes is before the deed."""
+        if not self.rows.is_silent:
+            reactor.callLater(self.rows.slow_s / 2, self._serve, request)
+        return NOT_DONE_YET
+
+    def _serve(self, request):
+        if self.rows.is_down:
+            self._send(request, 503, {})
+        elif request.method == b'POST':
+            self._commit(request, _transaction(json.load(request.content)))
+        else:
+            self._read(request)
+
+    def _commit(self, request, transaction):
+        if self.rows.lose_next:
+            self.rows.lose_next -= 1
+            reactor.callLater(self.rows.late_s, self.rows.apply, transaction)
+            return
+        outcome = self.rows.apply(transaction)
         if isinstance(outcome, Committed):
-            return self._answer(request, 200, {'ver': outcome.version})
-        return self._answer(
-            request, 412, {'rows': [_fields(row) for row in outcome.rows]}
-        )
+            self._send(request, 200, {'ver': outcome.version})
+        else:
+            self._send(request, 412, {'rows': self._shown(outcome.rows)})
 
-    def render_GET(self, request):
+    def _read(self, request):
         asked = {
             name.decode(): texts[0].decode()
             for name, texts in request.args.items()
         }
         if request.path == b'/-/rows-feed':
-            reactor.callLater(
-                0, self._feed, request, asked, int(asked['waitMs'])
-            )
-            return NOT_DONE_YET
+            self._feed(request, asked, int(asked['waitMs']))
+            return
         part, first = asked.get('part', ''), asked.get('from', '')
         rows = [
-            _fields(row)
+            row
             for place, row in sorted(
                 self.rows.rows.items(), key=lambda item: item[0].key
             )
@@ -112,15 +132,15 @@
             and place.part == part
             and place.key >= first
         ]
-        return self._answer(
-            request,
-            200,
-            {'rows': rows, 'hasMore': False, 'ver': self.rows.version},
-        )
+        fields = {'rows': self._shown(rows), 'hasMore': False}
+        self._send(request, 200, {**fields, 'ver': self.rows.version})
 
     def _feed(self, request, asked, wait_ms):
+        if int(asked['after']) < self.rows.kept_from:
+            self._send(request, 410, {})
+            return
         rows = [
-            _fields(row)
+            row
             for row in self.rows.changes
             if row.place.table == asked['table']
             and row.version > int(asked['after'])
@@ -128,20 +148,30 @@
         if not rows and wait_ms > 0:
             reactor.callLater(0.05, self._feed, request, asked, wait_ms - 50)
             return
+        fields = {'rows': self._shown(rows), 'ver': self.rows.version}
+        self._send(request, 200, fields)
+
+    def _shown(self, rows):
+        return [_fields(self._renamed(row)) for row in rows]
+
+    def _renamed(self, row):
+        text = row.text
+        for told, seen in self.seen_as.items():
+            text = text.replace(told, seen)
+        return replace(row, text=text)
+
+    def _send(self, request, status, fields):
+        reactor.callLater(
+            self.rows.slow_s / 2, self._write, request, status, fields
+        )
+
+    def _write(self, request, status, fields):
         if not request._disconnected:
-            request.write(
-                self._answer(
-                    request, 200, {'rows': rows, 'ver': self.rows.version}
-                )
-            )
+            now_ms = int(reactor.seconds() * 1000)
+            request.setResponseCode(status)
+            request.write(json.dumps({**fields, 'nowMs': now_ms}).encode())
             request.finish()
 
-    def _answer(self, request, status, fields):
-        request.setResponseCode(status)
-        return json.dumps(
-            {**fields, 'nowMs': int(reactor.seconds() * 1000)}
-        ).encode()
-
 
 class RunnerResource(Resource):
     """/-/run-start, /-/run-stop, /-/hold and /-/pace of one runner."""
@@ -179,11 +209,14 @@
             return
         call(boot, body).addCallbacks(
             lambda outcome: self._write(request, *outcome),
-            lambda failure: self._write(
-                request, 421 if failure.check(WorkerReplaced) else 503, {}
-            ),
+            lambda failure: self._not_done(request, failure),
         )
 
+    def _not_done(self, request, failure):
+        """An order whose answer is lost gets none: it may yet be done."""
+        if failure.check(WorkerReplaced):
+            self._write(request, 421, {})
+
     def _write(self, request, status, fields):
         if not request._disconnected:
             request.setResponseCode(status)
@@ -252,7 +285,9 @@
 
 
 def beat(agent, worker, control):
-    """Report to the agent on the runner's own machine, again and again."""
+    """Report to the agent on the runner's own machine until it is gone."""
+    if worker.is_gone:
+        return
     told = worker.announcement()
     body = {
         'service': told.service,
@@ -260,7 +295,7 @@
         'zone': 'zone',
         'version': 'v1',
         'capacity': 8,
-        'state': 'ready',
+        'state': 'draining' if told.is_leaving else 'ready',
         'coldRemainingMs': 0,
         'freeCapacity': {
             'cpu': told.room.cpu_millis,
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -2,26 +2,14 @@
 
 import contextlib
 import json
-import pathlib
-import socket
 import subprocess
-import sys
 import time
 import urllib.error
 import urllib.request
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-PATIENCE_S = 30
-
+from standins.programs import free_ports, settings_file, start_program
 
-def free_ports(count):
-    with contextlib.ExitStack() as opened:
-        sockets = [
-            opened.enter_context(socket.socket()) for _each in range(count)
-        ]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
+PATIENCE_S = 30
 
 
 @contextlib.contextmanager
@@ -86,36 +74,13 @@
         for command, environment in zip(commands, environments, strict=True):
             if 'entry-1' in str(environment):
                 time.sleep(second_entry_after_s)
-            started = subprocess.Popen(
-                [sys.executable, '-m', *command],
-                cwd=ROOT,
-                env={'PATH': '/usr/bin', **environment},
-                stdout=subprocess.DEVNULL,
-                stderr=subprocess.DEVNULL,
-            )
+            started = start_program(command, environment, subprocess.DEVNULL)
             processes.append(started)
             running.callback(started.wait)
             running.callback(started.terminate)
         yield front, (processes[1], processes[-1])
 
 
-def settings_file(tmp_path, name, inner, bind, store, seed, app):
-    document = {
-        'nodeName': name,
-        'ip': '127.0.0.1',
-        'zone': 'z',
-        'bindAddresses': bind,
-        'internalPorts': [inner, inner],
-        'seeds': [f'127.0.0.1:{seed}'],
-        'platform': {'address': store},
-        'app': app,
-        'metricsPort': free_ports(1)[0],
-    }
-    path = tmp_path / f'{name}.json'
-    path.write_text(json.dumps(document))
-    return {'HYSSOPRING_NODE_FILE': str(path)}
-
-
 def call(port, method, path, body=None):
     """Return status and body; 0 while nobody listens."""
     request = urllib.request.Request(
