Stand-in: lapsed runs are told by the platform's word

The HTTP stand-in told a lapsed run as 'lost', a word that no page has: the agent took its runner for unreachable for good (seen as a soak trial in which three of four runners got no work for 45 s). It says 'lapsed' now. A request's body is read before a slow store waits, as the caller may be gone by then.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,6 +17,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from hyssopring.addresses import parse_address
+from hyssopring.jobs.model import AttemptEnd
 from hyssopring.jobs.rows import (
     Committed,
     Row,
@@ -91,15 +92,16 @@
 
     def render(self, request):
         """Half of the time that a slow store takes is before the deed."""
+        body = request.content.read()
         if not self.rows.is_silent:
-            reactor.callLater(self.rows.slow_s / 2, self._serve, request)
+            reactor.callLater(self.rows.slow_s / 2, self._serve, request, body)
         return NOT_DONE_YET
 
-    def _serve(self, request):
+    def _serve(self, request, body):
         if self.rows.is_down:
             self._send(request, 503, {})
         elif request.method == b'POST':
-            self._commit(request, _transaction(json.load(request.content)))
+            self._commit(request, _transaction(json.loads(body)))
         else:
             self._read(request)
 
@@ -173,6 +175,10 @@
             request.finish()
 
 
+def _word(how):
+    return 'lapsed' if how is AttemptEnd.LOST else how.value
+
+
 class RunnerResource(Resource):
     """/-/run-start, /-/run-stop, /-/hold and /-/pace of one runner."""
 
@@ -278,7 +284,7 @@
         for row in listing.rows
     ]
     finished = [
-        [end.number, end.task, end.attempt, end.how.value, end.checkpoint]
+        [end.number, end.task, end.attempt, _word(end.how), end.checkpoint]
         for end in listing.ends
     ]
     return 200, {'running': running, 'finished': finished}
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -22,7 +22,9 @@
         return [each.getsockname()[1] for each in sockets]
 
 
-def settings_file(folder, name, inner, bind, store, seed, app, host=HOST):
+def settings_file(
+    folder, name, inner, bind, store, seed, app, host=HOST, metrics=None
+):
     """Write what the platform tells a process; return its environment."""
     document = {
         'nodeName': name,
@@ -33,7 +35,7 @@
         'seeds': [f'{host}:{seed}'],
         'platform': {'address': store},
         'app': app,
-        'metricsPort': free_ports(1, host)[0],
+        'metricsPort': metrics or free_ports(1, host)[0],
     }
     path = folder / f'{name}.json'
     path.write_text(json.dumps(document))
