Soak: faults from outside on the platform's real programs

python -m soak.platform plays plans drawn from seeds: connections, processes, runners, store and configuration misbehave in overlapping series, while the stand-in's book and callers check the promises (docs/SOAK.md).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: soak setup demo test lint format binary slopes thrift clean bench-placement bench-routing
+.PHONY: soak soak-platform setup demo test lint format binary slopes thrift clean bench-placement bench-routing
 
 setup: .venv/ready
 
@@ -44,6 +44,10 @@
 soak: setup
 	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS) --jobs $(JOBS) $(if $(MINUTES),--minutes $(MINUTES))
 
+# Faults on the platform's real programs, see docs/SOAK.md.
+soak-platform: setup
+	$(BIN)/python -m soak.platform --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) $(if $(MINUTES),--minutes $(MINUTES))
+
 # Measures for docs/CAPACITY.md; ten minutes, or two with ARGS=--quick.
 slopes: setup
 	$(BIN)/python -m bench.slopes $(ARGS)
--- /dev/null
+++ b/soak/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Faults from outside on the platform's real programs, drawn from a seed."""
--- /dev/null
+++ b/soak/platform/__main__.py
@@ -0,0 +1,106 @@
+"""Plays seeds: ``python -m soak.platform --seed 1 --seeds 4 --minutes 5``.
+
+Prints one line per seed; the exit code is 1 when a promise was broken, and
+then the plan and the folder with all logs are printed as well.
+"""
+
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+from soak.platform.plan import draw_plan
+from standins.programs import ROOT
+
+# Seeds that broke a promise once, with 30 s of faults, and why. A change of how
+# plans are drawn changes what they mean: find the like of them again then.
+SEEDS_AGAIN = {}
+# Enough for the slowest ways in which a run may go: 20 s, 70 s and 10 s.
+EXTRA_S = 120
+
+
+def _parse():
+    parser = argparse.ArgumentParser(prog='soak.platform', description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='the first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--jobs', type=int, default=1, help='side by side')
+    parser.add_argument(
+        '--seconds', type=float, default=30, help='of faults, per seed'
+    )
+    parser.add_argument(
+        '--minutes', type=float, help='take new seeds for this long'
+    )
+    parser.add_argument(
+        '--again', action='store_true', help='the seeds that failed once'
+    )
+    return parser.parse_args()
+
+
+def _play(seed, seconds):
+    """Play one seed in this process, which can do so once."""
+    from soak.platform.run import Run
+
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    plan = draw_plan(seed, seconds)
+    run = Run(plan, folder)
+    broken = run.play()
+    print(run.summary(), flush=True)
+    if not broken:
+        shutil.rmtree(folder)
+        return 0
+    (folder / 'plan.txt').write_text('\n'.join(plan.lines()))
+    (folder / 'trace.txt').write_text('\n'.join(run.trace()))
+    print(*plan.lines(), *broken, f'logs: {folder}', sep='\n', flush=True)
+    return 1
+
+
+def _play_apart(seconds, seed):
+    """Play one seed in a process of its own."""
+    command = [sys.executable, '-m', 'soak.platform', '--seed', str(seed)]
+    return subprocess.run(
+        [*command, '--seconds', str(seconds)],
+        cwd=ROOT,
+        timeout=seconds + EXTRA_S,
+        check=False,
+    ).returncode
+
+
+def _seeds(options):
+    if options.again:
+        yield from SEEDS_AGAIN
+        return
+    if options.minutes is None:
+        yield from range(options.seed, options.seed + options.seeds)
+        return
+    end = time.monotonic() + options.minutes * 60
+    seed = options.seed
+    while time.monotonic() < end:
+        yield from range(seed, seed + options.jobs)
+        seed += options.jobs
+
+
+def main():
+    """Play what the arguments say; the exit code."""
+    options = _parse()
+    if options.minutes is None and options.seeds == 1 and not options.again:
+        return _play(options.seed, options.seconds)
+    codes, together = [], []
+    with ThreadPoolExecutor(options.jobs) as pool:
+        for seed in _seeds(options):
+            together.append(seed)
+            if len(together) == options.jobs:
+                play = partial(_play_apart, options.seconds)
+                codes += pool.map(play, together)
+                together = []
+        codes += pool.map(partial(_play_apart, options.seconds), together)
+    print(f'{len(codes)} seeds, {len(codes) - codes.count(0)} failed')
+    return int(any(codes))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/soak/platform/run.py
@@ -0,0 +1,169 @@
+"""One seed: faults, then quiet, then the end of all programs."""
+
+import signal
+import traceback
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+
+from soak.platform.callers import Callers, nap
+from soak.platform.plan import PlannedJob
+from soak.platform.world import World
+
+TICK_S = 0.02
+CHECK_S = 0.2
+# Programs take this long to be up on a busy machine; faults come after it.
+UP_S = 20
+# With no faults all keepers run within this time. A new owner that can't reach
+# an agent waits 18.4 s (ROSTER_WAIT_MS) after 3 s; the rest is in reserve.
+KEEPERS_S = 45
+# A job of three steps takes up to 18 s more, and waits for room.
+QUIET_S = 70
+# A stopped entry serves open connections for 3 s and drains for 1.5 s.
+STOP_S = 10
+# One job for each entry, handed in when the faults are over.
+LATE_JOB = 0xFA0000
+
+
+class Run:
+    """Plays a plan; ``broken`` lists what should not have been seen."""
+
+    def __init__(self, plan, folder):
+        self.plan = plan
+        self.folder = folder
+        self.world = World(plan, folder)
+        self.callers = Callers(self.world)
+        self.broken = []
+        self.happened = []
+        self.quiet_s = 0
+        self.keepers_s = 0
+        self.healed_at = 0
+        self.is_over = False
+        self.is_healed = False
+
+    def play(self):
+        """Run the reactor until all is seen; return what was broken."""
+        reactor.callWhenRunning(self._play)
+        reactor.addSystemEventTrigger('before', 'shutdown', self.world.close)
+        reactor.run()
+        if not self.is_over:
+            self.broken.append('the run was stopped from outside')
+        return self.broken
+
+    def summary(self):
+        """One line of figures."""
+        starts = sum(each.starts for each in self.world.programs.values())
+        callers = self.callers
+        return (
+            f'seed {self.plan.seed}: {len(self.happened)} events, '
+            f'{starts} program starts, {len(callers.accepted)} jobs accepted, '
+            f'{len(callers.refused)} refused, '
+            f'{len(self.world.book.starts)} task starts, '
+            f'keepers after {self.keepers_s:.1f} s, '
+            f'quiet after {self.quiet_s:.1f} s, {len(self.broken)} broken'
+        )
+
+    def trace(self):
+        """What happened and what ran, by the clock of the programs' logs."""
+        book = self.world.book
+        rows = [(at, f'event {text}') for at, text in self.happened]
+        rows.append((self.healed_at, 'event healed'))
+        rows += [(row[0], f'start {row[1:]}') for row in book.starts]
+        rows += [(row[0], f'end {row[1:]}') for row in book.ends]
+        return [f'{at:.3f} {text}' for at, text in sorted(rows)]
+
+    @inlineCallbacks
+    def _play(self):
+        try:
+            yield self._phases()
+        except Exception:
+            self.broken.append(traceback.format_exc())
+        finally:
+            self.is_over = self.callers.is_over = True
+            self.world.close()
+            reactor.stop()
+
+    @inlineCallbacks
+    def _phases(self):
+        self._tick()
+        self.world.start()
+        yield self._until(self._is_up, UP_S)
+        self.callers.start()
+        for event in self.plan.events:
+            reactor.callLater(event.at, self._happen, event)
+        yield self._until(lambda: False, self.plan.seconds)
+        self._heal()
+        yield self._until(lambda: not self.callers.keepers_down(), KEEPERS_S)
+        self.keepers_s = reactor.seconds() - self.healed_at
+        if not self.broken:
+            self.broken += self.callers.keepers_down()
+        left_s = QUIET_S - self.keepers_s
+        yield self._until(lambda: not self.callers.open_jobs(), left_s)
+        self.quiet_s = reactor.seconds() - self.healed_at
+        if not self.broken:
+            self.broken += self.callers.open_jobs()
+            yield self._last_looks()
+
+    @inlineCallbacks
+    def _is_up(self):
+        told = []
+        for caller in self.callers.callers:
+            answer = yield caller.call(b'GET', '/q/')
+            told.append(answer[0])
+        return set(told) == {200}
+
+    @inlineCallbacks
+    def _until(self, is_enough, seconds):
+        """Wait for a moment, checking; end early when something is broken."""
+        ends_at = reactor.seconds() + seconds
+        while not self.broken and reactor.seconds() < ends_at:
+            yield nap(CHECK_S)
+            self.broken += self.callers.check()
+            enough = yield is_enough()
+            if enough:
+                return
+
+    def _tick(self):
+        if not self.is_over:
+            self.world.tick()
+            reactor.callLater(TICK_S, self._tick)
+
+    def _happen(self, event):
+        if not (self.is_over or self.is_healed):
+            owner = self.world.owner()
+            text = f'{event} (owner {owner})'
+            self.happened.append((reactor.seconds(), text))
+            self.world.happen(event)
+
+    def _heal(self):
+        self.is_healed, self.healed_at = True, reactor.seconds()
+        self.world.heal()
+        for number, caller in enumerate(self.callers.callers):
+            job = PlannedJob(0, f'{LATE_JOB + number:016x}', (2, 1), 500)
+            self.callers.hand_in(job, caller)
+
+    @inlineCallbacks
+    def _last_looks(self):
+        newest = f'/q{self.world.version}/'
+        for caller in self.callers.callers:
+            status, _fields = yield caller.call(b'GET', newest)
+            if status != 200:
+                self.broken.append(f'{newest} is told as {status}')
+        wanted = [
+            each for each in self.world.programs.values() if each.is_wanted
+        ]
+        for program in wanted:
+            program.is_wanted = False
+            program.end(signal.SIGTERM)
+        ends_at = reactor.seconds() + STOP_S
+        while any(each.is_alive for each in wanted):
+            yield nap(CHECK_S)
+            if reactor.seconds() > ends_at:
+                break
+        for program in self.world.programs.values():
+            if program.is_alive:
+                self.broken.append(f'{program.name} does not stop')
+            self.broken += [
+                f'{program.name} ended itself with {code}'
+                for code in program.odd_codes
+            ]
