Owners: what is known of former owners, in one place, with the wait they owe

Change: who drops a shard tells for how long an owner before it may still act. The waits of a new owner are a class of their own, FormerOwner; a test holds that an owner which may not act yet gives up nothing that it hears of.

--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -18,7 +18,7 @@
     OwnerRow,
     UnreadableRow,
 )
-from hyssopring.jobs.owned_shard import ShardReign
+from hyssopring.jobs.former_owner import ShardReign
 from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.row_keys import ENTRIES, owner_key, wait_key
 from hyssopring.jobs.rows import (
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -9,6 +9,7 @@
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.fleet import Fleet
+from hyssopring.jobs.former_owner import ShardReign
 from hyssopring.jobs.handover import GivenUpShards, given_up
 from hyssopring.jobs.messages import (
     AgentLeft,
@@ -27,7 +28,6 @@
 from hyssopring.jobs.owned_shard import (
     OwnedShard,
     ShardEvents,
-    ShardReign,
 )
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.questions import Peers, Questions
--- a/hyssopring/jobs/handover.py
+++ b/hyssopring/jobs/handover.py
@@ -18,7 +18,8 @@
         for agent_id, worker in fleet.by_agent.items()
         if agent_id in owned.heard
     ]
-    return ShardGivenUp(owned.shard, owned.reign, grants)
+    wait_ms = int(owned.former.acts_for_ms)
+    return ShardGivenUp(owned.shard, owned.reign, grants, wait_ms)
 
 
 class GivenUpShards:
@@ -44,7 +45,7 @@
         message, received_at = self._by_shard.get(owned.shard, (None, 0))
         if message is None or message.reign != owned.reign - 1:
             return
-        owned.former_gave_up(message, received_at)
+        owned.former.gave_up(message, received_at)
         for grant in message.grants:
             worker = fleet.by_agent.get(grant.agent_id)
             if worker is not None:
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -311,11 +311,14 @@
 
     Attributes:
         grants: Of the agents that had confirmed the reign.
+        wait_ms: For how long an owner before the sender may still act, as far
+            as the sender knows; 0 for not at all.
     """
 
     shard: int
     reign: int
     grants: list[AgentGrant]
+    wait_ms: int = 0
 
 
 @struct
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -8,7 +8,7 @@
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.documents import JobRow, ProgressRow
-from hyssopring.jobs.messages import ShardGivenUp
+from hyssopring.jobs.former_owner import FormerOwner, ShardReign
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
 from hyssopring.jobs.roster import Roster
@@ -27,40 +27,15 @@
     Transaction,
 )
 from hyssopring.jobs.shard_reader import ShardReader
-from hyssopring.jobs.times import (
-    AUTHORITY_MS,
-    LOST_AFTER_MS,
-    ROSTER_WAIT_MS,
-)
+from hyssopring.jobs.times import AUTHORITY_MS
 from hyssopring.logs import Event, log_event
 
-__all__ = ('Ack', 'OwnedShard', 'ShardEvents', 'ShardReign')
+__all__ = ('Ack', 'OwnedShard', 'ShardEvents')
 
 # A transaction holds at most 100 entries: a job has three rows.
 _MAX_FORGOTTEN: Final = 30
 
 
-@dataclass(frozen=True, slots=True)
-class ShardReign:
-    """A shard that was taken.
-
-    Attributes:
-        version: The owner row's.
-        is_former_over: Whether no former owner orders anything any more: each
-            has given the shard up, or its process is dead.
-        confirmed_at: When the call was sent that took the shard.
-        has_earlier: Whether an owner before the former one may still act.
-    """
-
-    shard: int
-    reign: int
-    version: int
-    acquired_at: float
-    is_former_over: bool
-    confirmed_at: float
-    has_earlier: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class ShardEvents:
     """Whom a shard tells of what happens in it."""
@@ -77,7 +52,7 @@
     """One shard under one reign.
 
     Attributes:
-        is_former_over: See ``ShardReign``.
+        former: What is known of the owners before this one.
         heard: Agents that have told what they run and know this reign.
         unheard: Agents that have not told this reign yet what they run.
         is_loaded: Whether all stored jobs are known.
@@ -96,13 +71,8 @@
         self.shard = taken.shard
         self.reign = taken.reign
         self.version = taken.version
-        self.is_former_over = taken.is_former_over
-        self._has_earlier = taken.has_earlier
-        wait_ms = LOST_AFTER_MS if taken.is_former_over else ROSTER_WAIT_MS
-        self._roster_until = taken.acquired_at + wait_ms
-        self._lost_at_by_agent: dict[str, float] = {}
+        self.former = FormerOwner(clock, taken)
         self._confirmed_at = taken.confirmed_at
-        self._given_up_at: float | None = None
         self._cancelled_early: set[str] = set()
         self._clock = clock
         self._store = store
@@ -166,30 +136,6 @@
         """
         return self._clock.now() - self._confirmed_at < AUTHORITY_MS
 
-    @property
-    def may_former_act(self) -> bool:
-        """Whether a former owner may still order and grant."""
-        if self.is_former_over:
-            return False
-        return self._clock.now() <= self._roster_until
-
-    def has_given_up_before(self, at: float) -> bool:
-        """Whether the former owner had said by then that it orders nothing."""
-        return self._given_up_at is not None and self._given_up_at <= at
-
-    def former_gave_up(self, told: ShardGivenUp, received_at: float) -> None:
-        """The former owner orders nothing more: its grants run out by age.
-
-        This says nothing of an owner before it that may still act.
-        """
-        if self._has_earlier:
-            return
-        self.is_former_over = True
-        self._given_up_at = received_at
-        for grant in told.grants:
-            lost_at = received_at - grant.age_ms + LOST_AFTER_MS
-            self._lost_at_by_agent[grant.agent_id] = lost_at
-
     def may_start_on(self, agent_id: str) -> bool:
         """Whether a start may be sent to an agent.
 
@@ -206,16 +152,14 @@
             is_lost: Whether an agent is away and its last grant of this owner
                 is over.
         """
-        now = self._clock.now()
-        if now > self._roster_until:
-            self.unheard.clear()
-            self.roster.waited()
-        self.unheard -= {
+        self.unheard = {
             agent_id
-            for agent_id, lost_at in self._lost_at_by_agent.items()
-            if now > lost_at
+            for agent_id in self.unheard
+            if self.former.may_run_on(agent_id)
         }
-        if self.may_former_act:
+        if not self.former.has_wait:
+            self.roster.waited()
+        if self.former.may_act:
             # It may have granted agents that are away, or their next process.
             return
         for agent_id in self.roster.agents:
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -230,7 +230,7 @@
         owner's grants while that one may act.
         """
         may_former_act = any(
-            owned.may_former_act for owned in self.shards.by_shard.values()
+            owned.former.may_act for owned in self.shards.by_shard.values()
         )
         is_away = not worker.is_connected
         return worker.is_lost(now) and not (is_away and may_former_act)
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -151,7 +151,7 @@
         for placed in list(worker.placed_by_task.values()):
             if shard_of(placed.name.job_id) == owned.shard:
                 self.gone(worker, placed, 'agent left')
-        if owned.has_given_up_before(departed.at):
+        if owned.former.had_given_up(departed.at):
             owned.unheard.discard(worker.agent_id)
 
     def _take_job(
--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -226,3 +226,24 @@
     former.core.take(notices[0], successor.name)
     deployment.run(0.5)
     assert len(starts_of(deployment, job)) == 1
+
+
+def test_an_owner_that_may_not_act_yet_gives_up_nothing_that_it_hears_of():
+    """An owner takes a shard while its own row is not renewed.
+
+    It grants nothing, and hears from the agents what runs. Counted from its
+    own grants only, all of that was over at once.
+    """
+    deployment, former, (successor,) = three()
+    deployment.run(10)
+    job = start_one(deployment, former, 3)
+    deployment.kill_entry(former.name)
+    run_until_taken(deployment, [successor])
+    successor.membership._renewed_at = None
+    successor.membership.renew = lambda: None
+    deployment.run(0.1)
+    owned = successor.core.owner.shards.by_shard[0]
+    step_run = owned.by_job[job.job_id].step_runs['0.0']
+    for _each in range(60):
+        deployment.run(STEP_S)
+        assert len(step_run.running) == 3
