Tests: three guards of the takeover that no test had noticed

The review took each guard out alone: the time of a grant that counts from the agent's first report, the check of the owner's row in a load, and what was seen only after that check.

--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -5,6 +5,10 @@
 task twice.
 """
 
+from twisted.internet.defer import fail
+
+from hyssopring.jobs.row_keys import owner_key
+from hyssopring.jobs.rows import RowPut, StoreRefused, Transaction
 from standins.jobs.deployment import Deployment, a_job, settled, starts_of
 
 LONG_MS = 90_000
@@ -239,11 +243,60 @@
     job = start_one(deployment, former, 3)
     deployment.kill_entry(former.name)
     run_until_taken(deployment, [successor])
-    successor.membership._renewed_at = None
-    successor.membership.renew = lambda: None
+    owner = successor.core.owner
+    owner._may_act = owner._planner._may_act = lambda: False
     deployment.run(0.1)
     owned = successor.core.owner.shards.by_shard[0]
     step_run = owned.by_job[job.job_id].step_runs['0.0']
     for _each in range(60):
         deployment.run(STEP_S)
         assert len(step_run.running) == 3
+
+
+def test_an_owner_that_is_deposed_while_it_reads_starts_nothing():
+    """A shard changes hands twice while its first taker reads the rows.
+
+    A job is told to the last one, which starts it. The first one found it
+    among the rows that it had read, and started it too.
+    """
+    deployment, former, (successor,) = three()
+    former.core.release()
+    run_until_taken(deployment, [successor])
+    owned = successor.core.owner.shards.by_shard[0]
+    assert not owned.is_loaded
+    place = owner_key(0)
+    newer = deployment.rows.rows[place]
+    deployment.rows.apply(
+        Transaction(
+            (), (RowPut(place, newer.text.replace('"reign":2', '"reign":3')),)
+        )
+    )
+    deployment.run(0.2)
+    assert not owned.is_loaded
+    assert owned.is_dropped
+
+
+def test_a_job_is_found_though_the_check_of_the_owner_failed_at_first():
+    """The store refuses the reading that is to show the owner's row.
+
+    The jobs that were read with it were marked as seen, and were not looked
+    for again.
+    """
+    deployment, former, _others = three()
+    core = former.core
+    owned = core.owner.shards.by_shard[0]
+    job = a_job(steps=((1, ()),))
+    core.desk._deliver = lambda row: None
+    read_one, refused = owned._reader._store.read_one, []
+
+    def refuse_once(place):
+        if place == owner_key(0) and not refused:
+            refused.append(place)
+            return fail(StoreRefused('refused'))
+        return read_one(place)
+
+    owned._reader._store.read_one = refuse_once
+    deployment.submit(job, former.name)
+    deployment.run(4)
+    assert refused
+    assert len(starts_of(deployment, job)) == 1
