--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -300,3 +300,43 @@
     deployment.run(4)
     assert refused
     assert len(starts_of(deployment, job)) == 1
+
+
+def test_an_agent_stays_listed_while_a_former_owner_may_act():
+    """An agent is heard, then cut off, within the wait for a silent owner.
+
+    It may have been restarted and reach the former owner only. Struck off, it
+    would not be waited for by the next owner.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former)
+    silence(former)
+    run_until_taken(deployment, [successor])
+    deployment.run(1)
+    former.thaws_at = deployment.reactor.seconds() + 60
+    deployment.block('agent-0', successor.name)
+    deployment.run(12)
+    roster = successor.core.owner.shards.by_shard[0].roster
+    assert 'agent-0' in roster
+    deployment.run(10)
+    assert 'agent-0' not in roster
+
+
+def test_an_agent_that_left_before_its_owner_gave_up_is_waited_for():
+    """An agent ends with its worker, and its owner dies without a word.
+
+    Until it died the owner may have given the agent's next process tasks.
+    """
+    deployment, former, (successor,) = three()
+    deployment.workers[0].is_leaving = True
+    deployment.agents['agent-0'].beat()
+    deployment.run(0.1)
+    deployment.block('agent-0', former.name)
+    deployment.stop_agent('agent-0')
+    deployment.run(0.1)
+    deployment.kill_entry(former.name)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.2)
+    owned = successor.core.owner.shards.by_shard[0]
+    assert owned.is_loaded
+    assert owned.unheard == {'agent-0'}
--- a/tests/test_jobs_lost_messages.py
+++ b/tests/test_jobs_lost_messages.py
@@ -1,7 +1,10 @@
 """Messages and answers that are lost, late, or overtaken."""
 
+from dataclasses import replace
+
 from twisted.internet.defer import Deferred
 
+from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.links import LinkDialler
 from hyssopring.jobs.messages import (
     AgentGreeting,
@@ -10,6 +13,7 @@
     ReportQuestion,
     ShardReign,
 )
+from hyssopring.jobs.model import AttemptEnd, JobState
 from hyssopring.jobs.taken_orders import TakenOrders
 from hyssopring.jobs.worker_port import StartOutcome
 from standins.jobs.deployment import a_job, settled, starts_of
@@ -200,3 +204,64 @@
     old._closed(old.connection)
     assert dialler.connected == ['entry']
     assert not closed
+
+
+def test_a_cancellation_that_overtakes_its_job_is_kept():
+    """Two entries tell the owner, one of a job and one of its end."""
+    deployment = settled(workers=1, entries=1)
+    owned = deployment.entries['entry-0'].core.owner.shards.by_shard[0]
+    job = a_job(steps=((1, ()),))
+    owned.cancel(job.job_id)
+    owned.add(JobRow(job, 0))
+    deployment.run(1)
+    assert not starts_of(deployment, job)
+    assert deployment.state(job.job_id) is JobState.CANCELLED
+
+
+def test_an_attempt_that_replaced_another_on_its_worker_goes_on():
+    """An agent reports a higher attempt than was ordered there last.
+
+    A former owner had started it. The owner took the attempt that it had
+    noted on the same worker for another one that runs, and stopped this one.
+    """
+    deployment, job = one(work_ms=3000)
+    deployment.run(0.5)
+    fleet = deployment.entries['entry-0'].core.fleet
+    (placed,) = fleet.by_agent['agent-0'].placed_by_task.values()
+    placed.number = 0
+    deployment.run(4)
+    assert [row[3] for row in deployment.book.ends] == [AttemptEnd.DONE]
+
+
+def test_a_report_that_counts_for_another_connection_ends_nothing():
+    """It may have left before the start that it does not list."""
+    deployment, _job = one(work_ms=3000)
+    deployment.run(0.5)
+    worker = deployment.entries['entry-0'].core.fleet.by_agent['agent-0']
+    (placed,) = worker.placed_by_task.values()
+    assert worker.has_taken(placed, worker.report)
+    earlier = replace(worker.report, connection='earlier/1')
+    assert not worker.has_taken(placed, earlier)
+
+
+def test_an_agent_that_wakes_reads_before_it_judges_its_worker():
+    """A VM is frozen with its worker for longer than a hold lasts.
+
+    The worker's clock stood still, and its tasks run on. The agent woke, saw
+    a silence of 8 s and reported an idle worker.
+    """
+    deployment, _job = one(work_ms=20_000)
+    deployment.run(1)
+    agent = deployment.agents['agent-0']
+    watch, lapses = agent.core.watch, []
+    watch.on_lapse = lambda: lapses.append(deployment.reactor.seconds())
+    deployment.workers[0].is_dark = True
+    deployment.run(0.7)
+    watch._heard_at -= 9000
+    watch._held_until -= 9000
+    watch._inherited_until -= 9000
+    watch._stalls._turned_at -= 9000
+    watch.check()
+    assert not lapses
+    deployment.run(1.5)
+    assert lapses
