Fillers: choose workers, and whom to cut, by harm learned for pairs of images

Cause: harm differs by pair, and neither choice nor pacing knew of it. Once three keepers of one job had come to the three quiet workers, no worker was quiet.

--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -63,7 +63,9 @@
         )
         self._stalls = StallWatch(clock)
         self._reader = ReportReader(clock, fleet, self.shards, self)
-        self._moves = TaskMoves(clock, fleet, self.shards, self.stop)
+        self._moves = TaskMoves(
+            clock, fleet, self.shards, self.stop, self._planner.harms
+        )
 
     def acquire(self, owned: OwnedShard) -> None:
         """Own a shard from now on."""
