--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -5,7 +5,6 @@
 from typing import Final, Iterable
 
 from hyssopring.jobs.fleet import Placed, Worker
-from hyssopring.jobs.harms import Harms
 from hyssopring.jobs.model import Size, Step, TaskName
 
 __all__ = ('PlacementRound',)
@@ -28,15 +27,7 @@
 _TARGETS_TOGETHER: Final = 20_000
 _TARGET_BESIDE_FILLER: Final = 4000
 _WRONG_RACK: Final = 4000
-# Room is a keeper's target as a part of its tail. A filler that surely takes
-# less than this of it is no harm; one that takes more leaves so much.
-_NO_HARM: Final = 0.35
-_LEAST_ROOM: Final = 1.3
-_FULL_HARM: Final = 1.0
-# A pair that was seen too little counts for harmful by this many deviations.
-_DEVIATIONS: Final = 1.0
 _FULL_PACE: Final = 100
-_MILLIS: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +57,9 @@
     targets: int
     fillers: int
     is_strained: bool
-    harms: Harms
 
     @classmethod
-    def from_worker(cls, worker: Worker, harms: Harms) -> '_Option':
+    def from_worker(cls, worker: Worker) -> '_Option':
         fillers = worker.fillers()
         keepers = worker.keepers()
         paces = [max(placed.pace, 0) for placed in fillers]
@@ -86,7 +76,6 @@
             len(keepers),
             len(fillers),
             bool(keepers) and _is_strained(fillers, keepers),
-            harms,
         )
 
     @property
@@ -100,40 +89,8 @@
             return False
         if not step.fills or is_starved:
             return True
-        if not self.targets:
-            return self._has_time_for(step)
-        if not self.is_harmless(step):
-            if self.is_strained or not self._leaves_room(step):
-                return False
-        return self._has_time_for(step)
-
-    def is_harmless(self, step: Step) -> bool:
-        """Whether it is known that no keeper here minds a filler."""
-        return self.worst_harm(step) < _NO_HARM
-
-    def worst_harm(self, step: Step) -> float:
-        """Return the room that a filler may take of the keepers here."""
-        if self.targets and not self.worker.keepers():
-            return _FULL_HARM
-        return max(
-            (
-                _harm(self.harms, placed, step, _DEVIATIONS)
-                for placed in self.worker.keepers()
-            ),
-            default=0,
-        )
-
-    def _leaves_room(self, step: Step) -> bool:
-        """Whether every keeper here is left room beside a filler."""
-        return all(
-            placed.step.target_ms / max(placed.load, 1)
-            - _harm(self.harms, placed, step)
-            > _LEAST_ROOM
-            for placed in self.worker.keepers()
-        )
-
-    def _has_time_for(self, step: Step) -> bool:
-        """Whether a filler finds processor time here."""
+        if self.is_strained:
+            return False
         if not self.filling and not self.targets:
             return True
         return self.idle >= _FILL_PART * step.size.cpu_millis
@@ -142,11 +99,7 @@
         """The higher, the better for one more task of the step."""
         score = self.idle
         if self.targets:
-            score += (
-                -_BESIDE_TARGET * min(1, self.worst_harm(step) / _FULL_HARM)
-                if step.fills
-                else _TARGETS_TOGETHER
-            )
+            score += -_BESIDE_TARGET if step.fills else _TARGETS_TOGETHER
         if step.target_ms:
             score -= _TARGET_BESIDE_FILLER * self.fillers
         if rack and rack != self.worker.rack:
@@ -159,7 +112,7 @@
         if step.fills:
             self.filling += step.size.cpu_millis
             self.fillers += 1
-            self.is_strained = self.is_strained or bool(self.targets)
+            self.is_strained = bool(self.targets)
         if step.target_ms:
             self.targets += 1
 
@@ -180,18 +133,6 @@
         )
 
 
-def _harm(
-    harms: Harms,
-    keeper: Placed,
-    step: Step,
-    deviations: float = 0,
-) -> float:
-    """Return the keeper's room that a filler takes at full pace."""
-    mean, deviation = harms.per_core(keeper.step.image, step.image)
-    cores = step.size.cpu_millis / _MILLIS
-    return cores * (mean + deviations * deviation)
-
-
 def _is_strained(fillers: list[Placed], keepers: list[Placed]) -> bool:
     paces = [max(placed.pace, 0) for placed in fillers]
     if any(not placed.has_shown for placed in fillers):
@@ -205,18 +146,13 @@
 class PlacementRound:
     """Chooses workers for all waiting tasks of one planning round."""
 
-    def __init__(
-        self,
-        workers: Iterable[Worker],
-        harms: Harms | None = None,
-    ) -> None:
+    def __init__(self, workers: Iterable[Worker]) -> None:
         """Look at these workers once; what is placed is counted here."""
-        harms = harms or Harms()
         self._unfit_by_kind: dict[_Kind, list[Size]] = {}
         self._options_by_service: dict[str, list[_Option]] = {}
         for worker in workers:
             options = self._options_by_service.setdefault(worker.service, [])
-            options.append(_Option.from_worker(worker, harms))
+            options.append(_Option.from_worker(worker))
 
     def choose(
         self,
@@ -300,10 +236,9 @@
         return []
 
     def take_quiet_room(self, service: str, step: Step) -> bool:
-        """Whether a filler fits beside none that minds it, and count it."""
+        """Whether a filler fits beside no keeper; if so, it counts there."""
         for option in self._options_by_service.get(service, ()):
-            is_quiet = not option.targets or option.is_harmless(step)
-            if not is_quiet or not option.has_label(step):
+            if option.targets or not option.has_label(step):
                 continue
             if option.allows(step, is_starved=False):
                 option.take(step)
--- a/hyssopring/jobs/moves.py
+++ b/hyssopring/jobs/moves.py
@@ -5,7 +5,6 @@
 from hyssopring.clock import Clock
 from hyssopring.jobs.choice import PlacementRound
 from hyssopring.jobs.fleet import Fleet, Placed, Worker
-from hyssopring.jobs.harms import Harms
 from hyssopring.jobs.messages import WorkerReport
 from hyssopring.jobs.owned_shard import OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
@@ -35,14 +34,12 @@
         fleet: Fleet,
         shards: OwnedShards,
         stop: Stop,
-        harms: Harms,
     ) -> None:
         """Order stops by ``stop``."""
         self._clock = clock
         self._fleet = fleet
         self._shards = shards
         self._stop = stop
-        self._harms = harms
 
     def evacuate(self) -> None:
         """Stop what leaving workers would only take down with them.
@@ -80,7 +77,7 @@
         ]
         if not held:
             return
-        placement = PlacementRound(takers, self._harms)
+        placement = PlacementRound(takers)
         for worker, placed in held:
             if placement.take_quiet_room(worker.service, placed.step):
                 owned = self._shards.by_shard[shard_of(placed.name.job_id)]
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -63,9 +63,7 @@
         )
         self._stalls = StallWatch(clock)
         self._reader = ReportReader(clock, fleet, self.shards, self)
-        self._moves = TaskMoves(
-            clock, fleet, self.shards, self.stop, self._planner.harms
-        )
+        self._moves = TaskMoves(clock, fleet, self.shards, self.stop)
 
     def acquire(self, owned: OwnedShard) -> None:
         """Own a shard from now on."""
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -7,7 +7,6 @@
 from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.choice import PlacementRound
 from hyssopring.jobs.fleet import Fleet, Placed, Worker
-from hyssopring.jobs.harms import Harms
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
@@ -62,7 +61,6 @@
         self._send = send
         self._may_act = may_act
         self._wall_ms = wall_ms
-        self.harms = Harms()
         self._is_plan_due = False
         self._plan_at = clock.now()
 
@@ -87,7 +85,6 @@
         self._plan_at = ended_at + _PLAN_REST * (ended_at - begun_at)
 
     def _plan(self) -> None:
-        self.harms.look(self._fleet.by_agent.values(), self._clock.now())
         wall_ms = self._wall_ms()
         waiting = [
             _Waiting(urgency(record, run, wall_ms), record, run, indices)
@@ -99,7 +96,7 @@
             return
         waiting.sort(key=lambda each: each.urgency)
         takers = self._shards.startable_on(self._fleet.takers())
-        placement = PlacementRound(takers, self.harms)
+        placement = PlacementRound(takers)
         for each in waiting:
             self._place(placement, each)
 
