Rows: one that cannot be read hides no other

Cause: a row of another writer failed the whole reading: no takeover, no load of a shard, no poll and no agent that looks for entries got past it. An answer of the store without its fields raised what nobody caught, and the reading was not tried again. Change: each row is read alone; an odd one is logged once a version and left out. A value that cannot be decoded keeps its row's key and version, as agents on the roster are waited for by these. A job whose progress cannot be read is not begun anew, as its done tasks would run twice: it waits in the store for an owner that can read it. An owner row that cannot be read counts as an owner that is missing; the next reign is above the row's version, so above all before it. Job rows that cannot be planned or name another job are left out. Answers without their fields are refusals, of commits doubts. Addresses that are none are not dialled. An error in taking a configuration ends its following no more.

--- a/hyssopring/jobs/desk.py
+++ b/hyssopring/jobs/desk.py
@@ -9,7 +9,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.jobs.deadlines import answer_by
-from hyssopring.jobs.documents import JobRow, ProgressRow
+from hyssopring.jobs.documents import JobRow, ProgressRow, UnreadableRow
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.messages import (
     CancelNotice,
@@ -245,7 +245,10 @@
         row, progress, cancelled = rows
         if row is None:
             return Ok(None)
-        known = ProgressRow.from_text(progress.text) if progress else None
+        try:
+            known = ProgressRow.from_text(progress.text) if progress else None
+        except UnreadableRow as error:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
         if known is not None and known.state:
             return Ok(JobState(known.state))
         if cancelled is not None:
--- a/hyssopring/jobs/discovery.py
+++ b/hyssopring/jobs/discovery.py
@@ -6,8 +6,9 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.documents import EntryRow, UnreadableRow
+from hyssopring.jobs.documents import EntryRow
 from hyssopring.jobs.links import LinkDialler
+from hyssopring.jobs.odd_rows import OddRows
 from hyssopring.jobs.row_keys import ENTRIES
 from hyssopring.jobs.rows import (
     Page,
@@ -44,6 +45,7 @@
         self._dialler = dialler
         self._rng = rng
         self._next_at = clock.now() + _ALONE_MS
+        self._odd = OddRows()
 
     def turn(self) -> None:
         """Look at the connections; call a few times a second."""
@@ -57,10 +59,10 @@
             reading.addErrback(_later)
 
     def _found(self, page: Page) -> None:
-        rows = [EntryRow.from_text(row.text) for row in page.rows]
-        self._dialler.learn(row.address for row in rows)
+        rows = [self._odd.read(EntryRow.from_text, row) for row in page.rows]
+        self._dialler.learn(row.address for row in rows if row is not None)
 
 
 def _later(failure: TwistedFailure) -> Any:
     """The next turn tries again."""
-    failure.trap(StoreRefused, StoreUncertain, UnreadableRow)
+    failure.trap(StoreRefused, StoreUncertain)
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -14,12 +14,14 @@
 """
 
 import json
+import math
 from dataclasses import dataclass, field
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from pydantic import TypeAdapter, ValidationError
 
-from hyssopring.jobs.model import Job
+from hyssopring.jobs.model import Job, JobState
+from hyssopring.jobs.rows import Row
 
 __all__ = (
     'EntryRow',
@@ -31,6 +33,9 @@
 
 _Document = TypeVar('_Document')
 
+# Reigns number attempts, a thousand each, in 64 bits on the wire.
+_MAX_REIGN: Final = 10**12
+
 
 class UnreadableRow(Exception):
     """A row of ours that does not hold what it should."""
@@ -46,7 +51,10 @@
     @classmethod
     def from_text(cls, text: str) -> 'JobRow':
         """Read a row; raises UnreadableRow."""
-        return _read(_JOB_ROW, 'job', text)
+        row = _read(_JOB_ROW, 'job', text)
+        if not math.isfinite(row.accepted_ms) or not row.job.is_sound:
+            raise UnreadableRow('job: its steps or its time cannot be')
+        return row
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -73,7 +81,12 @@
     @classmethod
     def from_text(cls, text: str) -> 'ProgressRow':
         """Read a row; raises UnreadableRow."""
-        return _read(_PROGRESS_ROW, 'progress', text)
+        row = _read(_PROGRESS_ROW, 'progress', text)
+        if row.state not in _ENDS or not math.isfinite(row.ended_ms):
+            raise UnreadableRow('progress: no such state or time')
+        if min(row.done.values(), default=0) < 0:
+            raise UnreadableRow('progress: no set of tasks')
+        return row
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -98,7 +111,24 @@
     @classmethod
     def from_text(cls, text: str) -> 'OwnerRow':
         """Read a row; raises UnreadableRow."""
-        return _read(_OWNER_ROW, 'owner', text)
+        row = _read(_OWNER_ROW, 'owner', text)
+        if not 0 <= row.reign < _MAX_REIGN:
+            raise UnreadableRow('owner: no such reign')
+        return row
+
+    @classmethod
+    def from_row(cls, row: Row) -> 'OwnerRow':
+        """Read a row; one that cannot be read names an owner nobody knows.
+
+        Left alone, the shard would stand still for good. That owner is
+        waited for like any missing one, and its agents too. Each reign
+        took a commit, and versions rise with each: the row's is no lower
+        than any reign before, and agents take orders of the next one.
+        """
+        try:
+            return cls.from_text(row.text)
+        except UnreadableRow:
+            return cls('?', f'?{row.version}', row.version)
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -123,7 +153,10 @@
     @classmethod
     def from_text(cls, text: str) -> 'EntryRow':
         """Read a row; raises UnreadableRow."""
-        return _read(_ENTRY_ROW, 'entry', text)
+        row = _read(_ENTRY_ROW, 'entry', text)
+        if not 0 <= row.cores < math.inf:
+            raise UnreadableRow('entry: no such processor time')
+        return row
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -137,6 +170,9 @@
         raise UnreadableRow(f'{kind}: {error.errors()[0]}') from error
 
 
+_ENDS = frozenset(
+    ('', *(state.value for state in JobState if state.is_final)),
+)
 _JOB_ROW = TypeAdapter(JobRow)
 _PROGRESS_ROW = TypeAdapter(ProgressRow)
 _OWNER_ROW = TypeAdapter(OwnerRow)
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -276,7 +276,7 @@
         return free_ms >= self._rank(shard) * _PRECEDENCE_MS
 
     def _owner_read(self, row: Row | None, shard: int) -> Any:
-        former = OwnerRow.from_text(row.text) if row else None
+        former = OwnerRow.from_row(row) if row else None
         version = row.version if row else 0
         if former is not None and self._is_owner_live(former, version):
             return None
--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -10,7 +10,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 
-from hyssopring.addresses import parse_address
+from hyssopring.addresses import is_address, parse_address
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.messages import (
     AgentGreeting,
@@ -32,6 +32,8 @@
 _REDIAL_MS: Final = 300.0
 _REDIAL_MAX_MS: Final = 1500.0
 
+# So many odd addresses are logged, once each.
+_MAX_ODD: Final = 100
 _NEVER: Final = float('-inf')
 
 Taken = Callable[[str, JobsMessage], None]
@@ -263,6 +265,7 @@
         self.traffic = Traffic()
         self._stalls = StallWatch(clock)
         self._by_address: dict[str, _Dialled] = {}
+        self._odd: set[str] = set()
         self._by_entry: dict[str, _Dialled] = {}
 
     @property
@@ -273,8 +276,14 @@
     def learn(self, addresses: Iterable[str]) -> None:
         """Dial these addresses too from now on."""
         for address in addresses:
-            if address not in self._by_address:
+            if address in self._by_address or address in self._odd:
+                continue
+            if is_address(address):
                 self._by_address[address] = _Dialled(self, address)
+            elif len(self._odd) < _MAX_ODD:
+                self._odd.add(address)
+                detail = 'no address to dial'
+                log_event(Event.PEER_ERROR, entry=address, detail=detail)
 
     def keep(self, addresses: Iterable[str]) -> None:
         """Dial these addresses and drop all others."""
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 from functools import cached_property
-from typing import Iterator
+from typing import Final, Iterator
 
 __all__ = (
     'AttemptEnd',
@@ -16,6 +16,11 @@
     'TaskName',
 )
 
+# As a submission's: a larger count of tasks takes the owner's memory.
+_MAX_TASKS: Final = 100_000
+# Estimates are added up as floats.
+_MAX_ESTIMATE_MS: Final = 10**300
+
 
 class JobState(enum.Enum):
     """Where a job stands. COMPLETED, FAILED and CANCELLED are final."""
@@ -195,6 +200,16 @@
                 tails[earlier] = max(tails[earlier], chain)
         return tuple(tails)
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether its steps can be planned, whoever wrote them."""
+        return bool(self.steps) and all(
+            0 < step.count <= _MAX_TASKS
+            and all(0 <= earlier < number for earlier in step.after)
+            and abs(step.estimate_ms) < _MAX_ESTIMATE_MS
+            for number, step in enumerate(self.steps)
+        )
+
     @property
     def is_keeper(self) -> bool:
         """Whether some of its tasks run until the job is cancelled."""
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -10,6 +10,7 @@
 from hyssopring.jobs.documents import JobRow, ProgressRow
 from hyssopring.jobs.former_owner import FormerOwner, ShardReign
 from hyssopring.jobs.model import JobState
+from hyssopring.jobs.odd_rows import OddRows
 from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
 from hyssopring.jobs.roster import Roster
 from hyssopring.jobs.row_keys import (
@@ -84,6 +85,9 @@
         self.is_dropped = False
         self._live: dict[str, JobRecord] = {}
         self._early: list[JobRow] = []
+        self._odd = OddRows()
+        # Jobs whose progress cannot be read; see ``_inherit``.
+        self._unclear: set[str] = set()
         self._check = owner_check(taken.shard, taken.version)
         self.roster = Roster(
             store,
@@ -184,7 +188,7 @@
             self._early.append(row)
             return
         job_id = row.job.job_id
-        if job_id in self.by_job:
+        if self.is_known(job_id):
             return
         record = JobRecord.from_row(row, self.reign, is_inherited)
         self._keep(record)
@@ -196,7 +200,7 @@
 
     def is_known(self, job_id: str) -> bool:
         """Whether a job was read, found or told of before."""
-        return job_id in self.by_job
+        return job_id in self.by_job or job_id in self._unclear
 
     def deposed(self) -> None:
         """Another owner has the shard."""
@@ -208,7 +212,9 @@
         Another entry may have told it to the former owner, which may have
         begun it since.
         """
-        self.add(JobRow.from_text(row.text), is_inherited=True)
+        job_row = self._read_job(row)
+        if job_row is not None:
+            self.add(job_row, is_inherited=True)
 
     def cancel(self, job_id: str) -> None:
         """A job's cancellation is durable."""
@@ -287,12 +293,37 @@
             for job_id in ended:
                 self.by_job.pop(job_id, None)
 
+    def _read_job(self, row: Row) -> JobRow | None:
+        """Read a job, None if the row holds none or another one's.
+
+        A job taken from a second row would begin anew without its progress.
+        """
+        job_row = self._odd.read(JobRow.from_text, row)
+        if job_row is None or job_row.job.job_id == row.place.key:
+            return job_row
+        self._odd.say(row, 'job: the row of another one')
+        return None
+
     def _inherit(self, row: Row, ends: Row | None) -> None:
+        """Take over a job, unless it is not known what of it is done.
+
+        Begun anew, its done tasks would run a second time. It stays in the
+        store and waits for an owner that can read its progress.
+        """
+        job_row = self._read_job(row)
+        if job_row is None:
+            return
+        progress = None
+        if ends is not None:
+            progress = self._odd.read(ProgressRow.from_text, ends)
+            if progress is None:
+                self._unclear.add(row.place.key)
+                return
         record = JobRecord.from_row(
-            JobRow.from_text(row.text),
+            job_row,
             self.reign,
             is_inherited=True,
-            progress=ProgressRow.from_text(ends.text) if ends else None,
+            progress=progress,
         )
         record.version = ends.version if ends else 0
         self._keep(record)
--- a/hyssopring/jobs/peer_entries.py
+++ b/hyssopring/jobs/peer_entries.py
@@ -5,6 +5,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.documents import EntryRow, OwnerRow
+from hyssopring.jobs.odd_rows import OddRows
 from hyssopring.jobs.rows import Row
 from hyssopring.jobs.times import ENTRY_SILENT_MS, RENEW_MS
 
@@ -40,6 +41,7 @@
         self._own_id = own_id
         self._read_at: float | None = None
         self._seen_by_entry: dict[str, _Seen] = {}
+        self._odd = OddRows()
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -123,8 +125,13 @@
         """Take one row; True if it has not changed for a minute."""
         seen = self._seen_by_entry.get(entry_id)
         if seen is None or seen.version != row.version:
+            told = self._odd.read(EntryRow.from_text, row)
+            if told is None:
+                # No sign of life: an entry that lives writes its row again
+                # within ``RENEW_MS``; until then its former row holds.
+                return False
             self._seen_by_entry[entry_id] = _Seen(
-                EntryRow.from_text(row.text),
+                told,
                 row.version,
                 now,
                 has_renewed=seen is not None,
--- a/hyssopring/platform/configuration.py
+++ b/hyssopring/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Callable, Final
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic import alias_generators
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
@@ -31,7 +31,10 @@
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(alias_generator=alias_generators.to_camel)
+    model_config = ConfigDict(
+        alias_generator=alias_generators.to_camel,
+        allow_inf_nan=False,
+    )
 
 
 class _Route(_Model):
@@ -46,7 +49,7 @@
 
 
 class _Limits(_Model):
-    max_body_bytes: int = 262_144
+    max_body_bytes: int = Field(default=262_144, ge=0)
 
 
 class _Configuration(_Model):
@@ -99,6 +102,7 @@
         """Read the configuration, then follow its changes."""
         reading = self._store.read(_TABLE, '', _PLACE.key)
         reading.addCallbacks(self._read, self._failed)
+        reading.addErrback(self._broken)
 
     def _read(self, page: Any) -> None:
         self._take(page.rows)
@@ -108,6 +112,7 @@
     def _follow(self) -> None:
         following: Deferred = self._store.changes(_TABLE, self._seen, _WAIT_MS)
         following.addCallbacks(self._changed, self._failed)
+        following.addErrback(self._broken)
 
     def _changed(self, changes: Changes) -> None:
         self._take(changes.rows)
@@ -122,6 +127,16 @@
             again = self._follow if self._seen else self.start
             self._reactor.callLater(_RETRY_S, again)
 
+    def _broken(self, failure: TwistedFailure) -> None:
+        """An error of ours in taking a table: say so, and follow on."""
+        log_event(
+            Event.PEER_ERROR,
+            peer='op',
+            detail=repr(failure.value),
+            trace=failure.getBriefTraceback(),
+        )
+        self._reactor.callLater(_RETRY_S, self.start)
+
     def _take(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.place.key == _PLACE.key and not row.is_removed:
--- a/hyssopring/platform/store.py
+++ b/hyssopring/platform/store.py
@@ -34,6 +34,8 @@
 _FEED: Final = '/-/rows-feed'
 _MAX_CONNECTIONS: Final = 8
 _IDLE_S: Final = 30
+# Characters of a reason in the log.
+_MAX_DETAIL: Final = 200
 # An answer takes 9 ms; on slow days up to 0.8 s. A silent connection costs
 # this much before a new one is tried.
 _TIMEOUT_MS: Final = 1200.0
@@ -142,7 +144,7 @@
     def _committed(self, answer: JsonAnswer) -> Committed | Conflict:
         if answer.status == HTTPStatus.OK:
             self._found()
-            return Committed(int(answer.fields['ver']))
+            return Committed(_answer_version(answer, StoreUncertain))
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
             self._found()
             return Conflict(_rows(answer))
@@ -192,23 +194,73 @@
     return {**_place(put.place), 'value': text}
 
 
-def _row(fields: dict[str, Any]) -> Row:
-    place = RowKey(fields['table'], fields.get('part', ''), fields['key'])
+def _row(fields: Any) -> Row | None:
+    """Read a row, None if it names no place where it lies."""
+    if not isinstance(fields, dict):
+        return None
+    table: Any = fields.get('table')
+    key: Any = fields.get('key')
+    part: Any = fields.get('part', '')
+    if not all(isinstance(name, str) for name in (table, part, key)):
+        return None
+    place = RowKey(table, part, key)
     is_removed = bool(fields.get('removed'))
-    text = base64.b64decode(fields.get('value') or '').decode()
-    return Row(place, text, int(fields.get('ver', 0)), is_removed)
+    # A version that is none is 0: no write that checks it is carried out.
+    version = fields.get('ver', 0)
+    known = version if _is_version(version) else 0
+    return Row(place, _text(place, fields.get('value')), known, is_removed)
+
+
+def _text(place: RowKey, encoded: Any) -> str:
+    """Return a value's text, none for one that cannot be read.
+
+    The row stays: its key and version tell what must be waited for, and no
+    reader of documents takes an empty text for one.
+    """
+    try:
+        return base64.b64decode(
+            '' if encoded is None else encoded, validate=True
+        ).decode()
+    except (TypeError, ValueError) as error:
+        _say(f'{place.table}/{place.part}/{place.key}', error)
+    return ''
+
+
+def _say(peer: str, detail: object) -> None:
+    text = str(detail)[:_MAX_DETAIL]
+    log_event(Event.PEER_ERROR, peer=peer, detail=text)
+
+
+def _is_version(version: Any) -> bool:
+    is_count = isinstance(version, int) and not isinstance(version, bool)
+    return is_count and version >= 0
+
+
+def _answer_version(answer: JsonAnswer, error: type[Exception]) -> int:
+    version: Any = answer.fields.get('ver')
+    if _is_version(version):
+        return int(version)
+    raise error('the store answered without a version')
 
 
 def _rows(answer: JsonAnswer) -> tuple[Row, ...]:
-    return tuple(_row(fields) for fields in answer.fields.get('rows', ()))
+    listed = answer.fields.get('rows', [])
+    if not isinstance(listed, list):
+        raise StoreRefused('the store answered without rows')
+    rows = [_row(fields) for fields in listed]
+    found = tuple(row for row in rows if row is not None)
+    if len(found) < len(rows):
+        _say('store', 'a row that lies nowhere')
+    return found
 
 
 def _page(answer: JsonAnswer) -> Page:
-    return Page(
-        _rows(answer),
-        bool(answer.fields.get('hasMore')),
-        int(answer.fields['ver']),
-    )
+    rows = _rows(answer)
+    has_more = bool(answer.fields.get('hasMore'))
+    if has_more and not rows:
+        # The next page begins after the last row's key.
+        raise StoreRefused('the store answered a page of no rows')
+    return Page(rows, has_more, _answer_version(answer, StoreRefused))
 
 
 def _only(page: Page, key: str) -> Row | None:
@@ -219,4 +271,4 @@
 
 
 def _changes(answer: JsonAnswer) -> Changes:
-    return Changes(_rows(answer), int(answer.fields['ver']))
+    return Changes(_rows(answer), _answer_version(answer, StoreRefused))
