Reports: a runner's odd heartbeat is refused and changes nothing

Cause: numbers as text, negative or huge room, unknown states, empty services and any text as a boot's name were believed; the name goes out as a header. Change: types are strict and bounded, states are 'ready' and 'draining', and a boot's name has the characters of names; all else is a 400 and a log line.

--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -1,9 +1,10 @@
 """Takes the runner's reports about itself on its own machine."""
 
 import json
-from typing import Any, Callable, Final
+import re
+from typing import Annotated, Any, Callable, Final, Literal
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic import alias_generators
 from twisted.web.http import Request
 from twisted.web.resource import Resource
@@ -18,28 +19,41 @@
 _OK: Final = 200
 _BAD: Final = 400
 _MISSING: Final = 404
+# A boot's name goes out again as a header of each call to the runner.
+_BOOT: Final = re.compile('[A-Za-z0-9._~:@+=-]{1,128}')
+_MAX_NAME: Final = 256
+_MAX_LABELS: Final = 256
+# What a double holds exactly, and so each JSON reader.
+_MAX_COUNT: Final = 2**53
+
+_Count = Annotated[int, Field(ge=0, le=_MAX_COUNT)]
+_Name = Annotated[str, Field(max_length=_MAX_NAME)]
+_MODEL: Final = ConfigDict(
+    alias_generator=alias_generators.to_camel,
+    strict=True,
+)
 
 
 class _Room(BaseModel):
-    model_config = ConfigDict(alias_generator=alias_generators.to_camel)
+    model_config = _MODEL
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Count = 0
+    mem_mb: _Count = 0
+    gpu: _Count = 0
 
 
 class _Report(BaseModel):
     """One report. ``free_capacity`` is all that the runner has, at any load."""
 
-    model_config = ConfigDict(alias_generator=alias_generators.to_camel)
+    model_config = _MODEL
 
-    service: str
-    state: str
-    sequence: int
-    clock_ms: int = 0
+    service: _Name = Field(min_length=1)
+    state: Literal['ready', 'draining']
+    sequence: _Count
+    clock_ms: _Count = 0
     free_capacity: _Room = _Room()
-    labels: tuple[str, ...] = ()
-    remaining_ms: int = 0
+    labels: tuple[_Name, ...] = Field(default=(), max_length=_MAX_LABELS)
+    remaining_ms: _Count = 0
 
     def announcement(self, boot: str) -> Announcement:
         """Translate."""
@@ -76,13 +90,20 @@
         path = request.path.decode('latin-1')
         boot, _slash, verb = path.removeprefix(_PREFIX).partition('/')
         request.setHeader('content-type', 'application/json')
+        request.setResponseCode(self._answer(boot, verb, request))
+        return b'{}'
+
+    def _answer(self, boot: str, verb: str, request: Request) -> int:
+        if verb in {'heartbeat', 'deregister'} and not _BOOT.fullmatch(boot):
+            detail = f'no name of a boot: {boot[:_MAX_NAME]!r}'
+            log_event(Event.PEER_ERROR, peer='runner', detail=detail)
+            return _BAD
         if verb == 'heartbeat':
-            request.setResponseCode(self._take(boot, request.content.read()))
-        elif verb == 'deregister':
+            return self._take(boot, request.content.read())
+        if verb == 'deregister':
             self._on_leave(boot)
-        else:
-            request.setResponseCode(_MISSING)
-        return b'{}'
+            return _OK
+        return _MISSING
 
     def _take(self, boot: str, body: bytes) -> int:
         try:
