Listings: an odd row or an unknown way of ending hides no other row

Cause: one unknown word or odd row made the whole listing unusable, silently and for good, and the worker with it. Change: rows are read one by one, and each kind of odd one is logged once. An unknown way of ending is an end that is not done: the task runs again, and the end is acknowledged like any. An end that names no attempt is passed over, and forgotten with those before it. While a row of what runs cannot be told nothing is taken for over because it is not listed: a task would start a second time. Left: a new agent that finds such a row cannot name the task to the owner; an end without a readable number cannot be acknowledged.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -288,13 +288,17 @@
             if self._ends.add(end):
                 has_news = True
                 self.table.ended(end.task, end.attempt)
+        self._ends.pass_over(listing.last_void)
         listed = set()
         for row in listing.rows:
             listed.add(row.task)
             if row.task not in self.table.by_task:
                 has_news = True
             self.table.listed(row, now)
-        has_news |= self.table.drop_unlisted(listed, sent_at)
+        if listing.is_whole:
+            # Else a row that was not read may be any attempt's: taken for
+            # over it would start a second time while it runs.
+            has_news |= self.table.drop_unlisted(listed, sent_at)
         self._pacer.turn(self.table.by_task.values())
         if has_news:
             self._report_soon()
--- a/hyssopring/jobs/ends.py
+++ b/hyssopring/jobs/ends.py
@@ -38,6 +38,10 @@
         )
         return True
 
+    def pass_over(self, number: int) -> None:
+        """No task is meant by the end of this number."""
+        self._highest = max(self._highest, number)
+
     def forget(self, numbers: Iterable[int]) -> None:
         """These ends are durable."""
         for number in numbers:
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -124,11 +124,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All that runs on a worker, and the ends not yet forgotten."""
+    """All that runs on a worker, and the ends not yet forgotten.
+
+    Attributes:
+        is_whole: Whether each row was read: what is not listed is over.
+        last_void: The highest number of an end that names no task, 0 for
+            none; it is to be forgotten like a recorded one.
+    """
 
     clock_ms: int
     rows: tuple[WorkerRow, ...]
     ends: tuple[EndRow, ...]
+    is_whole: bool = True
+    last_void: int = 0
 
 
 class WorkerPort(Protocol):
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -1,8 +1,9 @@
 """A runner of the platform as ``jobs.worker_port.WorkerPort``."""
 
+import re
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any, Final, Mapping
+from typing import Any, Callable, Final, Mapping
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
@@ -19,6 +20,7 @@
     WorkerRow,
     WorkerUnreachable,
 )
+from hyssopring.logs import Event, log_event
 from hyssopring.platform.json_calls import JsonAnswer, JsonClient
 
 __all__ = ('PlatformWorker',)
@@ -42,6 +44,9 @@
         'alone': AttemptEnd.STOPPED,
     },
 )
+# Characters of an odd row in the log, and kinds of them that are said once.
+_MAX_DETAIL: Final = 200
+_MAX_SAID: Final = 50
 _OUTCOME_BY_REASON: Final[Mapping[str, StartOutcome]] = MappingProxyType(
     {
         'fence': StartOutcome.FENCED,
@@ -61,6 +66,14 @@
 )
 
 
+_Say = Callable[[str, object], None]
+# A job's id, then the numbers of occurrence, step and task.
+_TASK: Final = re.compile('[0-9a-f]{16}([.][0-9]{1,9}){3}')
+# What stands for the fields that a row lacks.
+_NO_FIGURES: Final = (None, None, None, None, None)
+_MAX_COUNT: Final = 2**53
+
+
 class PlatformWorker:
     """Calls the runner on the same machine."""
 
@@ -72,6 +85,7 @@
             _MAX_CONNECTIONS,
             _IDLE_S,
         )
+        self._said: set[str] = set()
 
     def look(self, look: Look) -> Deferred:
         """See ``WorkerPort``."""
@@ -89,7 +103,7 @@
             fields,
             look.wait_ms + _LOOK_TIMEOUT_MS,
         )
-        return calling.addCallback(_listing)
+        return calling.addCallback(_listing, self._say)
 
     def start(self, start: Start) -> Deferred:
         """See ``WorkerPort``."""
@@ -135,6 +149,18 @@
         calling = self._call('/-/pace', boot, fields, _TIMEOUT_MS)
         return calling.addCallback(_taken)
 
+    def _say(self, kind: str, found: object) -> None:
+        """Log one kind of what is odd once: each look lists it again."""
+        if kind in self._said or len(self._said) >= _MAX_SAID:
+            return
+        self._said.add(kind)
+        log_event(
+            Event.PEER_ERROR,
+            peer='worker',
+            kind=kind,
+            detail=repr(found)[:_MAX_DETAIL],
+        )
+
     def _call(
         self,
         path: str,
@@ -185,22 +211,97 @@
     return outcome
 
 
-def _listing(answer: JsonAnswer) -> Listing:
+def _listing(answer: JsonAnswer, say: _Say) -> Listing:
     if answer.status != HTTPStatus.OK:
         raise WorkerUnreachable(f'the runner answered {answer.status}')
     try:
-        return _read_listing(answer.fields)
+        return _read_listing(answer.fields, say)
     except (KeyError, TypeError, ValueError) as error:
+        say('listing', error)
         raise WorkerUnreachable(repr(error)) from error
 
 
-def _read_listing(fields: dict[str, Any]) -> Listing:
-    rows = tuple(
-        WorkerRow(str(task), int(run), str(saved), int(percent), int(load))
-        for task, run, saved, percent, load in fields.get('running', ())
+def _read_listing(fields: dict[str, Any], say: _Say) -> Listing:
+    """Read what can be read of a listing.
+
+    A row of what runs that cannot be read hides no other, and as it may be
+    any attempt's, nothing is taken for over that is not listed.
+    """
+    listed = list(fields.get('running', ()))
+    rows = tuple(row for row in map(_run, listed) if row is not None)
+    if len(rows) < len(listed):
+        say('running', [row for row in listed if _run(row) is None])
+    ends = [_end(row, say) for row in fields.get('finished', ())]
+    named = tuple(end for end in ends if isinstance(end, EndRow))
+    voids = [end for end in ends if isinstance(end, int)]
+    return Listing(
+        _clock(fields['clockMs']),
+        rows,
+        named,
+        len(rows) == len(listed),
+        max(voids, default=0),
     )
-    ends = tuple(
-        EndRow(int(number), str(task), int(run), _END_BY_WORD[how], str(saved))
-        for number, task, run, how, saved in fields.get('finished', ())
+
+
+def _run(row: Any) -> WorkerRow | None:
+    """Read an attempt that runs, None if no task can be told.
+
+    The task's name is what keeps it from a second start: an attempt of an
+    unreadable number is 0, below all numbers that are given.
+    """
+    if not isinstance(row, list) or not row or not _is_task(row[0]):
+        return None
+    figures = [*row, *_NO_FIGURES]
+    return WorkerRow(
+        figures[0],
+        _count(figures[1]),
+        _text(figures[2]),
+        _count(figures[3]),
+        _count(figures[4]),
     )
-    return Listing(int(fields['clockMs']), rows, ends)
+
+
+def _end(row: Any, say: _Say) -> EndRow | int:
+    """Read an end; its number alone if no attempt can be told.
+
+    Such an end is to be forgotten: kept, it would be listed for good. Its
+    task is not listed as running any more, and runs again. So does one that
+    ended in an unknown way: it runs no more, and is not known to be done.
+    """
+    if not isinstance(row, list) or not row:
+        say('finished', row)
+        return 0
+    figures = [*row, *_NO_FIGURES]
+    number, attempt = _count(figures[0]), _count(figures[2])
+    if not _is_task(figures[1]) or not number or not attempt:
+        say('finished', row)
+        return number
+    how = figures[3]
+    known = _END_BY_WORD.get(how) if isinstance(how, str) else None
+    if known is None:
+        say('how', how)
+        known = AttemptEnd.STOPPED
+    return EndRow(number, figures[1], attempt, known, _text(figures[4]))
+
+
+def _count(figure: Any) -> int:
+    """Return a figure, 0 for one that is none or does not go on the wire."""
+    if isinstance(figure, bool) or not isinstance(figure, int):
+        return 0
+    return figure if 0 <= figure < _MAX_COUNT else 0
+
+
+def _clock(figure: Any) -> int:
+    """Return the worker's clock; raises ValueError: all holds hang on it."""
+    if _count(figure) == figure:
+        return int(figure)
+    raise ValueError('no clock')
+
+
+def _text(saved: Any) -> str:
+    return saved if isinstance(saved, str) else ''
+
+
+def _is_task(name: Any) -> bool:
+    """Whether this names a task as ours are named."""
+    return isinstance(name, str) and _TASK.fullmatch(name) is not None
