--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -12,19 +12,21 @@
 from hyssopring.clock import ManualClock
 from hyssopring.jobs.discovery import EntryDiscovery
 from hyssopring.jobs.documents import (
-    ENTRIES,
     EntryRow,
     JobRow,
     OwnerRow,
     ProgressRow,
     UnreadableRow,
-    job_key,
-    owner_key,
-    progress_key,
 )
 from hyssopring.jobs.links import LinkDialler
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.peer_entries import PeerEntries
+from hyssopring.jobs.row_keys import (
+    ENTRIES,
+    job_key,
+    owner_key,
+    progress_key,
+)
 from hyssopring.jobs.rows import (
     Changes,
     Page,
@@ -98,7 +100,7 @@
     good = EntryRow('b:1', '1', (0,), 2).to_text()
     peers.read([entry('b', good)])
     peers.read([entry('b', 'odd', 2)])
-    assert peers.addresses and peers.incarnation_of('b') == '1'
+    assert peers.addresses and peers.is_owner_live(OwnerRow('b', '1', 1), 1)
     clock.advance(10_000)
     peers.read([entry('b', 'odd', 3)])
     assert not peers.addresses
@@ -299,7 +301,7 @@
     deployment.run(30)
     survivor = deployment.owner
     after = deployment.entries[survivor].core.owner.shards.by_shard[0]
-    assert after.reign > reign and not after.is_former_over
+    assert after.reign > reign and not after.former.is_over
     assert deployment.state(job.job_id, survivor) is JobState.COMPLETED
     assert len(starts_of(deployment, job)) == 8
 
