Explain: log files of processes are read, and a job's story told

Cause: on the users' platform on-call engineers have only the JSON lines that processes write; `explain` asked live entries of the own deployment.

--- a/hyssopring/cli/commands.py
+++ b/hyssopring/cli/commands.py
@@ -16,6 +16,7 @@
 from hyssopring.cli.documents import client_of, document_of, settings_of, usage
 from hyssopring.cli.exits import CommandFailure, ExitCode
 from hyssopring.cli.fleet import wait_in_force
+from hyssopring.cli.log_command import explain_logs
 from hyssopring.cli.output import fail, good, say, say_json
 from hyssopring.settings import (
     AgentSettings,
@@ -29,6 +30,8 @@
 
 Planned = Callable[[], None]
 
+_VARIADIC: Final = inspect.Parameter.VAR_POSITIONAL
+
 _Models = Mapping[str, type[BaseModel]]
 _MODEL_BY_ROLE: Final[_Models] = MappingProxyType(
     {
@@ -56,7 +59,11 @@
     ) -> None:
         # Bound by name, so that a wrong argument is reported by its name.
         bound = signature.bind(self, *given, **named)
-        self._planned.append(partial(validated, **bound.arguments))
+        if _VARIADIC in {each.kind for each in signature.parameters.values()}:
+            call = partial(validated, *bound.args, **bound.kwargs)
+        else:
+            call = partial(validated, **bound.arguments)
+        self._planned.append(call)
 
     return SetParseFn(str)(plan)
 
@@ -207,18 +214,34 @@
         show(self._connect(), as_json=self._as_json)
 
     @_command
-    def explain(self, kind: str, subject: str) -> None:
+    def explain(
+        self,
+        kind: str,
+        *subjects: str,
+        job: str = '',
+        task: str = '',
+    ) -> None:
         """Explain what was decided about a request, task or job, and why.
 
-        KIND is request, task or job. A request's id is in the answer's
-        Hyssopring-Request-Id header. All entries are asked; each keeps what
-        is recent.
+        KIND is request, task or job, and one SUBJECT its id. A request's id
+        is in the answer's Hyssopring-Request-Id header. All entries are
+        asked; each keeps what is recent.
+
+        Or KIND is logs, SUBJECTS are files of JSON lines that processes
+        wrote, and --job=ID or --task=NAME tells what to look for. No entry
+        is asked. A sentence a line, in order of time, then the likely cause.
         """
+        if kind == 'logs':
+            explain_logs(subjects, job, task)
+            return
         if kind not in {'request', 'task', 'job'}:
-            fail(usage(f'explain {kind}: unknown, use request, task or job'))
+            known = 'request, task or job, or logs'
+            fail(usage(f'explain {kind}: unknown, use {known}'))
+        if len(subjects) != 1 or job or task:
+            fail(usage(f'explain {kind}: takes one id, and neither flag'))
         views.show_decisions(
             self._connect(),
-            f'{kind}/{subject}',
+            f'{kind}/{subjects[0]}',
             as_json=self._as_json,
         )
 
--- a/hyssopring/cli/help.py
+++ b/hyssopring/cli/help.py
@@ -61,6 +61,8 @@
 
 def _shown(argument: inspect.Parameter) -> str:
     placeholder = argument.name.upper()
+    if argument.kind is inspect.Parameter.VAR_POSITIONAL:
+        return f'{placeholder}...'
     if argument.default is inspect.Parameter.empty:
         return placeholder
     if argument.kind is inspect.Parameter.POSITIONAL_OR_KEYWORD:
--- /dev/null
+++ b/tests/test_explain_logs.py
@@ -0,0 +1,320 @@
+"""`hyssopring explain logs`: a job's story from the lines of processes."""
+
+import json
+import tracemalloc
+
+import pytest
+
+from hyssopring.cli.log_lines import Subject, find_lines
+from hyssopring.cli.main import main
+
+JOB = '00000000000000a1'
+TASK = f'{JOB}.0.0.0'
+NUMBERS = {
+    'REQUEST_REFUSED': 1003,
+    'AGENT_DISCONNECTED': 2002,
+    'CONNECTION_SILENT': 2007,
+    'AGENT_LEFT': 2010,
+    'TASK_PLACED': 3001,
+    'TASK_FINISHED': 3004,
+    'TASK_STOPPED': 3005,
+    'TASK_REFUSED': 3006,
+    'TASK_LAPSED': 3007,
+    'SHARD_ACQUIRED': 3010,
+    'SHARD_LOST': 3011,
+    'JOB_ACCEPTED': 3012,
+    'JOB_FINISHED': 3013,
+    'TASK_PACED': 3026,
+    'STORE_UNREACHABLE': 5001,
+    'STORE_RECOVERED': 5002,
+}
+
+
+def line(second, name, **fields):
+    stamp = f'2026-05-05T23:{int(second // 60):02}:{second % 60:06.3f}'
+    head = {'at': stamp, 'level': 'INFO', 'event': NUMBERS[name], 'name': name}
+    return json.dumps({**head, **fields})
+
+
+def accepted(second, job=JOB):
+    return line(second, 'JOB_ACCEPTED', job=job, queue='feed', tasks=1)
+
+
+def placed(second, attempt=1, task=TASK, agent='side-1', **fields):
+    ages = {'reign': 4, 'report_age_ms': 80, 'grant_age_ms': 90}
+    return line(
+        second,
+        'TASK_PLACED',
+        task=task,
+        attempt=attempt,
+        agent=agent,
+        **{'resumed': False, **ages, **fields},
+    )
+
+
+def ended(second, how, attempt=1, number=0):
+    return line(
+        second,
+        'TASK_FINISHED',
+        task=TASK,
+        attempt=attempt,
+        how=how,
+        number=number,
+    )
+
+
+def lapsed(second, reason):
+    return line(
+        second,
+        'TASK_LAPSED',
+        task=TASK,
+        attempt=1,
+        agent='side-1',
+        reason=reason,
+        order=7,
+        grant_age_ms=8400,
+        report_age_ms=8450,
+    )
+
+
+def finished(second, age_ms, due_ms, state='completed'):
+    return line(
+        second,
+        'JOB_FINISHED',
+        job=JOB,
+        state=state,
+        age_ms=age_ms,
+        due_ms=due_ms,
+    )
+
+
+@pytest.fixture
+def explain(capsys, tmp_path):
+    def run(*files, flag=f'--job={JOB}'):
+        paths = []
+        for number, lines in enumerate(files):
+            path = tmp_path / f'entry-{number}.log'
+            text = lines if isinstance(lines, str) else '\n'.join(lines) + '\n'
+            path.write_text(text)
+            paths.append(str(path))
+        main(['explain', 'logs', *paths, flag])
+        seen = capsys.readouterr()
+        assert not seen.err and str(tmp_path) not in seen.out
+        return seen.out.splitlines()
+
+    return run
+
+
+def test_a_story_of_two_processes_is_told_in_order_of_time(explain):
+    story = explain(
+        [
+            line(9, 'SHARD_ACQUIRED', shard=0, reign=5, jobs=1, unheard=2),
+            placed(10, 2, agent='side-2', reign=5, resumed=True),
+            ended(11, 'done', 2),
+            finished(11, 11000, 5000),
+        ],
+        [
+            accepted(0),
+            placed(0.25),
+            accepted(1, job='00000000000000a2'),
+            placed(1, task='00000000000000a2.0.0.0'),
+            line(
+                1,
+                'TASK_STOPPED',
+                task=TASK,
+                attempt=1,
+                agent='side-1',
+                why='the worker leaves',
+            ),
+            ended(2, 'stopped'),
+            line(2, 'SHARD_LOST', shard=0, reign=4),
+        ],
+    )
+    assert [each.split(' ', 1)[1] for each in story[:-1]] == [
+        'entry-1.log: accepted in queue feed with 1 tasks',
+        f'entry-1.log: {TASK} attempt 1 is placed on side-1 under reign 4 '
+        '(report 80 ms old, grant 90 ms old)',
+        f'entry-1.log: {TASK} attempt 1 is to stop on side-1: the worker leaves',
+        f'entry-1.log: {TASK} attempt 1 ended: stopped',
+        'entry-1.log: this entry lost shard 0, reign 4',
+        'entry-0.log: this entry took shard 0 under reign 5: 1 jobs, 2 agents '
+        'not heard of yet',
+        f'entry-0.log: {TASK} attempt 2 is placed from its checkpoint on side-2 '
+        'under reign 5 (report 80 ms old, grant 90 ms old)',
+        f'entry-0.log: {TASK} attempt 2 ended: done',
+        'entry-0.log: the job finished: completed, 11.0 s after acceptance, '
+        'due at 5.0 s: late by 6.0 s',
+    ]
+    assert story[0].startswith('2026-05-05T23:00:00.000 ')
+    assert story[-1].startswith('Likely cause: 8.0 s: moved')
+
+
+def test_a_refusal_names_the_store_s_absence_as_an_interval(explain):
+    story = explain(
+        [
+            line(1, 'STORE_UNREACHABLE', detail='503'),
+            line(
+                3,
+                'REQUEST_REFUSED',
+                job=JOB,
+                kind='store-unavailable',
+                detail='the store answered 503',
+            ),
+            line(5, 'STORE_RECOVERED'),
+            line(50, 'STORE_UNREACHABLE', detail='another day'),
+        ]
+    )
+    assert story[0].endswith('the store was away for 4.0 s: 503')
+    assert story[1].endswith(
+        'refused: store-unavailable: the store answered 503'
+    )
+    assert story[2] == (
+        'Likely cause: store-unavailable; the store was away from that entry'
+    )
+    assert len(story) == 3
+
+
+@pytest.mark.parametrize(
+    ('lines', 'cause'),
+    [
+        ([placed(8), ended(9, 'done')], '8.0 s: no room'),
+        ([placed(0), ended(9, 'done')], '9.0 s: the worker is slow'),
+        ([placed(0), lapsed(8, 'lapsed'), placed(8, 2), ended(9, 'done', 2)], '8.0 s: lapsed: its agent was not heard'),
+        ([placed(0), lapsed(8, 'not listed'), placed(8, 2), ended(9, 'done', 2)], '8.0 s: not listed: the worker crashed'),
+        ([line(8, 'SHARD_ACQUIRED', shard=0, reign=5, jobs=1, unheard=2), placed(8), ended(9, 'done')], '8.0 s: at most: the owner died'),
+        ([placed(0), ended(1, 'stopped'), placed(8, 2), ended(9, 'done', 2)], '7.0 s: moved'),
+        ([line(1, 'STORE_UNREACHABLE', detail='x'), line(8.5, 'STORE_RECOVERED'), placed(0), ended(9, 'done')], '7.5 s: the store was away'),
+    ],
+)  # fmt: skip
+def test_each_row_of_the_table_of_causes_is_found(explain, lines, cause):
+    story = explain([accepted(0), *lines, finished(9, 9000, 2000)])
+    assert story[-1].startswith(f'Likely cause: {cause}')
+
+
+def test_a_job_in_time_has_no_cause(explain):
+    lines = [accepted(0), placed(0), ended(9, 'done'), finished(9, 9000, 9500)]
+    story = explain(lines)
+    assert story[-2].endswith('due at 9.5 s: in time')
+    assert story[-1] == 'Likely cause: none is seen; it did not end late'
+
+
+def test_a_failed_job_names_its_attempts_and_agents(explain):
+    story = explain(
+        [
+            accepted(0),
+            placed(0),
+            ended(1, 'failed', 1, 139),
+            placed(1, 2),
+            ended(2, 'failed', 2, 143),
+            finished(3, 3000, 9000, 'failed'),
+        ]
+    )
+    assert story[2].endswith('ended: failed, exit 139')
+    assert f'2 failed attempts, the last of {TASK} on side-1' in story[-1]
+
+
+def test_one_task_is_told_without_the_others(explain):
+    lines = [accepted(0), placed(0), placed(1, task=f'{JOB}.0.0.1')]
+    lines.extend(
+        line(2, 'AGENT_LEFT', agent=agent, boot='b', ends=0)
+        for agent in ('side-1', 'side-9')
+    )
+    story = explain(lines, flag=f'--task={TASK}')
+    assert f'{JOB}.0.0.1' not in '\n'.join(story)
+    assert 'side-1 ended with its worker' in story[2]
+    assert len(story) == 4
+
+
+def test_a_prefix_names_the_process(explain):
+    story = explain(
+        [
+            f'[ 812.250] side-kgl-1 | {accepted(0)}',
+            f'2026-05-05T23:00:01.1Z side-kgl-2 {placed(1)}',
+        ]
+    )
+    assert [each.split()[1] for each in story[:2]] == [
+        'side-kgl-1:',
+        'side-kgl-2:',
+    ]
+
+
+def test_cut_and_foreign_lines_are_counted_and_hide_nothing(explain):
+    whole = placed(1)
+    story = explain(
+        '\n'.join(
+            (
+                'Traceback (most recent call last):',
+                f'GET /jobs/{JOB} 200',
+                accepted(0)[:70] + whole,
+                whole[: len(whole) - 5],
+                '{"at": ' + '[' * 100_000 + JOB,
+                f'{{"at": 7, "event": 3012, "job": "{JOB}"}}',
+                f'{{"at": "noon", "event": 3012, "job": "{JOB}"}}',
+                f'{{"at": "2026-05-05T23:00:02", "event": [], "job": "{JOB}"}}',
+                '{"at": "2026-05-05T23:00:03", "event": 9999, "name": "NEW", '
+                f'"job": "{JOB}", "more": {{"a": [1]}}}}',
+                '\x00\x01\ufffd' * 9,
+                ended(4, 'done')[:60],
+            )
+        )
+    )
+    assert len(story) == 4, story
+    assert 'attempt 1 is placed on side-1' in story[0]
+    assert story[1].endswith(f"NEW job={JOB} more={{'a': [1]}}")
+    assert story[2] == '6 lines that may matter are cut or foreign and left out'
+    assert story[3] == 'Likely cause: none is seen'
+
+
+def test_fields_that_are_missing_or_of_another_kind_are_no_error(explain):
+    stamp = '"at": "2026-05-05T23:00:00"'
+    story = explain(
+        [
+            f'{{{stamp}, "event": {number}, "job": "{JOB}", "task": 7}}'
+            for number in NUMBERS.values()
+        ]
+    )
+    assert len(story) >= len(NUMBERS) - 2
+    assert 'unknown' in '\n'.join(story)
+
+
+def test_a_job_that_no_line_names_is_said_so(explain):
+    assert explain([accepted(0, job='00000000000000a2')]) == [
+        'no line names it: it did not reach these processes'
+    ]
+
+
+def test_lines_of_others_take_no_memory(tmp_path):
+    path = tmp_path / 'long.log'
+    other = placed(1, task='00000000000000a2.0.0.0') + '\n'
+    with path.open('w') as stream:
+        for _ in range(20):
+            stream.write(other * 2000)
+        stream.write('x' * 4_000_000)
+        stream.write(f'\n{accepted(0)}\n')
+    assert path.stat().st_size > 10_000_000
+    tracemalloc.start()
+    try:
+        found = find_lines([str(path)], Subject(JOB))
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert len(found.lines) == 1
+    assert peak < 2_000_000
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'words'),
+    [
+        ([f'--job={JOB}'], 'FILE is missing'),
+        (['some.log'], 'use one of --job=ID and --task=NAME'),
+        (['some.log', '--job=a', '--task=a.0'], 'use one of'),
+        (['nowhere.log', '--job=a'], 'nowhere.log: cannot be read'),
+        (['some.log', '--jobs=a'], 'unknown argument --jobs'),
+    ],
+)
+def test_wrong_usage_is_one_line(capsys, arguments, words):
+    with pytest.raises(SystemExit) as stop:
+        main(['explain', 'logs', *arguments])
+    err = capsys.readouterr().err
+    assert stop.value.code == 2 and err.count('\n') == 1
+    assert words in err
