Operations: the page tells of `explain logs`, served metrics and new fields

Cause: the section "Not there yet" was wrong, as metrics are served and log files are read; the fields of 3001, 3005, 3007 and 2010 were not told of.

A test runs the page's commands on the page's own JSON lines and compares the answers.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 import pytest
 
 from demo.__main__ import TOKEN, Deployment
+from hyssopring.cli.main import main
 from hyssopring.logs import Event
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -60,3 +61,20 @@
         assert (page.parent / link).exists(), link
     for number, name in re.findall(r'\b(\d{4}) ([A-Z]+(?:_[A-Z]+)+)', text):
         assert Event[name] == int(number)
+
+
+def test_stories_of_the_page_on_failures_are_what_its_lines_give(
+    capsys, tmp_path, monkeypatch
+):
+    """The page's own JSON lines are the file; its consoles show the answer."""
+    text = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    lines = re.findall(r'^```json\n(.*?)^```', text, re.S | re.M)
+    (tmp_path / 'entry-1.log').write_text(''.join(lines))
+    monkeypatch.chdir(tmp_path)
+    shown = re.findall(
+        r'^```console\n\$ hyssopring ([^\n]*)\n(.*?)^```', text, re.S | re.M
+    )
+    assert len(shown) == 2
+    for command, story in shown:
+        main(command.split())
+        assert capsys.readouterr().out == story
