--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,7 +1,7 @@
 """Runs a small deployment and drives bookings and a job through it.
 
 ``python -m demo`` ends by itself; ``python -m demo --stay`` leaves the
-deployment running and prints how to try it by curl.
+deployment running and prints how to try it by curl and by the command line.
 """
 
 import http.client
@@ -332,12 +332,22 @@
 
 def stay(deployment):
     entry = deployment.entries[0]
-    print('Running; Ctrl-C stops it. Try:')
     bookings = f'http://{entry["callers"]}/trust/booking/lessons'
-    print(f'  curl -i -d rider=ana {bookings}')
+    status = f'http://{entry["operators"]}/v1/status'
+    command = '.venv/bin/hyssopring'
+    if deployment.binary[1:] != ['-m', 'hyssopring']:
+        command = ' '.join(deployment.binary)
     print(
-        f'  curl -H "Authorization: Bearer {TOKEN}" '
-        f'http://{entry["operators"]}/v1/status'
+        'Running; Ctrl-C stops it. Try, from the same directory:',
+        f'curl -i -d rider=ana {bookings}',
+        f'curl -H "Authorization: Bearer {TOKEN}" {status}',
+        f'export HYSSOPRING_ENTRY={entry["operators"]}',
+        f'export HYSSOPRING_TOKEN={TOKEN}',
+        f'{command} status',
+        f'{command} run noon-feed trust feed-round --tasks 3',
+        f'{command} explain task noon-feed:0',
+        sep='\n  ',
+        flush=True,
     )
     try:
         signal.pause()
--- a/hyssopring/entry/router.py
+++ b/hyssopring/entry/router.py
@@ -48,6 +48,8 @@
 # Refusals of an agent or a backend server that is leaving. Sending elsewhere
 # adds no load, so a planned stop fails no request for want of a send budget.
 _LEFT = frozenset((ErrorKind.STOPPING, ErrorKind.NO_BACKEND))
+# How operators' paths begin, as the operators' port takes them.
+_OPERATORS_PATHS = 'v1/'
 
 
 class CallRouter:
@@ -230,7 +232,7 @@
             return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
         policy = self._configuration.policy(service_name)
         if policy is None or policy.kind != 'service':
-            return Err(Failure(ErrorKind.UNKNOWN_SERVICE, service_name))
+            return Err(_unknown(service_name))
         over_quota = self.admission.quota_failure(policy)
         return Ok(policy) if over_quota is None else Err(over_quota)
 
@@ -318,3 +320,14 @@
                     attempt.agent_id,
                     CancelCall(attempt.request_id),
                 )
+
+
+def _unknown(service_name: str) -> Failure:
+    """Return the refusal, and what was probably meant."""
+    detail = service_name
+    if service_name.startswith(_OPERATORS_PATHS):
+        detail = (
+            f"{service_name}: this is the callers' port; operators' paths are "
+            + "at the entry's other port, its operator_address"
+        )
+    return Failure(ErrorKind.UNKNOWN_SERVICE, detail)
--- a/hyssopring/settings/reference.py
+++ b/hyssopring/settings/reference.py
@@ -16,12 +16,12 @@
 _HEAD = """# Settings
 
 Made from the models by `python -m hyssopring.settings > docs/SETTINGS.md`; a
-test keeps it true. Files are JSON with comments, those of more
-than 65,536 characters plain JSON. Keys that end in `_ms` are
-milliseconds, plain numbers without a unit. An unknown key, a wrong value or a
-missing file is one line on standard error and exit code 2;
-`hyssopring check FILE` does only that check. Values of secrets are never
-shown in such a line. Examples: `examples/nyabugogo/`, `examples/hemeroteca/`.
+test keeps it true. Files are JSON with comments, those of more than 65,536
+characters plain JSON. Keys that end in `_ms` are milliseconds, plain numbers
+without a unit. An unknown key, a wrong value or a missing file is one line on
+standard error and exit code 2; `hyssopring check FILE` does only that check.
+Values of secrets are never shown in such a line. Examples:
+`examples/nyabugogo/`, `examples/hemeroteca/`.
 """
 _REQUIRED = 'required'
 _SECTIONS = (
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -91,6 +91,16 @@
     assert b' 200 ' in port.get(b'/trust/booking/')
 
 
+def test_operators_path_at_the_callers_port_is_named_as_the_mistake(port):
+    body = port.get(b'/v1/status').partition(b'\r\n\r\n')[2]
+    answer = json.loads(body)
+    assert answer['error'] == 'unknown-service'
+    assert answer['detail'].startswith("v1/status: this is the callers' port;")
+    assert 'operator_address' in answer['detail']
+    other = port.get(b'/v10/status').partition(b'\r\n\r\n')[2]
+    assert json.loads(other)['detail'] == 'v10/status'
+
+
 def test_body_beyond_the_limit_is_refused_while_it_is_read(port):
     """One caller sends a body without end; buffered whole, or spooled to a
     disk that these machines do not have, it takes the entry down for all."""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -110,6 +110,15 @@
     assert operate('status')[1].startswith('entries: entry-0 entry-1; shards')
 
 
+def test_operators_command_at_the_callers_port_is_told_the_mistake(
+    deployment, operate
+):
+    callers = deployment.entries[0]['callers']
+    code, out, err = operate(f'status --entry={callers}')
+    assert (code, out, err.count('\n')) == (1, '', 1)
+    assert "v1/status: this is the callers' port" in err
+
+
 def test_request_is_explained_through_any_entry(deployment, operate):
     """Another entry routed it than the one that the operator asks."""
     status, _, headers = call_with_headers(deployment.entries[1]['callers'])
