Explain logs: the owner of the time is named, and told causes come first

Cause: in trials with real processes whose owning entry was killed, the wait of 3.9 s from acceptance to placement, which contains the 3.8 s without an owner, was put down to want of room.

Change: what a line tells of (lapse, change of owner, absence of the store) goes before what is inferred (wait, move), and that before slow runs; absences count only for processes that wrote of the job or shard. Absences have a module of their own.

--- a/hyssopring/cli/log_causes.py
+++ b/hyssopring/cli/log_causes.py
@@ -1,22 +1,23 @@
 """Names the likely cause, after the table in docs/OPERATIONS.md.
 
 The rule: a refusal and failed attempts speak for themselves. A job that is
-late is put down to its longest span that a line explains (a lapse, a change of
-owner, a move, a wait for room, an absence of the store) if that is at least
-half of the delay, else to the longest span of all, which may be a slow run.
+late is put down to the longest span that explains at least half of the delay,
+first of those that a line tells of (a lapse, a change of owner, an absence of
+the store), then of those that are inferred (a move, a wait for room: they may
+contain the former), then of the runs; else to the longest of all.
 """
 
+import enum
 from dataclasses import dataclass
-from datetime import datetime, timedelta
 from types import MappingProxyType
 from typing import Final, Iterator, Mapping, Sequence
 
+from hyssopring.cli.log_absences import Absence, millis_of
 from hyssopring.cli.log_lines import LogLine
 from hyssopring.cli.log_sentences import shown_seconds
-from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.logs import Event
 
-__all__ = ('Absence', 'likely_cause')
+__all__ = ('likely_cause',)
 
 # Shorter spans are the ordinary course: tasks are planned and started within a
 # second where there is room (assumed; docs/MEASUREMENTS.md has the figures).
@@ -36,30 +37,12 @@
 )
 
 
-@dataclass(frozen=True)
-class Absence:
-    """A time in which the store gave one process no answer."""
-
-    since: datetime
-    until: datetime
-    source: str
-    detail: str
-
-    @classmethod
-    def between(cls, lost: LogLine, until: datetime | None) -> 'Absence':
-        """Return the time from a loss to a recovery, if there was one."""
-        detail = str(lost.record.get('detail', 'unknown'))
-        return cls(lost.at, until or datetime.max, lost.source, detail)
-
-    @property
-    def is_over(self) -> bool:
-        """Whether the store answered again within the lines."""
-        return self.until != datetime.max
+class _Rank(enum.IntEnum):
+    """How sure a span's cause is; the surest first."""
 
-    @property
-    def millis(self) -> float:
-        """How long it took; a loss without an end has no length."""
-        return _millis(self.until - self.since) if self.is_over else 0
+    TOLD = 0
+    INFERRED = 1
+    RUN = 2
 
 
 @dataclass(frozen=True)
@@ -68,7 +51,7 @@
 
     millis: float
     cause: str
-    is_explained: bool = True
+    rank: _Rank = _Rank.TOLD
 
 
 def likely_cause(lines: Sequence[LogLine], away: Sequence[Absence]) -> str:
@@ -77,7 +60,8 @@
     refused = _last(lines, Event.REQUEST_REFUSED)
     if refused is not None and _last(lines, Event.JOB_ACCEPTED) is None:
         return _refusal(refused, away)
-    spans = [*_spans(lines), *_absent(away)]
+    sources = {line.source for line in lines}
+    spans = [*_spans(lines), *_absent(away, sources)]
     if finished is None:
         return _longest(spans, 0)
     if finished.record.get('state') == 'failed':
@@ -89,12 +73,14 @@
 
 
 def _longest(spans: Sequence[_Span], late_ms: float) -> str:
-    explained = [span for span in spans if span.is_explained]
-    first = max(explained, key=lambda span: span.millis, default=None)
-    if first is None or first.millis * _PARTS < late_ms:
-        first = max(spans, key=lambda span: span.millis, default=None)
-    if first is None or first.millis < _LONG_MS:
+    long = [span for span in spans if span.millis >= _LONG_MS]
+    if not long:
         return _NONE
+    explaining = [span for span in long if span.millis * _PARTS >= late_ms]
+    first = min(
+        explaining or long,
+        key=lambda span: (span.rank if explaining else 0, -span.millis),
+    )
     return f'Likely cause: {shown_seconds(first.millis)}: {first.cause}'
 
 
@@ -138,8 +124,9 @@
         None,
     )
     if accepted is not None and first is not None:
-        wait = _millis(first.at - accepted.at)
-        yield _Span(wait, 'no room, or more urgent work first')
+        wait = millis_of(first.at - accepted.at)
+        cause = 'no room, or more urgent work first'
+        yield _Span(wait, cause, _Rank.INFERRED)
     last_by_task: dict[str, LogLine] = {}
     for line in lines:
         task = str(line.record.get('task', ''))
@@ -152,7 +139,7 @@
 
 def _between(before: LogLine, line: LogLine) -> Iterator[_Span]:
     """Return the span between two steps of a task, if it says something."""
-    millis = _millis(line.at - before.at)
+    millis = millis_of(line.at - before.at)
     steps = (before.event, line.event)
     how = before.record.get('how')
     if steps == (Event.TASK_PLACED, Event.TASK_LAPSED):
@@ -162,11 +149,11 @@
         )
     elif steps == (Event.TASK_PLACED, Event.TASK_FINISHED):
         cause = 'the worker is slow, or the task was slowed down (3026)'
-        yield _Span(millis, cause, is_explained=False)
+        yield _Span(millis, cause, _Rank.RUN)
     elif steps == (Event.TASK_FINISHED, Event.TASK_PLACED):
         if how == 'stopped':
             cause = 'moved: its worker left, or held still beside keepers'
-            yield _Span(millis, cause)
+            yield _Span(millis, cause, _Rank.INFERRED)
 
 
 def _handovers(lines: Sequence[LogLine]) -> Iterator[_Span]:
@@ -179,11 +166,14 @@
         if line.event == Event.SHARD_ACQUIRED:
             unheard = line.record.get('unheard', 'unknown')
             cause = f'at most: the owner died or gave way ({unheard} unheard)'
-            yield _Span(_millis(line.at - before.at), cause)
+            yield _Span(millis_of(line.at - before.at), cause)
 
 
-def _absent(away: Sequence[Absence]) -> Iterator[_Span]:
+def _absent(away: Sequence[Absence], sources: set[str]) -> Iterator[_Span]:
+    """Return the absences from processes that wrote of the job or shard."""
     for absence in away:
+        if absence.source not in sources:
+            continue
         cause = f'the store was away from {absence.source}'
         yield _Span(absence.millis, cause)
 
@@ -198,7 +188,3 @@
 def _last(lines: Sequence[LogLine], event: Event) -> LogLine | None:
     found = [line for line in lines if line.event == event]
     return found[-1] if found else None
-
-
-def _millis(span: timedelta) -> float:
-    return span.total_seconds() * MILLIS_PER_SECOND
