Starts carry a ticket where a queue needs advice

Cause: a queue may have a service that alone knows which workers may run a step; each start on it carries the service's ticket. The queue's parameters were dropped, no start had a ticket, and a start refused for it looked like an invalid order.

--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -21,6 +21,7 @@
 )
 
 __all__ = (
+    'BAD_TICKET',
     'RUNNING_HERE',
     'AgentGrant',
     'AgentGreeting',
@@ -188,7 +189,8 @@
 class StartOrder:
     """Start one attempt on this boot of the worker and on no other.
 
-    ``connection`` is the one that it was sent on.
+    ``connection`` is the one that it was sent on. ``ticket`` is empty where
+    the queue needs none.
     """
 
     shard: int
@@ -198,10 +200,13 @@
     checkpoint: str
     facts: TaskFacts
     connection: str = ''
+    ticket: str = ''
 
 
 # A reason of ``StartRefusal``: some attempt of the task is on the worker.
 RUNNING_HERE: Final = 'running'
+# A reason of ``StartRefusal``: the worker does not take the order's ticket.
+BAD_TICKET: Final = 'ticket'
 
 
 @struct
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -6,6 +6,7 @@
 from typing import Final, Iterator
 
 __all__ = (
+    'Advice',
     'AttemptEnd',
     'Job',
     'JobState',
@@ -151,6 +152,25 @@
         return self.first_ms + occurrence * self.interval_ms
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """How a service answers that knows which workers may run a step.
+
+    Attributes:
+        decision_ms: What each question takes.
+        per_worker_ms: What it takes more for each worker that it names.
+        valid_ms: How long a ticket allows a worker to start tasks.
+    """
+
+    decision_ms: float = 0
+    per_worker_ms: float = 0
+    valid_ms: float = 0
+
+    def question_ms(self, workers: int) -> float:
+        """How long the answer to one question takes."""
+        return self.decision_ms + workers * self.per_worker_ms
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """The parameters that a job takes from the queue it was handed in to.
@@ -160,6 +180,8 @@
         max_attempts: After as many failed attempts of a task the job fails.
         slack_factor: The objective is this times the chain of work.
         target_ms: And this much more.
+        advice: Set where a step may run on some workers only and a service
+            knows on which; None where any worker will do.
     """
 
     name: str
@@ -168,6 +190,7 @@
     max_attempts: int = 1
     slack_factor: float = 1
     target_ms: int = 0
+    advice: Advice | None = None
 
 
 @dataclass(frozen=True)
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -66,6 +66,7 @@
                 order.payload,
                 order.checkpoint,
                 watch.worker_time(watch.hold_until()),
+                order.ticket,
             ),
         )
         asked.addCallbacks(
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -37,6 +37,7 @@
     """What a worker says to a start.
 
     OLD: this attempt or a higher one has run or was stopped here before.
+    BAD_TICKET: the ticket has run out, or is for another life or step.
     """
 
     STARTED = 'started'
@@ -46,6 +47,7 @@
     NO_ROOM = 'no-room'
     UNHEALTHY = 'unhealthy'
     INVALID = 'invalid'
+    BAD_TICKET = 'ticket'
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """An order to start one attempt."""
+    """An order to start one attempt; ``ticket`` is empty if it needs none."""
 
     boot: str
     fence: int
@@ -98,6 +100,7 @@
     payload: str
     checkpoint: str
     until_ms: int
+    ticket: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/hyssopring/platform/configuration.py
+++ b/hyssopring/platform/configuration.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
-from hyssopring.jobs.model import Queue
+from hyssopring.jobs.model import Advice, Queue
 from hyssopring.jobs.queues import QueueAddress, QueueTable
 from hyssopring.jobs.rows import (
     Changes,
@@ -37,6 +37,15 @@
     )
 
 
+class _Recommendation(_Model):
+    decision_ms: float = 0
+    per_item_ms: float = 0
+    valid_ms: float = 0
+
+    def to_advice(self) -> Advice:
+        return Advice(self.decision_ms, self.per_item_ms, self.valid_ms)
+
+
 class _Route(_Model):
     name: str
     host: str
@@ -46,6 +55,19 @@
     priority: int = 0
     max_attempts: int = 1
     slack_factor: float = 1
+    recommendation: _Recommendation | None = None
+
+    def to_queue(self) -> Queue:
+        asked = self.recommendation
+        return Queue(
+            self.name,
+            self.service,
+            self.priority,
+            self.max_attempts,
+            self.slack_factor,
+            self.target_latency_ms,
+            asked.to_advice() if asked else None,
+        )
 
 
 class _Limits(_Model):
@@ -68,14 +90,7 @@
             QueueAddress(
                 route.host,
                 route.path_prefix,
-                Queue(
-                    route.name,
-                    route.service,
-                    route.priority,
-                    route.max_attempts,
-                    route.slack_factor,
-                    route.target_latency_ms,
-                ),
+                route.to_queue(),
             )
             for route in document.routes
         ],
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -81,6 +81,7 @@
     command_mode: str = 'invocation'
     app: str = ''
     service: str = ''
+    recommendation: str = ''
 
     @property
     def inner_address(self) -> str:
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -53,7 +53,7 @@
         'old': StartOutcome.OLD,
         'late': StartOutcome.LATE,
         'room': StartOutcome.NO_ROOM,
-        'ticket': StartOutcome.INVALID,
+        'ticket': StartOutcome.BAD_TICKET,
     },
 )
 _OUTCOME_BY_STATUS: Final[Mapping[int, StartOutcome]] = MappingProxyType(
@@ -116,6 +116,8 @@
         }
         if start.checkpoint:
             fields['checkpoint'] = start.checkpoint
+        if start.ticket:
+            fields['ticket'] = start.ticket
         calling = self._call('/-/run-start', start.boot, fields, _TIMEOUT_MS)
         return calling.addCallback(_outcome)
 
