Queues with advice: their owner asks in time which workers may run a step

Cause: starts of such queues were refused for want of a ticket, again and again, and their jobs never ended.

Placement looks at workers with a ticket only; gangs start when enough have one; fillers beside keepers move to such workers only. platform/advice.py translates. Queues without advice take the same path as before.

In test_jobs_load two constructor calls have a new argument; test_measures counts the new event once more; no check was changed.

The whole suite was not run.

--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
-from typing import Final, Iterable
+from typing import Container, Final, Iterable
 
 from hyssopring.jobs.fleet import Placed, Worker
 from hyssopring.jobs.model import Size, Step, TaskName
@@ -160,10 +160,12 @@
         step: Step,
         name: TaskName,
         is_starved: bool,
+        boots: Container[str] | None = None,
     ) -> Worker | None:
         """Return the best worker for a task, None if none has room.
 
-        A starved job's task starts beside others that it slows down.
+        A starved job's task starts beside others that it slows down. Where
+        ``boots`` are given only these lives of workers are looked at.
 
         The task counts there from now on; it is also to be put into the
         worker's table before the next call.
@@ -173,11 +175,12 @@
             return None
         roomy = [
             option
-            for option in self._options_by_service.get(service, ())
+            for option in self._options(service, boots)
             if option.allows(step, is_starved) and option.has_label(step)
         ]
         if not roomy:
-            self._unfit_by_kind.setdefault(kind, []).append(step.size)
+            if boots is None:
+                self._unfit_by_kind.setdefault(kind, []).append(step.size)
             return None
         allowed = [option for option in roomy if _permits(option, step, name)]
         if not allowed:
@@ -189,6 +192,16 @@
         best.take(step)
         return best.worker
 
+    def _options(
+        self,
+        service: str,
+        boots: Container[str] | None,
+    ) -> list[_Option]:
+        options = self._options_by_service.get(service, [])
+        if boots is None:
+            return options
+        return [option for option in options if option.worker.boot in boots]
+
     def _is_unfit(self, kind: '_Kind', size: Size) -> bool:
         """Whether a task that is no larger has found no room in this round.
 
@@ -214,13 +227,14 @@
         service: str,
         step: Step,
         names: list[TaskName],
+        boots: Container[str] | None = None,
     ) -> list[Worker]:
         """Return a worker for each member of a gang, or none at all.
 
         Members that slow each other across racks go to one rack if one has
         room for all.
         """
-        options = self._options_by_service.get(service, [])
+        options = self._options(service, boots)
         groups = [options]
         if step.is_local:
             by_rack: dict[str, list[_Option]] = {}
@@ -235,9 +249,14 @@
                 return [option.worker for option in chosen]
         return []
 
-    def take_quiet_room(self, service: str, step: Step) -> bool:
+    def take_quiet_room(
+        self,
+        service: str,
+        step: Step,
+        boots: Container[str] | None = None,
+    ) -> bool:
         """Whether a filler fits beside no keeper; if so, it counts there."""
-        for option in self._options_by_service.get(service, ()):
+        for option in self._options(service, boots):
             if option.targets or not option.has_label(step):
                 continue
             if option.allows(step, is_starved=False):
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -5,6 +5,7 @@
 from typing import Any, Callable, Final
 
 from hyssopring.clock import Clock
+from hyssopring.jobs.advice_port import AdvicePort
 from hyssopring.jobs.desk import JobDesk
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.entries import EntryMembership
@@ -58,6 +59,7 @@
         store: RelayedStore,
         membership: EntryMembership,
         peers: Peers,
+        advice: AdvicePort,
     ) -> None:
         """Build the owner and connect the membership's callbacks."""
         self._reactor = reactor
@@ -76,6 +78,7 @@
             self._may_act,
             wall_ms,
             self._deposed,
+            advice,
         )
         self._questions = Questions(reactor, peers)
         self.desk = JobDesk(
--- a/hyssopring/jobs/measures.py
+++ b/hyssopring/jobs/measures.py
@@ -26,6 +26,8 @@
         Event.TASK_FINISHED: ('attempts_ended_total', 'how'),
         Event.TASK_LAPSED: ('attempts_given_up_total', 'reason'),
         Event.TASK_PACED: ('paces_set_total', ''),
+        Event.ADVICE_GIVEN: ('questions_answered_total', ''),
+        Event.ADVICE_UNAVAILABLE: ('questions_unanswered_total', ''),
         Event.SHARD_ACQUIRED: ('shards_acquired_total', ''),
         Event.SHARD_LOST: ('shards_lost_total', ''),
         Event.STORE_RELAYED: ('store_relays_begun_total', ''),
@@ -55,6 +57,8 @@
             self._finished(fields)
         elif event is Event.TASK_PLACED:
             self._observe('report_age', fields.get('report_age_ms'))
+        elif event is Event.ADVICE_GIVEN:
+            self._observe('question', fields.get('took_ms'))
 
     def _finished(self, fields: Fields) -> None:
         age_ms, due_ms = fields.get('age_ms'), fields.get('due_ms')
--- a/hyssopring/jobs/moves.py
+++ b/hyssopring/jobs/moves.py
@@ -3,6 +3,7 @@
 from typing import Callable, Final, Iterable
 
 from hyssopring.clock import Clock
+from hyssopring.jobs.advice import AdviceDesk
 from hyssopring.jobs.choice import PlacementRound
 from hyssopring.jobs.fleet import Fleet, Placed, Worker
 from hyssopring.jobs.messages import WorkerReport
@@ -34,12 +35,14 @@
         fleet: Fleet,
         shards: OwnedShards,
         stop: Stop,
+        advice: AdviceDesk,
     ) -> None:
         """Order stops by ``stop``."""
         self._clock = clock
         self._fleet = fleet
         self._shards = shards
         self._stop = stop
+        self._advice = advice
 
     def evacuate(self) -> None:
         """Stop what leaving workers would only take down with them.
@@ -79,7 +82,8 @@
             return
         placement = PlacementRound(takers)
         for worker, placed in held:
-            if placement.take_quiet_room(worker.service, placed.step):
+            boots = self._advice.permitted_for(placed.name)
+            if placement.take_quiet_room(worker.service, placed.step, boots):
                 owned = self._shards.by_shard[shard_of(placed.name.job_id)]
                 mark_stopping(placed, worker, 'held still beside keepers')
                 self._stop(owned, worker, str(placed.name), placed.number)
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -4,9 +4,12 @@
 from typing import Any, Callable
 
 from hyssopring.clock import Clock
+from hyssopring.jobs.advice import AdviceDesk
+from hyssopring.jobs.advice_port import AdvicePort
 from hyssopring.jobs.book import JobRecord
 from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Worker
 from hyssopring.jobs.messages import (
+    BAD_TICKET,
     RUNNING_HERE,
     AgentLeft,
     EndsRecorded,
@@ -43,6 +46,7 @@
         may_act: Callable[[], bool],
         wall_ms: Callable[[], float],
         on_deposed: Callable[[OwnedShard], None],
+        advice: AdvicePort,
     ) -> None:
         """Order agents by ``send`` while ``may_act`` says that it may."""
         self._on_deposed = on_deposed
@@ -52,6 +56,16 @@
         self._may_act = may_act
         self._wall_ms = wall_ms
         self.shards = OwnedShards()
+        self._advice = AdviceDesk(
+            reactor,
+            clock,
+            advice,
+            fleet,
+            self.shards,
+            may_act,
+            wall_ms,
+        )
+        self._advice.on_tickets = self.plan_soon
         self._planner = StepPlanner(
             reactor,
             clock,
@@ -60,10 +74,17 @@
             send,
             may_act,
             wall_ms,
+            self._advice,
         )
         self._stalls = StallWatch(clock)
         self._reader = ReportReader(clock, fleet, self.shards, self)
-        self._moves = TaskMoves(clock, fleet, self.shards, self.stop)
+        self._moves = TaskMoves(
+            clock,
+            fleet,
+            self.shards,
+            self.stop,
+            self._advice,
+        )
 
     def acquire(self, owned: OwnedShard) -> None:
         """Own a shard from now on."""
@@ -178,6 +199,8 @@
         # report names the attempt, or shows that it is over.
         is_settled = message.reason != RUNNING_HERE
         if placed and placed.number == message.attempt and is_settled:
+            if message.reason == BAD_TICKET:
+                self._advice.rejected(placed.name, placed.boot)
             self._reader.gone(worker, placed, message.reason)
         owned = self.shards.by_shard.get(shard_of_task(message.task))
         if owned is not None and message.reign > owned.reign:
@@ -211,6 +234,7 @@
         if self._stalls.has_kept_up():
             self._give_up_lost(now)
         self._list_agents()
+        self._advice.look()
         self.plan_soon()
 
     def _give_up_lost(self, now: float) -> None:
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -1,9 +1,10 @@
 """Sends waiting steps to workers, in rounds."""
 
 from dataclasses import dataclass
-from typing import Any, Callable, Final
+from typing import Any, Callable, Final, Mapping
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.jobs.advice import AdviceDesk
 from hyssopring.jobs.book import JobRecord, StepRun
 from hyssopring.jobs.choice import PlacementRound
 from hyssopring.jobs.fleet import Fleet, Placed, Worker
@@ -32,12 +33,22 @@
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
-    """The tasks of a step that may start now."""
+    """The tasks of a step that may start now.
+
+    Attributes:
+        tickets: By the lives of workers that may run them; None where any
+            worker will do.
+    """
 
     urgency: Urgency
     record: JobRecord
     run: StepRun
     indices: set[int]
+    tickets: Mapping[str, str] | None
+
+    def ticket(self, worker: Worker) -> str:
+        """Return the worker's ticket, empty where none is needed."""
+        return self.tickets[worker.boot] if self.tickets else ''
 
 
 class StepPlanner:
@@ -52,6 +63,7 @@
         send: Send,
         may_act: Callable[[], bool],
         wall_ms: Callable[[], float],
+        advice: AdviceDesk,
     ) -> None:
         """Order agents by ``send`` while ``may_act`` says that it may."""
         self._reactor = reactor
@@ -61,6 +73,7 @@
         self._send = send
         self._may_act = may_act
         self._wall_ms = wall_ms
+        self._advice = advice
         self._is_plan_due = False
         self._plan_at = clock.now()
 
@@ -87,7 +100,13 @@
     def _plan(self) -> None:
         wall_ms = self._wall_ms()
         waiting = [
-            _Waiting(urgency(record, run, wall_ms), record, run, indices)
+            _Waiting(
+                urgency(record, run, wall_ms),
+                record,
+                run,
+                indices,
+                self._advice.permitted(record, run),
+            )
             for record in self._shards.live_jobs()
             for run in record.open_runs()
             if (indices := self._shards.startable(record, run))
@@ -102,6 +121,10 @@
 
     def _place(self, placement: PlacementRound, waiting: '_Waiting') -> None:
         record, run = waiting.record, waiting.run
+        if waiting.tickets is not None:
+            self._advice.look_soon()
+            if not waiting.tickets:
+                return
         if run.step.is_gang:
             self._place_gang(placement, waiting)
             return
@@ -118,14 +141,14 @@
                 run.step,
                 name,
                 is_starved,
+                waiting.tickets,
             )
             is_starved = False
             if worker is None:
                 return
             task = str(name)
             self._start(
-                record,
-                run,
+                waiting,
                 name,
                 worker,
                 record.next_number(task),
@@ -146,23 +169,24 @@
             record.job.queue.service,
             run.step,
             names,
+            waiting.tickets,
         )
         if not workers:
             return
         number = record.next_gang_number(names)
         checkpoint = record.gang_checkpoint(names)
         for name, worker in zip(names, workers, strict=True):
-            self._start(record, run, name, worker, number, checkpoint)
+            self._start(waiting, name, worker, number, checkpoint)
 
     def _start(
         self,
-        record: JobRecord,
-        run: StepRun,
+        waiting: '_Waiting',
         name: TaskName,
         worker: Worker,
         number: int,
         checkpoint: str,
     ) -> None:
+        record, run = waiting.record, waiting.run
         task = str(name)
         owned = self._shards.by_shard[shard_of(name.job_id)]
         order = StartOrder(
@@ -173,6 +197,7 @@
             checkpoint,
             facts_of(task, number, run.step),
             worker.connection,
+            waiting.ticket(worker),
         )
         if not self._send(worker.agent_id, order):
             return
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -33,6 +33,7 @@
         Event.SETTINGS_REFUSED: 'WARNING',
         Event.STORE_UNREACHABLE: 'WARNING',
         Event.TASK_LAPSED: 'WARNING',
+        Event.ADVICE_UNAVAILABLE: 'WARNING',
         Event.BACKEND_SIZE_UNKNOWN: 'WARNING',
         Event.TASK_UNKNOWN: 'WARNING',
         Event.VM_OVERCOMMITTED: 'WARNING',
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -20,6 +20,7 @@
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics
+from hyssopring.platform.advice import advice_port
 from hyssopring.platform.callers import CallersResource
 from hyssopring.platform.configuration import ConfigurationFollower
 from hyssopring.platform.listening import listen
@@ -72,6 +73,7 @@
             store,
             self._membership,
             self,
+            advice_port(reactor, settings.recommendation),
         )
         self._dialler = LinkDialler(
             reactor,
--- /dev/null
+++ b/standins/jobs/advice.py
@@ -0,0 +1,148 @@
+"""The platform's service for recommendations in virtual time.
+
+It takes one question at a time of each calling machine, and turns away those
+beyond 32 that wait. Its answer for a step and a life of a worker stays the
+same, but for the tickets, which are new each time.
+"""
+
+import itertools
+from collections import defaultdict, deque
+
+from twisted.internet.defer import Deferred
+
+from hyssopring.jobs.advice_port import AdviceUnavailable, Advised
+
+LINK_S = 0.001
+MAX_WAITING = 32
+MILLIS = 1000
+PATIENCE = 2
+TIMEOUT_MS = 600
+
+
+class SimAdvice:
+    """The service, with its faults.
+
+    Attributes:
+        allows: Whether a worker, by its name, may run a step.
+        refuses: A status that it answers all questions with, 0 for none.
+        is_silent: It takes questions and answers none.
+        late_s: How much later than it should it answers.
+        names_former: It also approves each worker's life before this one.
+        voids: Tickets are void as soon as they are given.
+        questions: All questions that were taken, as (time, asker, question).
+    """
+
+    def __init__(self, reactor, decision_ms=50, per_worker_ms=5, valid_ms=3000):
+        self.reactor = reactor
+        self.decision_ms = decision_ms
+        self.per_worker_ms = per_worker_ms
+        self.valid_ms = valid_ms
+        self.allows = lambda step, worker: True
+        self.refuses = 0
+        self.is_silent = False
+        self.late_s = 0
+        self.names_former = False
+        self.voids = False
+        self.questions = []
+        self.refused = []
+        self.most_at_once = 0
+        self.rejected_starts = []
+        self._waiting = defaultdict(deque)
+        self._busy = set()
+        self._numbers = itertools.count(1)
+        self._tickets = {}
+
+    def accepts(self, task, boot, ticket):
+        """Whether a worker starts a task with this ticket."""
+        step = task.rpartition('.')[0]
+        until = self._tickets.get((step, boot, ticket), 0)
+        if self.reactor.seconds() < until:
+            return True
+        self.rejected_starts.append((self.reactor.seconds(), task, boot))
+        return False
+
+    def take(self, asker, question, answer):
+        """A question arrives."""
+        now = self.reactor.seconds()
+        if self.refuses or len(self._waiting[asker]) >= MAX_WAITING:
+            self.refused.append((now, asker, question))
+            answer(self.refuses or 429, None)
+            return
+        self.questions.append((now, asker, question))
+        self._waiting[asker].append((question, answer))
+        at_once = len(self._waiting[asker]) + (asker in self._busy)
+        self.most_at_once = max(self.most_at_once, at_once)
+        self._next(asker)
+
+    def _next(self, asker):
+        if asker in self._busy or not self._waiting[asker]:
+            return
+        self._busy.add(asker)
+        question, answer = self._waiting[asker].popleft()
+        took_ms = self.decision_ms + self.per_worker_ms * len(question.boots)
+        self.reactor.callLater(
+            took_ms / MILLIS + self.late_s,
+            self._decide,
+            asker,
+            question,
+            answer,
+        )
+
+    def _decide(self, asker, question, answer):
+        self._busy.discard(asker)
+        if not self.is_silent:
+            answer(200, self._advised(question))
+        self._next(asker)
+
+    def _advised(self, question):
+        tickets = {}
+        for boot in question.boots:
+            worker, _dash, life = boot.rpartition('-')
+            if self.allows(question.step, worker):
+                tickets[boot] = self._ticket(question.step, boot)
+                if self.names_former:
+                    former = f'{worker}-{int(life) - 1}'
+                    tickets[former] = self._ticket(question.step, former)
+        return Advised(tickets, self.valid_ms)
+
+    def _ticket(self, step, boot):
+        text = f't-{next(self._numbers)}'
+        valid_s = 0 if self.voids else self.valid_ms / MILLIS
+        self._tickets[step, boot, text] = self.reactor.seconds() + valid_s
+        return text
+
+
+class AdviceLink:
+    """One machine's calls; a dead or frozen process hears nothing."""
+
+    def __init__(self, service, asker, process_reactor):
+        self.service = service
+        self.asker = asker
+        self.process_reactor = process_reactor
+
+    def ask(self, question):
+        heard = Deferred()
+        later = self.service.reactor.callLater
+        limit_ms = PATIENCE * question.expected_ms + TIMEOUT_MS
+        limit = later(limit_ms / MILLIS, self._silent, heard)
+
+        def answered(status, advised):
+            later(LINK_S, self._heard, heard, limit, status, advised)
+
+        later(LINK_S, self.service.take, self.asker, question, answered)
+        return heard
+
+    def _heard(self, heard, limit, status, advised):
+        if not limit.active():
+            return
+        limit.cancel()
+        if advised is None:
+            self._fail(heard, f'the service answered {status}')
+        else:
+            self.process_reactor.run(heard.callback, advised)
+
+    def _silent(self, heard):
+        self._fail(heard, 'no answer in time')
+
+    def _fail(self, heard, reason):
+        self.process_reactor.run(heard.errback, AdviceUnavailable(reason))
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -7,6 +7,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.jobs.messages import pack, unpack
 from hyssopring.jobs.model import Job, Queue, Size, Step
+from standins.jobs.advice import SimAdvice
 from standins.jobs.processes import Agent, Entry
 from standins.jobs.rows import MemoryRows
 from standins.jobs.worker import Book, SimWorker
@@ -31,6 +32,7 @@
         self.reactor = Reactor()
         self.rows = MemoryRows(self.reactor)
         self.book = Book()
+        self.advice = SimAdvice(self.reactor)
         self.links = {}
         self.link_s = _even_link
         # A frozen process reads a closed connection's messages before it
@@ -52,7 +54,9 @@
             self.start_agent(f'agent-{number}', worker)
 
     def _worker(self, name):
-        return SimWorker(self.reactor, name, self.book, **self._work)
+        worker = SimWorker(self.reactor, name, self.book, **self._work)
+        worker.advice = self.advice
+        return worker
 
     def add_vm(self, name):
         """A VM that was not there before: a worker and its agent."""
@@ -171,6 +175,8 @@
         outcomes = []
         for step in job.steps:
             self.book.sizes[job.job_id] = step.charge
+        if job.queue.advice is not None:
+            self.book.advised.add(job.job_id)
         for number, step in enumerate(job.steps):
             if step.is_keeper:
                 self.book.keepers.update(map(str, job.tasks(0, number)))
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -8,6 +8,7 @@
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.times import RENEW_MS
+from standins.jobs.advice import AdviceLink
 
 AGENT_TURN_S = 0.1
 ENTRY_TURN_S = 0.2
@@ -97,6 +98,7 @@
             client,
             self.membership,
             self,
+            AdviceLink(deployment.advice, name, self.reactor),
         )
         self.every(RENEW_MS / MILLIS_PER_SECOND, self.membership.turn)
         self.every(ENTRY_TURN_S, self.core.turn)
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -46,6 +46,8 @@
         self.ends = []
         self.sizes = {}
         self.keepers = set()
+        # Jobs whose tasks start with a ticket only.
+        self.advised = set()
         self.broken = []
 
     def started(self, now, worker, run):
@@ -101,6 +103,7 @@
         self.sequence = 0
         self.fails = lambda task: False
         self.fill_tasks = set()
+        self.advice = None
         self.begin()
 
     def begin(self):
@@ -265,6 +268,8 @@
             return StartOutcome.LATE
         if self.is_unhealthy:
             return StartOutcome.UNHEALTHY
+        if not self._has_ticket(start):
+            return StartOutcome.BAD_TICKET
         self.highest_by_task[start.task] = start.attempt
         ends_at = self.reactor.seconds() + self.work_ms(start.task) / SECOND_MS
         run = Run(start.task, start.attempt, ends_at, start.checkpoint)
@@ -273,6 +278,11 @@
         self._check_room()
         return StartOutcome.STARTED
 
+    def _has_ticket(self, start):
+        if start.task.split('.')[0] not in self.book.advised:
+            return True
+        return self.advice.accepts(start.task, self.boot, start.ticket)
+
     def _check_room(self):
         used = Size()
         for run in self.runs.values():
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -10,6 +10,7 @@
 
 from hyssopring.clock import ManualClock
 from hyssopring.jobs import choice
+from hyssopring.jobs.advice_port import NoAdvice
 from hyssopring.jobs.attempts import Attempt, Phase
 from hyssopring.jobs.book import JobRecord
 from hyssopring.jobs.choice import PlacementRound
@@ -248,7 +249,7 @@
     reactor = Clock()
     clock = ReactorClock(reactor)
     planner = StepPlanner(
-        reactor, clock, Fleet(clock), None, None, lambda: True, None
+        reactor, clock, Fleet(clock), None, None, lambda: True, None, None
     )
     rounds = []
 
@@ -277,7 +278,9 @@
             stops.append((agent_id, message.task))
         return True
 
-    owner = JobOwner(None, clock, fleet, send, lambda: True, lambda: 0, print)
+    owner = JobOwner(
+        None, clock, fleet, send, lambda: True, lambda: 0, print, NoAdvice()
+    )
     held = worker_with('00000000', KEEPER, step)
     task, placed = list(held.placed_by_task.items())[1]
     placed.take(
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -35,6 +35,7 @@
             {'state': 'completed', 'age_ms': 9, 'due_ms': 5, 'how': 'done'},
         )
     measures.take(Event.TASK_PLACED, {'report_age_ms': 7})
+    measures.take(Event.ADVICE_GIVEN, {'took_ms': 7})
     return metrics
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,12 +3,15 @@
 import json
 import pathlib
 import re
+from dataclasses import replace
 
 import pytest
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
-from hyssopring.jobs.model import AttemptEnd, Queue
+from hyssopring.jobs.advice_port import AdviceUnavailable, Question
+from hyssopring.jobs.documents import JobRow
+from hyssopring.jobs.model import Advice, AttemptEnd, Job, Queue, Size, Step
 from hyssopring.jobs.rows import (
     Conflict,
     RowCheck,
@@ -19,6 +22,7 @@
 )
 from hyssopring.jobs.worker_port import Start, StartOutcome, WorkerReplaced
 from hyssopring.metrics import Metrics
+from hyssopring.platform.advice import PlatformAdvice, advice_port
 from hyssopring.platform.callers import read_job
 from hyssopring.platform.configuration import read_configuration
 from hyssopring.platform.json_calls import JsonAnswer
@@ -29,7 +33,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WIRE_NAMES = re.compile(
     'run-start|run-stop|rows-tx|rows-get|rows-feed|untilMs|fencingToken|freeCapacity|lastSeen|pathPrefix|'
-    'longRunning|localitySensitive|antiAffinity|checkpointing|runId|memMb|clockMs|HYSSOPRING_NODE_FILE'
+    '/-/advise|perItemMs|decisionMs|recommendation|longRunning|localitySensitive|antiAffinity|checkpointing|runId|memMb|clockMs|HYSSOPRING_NODE_FILE'
 )
 
 
@@ -240,6 +244,7 @@
         (Answers(409, {'reason': 'fence'}), StartOutcome.FENCED),
         (Answers(409, {'reason': 'old'}), StartOutcome.OLD),
         (Answers(409, {'reason': 'room'}), StartOutcome.NO_ROOM),
+        (Answers(409, {'reason': 'ticket'}), StartOutcome.BAD_TICKET),
         (Answers(503), StartOutcome.UNHEALTHY),
     ],
 )
@@ -247,6 +252,96 @@
     assert result_of(worker_with(answers).start(START)) is outcome
     assert answers.calls[0][4] == (('Expected-Instance', 'i-1'),)
     assert 'checkpoint' not in answers.calls[0][2]
+    assert 'ticket' not in answers.calls[0][2]
+
+
+def test_a_start_carries_its_ticket():
+    answers = Answers(200, {'clockMs': 1})
+    worker_with(answers).start(replace(START, ticket='c81e-7a21d94b'))
+    assert answers.calls[0][2]['ticket'] == 'c81e-7a21d94b'
+
+
+QUESTION = Question('5c0e7a21d94b36f8.0.1', ('i-1', 'i-2'), 250)
+
+
+def advice_with(answers):
+    advice = PlatformAdvice(None, '127.0.0.1:1')
+    advice._client = answers
+    return advice
+
+
+def test_a_question_and_its_answer_are_translated():
+    answers = Answers(200, {'approved': [['i-2', 'c8-7']], 'validMs': 3000})
+    advised = result_of(advice_with(answers).ask(QUESTION))
+    assert advised.ticket_by_boot == {'i-2': 'c8-7'}
+    assert advised.valid_ms == 3000
+    method, path, fields, limit_ms = answers.calls[0]
+    assert (method, path) == ('POST', '/-/advise')
+    assert fields == {'step': QUESTION.step, 'workers': ['i-1', 'i-2']}
+    assert limit_ms > 500
+
+
+def test_nobody_approved_is_an_answer():
+    for fields in ({'approved': []}, {'approved': [], 'validMs': 3000}):
+        advised = result_of(advice_with(Answers(200, fields)).ask(QUESTION))
+        assert advised.ticket_by_boot == {}
+
+
+@pytest.mark.parametrize(
+    'answers',
+    [
+        Answers(429),
+        Answers(503),
+        Answers(500),
+        Answers(200, {'approved': 'i-2'}),
+        Answers(200, {'approved': [['i-2']]}),
+        Answers(200, {'approved': None}),
+        Answers(200, {'approved': [], 'validMs': 'soon'}),
+        Answers(error=TimeoutError()),
+    ],
+)
+def test_what_is_no_answer_says_why(answers):
+    failure = result_of(advice_with(answers).ask(QUESTION))
+    assert failure.check(AdviceUnavailable) and str(failure.value)
+
+
+def test_without_an_address_each_question_fails():
+    asked = advice_port(None, '').ask(QUESTION)
+    assert result_of(asked).check(AdviceUnavailable)
+
+
+def test_a_queue_s_recommendation_is_its_advice():
+    route = {
+        'name': 'a',
+        'host': 'h.example',
+        'pathPrefix': '/a/',
+        'service': 's',
+    }
+    asks = {'decisionMs': 120, 'perItemMs': 4.5, 'validMs': 3000}
+    document = {
+        'version': 3,
+        'routes': [
+            {**route, 'recommendation': asks},
+            {**route, 'name': 'b', 'pathPrefix': '/b/'},
+        ],
+    }
+    table = read_configuration(json.dumps(document))
+    queue = table.find('h.example', '/a/x').queue
+    assert queue.advice == Advice(120, 4.5, 3000)
+    assert table.find('h.example', '/b/x').queue.advice is None
+
+
+def test_a_stored_job_keeps_its_queue_s_advice_and_older_rows_are_read():
+    plain = Queue('q', 's', 0, 1, 2, 100)
+    for queue in (plain, replace(plain, advice=Advice(120, 4.5, 3000))):
+        row = JobRow(Job('1' * 16, queue, 'x', (Step(1, Size(1)),)), 5)
+        assert JobRow.from_text(row.to_text()) == row
+    assert (
+        'advice'
+        not in JobRow(
+            Job('1' * 16, plain, 'x', (Step(1, Size(1)),)), 5
+        ).to_text()
+    )
 
 
 def test_another_incarnation_is_told_from_silence():
