--- a/hyssopring/jobs/advice_choice.py
+++ b/hyssopring/jobs/advice_choice.py
@@ -130,30 +130,38 @@
     missing = len(inquiry.run.waiting) - sum(
         inquiry.fit(seat, is_empty) for seat in known
     )
-    useful = [seat for seat in unknown if inquiry.fit(seat, is_empty)]
-    if missing <= 0:
+    if missing <= 0 or not any(inquiry.fit(seat, is_empty) for seat in unknown):
         return ()
-    useful.sort(key=partial(_rank, inquiry))
-    return _pick(inquiry, useful, missing, is_empty)
+    return _pick(
+        inquiry,
+        sorted(unknown, key=partial(_rank, inquiry)),
+        missing,
+        is_empty,
+    )
 
 
 def _pick(
     inquiry: Inquiry,
-    useful: list[Seat],
+    ranked: list[Seat],
     missing: int,
     is_empty: bool,
 ) -> tuple[str, ...]:
-    """Name workers until enough of them are likely to be approved."""
+    """Name workers until enough of them are likely to be approved.
+
+    Those without room come last: they are named only to make up a question
+    that would cost as much again later.
+    """
     fewest = _fewest(inquiry)
     picked: list[str] = []
     likely: float = 0
-    for seat in useful[: _most(inquiry.advice)]:
-        if likely >= missing and len(picked) >= fewest:
+    for seat in ranked[: _most(inquiry.advice)]:
+        fits = inquiry.fit(seat, is_empty)
+        if len(picked) >= fewest and (likely >= missing or not fits):
             break
         picked.append(seat.boot)
         is_approved = seat.boot in inquiry.tickets.approved
         chance = 1 if is_approved else inquiry.share
-        likely += chance * inquiry.fit(seat, is_empty)
+        likely += chance * fits
     return tuple(picked)
 
 
