Tests of advice: two guards whose absence no test noticed

Cause: trials on a scratch copy with one guard out at a time: with a rejected ticket kept, and with workers counted as known that hold as many tasks of a step as they may, all of test_jobs_advice passed.

Change: the test of tickets that are not taken also looks at each ticket's rejections; the test of keepers apart has workers that are all taken and tickets that last a minute. Both are stricter than before.

Run: 24 tests of test_jobs_advice pass; each of the two fails with its guard out.

--- a/standins/jobs/advice.py
+++ b/standins/jobs/advice.py
@@ -58,7 +58,9 @@
         until = self._tickets.get((step, boot, ticket), 0)
         if self.reactor.seconds() < until:
             return True
-        self.rejected_starts.append((self.reactor.seconds(), task, boot))
+        self.rejected_starts.append(
+            (self.reactor.seconds(), task, boot, ticket)
+        )
         return False
 
     def take(self, asker, question, answer):
--- a/tests/test_jobs_advice.py
+++ b/tests/test_jobs_advice.py
@@ -267,6 +267,12 @@
     assert not starts_of(deployment, job)
     assert 4 <= len(deployment.advice.rejected_starts) <= 60
     assert len(deployment.advice.questions) <= 20
+    times_by_ticket = {}
+    for time, _task, _boot, ticket in deployment.advice.rejected_starts:
+        times_by_ticket.setdefault(ticket, []).append(time)
+    assert all(
+        max(times) - min(times) < 0.1 for times in times_by_ticket.values()
+    )
     deployment.advice.voids = False
     deployment.run(16)
     assert deployment.state(job.job_id) is JobState.COMPLETED
@@ -361,21 +367,20 @@
 
 
 def test_keepers_apart_from_each_other_get_further_workers():
-    """Approved workers that hold as many as they may do not count."""
-    deployment = settled(workers=12, work_ms=lambda task: 60_000)
-    job = advised_job(steps=((6, ()),), is_keeper=True, max_per_worker=1)
+    """Approved workers that hold as many as they may do not count.
+
+    The tickets last for a minute: those of the seven others must not keep the
+    owner from asking for the eighth worker's new life.
+    """
+    deployment = settled(workers=8, work_ms=lambda task: 60_000)
+    deployment.advice.valid_ms = 60_000
+    job = a_job(steps=((8, ()),), is_keeper=True, max_per_worker=1)
+    lasting = replace(ADVICE, valid_ms=60_000)
+    job = replace(job, queue=replace(job.queue, advice=lasting))
     deployment.submit(job)
     deployment.run(4)
-    assert len(places_of(deployment, job)) == 6
-    victim = next(
-        worker
-        for worker in deployment.workers
-        if worker.name in places_of(deployment, job)
-    )
-    victim.crash()
+    assert len(places_of(deployment, job)) == 8
+    deployment.workers[3].crash()
     deployment.run(16)
-    running = [
-        run for worker in deployment.workers for run in worker.runs.values()
-    ]
-    assert len(running) == 6
+    assert all(len(worker.runs) == 1 for worker in deployment.workers)
     assert not deployment.advice.rejected_starts
