Owners: an owner row is a sign of life, and a short reign tells its wait

Change: an owner row that is newer than the last renewal read of its entry gives that entry 3 s to renew, counted for that row. Who drops a shard tells for how long agents that it does not name may still run something, by its own wait.

--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -78,7 +78,8 @@
         self._is_stale = False
         self._taking: set[int] = set()
         self._free_since: dict[int, float] = {}
-        self._missing_since: dict[str, float] = {}
+        # When an owner row was first read of whose entry nothing is known.
+        self._missing_since: dict[int, float] = {}
         self._is_stopping = False
         self.owned: Callable[[], tuple[int, ...]] = tuple
         self.on_acquired: Callable[[ShardReign], None] = _ignore
@@ -261,7 +262,7 @@
         if is_live is not None:
             return is_live
         now = self._clock.now()
-        since = self._missing_since.setdefault(former.incarnation, now)
+        since = self._missing_since.setdefault(version, now)
         return now - since < ENTRY_SILENT_MS
 
     def _is_next(self, shard: int, former: OwnerRow | None) -> bool:
--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -53,26 +53,24 @@
         return self._clock.now() <= self._wait_until
 
     @property
-    def may_act(self) -> bool:
-        """Whether a former owner may still order and grant."""
-        return self.acts_for_ms > 0
+    def wait_ms(self) -> float:
+        """For how long an agent of which nothing is known may run tasks."""
+        return max(0, self._wait_until - self._clock.now())
 
     @property
-    def acts_for_ms(self) -> float:
-        """For how long a former owner may still act, or its grants hold."""
-        if self.is_over:
-            return 0
-        return max(0, self._wait_until - self._clock.now())
+    def may_act(self) -> bool:
+        """Whether a former owner may still order and grant."""
+        return not self.is_over and self.has_wait
 
     def gave_up(self, told: ShardGivenUp, received_at: float) -> None:
         """The former owner orders nothing more: its grants run out by age.
 
-        One before it may still act, for as long as the former one had to wait.
+        Of agents that it had not heard it knew for how long to wait. One
+        before it may still act for as long.
         """
-        if self._has_earlier:
-            wait_until = received_at + told.wait_ms
-            self._wait_until = min(self._wait_until, wait_until)
-        else:
+        wait_until = received_at + told.wait_ms
+        self._wait_until = min(self._wait_until, wait_until)
+        if not self._has_earlier:
             self.is_over = True
             self._given_up_at = received_at
         for grant in told.grants:
--- a/hyssopring/jobs/handover.py
+++ b/hyssopring/jobs/handover.py
@@ -18,7 +18,7 @@
         for agent_id, worker in fleet.by_agent.items()
         if agent_id in owned.heard
     ]
-    wait_ms = int(owned.former.acts_for_ms)
+    wait_ms = int(owned.former.wait_ms)
     return ShardGivenUp(owned.shard, owned.reign, grants, wait_ms)
 
 
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -316,8 +316,8 @@
 
     Attributes:
         grants: Of the agents that had confirmed the reign.
-        wait_ms: For how long an owner before the sender may still act, as far
-            as the sender knows; 0 for not at all.
+        wait_ms: For how long an agent that is not named may still run tasks,
+            by the sender's own wait for the owners before it.
     """
 
     shard: int
--- a/hyssopring/jobs/peer_entries.py
+++ b/hyssopring/jobs/peer_entries.py
@@ -71,9 +71,13 @@
         seen = self._seen_by_entry.get(former.entry_id)
         if seen is None:
             return None
-        if seen.row.incarnation == former.incarnation:
+        if seen.row.incarnation != former.incarnation:
+            return False if seen.version > version else None
+        if seen.version > version or self.is_live(former.entry_id):
             return self.is_live(former.entry_id)
-        return False if seen.version > version else None
+        # It has taken the shard since its last renewal that was read here: a
+        # newer sign of life, after which it is given time to renew.
+        return None
 
     def is_replaced(self, former: OwnerRow, version: int) -> bool:
         """Whether another process has followed the one in an owner row.
--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -7,8 +7,19 @@
 
 from twisted.internet.defer import fail
 
+from hyssopring.clock import ManualClock
+from hyssopring.jobs.documents import EntryRow, OwnerRow
+from hyssopring.jobs.former_owner import FormerOwner, ShardReign
+from hyssopring.jobs.messages import AgentGrant, ShardGivenUp
+from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.row_keys import owner_key
-from hyssopring.jobs.rows import RowPut, StoreRefused, Transaction
+from hyssopring.jobs.rows import (
+    Row,
+    RowKey,
+    RowPut,
+    StoreRefused,
+    Transaction,
+)
 from standins.jobs.deployment import Deployment, a_job, settled, starts_of
 
 LONG_MS = 90_000
@@ -340,3 +351,37 @@
     owned = successor.core.owner.shards.by_shard[0]
     assert owned.is_loaded
     assert owned.unheard == {'agent-0'}
+
+
+def test_a_former_owner_that_had_just_begun_tells_how_long_to_wait():
+    """An owner drops a shard 40 ms after it took it, unheard by most agents.
+
+    Its successor knew nothing of those it had not heard, and waited 18.4 s
+    for VMs that were gone, though the former owner had to wait 8.4 s only.
+    """
+    clock = ManualClock(0)
+    taken = ShardReign(0, 5, 1, 0, is_former_over=False, confirmed_at=0)
+    former = FormerOwner(clock, taken)
+    told = ShardGivenUp(0, 4, [AgentGrant('heard', 20)], wait_ms=8300)
+    former.gave_up(told, 0)
+    clock.advance(8335)
+    assert not former.may_run_on('not-heard')
+    assert former.may_run_on('heard')
+    clock.advance(20)
+    assert not former.may_run_on('heard')
+
+
+def test_an_owner_row_is_a_sign_of_life_of_its_entry():
+    """An entry wakes after seconds, and takes a shard before it renews.
+
+    Its row is old, and another entry took the shard from it within 10 ms, as
+    from a silent owner.
+    """
+    clock = ManualClock(0)
+    peers = PeerEntries(clock, 'me')
+    row = EntryRow('b:1', 'process', (), 1).to_text()
+    peers.read([Row(RowKey('hs_entry', '', 'b'), row, 5)])
+    clock.advance(4000)
+    owner = OwnerRow('b', 'process', 2)
+    assert peers.is_owner_live(owner, 7) is None
+    assert peers.is_owner_live(owner, 4) is False
