--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -13,8 +13,9 @@
 from twisted.web.client import Agent
 from twisted.web.server import Site
 
-from hyssopring.jobs.documents import OwnerRow, owner_key
+from hyssopring.jobs.documents import OwnerRow
 from hyssopring.jobs.model import Size
+from hyssopring.jobs.row_keys import owner_key
 from hyssopring.jobs.rows import RowKey, RowPut, Transaction
 from soak.platform.plan import ENTRIES, JOINERS, OWNER, RUNNERS
 from soak.platform.proxy import Proxy, Weather
