--- a/tests/test_jobs_evidence.py
+++ b/tests/test_jobs_evidence.py
@@ -32,6 +32,22 @@
     raise AssertionError('nobody has taken the shard')
 
 
+def with_keepers():
+    """Three workers and two keepers; the number and worker of one of them."""
+    deployment = settled(workers=3, work_ms=lambda task: 60_000)
+    job = a_job(steps=((2, ()),), is_keeper=True, max_per_worker=1)
+    deployment.submit(job)
+    deployment.run(1)
+    number = next(
+        number for number, each in enumerate(deployment.workers) if each.runs
+    )
+    return deployment, number, deployment.workers[number]
+
+
+def keepers_running(deployment):
+    return sum(len(each.runs) for each in deployment.workers)
+
+
 def test_an_agent_that_a_new_owner_has_not_heard_is_not_given_up():
     """A job comes to an owner that has just taken the shard.
 
@@ -62,15 +78,7 @@
     and ended for good. Its successor as an owner knew it from the roster only
     and waited 8.4 s for it, before it started the keeper that ran there.
     """
-    deployment = settled(workers=3, work_ms=lambda task: 60_000)
-    job = a_job(steps=((2, ()),), is_keeper=True, max_per_worker=1)
-    deployment.submit(job)
-    deployment.run(1)
-    number, worker = next(
-        (number, each)
-        for number, each in enumerate(deployment.workers)
-        if each.runs
-    )
+    deployment, number, worker = with_keepers()
     worker.is_leaving = True
     owner = deployment.entries[deployment.owner]
     owner.core.release()
@@ -81,8 +89,7 @@
     worker.is_dark = True
     deployment.stop_agent(f'agent-{number}')
     deployment.run(6)
-    running = [task for each in deployment.workers for task in each.runs]
-    assert len(running) == 2
+    assert keepers_running(deployment) == 2
 
 
 def test_a_worker_that_has_ended_before_its_agent_holds_up_no_keeper():
@@ -92,15 +99,7 @@
     there, and the worker lists no ends any more. The agent knows that a
     worker that withdrew and is silent since runs nothing.
     """
-    deployment = settled(workers=3, work_ms=lambda task: 60_000)
-    job = a_job(steps=((2, ()),), is_keeper=True, max_per_worker=1)
-    deployment.submit(job)
-    deployment.run(1)
-    number, worker = next(
-        (number, each)
-        for number, each in enumerate(deployment.workers)
-        if each.runs
-    )
+    deployment, number, worker = with_keepers()
     agent = deployment.agents[f'agent-{number}']
     deployment.entries[deployment.owner].core.release()
     agent.core.watch.withdraw(worker.boot)
@@ -110,8 +109,7 @@
     deployment.run(1)
     deployment.stop_agent(agent.name)
     deployment.run(6)
-    running = [task for each in deployment.workers for task in each.runs]
-    assert len(running) == 2
+    assert keepers_running(deployment) == 2
 
 
 def test_a_deposed_owner_leaves_jobs_to_its_successor():
