--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -11,6 +11,7 @@
 from hyssopring.jobs.documents import EntryRow, OwnerRow
 from hyssopring.jobs.former_owner import FormerOwner, ShardReign
 from hyssopring.jobs.messages import AgentGrant, ShardGivenUp
+from hyssopring.jobs.model import AttemptEnd
 from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.row_keys import owner_key
 from hyssopring.jobs.rows import (
@@ -385,3 +386,46 @@
     owner = OwnerRow('b', 'process', 2)
     assert peers.is_owner_live(owner, 7) is None
     assert peers.is_owner_live(owner, 4) is False
+
+
+def test_an_entry_that_starts_after_a_release_knows_that_it_happened():
+    """All entries are replaced in turn, and VMs with them.
+
+    No other entry was there to be told when the owner gave the shard up. The
+    next one had just started, and did not take the last word of agents that
+    ended after that: it waited 8.4 s for them, and keepers with it.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former, 2)
+    deployment.kill_entry(successor.name)
+    deployment.run(0.1)
+    former.core.release()
+    deployment.run(0.5)
+    deployment.start_entry(successor.name)
+    deployment.run(1.2)
+    number = busy(deployment)
+    worker = deployment.workers[number]
+    worker.is_leaving = True
+    deployment.agents[f'agent-{number}'].beat()
+    for run in list(worker.runs.values()):
+        worker.end(run, AttemptEnd.STOPPED)
+    deployment.run(0.7)
+    worker.is_dark = True
+    deployment.stop_agent(f'agent-{number}')
+    deployment.run(4)
+    owned = deployment.entries[successor.name].core.owner.shards.by_shard[0]
+    assert owned.former.is_over
+    assert not owned.unheard
+
+
+def test_an_entry_that_stops_does_not_come_first_for_a_shard():
+    """Two of three entries are stopped in turn; both still show that they live.
+
+    The third one left the shard to them, 1.5 s to each, while neither took it.
+    """
+    deployment, former, others = three(entries=3)
+    others[0].core.release()
+    deployment.run(1.2)
+    former.core.release()
+    deployment.run(1.3)
+    assert others[1].core.owner.shards.by_shard
