Entries: what the owner's row says of a release counts, and who stops comes last

Cause: the next owner took an agent's last word only if the former owner had told it that it gave the shard up. Where all entries are replaced in turn nobody is there to be told; the owner's row says it as well, from when it was first read as released, or as of a process that is dead. And entries that were stopping still counted among those that come first for a free shard, 1.5 s each. Change: an agent that ended after the owner's row was first read so need not be waited for; an entry that stops shows no processor time, and so comes last.

--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -80,6 +80,9 @@
         self._free_since: dict[int, float] = {}
         # When an owner row was first read of whose entry nothing is known.
         self._missing_since: dict[int, float] = {}
+        # When an owner row was first read whose owner is over: an agent that
+        # ends after that had no later orders of it.
+        self._over_since: dict[int, float] = {}
         self._is_stopping = False
         self.owned: Callable[[], tuple[int, ...]] = tuple
         self.on_acquired: Callable[[ShardReign], None] = _ignore
@@ -152,7 +155,8 @@
             self._address,
             self._incarnation,
             self.owned(),
-            self._cores,
+            # Those that stop take no shard, and must not come first for one.
+            0 if self._is_stopping else self._cores,
         )
         # A renewal that is carried out late must not follow one of the next
         # process of this entry: that one would be taken for replaced.
@@ -281,6 +285,8 @@
         version = row.version if row else 0
         if former is not None and self._is_owner_live(former, version):
             return None
+        if self._is_over(former, version):
+            self._over_since.setdefault(version, self._clock.now())
         if not self._is_next(shard, former):
             return None
         reading = self._store.read_one(wait_key(shard))
@@ -320,6 +326,7 @@
             is_former_over=is_over,
             confirmed_at=sent_at,
             has_earlier=wait is not None,
+            over_since=self._over_since.get(version),
         )
         return taking.addCallback(self._taken, taken_reign)
 
--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -19,6 +19,7 @@
             has given the shard up, or its process is dead.
         confirmed_at: When the call was sent that took the shard.
         has_earlier: Whether an owner before the former one may still act.
+        over_since: Since when this entry knows that the former owner is over.
     """
 
     shard: int
@@ -28,6 +29,7 @@
     is_former_over: bool
     confirmed_at: float
     has_earlier: bool = False
+    over_since: float | None = None
 
 
 class FormerOwner:
@@ -45,7 +47,8 @@
         wait_ms = LOST_AFTER_MS if taken.is_former_over else ROSTER_WAIT_MS
         self._wait_until = taken.acquired_at + wait_ms
         self._lost_at_by_agent: dict[str, float] = {}
-        self._given_up_at: float | None = None
+        # The last word of an agent that ended after this time holds.
+        self._given_up_at = taken.over_since if taken.is_former_over else None
 
     @property
     def has_wait(self) -> bool:
@@ -72,7 +75,8 @@
         self._wait_until = min(self._wait_until, wait_until)
         if not self._has_earlier:
             self.is_over = True
-            self._given_up_at = received_at
+            if self._given_up_at is None:
+                self._given_up_at = received_at
         for grant in told.grants:
             lost_at = received_at - grant.age_ms + LOST_AFTER_MS
             self._lost_at_by_agent[grant.agent_id] = lost_at
