--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -22,11 +22,12 @@
     TaskFacts,
     WorkerReport,
 )
-from hyssopring.jobs.model import Job, Queue, Size, Step, TaskName
+from hyssopring.jobs.model import AttemptEnd, Job, Queue, Size, Step, TaskName
 from hyssopring.jobs.owner import JobOwner
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.planning import StepPlanner
 from hyssopring.jobs.urgency import urgency
+from standins.jobs.deployment import a_job, settled, starts_of
 from standins.jobs.processes import ReactorClock
 
 FILLER = Step(
@@ -311,3 +312,24 @@
     assert not relieved(0, worker_with('keepers', KEEPER))
     assert not relieved(0, worker_with('full', *[FILLER] * 8))
     assert not relieved(0, quiet, step=replace(FILLER, saves=False), percent=60)
+
+
+def test_a_keeper_that_lost_its_worker_comes_before_batch_work():
+    """VMs are taken away under load, and keepers have to move.
+
+    A keeper's job was handed in long ago, so that it counted as overdue, and
+    each free place went to batch tasks: it ran nowhere for nine seconds.
+    """
+    deployment = settled(workers=1, entries=1, work_ms=lambda task: 1000)
+    keeper = a_job(1, steps=((1, ()),), is_keeper=True)
+    deployment.submit(keeper)
+    deployment.run(20)
+    for number in range(2, 12):
+        deployment.submit(a_job(number, steps=((16, ()),)))
+    deployment.run(1)
+    before = len(starts_of(deployment, keeper))
+    for run in list(deployment.workers[0].runs.values()):
+        if run.task.startswith(keeper.job_id):
+            deployment.workers[0].end(run, AttemptEnd.STOPPED)
+    deployment.run(2.5)
+    assert len(starts_of(deployment, keeper)) == before + 1
