Planning: keepers come before batch work

Moved from a worker that leaves while work waits, it came after all jobs in time, as long as these kept coming. Change: a step of keepers comes first of all.

--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -15,6 +15,8 @@
 # A job that ends after three times its objective earns its caller nothing
 # more than one that ends much later.
 _LATEST: Final = 3
+# Keepers come before the first priority of queues, which is 0.
+_KEEPERS: Final = -1
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -36,6 +38,11 @@
 
 def urgency(record: JobRecord, run: StepRun, wall_ms: float) -> Urgency:
     """Return the urgency of a step's waiting tasks at a time of day."""
+    if run.step.is_keeper:
+        # Before all else: its users are without it until it runs again, and
+        # it is small beside what waits. By its job's age it would count as
+        # overdue, and wait behind batch tasks for as long as these come.
+        return Urgency(_KEEPERS, 0, record.accepted_ms)
     priority = record.job.queue.priority
     deadline = record.deadline(run.occurrence)
     latest_start = deadline - record.job.tails[run.number]
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -320,8 +320,12 @@
     A keeper's job was handed in long ago, so that it counted as overdue, and
     each free place went to batch tasks: it ran nowhere for nine seconds.
     """
-    deployment = settled(workers=1, entries=1, work_ms=lambda task: 1000)
     keeper = a_job(1, steps=((1, ()),), is_keeper=True)
+    deployment = settled(
+        workers=1,
+        entries=1,
+        work_ms=lambda task: 90_000 if keeper.job_id in task else 1000,
+    )
     deployment.submit(keeper)
     deployment.run(20)
     for number in range(2, 12):
