--- a/tests/test_jobs_takeover.py
+++ b/tests/test_jobs_takeover.py
@@ -200,6 +200,17 @@
     assert sorted(listed_agents(deployment)) == ['agent-0', 'agent-1']
 
 
+def forget_job(deployment, job):
+    """Let the owner know nothing of a job that runs."""
+    core = deployment.entries[deployment.owner].core
+    owned = core.owner.shards.by_shard[0]
+    record = owned.by_job.pop(job.job_id)
+    owned._live.pop(job.job_id)
+    for worker in core.fleet.by_agent.values():
+        worker.placed_by_task.clear()
+    return core, owned, record
+
+
 def test_a_running_task_of_a_job_that_is_found_later_is_not_started_again():
     """A former owner starts a job just after its successor read the shard.
 
@@ -211,12 +222,7 @@
     job = a_job(steps=((3, ()),))
     deployment.submit(job)
     deployment.run(1)
-    core = deployment.entries[deployment.owner].core
-    owned = core.owner.shards.by_shard[0]
-    record = owned.by_job.pop(job.job_id)
-    owned._live.pop(job.job_id)
-    for worker in core.fleet.by_agent.values():
-        worker.placed_by_task.clear()
+    _core, owned, record = forget_job(deployment, job)
     deployment.run(0.7)
     owned.add(JobRow(record.job, record.accepted_ms), is_inherited=True)
     deployment.run(4)
@@ -235,12 +241,7 @@
     job = a_job(steps=((2, ()),))
     deployment.submit(job)
     deployment.run(1)
-    core = deployment.entries[deployment.owner].core
-    owned = core.owner.shards.by_shard[0]
-    record = owned.by_job.pop(job.job_id)
-    owned._live.pop(job.job_id)
-    for worker in core.fleet.by_agent.values():
-        worker.placed_by_task.clear()
+    core, owned, record = forget_job(deployment, job)
     deployment.run(1)
     core.owner._reader.forget(0)
     deployment.run(15)
