Sight: bytes that had come at a call's time limit, and each text asked of a peer

Cause: the logs could not tell the incident's first two hypotheses apart. A store call that ended by its time limit did not say how much of the answer had come, and nothing was logged of the texts asked of peers. Change: SlowAnswer carries the bytes; event 4004 CONFIGURATION_ASKED; the size of a configuration stands in event 4001. No change of logic.

--- a/hyssopring/jobs/shared_configuration.py
+++ b/hyssopring/jobs/shared_configuration.py
@@ -17,6 +17,7 @@
     JobsMessage,
 )
 from hyssopring.jobs.relay import RelayPeers
+from hyssopring.logs import Event, log_event
 
 __all__ = ('SharedConfiguration',)
 
@@ -98,6 +99,11 @@
             self._is_asking = False
             return
         holder = self._holders.pop(0)
+        log_event(
+            Event.CONFIGURATION_ASKED,
+            version=self._wanted,
+            peer=holder,
+        )
         self._send(holder, ConfigurationQuestion(self._wanted))
         self._reactor.callLater(_ASK_NEXT_S, self._ask)
 
--- a/hyssopring/platform/configuration.py
+++ b/hyssopring/platform/configuration.py
@@ -173,5 +173,6 @@
                 Event.CONFIGURATION_APPLIED,
                 version=table.version,
                 source=source,
+                size=len(text),
             )
             self._on_table(table, text)
--- a/hyssopring/web_client.py
+++ b/hyssopring/web_client.py
@@ -1,10 +1,11 @@
 """Bounded HTTP requests to the platform and to backend servers."""
 
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Iterable
 
 from twisted.internet.abstract import isIPAddress
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
@@ -17,6 +18,7 @@
 
 __all__ = (
     'FetchedAnswer',
+    'SlowAnswer',
     'TooLargeAnswer',
     'TruncatedAnswer',
     'fetch',
@@ -45,6 +47,10 @@
     """An answer is longer than is accepted."""
 
 
+class SlowAnswer(TimeoutError):
+    """An answer was not whole within its time limit."""
+
+
 class _Gatherer(Protocol):
     """Gathers a body up to a limit.
 
@@ -55,11 +61,11 @@
     def __init__(self) -> None:
         self.body: Deferred = Deferred(lambda _body: self._abort())
         self._parts: list[bytes] = []
-        self._size = 0
+        self.size = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
-        self._size += len(data)
-        if self._size <= MAX_ANSWER_BYTES:
+        self.size += len(data)
+        if self.size <= MAX_ANSWER_BYTES:
             self._parts.append(data)
         elif not self.body.called:
             error = TooLargeAnswer(f'more than {MAX_ANSWER_BYTES} bytes')
@@ -72,7 +78,7 @@
         if reason.check(ResponseDone):
             self.body.callback(b''.join(self._parts))
             return
-        error = TruncatedAnswer(f'the answer was cut at {self._size} bytes')
+        error = TruncatedAnswer(f'the answer was cut at {self.size} bytes')
         self.body.errback(error)
 
     def _abort(self) -> None:
@@ -169,18 +175,26 @@
         raw,
         _BytesProducer(body) if body else None,
     )
-    deferred.addCallback(_gather)
-    deferred.addTimeout(timeout_ms / MILLIS_PER_SECOND, reactor)
+    gatherer = _Gatherer()
+    deferred.addCallback(_gather, gatherer)
+    deferred.addTimeout(
+        timeout_ms / MILLIS_PER_SECOND,
+        reactor,
+        partial(_too_late, gatherer),
+    )
     return deferred
 
 
-def _gather(response: Any) -> Deferred:
+def _too_late(gatherer: _Gatherer, _failure: Any, limit_s: float) -> None:
+    raise SlowAnswer(f'{gatherer.size} bytes came within {limit_s} s')
+
+
+def _gather(response: Any, gatherer: _Gatherer) -> Deferred:
     pairs = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
         for name, texts in response.headers.getAllRawHeaders()
         for text in texts
     )
-    gatherer = _Gatherer()
     response.deliverBody(gatherer)
     gatherer.body.addCallback(
         lambda body: FetchedAnswer(response.code, pairs, body),
