Store calls: an answer that keeps coming is waited for

On a link of 10 Mbit/s a configuration of 2,800 queues, 0.75 MB, takes longer beside other traffic; it was thrown away and begun anew, and where all links are narrow 5,600 queues were never in force. Change: fetch takes a limit of silence. What has begun may go on as long as no pause is longer than 1.2 s; a call that is given up drops its connection, and counts as no failure of the store.

--- a/hyssopring/platform/json_calls.py
+++ b/hyssopring/platform/json_calls.py
@@ -48,8 +48,12 @@
         fields: dict[str, Any] | None,
         timeout_ms: float,
         headers: tuple[tuple[str, str], ...] = (),
+        silence_ms: float | None = None,
     ) -> Deferred:
-        """Return a deferred ``JsonAnswer``; fails if none came whole."""
+        """Return a deferred ``JsonAnswer``; fails if none came whole.
+
+        For the time limits see ``fetch``.
+        """
         body = b'' if fields is None else json.dumps(fields).encode()
         calling = fetch(
             self._reactor,
@@ -59,6 +63,7 @@
             body,
             timeout_ms,
             (_JSON, *headers),
+            silence_ms,
         )
         return calling.addCallback(_read)
 
--- a/hyssopring/platform/store.py
+++ b/hyssopring/platform/store.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 from urllib.parse import urlencode
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import MILLIS_PER_SECOND
@@ -36,9 +36,11 @@
 _IDLE_S: Final = 30
 # Characters of a reason in the log.
 _MAX_DETAIL: Final = 200
-# An answer takes 9 ms; on slow days up to 0.8 s. A silent connection costs
-# this much before a new one is tried.
-_TIMEOUT_MS: Final = 1200.0
+# An answer begins after 9 ms; on slow days after up to 0.8 s. A silent
+# connection costs this much before a new one is tried. What has begun may take
+# its time: on a link of 5 Mbit/s a large configuration or a page of jobs needs
+# seconds, and thrown away at a time limit it would be begun anew for ever.
+_SILENCE_MS: Final = 1200.0
 # Not done, and said so.
 _REFUSALS: Final = frozenset((429, 503, 403, 507))
 
@@ -65,7 +67,7 @@
             'writes': [_put(put) for put in transaction.puts],
             'remove': [_place(place) for place in transaction.removals],
         }
-        calling = self._call('POST', _TX, fields, _TIMEOUT_MS)
+        calling = self._call('POST', _TX, fields, _SILENCE_MS)
         calling.addCallbacks(self._committed, self._uncertain)
         return calling
 
@@ -94,7 +96,7 @@
             'GET',
             f'{_FEED}?{urlencode(asked)}',
             None,
-            _TIMEOUT_MS + wait_ms,
+            _SILENCE_MS + wait_ms,
         )
         calling.addCallbacks(self._answered, self._unread)
         return calling.addCallback(_changes)
@@ -104,7 +106,7 @@
             'GET',
             f'{_GET}?{urlencode(asked)}',
             None,
-            _TIMEOUT_MS,
+            _SILENCE_MS,
         )
         calling.addCallbacks(self._answered, self._unread)
         return calling
@@ -117,7 +119,13 @@
         timeout_ms: float,
     ) -> Deferred:
         begun_s = self._reactor.seconds()
-        calling = self._client.call(method, path, fields, timeout_ms)
+        calling = self._client.call(
+            method,
+            path,
+            fields,
+            timeout_ms,
+            silence_ms=_SILENCE_MS,
+        )
         return calling.addCallbacks(
             self._measured,
             self._unanswered,
@@ -138,7 +146,8 @@
         return answer
 
     def _unanswered(self, failure: TwistedFailure) -> TwistedFailure:
-        self._metrics.count('store_calls_total{status="none"}')
+        if not failure.check(CancelledError):
+            self._metrics.count('store_calls_total{status="none"}')
         return failure
 
     def _committed(self, answer: JsonAnswer) -> Committed | Conflict:
@@ -167,6 +176,9 @@
         raise StoreUncertain(repr(failure.value))
 
     def _unread(self, failure: TwistedFailure) -> None:
+        if failure.check(CancelledError):
+            # Given up by the caller: that says nothing of the store.
+            failure.raiseException()
         self._lost(repr(failure.value))
         raise StoreRefused(repr(failure.value))
 
--- a/hyssopring/web_client.py
+++ b/hyssopring/web_client.py
@@ -1,11 +1,15 @@
 """Bounded HTTP requests to the platform and to backend servers."""
 
 from dataclasses import dataclass
-from functools import partial
-from typing import Any, Iterable
+from typing import Any, Callable, Iterable
 
 from twisted.internet.abstract import isIPAddress
-from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    TimeoutError,
+    maybeDeferred,
+)
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
@@ -58,13 +62,15 @@
     that ends with the connection alone may have been cut anywhere.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_bytes: Callable[[], None]) -> None:
         self.body: Deferred = Deferred(lambda _body: self._abort())
-        self._parts: list[bytes] = []
         self.size = 0
+        self._on_bytes = on_bytes
+        self._parts: list[bytes] = []
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         self.size += len(data)
+        self._on_bytes()
         if self.size <= MAX_ANSWER_BYTES:
             self._parts.append(data)
         elif not self.body.called:
@@ -148,6 +154,57 @@
     )
 
 
+class _Exchange:
+    """One request and its answer, until it is whole, late or given up."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        timeout_ms: float,
+        silence_ms: float | None,
+    ) -> None:
+        self.outcome: Deferred = Deferred(self._given_up)
+        self._requesting: Deferred = Deferred()
+        self._silence_ms = silence_ms
+        self._timeout_ms = timeout_ms
+        self._gatherer = _Gatherer(self._bytes_came)
+        self._timer = reactor.callLater(
+            timeout_ms / MILLIS_PER_SECOND,
+            self._too_late,
+        )
+
+    def begin(self, requesting: Deferred) -> None:
+        self._requesting = requesting
+        requesting.addCallback(_gather, self._gatherer)
+        requesting.addBoth(self._settle)
+
+    def _bytes_came(self) -> None:
+        if self._silence_ms is not None and self._timer.active():
+            self._timeout_ms = self._silence_ms
+            self._timer.reset(self._silence_ms / MILLIS_PER_SECOND)
+
+    def _too_late(self) -> None:
+        size = self._gatherer.size
+        detail = f'{size} bytes came, the last {self._timeout_ms} ms ago'
+        if self._silence_ms is None:
+            detail = f'{size} bytes came within {self._timeout_ms} ms'
+        self._end(SlowAnswer(detail))
+
+    def _given_up(self, _outcome: Deferred) -> None:
+        self._end(CancelledError())
+
+    def _end(self, error: Exception) -> None:
+        """Fail, and drop the connection with what may still come on it."""
+        self._settle(TwistedFailure(error))
+        self._requesting.cancel()
+
+    def _settle(self, outcome: Any) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+        if not self.outcome.called:
+            self.outcome.callback(outcome)
+
+
 def fetch(
     reactor: Any,
     agent: Agent,
@@ -156,37 +213,43 @@
     body: bytes = b'',
     timeout_ms: float = 2000,
     headers: Iterable[tuple[str, str]] = _JSON,
+    silence_ms: float | None = None,
 ) -> Deferred:
     """Send one request and gather the whole answer.
 
+    Args:
+        reactor: Keeps the time.
+        agent: See ``pooled_agent``.
+        method: Of the request.
+        url: Of the request.
+        body: Of the request.
+        timeout_ms: Within this time the answer has to be whole.
+        headers: Of the request.
+        silence_ms: If given, ``timeout_ms`` is for the answer's first bytes
+            only, and it may go on as long as no pause is longer than this:
+            for answers whose length no one time limit fits on each link.
+
     Returns:
         A deferred ``FetchedAnswer``; it fails when the connection breaks,
-        when the body is shorter than announced, and at the timeout.
+        when the body is shorter than announced, and at the timeout. To cancel
+        it drops the connection.
     """
     raw = Headers()
     for name, text in headers:
         # One byte a character, as they came; the library would take UTF-8.
         raw.addRawHeader(name.encode('latin-1'), text.encode('latin-1'))
+    exchange = _Exchange(reactor, timeout_ms, silence_ms)
     # A method or an address that the library refuses fails the deferred too.
-    deferred = maybeDeferred(
-        agent.request,
-        method.encode(),
-        url.encode(),
-        raw,
-        _BytesProducer(body) if body else None,
-    )
-    gatherer = _Gatherer()
-    deferred.addCallback(_gather, gatherer)
-    deferred.addTimeout(
-        timeout_ms / MILLIS_PER_SECOND,
-        reactor,
-        partial(_too_late, gatherer),
+    exchange.begin(
+        maybeDeferred(
+            agent.request,
+            method.encode(),
+            url.encode(),
+            raw,
+            _BytesProducer(body) if body else None,
+        ),
     )
-    return deferred
-
-
-def _too_late(gatherer: _Gatherer, _failure: Any, limit_s: float) -> None:
-    raise SlowAnswer(f'{gatherer.size} bytes came within {limit_s} s')
+    return exchange.outcome
 
 
 def _gather(response: Any, gatherer: _Gatherer) -> Deferred:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -168,7 +168,7 @@
         self.error = error
         self.calls = []
 
-    def call(self, *call):
+    def call(self, *call, silence_ms=None):
         self.calls.append(call)
         answer = succeed(self.answer)
         if self.error:
