Configuration: peers pass it on packed, part by part

Cause: an entry that has not had a newer configuration 0.25 s after a peer's word asked for the whole text, 0.4 s later of the next holder, and so on: three or four copies of 0.56 MB shared a link of 0.7 MB/s with the store's own answer, held up what came behind them, and were relayed by peers besides. Ruled out: processors (2 to 12% busy), a late store (wide entries had each change within 0.13 s). Change: a holder sends the text compressed (some 40 KB in place of 0.6 MB) in parts of 16 KB, each asked for by itself, so that no time limit depends on the length; one holder at a time; once it is in force the store's answer with the same row is cut short. The follower reads the store directly, no more through peers. Entries of the release before get and give whole texts as they did.

--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -6,6 +6,12 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.advice_port import AdvicePort
+from hyssopring.jobs.configuration_messages import (
+    ConfigurationNotice,
+    ConfigurationPart,
+    ConfigurationQuestion,
+    ConfigurationText,
+)
 from hyssopring.jobs.desk import JobDesk
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.entries import EntryMembership
@@ -15,9 +21,6 @@
 from hyssopring.jobs.messages import (
     AgentLeft,
     CancelNotice,
-    ConfigurationNotice,
-    ConfigurationQuestion,
-    ConfigurationText,
     Grant,
     JobAnswer,
     JobNotice,
@@ -203,6 +206,7 @@
     @take.register(ConfigurationNotice)
     @take.register(ConfigurationQuestion)
     @take.register(ConfigurationText)
+    @take.register(ConfigurationPart)
     def _take_configuration(self, message: JobsMessage, peer_id: str) -> None:
         self.configuration.take(message, peer_id)
 
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -7,6 +7,12 @@
 from types import MappingProxyType
 from typing import Any, Final, get_args
 
+from hyssopring.jobs.configuration_messages import (
+    ConfigurationNotice,
+    ConfigurationPart,
+    ConfigurationQuestion,
+    ConfigurationText,
+)
 from hyssopring.jobs.relay_messages import (
     RelayedAnswer,
     RelayedChanges,
@@ -28,9 +34,6 @@
     'AgentLeft',
     'AttemptReport',
     'CancelNotice',
-    'ConfigurationNotice',
-    'ConfigurationQuestion',
-    'ConfigurationText',
     'EndReport',
     'EndsRecorded',
     'EntryAddresses',
@@ -340,27 +343,6 @@
     ends: list[EndReport]
 
 
-@struct
-class ConfigurationNotice:
-    """The sender has this version of the configuration in force."""
-
-    version: int
-
-
-@struct
-class ConfigurationQuestion:
-    """Asks for the configuration, if the receiver has this version."""
-
-    version: int
-
-
-@struct
-class ConfigurationText:
-    """The configuration that the sender has in force, as it is stored."""
-
-    text: str
-
-
 JobsMessage = (
     EntryGreeting
     | AgentGreeting
@@ -388,6 +370,7 @@
     | ConfigurationNotice
     | ConfigurationQuestion
     | ConfigurationText
+    | ConfigurationPart
 )
 
 # The first byte of a frame is the class's place here: new ones go last.
--- a/hyssopring/platform/configuration.py
+++ b/hyssopring/platform/configuration.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic import alias_generators
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.jobs.model import Advice, Queue
@@ -12,12 +12,14 @@
 from hyssopring.jobs.rows import (
     Changes,
     HistoryLost,
+    Page,
     Row,
     RowKey,
     RowStore,
     StoreRefused,
     StoreUncertain,
 )
+from hyssopring.jobs.stored_configuration import StoredConfiguration
 from hyssopring.logs import Event, log_event
 
 __all__ = ('ConfigurationFollower', 'read_configuration')
@@ -27,7 +29,10 @@
 # A connection that has gone silent is noticed this much later; changes are
 # to be in force 2 s after they were acknowledged.
 _WAIT_MS: Final = 800
+# After a failed call, doubled up to the second: the peers of an entry that the
+# store turns away tell it what is new.
 _RETRY_S: Final = 0.2
+_MAX_RETRY_S: Final = 0.8
 
 
 class _Model(BaseModel):
@@ -104,47 +109,77 @@
         self,
         reactor: Any,
         store: RowStore,
-        on_table: Callable[[QueueTable, str], None],
+        on_table: Callable[[QueueTable, StoredConfiguration], None],
     ) -> None:
-        """Pass each new table on, and the text that it was read from."""
+        """Pass each new table on, and what it was read from."""
         self._reactor = reactor
         self._store = store
         self._on_table = on_table
         self._version = -1
         self._seen = 0
+        self._reading: Deferred | None = None
+        self._retry_s = _RETRY_S
 
     def start(self) -> None:
         """Read the configuration, then follow its changes."""
         reading = self._store.read(_TABLE, '', _PLACE.key)
-        reading.addCallbacks(self._read, self._failed)
-        reading.addErrback(self._broken)
+        self._await(reading, self._read)
 
-    def take_from_peer(self, text: str) -> None:
-        """Take the row's text from an entry that the store has answered."""
-        self._take_text(text, 'peer')
+    def take_from_peer(self, stored: StoredConfiguration) -> None:
+        """Take the row from an entry that has it.
 
-    def _read(self, page: Any) -> None:
-        self._take(page.rows)
-        self._seen = page.version
-        self._follow()
+        The store's own answer with the same row is cut short: on a narrow link
+        it would go on for seconds, and the next change would wait behind it.
+        """
+        if self._take_stored(stored, 'peer') and stored.row_version:
+            self._seen = max(self._seen, stored.row_version)
+            if self._reading is not None:
+                self._reading.cancel()
 
     def _follow(self) -> None:
-        following: Deferred = self._store.changes(_TABLE, self._seen, _WAIT_MS)
-        following.addCallbacks(self._changed, self._failed)
-        following.addErrback(self._broken)
+        following = self._store.changes(_TABLE, self._seen, _WAIT_MS)
+        self._await(following, self._changed)
+
+    def _await(self, reading: Deferred, take: Callable[[Any], None]) -> None:
+        self._reading = reading
+        reading.addCallbacks(take, self._failed)
+        reading.addErrback(self._broken)
+
+    def _read(self, page: Page) -> None:
+        self._take(page.rows)
+        self._seen = max(self._seen, page.version)
+        self._go_on()
 
     def _changed(self, changes: Changes) -> None:
         self._take(changes.rows)
         self._seen = max(self._seen, changes.version)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        self._retry_s = _RETRY_S
         self._follow()
 
     def _failed(self, failure: TwistedFailure) -> None:
-        reason = failure.trap(HistoryLost, StoreRefused, StoreUncertain)
-        if reason is HistoryLost:
-            self._reactor.callLater(0, self.start)
+        reason = failure.trap(
+            CancelledError,
+            HistoryLost,
+            StoreRefused,
+            StoreUncertain,
+        )
+        if reason is CancelledError:
+            self._again(0, self._follow)
+        elif reason is HistoryLost:
+            self._again(0, self.start)
         else:
-            again = self._follow if self._seen else self.start
-            self._reactor.callLater(_RETRY_S, again)
+            self._again(
+                self._retry_s,
+                self._follow if self._seen else self.start,
+            )
+            self._retry_s = min(2 * self._retry_s, _MAX_RETRY_S)
+
+    def _again(self, pause_s: float, call: Callable[[], None]) -> None:
+        self._reading = None
+        self._reactor.callLater(pause_s, call)
 
     def _broken(self, failure: TwistedFailure) -> None:
         """An error of ours in taking a table: say so, and follow on."""
@@ -154,25 +189,29 @@
             detail=repr(failure.value),
             trace=failure.getBriefTraceback(),
         )
-        self._reactor.callLater(_RETRY_S, self.start)
+        self._again(_RETRY_S, self.start)
 
     def _take(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.place.key == _PLACE.key and not row.is_removed:
-                self._take_text(row.text, 'store')
+                stored = StoredConfiguration(row.text, row.version)
+                self._take_stored(stored, 'store')
 
-    def _take_text(self, text: str, source: str) -> None:
+    def _take_stored(self, stored: StoredConfiguration, source: str) -> bool:
+        """Put a configuration in force, if it is newer; tell whether it was."""
         try:
-            table = read_configuration(text)
+            table = read_configuration(stored.text)
         except ValidationError as error:
             log_event(Event.PEER_ERROR, peer='op', detail=str(error))
-            return
-        if table.version > self._version:
-            self._version = table.version
-            log_event(
-                Event.CONFIGURATION_APPLIED,
-                version=table.version,
-                source=source,
-                size=len(text),
-            )
-            self._on_table(table, text)
+            return False
+        if table.version <= self._version:
+            return False
+        self._version = table.version
+        log_event(
+            Event.CONFIGURATION_APPLIED,
+            version=table.version,
+            source=source,
+            size=len(stored.text),
+        )
+        self._on_table(table, stored)
+        return True
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -16,6 +16,7 @@
 )
 from hyssopring.jobs.queues import QueueTable
 from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.stored_configuration import StoredConfiguration
 from hyssopring.jobs.times import RENEW_MS
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
@@ -50,12 +51,12 @@
         self._clock: Clock = MonotonicClock()
         self._metrics = Metrics()
         self._metrics.collect(self._gauge)
-        store = RelayedStore(
+        direct = PlatformStore(
             reactor,
-            self._clock,
-            PlatformStore(reactor, settings.platform.address, self._metrics),
-            self,
+            settings.platform.address,
+            self._metrics,
         )
+        store = RelayedStore(reactor, self._clock, direct, self)
         self._membership = EntryMembership(
             reactor,
             self._clock,
@@ -92,8 +93,14 @@
         )
         self._callers = CallersResource(self._clock, self.core.desk)
         self._ready = ReadyResource()
-        self._follower = ConfigurationFollower(reactor, store, self._configured)
-        self.core.configuration.on_text = self._follower.take_from_peer
+        # Not through peers: they tell of a newer configuration by themselves,
+        # and pass it on in less than the whole answer that a relay would.
+        self._follower = ConfigurationFollower(
+            reactor,
+            direct,
+            self._configured,
+        )
+        self.core.configuration.on_stored = self._follower.take_from_peer
         self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
         self._is_stopping = False
         self._addresses: list[str] = []
@@ -181,9 +188,13 @@
         table = self._callers.table
         gauge('configuration_version', table.version if table else 0)
 
-    def _configured(self, table: QueueTable, text: str) -> None:
+    def _configured(
+        self,
+        table: QueueTable,
+        stored: StoredConfiguration,
+    ) -> None:
         self._callers.table = table
-        self.core.configuration.applied(table.version, text)
+        self.core.configuration.applied(table.version, stored)
 
     def _entries_known(self) -> None:
         addresses = sorted(self._membership.addresses.values())
--- a/standins/configuration_site.py
+++ b/standins/configuration_site.py
@@ -38,7 +38,7 @@
         self.follower = ConfigurationFollower(
             site.reactor, store, self._configured
         )
-        self.shared.on_text = self.follower.take_from_peer
+        self.shared.on_stored = self.follower.take_from_peer
 
     @property
     def connected_entries(self):
@@ -53,9 +53,9 @@
         """See ``Peers``."""
         return self._site.carry(self.name, peer_id, message)
 
-    def _configured(self, table, text):
+    def _configured(self, table, stored):
         self.in_force_at[table.version] = self._site.reactor.seconds()
-        self.shared.applied(table.version, text)
+        self.shared.applied(table.version, stored)
 
 
 class ConfigurationSite:
--- a/tests/test_configuration_narrow_links.py
+++ b/tests/test_configuration_narrow_links.py
@@ -61,3 +61,55 @@
     site.row.commit(7, a_configuration(7, 5600, latency_ms=310))
     site.run_until(20)
     assert not late(site, (5, 7))
+
+
+def test_a_change_passed_on_by_peers_does_not_leave_the_link_full(monkeypatch):
+    """The store's answer, which holds the same, is cut short.
+
+    It went on for 2.4 s, and calls that hand jobs in waited behind it.
+    """
+    site = ConfigurationSite(monkeypatch, 2, 1, LINK_5_MBIT)
+    site.run_until(5)
+    site.row.commit(5, a_configuration(5, 2800))
+    site.run_until(6)
+    link = site.by_name['narrow-0'].link
+    carried = link.carried
+    site.run_until(7)
+    assert site.delays(5)['narrow-0'] < 1
+    # Empty answers of the store, and nothing else.
+    assert link.carried - carried < 1000
+
+
+def test_peers_that_are_gone_leave_the_change_to_the_store(monkeypatch):
+    """All holders die as they are asked; the store's answer goes on."""
+    site = ConfigurationSite(monkeypatch, 2, 1, LINK_10_MBIT)
+    site.run_until(5)
+    site.row.commit(5, a_configuration(5, 2800))
+    site.run_until(5.2)
+    site.dead |= {'wide-0', 'wide-1'}
+    site.run_until(10)
+    assert site.delays(5)['narrow-0'] < IN_FORCE_S
+
+
+def test_an_entry_that_the_store_ignores_gets_a_large_change(monkeypatch):
+    site = ConfigurationSite(monkeypatch, 2, 1, LINK_5_MBIT)
+    site.run_until(5)
+    site.row.is_silent_for = {'narrow-0'}
+    site.row.commit(5, a_configuration(5, 2800))
+    site.run_until(10)
+    assert site.delays(5)['narrow-0'] < 1
+
+
+def test_changes_in_quick_succession(monkeypatch):
+    """Eight large versions within 2 s; the feed holds each of them."""
+    site = ConfigurationSite(monkeypatch, 2, 2, LINK_5_MBIT)
+    for number in range(8):
+        site.run_until(5 + number / 4)
+        version = 10 + number
+        site.row.commit(version, a_configuration(version, 2800, 300 + number))
+    site.run_until(12)
+    assert not late(site, (17,))
+    assert all(
+        sorted(entry.in_force_at) == list(entry.in_force_at)
+        for entry in site.by_name.values()
+    )
--- a/tests/test_jobs_configuration.py
+++ b/tests/test_jobs_configuration.py
@@ -3,18 +3,23 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from hyssopring.jobs.messages import ConfigurationText
+from hyssopring.jobs.configuration_messages import (
+    ConfigurationPart,
+    ConfigurationText,
+)
+from hyssopring.jobs.stored_configuration import StoredConfiguration
 from hyssopring.platform.configuration import ConfigurationFollower
 from standins.jobs.deployment import settled
 
 TABLE = '{"version": %d, "routes": []}'
+SEVEN = StoredConfiguration('seven', 70)
 
 
 def followed(deployment):
     """What each entry is told by its peers, by the entry's name."""
     told = {name: [] for name in deployment.entries}
     for name, entry in deployment.entries.items():
-        entry.core.configuration.on_text = told[name].append
+        entry.core.configuration.on_stored = told[name].append
     return told
 
 
@@ -25,7 +30,7 @@
         carry = entry.answer
 
         def answer(peer_id, message, carry=carry):
-            if isinstance(message, ConfigurationText):
+            if isinstance(message, (ConfigurationText, ConfigurationPart)):
                 sent.append(peer_id)
             return carry(peer_id, message)
 
@@ -43,9 +48,9 @@
     deployment = settled()
     told = followed(deployment)
     for name in ('entry-0', 'entry-1'):
-        deployment.entries[name].core.configuration.applied(7, 'seven')
+        deployment.entries[name].core.configuration.applied(7, SEVEN)
     deployment.run(0.5)
-    assert told == {'entry-0': [], 'entry-1': [], 'entry-2': ['seven']}
+    assert told == {'entry-0': [], 'entry-1': [], 'entry-2': [SEVEN]}
 
 
 def test_no_text_is_sent_to_entries_that_the_store_answers():
@@ -54,7 +59,7 @@
     sent = count_texts(deployment)
     told = followed(deployment)
     for entry in deployment.entries.values():
-        entry.core.configuration.applied(7, 'seven')
+        entry.core.configuration.applied(7, SEVEN)
         deployment.run(0.05)
     deployment.run(2)
     assert not sent
@@ -65,13 +70,13 @@
     """Two entries have a new version, and the first to say so is killed."""
     deployment = settled()
     told = followed(deployment)
-    deployment.entries['entry-0'].core.configuration.applied(7, 'seven')
+    deployment.entries['entry-0'].core.configuration.applied(7, SEVEN)
     deployment.run(0.1)
-    deployment.entries['entry-1'].core.configuration.applied(7, 'seven')
+    deployment.entries['entry-1'].core.configuration.applied(7, SEVEN)
     deployment.run(0.1)
     deployment.kill_entry('entry-0')
     deployment.run(1)
-    assert told['entry-2'] == ['seven']
+    assert told['entry-2'] == [SEVEN]
 
 
 def test_an_entry_that_starts_while_the_store_is_away_learns_the_version():
@@ -79,13 +84,13 @@
     deployment = settled()
     told = followed(deployment)
     holder, newcomer = deployment.entries['entry-0'], 'entry-1'
-    holder.core.configuration.applied(7, 'seven')
+    holder.core.configuration.applied(7, SEVEN)
     told[newcomer].clear()
     deployment.run(1)
     told[newcomer].clear()
     holder.core.configuration.greeted(newcomer)
     deployment.run(0.5)
-    assert told[newcomer] == ['seven']
+    assert told[newcomer] == [SEVEN]
 
 
 def test_an_older_text_of_a_peer_does_not_replace_the_one_in_force():
@@ -99,9 +104,9 @@
     follower = ConfigurationFollower(
         reactor,
         Silent(),
-        lambda table, _text: tables.append(table.version),
+        lambda table, _stored: tables.append(table.version),
     )
     follower.start()
     for version in (7, 6, 7, 9):
-        follower.take_from_peer(TABLE % version)
+        follower.take_from_peer(StoredConfiguration(TABLE % version, 0))
     assert tables == [7, 9]
