Table service: rows that come slowly are waited for

Change: the limit is one of silence. test_the_table_service_may_send_its_rows_ slowly fails without it (10 bytes came within 1000 ms). No deployment was seen to meet this.

--- a/hyssopring/store/client.py
+++ b/hyssopring/store/client.py
@@ -92,6 +92,8 @@
             self._url + path,
             body,
             timeout_ms,
+            # All rows of a prefix may need longer on a narrow link.
+            silence_ms=timeout_ms,
         )
         deferred.addCallbacks(_parsed, _failed)
         deferred.addCallback(finish)
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 
+from hyssopring.store import client
 from hyssopring.web_client import SlowAnswer, TruncatedAnswer, fetch
 
 SILENCE_MS = 1200
@@ -126,3 +127,18 @@
     response.end(ConnectionAborted())
     assert outcomes[0].check(TruncatedAnswer)
     assert not clock.getDelayedCalls()
+
+
+def test_the_table_service_may_send_its_rows_slowly(clock, monkeypatch):
+    """All rows of a prefix need longer than the call's time limit."""
+    requesting, response, rows = Deferred(), Response(), []
+    agent = SimpleNamespace(request=lambda *_request: requesting)
+    monkeypatch.setattr(client, 'pooled_agent', lambda *_how: agent)
+    transport = client.HttpTransport(clock, 'http://table:1')
+    transport.send_read('jobs/', 1000, rows.append)
+    requesting.callback(response)
+    for piece in (b'{"rows": [', b'["jobs/a", 1, "own", {}', b']]}'):
+        clock.advance(0.8)
+        response.send(piece)
+    response.end(ResponseDone())
+    assert [row.key for row in rows[0].unwrap()] == ['jobs/a']
