Relays: long answers go to a peer in pieces

A page of the store, up to 1 MB, and all changes since a version went to a peer in one message, which was waited for 1.5 s: on a link of 5 Mbit/s an owner that the store turns away could never load a shard of some 300 large jobs, and the message held up all others. Change: the peer sends the first 128 KB of rows and says that there is more, or up to which version they go; whoever asks goes on behind them already. Tests: three, of which two fail without it (a page of 1,066,847 bytes in one message).

--- a/hyssopring/jobs/relayed_calls.py
+++ b/hyssopring/jobs/relayed_calls.py
@@ -10,6 +10,7 @@
     RelayedCommit,
     StoredRow,
 )
+from hyssopring.jobs.relayed_pieces import first_changes, first_rows
 from hyssopring.jobs.rows import (
     Changes,
     Committed,
@@ -104,11 +105,18 @@
         case Conflict(rows):
             return _answer(number, RelayedKind.CONFLICT, rows)
         case Page(rows, has_more, version):
-            page = _answer(number, RelayedKind.PAGE, rows, version)
-            page.has_more = has_more
+            piece = first_rows(rows)
+            page = _answer(number, RelayedKind.PAGE, piece, version)
+            page.has_more = has_more or len(piece) < len(rows)
             return page
-        case Changes(rows, version):
-            return _answer(number, RelayedKind.CHANGES, rows, version)
+        case Changes():
+            first = first_changes(outcome)
+            return _answer(
+                number,
+                RelayedKind.CHANGES,
+                first.rows,
+                first.version,
+            )
         case Row():
             return _answer(number, RelayedKind.PAGE, (outcome,))
     return _answer(number, RelayedKind.PAGE, ())
--- a/tests/test_jobs_relay.py
+++ b/tests/test_jobs_relay.py
@@ -4,10 +4,12 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
+from hyssopring.jobs.messages import pack
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.relay_messages import RelayedAnswer, RelayedRead
-from hyssopring.jobs.rows import StoreRefused
+from hyssopring.jobs.relayed_calls import answer_of, outcome_of
+from hyssopring.jobs.rows import Changes, Page, Row, RowKey, StoreRefused
 from standins.jobs.deployment import a_job, settled, starts_of
 from standins.jobs.processes import ReactorClock
 
@@ -229,3 +231,53 @@
     reactor.advance(1.1)
     store.serve(RelayedRead(8, 'op', '', '', False), 'other')
     assert direct.calls == 2
+
+
+def _job_row(number, text, version=0):
+    place = RowKey('my', 'p0', f'job-{number:04d}')
+    return Row(place, text, version or number)
+
+
+def test_a_long_page_goes_to_a_peer_in_pieces():
+    """An owner that the store turns away loads a shard of 300 large jobs.
+
+    A whole page, 1 MB in one message, needs 3 s on a link of 5 Mbit/s; the
+    peer's answer is waited for 1.5 s, so that it never came.
+    """
+    rows = tuple(_job_row(number, 'x' * 3500) for number in range(1, 301))
+    found, left = [], rows
+    while left:
+        answer = answer_of(Page(left, False, 9), 1)
+        assert len(pack(answer)) < 150_000
+        page = outcome_of(answer)
+        found.extend(page.rows)
+        left = left[len(page.rows) :]
+        assert page.has_more == bool(left)
+    assert tuple(found) == rows
+
+
+def test_long_changes_go_to_a_peer_in_pieces():
+    """None is lost, and no transaction's rows are told apart."""
+    rows = tuple(
+        _job_row(number, 'x' * 3500, version=number // 3)
+        for number in range(3, 303)
+    )
+    found, after = [], 0
+    while True:
+        left = tuple(row for row in rows if row.version > after)
+        changes = outcome_of(answer_of(Changes(left, 200), 1))
+        if changes.version == 200:
+            break
+        assert changes.rows
+        found.extend(changes.rows)
+        after = changes.version
+    found.extend(changes.rows)
+    assert tuple(found) == rows
+
+
+def test_rows_that_are_longer_than_a_piece_go_one_by_one():
+    rows = tuple(_job_row(number, 'x' * 300_000) for number in range(1, 4))
+    page = outcome_of(answer_of(Page(rows, False, 9), 1))
+    assert (len(page.rows), page.has_more) == (1, True)
+    changes = outcome_of(answer_of(Changes(rows, 9), 1))
+    assert (len(changes.rows), changes.version) == (1, 1)
