Tests: the demo's last command is repeated until the task is placed

The test repeats the command that explains a task until it succeeds; it succeeds as soon as the task is known, and that run's output shows it as waiting, attempt 0. Change: repeat until the output names the placement, within the same 10 s; the assertion stays.

--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -37,8 +37,13 @@
             )
             for line in printed
         ]
-        # A person types slower than a task is placed.
-        again = f'for _ in $(seq 20); do {explained} && exit; sleep 0.5; done'
+        # A person types slower than a task is placed; before that the command
+        # succeeds too, and says that the task waits.
+        again = (
+            f'for _ in $(seq 20); do told=$({explained}) || true; '
+            'echo "$told"; [[ $told == *TASK_PLACED* ]] && exit; '
+            'sleep 0.5; done'
+        )
         seen = subprocess.run(
             ['bash', '-eu', '-c', '\n'.join([*before, again, 'exit 1'])],
             cwd=ROOT,
