Reports: counted ends and unknown jobs are modules of their own

Each is a class with its own limits and reasons now; no change of behaviour. The tests of jobs pass.

--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -1,7 +1,6 @@
 """What agents' reports mean for the jobs of the owned shards."""
 
-from dataclasses import dataclass
-from typing import Final, Protocol, TypeVar
+from typing import Protocol, TypeVar
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
@@ -15,34 +14,19 @@
 from hyssopring.jobs.model import AttemptEnd, JobState, TaskName
 from hyssopring.jobs.owned_shard import Ack, OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.seen_ends import SeenEnds
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.stopping import mark_stopping
 from hyssopring.jobs.task_facts import facts_of
 from hyssopring.jobs.times import LAPSED_MS
+from hyssopring.jobs.unknown_jobs import UnknownJobs
 from hyssopring.logs import Event, log_event
 
 __all__ = ('ReportReader', 'ReportSink')
 
-_KEPT_ENDS: Final = 2000
-_KEPT_UNKNOWN: Final = 1000
-# An agent that has heard that an end is durable lists it no more with its next
-# report, which comes within half a second.
-_TELL_AGAIN_MS: Final = 1000.0
-# A job that an agent knows and the shard does not is found by a poll within a
-# second or two of the store's answering; outages last up to nine.
-_UNKNOWN_MS: Final = 15_000.0
-
 _Told = TypeVar('_Told', AttemptReport, EndReport)
 
 
-@dataclass(slots=True)
-class _SeenEnd:
-    """An end that was counted, and when its agent was told it is durable."""
-
-    shard: int
-    told_at: float | None = None
-
-
 class ReportSink(Protocol):
     """What a report asks the owner to do."""
 
@@ -76,28 +60,13 @@
         self._fleet = fleet
         self._shards = shards
         self._sink = sink
-        self._seen_ends: dict[Ack, _SeenEnd] = {}
-        self._unknown_since: dict[str, float] = {}
+        self._seen_ends = SeenEnds(clock)
+        self._unknown = UnknownJobs(clock)
 
     def forget(self, shard: int) -> None:
-        """A shard is lost: its ends count anew if it is taken back.
-
-        Some may not be durable; taken for known they would never be written,
-        and their tasks would start again.
-        """
-        self._seen_ends = {
-            ack: seen
-            for ack, seen in self._seen_ends.items()
-            if seen.shard != shard
-        }
-        # A job that is not found yet has its whole time again under a new
-        # reign: counted from the old one, its tasks would be stopped and their
-        # ends dropped before the rows are read.
-        self._unknown_since = {
-            job_id: since
-            for job_id, since in self._unknown_since.items()
-            if shard_of(job_id) != shard
-        }
+        """A shard is lost."""
+        self._seen_ends.forget(shard)
+        self._unknown.forget(shard)
 
     def job_known(self, record: JobRecord) -> None:
         """Read again what agents have told of a job that was not known.
@@ -106,7 +75,7 @@
         started again here, its tasks would run twice.
         """
         job_id = record.job.job_id
-        if self._unknown_since.pop(job_id, None) is None:
+        if not self._unknown.found(job_id):
             return
         owned = self._shards.by_shard[shard_of(job_id)]
         for worker in self._fleet.by_agent.values():
@@ -116,10 +85,7 @@
 
     def recorded(self, acks: list[Ack]) -> None:
         """Ends are durable, and their agents are told so now."""
-        for ack in acks:
-            seen = self._seen_ends.get(ack)
-            if seen is not None:
-                seen.told_at = self._clock.now()
+        self._seen_ends.recorded(acks)
 
     def reconcile(
         self,
@@ -168,14 +134,6 @@
             if TaskName.from_text(attempt.task).job_id == job_id:
                 self._take_attempt(worker, report.boot, attempt, owned)
 
-    def _is_forgotten(self, job_id: str) -> bool:
-        """Whether an unknown job will not be found any more."""
-        now = self._clock.now()
-        since = self._unknown_since.setdefault(job_id, now)
-        if len(self._unknown_since) > _KEPT_UNKNOWN:
-            self._unknown_since.pop(next(iter(self._unknown_since)))
-        return now - since > _UNKNOWN_MS
-
     def _drop_unlisted(
         self,
         worker: Worker,
@@ -203,7 +161,7 @@
     ) -> None:
         name = TaskName.from_text(told.task)
         record = owned.by_job.get(name.job_id)
-        if record is None and not self._is_forgotten(name.job_id):
+        if record is None and not self._unknown.is_forgotten(name.job_id):
             return
         placed = worker.placed_by_task.get(told.task)
         if placed is None or placed.number < told.attempt:
@@ -286,17 +244,15 @@
         owned: OwnedShard,
     ) -> None:
         ack = Ack(worker.agent_id, boot, end.number)
-        seen = self._seen_ends.get(ack)
-        if seen is not None:
-            self._tell_again(ack, seen)
+        if ack in self._seen_ends:
+            if self._seen_ends.must_tell_again(ack):
+                self._sink.recorded([ack])
             return
         name = TaskName.from_text(end.task)
         record = owned.by_job.get(name.job_id)
-        if record is None and not self._is_forgotten(name.job_id):
+        if record is None and not self._unknown.is_forgotten(name.job_id):
             return
-        self._seen_ends[ack] = _SeenEnd(owned.shard)
-        if len(self._seen_ends) > _KEPT_ENDS:
-            self._seen_ends.pop(next(iter(self._seen_ends)))
+        self._seen_ends.add(ack, owned.shard)
         if record is None or record.run_of(name) is None:
             self._sink.recorded([ack])
             return
@@ -306,16 +262,6 @@
         self._apply_end(record, name, end, owned)
         owned.save(record, ack)
 
-    def _tell_again(self, ack: Ack, seen: '_SeenEnd') -> None:
-        """Repeat that an end is durable to an agent that still lists it.
-
-        The message was lost with its connection, or its agent was killed; the
-        worker would list the end for ever, and each look would answer at once.
-        """
-        told_at = seen.told_at
-        if told_at is not None and self._clock.now() - told_at > _TELL_AGAIN_MS:
-            self._sink.recorded([ack])
-
     def _apply_end(
         self,
         record: JobRecord,
