Soak of the platform: one narrow link, large configurations, each entry asked

Cause (why the incident was missed): the soak's configurations had two queues, all its links were loopback's, and its last look asked callers that may have gone on to another entry, so that an entry could be left out. Change: all that comes to one entry of a run shares 0.35 or 0.7 MB/s; a third of the changes add 1,400 queues; at the end each entry is asked by itself, and a large and a small change 1.5 s apart are to be in force within 3 s. Plans are drawn as before; link and sizes come from a draw of their own.

--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 ENTRIES = 3
 RUNNERS = 3
@@ -29,6 +29,11 @@
 OWNER = 'owner'
 # A runner's clock may be 2% slow.
 RATES = (1, 0.98)
+# What a link of 10 and of 5 Mbit/s carries to one entry of each run.
+NARROW_BYTES_PER_S = (700_000, 350_000)
+# How many queues a change of the configuration adds, and all of them at most.
+MORE_QUEUES = (0, 0, 1400)
+MAX_QUEUES = 4200
 
 
 @dataclass(frozen=True)
@@ -68,12 +73,15 @@
     rates: tuple
     jobs: tuple
     events: tuple
+    narrow: str
+    bytes_per_s: int
 
     def lines(self):
         """One line for each event, in their order."""
         rates = ' '.join(map(str, self.rates))
         head = f'seed {self.seed}, {self.seconds} s, runners at rates {rates}'
-        return [head, *map(str, self.events)]
+        link = f'{self.bytes_per_s} bytes a second come to {self.narrow}'
+        return [head, link, *map(str, self.events)]
 
     def work_ms(self, task):
         """How long a task takes, in whatever order tasks are started."""
@@ -86,7 +94,18 @@
     rng = random.Random(f'events {seed}')
     rates = tuple(rng.choice(RATES) for _each in range(RUNNERS + JOINERS))
     jobs = _jobs(random.Random(f'jobs {seed}'), seconds)
-    return Plan(seed, seconds, rates, jobs, _events(rng, seconds))
+    links = random.Random(f'links {seed}')
+    events = tuple(_sized(each, links) for each in _events(rng, seconds))
+    narrow = f'entry-{links.randrange(ENTRIES)}'
+    rate = links.choice(NARROW_BYTES_PER_S)
+    return Plan(seed, seconds, rates, jobs, events, narrow, rate)
+
+
+def _sized(event, rng):
+    """Some changes of the configuration add many queues."""
+    if event.name != 'configure':
+        return event
+    return replace(event, given=(rng.choice(MORE_QUEUES),))
 
 
 def _jobs(rng, seconds):
--- a/soak/platform/proxy.py
+++ b/soak/platform/proxy.py
@@ -6,11 +6,14 @@
 
 import re
 from collections import deque
+from functools import partial
 
 from twisted.internet import reactor
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 CLOSE = object()
+# What one connection puts on a narrow link at a time.
+PIECE_BYTES = 4096
 # The first message on an inner connection names the process that dials.
 NAME = re.compile(rb'(?:entry|agent)-\d+')
 
@@ -20,6 +23,8 @@
 
     def __init__(self):
         self.connections = set()
+        # The link that a way's bytes share with others, by the way.
+        self.link_by_way = {}
         self.heal()
 
     def heal(self):
@@ -87,7 +92,22 @@
             self.waiting.popleft()
             self._pass_on(piece)
 
+    def drop(self):
+        """Nothing more is passed on: the connection was aborted."""
+        self.waiting.clear()
+        link = self.connection.weather.link_by_way.get(self.name)
+        if link is not None:
+            link.drop(self)
+
     def _pass_on(self, piece):
+        link = self.connection.weather.link_by_way.get(self.name)
+        if link is None:
+            self._write(piece)
+            return
+        size = 0 if piece is CLOSE else len(piece)
+        link.send(self, size, partial(self._write, piece))
+
+    def _write(self, piece):
         if piece is CLOSE:
             self.receiver.transport.loseConnection()
         else:
@@ -114,6 +134,8 @@
                 self.abort()
 
     def abort(self):
+        self.up.drop()
+        self.down.drop()
         for end in self.ends:
             end.transport.abortConnection()
 
@@ -138,10 +160,13 @@
             named = NAME.search(data)
             source = named.group().decode() if named else ''
             connection.came_from(connection.proxy.source or source)
-        self.outgoing.put(data)
+        for start in range(0, len(data), PIECE_BYTES):
+            self.outgoing.put(data[start : start + PIECE_BYTES])
 
     def connectionLost(self, reason):
         self.connection.weather.connections.discard(self.connection)
+        # What is on its way to a socket that is closed takes no link any more.
+        self.incoming.drop()
         self.outgoing.put(CLOSE)
 
 
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -4,9 +4,9 @@
 import traceback
 
 from twisted.internet import reactor
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import gatherResults, inlineCallbacks
 
-from soak.platform.callers import Callers, nap
+from soak.platform.callers import Caller, Callers, nap
 from soak.platform.plan import PlannedJob
 from soak.platform.world import World
 
@@ -21,6 +21,11 @@
 QUIET_S = 70
 # A stopped entry serves open connections for 3 s and drains for 1.5 s.
 STOP_S = 10
+# What is promised of a configuration.
+IN_FORCE_S = 3
+# At the end the operator adds so many queues, and makes a small change later.
+LAST_QUEUES = 1400
+BETWEEN_CHANGES_S = 1.5
 # One job for each entry, handed in when the faults are over.
 LATE_JOB = 0xFA0000
 
@@ -36,6 +41,7 @@
         self.broken = []
         self.happened = []
         self.quiet_s = 0
+        self.in_force_s = 0
         self.keepers_s = 0
         self.healed_at = 0
         self.is_over = False
@@ -60,7 +66,9 @@
             f'{len(callers.refused)} refused, '
             f'{len(self.world.book.starts)} task starts, '
             f'keepers after {self.keepers_s:.1f} s, '
-            f'quiet after {self.quiet_s:.1f} s, {len(self.broken)} broken'
+            f'quiet after {self.quiet_s:.1f} s, '
+            f'{self.world.queues} queues in force after '
+            f'{self.in_force_s:.1f} s, {len(self.broken)} broken'
         )
 
     def trace(self):
@@ -144,11 +152,41 @@
 
     @inlineCallbacks
     def _last_looks(self):
+        yield self._in_force()
+        self.world.configure(LAST_QUEUES)
+        yield nap(BETWEEN_CHANGES_S)
+        self.world.configure(0)
+        yield self._in_force()
+        yield self._stop_all()
+
+    @inlineCallbacks
+    def _in_force(self):
+        """All entries have the newest configuration within its time."""
         newest = f'/q{self.world.version}/'
-        for caller in self.callers.callers:
+        looks = [
+            self._told_in_time(name, port, newest)
+            for name, port in self.world.fronts.items()
+        ]
+        took = yield gatherResults(looks)
+        self.in_force_s = max(took)
+
+    @inlineCallbacks
+    def _told_in_time(self, name, port, newest):
+        """Ask one entry, which no other may stand in for; return how long."""
+        caller = Caller(self.world.host, [port], 0)
+        committed_at = reactor.seconds()
+        while True:
             status, _fields = yield caller.call(b'GET', newest)
-            if status != 200:
-                self.broken.append(f'{newest} is told as {status}')
+            took_s = reactor.seconds() - committed_at
+            if status == 200:
+                return took_s
+            if took_s > IN_FORCE_S:
+                self.broken.append(f'{newest} is told as {status} by {name}')
+                return took_s
+            yield nap(TICK_S)
+
+    @inlineCallbacks
+    def _stop_all(self):
         wanted = [
             each for each in self.world.programs.values() if each.is_wanted
         ]
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -17,10 +17,17 @@
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.row_keys import owner_key
 from hyssopring.jobs.rows import RowKey, RowPut, Transaction
-from soak.platform.plan import ENTRIES, JOINERS, OWNER, RUNNERS
+from soak.platform.plan import (
+    ENTRIES,
+    JOINERS,
+    MAX_QUEUES,
+    OWNER,
+    RUNNERS,
+)
 from soak.platform.proxy import Proxy, Weather
 from standins.jobs.rows import MemoryRows
 from standins.jobs.worker import Book, SimWorker
+from standins.narrow_link import NarrowLink, a_configuration
 from standins.platform import RunnerResource, StoreResource, beat
 from standins.programs import free_ports, settings_file, start_program
 
@@ -138,13 +145,16 @@
         self.rows = MemoryRows(reactor)
         self.rows.version = 1
         self.version = 0
-        self.configure()
+        self.queues = 0
+        self.configure(0)
         self.book = SettlingBook()
         self.weathers = {}
         self.programs = {}
         self.workers = {}
         self.fronts = {}
         self._build()
+        self.link = NarrowLink(reactor, plan.bytes_per_s)
+        self._narrow(plan.narrow)
 
     def _build(self):
         names = [f'agent-{each}' for each in range(RUNNERS + JOINERS)]
@@ -171,6 +181,15 @@
             seed = seen['entry-0']
             self._program(name, seed, bind, seed, self._address(app))
 
+    def _narrow(self, entry):
+        """All that comes to an entry from processes and store shares a link."""
+        for name, weather in self.weathers.items():
+            source, _arrow, target = name.partition('>')
+            if source == entry:
+                weather.link_by_way['down'] = self.link
+            if target == entry:
+                weather.link_by_way['up'] = self.link
+
     def _address(self, port):
         return f'{self.host}:{port}'
 
@@ -243,10 +262,12 @@
         program.is_wanted = False
         program.end(signal.SIGTERM)
 
-    def configure(self):
-        """The operator adds a queue; the first one always stays."""
+    def configure(self, more_queues):
+        """The operator adds queues; the first one always stays."""
         self.version += 1
-        routes = [
+        self.queues = min(self.queues + more_queues, MAX_QUEUES)
+        document = json.loads(a_configuration(self.version, self.queues))
+        document['routes'] += [
             {
                 'name': name,
                 'host': HOST_NAME,
@@ -256,11 +277,12 @@
             }
             for name in ('q', f'q{self.version}')
         ]
-        text = json.dumps({'version': self.version, 'routes': routes})
-        self.rows.apply(Transaction((), (RowPut(PLACE, text),), ()))
+        put = RowPut(PLACE, json.dumps(document))
+        self.rows.apply(Transaction((), (put,), ()))
 
     def tick(self):
-        """Look after processes and runners; call often."""
+        """Look after processes, runners and the link; call often."""
+        self.link.turn()
         for worker in self.workers.values():
             worker.settle()
         for program in self.programs.values():
@@ -328,8 +350,8 @@
     def _back(self, thing, name):
         setattr(thing, name, getattr(thing, 'is_gone', False))
 
-    def _do_configure(self):
-        self.configure()
+    def _do_configure(self, more_queues):
+        self.configure(more_queues)
 
     def _do_slow(self, slow_s, lasts):
         self._for_a_while(self.rows, 'slow_s', slow_s, lasts)
--- a/standins/narrow_link.py
+++ b/standins/narrow_link.py
@@ -27,7 +27,8 @@
 
     def __init__(self, reactor, bytes_per_s):
         self._reactor = reactor
-        self._bytes_per_turn = bytes_per_s * TURN_S
+        self._bytes_per_s = bytes_per_s
+        self._turned_at = reactor.seconds()
         self._waiting_by_connection = {}
         self.carried = 0
 
@@ -41,8 +42,10 @@
         self._waiting_by_connection.pop(connection, None)
 
     def turn(self):
-        """Carry what a turn has room for."""
-        left = self._bytes_per_turn
+        """Carry what there was room for since the last turn; call often."""
+        now = self._reactor.seconds()
+        left = (now - self._turned_at) * self._bytes_per_s
+        self._turned_at = now
         while left >= 1 and any(self._waiting_by_connection.values()):
             busy = [
                 connection
