--- a/tests/test_jobs_configuration_parts.py
+++ b/tests/test_jobs_configuration_parts.py
@@ -15,7 +15,7 @@
 from hyssopring.jobs.messages import unpack
 from hyssopring.jobs.shared_configuration import SharedConfiguration
 from hyssopring.jobs.stored_configuration import StoredConfiguration
-from hyssopring.protocol.structs import struct, write_struct
+from hyssopring.protocol.structs import read_struct, struct, write_struct
 from standins.narrow_link import a_configuration
 
 # Four parts of 16 KB.
@@ -209,6 +209,13 @@
     assert answer == ConfigurationText(LARGE.text)
 
 
+def test_an_entry_of_the_release_before_can_read_a_question():
+    """It knows no parts, passes the field over, and gives the whole text."""
+    payload = write_struct(ConfigurationQuestion(SEVEN, 3))
+    question = read_struct(_QuestionWithoutParts, payload)
+    assert question == _QuestionWithoutParts(SEVEN)
+
+
 def test_an_entry_of_the_release_before_may_answer_with_the_whole_text():
     asker = Asker()
     asker.shared.on_stored = asker.taken.append
