--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hyssopring.invariants import Invariants
+from hyssopring.logs import Event, _emit, listen_to_events
 
 KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
 MOST_RED = 3
@@ -41,3 +42,17 @@
 @pytest.fixture(autouse=True)
 def _strict_invariants(monkeypatch):
     monkeypatch.setattr(Invariants, 'is_strict', True)
+
+
+@pytest.fixture
+def errors():
+    """Everything that was logged of broken peers."""
+    logged = []
+
+    def hear(event, fields):
+        if event is Event.PEER_ERROR:
+            logged.append(fields)
+
+    listen_to_events(hear)
+    yield logged
+    _emit._listeners.remove(hear)
