--- a/tests/test_border_runner.py
+++ b/tests/test_border_runner.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from test_border_rows import errors, mutated  # noqa: F401
+from border_support import mutated
 from test_platform import LOOK, Answers, result_of, worker_with
 from twisted.web.test.requesthelper import DummyRequest
 
