--- a/hyssopring/jobs/seen_ends.py
+++ b/hyssopring/jobs/seen_ends.py
@@ -8,7 +8,7 @@
 
 __all__ = ('SeenEnds',)
 
-# The oldest are forgotten: their agents have long been told.
+# So many at most, to bound memory; the oldest are forgotten first.
 _KEPT: Final = 2000
 # An agent that has heard that an end is durable lists it no more with its next
 # report, which comes within half a second.
--- a/hyssopring/jobs/stored_configuration.py
+++ b/hyssopring/jobs/stored_configuration.py
@@ -1,7 +1,7 @@
 """A configuration as the store holds it, packed and cut for narrow links.
 
-A text of 2,800 queues, 0.6 MB, becomes some 40 KB: 0.1 s of a link of 5 Mbit/s
-in place of 1.7 s.
+A text of 2,800 queues, 0.64 MB, becomes 40 KB. On a link of 5 Mbit/s that is
+0.15 s in base64; the store's answer, in base64 as well, takes 2.4 s.
 """
 
 import base64
