Takeover: owners that were killed in a row are known to be dead once they are back

The third owner learned only when it took the shard whether the former one was dead, and of the one before that just that there was one: it waited 18.4 s for the lost VMs' agents, and twelve keepers with it, though both entries were back after 4 s.

Ruled out: waiting less in general (a frozen owner may wake and order agents that the new one does not reach; a test holds that).

Change: the wait row names the owners in doubt by entry, process and version of the owner row, and the owner looks for their deaths for as long as it waits. Rows of the release before have no text and count as an owner nobody knows.

--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -7,7 +7,8 @@
 hs_jobs    shard          job id + '/x'   an entry that cancels, once
 hs_done    shard          job id          the shard's owner
 hs_owner   shard          'owner'         whoever becomes the owner
-hs_owner   shard          'wait'          who takes it from a silent owner
+hs_owner   shard          'wait'          who takes it from a silent owner;
+                                          see ``WaitRow``
 hs_entry   (empty)        entry id        the entry, each second
 hs_agent   shard          agent id        the shard's owner, see ``Roster``
 ========== ============== =============== ================================
@@ -25,10 +26,12 @@
 
 __all__ = (
     'EntryRow',
+    'FormerReign',
     'JobRow',
     'OwnerRow',
     'ProgressRow',
     'UnreadableRow',
+    'WaitRow',
 )
 
 _Document = TypeVar('_Document')
@@ -135,6 +138,43 @@
         return _OWNER_ROW.dump_json(self).decode()
 
 
+@dataclass(frozen=True)
+class FormerReign:
+    """A process that owned a shard, and may still act as its owner.
+
+    Attributes:
+        version: Its owner row's. Only a row of its entry that is newer says
+            that another process has followed it.
+    """
+
+    entry_id: str
+    incarnation: str
+    version: int
+
+
+@dataclass(frozen=True)
+class WaitRow:
+    """Owners before the one in the owner row that may still act."""
+
+    reigns: tuple[FormerReign, ...]
+
+    @classmethod
+    def from_row(cls, row: Row) -> 'WaitRow':
+        """Read a row; one that cannot be read names an owner nobody knows.
+
+        Rows of the release before have no text. That owner is never found
+        dead, and is waited for as long as any silent one.
+        """
+        try:
+            return _read(_WAIT_ROW, 'wait', row.text)
+        except UnreadableRow:
+            return cls((FormerReign('?', f'?{row.version}', row.version),))
+
+    def to_text(self) -> str:
+        """Return the row's text."""
+        return _WAIT_ROW.dump_json(self).decode()
+
+
 @dataclass(frozen=True)
 class EntryRow:
     """A live entry.
@@ -176,4 +216,5 @@
 _JOB_ROW = TypeAdapter(JobRow)
 _PROGRESS_ROW = TypeAdapter(ProgressRow)
 _OWNER_ROW = TypeAdapter(OwnerRow)
+_WAIT_ROW = TypeAdapter(WaitRow)
 _ENTRY_ROW = TypeAdapter(EntryRow)
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -15,8 +15,10 @@
 from hyssopring.clock import Clock
 from hyssopring.jobs.documents import (
     EntryRow,
+    FormerReign,
     OwnerRow,
     UnreadableRow,
+    WaitRow,
 )
 from hyssopring.jobs.former_owner import ShardReign
 from hyssopring.jobs.peer_entries import PeerEntries
@@ -72,6 +74,7 @@
         self._address = address
         self._renewed_at: float | None = None
         self._peers = PeerEntries(clock, entry_id)
+        self.is_dead: Callable[[FormerReign], bool] = self._peers.is_dead
         # The version of this entry's row, 0 while there is none.
         self._version = 0
         self._is_renewing = False
@@ -290,7 +293,7 @@
         version = row.version if row else 0
         if former is not None and self._is_owner_live(former, version):
             return None
-        if self._is_over(former, version):
+        if self._silent(former, version) is None:
             self._over_since.setdefault(version, self._clock.now())
         if not self._is_next(shard, former):
             return None
@@ -304,23 +307,20 @@
         former: OwnerRow | None,
         version: int,
     ) -> Any:
-        """Take the shard; ``wait`` says that an earlier owner may still act.
+        """Take the shard; ``wait`` names earlier owners that may still act.
 
         Without that row the next owner would know of its former one only, and
         wait too little for one before it that was silent and then wakes.
         """
-        is_over = wait is None and self._is_over(former, version)
+        earlier = WaitRow.from_row(wait).reigns if wait else ()
+        in_doubt = tuple(each for each in earlier if not self.is_dead(each))
+        silent = self._silent(former, version)
+        if silent is not None:
+            in_doubt = (*in_doubt, silent)
         reign = former.reign + 1 if former else 1
         taken = OwnerRow(self._entry_id, self._incarnation, reign)
-        place = owner_key(shard)
         taking = self._store.commit(
-            Transaction(
-                (RowCheck(place, version),),
-                (
-                    RowPut(place, taken.to_text()),
-                    *(() if is_over else (RowPut(wait_key(shard), ''),)),
-                ),
-            ),
+            _taking(shard, version, taken, WaitRow(in_doubt)),
         )
         sent_at = self._clock.now()
         taken_reign = ShardReign(
@@ -328,22 +328,26 @@
             reign,
             version=0,
             acquired_at=sent_at,
-            is_former_over=is_over,
+            in_doubt=in_doubt,
             confirmed_at=sent_at,
-            has_earlier=wait is not None,
+            former=silent,
             over_since=self._over_since.get(version),
         )
         return taking.addCallback(self._taken, taken_reign)
 
-    def _is_over(self, former: OwnerRow | None, version: int) -> bool:
-        """Whether a former owner surely orders nothing more.
+    def _silent(
+        self, former: OwnerRow | None, version: int
+    ) -> FormerReign | None:
+        """Return a former owner that may still order, None if it does not.
 
-        It has given the shard up, or another process has followed it under
-        its entry's name. One that is only silent may be frozen or cut off.
+        It orders nothing more once it has given the shard up, or another
+        process has followed it under its entry's name. One that is only
+        silent may be frozen or cut off.
         """
-        if former is None or former.entry_id in {'', self._entry_id}:
-            return True
-        return self._peers.is_replaced(former, version)
+        if former is None or not former.entry_id:
+            return None
+        reign = FormerReign(former.entry_id, former.incarnation, version)
+        return None if self.is_dead(reign) else reign
 
     def _taken(self, outcome: object, taken: ShardReign) -> None:
         if not isinstance(outcome, Committed) or self._is_stopping:
@@ -359,6 +363,24 @@
         self.renew()
 
 
+def _taking(
+    shard: int,
+    version: int,
+    taken: OwnerRow,
+    wait: WaitRow,
+) -> Transaction:
+    """Write the new owner, and for whom next owners have to wait."""
+    place = owner_key(shard)
+    puts = [RowPut(place, taken.to_text())]
+    removals = []
+    if wait.reigns:
+        puts.append(RowPut(wait_key(shard), wait.to_text()))
+    else:
+        removals.append(wait_key(shard))
+    check = RowCheck(place, version)
+    return Transaction((check,), tuple(puts), tuple(removals))
+
+
 def _nothing() -> None:
     """No owner is set yet."""
 
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -216,6 +216,8 @@
 
     def turn(self) -> None:
         """Call a few times a second."""
+        for owned in self.owner.shards.by_shard.values():
+            owned.former.look(self._membership.is_dead)
         self.owner.turn()
 
     def poll(self) -> None:
--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -1,8 +1,10 @@
 """What a new owner of a shard knows of the owners before it."""
 
 from dataclasses import dataclass
+from typing import Callable
 
 from hyssopring.clock import Clock
+from hyssopring.jobs.documents import FormerReign
 from hyssopring.jobs.messages import ShardGivenUp
 from hyssopring.jobs.times import LOST_AFTER_MS, ROSTER_WAIT_MS
 
@@ -15,10 +17,10 @@
 
     Attributes:
         version: The owner row's.
-        is_former_over: Whether no former owner orders anything any more: each
-            has given the shard up, or its process is dead.
+        in_doubt: Former owners that may still order: they have not given the
+            shard up, and are not known to be dead.
         confirmed_at: When the call was sent that took the shard.
-        has_earlier: Whether an owner before the former one may still act.
+        former: The owner before this one if it is among those in doubt.
         over_since: Since when this entry knows that the former owner is over.
     """
 
@@ -26,29 +28,36 @@
     reign: int
     version: int
     acquired_at: float
-    is_former_over: bool
+    in_doubt: tuple[FormerReign, ...]
     confirmed_at: float
-    has_earlier: bool = False
+    former: FormerReign | None = None
     over_since: float | None = None
 
+    @property
+    def is_former_over(self) -> bool:
+        """Whether no former owner orders anything any more."""
+        return not self.in_doubt
 
-class FormerOwner:
-    """For how long what former owners have ordered and granted may act.
 
-    Attributes:
-        is_over: See ``ShardReign.is_former_over``.
-    """
+class FormerOwner:
+    """For how long what former owners have ordered and granted may act."""
 
     def __init__(self, clock: Clock, taken: ShardReign) -> None:
         """Begin with what was known when the shard was taken."""
         self._clock = clock
-        self._has_earlier = taken.has_earlier
-        self.is_over = taken.is_former_over
-        wait_ms = LOST_AFTER_MS if taken.is_former_over else ROSTER_WAIT_MS
+        self._in_doubt = taken.in_doubt
+        self._former = taken.former
+        self._has_earlier = any(each != taken.former for each in taken.in_doubt)
+        wait_ms = LOST_AFTER_MS if self.is_over else ROSTER_WAIT_MS
         self._wait_until = taken.acquired_at + wait_ms
         self._lost_at_by_agent: dict[str, float] = {}
         # The last word of an agent that ended after this time holds.
-        self._given_up_at = taken.over_since if taken.is_former_over else None
+        self._given_up_at = taken.over_since if self.is_over else None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no former owner orders anything any more."""
+        return not self._in_doubt
 
     @property
     def has_wait(self) -> bool:
@@ -73,14 +82,36 @@
         """
         wait_until = received_at + told.wait_ms
         self._wait_until = min(self._wait_until, wait_until)
-        if not self._has_earlier:
-            self.is_over = True
-            if self._given_up_at is None:
-                self._given_up_at = received_at
+        self._leave_in_doubt(lambda each: each != self._former, received_at)
         for grant in told.grants:
             lost_at = received_at - grant.age_ms + LOST_AFTER_MS
             self._lost_at_by_agent[grant.agent_id] = lost_at
 
+    def look(self, is_dead: Callable[[FormerReign], bool]) -> None:
+        """Find out which former owners are dead; call regularly.
+
+        Two owners in a row that are killed tell nobody. Unless the next one
+        learns of their deaths itself, keepers wait for VMs that left for good
+        until a living owner's authority and its grants would have run out.
+        """
+        if self.is_over:
+            return
+        now = self._clock.now()
+        self._leave_in_doubt(lambda each: not is_dead(each), now)
+        if self.is_over:
+            # Their last grants came before their deaths were seen.
+            self._wait_until = min(self._wait_until, now + LOST_AFTER_MS)
+
+    def _leave_in_doubt(
+        self,
+        may_act: Callable[[FormerReign], bool],
+        at: float,
+    ) -> None:
+        """Keep those in doubt that may act; the others were over by then."""
+        self._in_doubt = tuple(filter(may_act, self._in_doubt))
+        if self.is_over and self._given_up_at is None:
+            self._given_up_at = at
+
     def had_given_up(self, at: float) -> bool:
         """Whether the former owner had said by then that it orders nothing."""
         return self._given_up_at is not None and self._given_up_at <= at
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -161,11 +161,10 @@
             for agent_id in self.unheard
             if self.former.may_run_on(agent_id)
         }
-        if not self.former.has_wait:
-            self.roster.waited()
         if self.former.may_act:
             # It may have granted agents that are away, or their next process.
             return
+        self.roster.waited()
         for agent_id in self.roster.agents:
             if agent_id not in self.unheard and runs_nothing(agent_id):
                 self.roster.strike(agent_id)
--- a/hyssopring/jobs/peer_entries.py
+++ b/hyssopring/jobs/peer_entries.py
@@ -4,7 +4,7 @@
 from typing import Final, Iterable
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.documents import EntryRow, OwnerRow
+from hyssopring.jobs.documents import EntryRow, FormerReign, OwnerRow
 from hyssopring.jobs.odd_rows import OddRows
 from hyssopring.jobs.rows import Row
 from hyssopring.jobs.times import ENTRY_SILENT_MS, RENEW_MS
@@ -79,17 +79,20 @@
         # newer sign of life, after which it is given time to renew.
         return None
 
-    def is_replaced(self, former: OwnerRow, version: int) -> bool:
-        """Whether another process has followed the one in an owner row.
+    def is_dead(self, reign: FormerReign) -> bool:
+        """Whether another process has followed a former owner's.
 
         Both have the same VM, so that the former one is dead. An entry's row
         is written on the version that its writer knows: no late write of a
-        dead process can come after one of its successor.
+        dead process can come after one of its successor. A reign of this
+        entry itself was a former process's, or was given up by this one.
         """
-        seen = self._seen_by_entry.get(former.entry_id)
-        if seen is None or seen.row.incarnation == former.incarnation:
+        if reign.entry_id == self._own_id:
+            return True
+        seen = self._seen_by_entry.get(reign.entry_id)
+        if seen is None or seen.row.incarnation == reign.incarnation:
             return False
-        return seen.version > version
+        return seen.version > reign.version
 
     def is_live(self, entry_id: str) -> bool:
         """Whether a known entry's row has changed of late."""
--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import fail
 
 from hyssopring.clock import ManualClock
-from hyssopring.jobs.documents import EntryRow, OwnerRow
+from hyssopring.jobs.documents import EntryRow, FormerReign, OwnerRow
 from hyssopring.jobs.former_owner import FormerOwner, ShardReign
 from hyssopring.jobs.messages import AgentGrant, ShardGivenUp
 from hyssopring.jobs.model import AttemptEnd
@@ -361,7 +361,8 @@
     for VMs that were gone, though the former owner had to wait 8.4 s only.
     """
     clock = ManualClock(0)
-    taken = ShardReign(0, 5, 1, 0, is_former_over=False, confirmed_at=0)
+    before = FormerReign('b', 'process', 1)
+    taken = ShardReign(0, 5, 1, 0, (before,), confirmed_at=0, former=before)
     former = FormerOwner(clock, taken)
     told = ShardGivenUp(0, 4, [AgentGrant('heard', 20)], wait_ms=8300)
     former.gave_up(told, 0)
@@ -429,3 +430,51 @@
     former.core.release()
     deployment.run(1.3)
     assert others[1].core.owner.shards.by_shard
+
+
+def test_two_owners_that_were_killed_are_not_waited_for_once_they_are_back():
+    """A VM is lost for good, and two owners in a row are killed after it.
+
+    The third owner knew of the first only that it may still act, and of the
+    second nothing at all: the lost VM's keeper waited 18.4 s. Both entries
+    were back within seconds, so that their former processes were dead.
+    """
+    deployment, first, others = three(entries=3)
+    job = start_one(deployment, first)
+    number = busy(deployment)
+    deployment.workers[number].crash()
+    deployment.workers[number].is_dark = True
+    deployment.kill_agent(f'agent-{number}')
+    deployment.kill_entry(first.name)
+    second = run_until_taken(deployment, others)
+    deployment.kill_entry(second.name)
+    (third,) = (each for each in others if each is not second)
+    run_until_taken(deployment, [third])
+    deployment.run(1)
+    assert not third.core.owner.shards.by_shard[0].former.is_over
+    deployment.start_entry(first.name)
+    deployment.start_entry(second.name)
+    deployment.run(2)
+    assert third.core.owner.shards.by_shard[0].former.is_over
+    deployment.run(9)
+    assert len(starts_of(deployment, job)) == 2
+
+
+def test_a_silent_owner_stays_in_doubt_however_many_follow_it():
+    """An owner freezes; its successor is killed and comes back.
+
+    Only the successor is known to be dead. The first one may wake and order
+    agents that the third owner does not reach: it is waited for.
+    """
+    deployment, first, others = three(entries=3)
+    start_one(deployment, first)
+    first.thaws_at = deployment.reactor.seconds() + 60
+    second = run_until_taken(deployment, others)
+    deployment.kill_entry(second.name)
+    (third,) = (each for each in others if each is not second)
+    run_until_taken(deployment, [third])
+    deployment.start_entry(second.name)
+    deployment.run(3)
+    former = third.core.owner.shards.by_shard[0].former
+    assert not former.is_over
+    assert former.wait_ms > 12_000
