Placement: fillers count with what they use, keepers with half of what they reserve

Fillers use 0.67 or 1.0 of what they ask for, measured on all workers, also on those with 18 of them: no processor was ever busy. They counted with what they ask for, and keepers with three quarters of what they reserve.

Ruled out: memory (37 of some 300,000 looks), cores that are truly busy (none).

Change: a filler that has shown counts with its use, and half of what keepers reserve is taken to be idle.

--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -21,7 +21,13 @@
 # Some two days of VMs that are replaced; one that is remembered saves a next
 # owner a wait of seconds, one that is not costs it.
 _MAX_DEPARTED = 1000
+# Below this share of full pace a filler is slow, and what it uses says little
+# of what it would use.
 _SLOW_PACE = 40
+_FULL_PACE = 100
+# The first figures of a filler may cover a part of their time only: it counts
+# with this share of what it asks for at the least.
+_LEAST_USE = 0.5
 
 
 @dataclass(slots=True)
@@ -57,6 +63,27 @@
         """
         return self.reports > _REPORTS_TO_SHOW
 
+    @property
+    def cpu_in_use(self) -> float:
+        """Thousandths of a core that a filler uses at its pace.
+
+        Tasks use less than they ask for, some a third less. Counted by what
+        they ask for, a worker whose processors are idle for a quarter of the
+        time takes no more of them.
+        """
+        asked = self.step.size.cpu_millis * max(self.pace, 0) / _FULL_PACE
+        if self.has_shown:
+            return max(self.load, _LEAST_USE * asked)
+        return asked
+
+    @property
+    def cpu_at_full_pace(self) -> float:
+        """Thousandths of a core that a filler would use at full pace."""
+        asked = self.step.size.cpu_millis
+        if self.has_shown and self.pace >= _SLOW_PACE:
+            return min(asked, self.cpu_in_use * _FULL_PACE / self.pace)
+        return asked
+
     def slow_ms(self, now: float) -> float:
         """For how long the attempt has been slowed down a lot."""
         return 0 if self.slow_since is None else now - self.slow_since
--- a/hyssopring/jobs/options.py
+++ b/hyssopring/jobs/options.py
@@ -14,7 +14,7 @@
 _FILL_PART: Final = 0.7
 # Keepers with a target use about half of what they reserve; fillers may take
 # the rest, at the pace that the agent finds bearable.
-_KEEPER_UNUSED: Final = 0.25
+_KEEPER_UNUSED: Final = 0.5
 # Beside keepers no filler is added while those that are there are slowed down
 # to less than this pace, while a tail is above this part of its target, or
 # while the effect of the last one does not show yet.
@@ -46,7 +46,7 @@
     """One worker and what is left of it while a round goes on.
 
     Attributes:
-        filling: Thousandths of a core that fillers ask for at their pace.
+        filling: Thousandths of a core that fillers use at their pace.
         held_back: Thousandths of a core that they are kept from using.
         unused: Thousandths of a core that keepers reserve and do not use.
         is_strained: Whether fillers disturb the keepers enough already.
@@ -68,18 +68,13 @@
     def from_worker(cls, worker: Worker, harms: Harms) -> 'Option':
         fillers = worker.fillers()
         keepers = worker.keepers()
-        paces = [max(placed.pace, 0) for placed in fillers]
         reserved = sum(placed.step.size.cpu_millis for placed in keepers)
-        asked = sum(
-            placed.step.size.cpu_millis * pace
-            for placed, pace in zip(fillers, paces, strict=True)
-        )
+        filling = sum(placed.cpu_in_use for placed in fillers)
         return cls(
             worker,
             worker.free(),
-            asked / _FULL_PACE,
-            sum(placed.step.size.cpu_millis for placed in fillers)
-            - asked / _FULL_PACE,
+            filling,
+            sum(placed.cpu_at_full_pace for placed in fillers) - filling,
             reserved * _KEEPER_UNUSED,
             len(keepers),
             len(fillers),
@@ -204,7 +199,8 @@
     if keeper.load:
         now = min(MOST_HEADROOM, keeper.step.target_ms / keeper.load)
     return now - sum(
-        max(0, _cores(each.step) - each.load / _MILLIS)
+        (each.cpu_at_full_pace - each.cpu_in_use)
+        / _MILLIS
         * harms.per_core(keeper.step.image, each.step.image).mean
         for each in fillers
     )
--- /dev/null
+++ b/standins/jobs/shared_worker.py
@@ -0,0 +1,249 @@
+"""A runner on which keepers and fillers share the processors."""
+
+import math
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import Deferred
+
+from hyssopring.jobs.model import Size, Step
+from hyssopring.jobs.worker_port import Listing, StartOutcome, WorkerRow
+from standins.jobs.worker import CALL_S, SimWorker
+
+# The platform's times: figures are for half a second, a pace is in force
+# after a tenth, a keeper is at work half a second after its start.
+FIGURE_S = 0.5
+PACE_S = 0.1
+KEEPER_START_S = 0.5
+FULL_PACE = 100
+MILLIS = 1000
+
+
+@dataclass
+class Shared:
+    """A run while it shares its worker.
+
+    Attributes:
+        work: Core-seconds that it needs, without end for a keeper.
+        appetite: The share of what it asks for that it uses.
+        done: Core-seconds that it has had.
+        cores: What it uses now.
+        sum_of_figure: Core-seconds, or millisecond-seconds of tail, in the
+            figure that is being taken.
+        figure: The last whole figure.
+    """
+
+    step: Step
+    number: int
+    begun_at: float
+    work: float
+    appetite: float = 1
+    done: float = 0
+    pace: int = FULL_PACE
+    cores: float = 0
+    tail_ms: float = 0
+    alone_ms: float = 0
+    sum_of_figure: float = 0
+    figure: int = 0
+
+    def is_at_work(self, now):
+        return now - self.begun_at >= KEEPER_START_S
+
+
+@dataclass
+class KeeperTimes:
+    """Seconds of keepers: at work, over target, over it through fillers."""
+
+    at_work: float = 0
+    over: float = 0
+    harmed: float = 0
+    harmed_by_second: Counter = field(default_factory=Counter)
+    at_work_by_second: Counter = field(default_factory=Counter)
+
+
+class SharedWorker(SimWorker):
+    """Runs tasks at their pace, and tells of tails as the platform does.
+
+    Args:
+        interference: What the images do to each other.
+        step_of: Returns a task's step.
+        work_s: Returns the seconds that a task takes at full pace.
+        times: What all workers' keepers have had.
+    """
+
+    def __init__(self, reactor, name, book, room, interference, site):
+        self.interference = interference
+        self.site = site
+        self.times = site.times
+        self.used_core_s = 0
+        self._shared = {}
+        self._looks = []
+        self._settled_at = reactor.seconds()
+        self._figure_at = reactor.seconds()
+        self._random = random.Random(f'worker {name}')
+        super().__init__(reactor, name, book, lambda _task: math.inf, room)
+
+    def begin(self):
+        super().begin()
+        self._shared = {}
+
+    def look(self, look):
+        """Answer when something has ended, or after the time asked for."""
+        if self.is_dark or self.slow_s or look.boot != self.boot:
+            return super().look(look)
+        answer = Deferred()
+        due = self.reactor.seconds() + max(CALL_S, look.wait_ms / MILLIS)
+        self._looks.append((due, answer, look))
+        return answer
+
+    def settle(self):
+        """Let the tasks work for the time that has gone by."""
+        now = self.reactor.seconds()
+        passed = now - self._settled_at
+        self._settled_at = now
+        if passed > 0:
+            self._work(now, passed)
+            if now - self._figure_at >= FIGURE_S:
+                self._take_figures(now)
+        super().settle()
+        self._answer_looks(now)
+
+    def set_pace(self, boot, fence, task, attempt, percent):
+        return self._order(boot, lambda: self._pace(task, attempt, percent))
+
+    def _pace(self, task, attempt, percent):
+        shared = self._shared.get(task)
+        if shared is not None and shared.number == attempt:
+            self.reactor.callLater(PACE_S, setattr, shared, 'pace', percent)
+
+    def _work(self, now, passed):
+        self._share_cores(now)
+        use = Counter()
+        for task, run in list(self.runs.items()):
+            shared = self._shared[task]
+            if run.stops_at is not None:
+                shared.cores = 0
+            if shared.step.fills:
+                use[shared.step.image] += shared.cores
+            shared.done += shared.cores * passed
+            self.used_core_s += shared.cores * passed * shared.step.fills
+            if shared.done >= shared.work:
+                run.ends_at = now
+        for task in self.runs:
+            self._feel(self._shared[task], use, now, passed)
+
+    def _share_cores(self, now):
+        """Fillers get what the others leave, by what they ask for."""
+        left = self.room.cpu_millis / MILLIS
+        asked = 0
+        for shared in self._shared.values():
+            cores = shared.step.size.cpu_millis / MILLIS * shared.appetite
+            if shared.step.fills:
+                asked += cores * shared.pace / FULL_PACE
+                continue
+            shared.cores = cores
+            if shared.step.target_ms:
+                wave = self.interference.wave_by_image[shared.step.image]
+                shared.cores *= wave.at(now)
+            left -= shared.cores
+        part = min(1, max(0, left) / asked) if asked else 0
+        for shared in self._shared.values():
+            if shared.step.fills:
+                cores = shared.step.size.cpu_millis / MILLIS * shared.appetite
+                shared.cores = cores * shared.pace / FULL_PACE * part
+
+    def _feel(self, shared, use, now, passed):
+        if not shared.step.target_ms:
+            shared.sum_of_figure += shared.cores * passed * MILLIS
+            return
+        if not shared.is_at_work(now):
+            return
+        image, target = shared.step.image, shared.step.target_ms
+        shared.tail_ms = self.interference.tail_ms(image, use, now)
+        shared.alone_ms = self.interference.tail_ms(image, {}, now)
+        shared.sum_of_figure += shared.tail_ms * passed
+        times = self.times
+        times.at_work += passed
+        times.at_work_by_second[int(now)] += passed
+        if shared.tail_ms > target:
+            times.over += passed
+            if shared.alone_ms <= target:
+                times.harmed += passed
+                times.harmed_by_second[int(now)] += passed
+
+    def _take_figures(self, now):
+        passed = now - self._figure_at
+        self._figure_at = now
+        for shared in self._shared.values():
+            figure = shared.sum_of_figure / passed
+            if shared.step.target_ms:
+                figure *= self._random.gauss(1, self.interference.noise)
+            shared.figure = max(0, round(figure))
+            shared.sum_of_figure = 0
+
+    def _answer_looks(self, now):
+        looks, self._looks = self._looks, []
+        for due, answer, look in looks:
+            has_news = any(end.number > look.recorded for end in self.ends)
+            if now >= due or has_news:
+                self._answer(
+                    answer, look.boot, lambda look=look: self._look(look)
+                )
+            else:
+                self._looks.append((due, answer, look))
+
+    def _look(self, look):
+        listing = super()._look(look)
+        rows = tuple(self._row(row) for row in listing.rows)
+        return Listing(listing.clock_ms, rows, listing.ends)
+
+    def _row(self, row):
+        shared = self._shared[row.task]
+        percent = FULL_PACE
+        if not shared.step.is_keeper:
+            percent = int(FULL_PACE * shared.done / shared.work)
+        return WorkerRow(
+            row.task,
+            row.attempt,
+            self._checkpoint(shared),
+            min(FULL_PACE, percent),
+            shared.figure,
+        )
+
+    @staticmethod
+    def _checkpoint(shared):
+        """What is saved: the core-seconds done."""
+        return f'{shared.done:.3f}' if shared.step.saves else ''
+
+    def _start(self, start):
+        outcome = super()._start(start)
+        if outcome is not StartOutcome.STARTED or start.task in self._shared:
+            return outcome
+        step = self.site.step_of(start.task)
+        work, appetite = math.inf, 1
+        if not step.is_keeper:
+            appetite = self.site.appetite(start.task) if step.fills else 1
+            cores = step.size.cpu_millis / MILLIS * appetite
+            work = self.site.work_s(start.task) * cores
+        self._shared[start.task] = Shared(
+            step,
+            start.attempt,
+            self.reactor.seconds(),
+            work,
+            appetite,
+            float(start.checkpoint or 0),
+        )
+        return outcome
+
+    def end(self, run, how):
+        shared = self._shared.pop(run.task)
+        run.checkpoint = self._checkpoint(shared)
+        super().end(run, how)
+
+    def _check_room(self):
+        used = Size()
+        for shared in self._shared.values():
+            used = used.plus(shared.step.charge)
+        if not used.fits_in(self.room):
+            self.book.broken.append(f'{self.name} is over its room: {used}')
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -14,6 +14,7 @@
 from hyssopring.jobs.choice import PlacementRound
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.fleet import Fleet
+from hyssopring.jobs.harms import Harms
 from hyssopring.jobs.messages import (
     AttemptReport,
     StopOrder,
@@ -52,6 +53,44 @@
     assert chosen(FILLER, worker_with('nearly', *[FILLER] * 7)) == 'nearly'
 
 
+def test_fillers_that_use_less_than_they_ask_for_leave_room_for_more():
+    """Large jobs wait for seconds while a quarter of the processors is idle.
+
+    Many tasks use two thirds of what they ask for. Counted by what they ask
+    for, a worker is full long before its processors are busy.
+    """
+    worker = worker_with('sparing', *[FILLER] * 8)
+    for placed in worker.placed_by_task.values():
+        placed.load = FILLER.size.cpu_millis * 2 // 3
+    assert chosen(FILLER, worker) == 'sparing'
+
+
+def test_a_filler_counts_in_full_before_its_use_is_known():
+    """A step's tasks start within milliseconds, with no figure of their use.
+
+    Taken for idle, all of them went to one worker.
+    """
+    worker = worker_with('busy soon', *[FILLER] * 8)
+    for placed in worker.placed_by_task.values():
+        placed.load, placed.reports = 0, 1
+    assert chosen(FILLER, worker) is None
+    for placed in worker.placed_by_task.values():
+        placed.reports = 9
+    assert worker.fillers()[0].cpu_in_use == FILLER.size.cpu_millis / 2
+
+
+def test_half_of_what_keepers_reserve_is_there_for_fillers():
+    """Keepers reserve all of a worker and use less than half of it.
+
+    Large jobs waited beside 60% of idle cores.
+    """
+    calm = [KEEPER] * 5
+    harmless = replace(FILLER, size=Size(2000, 500, 0), image='mild')
+    worker = worker_with('reserved', *calm, *[harmless] * 2, load=20)
+    option = Option.from_worker(worker, Harms())
+    assert option.idle == 16_000 / 2 - 2 * 2000 + 500
+
+
 def test_fillers_are_added_beside_keepers_one_by_one():
     """Four fillers of one image at once put a tail to six times its target.
 
