Pacing: paces are cut before a rising tail reaches its target

A figure tells of half a second that has gone by, and load that swings takes 0.2 to 0.3 of headroom meanwhile; paces were cut at 1.05 of headroom, to 1.3.

Change: cut at 1.2, to 1.45.

--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -23,10 +23,12 @@
 __all__ = ('Pacer',)
 
 # Headrooms: 1 is a keeper at its target. Below the first paces are cut, so far
-# that the second is left; rises leave the second, too. Between one figure and
-# the next headroom moves by some 0.36 by chance, and by 0.3 as load swings.
-_LOW: Final = 1.05
-_AIM: Final = 1.3
+# that the second is left; rises leave the second, too. A figure tells of half a
+# second that has gone by: in the time until a pace acts, load that swings takes
+# 0.2 of headroom more. A second over the target costs a keeper's users what
+# some twenty core-seconds of fillers earn theirs.
+_LOW: Final = 1.2
+_AIM: Final = 1.45
 # A pace rises by this much a figure at most.
 _RISE: Final = 34
 # Smaller changes are not worth a call.
