--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -293,7 +293,7 @@
         version = row.version if row else 0
         if former is not None and self._is_owner_live(former, version):
             return None
-        if self._silent(former, version) is None:
+        if self._former_in_doubt(former, version) is None:
             self._over_since.setdefault(version, self._clock.now())
         if not self._is_next(shard, former):
             return None
@@ -314,7 +314,7 @@
         """
         earlier = WaitRow.from_row(wait).reigns if wait else ()
         in_doubt = tuple(each for each in earlier if not self.is_dead(each))
-        silent = self._silent(former, version)
+        silent = self._former_in_doubt(former, version)
         if silent is not None:
             in_doubt = (*in_doubt, silent)
         reign = former.reign + 1 if former else 1
@@ -335,8 +335,10 @@
         )
         return taking.addCallback(self._taken, taken_reign)
 
-    def _silent(
-        self, former: OwnerRow | None, version: int
+    def _former_in_doubt(
+        self,
+        former: OwnerRow | None,
+        version: int,
     ) -> FormerReign | None:
         """Return a former owner that may still order, None if it does not.
 
--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -50,6 +50,9 @@
         self._has_earlier = any(each != taken.former for each in taken.in_doubt)
         wait_ms = LOST_AFTER_MS if self.is_over else ROSTER_WAIT_MS
         self._wait_until = taken.acquired_at + wait_ms
+        self._acts_until = taken.acquired_at
+        if not self.is_over:
+            self._acts_until = self._wait_until
         self._lost_at_by_agent: dict[str, float] = {}
         # The last word of an agent that ended after this time holds.
         self._given_up_at = taken.over_since if self.is_over else None
@@ -71,8 +74,13 @@
 
     @property
     def may_act(self) -> bool:
-        """Whether a former owner may still order and grant."""
-        return not self.is_over and self.has_wait
+        """Whether a former owner, or what it granted of late, may still act.
+
+        One that gave the shard up has told of its grants. One that was found
+        dead has not: an agent's next process may have reached it alone, and
+        holds tasks until that grant is over.
+        """
+        return self._clock.now() < self._acts_until
 
     def gave_up(self, told: ShardGivenUp, received_at: float) -> None:
         """The former owner orders nothing more: its grants run out by age.
@@ -83,6 +91,8 @@
         wait_until = received_at + told.wait_ms
         self._wait_until = min(self._wait_until, wait_until)
         self._leave_in_doubt(lambda each: each != self._former, received_at)
+        if self.is_over:
+            self._acts_until = received_at
         for grant in told.grants:
             lost_at = received_at - grant.age_ms + LOST_AFTER_MS
             self._lost_at_by_agent[grant.agent_id] = lost_at
@@ -101,6 +111,7 @@
         if self.is_over:
             # Their last grants came before their deaths were seen.
             self._wait_until = min(self._wait_until, now + LOST_AFTER_MS)
+            self._acts_until = self._wait_until
 
     def _leave_in_doubt(
         self,
--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -478,3 +478,28 @@
     former = third.core.owner.shards.by_shard[0].former
     assert not former.is_over
     assert former.wait_ms > 12_000
+
+
+def test_an_agent_stays_listed_after_its_former_owner_was_found_dead():
+    """A frozen owner's VM gets a new process, while an agent is cut off.
+
+    The agent may have been restarted and reached the frozen owner alone before
+    that one died: what it was granted then lasts for 8 s more. Struck off at
+    the death, its tasks would be started elsewhere beside it.
+    """
+    deployment, former, (successor,) = three()
+    start_one(deployment, former)
+    silence(former)
+    run_until_taken(deployment, [successor])
+    deployment.run(1)
+    former.thaws_at = deployment.reactor.seconds() + 60
+    deployment.block('agent-0', successor.name)
+    deployment.run(9.5)
+    deployment.kill_entry(former.name)
+    deployment.start_entry(former.name)
+    deployment.run(3)
+    owned = successor.core.owner.shards.by_shard[0]
+    assert owned.former.is_over
+    assert 'agent-0' in owned.roster
+    deployment.run(9)
+    assert 'agent-0' not in owned.roster
