--- a/bench/colocation.py
+++ b/bench/colocation.py
@@ -14,11 +14,16 @@
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack
 
+import matplotlib
 from loguru import logger
 
+from bench.colocation_day import Day
 from bench.colocation_score import Score
 from bench.colocation_variants import AS_IT_IS, VARIANTS_BY_NAME
 
+matplotlib.use('Agg')
+from matplotlib import pyplot  # noqa: E402
+
 HEADINGS = (
     ('worth', 'of all that is owed'),
     ('large', 'of what large jobs are owed'),
@@ -31,10 +36,6 @@
 
 def play(name, seed):
     """Play one seed under one variant, in a process of its own."""
-    # Imported here: a variant changes modules that the day's are built on.
-    from bench.colocation_day import Day  # noqa: PLC0415
-
-    logger.remove()
     with ExitStack() as changed:
         for change in VARIANTS_BY_NAME[name]:
             changed.enter_context(change())
@@ -44,7 +45,7 @@
 def play_all(names, seeds, jobs):
     """Return scores by variant, each in the order of the seeds."""
     pairs = [(name, seed) for name in names for seed in seeds]
-    with ProcessPoolExecutor(jobs) as pool:
+    with ProcessPoolExecutor(jobs, initializer=logger.remove) as pool:
         scores = pool.map(play, *zip(*pairs, strict=True))
     found = {name: [] for name in names}
     for (name, _seed), score in zip(pairs, scores, strict=True):
@@ -81,11 +82,6 @@
 
 def plot(found, path):
     """Draw each variant's difference with its standard error."""
-    import matplotlib  # noqa: PLC0415
-
-    matplotlib.use('Agg')
-    from matplotlib import pyplot  # noqa: PLC0415
-
     pyplot.rcParams['svg.hashsalt'] = 'hyssopring'
     base = next(iter(found.values()))
     others = list(found)[1:]
--- a/bench/colocation_score.py
+++ b/bench/colocation_score.py
@@ -3,7 +3,8 @@
 import statistics
 from dataclasses import dataclass
 
-from bench.colocation_day import AFTER_S, LARGE, LOAD_S, SMALL
+from bench.colocation_day import AFTER_S, LOAD_S
+from bench.colocation_jobs import LARGE, SMALL
 
 # What keepers, large jobs and small ones are owed of all: a user of the drawn
 # days counts on keepers most.
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -18,7 +18,13 @@
 
 
 class Deployment:
-    """Three entries and some workers, with the faults of a day."""
+    """Three entries and some workers, with the faults of a day.
+
+    Attributes:
+        step_s: By how much the clock advances at once.
+    """
+
+    step_s = STEP_S
 
     def __init__(
         self,
@@ -164,8 +170,8 @@
             receiver.take(unpack(payload), sender.name)
 
     def run(self, seconds):
-        for _step in range(round(seconds / STEP_S)):
-            self.reactor.advance(STEP_S)
+        for _step in range(round(seconds / self.step_s)):
+            self.reactor.advance(self.step_s)
             for worker in self.workers:
                 worker.settle()
             assert not self.book.broken, self.book.broken
--- a/standins/jobs/shared_worker.py
+++ b/standins/jobs/shared_worker.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
@@ -58,24 +58,21 @@
     at_work: float = 0
     over: float = 0
     harmed: float = 0
-    harmed_by_second: Counter = field(default_factory=Counter)
-    at_work_by_second: Counter = field(default_factory=Counter)
 
 
 class SharedWorker(SimWorker):
     """Runs tasks at their pace, and tells of tails as the platform does.
 
-    Args:
+    Attributes:
         interference: What the images do to each other.
-        step_of: Returns a task's step.
-        work_s: Returns the seconds that a task takes at full pace.
-        times: What all workers' keepers have had.
+        site: Says what tasks are, and takes the keepers' times.
+        used_core_s: Core-seconds that fillers have used.
     """
 
     def __init__(self, reactor, name, book, room, interference, site):
+        """Run tasks on ``room``, as ``site`` describes them."""
         self.interference = interference
         self.site = site
-        self.times = site.times
         self.used_core_s = 0
         self._shared = {}
         self._looks = []
@@ -144,8 +141,8 @@
                 continue
             shared.cores = cores
             if shared.step.target_ms:
-                wave = self.interference.wave_by_image[shared.step.image]
-                shared.cores *= wave.at(now)
+                load = self.interference.load_by_image[shared.step.image]
+                shared.cores *= load.at(now)
             left -= shared.cores
         part = min(1, max(0, left) / asked) if asked else 0
         for shared in self._shared.values():
@@ -163,14 +160,12 @@
         shared.tail_ms = self.interference.tail_ms(image, use, now)
         shared.alone_ms = self.interference.tail_ms(image, {}, now)
         shared.sum_of_figure += shared.tail_ms * passed
-        times = self.times
+        times = self.site.times
         times.at_work += passed
-        times.at_work_by_second[int(now)] += passed
         if shared.tail_ms > target:
             times.over += passed
             if shared.alone_ms <= target:
                 times.harmed += passed
-                times.harmed_by_second[int(now)] += passed
 
     def _take_figures(self, now):
         passed = now - self._figure_at
