Tests: a wait row of the release before, which names nobody, is waited for

Entries of two releases run side by side for a while. Read as no owner at all, such a row would let the next owner start tasks beside one that may still act.

--- a/tests/test_jobs_owner_waits.py
+++ b/tests/test_jobs_owner_waits.py
@@ -11,7 +11,8 @@
 from hyssopring.jobs.messages import AgentGrant, ShardGivenUp
 from hyssopring.jobs.model import AttemptEnd
 from hyssopring.jobs.peer_entries import PeerEntries
-from hyssopring.jobs.rows import Row, RowKey
+from hyssopring.jobs.row_keys import wait_key
+from hyssopring.jobs.rows import Row, RowKey, RowPut, Transaction
 from standins.jobs.deployment import starts_of
 
 
@@ -191,3 +192,22 @@
     assert 'agent-0' in owned.roster
     deployment.run(9)
     assert 'agent-0' not in owned.roster
+
+
+def test_a_wait_row_without_names_is_waited_for():
+    """Entries of two releases run side by side; the older one's row is empty.
+
+    Nobody knows which owner it speaks of, so that none is found dead: taken
+    for no owner at all, the next one would run tasks beside it.
+    """
+    deployment, former, (successor,) = three()
+    deployment.rows.apply(Transaction((), (RowPut(wait_key(0), ''),)))
+    deployment.kill_entry(former.name)
+    run_until_taken(deployment, [successor])
+    deployment.start_entry(former.name)
+    deployment.run(5)
+    owned = successor.core.owner.shards.by_shard[0]
+    assert not owned.former.is_over
+    assert owned.former.wait_ms > 12_000
+    deployment.run(15)
+    assert wait_key(0) not in deployment.rows.rows
