--- a/tests/test_jobs_owner_waits.py
+++ b/tests/test_jobs_owner_waits.py
@@ -16,11 +16,10 @@
 from standins.jobs.deployment import starts_of
 
 
-def test_an_agent_stays_listed_while_a_former_owner_may_act():
-    """An agent is heard, then cut off, within the wait for a silent owner.
+def cut_off_from_successor():
+    """The owner is silent, then frozen; agent-0 is cut off from the next one.
 
-    It may have been restarted and reach the former owner only. Struck off, it
-    would not be waited for by the next owner.
+    Returns the deployment, the frozen owner and its successor.
     """
     deployment, former, (successor,) = three()
     start_one(deployment, former)
@@ -29,6 +28,16 @@
     deployment.run(1)
     former.thaws_at = deployment.reactor.seconds() + 60
     deployment.block('agent-0', successor.name)
+    return deployment, former, successor
+
+
+def test_an_agent_stays_listed_while_a_former_owner_may_act():
+    """An agent is heard, then cut off, within the wait for a silent owner.
+
+    It may have been restarted and reach the former owner only. Struck off, it
+    would not be waited for by the next owner.
+    """
+    deployment, former, successor = cut_off_from_successor()
     deployment.run(12)
     roster = successor.core.owner.shards.by_shard[0].roster
     assert 'agent-0' in roster
@@ -176,13 +185,7 @@
     that one died: what it was granted then lasts for 8 s more. Struck off at
     the death, its tasks would be started elsewhere beside it.
     """
-    deployment, former, (successor,) = three()
-    start_one(deployment, former)
-    silence(former)
-    run_until_taken(deployment, [successor])
-    deployment.run(1)
-    former.thaws_at = deployment.reactor.seconds() + 60
-    deployment.block('agent-0', successor.name)
+    deployment, former, successor = cut_off_from_successor()
     deployment.run(9.5)
     deployment.kill_entry(former.name)
     deployment.start_entry(former.name)
