Observability: agents say what a crashed worker had just started

The logs of the incident could not tell a task that crashes its workers from one that stands beside it: 3031 names the lives of a worker, not what was on it. Event 3039 WORKER_CRASHED names how many attempts a life took along that had not said that it leaves, and those that had been started in its last second; the metric workers_crashed_total counts them.

What counts as started: confirmed, or sent once while the worker had answered 600 ms before at the latest and no look had failed. A start sent to a dead or cut worker, and a life that had said that it leaves, name nobody.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -31,6 +31,7 @@
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.taken_orders import TakenOrders
 from hyssopring.jobs.watch import WorkerWatch
+from hyssopring.jobs.worker_lives import log_crash
 from hyssopring.jobs.worker_port import Listing, WorkerPort
 from hyssopring.logs import Event, log_event
 
@@ -240,7 +241,10 @@
         )
 
     def _new_boot(self) -> None:
-        self._met_at = self._clock.now()
+        now = self._clock.now()
+        self._met_at = now
+        if self.watch.past is not None:
+            log_crash(self.watch.past, self.table.by_task.values(), now)
         self.table.clear()
         self._ends = EndTable()
         self.watch.recorded = self._ends.recorded
--- a/hyssopring/jobs/measures.py
+++ b/hyssopring/jobs/measures.py
@@ -26,6 +26,7 @@
         Event.TASK_FINISHED: ('attempts_ended_total', 'how'),
         Event.TASK_LAPSED: ('attempts_given_up_total', 'reason'),
         Event.TASK_PACED: ('paces_set_total', ''),
+        Event.WORKER_CRASHED: ('workers_crashed_total', ''),
         Event.ADVICE_GIVEN: ('questions_answered_total', ''),
         Event.ADVICE_UNAVAILABLE: ('questions_unanswered_total', ''),
         Event.SHARD_ACQUIRED: ('shards_acquired_total', ''),
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -9,6 +9,7 @@
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.stalls import StallWatch
 from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS
+from hyssopring.jobs.worker_lives import PastLife
 from hyssopring.jobs.worker_port import (
     Announcement,
     Listing,
@@ -67,6 +68,7 @@
         self._leaves_at = clock.now()
         self._sequence = 0
         self._candidate: Announcement | None = None
+        self.past: PastLife | None = None
         self._past_boots: deque[str] = deque(maxlen=_PAST_BOOTS)
         self._clock_base = float()
         self._held_until = clock.now()
@@ -76,6 +78,7 @@
         self._stalls = StallWatch(clock)
         self._is_looking = False
         self._heard_at = clock.now()
+        self._failing_since: float | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -204,6 +207,7 @@
         if look.boot != self.boot:
             self._adopt(look)
         self._heard_at = self._clock.now()
+        self._failing_since = None
         self._clock_base = listing.clock_ms
         self._has_lapsed = False
         self.on_listing(listing, sent_at)
@@ -213,6 +217,8 @@
     def _failed(self, failure: TwistedFailure, look: Look) -> None:
         self._is_looking = False
         reason = failure.trap(WorkerReplaced, WorkerUnreachable)
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
         if reason is WorkerReplaced and look.boot != self.boot:
             self._candidate = None
         self._later(_RETRY_MS)
@@ -235,6 +241,12 @@
         assert self._candidate is not None, 'only a candidate is adopted'
         if self.boot:
             self._past_boots.append(self.boot)
+            self.past = PastLife(
+                self.boot,
+                self._heard_at,
+                self._failing_since,
+                self.is_leaving,
+            )
             log_event(Event.WORKER_REPLACED, boot=look.boot, before=self.boot)
         else:
             # A former agent may have extended the hold until now. Taken for
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -37,6 +37,7 @@
         Event.BACKEND_SIZE_UNKNOWN: 'WARNING',
         Event.TASK_UNKNOWN: 'WARNING',
         Event.VM_OVERCOMMITTED: 'WARNING',
+        Event.WORKER_CRASHED: 'WARNING',
         Event.WORKER_SILENT: 'WARNING',
         Event.REQUEST_ANSWERED: 'DEBUG',
     }
--- /dev/null
+++ b/tests/test_worker_lives.py
@@ -0,0 +1,57 @@
+"""Which attempts an agent holds responsible for the end of a worker's life."""
+
+import pytest
+
+from hyssopring.jobs.attempts import Attempt, Phase
+from hyssopring.jobs.worker_lives import PastLife
+
+HEARD_AT = 10_000
+
+
+def past(failing_since=None, is_planned=False):
+    return PastLife('boot', HEARD_AT, failing_since, is_planned)
+
+
+def attempt(ordered_at, is_confirmed=True, tries=1):
+    made = Attempt('job.0.0.0', 1, 0, Phase.STARTING, ordered_at, tries=tries)
+    made.confirmed_at = ordered_at if is_confirmed else None
+    return made
+
+
+@pytest.mark.parametrize(
+    ('ordered_at', 'is_suspect'),
+    [(HEARD_AT - 1000, False), (HEARD_AT - 900, True), (HEARD_AT + 300, True)],
+)
+def test_only_a_start_in_the_last_second_may_have_crashed_a_worker(
+    ordered_at, is_suspect
+):
+    assert bool(past().suspects([attempt(ordered_at)])) is is_suspect
+
+
+def test_nothing_has_crashed_a_worker_that_said_that_it_leaves():
+    """Guards against a planned end that counts as a crash."""
+    assert not past(is_planned=True).suspects([attempt(HEARD_AT)])
+
+
+def test_a_start_sent_to_a_dead_worker_has_crashed_nothing():
+    """Guards against a start that never arrived counting as the cause."""
+    late = attempt(HEARD_AT + 300, is_confirmed=False)
+    assert past(failing_since=HEARD_AT + 400).suspects([late])
+    assert not past(failing_since=HEARD_AT + 200).suspects([late])
+
+
+def test_a_start_sent_into_a_long_silence_has_crashed_nothing():
+    """Guards against a cut worker's unanswered starts counting as causes."""
+    late = attempt(HEARD_AT + 700, is_confirmed=False)
+    assert not past().suspects([late])
+
+
+def test_a_repeated_start_without_an_answer_has_crashed_nothing():
+    """Guards against a lost start counting as the cause of a later crash."""
+    repeated = attempt(HEARD_AT, is_confirmed=False, tries=2)
+    assert not past().suspects([repeated])
+
+
+def test_an_attempt_that_a_new_agent_has_found_has_crashed_nothing():
+    """Guards against blame for a task that may have run for long."""
+    assert not past().suspects([attempt(HEARD_AT, tries=0)])
