Red test: a task that crashes its workers is started without end

The stand-in worker may now crash when a given task starts, refuse all calls while it is away, and come back with a new life; the book of the workers asserts that no task starts a third time after three workers have crashed under it.

--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -171,7 +171,7 @@
         self.reactor.callLater(0, self.dial)
 
     def beat(self):
-        if not self.worker.is_dark:
+        if not self.worker.is_dark and not self.worker.is_down:
             self.core.watch.announce(self.worker.announcement())
 
     def dial(self):
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -23,6 +23,9 @@
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2
 SECOND_MS = 1000
+# The budget of a task that crashes workers: so many crashes, then fewer than
+# so many starts more.
+MOST_KILLS = 3
 
 
 @dataclass
@@ -48,10 +51,13 @@
         self.keepers = set()
         # Jobs whose tasks start with a ticket only.
         self.advised = set()
+        # Times of crashes by the tasks that caused them.
+        self.kills = {}
         self.broken = []
 
     def started(self, now, worker, run):
         self.starts.append((now, worker.name, run.task, run.number))
+        self._check_budget(now, run)
         holders = self.running.setdefault(run.task, set())
         if holders:
             self.broken.append(
@@ -61,6 +67,24 @@
             self.broken.append(f'{now:.2f} {run.task} starts though it is done')
         holders.add(worker.boot)
 
+    def killed(self, task, worker):
+        self.kills.setdefault(task, []).append(worker.reactor.seconds())
+
+    def _check_budget(self, now, run):
+        kills = self.kills.get(run.task, ())
+        if len(kills) < MOST_KILLS:
+            return
+        later = [
+            at
+            for at, _worker, task, _number in self.starts
+            if task == run.task and at > kills[MOST_KILLS - 1]
+        ]
+        if len(later) >= MOST_KILLS:
+            self.broken.append(
+                f'{now:.2f} {run.task} starts a third time after '
+                f'{MOST_KILLS} workers have crashed under it'
+            )
+
     def ended(self, now, worker, run, how):
         self.running[run.task].discard(worker.boot)
         self.ends.append((now, run.task, run.number, how))
@@ -82,6 +106,9 @@
             the call is carried out. The agent waits for its timeout only.
         is_unhealthy: It refuses all starts.
         leaves_at: When its VM is taken away, None for never.
+        kills: Whether the worker crashes when it starts a task.
+        kill_s: How long after the start it crashes.
+        away_s: How long it is away after such a crash.
     """
 
     def __init__(self, reactor, name, book, work_ms, room=None, rate=1):
@@ -102,6 +129,10 @@
         self.lives = 0
         self.sequence = 0
         self.fails = lambda task: False
+        self.kills = lambda task: False
+        self.kill_s = 0.01
+        self.away_s = 3
+        self.is_down = False
         self.fill_tasks = set()
         self.advice = None
         self.begin()
@@ -125,6 +156,21 @@
         self.runs = {}
         self.begin()
 
+    def go_down(self, away_s):
+        """Crash, and come back later with a new life."""
+        self.crash()
+        self.is_down = True
+        self.reactor.callLater(away_s, self._come_back)
+
+    def _come_back(self):
+        self.is_down = False
+        self.begin()
+
+    def _crash_under(self, task, boot):
+        if boot == self.boot and not self.is_down:
+            self.book.killed(task, self)
+            self.go_down(self.away_s)
+
     def fail_all(self):
         """Let all that runs end as failed."""
         for run in list(self.runs.values()):
@@ -188,7 +234,7 @@
         return self._call(boot, action)
 
     def _if_same(self, boot, action):
-        if boot == self.boot:
+        if boot == self.boot and not self.is_down:
             self.settle()
             with contextlib.suppress(WorkerUnreachable):
                 action()
@@ -196,6 +242,8 @@
     def _call(self, boot, action, timeout_s=TIMEOUT_S):
         if self.is_dark:
             return self._fail(WorkerUnreachable('dark'), TIMEOUT_S)
+        if self.is_down:
+            return self._fail(WorkerUnreachable('refused'), CALL_S)
         if self.slow_s:
             return self._call_slowly(boot, action, timeout_s)
         if boot != self.boot:
@@ -219,6 +267,9 @@
         return heard
 
     def _answer(self, answer, boot, action):
+        if self.is_down:
+            answer.errback(WorkerUnreachable('reset'))
+            return
         if boot != self.boot:
             answer.errback(WorkerReplaced())
             return
@@ -276,6 +327,10 @@
         self.runs[start.task] = run
         self.book.started(self.reactor.seconds(), self, run)
         self._check_room()
+        if self.kills(start.task):
+            self.reactor.callLater(
+                self.kill_s, self._crash_under, start.task, self.boot
+            )
         return StartOutcome.STARTED
 
     def _has_ticket(self, start):
