Crashing tasks: suspects are tried alone, and given up with proof

What callers saw: a task whose start crashes its worker was started again each time the worker came back, without end; each crash took some 15 attempts of other tasks along (the incident: 82 attempts in five crashes, keepers among them), and the job was never shown as failed.

A lost attempt was counted nowhere. ReportReader.gone put the task back in the queue whatever the reason, and JobRecord.take_failed counts ends that a worker lists, of which one that has crashed lists none. Class: a repeat without a bound or a growing delay, on a way that counts no attempt.

Ruled out: a bad machine (four machines in two zones), a count lost at a takeover (none was kept).

Change: the agent, which lives on, keeps the attempts that its worker had started in its last second as ends by a crash, until they are durable. The owner makes each a suspect, starts it next on the worker where least can go along and that gets no other start for a second (a trial; at most one worker in four), and fails its job after crashes in trials on two workers, three where workers die of other causes too. A crash beside those of other workers counts for nothing; a suspect that outlives its start is none any more. One that has waited 2 s (5 s after a crash in a trial) starts like any other task.

Why it works: the passengers of a crash outlive their own trials; the one that kills does not.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -31,7 +31,6 @@
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.taken_orders import TakenOrders
 from hyssopring.jobs.watch import WorkerWatch
-from hyssopring.jobs.worker_lives import log_crash
 from hyssopring.jobs.worker_port import Listing, WorkerPort
 from hyssopring.logs import Event, log_event
 
@@ -76,12 +75,14 @@
         self._taken = TakenOrders()
         self._is_report_due = False
         self._is_stopping = False
+        # What a silent worker had when it was given up: it may have crashed.
+        self._lapsed_attempts: list[Attempt] = []
         self._met_at = clock.now()
         self.watch.on_boot = self._new_boot
         self.watch.on_listing = self._listed
         self.watch.on_lapse = self._lapsed
         self.watch.hold_limit = self._hold_limit
-        self.watch.has_unrecorded = lambda: bool(self._ends.by_number)
+        self.watch.has_unrecorded = lambda: self._ends.has_listed
         self.watch.recorded = self._ends.recorded
 
     def connected(self, entry_id: str) -> None:
@@ -172,6 +173,7 @@
             self._clock.now(),
             facts,
             message.checkpoint,
+            is_trial=message.is_trial,
         )
         self.table.add(attempt)
         self._orders.start(message, attempt)
@@ -243,15 +245,18 @@
     def _new_boot(self) -> None:
         now = self._clock.now()
         self._met_at = now
+        self._ends = EndTable(self._ends)
         if self.watch.past is not None:
-            log_crash(self.watch.past, self.table.by_task.values(), now)
+            attempts = [*self.table.by_task.values(), *self._lapsed_attempts]
+            self._ends.take_crash(self.watch.past, attempts, now)
+        self._lapsed_attempts = []
         self.table.clear()
-        self._ends = EndTable()
         self.watch.recorded = self._ends.recorded
         self._report_soon()
 
     def _lapsed(self) -> None:
         """The worker is silent, and nothing it was given can still run."""
+        self._lapsed_attempts = list(self.table.by_task.values())
         for attempt in list(self.table.by_task.values()):
             self.table.ended(attempt.task, attempt.number)
         self._report_soon()
@@ -287,6 +292,7 @@
 
     def _listed(self, listing: Listing, sent_at: float) -> None:
         now = self._clock.now()
+        self._lapsed_attempts = []
         has_news = False
         for end in listing.ends:
             if self._ends.add(end):
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -40,6 +40,7 @@
         facts: What it takes; None until an owner has told a new agent.
         confirmed_at: When the worker confirmed it, None before that.
         stop_taken_at: When the worker took its stop.
+        is_trial: It was started as a suspect, beside no other start.
     """
 
     task: str
@@ -56,6 +57,7 @@
     confirmed_at: float | None = None
     stop_taken_at: float | None = None
     is_stop_under_way: bool = False
+    is_trial: bool = False
 
     @property
     def settled_at(self) -> float | None:
--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final, Iterator
 
+from hyssopring.jobs.crash_history import CrashHistory
 from hyssopring.jobs.documents import JobRow, ProgressRow
 from hyssopring.jobs.model import Job, JobState, Step, TaskName
 
@@ -81,6 +82,9 @@
         state: The state as it is durably known.
         final_state: The state that is decided; it may not be durable yet.
         idle_since: Since when tasks wait and none runs.
+        crashes: Crashes of workers that were starting its tasks.
+        trial_wanted_since: Since when a suspect has waited for a trial, by the
+            key of its budget.
     """
 
     job: Job
@@ -95,6 +99,12 @@
     state: JobState = JobState.QUEUED
     final_state: JobState | None = None
     idle_since: float | None = None
+    crashes: CrashHistory = field(init=False)
+    trial_wanted_since: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Read the crashes in the progress row."""
+        self.crashes = CrashHistory(self.progress.failed)
 
     @classmethod
     def from_row(
@@ -105,9 +115,13 @@
         progress: ProgressRow | None = None,
     ) -> 'JobRecord':
         """Take over a stored job."""
-        record = cls(row.job, row.accepted_ms, reign, is_inherited)
-        if progress is not None:
-            record.progress = progress
+        record = cls(
+            row.job,
+            row.accepted_ms,
+            reign,
+            is_inherited,
+            progress or ProgressRow(),
+        )
         if not row.job.schedule.times:
             record.open_occurrence(0)
         if progress is not None and progress.state:
@@ -247,10 +261,7 @@
         run = self.run_of(name)
         if run is None:
             return False
-        # A gang fails as one, whichever member it was.
-        index = 0 if run.step.is_gang else name.index
-        key = f'{run.name}.{index}'
-        failed = self.progress.failed.setdefault(key, [])
+        failed = self.progress.failed.setdefault(self.budget_key(name), [])
         if attempt not in failed:
             failed.append(attempt)
         count = len(failed)
@@ -261,6 +272,12 @@
         self.final_state = JobState.FAILED
         return True
 
+    def budget_key(self, name: TaskName) -> str:
+        """Name what shares a budget of attempts: a task, or a whole gang."""
+        # A gang fails as one, whichever member it was.
+        index = 0 if self.job.steps[name.step].is_gang else name.index
+        return f'{name.occurrence}.{name.step}.{index}'
+
     @property
     def is_all_done(self) -> bool:
         """Whether each task of each occurrence has ended as done."""
--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -82,6 +82,47 @@
         best.take(step)
         return best.worker
 
+    def choose_for_trial(
+        self,
+        service: str,
+        step: Step,
+        name: TaskName,
+        avoided: Container[str],
+        boots: Container[str] | None = None,
+    ) -> Worker | None:
+        """Return the worker on which a suspect would take the least along.
+
+        It gets no other task in this round.
+
+        Args:
+            avoided: Agents that come last: the suspect has crashed there.
+        """
+        allowed = [
+            option
+            for option in self._options(service, boots)
+            if option.allows(step, is_starved=True)
+            and option.has_label(step)
+            and _permits(option, step, name)
+        ]
+        if not allowed:
+            return None
+        best = min(
+            allowed,
+            key=lambda option: (
+                option.worker.agent_id in avoided,
+                option.worker.exposure(),
+            ),
+        )
+        self.withdraw(best.worker)
+        return best.worker
+
+    def withdraw(self, worker: Worker) -> None:
+        """Place nothing more on a worker in this round."""
+        options = self._options_by_service[worker.service]
+        self._options_by_service[worker.service] = [
+            option for option in options if option.worker is not worker
+        ]
+
     def _options(
         self,
         service: str,
--- a/hyssopring/jobs/ends.py
+++ b/hyssopring/jobs/ends.py
@@ -1,8 +1,11 @@
-"""Ends that a worker has listed, until they are durable."""
+"""Ends of attempts on a worker, until they are durable."""
 
-from typing import Iterable
+from typing import Collection, Iterable
 
+from hyssopring.jobs.attempts import Attempt
 from hyssopring.jobs.messages import EndReport
+from hyssopring.jobs.model import AttemptEnd
+from hyssopring.jobs.worker_lives import PastLife
 from hyssopring.jobs.worker_port import EndRow
 from hyssopring.logs import Event, log_event
 
@@ -10,13 +13,27 @@
 
 
 class EndTable:
-    """The ends of one boot of a worker."""
+    """The ends that one boot of a worker has listed, and crashes before it."""
 
-    def __init__(self) -> None:
-        """Know of no end."""
+    def __init__(self, former: 'EndTable | None' = None) -> None:
+        """Keep the crashes that the boot before has left, and no other end."""
         self.by_number: dict[int, EndReport] = {}
+        if former is not None:
+            self.by_number.update(former.crashes)
         self._highest = 0
 
+    @property
+    def crashes(self) -> dict[int, EndReport]:
+        """Ends by crashes of former boots, by their numbers."""
+        return {
+            number: end for number, end in self.by_number.items() if number < 0
+        }
+
+    @property
+    def has_listed(self) -> bool:
+        """Whether the worker lists ends that are not durable yet."""
+        return len(self.by_number) > len(self.crashes)
+
     def add(self, end: EndRow) -> bool:
         """Keep an end; False if it was known, a worker lists it again."""
         if end.number <= self._highest:
@@ -38,6 +55,31 @@
         )
         return True
 
+    def take_crash(
+        self,
+        past: PastLife,
+        attempts: Collection[Attempt],
+        now: float,
+    ) -> None:
+        """Keep the ends of attempts whose start may have crashed a worker.
+
+        Args:
+            past: The worker's life that is over.
+            attempts: All that were on it.
+        """
+        if past.is_planned:
+            return
+        suspects = past.suspects(attempts)
+        for suspect in suspects:
+            self._add_crash(suspect)
+        log_event(
+            Event.WORKER_CRASHED,
+            boot=past.boot,
+            attempts=len(attempts),
+            started=' '.join(f'{each.task}/{each.number}' for each in suspects),
+            silent_ms=int(now - past.heard_at),
+        )
+
     def pass_over(self, number: int) -> None:
         """No task is meant by the end of this number."""
         self._highest = max(self._highest, number)
@@ -47,6 +89,20 @@
         for number in numbers:
             self.by_number.pop(number, None)
 
+    def _add_crash(self, attempt: Attempt) -> None:
+        number = min(min(self.by_number, default=0), 0) - 1
+        how = AttemptEnd.CRASHED
+        if attempt.is_trial:
+            how = AttemptEnd.CRASHED_IN_TRIAL
+        self.by_number[number] = EndReport(
+            number,
+            attempt.task,
+            attempt.number,
+            how.value,
+            attempt.checkpoint,
+        )
+
     def recorded(self) -> int:
         """Return the number up to which all ends are durable."""
-        return min(self.by_number, default=self._highest + 1) - 1
+        listed = self.by_number.keys() - self.crashes.keys()
+        return min(listed, default=self._highest + 1) - 1
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -39,6 +39,7 @@
             was sent on an earlier one.
         reports: How many reports have named it.
         slow_since: Since when its pace is low.
+        seen_ms: For how long it was seen on a worker that answered.
     """
 
     name: TaskName
@@ -54,6 +55,7 @@
     reports: int = 0
     slow_since: float | None = None
     is_stopping: bool = False
+    seen_ms: float = 0
 
     @property
     def has_shown(self) -> bool:
@@ -179,6 +181,11 @@
             if placed.step.target_ms
         ]
 
+    def exposure(self) -> tuple[int, int]:
+        """How many tasks would go with the worker: keepers, and all."""
+        placed = self.placed_by_task.values()
+        return sum(each.step.is_keeper for each in placed), len(placed)
+
     def has_taken(self, placed: Placed, report: WorkerReport) -> bool:
         """Whether the agent had taken an attempt's order when it reported.
 
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -104,7 +104,11 @@
 
 @struct
 class EndReport:
-    """One attempt that has ended; ``number`` is the worker's own."""
+    """One attempt that has ended; ``number`` is the worker's own.
+
+    Ends by a crash are numbered downwards from -1 by the agent: a worker that
+    has crashed lists none.
+    """
 
     number: int
     task: str
@@ -196,7 +200,8 @@
     """Start one attempt on this boot of the worker and on no other.
 
     ``connection`` is the one that it was sent on. ``ticket`` is empty where
-    the queue needs none.
+    the queue needs none. ``is_trial``: the worker gets no other start, as this
+    one may crash it.
     """
 
     shard: int
@@ -207,6 +212,7 @@
     facts: TaskFacts
     connection: str = ''
     ticket: str = ''
+    is_trial: bool = False
 
 
 # A reason of ``StartRefusal``: some attempt of the task is on the worker.
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -47,7 +47,9 @@
     """How an attempt of a task ended.
 
     DONE and FAILED count; all others put the task back in the queue. LOST:
-    the worker's boot is gone, or its hold has surely lapsed.
+    the worker's boot is gone, or its hold has surely lapsed. CRASHED: its
+    worker crashed shortly after the start; CRASHED_IN_TRIAL: beside no other
+    start.
     """
 
     DONE = 'done'
@@ -55,6 +57,8 @@
     STOPPED = 'stopped'
     LOST = 'lost'
     REFUSED = 'refused'
+    CRASHED = 'crashed'
+    CRASHED_IN_TRIAL = 'crashed-in-trial'
 
 
 @dataclass(frozen=True, slots=True)
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -29,6 +29,7 @@
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.stalls import StallWatch
 from hyssopring.jobs.stopping import mark_stopping
+from hyssopring.jobs.suspects import Suspects
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
@@ -66,6 +67,7 @@
             wall_ms,
         )
         self._advice.on_tickets = self.plan_soon
+        self._suspects = Suspects(clock, fleet)
         self._planner = StepPlanner(
             reactor,
             clock,
@@ -75,9 +77,16 @@
             may_act,
             wall_ms,
             self._advice,
+            self._suspects,
         )
         self._stalls = StallWatch(clock)
-        self._reader = ReportReader(clock, fleet, self.shards, self)
+        self._reader = ReportReader(
+            clock,
+            fleet,
+            self.shards,
+            self,
+            self._suspects,
+        )
         self._moves = TaskMoves(
             clock,
             fleet,
@@ -163,6 +172,8 @@
 
     @take.register
     def _take_report(self, message: WorkerReport, worker: Worker) -> None:
+        suspects = self._suspects
+        suspects.deaths.take(worker, message, suspects.agents)
         worker.report = message
         worker.reported_at = self._clock.now()
         known = self.shards.known_to(message)
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -13,6 +13,7 @@
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.shards import shard_of
+from hyssopring.jobs.suspects import Suspects
 from hyssopring.jobs.task_facts import facts_of
 from hyssopring.jobs.urgency import Urgency, urgency
 from hyssopring.logs import Event, log_event
@@ -66,6 +67,7 @@
         may_act: Callable[[], bool],
         wall_ms: Callable[[], float],
         advice: AdviceDesk,
+        suspects: Suspects,
     ) -> None:
         """Order agents by ``send`` while ``may_act`` says that it may."""
         self._reactor = reactor
@@ -76,6 +78,7 @@
         self._may_act = may_act
         self._wall_ms = wall_ms
         self._advice = advice
+        self._suspects = suspects
         self.harms = Harms()
         self._is_plan_due = False
         self._plan_at = clock.now()
@@ -102,6 +105,7 @@
 
     def _plan(self) -> None:
         self.harms.look(self._fleet.by_agent.values(), self._clock.now())
+        self._suspects.look()
         wall_ms = self._wall_ms()
         waiting = [
             _Waiting(
@@ -118,7 +122,11 @@
         if not waiting:
             return
         waiting.sort(key=lambda each: each.urgency)
-        takers = self._shards.startable_on(self._fleet.takers())
+        takers = [
+            worker
+            for worker in self._shards.startable_on(self._fleet.takers())
+            if worker.agent_id not in self._suspects.agents
+        ]
         placement = PlacementRound(takers, self.harms)
         for each in waiting:
             self._place(placement, each)
@@ -140,6 +148,9 @@
                 run.number,
                 index,
             )
+            if self._suspects.needs_trial(record, name):
+                self._place_in_trial(placement, waiting, name)
+                continue
             worker = placement.choose(
                 record.job.queue.service,
                 run.step,
@@ -159,6 +170,31 @@
                 record.checkpoint_by_task.get(task, ''),
             )
 
+    def _place_in_trial(
+        self,
+        placement: PlacementRound,
+        waiting: '_Waiting',
+        name: TaskName,
+    ) -> None:
+        """Start a suspect where it can take the least along, and alone."""
+        if not self._suspects.may_begin():
+            return
+        record, task = waiting.record, str(name)
+        crashes = record.crashes.of(record.budget_key(name))
+        worker = placement.choose_for_trial(
+            record.job.queue.service,
+            waiting.run.step,
+            name,
+            {crash.agent_id for crash in crashes},
+            waiting.tickets,
+        )
+        if worker is None:
+            return
+        number = record.next_number(task)
+        checkpoint = record.checkpoint_by_task.get(task, '')
+        self._start(waiting, name, worker, number, checkpoint, is_trial=True)
+        self._suspects.begin(record, name, number, worker.agent_id)
+
     def _place_gang(
         self,
         placement: PlacementRound,
@@ -169,6 +205,9 @@
         if not run.is_gang_ready or len(waiting.indices) < run.step.count:
             return
         names = list(record.job.tasks(run.occurrence, run.number))
+        is_trial = self._suspects.needs_trial(record, names[0])
+        if is_trial and not self._suspects.may_begin():
+            return
         workers = placement.choose_all(
             record.job.queue.service,
             run.step,
@@ -180,7 +219,10 @@
         number = record.next_gang_number(names)
         checkpoint = record.gang_checkpoint(names)
         for name, worker in zip(names, workers, strict=True):
-            self._start(waiting, name, worker, number, checkpoint)
+            self._start(waiting, name, worker, number, checkpoint, is_trial)
+            if is_trial:
+                placement.withdraw(worker)
+                self._suspects.begin(record, name, number, worker.agent_id)
 
     def _start(
         self,
@@ -189,6 +231,7 @@
         worker: Worker,
         number: int,
         checkpoint: str,
+        is_trial: bool = False,
     ) -> None:
         record, run = waiting.record, waiting.run
         task = str(name)
@@ -202,6 +245,7 @@
             facts_of(task, number, run.step),
             worker.connection,
             waiting.ticket(worker),
+            is_trial,
         )
         if not self._send(worker.agent_id, order):
             return
@@ -224,6 +268,7 @@
             attempt=number,
             agent=worker.agent_id,
             resumed=bool(checkpoint),
+            trial=is_trial,
             reign=owned.reign,
             report_age_ms=int(self._clock.now() - worker.reported_at),
             grant_age_ms=int(self._clock.now() - worker.granted_at),
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -1,6 +1,6 @@
 """What agents' reports mean for the jobs of the owned shards."""
 
-from typing import Protocol, TypeVar
+from typing import Final, Protocol, TypeVar
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.book import JobRecord, StepRun
@@ -17,6 +17,7 @@
 from hyssopring.jobs.seen_ends import SeenEnds
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.stopping import mark_stopping
+from hyssopring.jobs.suspects import Suspects
 from hyssopring.jobs.task_facts import facts_of
 from hyssopring.jobs.times import LAPSED_MS
 from hyssopring.jobs.unknown_jobs import UnknownJobs
@@ -24,6 +25,10 @@
 
 __all__ = ('ReportReader', 'ReportSink')
 
+_CRASHES: Final = frozenset(
+    (AttemptEnd.CRASHED.value, AttemptEnd.CRASHED_IN_TRIAL.value)
+)
+
 _Told = TypeVar('_Told', AttemptReport, EndReport)
 
 
@@ -54,8 +59,10 @@
         fleet: Fleet,
         shards: OwnedShards,
         sink: ReportSink,
+        suspects: Suspects,
     ) -> None:
         """Hand what follows from a report to ``sink``."""
+        self._suspects = suspects
         self._clock = clock
         self._fleet = fleet
         self._shards = shards
@@ -176,7 +183,11 @@
             )
             self._sink.stop(owned, worker, told.task, told.attempt)
             return
-        placed.take(told, self._clock.now())
+        now = self._clock.now()
+        placed.take(told, now)
+        if worker.report is not None:
+            heard_at = now - worker.report.silent_ms
+            placed.seen_ms = heard_at - placed.placed_at
         record.keep_checkpoint(told.task, told.checkpoint)
         self._answer(worker, told, placed, owned)
 
@@ -259,7 +270,7 @@
         placed = worker.placed_by_task.get(end.task)
         if placed is not None and placed.number <= end.attempt:
             worker.placed_by_task.pop(end.task)
-        self._apply_end(record, name, end, owned)
+        self._apply_end(record, name, end, worker, owned)
         owned.save(record, ack)
 
     def _apply_end(
@@ -267,6 +278,7 @@
         record: JobRecord,
         name: TaskName,
         end: EndReport,
+        worker: Worker,
         owned: OwnedShard,
     ) -> None:
         run = record.run_of(name)
@@ -274,13 +286,30 @@
         record.keep_checkpoint(end.task, end.checkpoint)
         if end.how == AttemptEnd.DONE.value and not run.step.is_keeper:
             self._take_done(record, run, name, owned)
-        elif end.how == AttemptEnd.FAILED.value:
-            if record.take_failed(name, end.attempt):
-                self._sink.stop_job(record)
+        elif self._fails_job(record, run, name, end, worker):
+            self._sink.stop_job(record)
         if not run.is_done_task(name.index):
             self._return(run, name)
             self._break_gang(run, name)
 
+    def _fails_job(
+        self,
+        record: JobRecord,
+        run: StepRun,
+        name: TaskName,
+        end: EndReport,
+        worker: Worker,
+    ) -> bool:
+        """Count an end against its budget; True if that is used up."""
+        if end.how == AttemptEnd.FAILED.value:
+            return record.take_failed(name, end.attempt)
+        if end.how not in _CRASHES or run.is_done_task(name.index):
+            return False
+        if not self._suspects.crashed(record, name, end, worker):
+            return False
+        record.final_state = JobState.FAILED
+        return True
+
     def _take_done(
         self,
         record: JobRecord,
--- /dev/null
+++ b/hyssopring/jobs/suspects.py
@@ -0,0 +1,208 @@
+"""Finds the tasks that crash the workers that start them.
+
+A worker that crashes takes all along that ran on it. Each attempt that was
+started shortly before is a suspect, and is started again on a worker that gets
+no other start meanwhile. A task under which workers crash there as well is
+given up with its job; one that outlives its start is no suspect any more.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Container, Final
+
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.jobs.book import JobRecord
+from hyssopring.jobs.crash_history import Crash
+from hyssopring.jobs.fleet import Fleet, Placed, Worker
+from hyssopring.jobs.messages import EndReport
+from hyssopring.jobs.model import AttemptEnd, TaskName
+from hyssopring.jobs.worker_deaths import WorkerDeaths
+from hyssopring.logs import Event, log_event
+
+__all__ = ('Suspects',)
+
+# An attempt that has run for this long has not crashed its worker by starting.
+_TRIAL_MS: Final = MILLIS_PER_SECOND
+# Isolated crashes on so many workers show that the task is the cause; where
+# workers die of other causes too, one more.
+_ENOUGH_WORKERS: Final = 2
+_MANY_DEATHS: Final = 4
+# Isolated crashes on one and the same worker show it too, where there is no
+# other one to try.
+_ENOUGH_CRASHES: Final = 4
+# One in so many workers is on trial at most.
+_WORKERS_PER_TRIAL: Final = 4
+# A suspect waits so long for a trial; then it starts like any other task.
+_WAIT_MS: Final = 2 * MILLIS_PER_SECOND
+_WAIT_AFTER_CRASH_MS: Final = 5 * MILLIS_PER_SECOND
+# A worker on trial that has been silent for this long has crashed.
+_SILENT_MS: Final = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Trial:
+    """One attempt of a suspect, and the agent that has no other start."""
+
+    record: JobRecord
+    name: TaskName
+    attempt: int
+    agent_id: str
+
+    @property
+    def suspect(self) -> tuple[str, str]:
+        """The job and its task or gang."""
+        return self.record.job.job_id, self.record.budget_key(self.name)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the task has ended as done."""
+        run = self.record.run_of(self.name)
+        return run is not None and run.is_done_task(self.name.index)
+
+
+class Suspects:
+    """Keeps the trials under way, and judges crashes.
+
+    Attributes:
+        deaths: The deaths of all workers, to tell a common cause.
+    """
+
+    def __init__(self, clock: Clock, fleet: Fleet) -> None:
+        """Begin without a trial."""
+        self._clock = clock
+        self._fleet = fleet
+        self._trial_by_agent: dict[str, _Trial] = {}
+        self.deaths = WorkerDeaths(clock, fleet)
+
+    @property
+    def agents(self) -> Container[str]:
+        """The agents whose workers are to get no other start now."""
+        return self._trial_by_agent.keys()
+
+    def needs_trial(self, record: JobRecord, name: TaskName) -> bool:
+        """Whether a task is a suspect that can wait for a trial."""
+        suspect = record.budget_key(name)
+        crashes = record.crashes.of(suspect)
+        if not crashes:
+            return False
+        now = self._clock.now()
+        since = record.trial_wanted_since.setdefault(suspect, now)
+        has_crashed = any(crash.is_isolated for crash in crashes)
+        return now - since < (_WAIT_AFTER_CRASH_MS if has_crashed else _WAIT_MS)
+
+    def may_begin(self) -> bool:
+        """Whether there is a worker to spare for one more trial."""
+        under_way = sum(
+            self._is_answering(agent_id) for agent_id in self._trial_by_agent
+        )
+        takers = len(self._fleet.takers())
+        return under_way < max(1, takers // _WORKERS_PER_TRIAL)
+
+    def begin(
+        self,
+        record: JobRecord,
+        name: TaskName,
+        attempt: int,
+        agent_id: str,
+    ) -> None:
+        """An attempt was ordered as a trial."""
+        record.trial_wanted_since.pop(record.budget_key(name), None)
+        trial = _Trial(record, name, attempt, agent_id)
+        self._trial_by_agent[agent_id] = trial
+
+    def look(self) -> None:
+        """End the trials that are decided; call before each planning round."""
+        for trials in self._by_suspect().values():
+            placed = [self._placed(trial) for trial in trials]
+            if all(each and each.seen_ms >= _TRIAL_MS for each in placed):
+                self._passed(trials)
+            elif not all(placed):
+                self._ended(trials)
+
+    def crashed(
+        self,
+        record: JobRecord,
+        name: TaskName,
+        end: EndReport,
+        worker: Worker,
+    ) -> bool:
+        """Count a crash under a starting attempt; True if its job fails."""
+        suspect = record.budget_key(name)
+        is_common = self.deaths.is_common(worker.agent_id, self.agents)
+        is_trial = end.how == AttemptEnd.CRASHED_IN_TRIAL.value
+        crash = Crash(
+            worker.agent_id,
+            end.attempt,
+            is_trial and not is_common,
+        )
+        if not record.crashes.add(suspect, crash):
+            return False
+        crashes = record.crashes.of(suspect)
+        log_event(
+            Event.TASK_SUSPECTED,
+            task=str(name),
+            attempt=end.attempt,
+            agent=worker.agent_id,
+            isolated=crash.is_isolated,
+            common=is_common,
+            crashes=len(crashes),
+        )
+        if record.final_state is not None or not self._is_proven(crashes):
+            return False
+        log_event(
+            Event.TASK_GIVEN_UP,
+            task=str(name),
+            crashes=len(crashes),
+            agents=' '.join(sorted({each.agent_id for each in crashes})),
+        )
+        return True
+
+    def _is_proven(self, crashes: tuple[Crash, ...]) -> bool:
+        by_agent = Counter(
+            crash.agent_id for crash in crashes if crash.is_isolated
+        )
+        enough = _ENOUGH_WORKERS
+        if self.deaths.recent() >= _MANY_DEATHS:
+            enough += 1
+        return len(by_agent) >= enough or by_agent.total() >= _ENOUGH_CRASHES
+
+    def _by_suspect(self) -> dict[tuple[str, str], list[_Trial]]:
+        """Trials under way; the members of a gang are tried together."""
+        by_suspect: dict[tuple[str, str], list[_Trial]] = {}
+        for trial in self._trial_by_agent.values():
+            by_suspect.setdefault(trial.suspect, []).append(trial)
+        return by_suspect
+
+    def _placed(self, trial: _Trial) -> Placed | None:
+        worker = self._fleet.by_agent.get(trial.agent_id)
+        if worker is None:
+            return None
+        placed = worker.placed_by_task.get(str(trial.name))
+        if placed is None or placed.number != trial.attempt:
+            return None
+        return placed
+
+    def _passed(self, trials: list[_Trial]) -> None:
+        first = trials[0]
+        first.record.crashes.clear(first.suspect[1])
+        log_event(
+            Event.SUSPECT_CLEARED,
+            task=str(first.name),
+            attempt=first.attempt,
+        )
+        self._release(trials)
+
+    def _ended(self, trials: list[_Trial]) -> None:
+        if all(trial.is_done for trial in trials):
+            self._passed(trials)
+        else:
+            self._release(trials)
+
+    def _release(self, trials: list[_Trial]) -> None:
+        for trial in trials:
+            self._trial_by_agent.pop(trial.agent_id)
+
+    def _is_answering(self, agent_id: str) -> bool:
+        worker = self._fleet.by_agent.get(agent_id)
+        report = worker.report if worker else None
+        return report is not None and report.silent_ms < _SILENT_MS
--- a/hyssopring/jobs/worker_lives.py
+++ b/hyssopring/jobs/worker_lives.py
@@ -1,13 +1,12 @@
 """How a worker's life ended, as its agent saw it."""
 
 from dataclasses import dataclass
-from typing import Collection, Final, Iterable
+from typing import Final, Iterable
 
 from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.jobs.attempts import Attempt
-from hyssopring.logs import Event, log_event
 
-__all__ = ('PastLife', 'log_crash')
+__all__ = ('PastLife',)
 
 # An attempt that was started this long before the worker was last heard of
 # has not crashed it by being started.
@@ -55,21 +54,3 @@
             return False
         failing_since = self.failing_since
         return failing_since is None or attempt.ordered_at < failing_since
-
-
-def log_crash(
-    past: PastLife,
-    attempts: Collection[Attempt],
-    now: float,
-) -> None:
-    """Say that a life has ended, unless that was planned."""
-    if past.is_planned:
-        return
-    suspects = past.suspects(attempts)
-    log_event(
-        Event.WORKER_CRASHED,
-        boot=past.boot,
-        attempts=len(attempts),
-        started=' '.join(f'{each.task}/{each.number}' for each in suspects),
-        silent_ms=int(now - past.heard_at),
-    )
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -191,7 +191,7 @@
     reactor = Clock()
     clock = ReactorClock(reactor)
     planner = StepPlanner(
-        reactor, clock, Fleet(clock), None, None, lambda: True, None, None
+        reactor, clock, Fleet(clock), None, None, lambda: True, *[None] * 3
     )
     rounds = []
 
