--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -95,7 +95,7 @@
         It gets no other task in this round.
 
         Args:
-            avoided: Agents that come last: the suspect has crashed there.
+            avoided: Agents that come last: a crash there proves nothing more.
         """
         allowed = [
             option
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -185,7 +185,7 @@
             record.job.queue.service,
             waiting.run.step,
             name,
-            {crash.agent_id for crash in crashes},
+            {crash.agent_id for crash in crashes if crash.is_isolated},
             waiting.tickets,
         )
         if worker is None:
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -157,7 +157,9 @@
         self.begin()
 
     def go_down(self, away_s):
-        """Crash, and come back later with a new life."""
+        """Crash, unless it is down, and come back later with a new life."""
+        if self.is_down:
+            return
         self.crash()
         self.is_down = True
         self.reactor.callLater(away_s, self._come_back)
@@ -167,7 +169,7 @@
         self.begin()
 
     def _crash_under(self, task, boot):
-        if boot == self.boot and not self.is_down:
+        if boot == self.boot:
             self.book.killed(task, self)
             self.go_down(self.away_s)
 
