LIMIT: a room counts as announced for four seconds, at each sending

A worker's room may shrink and grow while it runs. What a caller of a worker that guards nothing would have seen: starts over the smaller room, from agents whose knowledge of it was older than the rule allows (three seconds and a beat).

Cause: the agent took the last announced room for good, however old, and checked it once, when an order came.

Change: an announced room counts for 4 s and as none after it; a start that is repeated must still fit, else it is stopped, which bars its copies; a changed room is reported at once, so that owners do not choose on the old one for half a second.

Ruled out: a shrink below what runs (nothing starts, nothing is stopped), a shrink just before a takeover: the agent decides, whoever orders.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -81,6 +81,7 @@
         self.watch.on_boot = self._new_boot
         self.watch.on_listing = self._listed
         self.watch.on_lapse = self._lapsed
+        self.watch.on_room = self._report_soon
         self.watch.hold_limit = self._hold_limit
         self.watch.has_unrecorded = lambda: self._ends.has_listed
         self.watch.recorded = self._ends.recorded
@@ -212,7 +213,8 @@
         cpu = 0 if facts.fills else facts.cpu_millis
         size = Size(cpu, facts.memory_mb, facts.accelerators)
         # What is being stopped counts until the worker has listed its end.
-        if not self.table.used().plus(size).fits_in(self.watch.room):
+        used = self.table.used().plus(size)
+        if not used.fits_in(self.watch.room):
             return 'room'
         return ''
 
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -52,7 +52,7 @@
             return
         if attempt.phase is not Phase.STARTING:
             return
-        if attempt.tries >= _MAX_TRIES:
+        if attempt.tries >= _MAX_TRIES or not self._has_room(attempt):
             self.stop(attempt)
             return
         attempt.tries += 1
@@ -171,6 +171,12 @@
         failure.trap(WorkerUnreachable, WorkerReplaced)
         attempt.pace = UNKNOWN_PACE
 
+    def _has_room(self, attempt: Attempt) -> bool:
+        """Whether a start that is repeated still fits; the first one did."""
+        if not attempt.tries:
+            return True
+        return self._table.used().fits_in(self._watch.room)
+
     def _is_current(self, boot: str, attempt: Attempt) -> bool:
         return (
             boot == self._watch.boot
--- a/hyssopring/jobs/times.py
+++ b/hyssopring/jobs/times.py
@@ -12,6 +12,7 @@
     'LOST_AFTER_MS',
     'RENEW_MS',
     'REPORT_MS',
+    'ROOM_MS',
     'ROSTER_WAIT_MS',
 )
 
@@ -39,6 +40,10 @@
 # A worker that no agent has reached for this long has nothing running.
 LAPSED_MS: Final = HOLD_MS * (1 + CLOCK_DRIFT) + 200.0
 
+# A worker announces its room each 1.5 s. One that was announced longer ago may
+# have shrunk, and counts as none.
+ROOM_MS: Final = 4000.0
+
 # An agent reports this often, and at once when something changes.
 REPORT_MS: Final = 500.0
 
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -8,7 +8,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.stalls import StallWatch
-from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS
+from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS, ROOM_MS
 from hyssopring.jobs.worker_lives import PastLife
 from hyssopring.jobs.worker_port import (
     Announcement,
@@ -55,19 +55,22 @@
         self.on_boot: Callable[[], None] = _nothing
         self.on_listing: Callable[[Listing, float], None] = _ignore
         self.on_lapse: Callable[[], None] = _nothing
+        self.on_room: Callable[[], None] = _nothing
         self.hold_limit: Callable[[], float] = float
         self.has_unrecorded: Callable[[], bool] = bool
         self.recorded: Callable[[], int] = int
         self.boot = ''
         self.fence = 0
         self.service = ''
-        self.room = Size()
+        self._room = Size()
+        self._announced_at = clock.now()
         self.labels: tuple[str, ...] = ()
         self.leaving_since: float | None = None
         self._withdrawn_at: float | None = None
         self._leaves_at = clock.now()
         self._sequence = 0
         self._candidate: Announcement | None = None
+        self._candidate_at = clock.now()
         self.past: PastLife | None = None
         self._past_boots: deque[str] = deque(maxlen=_PAST_BOOTS)
         self._clock_base = float()
@@ -85,6 +88,12 @@
         """Whether the worker gets no new tasks any more."""
         return self.leaving_since is not None
 
+    @property
+    def room(self) -> Size:
+        """What the worker has, as it has announced a short while ago."""
+        age_ms = self._clock.now() - self._announced_at
+        return self._room if age_ms <= ROOM_MS else Size()
+
     @property
     def has_ended(self) -> bool:
         """Whether the worker withdrew, and has answered nothing since."""
@@ -113,6 +122,7 @@
         # A report may have been held up and speak of a life that is over:
         # a boot counts only once the worker itself has answered under it.
         self._candidate = announced
+        self._candidate_at = self._clock.now()
         self.look()
 
     def withdraw(self, boot: str) -> None:
@@ -262,6 +272,7 @@
         self._sequence = 0
         self._held_until = self._clock.now()
         self._update(announced)
+        self._announced_at = self._candidate_at
         self.on_boot()
 
     def _update(self, announced: Announcement) -> None:
@@ -269,8 +280,12 @@
             return
         self._sequence = announced.sequence
         self.service = announced.service
-        self.room = announced.room
         self.labels = announced.labels
+        self._announced_at = self._clock.now()
+        has_changed = announced.room != self._room
+        self._room = announced.room
+        if has_changed:
+            self.on_room()
         if announced.is_leaving:
             self._leave(announced.remaining_ms)
 
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -171,8 +171,9 @@
         self.reactor.callLater(0, self.dial)
 
     def beat(self):
-        if not self.worker.is_dark and not self.worker.is_down:
-            self.core.watch.announce(self.worker.announcement())
+        worker = self.worker
+        if worker.has_beats and not worker.is_dark and not worker.is_down:
+            self.core.watch.announce(worker.announcement())
 
     def dial(self):
         for name, entry in self.deployment.entries.items():
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -26,6 +26,8 @@
 # The budget of a task that crashes workers: so many crashes, then fewer than
 # so many starts more.
 MOST_KILLS = 3
+# A room that has shrunk counts this much later: three seconds and a beat.
+SHRINK_S = 4.5
 
 
 @dataclass
@@ -109,6 +111,7 @@
         kills: Whether the worker crashes when it starts a task.
         kill_s: How long after the start it crashes.
         away_s: How long it is away after such a crash.
+        has_beats: Whether its announcements reach its agent.
     """
 
     def __init__(self, reactor, name, book, work_ms, room=None, rate=1):
@@ -133,6 +136,9 @@
         self.kill_s = 0.01
         self.away_s = 3
         self.is_down = False
+        # What it had before it shrank, as long as that may be counted on.
+        self.kept_room = None
+        self.has_beats = True
         self.fill_tasks = set()
         self.advice = None
         self.begin()
@@ -173,6 +179,17 @@
             self.book.killed(task, self)
             self.go_down(self.away_s)
 
+    def resize(self, room):
+        """Shrink or grow; a smaller room is to be kept to some time later."""
+        before, self.room = self.room, room
+        if not before.fits_in(room):
+            self.kept_room = before
+            self.reactor.callLater(SHRINK_S, self._keep_to, room)
+
+    def _keep_to(self, room):
+        if self.room is room:
+            self.kept_room = None
+
     def fail_all(self):
         """Let all that runs end as failed."""
         for run in list(self.runs.values()):
@@ -344,7 +361,8 @@
         used = Size()
         for run in self.runs.values():
             used = used.plus(self.book.sizes[run.task.split('.')[0]])
-        if not used.fits_in(self.room):
+        room = self.kept_room or self.room
+        if not used.fits_in(room):
             self.book.broken.append(f'{self.name} is over its room: {used}')
 
     def _stop(self, fence, task, attempt):
