Crashing tasks: one crash among many at once makes no suspect

Change: a crash beside those of other workers is kept with its cause, and calls for a trial only together with another one. A done task's crashes leave the row. A new crash begins a new wait for a trial; jobs without crashes cost the planner nothing.

The step all of whose tasks crash workers at once is given up as before.

--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -252,6 +252,7 @@
         run.finished(name.index)
         self.progress.done[run.name] = run.done
         self.checkpoint_by_task.pop(str(name), None)
+        self.crashes.clear(self.budget_key(name))
         if self.is_all_done:
             self.final_state = self.final_state or JobState.COMPLETED
         return True
--- a/hyssopring/jobs/crash_history.py
+++ b/hyssopring/jobs/crash_history.py
@@ -1,34 +1,47 @@
 """Crashes of workers under starting tasks, as a job's row keeps them.
 
 They stand in the row's table of failed attempts, under names of their own:
-``crash/OCCURRENCE.STEP.INDEX/KIND/AGENT``. The release before keeps the entries
+``crash/OCCURRENCE.STEP.INDEX/CAUSE/AGENT``. The release before keeps entries
 of that table that it does not know, and would drop a field of its own.
 """
 
+import enum
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final
 
-__all__ = ('Crash', 'CrashHistory')
+__all__ = ('Crash', 'CrashCause', 'CrashHistory')
 
 _PREFIX: Final = 'crash/'
 _SEPARATOR: Final = '/'
-_SHARED: Final = 'shared'
-_ISOLATED: Final = 'isolated'
 _PARTS: Final = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """One crash of a worker that had just started an attempt.
+class CrashCause(enum.Enum):
+    """What is known of a crash's cause.
 
-    Attributes:
-        is_isolated: No other suspect was there, and nothing else is known
-            that would explain the crash.
+    ISOLATED: The task was started in a trial, beside no other suspect.
+    SHARED: It is one of those that were starting.
+    COMMON: Other workers died at the same time.
     """
 
+    ISOLATED = 'isolated'
+    SHARED = 'shared'
+    COMMON = 'common'
+
+
+_CAUSE_BY_WORD: Final = MappingProxyType(
+    {cause.value: cause for cause in CrashCause},
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """One crash of a worker that had just started an attempt."""
+
     agent_id: str
     attempt: int
-    is_isolated: bool
+    cause: CrashCause
 
 
 class CrashHistory:
@@ -42,6 +55,11 @@
             if entry.startswith(_PREFIX):
                 self._read(entry, attempts)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no worker has crashed under a task of the job."""
+        return not self._by_suspect
+
     def of(self, suspect: str) -> tuple[Crash, ...]:
         """Return the crashes under a suspect, in no particular order."""
         return tuple(self._by_suspect.get(suspect, ()))
@@ -65,13 +83,14 @@
         parts = entry.removeprefix(_PREFIX).split(_SEPARATOR, _PARTS - 1)
         if len(parts) < _PARTS:
             return
-        suspect, kind, agent_id = parts
+        suspect, word, agent_id = parts
+        cause = _CAUSE_BY_WORD.get(word)
+        if cause is None:
+            return
         crashes = self._by_suspect.setdefault(suspect, [])
-        crashes.extend(
-            Crash(agent_id, attempt, kind == _ISOLATED) for attempt in attempts
-        )
+        crashes.extend(Crash(agent_id, attempt, cause) for attempt in attempts)
 
 
 def _entry(suspect: str, crash: Crash) -> str:
-    kind = _ISOLATED if crash.is_isolated else _SHARED
-    return _PREFIX + _SEPARATOR.join((suspect, kind, crash.agent_id))
+    parts = (suspect, crash.cause.value, crash.agent_id)
+    return _PREFIX + _SEPARATOR.join(parts)
--- a/hyssopring/jobs/measures.py
+++ b/hyssopring/jobs/measures.py
@@ -27,7 +27,7 @@
         Event.TASK_LAPSED: ('attempts_given_up_total', 'reason'),
         Event.TASK_PACED: ('paces_set_total', ''),
         Event.WORKER_CRASHED: ('workers_crashed_total', ''),
-        Event.TASK_SUSPECTED: ('suspects_total', 'isolated'),
+        Event.TASK_SUSPECTED: ('suspects_total', 'cause'),
         Event.TASK_GIVEN_UP: ('jobs_given_up_total', ''),
         Event.SUSPECT_CLEARED: ('suspects_cleared_total', ''),
         Event.ADVICE_GIVEN: ('questions_answered_total', ''),
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -180,12 +180,11 @@
         if not self._suspects.may_begin():
             return
         record, task = waiting.record, str(name)
-        crashes = record.crashes.of(record.budget_key(name))
         worker = placement.choose_for_trial(
             record.job.queue.service,
             waiting.run.step,
             name,
-            {crash.agent_id for crash in crashes if crash.is_isolated},
+            self._suspects.isolated_agents(record, name),
             waiting.tickets,
         )
         if worker is None:
--- a/hyssopring/jobs/suspects.py
+++ b/hyssopring/jobs/suspects.py
@@ -12,7 +12,7 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.book import JobRecord
-from hyssopring.jobs.crash_history import Crash
+from hyssopring.jobs.crash_history import Crash, CrashCause
 from hyssopring.jobs.fleet import Fleet, Placed, Worker
 from hyssopring.jobs.messages import EndReport
 from hyssopring.jobs.model import AttemptEnd, TaskName
@@ -34,7 +34,7 @@
 _WORKERS_PER_TRIAL: Final = 4
 # A suspect waits so long for a trial; then it starts like any other task.
 _WAIT_MS: Final = 2 * MILLIS_PER_SECOND
-_WAIT_AFTER_CRASH_MS: Final = 5 * MILLIS_PER_SECOND
+_WAIT_LIKELY_MS: Final = 5 * MILLIS_PER_SECOND
 # A worker on trial that has been silent for this long has crashed.
 _SILENT_MS: Final = 500.0
 
@@ -53,12 +53,6 @@
         """The job and its task or gang."""
         return self.record.job.job_id, self.record.budget_key(self.name)
 
-    @property
-    def is_done(self) -> bool:
-        """Whether the task has ended as done."""
-        run = self.record.run_of(self.name)
-        return run is not None and run.is_done_task(self.name.index)
-
 
 class Suspects:
     """Keeps the trials under way, and judges crashes.
@@ -81,14 +75,21 @@
 
     def needs_trial(self, record: JobRecord, name: TaskName) -> bool:
         """Whether a task is a suspect that can wait for a trial."""
+        if record.crashes.is_empty:
+            return False
         suspect = record.budget_key(name)
         crashes = record.crashes.of(suspect)
-        if not crashes:
+        if not _is_suspicious(crashes):
             return False
         now = self._clock.now()
         since = record.trial_wanted_since.setdefault(suspect, now)
-        has_crashed = any(crash.is_isolated for crash in crashes)
-        return now - since < (_WAIT_AFTER_CRASH_MS if has_crashed else _WAIT_MS)
+        is_likely = any(map(_is_isolated, crashes))
+        return now - since < (_WAIT_LIKELY_MS if is_likely else _WAIT_MS)
+
+    def isolated_agents(self, record: JobRecord, name: TaskName) -> set[str]:
+        """Return the agents of a suspect's isolated crashes."""
+        crashes = record.crashes.of(record.budget_key(name))
+        return {each.agent_id for each in crashes if _is_isolated(each)}
 
     def may_begin(self) -> bool:
         """Whether there is a worker to spare for one more trial."""
@@ -117,7 +118,7 @@
             if all(each and each.seen_ms >= _TRIAL_MS for each in placed):
                 self._passed(trials)
             elif not all(placed):
-                self._ended(trials)
+                self._release(trials)
 
     def crashed(
         self,
@@ -128,23 +129,17 @@
     ) -> bool:
         """Count a crash under a starting attempt; True if its job fails."""
         suspect = record.budget_key(name)
-        is_common = self.deaths.is_common(worker.agent_id, self.agents)
-        is_trial = end.how == AttemptEnd.CRASHED_IN_TRIAL.value
-        crash = Crash(
-            worker.agent_id,
-            end.attempt,
-            is_trial and not is_common,
-        )
+        crash = Crash(worker.agent_id, end.attempt, self._cause(end, worker))
         if not record.crashes.add(suspect, crash):
             return False
+        record.trial_wanted_since.pop(suspect, None)
         crashes = record.crashes.of(suspect)
         log_event(
             Event.TASK_SUSPECTED,
             task=str(name),
             attempt=end.attempt,
             agent=worker.agent_id,
-            isolated=crash.is_isolated,
-            common=is_common,
+            cause=crash.cause.value,
             crashes=len(crashes),
         )
         if record.final_state is not None or not self._is_proven(crashes):
@@ -157,9 +152,16 @@
         )
         return True
 
+    def _cause(self, end: EndReport, worker: Worker) -> CrashCause:
+        if self.deaths.is_common(worker.agent_id, self.agents):
+            return CrashCause.COMMON
+        if end.how == AttemptEnd.CRASHED_IN_TRIAL.value:
+            return CrashCause.ISOLATED
+        return CrashCause.SHARED
+
     def _is_proven(self, crashes: tuple[Crash, ...]) -> bool:
         by_agent = Counter(
-            crash.agent_id for crash in crashes if crash.is_isolated
+            crash.agent_id for crash in crashes if _is_isolated(crash)
         )
         enough = _ENOUGH_WORKERS
         if self.deaths.recent() >= _MANY_DEATHS:
@@ -192,12 +194,6 @@
         )
         self._release(trials)
 
-    def _ended(self, trials: list[_Trial]) -> None:
-        if all(trial.is_done for trial in trials):
-            self._passed(trials)
-        else:
-            self._release(trials)
-
     def _release(self, trials: list[_Trial]) -> None:
         for trial in trials:
             self._trial_by_agent.pop(trial.agent_id)
@@ -206,3 +202,14 @@
         worker = self._fleet.by_agent.get(agent_id)
         report = worker.report if worker else None
         return report is not None and report.silent_ms < _SILENT_MS
+
+
+def _is_isolated(crash: Crash) -> bool:
+    return crash.cause is CrashCause.ISOLATED
+
+
+def _is_suspicious(crashes: tuple[Crash, ...]) -> bool:
+    """Whether crashes call for a trial: one alone that was common does not."""
+    return len(crashes) > 1 or any(
+        crash.cause is not CrashCause.COMMON for crash in crashes
+    )
