--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -39,7 +39,8 @@
             was sent on an earlier one.
         reports: How many reports have named it.
         slow_since: Since when its pace is low.
-        seen_ms: For how long it was seen on a worker that answered.
+        seen_since: When a report named it first.
+        seen_ms: For how long from then on its worker has answered.
     """
 
     name: TaskName
@@ -55,6 +56,7 @@
     reports: int = 0
     slow_since: float | None = None
     is_stopping: bool = False
+    seen_since: float | None = None
     seen_ms: float = 0
 
     @property
@@ -90,9 +92,16 @@
         """For how long the attempt has been slowed down a lot."""
         return 0 if self.slow_since is None else now - self.slow_since
 
-    def take(self, told: AttemptReport, now: float) -> None:
-        """Take over what a report says of the attempt."""
+    def take(self, told: AttemptReport, now: float, silent_ms: float) -> None:
+        """Take over what a report says of the attempt.
+
+        Args:
+            silent_ms: For how long the worker had not answered its agent.
+        """
         self.reports += 1
+        if self.seen_since is None:
+            self.seen_since = now
+        self.seen_ms = now - silent_ms - self.seen_since
         if told.pace >= _SLOW_PACE:
             self.slow_since = None
         elif self.slow_since is None:
@@ -322,8 +331,17 @@
                 self.by_agent.pop(agent_id)
 
     def takers(self) -> list[Worker]:
-        """Return the workers that new tasks may be sent to now."""
-        return [each for each in self.by_agent.values() if each.takes_tasks()]
+        """Return the workers that new tasks may be sent to now.
+
+        What is ordered at an agent whose grant is over counts as ended at
+        once, and would be ordered there again in each round.
+        """
+        now = self._clock.now()
+        return [
+            each
+            for each in self.by_agent.values()
+            if each.takes_tasks() and not each.is_lost(now)
+        ]
 
 
 GRANT_TTL_MS = int(GRANT_MS)
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -177,9 +177,9 @@
         name: TaskName,
     ) -> None:
         """Start a suspect where it can take the least along, and alone."""
-        if not self._suspects.may_begin():
-            return
         record, task = waiting.record, str(name)
+        if not self._suspects.may_begin(record, name):
+            return
         worker = placement.choose_for_trial(
             record.job.queue.service,
             waiting.run.step,
@@ -205,7 +205,7 @@
             return
         names = list(record.job.tasks(run.occurrence, run.number))
         is_trial = self._suspects.needs_trial(record, names[0])
-        if is_trial and not self._suspects.may_begin():
+        if is_trial and not self._suspects.may_begin(record, names[0]):
             return
         workers = placement.choose_all(
             record.job.queue.service,
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -183,11 +183,8 @@
             )
             self._sink.stop(owned, worker, told.task, told.attempt)
             return
-        now = self._clock.now()
-        placed.take(told, now)
-        if worker.report is not None:
-            heard_at = now - worker.report.silent_ms
-            placed.seen_ms = heard_at - placed.placed_at
+        assert worker.report is not None, 'it has told of the attempt'
+        placed.take(told, self._clock.now(), worker.report.silent_ms)
         record.keep_checkpoint(told.task, told.checkpoint)
         self._answer(worker, told, placed, owned)
 
--- a/hyssopring/jobs/suspects.py
+++ b/hyssopring/jobs/suspects.py
@@ -23,18 +23,20 @@
 
 # An attempt that has run for this long has not crashed its worker by starting.
 _TRIAL_MS: Final = MILLIS_PER_SECOND
-# Isolated crashes on so many workers show that the task is the cause; where
-# workers die of other causes too, one more.
+# Isolated crashes on so many workers show that the task is the cause.
 _ENOUGH_WORKERS: Final = 2
-_MANY_DEATHS: Final = 4
-# Isolated crashes on one and the same worker show it too, where there is no
-# other one to try.
+# Where workers often die of other causes, it takes so many crashes in all.
 _ENOUGH_CRASHES: Final = 4
+# So many isolated crashes show it too, where there is no other worker to try.
+_ENOUGH_ISOLATED: Final = 4
+# An innocent task is hardly ever starting at so many crashes in a row, of which
+# one was isolated.
+_MOST_CRASHES: Final = 5
 # One in so many workers is on trial at most.
 _WORKERS_PER_TRIAL: Final = 4
-# A suspect waits so long for a trial; then it starts like any other task.
+# A suspect waits so long for a trial for each of its crashes; then it starts
+# like any other task.
 _WAIT_MS: Final = 2 * MILLIS_PER_SECOND
-_WAIT_LIKELY_MS: Final = 5 * MILLIS_PER_SECOND
 # A worker on trial that has been silent for this long has crashed.
 _SILENT_MS: Final = 500.0
 
@@ -83,21 +85,25 @@
             return False
         now = self._clock.now()
         since = record.trial_wanted_since.setdefault(suspect, now)
-        is_likely = any(map(_is_isolated, crashes))
-        return now - since < (_WAIT_LIKELY_MS if is_likely else _WAIT_MS)
+        return now - since < _WAIT_MS * len(crashes)
 
     def isolated_agents(self, record: JobRecord, name: TaskName) -> set[str]:
         """Return the agents of a suspect's isolated crashes."""
         crashes = record.crashes.of(record.budget_key(name))
         return {each.agent_id for each in crashes if _is_isolated(each)}
 
-    def may_begin(self) -> bool:
-        """Whether there is a worker to spare for one more trial."""
+    def may_begin(self, record: JobRecord, name: TaskName) -> bool:
+        """Whether there is a worker to spare for a suspect's trial.
+
+        One of several crashes does not wait behind those of one.
+        """
+        crashes = record.crashes.of(record.budget_key(name))
         under_way = sum(
             self._is_answering(agent_id) for agent_id in self._trial_by_agent
         )
         takers = len(self._fleet.takers())
-        return under_way < max(1, takers // _WORKERS_PER_TRIAL)
+        most = max(1, takers // _WORKERS_PER_TRIAL)
+        return under_way < most + (len(crashes) > 1)
 
     def begin(
         self,
@@ -153,9 +159,12 @@
         return True
 
     def _cause(self, end: EndReport, worker: Worker) -> CrashCause:
+        is_trial = end.how == AttemptEnd.CRASHED_IN_TRIAL.value
+        if is_trial:
+            self.deaths.explain(worker.agent_id)
         if self.deaths.is_common(worker.agent_id, self.agents):
             return CrashCause.COMMON
-        if end.how == AttemptEnd.CRASHED_IN_TRIAL.value:
+        if is_trial:
             return CrashCause.ISOLATED
         return CrashCause.SHARED
 
@@ -163,10 +172,12 @@
         by_agent = Counter(
             crash.agent_id for crash in crashes if _is_isolated(crash)
         )
-        enough = _ENOUGH_WORKERS
-        if self.deaths.recent() >= _MANY_DEATHS:
-            enough += 1
-        return len(by_agent) >= enough or by_agent.total() >= _ENOUGH_CRASHES
+        if len(by_agent) >= _ENOUGH_WORKERS:
+            is_enough = len(crashes) >= _ENOUGH_CRASHES
+            return is_enough or not self.deaths.are_frequent
+        if len(crashes) >= _MOST_CRASHES and by_agent:
+            return True
+        return by_agent.total() >= _ENOUGH_ISOLATED
 
     def _by_suspect(self) -> dict[tuple[str, str], list[_Trial]]:
         """Trials under way; the members of a gang are tried together."""
--- a/hyssopring/jobs/worker_deaths.py
+++ b/hyssopring/jobs/worker_deaths.py
@@ -13,13 +13,17 @@
 # Deaths this close to each other may have one cause. An agent reports each
 # half second, and its worker is looked at as often.
 _SAME_CAUSE_MS: Final = MILLIS_PER_SECOND
+# So many others that die at the same time make a common cause likely.
+_LEAST_OTHERS: Final = 2
 # A worker that has not answered for this long may be dead.
 _SILENT_MS: Final = MILLIS_PER_SECOND
 _RECENT_MS: Final = 20 * MILLIS_PER_SECOND
+# Deaths are frequent when more than one in so many workers has died recently.
+_WORKERS_PER_DEATH: Final = 2
 _KEPT: Final = 500
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Death:
     """A life that ended unannounced.
 
@@ -61,6 +65,16 @@
             is_explained = worker.agent_id in trials
             self._deaths.append(_Death(worker.agent_id, at, is_explained))
 
+    def explain(self, agent_id: str) -> None:
+        """A suspect was on trial when an agent's worker died last.
+
+        A former owner may have ordered that trial.
+        """
+        for each in reversed(self._deaths):
+            if each.agent_id == agent_id:
+                each.is_explained = True
+                return
+
     def is_common(self, agent_id: str, trials: Container[str]) -> bool:
         """Whether an agent's worker died with others, of one cause at a guess.
 
@@ -81,14 +95,16 @@
             if worker.agent_id not in trials and self._is_silent(worker, at)
         )
         others.discard(agent_id)
-        return len(others) >= self._least_common()
+        return len(others) >= _LEAST_OTHERS
 
-    def recent(self) -> int:
-        """Count the deaths of a short while ago that no trial explains."""
+    @property
+    def are_frequent(self) -> bool:
+        """Whether workers die so often that one may well die in a trial."""
         since = self._clock.now() - _RECENT_MS
-        return sum(
+        recent = sum(
             not each.is_explained and each.at >= since for each in self._deaths
         )
+        return recent * _WORKERS_PER_DEATH > len(self._fleet.by_agent)
 
     def _is_silent(self, worker: Worker, at: float) -> bool:
         report = worker.report
@@ -96,7 +112,3 @@
             return False
         heard_at = worker.reported_at - report.silent_ms
         return abs(heard_at - at) <= _SAME_CAUSE_MS
-
-    def _least_common(self) -> int:
-        """How many other workers have to die at once for a common cause."""
-        return min(2, max(1, len(self._fleet.by_agent) // 4))
--- /dev/null
+++ b/standins/jobs/crashing_days.py
@@ -0,0 +1,49 @@
+"""Seeded random days on which some tasks crash the workers that start them."""
+
+from hyssopring.jobs.model import JobState
+from standins.jobs.faults import RandomDay
+
+CRASHING_PART = 0.06
+MOST_CRASHING = 6
+
+
+class CrashingDay(RandomDay):
+    """A random day's faults, and jobs with a task that crashes its worker.
+
+    Attributes:
+        crashing: The tasks that crash their workers.
+    """
+
+    def __init__(self, seed, workers=6):
+        super().__init__(seed, workers)
+        self.crashing = set()
+        for worker in self.deployment.workers:
+            worker.kills = self.crashing.__contains__
+
+    def _fails(self, task):
+        return False
+
+    def _submit(self):
+        super()._submit()
+        is_drawn = self.random.random() < CRASHING_PART
+        if is_drawn and len(self.crashing) < MOST_CRASHING:
+            job_id = f'{self.number:016x}'
+            tasks = self.jobs[job_id].tasks(0, 0)
+            self.crashing.add(str(self.random.choice(list(tasks))))
+
+    def _crash_worker(self):
+        """Some workers at once, as often as one alone."""
+        count = self.random.choice([1, 1, 2, 3])
+        for worker in self.random.sample(self.deployment.workers, count):
+            worker.go_down(self.random.uniform(1, 4))
+
+    def _check(self, job_id):
+        yield from super()._check(job_id)
+        outcomes = self.accepted.get(job_id, [])
+        if not outcomes or outcomes[0].is_err() or job_id in self.cancelled:
+            return
+        is_crashing = any(task.startswith(job_id) for task in self.crashing)
+        state = self.deployment.state(job_id, self.deployment.owner)
+        expected = JobState.FAILED if is_crashing else JobState.COMPLETED
+        if state is not expected:
+            yield f'{job_id} is {state}, crashing: {is_crashing}'
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -228,6 +228,7 @@
     placed.take(
         AttemptReport(task, 1, '', percent, 0, placed_at_pace, True),
         clock.now(),
+        silent_ms=0,
     )
     for worker in (held, quiet_worker):
         fleet.by_agent[worker.agent_id] = worker
