--- a/hyssopring/cli/log_causes.py
+++ b/hyssopring/cli/log_causes.py
@@ -92,6 +92,9 @@
 
 
 def _failure(lines: Sequence[LogLine]) -> str:
+    given_up = _last(lines, Event.TASK_GIVEN_UP)
+    if given_up is not None:
+        return _crashes(given_up)
     failed = [
         line
         for line in lines
@@ -116,6 +119,14 @@
     )
 
 
+def _crashes(given_up: LogLine) -> str:
+    record = given_up.record
+    return (
+        f'Likely cause: {record.get("task")} crashes the workers that start '
+        + f'it: {record.get("crashes")} crashes, on {record.get("agents")}'
+    )
+
+
 def _spans(lines: Sequence[LogLine]) -> Iterator[_Span]:
     yield from _handovers(lines)
     accepted = _last(lines, Event.JOB_ACCEPTED)
--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -79,7 +79,9 @@
         """Tell whether a line names the job itself, or the task."""
         if line.record.get('job') == self.job:
             return True
-        task = str(line.record.get('task', ''))
+        return any(map(self._is_named, _tasks(line.record)))
+
+    def _is_named(self, task: str) -> bool:
         if self.task:
             return task == self.task
         return task.partition('.')[0] == self.job
@@ -120,6 +122,13 @@
     return found
 
 
+def _tasks(record: _Record) -> list[str]:
+    """Return the tasks that a line names: its own, or several attempts'."""
+    started = str(record.get('started', '')).split()
+    names = [attempt.partition('/')[0] for attempt in started]
+    return [str(record.get('task', '')), *names]
+
+
 def _raw_lines(stream: IO[bytes]) -> Iterator[bytes]:
     return iter(lambda: stream.readline(_MAX_LINE_BYTES), b'')
 
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -28,7 +28,12 @@
         Event.STORE_UNREACHABLE: 'reading shard {shard} failed: {detail}',
         Event.TASK_CANCELLED: '{task} was cancelled',
         Event.TASK_EVICTED: '{task} is moved from {agent}: {why}',
+        Event.SUSPECT_CLEARED: f'{_ATTEMPT} outlived its start: no suspect now',
         Event.TASK_FAILED: '{task} is given up after {tries} attempts',
+        Event.TASK_GIVEN_UP: (
+            '{task} crashes the workers that start it: given up after '
+            + '{crashes} crashes, on {agents}'
+        ),
         Event.TASK_LAPSED: (
             f'{_ATTEMPT} on {{agent}} is taken for over: {{reason}} '
             + f'(order {{order}}, {_AGES})'
@@ -39,7 +44,15 @@
             + 'beside it is at {tail_percent} % of its target'
         ),
         Event.TASK_STARTED: f'{_ATTEMPT} is started by its agent',
+        Event.WORKER_CRASHED: (
+            'the worker crashed with {attempts} attempts; just started: '
+            + '{started}'
+        ),
         Event.TASK_STOPPED: f'{_ATTEMPT} is to stop on {{agent}}: {{why}}',
+        Event.TASK_SUSPECTED: (
+            f'the worker of {{agent}} crashed under {_ATTEMPT} as it was '
+            + 'starting: crash {crashes} in a row, {cause}'
+        ),
         Event.TASK_UNPLACED: '{task} cannot be placed: {why}',
     }
 )
@@ -76,6 +89,8 @@
 
 def _placed(words: _Words) -> str:
     how = 'from its checkpoint ' if words.get('resumed') is True else ''
+    if words.get('trial') is True:
+        how = f'{how}as a suspect, alone, '
     text = f'{_ATTEMPT} is placed {how}on {{agent}} under reign {{reign}}'
     return f'{text} ({_AGES})'.format_map(words)
 
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -25,6 +25,10 @@
     'JOB_ACCEPTED': 3012,
     'JOB_FINISHED': 3013,
     'TASK_PACED': 3026,
+    'WORKER_CRASHED': 3039,
+    'TASK_SUSPECTED': 3040,
+    'TASK_GIVEN_UP': 3041,
+    'SUSPECT_CLEARED': 3042,
     'STORE_UNREACHABLE': 5001,
     'STORE_RECOVERED': 5002,
 }
@@ -105,6 +109,51 @@
     return run
 
 
+def suspected(second, attempt, cause, crashes, agent='side-1'):
+    return line(
+        second,
+        'TASK_SUSPECTED',
+        task=TASK,
+        attempt=attempt,
+        agent=agent,
+        cause=cause,
+        crashes=crashes,
+    )
+
+
+def test_a_job_that_was_given_up_names_the_crashes(explain):
+    """Guards against a failed job whose story has no reason."""
+    started = f'{TASK}/1 {JOB[:-1]}b.0.0.0/1'
+    story = explain(
+        [
+            accepted(1),
+            placed(1.1),
+            suspected(4, 1, 'shared', 1),
+            placed(4.1, attempt=2, agent='side-2', trial=True),
+            suspected(7, 2, 'isolated', 2, 'side-2'),
+            placed(7.1, attempt=3, agent='side-3', trial=True),
+            suspected(10, 3, 'isolated', 3, 'side-3'),
+            line(
+                10,
+                'TASK_GIVEN_UP',
+                task=TASK,
+                crashes=3,
+                agents='side-1 side-2 side-3',
+            ),
+            finished(10.1, 9100, 3000, 'failed'),
+        ],
+        [line(4, 'WORKER_CRASHED', boot='b', attempts=9, started=started)],
+    )
+    text = '\n'.join(story)
+    assert 'the worker crashed with 9 attempts' in text
+    assert 'as a suspect, alone, on side-2' in text
+    assert 'crash 2 in a row, isolated' in text
+    assert story[-1] == (
+        f'Likely cause: {TASK} crashes the workers that start it: 3 crashes, '
+        'on side-1 side-2 side-3'
+    )
+
+
 def test_a_story_of_two_processes_is_told_in_order_of_time(explain):
     story = explain(
         [
