--- /dev/null
+++ b/bench/crashing.py
@@ -0,0 +1,134 @@
+"""What a task that crashes workers costs those beside it, in virtual time.
+
+    python -m bench.crashing [--seeds 10] [--workers 11] [--seconds 60]
+
+Workers carry twelve keepers and a stream of small jobs; one job has a task that
+crashes each worker that starts it, which is back after 3 s. Printed for each
+seed and as means: crashes, keeper-seconds away, attempts of others that were
+lost, and when the job was given up.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import Final
+
+import fire
+
+from hyssopring.clock import MILLIS_PER_SECOND
+from standins.jobs import worker as workers
+from standins.jobs.deployment import Deployment, a_job, settled, starts_of
+
+KEEPERS: Final = 12
+CRASHING: Final = 0xC
+FIRST_JOB: Final = 0x100
+TICK_S: Final = 0.1
+JOB_EACH_S: Final = 0.4
+FOREVER_MS: Final = 1e9
+LONG_MS: Final = 1600
+
+
+@dataclass
+class Cost:
+    """What one seed came to.
+
+    Attributes:
+        away_s: Keeper-seconds in which a keeper did not run.
+        given_up_s: From the first start to the job's end, or None.
+    """
+
+    crashes: int
+    away_s: float
+    lost: int
+    given_up_s: float | None
+
+
+class CrashingTask:
+    """One seed of the measurement."""
+
+    def __init__(self, seed, count, seconds):
+        """Settle the keepers; the crashing job is not there yet."""
+        self._chances = random.Random(seed)
+        self._seconds = seconds
+        self._deployment = settled(
+            Deployment(workers=count, work_ms=self._work_ms)
+        )
+        self._keepers = a_job(1, steps=((KEEPERS, ()),), is_keeper=True)
+        self._job = a_job(CRASHING, steps=((6, ()),))
+        self._next_job = FIRST_JOB
+        for each in self._deployment.workers:
+            each.kills = f'{self._job.job_id}.0.0.0'.__eq__
+        self._deployment.submit(self._keepers)
+        self._pass(3)
+
+    def play(self):
+        """Hand the crashing job in, and add up what follows."""
+        self._deployment.submit(self._job)
+        away_s = self._pass(self._seconds)
+        book = self._deployment.book
+        return Cost(
+            sum(map(len, book.kills.values())),
+            away_s,
+            sum(self._is_lost(end) for end in book.ends),
+            self._given_up_s(),
+        )
+
+    def _work_ms(self, task):
+        if task.startswith(self._keepers.job_id):
+            return FOREVER_MS
+        return self._chances.uniform(LONG_MS / 2, LONG_MS)
+
+    def _pass(self, seconds):
+        away_s = 0
+        due = self._now()
+        end = self._now() + seconds
+        while self._now() < end:
+            if self._now() >= due:
+                due += self._chances.expovariate(1 / JOB_EACH_S)
+                self._deployment.submit(a_job(self._next_job))
+                self._next_job += 1
+            self._deployment.run(TICK_S)
+            away_s += TICK_S * (KEEPERS - self._at_work())
+        return away_s
+
+    def _now(self):
+        return self._deployment.reactor.seconds()
+
+    def _at_work(self):
+        running = self._deployment.book.running
+        return sum(
+            bool(running.get(str(task))) for task in self._keepers.tasks(0, 0)
+        )
+
+    def _is_lost(self, end):
+        return end[3] == 'crash' and not end[1].startswith(self._job.job_id)
+
+    def _given_up_s(self):
+        owner = self._deployment.entries[self._deployment.owner].core.owner
+        progress = owner.shards.record_of(self._job.job_id).progress
+        if not progress.state:
+            return None
+        first = starts_of(self._deployment, self._job)[0][0]
+        ended_s = progress.ended_ms - self._deployment.wall_ms()
+        return self._now() + ended_s / MILLIS_PER_SECOND - first
+
+
+def measure(seeds=10, workers=11, seconds=60):
+    """Print a line for each seed, and the means."""
+    _lift_budget()
+    costs = []
+    for seed in range(seeds):
+        cost = CrashingTask(seed, workers, seconds).play()
+        print(seed, cost)
+        costs.append(cost)
+    for name in ('crashes', 'away_s', 'lost'):
+        total = sum(getattr(cost, name) for cost in costs)
+        print(f'mean {name}: {total / len(costs):.1f}')
+
+
+def _lift_budget():
+    """Let code without a bound go on to the end."""
+    workers.MOST_KILLS = 10**6
+
+
+if __name__ == '__main__':
+    fire.Fire(measure)
