--- a/bench/crashing.py
+++ b/bench/crashing.py
@@ -15,7 +15,7 @@
 import fire
 
 from hyssopring.clock import MILLIS_PER_SECOND
-from standins.jobs import worker as workers
+from standins.jobs import book
 from standins.jobs.deployment import Deployment, a_job, settled, starts_of
 
 KEEPERS: Final = 12
@@ -64,11 +64,11 @@
         """Hand the crashing job in, and add up what follows."""
         self._deployment.submit(self._job)
         away_s = self._pass(self._seconds)
-        book = self._deployment.book
+        record = self._deployment.book
         return Cost(
-            sum(map(len, book.kills.values())),
+            sum(map(len, record.kills.values())),
             away_s,
-            sum(self._is_lost(end) for end in book.ends),
+            sum(self._is_lost(end) for end in record.ends),
             self._given_up_s(),
         )
 
@@ -127,7 +127,7 @@
 
 def _lift_budget():
     """Let code without a bound go on to the end."""
-    workers.MOST_KILLS = 10**6
+    book.MOST_KILLS = 10**6
 
 
 if __name__ == '__main__':
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -26,7 +26,8 @@
 )
 from soak.platform.proxy import Proxy, Weather
 from standins.jobs.rows import MemoryRows
-from standins.jobs.worker import Book, SimWorker
+from standins.jobs.book import Book
+from standins.jobs.worker import SimWorker
 from standins.narrow_link import NarrowLink, a_configuration
 from standins.platform import RunnerResource, StoreResource, beat
 from standins.programs import free_ports, settings_file, start_program
--- /dev/null
+++ b/standins/jobs/book.py
@@ -0,0 +1,72 @@
+"""What the workers of a deployment have run, and the promises about it."""
+
+from dataclasses import dataclass
+
+# The budget of a task that crashes workers: so many crashes, then fewer than
+# so many starts more.
+MOST_KILLS = 3
+
+
+@dataclass
+class Run:
+    """One run of a task."""
+
+    task: str
+    number: int
+    ends_at: float
+    checkpoint: str
+    stops_at: float | None = None
+
+
+class Book:
+    """What all workers of a deployment have run; asserts the promises."""
+
+    def __init__(self):
+        self.running = {}
+        self.noted_done = set()
+        self.starts = []
+        self.ends = []
+        self.sizes = {}
+        self.keepers = set()
+        # Jobs whose tasks start with a ticket only.
+        self.advised = set()
+        # Times of crashes by the tasks that caused them.
+        self.kills = {}
+        self.broken = []
+
+    def started(self, now, worker, run):
+        self.starts.append((now, worker.name, run.task, run.number))
+        self._check_budget(now, run)
+        holders = self.running.setdefault(run.task, set())
+        if holders:
+            self.broken.append(
+                f'{now:.2f} {run.task} runs twice: {holders}, {worker.name}'
+            )
+        if run.task in self.noted_done and run.task not in self.keepers:
+            self.broken.append(f'{now:.2f} {run.task} starts though it is done')
+        holders.add(worker.boot)
+
+    def killed(self, task, worker):
+        self.kills.setdefault(task, []).append(worker.reactor.seconds())
+
+    def _check_budget(self, now, run):
+        kills = self.kills.get(run.task, ())
+        if len(kills) < MOST_KILLS:
+            return
+        later = [
+            at
+            for at, _worker, task, _number in self.starts
+            if task == run.task and at > kills[MOST_KILLS - 1]
+        ]
+        if len(later) >= MOST_KILLS:
+            self.broken.append(
+                f'{now:.2f} {run.task} starts a third time after '
+                f'{MOST_KILLS} workers have crashed under it'
+            )
+
+    def ended(self, now, worker, run, how):
+        self.running[run.task].discard(worker.boot)
+        self.ends.append((now, run.task, run.number, how))
+
+    def noted(self, task):
+        self.noted_done.add(task)
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -10,7 +10,8 @@
 from standins.jobs.advice import SimAdvice
 from standins.jobs.processes import Agent, Entry
 from standins.jobs.rows import MemoryRows
-from standins.jobs.worker import Book, SimWorker
+from standins.jobs.book import Book
+from standins.jobs.worker import SimWorker
 
 LINK_S = 0.001
 STEP_S = 0.01
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -34,7 +34,8 @@
 )
 from hyssopring.web_client import _BytesProducer
 from standins.jobs.rows import MemoryRows
-from standins.jobs.worker import Book, SimWorker
+from standins.jobs.book import Book
+from standins.jobs.worker import SimWorker
 
 BEAT_S = 0.5
 WORK_MS = 300
--- a/tests/test_colocation_bench.py
+++ b/tests/test_colocation_bench.py
@@ -12,7 +12,7 @@
 from hyssopring.jobs.worker_port import Start
 from standins.jobs.interference import Interference
 from standins.jobs.shared_worker import KeeperTimes, SharedWorker
-from standins.jobs.worker import Book
+from standins.jobs.book import Book
 
 SEED = 101
 NO_CONTROL = 'no control'
--- a/tests/test_jobs_crashing.py
+++ b/tests/test_jobs_crashing.py
@@ -29,6 +29,14 @@
     return deployment
 
 
+def submitted(**options):
+    """Such a deployment, and the first job handed in to it."""
+    deployment = crashing(**options)
+    job = a_job(CRASHING)
+    deployment.submit(job)
+    return deployment, job
+
+
 def is_crashing(task):
     return task.startswith(f'{CRASHING:016x}.')
 
@@ -118,9 +126,7 @@
 
 def test_the_count_survives_two_takeovers_in_a_row():
     """Guards against a count of crashes that dies with the owner."""
-    deployment = crashing()
-    job = a_job(CRASHING)
-    deployment.submit(job)
+    deployment, job = submitted()
     for count in (2, 3):
         run_until_kills(deployment, count)
         name = deployment.owner
@@ -133,9 +139,7 @@
 
 def test_the_count_survives_a_restart_of_all_entries():
     """Guards against a count that is kept in the entries alone."""
-    deployment = crashing()
-    job = a_job(CRASHING)
-    deployment.submit(job)
+    deployment, job = submitted()
     run_until_kills(deployment, 2)
     deployment.run(4)
     for name in deployment.entries:
@@ -147,9 +151,7 @@
 
 def test_the_count_goes_on_while_the_store_is_away():
     """Guards against starts without end while no count can be stored."""
-    deployment = crashing()
-    job = a_job(CRASHING)
-    deployment.submit(job)
+    deployment, job = submitted()
     run_until_kills(deployment, 1)
     deployment.rows.is_down = True
     deployment.run(8)
@@ -179,9 +181,7 @@
 
 def test_a_task_is_given_up_although_an_agent_dies_after_a_crash():
     """Guards against the loss of one report making the starts endless."""
-    deployment = crashing()
-    job = a_job(CRASHING)
-    deployment.submit(job)
+    deployment, job = submitted()
     run_until_kills(deployment, 2)
     number = next(
         number
@@ -224,9 +224,7 @@
 
 def test_a_task_is_given_up_where_there_is_one_worker_only():
     """Guards against proof that needs a second worker where there is none."""
-    deployment = crashing(workers=1)
-    job = a_job(CRASHING)
-    deployment.submit(job)
+    deployment, job = submitted(workers=1)
     deployment.run(60)
     assert_given_up(deployment, job)
 
