--- a/standins/jobs/crashing_days.py
+++ b/standins/jobs/crashing_days.py
@@ -37,13 +37,11 @@
         for worker in self.random.sample(self.deployment.workers, count):
             worker.go_down(self.random.uniform(1, 4))
 
-    def _check(self, job_id):
-        yield from super()._check(job_id)
-        outcomes = self.accepted.get(job_id, [])
-        if not outcomes or outcomes[0].is_err() or job_id in self.cancelled:
+    def _check_state(self, job_id, state):
+        yield from super()._check_state(job_id, state)
+        if job_id in self.cancelled:
             return
         is_crashing = any(task.startswith(job_id) for task in self.crashing)
-        state = self.deployment.state(job_id, self.deployment.owner)
         expected = JobState.FAILED if is_crashing else JobState.COMPLETED
         if state is not expected:
             yield f'{job_id} is {state}, crashing: {is_crashing}'
--- a/standins/jobs/faults.py
+++ b/standins/jobs/faults.py
@@ -222,6 +222,9 @@
         if not outcomes or outcomes[0].is_err():
             return
         state = self.deployment.state(job_id, self.deployment.owner)
+        yield from self._check_state(job_id, state)
+
+    def _check_state(self, job_id, state):
         if state is None or not state.is_final:
             yield f'{job_id} is {state}'
         if state is JobState.CANCELLED and job_id not in self.cancelled:
