Observability: agents say when a worker has started again under its id

Callers saw tasks run again after they were done. The logs could not tell an agent that takes the next incarnation of its worker for the former one (hypothesis 1) from orders that the next incarnation carries out for the former one (hypothesis 3): nothing names the incarnation that has answered.

Event 3043 WORKER_RESTARTED, at the first list of another `born` under the same id: with the number up to which that very call acknowledged ends, and the rows in the list, which can only come from orders to the former incarnation. `workers_restarted_total` counts it. A log line and a counter; nothing decides by it.

--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -48,6 +48,10 @@
             'the worker crashed with {attempts} attempts; just started: '
             + '{started}'
         ),
+        Event.WORKER_RESTARTED: (
+            'worker {worker} started again under its id: born {born}, before '
+            + '{before}'
+        ),
         Event.TASK_STOPPED: f'{_ATTEMPT} is to stop on {{agent}}: {{why}}',
         Event.TASK_SUSPECTED: (
             f'the worker of {{agent}} crashed under {_ATTEMPT} as it was '
--- a/hyssopring/jobs/measures.py
+++ b/hyssopring/jobs/measures.py
@@ -27,6 +27,7 @@
         Event.TASK_LAPSED: ('attempts_given_up_total', 'reason'),
         Event.TASK_PACED: ('paces_set_total', ''),
         Event.WORKER_CRASHED: ('workers_crashed_total', ''),
+        Event.WORKER_RESTARTED: ('workers_restarted_total', ''),
         Event.TASK_SUSPECTED: ('suspects_total', 'cause'),
         Event.TASK_GIVEN_UP: ('jobs_given_up_total', ''),
         Event.SUSPECT_CLEARED: ('suspects_cleared_total', ''),
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -40,6 +40,7 @@
         Event.TASK_UNKNOWN: 'WARNING',
         Event.VM_OVERCOMMITTED: 'WARNING',
         Event.WORKER_CRASHED: 'WARNING',
+        Event.WORKER_RESTARTED: 'WARNING',
         Event.WORKER_SILENT: 'WARNING',
         Event.REQUEST_ANSWERED: 'DEBUG',
     }
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -21,6 +21,7 @@
     WorkerUnreachable,
 )
 from hyssopring.logs import Event, log_event
+from hyssopring.platform.incarnation import RestartLog
 from hyssopring.platform.json_calls import JsonAnswer, JsonClient
 
 __all__ = ('PlatformWorker',)
@@ -86,6 +87,7 @@
             _IDLE_S,
         )
         self._said: set[str] = set()
+        self._restarts = RestartLog()
 
     def look(self, look: Look) -> Deferred:
         """See ``WorkerPort``."""
@@ -103,6 +105,7 @@
             fields,
             look.wait_ms + _LOOK_TIMEOUT_MS,
         )
+        calling.addCallback(self._note_restart, look)
         return calling.addCallback(_listing, self._say)
 
     def start(self, start: Start) -> Deferred:
@@ -151,6 +154,10 @@
         calling = self._call('/-/pace', boot, fields, _TIMEOUT_MS)
         return calling.addCallback(_taken)
 
+    def _note_restart(self, answer: JsonAnswer, look: Look) -> JsonAnswer:
+        self._restarts.listed(look.boot, answer.fields, look.recorded)
+        return answer
+
     def _say(self, kind: str, found: object) -> None:
         """Log one kind of what is odd once: each look lists it again."""
         if kind in self._said or len(self._said) >= _MAX_SAID:
