Red tests: ends of a worker that restarts under its id are skipped

What callers saw: done tasks ran again, failed ones beyond their budget.

The stand-in's workers can now keep their id over all incarnations, with sequence, end numbers and clock starting anew; their agents speak to them through the platform's border (standins/runner_wire.py, which the HTTP stand-in shares). The book also asserts that no end is acknowledged unread, and that no start follows the last permitted failure once that is noted.

--- a/standins/jobs/book.py
+++ b/standins/jobs/book.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from hyssopring.jobs.model import AttemptEnd
+
 # The budget of a task that crashes workers: so many crashes, then fewer than
 # so many starts more.
 MOST_KILLS = 3
@@ -24,6 +26,9 @@
     def __init__(self):
         self.running = {}
         self.noted_done = set()
+        self.noted_failed = {}
+        # Failures of a task that its job permits, by job.
+        self.most_failures = {}
         self.starts = []
         self.ends = []
         self.sizes = {}
@@ -37,6 +42,7 @@
     def started(self, now, worker, run):
         self.starts.append((now, worker.name, run.task, run.number))
         self._check_budget(now, run)
+        self._check_failures(run.task)
         holders = self.running.setdefault(run.task, set())
         if holders:
             self.broken.append(
@@ -68,5 +74,25 @@
         self.running[run.task].discard(worker.boot)
         self.ends.append((now, run.task, run.number, how))
 
-    def noted(self, task):
-        self.noted_done.add(task)
+    def noted(self, task, number, how):
+        """An end is acknowledged."""
+        if how is AttemptEnd.DONE:
+            self.noted_done.add(task)
+        elif how is AttemptEnd.FAILED:
+            self.noted_failed.setdefault(task, set()).add(number)
+            self._check_failures(task)
+
+    def _check_failures(self, task):
+        """No start follows the last permitted failure, once that is noted."""
+        noted = self.noted_failed.get(task, ())
+        ended = sorted(
+            at
+            for at, name, number, _how in self.ends
+            if name == task and number in noted
+        )
+        most = self.most_failures.get(task.split('.')[0])
+        if most is None or task in self.keepers or len(ended) < most:
+            return
+        starts = [at for at, _worker, name, _ in self.starts if name == task]
+        if starts and max(starts) > ended[most - 1]:
+            self.broken.append(f'{task} starts after {most} noted failures')
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -34,6 +34,7 @@
         work_ms=lambda task: 1000,
         rate=1,
         cores_by_entry=(),
+        keeps_ids=False,
     ):
         self.cores_by_entry = dict(cores_by_entry)
         self.reactor = Reactor()
@@ -48,7 +49,11 @@
         self.drops_old = False
         self.cut = set()
         self.blocked = set()
-        self._work = {'work_ms': work_ms, 'rate': rate}
+        self._work = {
+            'work_ms': work_ms,
+            'rate': rate,
+            'keeps_id': keeps_ids,
+        }
         self._incarnations = itertools.count(1)
         self.workers = [
             self._worker(f'worker-{number}') for number in range(workers)
@@ -180,6 +185,7 @@
     def submit(self, job, entry='entry-0'):
         """Hand a job in; the outcomes are appended to the list returned."""
         outcomes = []
+        self.book.most_failures[job.job_id] = job.queue.max_attempts
         for step in job.steps:
             self.book.sizes[job.job_id] = step.charge
         if job.queue.advice is not None:
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -8,7 +8,10 @@
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.times import RENEW_MS
+from hyssopring.platform.reports import ReportsResource
+from hyssopring.platform.worker import PlatformWorker
 from standins.jobs.advice import AdviceLink
+from standins.runner_wire import RunnerClient, post_report, report_fields
 
 AGENT_TURN_S = 0.1
 ENTRY_TURN_S = 0.2
@@ -155,14 +158,30 @@
         return heard
 
 
+def agent_port(worker):
+    """The port to a worker; one that keeps its id is behind the border."""
+    if not worker.keeps_id:
+        return worker
+    port = PlatformWorker(None, '127.0.0.1:1')
+    port._client = RunnerClient(worker)
+    return port
+
+
 class Agent(Process):
     """An agent's core and its timers; its worker lives on without it."""
 
     def __init__(self, deployment, name, worker):
         super().__init__(deployment, name)
         self.worker = worker
-        port = WorkerLink(worker, self.reactor)
-        self.core = JobAgentCore(self.reactor, self.clock, port, self.send)
+        self.port = agent_port(worker)
+        self.core = JobAgentCore(
+            self.reactor,
+            self.clock,
+            WorkerLink(self.port, self.reactor),
+            self.send,
+        )
+        watch = self.core.watch
+        self.reports = ReportsResource(watch.announce, watch.withdraw)
         self.links = set()
         self.every(AGENT_TURN_S, self.core.turn)
         self.every(BEAT_S, self.beat)
@@ -172,7 +191,11 @@
 
     def beat(self):
         worker = self.worker
-        if worker.has_beats and not worker.is_dark and not worker.is_down:
+        if not worker.has_beats or worker.is_dark or worker.is_down:
+            return
+        if worker.keeps_id:
+            post_report(self.reports, worker.boot, report_fields(worker))
+        else:
             self.core.watch.announce(worker.announcement())
 
     def dial(self):
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -1,6 +1,7 @@
 """The platform's runner in virtual time, with its faults."""
 
 import contextlib
+import itertools
 
 from twisted.internet.defer import Deferred
 
@@ -23,6 +24,8 @@
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2
 SECOND_MS = 1000
+FIRST_CLOCK_MS = 1000
+BORN_BASE_MS = 1_700_000_000_000
 # A room that has shrunk counts this much later: three seconds and a beat.
 SHRINK_S = 4.5
 
@@ -44,11 +47,24 @@
         kill_s: How long after the start it crashes.
         away_s: How long it is away after such a crash.
         has_beats: Whether its announcements reach its agent.
+        keeps_id: Each incarnation has the same id, and all counts start anew.
+        clocks_ms: What the steady clocks of its incarnations begin with.
+        lose_looks: So many looks are carried out and not answered.
     """
 
-    def __init__(self, reactor, name, book, work_ms, room=None, rate=1):
+    def __init__(
+        self,
+        reactor,
+        name,
+        book,
+        work_ms,
+        room=None,
+        rate=1,
+        keeps_id=False,
+    ):
         self.reactor = reactor
         self.name = name
+        self.keeps_id = keeps_id
         self.book = book
         self.work_ms = work_ms
         self.room = room or Size(16_000, 64_000, 0)
@@ -71,6 +87,8 @@
         # What it had before it shrank, as long as that may be counted on.
         self.kept_room = None
         self.has_beats = True
+        self.clocks_ms = itertools.repeat(FIRST_CLOCK_MS)
+        self.lose_looks = 0
         self.fill_tasks = set()
         self.advice = None
         self.begin()
@@ -78,12 +96,18 @@
     def begin(self):
         """A new life."""
         self.lives += 1
-        self.boot = f'{self.name}-{self.lives}'
+        self.boot = self.name
+        if self.keeps_id:
+            self.sequence = 0
+        else:
+            self.boot = f'{self.name}-{self.lives}'
         self.born_at = self.reactor.seconds()
+        self.first_clock_ms = next(self.clocks_ms)
         self.fence = 0
         self.hold_ms = 0
         self.runs = {}
         self.ends = []
+        self.listed = set()
         self.number = 0
         self.highest_by_task = {}
 
@@ -106,8 +130,8 @@
         self.is_down = False
         self.begin()
 
-    def _crash_under(self, task, boot):
-        if boot == self.boot:
+    def _crash_under(self, task, lives):
+        if lives == self.lives:
             self.book.killed(task, self)
             self.go_down(self.away_s)
 
@@ -130,9 +154,15 @@
     def clock_ms(self):
         return (
             int((self.reactor.seconds() - self.born_at) * SECOND_MS * self.rate)
-            + 1000
+            + self.first_clock_ms
         )
 
+    def born_fields(self):
+        """What it says of its start in reports and lists."""
+        if not self.keeps_id:
+            return {}
+        return {'born': BORN_BASE_MS + int(self.born_at * SECOND_MS)}
+
     def announcement(self):
         self.sequence += 1
         return Announcement(
@@ -153,6 +183,9 @@
         return max(0, int(left_s * SECOND_MS))
 
     def look(self, look):
+        if self.lose_looks and not self.is_dark:
+            self.lose_looks -= 1
+            return self._lose(look.boot, lambda: self._look(look))
         return self._call(look.boot, lambda: self._look(look), LOOK_TIMEOUT_S)
 
     def start(self, start):
@@ -180,10 +213,13 @@
     def _order(self, boot, action):
         if self.lose_next and not self.is_dark:
             self.lose_next -= 1
-            self.reactor.callLater(self.late_s, self._if_same, boot, action)
-            return self._fail(WorkerUnreachable('lost'), TIMEOUT_S)
+            return self._lose(boot, action)
         return self._call(boot, action)
 
+    def _lose(self, boot, action):
+        self.reactor.callLater(self.late_s, self._if_same, boot, action)
+        return self._fail(WorkerUnreachable('lost'), TIMEOUT_S)
+
     def _if_same(self, boot, action):
         if boot == self.boot and not self.is_down:
             self.settle()
@@ -246,16 +282,23 @@
         if look.fence >= self.fence:
             self.fence = look.fence
             self._hold(look.until_ms)
-            for end in self.ends:
-                if end.number <= look.recorded and end.how is AttemptEnd.DONE:
-                    self.book.noted(end.task)
-            self.ends = [end for end in self.ends if end.number > look.recorded]
+            self._acknowledge(look.recorded)
         rows = tuple(
             WorkerRow(run.task, run.number, run.checkpoint, 50, 0)
             for run in self.runs.values()
         )
+        self.listed.update(end.number for end in self.ends)
         return Listing(self.clock_ms(), rows, tuple(self.ends))
 
+    def _acknowledge(self, recorded):
+        for end in self.ends:
+            if end.number > recorded:
+                continue
+            if end.number not in self.listed:
+                self.book.broken.append(f'{self.name}: unread {end} is dropped')
+            self.book.noted(end.task, end.attempt, end.how)
+        self.ends = [end for end in self.ends if end.number > recorded]
+
     def _start(self, start):
         if start.fence < self.fence:
             return StartOutcome.FENCED
@@ -280,7 +323,7 @@
         self._check_room()
         if self.kills(start.task):
             self.reactor.callLater(
-                self.kill_s, self._crash_under, start.task, self.boot
+                self.kill_s, self._crash_under, start.task, self.lives
             )
         return StartOutcome.STARTED
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,7 +17,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from hyssopring.addresses import parse_address
-from hyssopring.jobs.model import AttemptEnd
+from hyssopring.jobs.model import Size
 from hyssopring.jobs.rows import (
     Committed,
     Row,
@@ -26,25 +26,14 @@
     RowPut,
     Transaction,
 )
-from hyssopring.jobs.worker_port import (
-    Look,
-    Start,
-    StartOutcome,
-    WorkerReplaced,
-)
 from hyssopring.web_client import _BytesProducer
 from standins.jobs.rows import MemoryRows
 from standins.jobs.book import Book
 from standins.jobs.worker import SimWorker
+from standins.runner_wire import RunnerCalls, report_fields
 
 BEAT_S = 0.5
 WORK_MS = 300
-REASON_BY_OUTCOME = {
-    StartOutcome.FENCED: 'fence',
-    StartOutcome.OLD: 'old',
-    StartOutcome.LATE: 'late',
-    StartOutcome.NO_ROOM: 'room',
-}
 
 
 def _place(fields):
@@ -176,10 +165,6 @@
             request.finish()
 
 
-def _word(how):
-    return 'lapsed' if how is AttemptEnd.LOST else how.value
-
-
 class RunnerResource(Resource):
     """/-/run-start, /-/run-stop, /-/hold and /-/pace of one runner."""
 
@@ -187,133 +172,54 @@
 
     def __init__(self, worker):
         super().__init__()
-        self.worker = worker
+        self.calls = RunnerCalls(worker)
 
     def render_POST(self, request):
         body = json.loads(request.content.read())
-        boot = request.getHeader('expected-instance')
-        call = getattr(
-            self,
-            '_' + request.path.decode().removeprefix('/-/').replace('-', '_'),
-        )
-        reactor.callLater(
-            0, self._settle, request, call, boot, body, body.get('waitMs', 0)
-        )
+        worker_id = request.getHeader('expected-instance')
+        if 'spec' in body:
+            self._note_size(body['task'])
+        wait_ms = body.get('waitMs', 0)
+        reactor.callLater(0, self._settle, request, wait_ms, worker_id, body)
         return NOT_DONE_YET
 
-    def _settle(self, request, call, boot, body, wait_ms):
+    def _note_size(self, task):
+        """Tasks take no room here."""
+        sizes = self.calls.worker.book.sizes
+        sizes.setdefault(task.split('.')[0], Size())
+
+    def _settle(self, request, wait_ms, worker_id, body):
         """A hold's answer waits for an end."""
-        self.worker.settle()
+        self.calls.worker.settle()
         fresh = [
             end
-            for end in self.worker.ends
+            for end in self.calls.worker.ends
             if end.number > body.get('lastSeen', 0)
         ]
         if wait_ms > 0 and not fresh:
             reactor.callLater(
-                0.02, self._settle, request, call, boot, body, wait_ms - 20
+                0.02, self._settle, request, wait_ms - 20, worker_id, body
             )
             return
-        call(boot, body).addCallbacks(
+        self.calls.call(request.path.decode(), worker_id, body).addCallbacks(
             lambda outcome: self._write(request, *outcome),
-            lambda failure: self._not_done(request, failure),
+            # An order whose answer is lost gets none: it may yet be done.
+            lambda _failure: None,
         )
 
-    def _not_done(self, request, failure):
-        """An order whose answer is lost gets none: it may yet be done."""
-        if failure.check(WorkerReplaced):
-            self._write(request, 421, {})
-
     def _write(self, request, status, fields):
         if not request._disconnected:
             request.setResponseCode(status)
-            request.write(
-                json.dumps(
-                    {'clockMs': self.worker.clock_ms(), **fields}
-                ).encode()
-            )
+            request.write(json.dumps(fields).encode())
             request.finish()
 
-    def _run_start(self, boot, body):
-        start = Start(
-            boot,
-            body['fencingToken'],
-            body['task'],
-            body['runId'],
-            body['spec'],
-            body.get('checkpoint', ''),
-            body['untilMs'],
-        )
-        job_id = body['task'].split('.')[0]
-        self.worker.book.sizes.setdefault(
-            job_id, self.worker.room.minus(self.worker.room)
-        )
-        return self.worker.start(start).addCallback(_start_answer)
-
-    def _run_stop(self, boot, body):
-        stopping = self.worker.stop(
-            boot, body['fencingToken'], body['task'], body['runId']
-        )
-        return stopping.addCallback(lambda _taken: (200, {}))
-
-    def _pace(self, boot, body):
-        pacing = self.worker.set_pace(
-            boot,
-            body['fencingToken'],
-            body['task'],
-            body['runId'],
-            body['percent'],
-        )
-        return pacing.addCallback(lambda _taken: (200, {}))
-
-    def _hold(self, boot, body):
-        look = Look(
-            boot, body['fencingToken'], body['lastSeen'], body.get('untilMs'), 0
-        )
-        return self.worker.look(look).addCallback(_listing_answer)
-
-
-def _start_answer(outcome):
-    if outcome is StartOutcome.STARTED:
-        return 200, {}
-    return 409, {'reason': REASON_BY_OUTCOME[outcome]}
-
-
-def _listing_answer(listing):
-    running = [
-        [row.task, row.attempt, row.checkpoint, row.percent, row.load]
-        for row in listing.rows
-    ]
-    finished = [
-        [end.number, end.task, end.attempt, _word(end.how), end.checkpoint]
-        for end in listing.ends
-    ]
-    return 200, {'running': running, 'finished': finished}
-
 
 def beat(agent, worker, control):
     """Report to the agent on the runner's own machine until it is gone."""
     if worker.is_gone:
         return
-    told = worker.announcement()
-    body = {
-        'service': told.service,
-        'address': control,
-        'zone': 'zone',
-        'version': 'v1',
-        'capacity': 8,
-        'state': 'draining' if told.is_leaving else 'ready',
-        'coldRemainingMs': 0,
-        'freeCapacity': {
-            'cpu': told.room.cpu_millis,
-            'memMb': told.room.memory_mb,
-            'gpu': 0,
-        },
-        'labels': list(told.labels),
-        'clockMs': told.clock_ms,
-        'sequence': told.sequence,
-    }
-    url = f'http://{control}/-/instances/{told.boot}/heartbeat'.encode()
+    body = {**report_fields(worker), 'address': control}
+    url = f'http://{control}/-/instances/{worker.boot}/heartbeat'.encode()
     producer = _BytesProducer(json.dumps(body).encode())
     headers = Headers({'content-type': ['application/json']})
     agent.request(b'POST', url, headers, producer).addBoth(lambda _answer: None)
--- /dev/null
+++ b/standins/runner_wire.py
@@ -0,0 +1,171 @@
+"""What a runner answers and reports, in the fields of the platform's pages."""
+
+import json
+from io import BytesIO
+
+from twisted.internet.defer import Deferred
+from twisted.web.test.requesthelper import DummyRequest
+
+from hyssopring.jobs.model import AttemptEnd
+from hyssopring.jobs.worker_port import (
+    Look,
+    Start,
+    StartOutcome,
+    WorkerFenced,
+    WorkerReplaced,
+)
+from hyssopring.platform.json_calls import JsonAnswer
+
+REASON_BY_OUTCOME = {
+    StartOutcome.FENCED: 'fence',
+    StartOutcome.OLD: 'old',
+    StartOutcome.LATE: 'late',
+    StartOutcome.NO_ROOM: 'room',
+    StartOutcome.BAD_TICKET: 'ticket',
+}
+UNHEALTHY = 503
+
+
+class RunnerCalls:
+    """Carries calls out on a ``SimWorker``; answers are (status, fields)."""
+
+    def __init__(self, worker):
+        self.worker = worker
+
+    def call(self, path, worker_id, body):
+        """Return a deferred answer; it fails where none comes."""
+        name = path.removeprefix('/-/').replace('-', '_')
+        calling = getattr(self, f'_{name}')(worker_id, body)
+        calling.addErrback(_refusal)
+        return calling.addCallback(self._with_clock)
+
+    def _with_clock(self, answer):
+        status, fields = answer
+        return status, {'clockMs': self.worker.clock_ms(), **fields}
+
+    def _run_start(self, worker_id, body):
+        start = Start(
+            worker_id,
+            body['fencingToken'],
+            body['task'],
+            body['runId'],
+            body['spec'],
+            body.get('checkpoint', ''),
+            body['untilMs'],
+            body.get('ticket', ''),
+        )
+        return self.worker.start(start).addCallback(_start_answer)
+
+    def _run_stop(self, worker_id, body):
+        stopping = self.worker.stop(
+            worker_id, body['fencingToken'], body['task'], body['runId']
+        )
+        return stopping.addCallback(_nothing_more)
+
+    def _pace(self, worker_id, body):
+        pacing = self.worker.set_pace(
+            worker_id,
+            body['fencingToken'],
+            body['task'],
+            body['runId'],
+            body['percent'],
+        )
+        return pacing.addCallback(_nothing_more)
+
+    def _hold(self, worker_id, body):
+        look = Look(
+            worker_id,
+            body['fencingToken'],
+            body['lastSeen'],
+            body.get('untilMs'),
+            0,
+        )
+        listing = self.worker.look(look)
+        return listing.addCallback(_listing_answer, self.worker)
+
+
+class RunnerClient:
+    """Stands for the HTTP client of an agent, without a network."""
+
+    def __init__(self, worker):
+        self._calls = RunnerCalls(worker)
+
+    def call(self, _method, path, fields, _timeout_ms, headers=()):
+        """Return a deferred ``JsonAnswer``."""
+        worker_id = dict(headers)['Expected-Instance']
+        answer = Deferred()
+        self._calls.call(path, worker_id, fields).addCallbacks(
+            lambda told: answer.callback(JsonAnswer(*told)), answer.errback
+        )
+        return answer
+
+
+def report_fields(worker):
+    """The body of a worker's report about itself."""
+    told = worker.announcement()
+    fields = {
+        'service': told.service,
+        'address': '127.0.0.1:1',
+        'zone': 'zone',
+        'version': 'v1',
+        'capacity': 8,
+        'state': 'draining' if told.is_leaving else 'ready',
+        'coldRemainingMs': 0,
+        'remainingMs': told.remaining_ms,
+        'freeCapacity': {
+            'cpu': told.room.cpu_millis,
+            'memMb': told.room.memory_mb,
+            'gpu': told.room.accelerators,
+        },
+        'labels': list(told.labels),
+        'clockMs': told.clock_ms,
+        'sequence': told.sequence,
+    }
+    return {**fields, **worker.born_fields()}
+
+
+def post_report(resource, worker_id, fields, verb='heartbeat'):
+    """Hand a report to an agent's resource; return the status."""
+    request = DummyRequest([])
+    request.path = f'/-/instances/{worker_id}/{verb}'.encode('latin-1')
+    request.content = BytesIO(json.dumps(fields).encode())
+    request.responseCode = 200
+    resource.render_POST(request)
+    return request.responseCode
+
+
+def _refusal(failure):
+    if failure.check(WorkerReplaced):
+        return 421, {}
+    if failure.check(WorkerFenced):
+        return 409, {'reason': 'fence'}
+    return failure
+
+
+def _start_answer(outcome):
+    if outcome is StartOutcome.STARTED:
+        return 200, {}
+    if outcome is StartOutcome.UNHEALTHY:
+        return UNHEALTHY, {}
+    return 409, {'reason': REASON_BY_OUTCOME[outcome]}
+
+
+def _nothing_more(_taken):
+    return 200, {}
+
+
+def _listing_answer(listing, worker):
+    running = [
+        [row.task, row.attempt, row.checkpoint, row.percent, row.load]
+        for row in listing.rows
+    ]
+    finished = [
+        [end.number, end.task, end.attempt, _word(end.how), end.checkpoint]
+        for end in listing.ends
+    ]
+    fields = {'running': running, 'finished': finished}
+    return 200, {**fields, **worker.born_fields()}
+
+
+def _word(how):
+    return 'lapsed' if how is AttemptEnd.LOST else how.value
