Incarnations: a worker's start is a part of its boot's name

Cause: an agent compared incarnations of its worker by the id alone. It took the next one for the one it knew: ends up to the number that the former one had reached were skipped (`EndTable.add`), and its next look acknowledged them unread. Their attempts were neither listed nor ended, and the owner started them again, uncounted. Class: an identity that is reused, compared without what tells its uses apart.

Change: the border names an incarnation by id and `born` in one value, the boot, made in platform/incarnation.py and compared whole everywhere else, as boots always were. A list says which boot answered; one of another than was asked is no answer of that one. Calls still go out under the id. An odd start (no whole number, absurdly high) names an incarnation all the same; one that is not told at all leaves the id; a farewell without it counts only for an incarnation that has said that it leaves.

Why it works: all that an agent and an owner keep by boot (end numbers, acknowledgements, tickets, attempts, sequence, past boots, deaths) begins anew with the new value, as with a new id.

--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -49,8 +49,7 @@
             + '{started}'
         ),
         Event.WORKER_RESTARTED: (
-            'worker {worker} started again under its id: born {born}, before '
-            + '{before}'
+            'the worker started again under its id: {boot}, before {before}'
         ),
         Event.TASK_STOPPED: f'{_ATTEMPT} is to stop on {{agent}}: {{why}}',
         Event.TASK_SUSPECTED: (
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -214,6 +214,9 @@
 
     def _listed(self, listing: Listing, look: Look, sent_at: float) -> None:
         self._is_looking = False
+        if listing.boot not in {'', look.boot}:
+            self._met_another(look)
+            return
         if look.boot != self.boot:
             self._adopt(look)
         self._heard_at = self._clock.now()
@@ -227,10 +230,20 @@
     def _failed(self, failure: TwistedFailure, look: Look) -> None:
         self._is_looking = False
         reason = failure.trap(WorkerReplaced, WorkerUnreachable)
+        if reason is WorkerReplaced:
+            self._met_another(look)
+        else:
+            self._look_failed()
+
+    def _met_another(self, look: Look) -> None:
+        """Another incarnation has answered a look."""
+        if look.boot != self.boot:
+            self._candidate = None
+        self._look_failed()
+
+    def _look_failed(self) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
-        if reason is WorkerReplaced and look.boot != self.boot:
-            self._candidate = None
         self._later(_RETRY_MS)
 
     def _broken(self, failure: TwistedFailure) -> None:
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -30,7 +30,7 @@
 
 
 class WorkerReplaced(Exception):
-    """Another boot of the worker answered; nothing was done."""
+    """Another boot of the worker answered, and has done nothing."""
 
 
 class StartOutcome(enum.Enum):
@@ -133,6 +133,8 @@
         is_whole: Whether each row was read: what is not listed is over.
         last_void: The highest number of an end that names no task, 0 for
             none; it is to be forgotten like a recorded one.
+        boot: The one that answered, and has carried the look out; empty where
+            it cannot be another one than was asked.
     """
 
     clock_ms: int
@@ -140,6 +142,7 @@
     ends: tuple[EndRow, ...]
     is_whole: bool = True
     last_void: int = 0
+    boot: str = ''
 
 
 class WorkerPort(Protocol):
--- a/hyssopring/platform/advice.py
+++ b/hyssopring/platform/advice.py
@@ -13,6 +13,7 @@
     NoAdvice,
     Question,
 )
+from hyssopring.platform.incarnation import worker_id
 from hyssopring.platform.json_calls import JsonAnswer, JsonClient
 
 __all__ = ('PlatformAdvice', 'advice_port')
@@ -47,28 +48,38 @@
 
     def ask(self, question: Question) -> Deferred:
         """See ``AdvicePort``."""
+        boots = question.boots
         calling = self._client.call(
             'POST',
             '/-/advise',
-            {'step': question.step, 'workers': list(question.boots)},
+            {'step': question.step, 'workers': list(map(worker_id, boots))},
             _PATIENCE * question.expected_ms + _TIMEOUT_MS,
         )
-        return calling.addCallbacks(_advised, _no_answer)
+        return calling.addCallbacks(
+            _advised,
+            _no_answer,
+            callbackArgs=(boots,),
+        )
 
 
 def _no_answer(failure: TwistedFailure) -> None:
     raise AdviceUnavailable(repr(failure.value))
 
 
-def _advised(answer: JsonAnswer) -> Advised:
+def _advised(answer: JsonAnswer, boots: tuple[str, ...]) -> Advised:
     if answer.status != HTTPStatus.OK:
         raise AdviceUnavailable(f'the service answered {answer.status}')
     try:
-        return _read(answer.fields)
+        return _read(answer.fields, boots)
     except (KeyError, TypeError, ValueError) as error:
         raise AdviceUnavailable(repr(error)) from error
 
 
-def _read(fields: dict[str, Any]) -> Advised:
-    tickets = {str(boot): str(ticket) for boot, ticket in fields['approved']}
+def _read(fields: dict[str, Any], boots: tuple[str, ...]) -> Advised:
+    """Read tickets by id; those asked for have one incarnation each."""
+    boot_by_id = {worker_id(boot): boot for boot in boots}
+    tickets = {
+        boot_by_id.get(str(runner_id), str(runner_id)): str(ticket)
+        for runner_id, ticket in fields['approved']
+    }
     return Advised(tickets, float(fields.get('validMs', 0)))
--- a/hyssopring/platform/incarnation.py
+++ b/hyssopring/platform/incarnation.py
@@ -1,4 +1,7 @@
-"""Tells the incarnations of a runner apart: one may start under its old id."""
+"""Names the incarnations of a runner: one may start again under its id.
+
+Outside this folder such a name, a boot, is compared whole and never read.
+"""
 
 import hashlib
 import json
@@ -6,21 +9,45 @@
 
 from hyssopring.logs import Event, log_event
 
-__all__ = ('RestartLog', 'born_text')
+__all__ = ('RestartLog', 'boot_name', 'listed_boot', 'worker_id')
 
 # What a double holds exactly, and so each JSON reader.
 _MAX_COUNT: Final = 2**53
 _DIGEST_LENGTH: Final = 16
+# No id of a runner contains it.
+_SEPARATOR: Final = '#'
 
 
-def born_text(born: Any) -> str:
-    """Return what a runner says of its start as a word, empty for nothing.
+def boot_name(runner_id: str, born: Any) -> str:
+    """Name an incarnation.
 
-    It is a millisecond since 1970. Anything else still names an incarnation,
-    as long as the runner keeps to it.
+    Args:
+        born: The millisecond of its start since 1970. Anything else still
+            names an incarnation, as long as the runner keeps to it; None where
+            the runner does not say, and has a new id each time.
     """
     if born is None:
-        return ''
+        return runner_id
+    return f'{runner_id}{_SEPARATOR}{_born_text(born)}'
+
+
+def worker_id(boot: str) -> str:
+    """Return the id under which a runner takes calls."""
+    return boot.partition(_SEPARATOR)[0]
+
+
+def listed_boot(asked: str, born: Any) -> str:
+    """Name the incarnation that answered a call to ``asked``.
+
+    One whose reports or lists do not tell their start is taken for the one
+    that was asked: the id has been compared by the runner itself.
+    """
+    if born is None or asked == worker_id(asked):
+        return asked
+    return boot_name(worker_id(asked), born)
+
+
+def _born_text(born: Any) -> str:
     if isinstance(born, float) and born.is_integer():
         born = int(born)
     is_whole = isinstance(born, int) and not isinstance(born, bool)
@@ -35,12 +62,11 @@
 
     def __init__(self) -> None:
         """Know of no runner."""
-        self._worker_id = ''
-        self._born = ''
+        self._boot = ''
 
     def listed(
         self,
-        worker_id: str,
+        runner_id: str,
         fields: dict[str, Any],
         acknowledged: int,
     ) -> None:
@@ -50,21 +76,21 @@
             acknowledged: The number of the last end that the call named as
                 recorded.
         """
-        born = born_text(fields.get('born'))
-        if not born or (worker_id, born) == (self._worker_id, self._born):
+        born = fields.get('born')
+        if born is None:
             return
-        if worker_id == self._worker_id:
+        boot = boot_name(runner_id, born)
+        before = self._boot
+        self._boot = boot
+        if boot != before and worker_id(before) == runner_id:
             log_event(
                 Event.WORKER_RESTARTED,
-                worker=worker_id,
-                born=born,
-                before=self._born,
+                boot=boot,
+                before=before,
                 acknowledged=acknowledged,
                 running=_length(fields.get('running')),
                 finished=_length(fields.get('finished')),
             )
-        self._worker_id = worker_id
-        self._born = born
 
 
 def _length(rows: Any) -> int:
--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -12,6 +12,7 @@
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.worker_port import Announcement
 from hyssopring.logs import Event, log_event
+from hyssopring.platform.incarnation import boot_name, worker_id
 
 __all__ = ('ReportsResource',)
 
@@ -19,8 +20,8 @@
 _OK: Final = 200
 _BAD: Final = 400
 _MISSING: Final = 404
-# A boot's name goes out again as a header of each call to the runner.
-_BOOT: Final = re.compile('[A-Za-z0-9._~:@+=-]{1,128}')
+# It goes out again as a header of each call to the runner.
+_ID: Final = re.compile('[A-Za-z0-9._~:@+=-]{1,128}')
 _MAX_NAME: Final = 256
 _MAX_LABELS: Final = 256
 # What a double holds exactly, and so each JSON reader.
@@ -54,12 +55,13 @@
     free_capacity: _Room = _Room()
     labels: tuple[_Name, ...] = Field(default=(), max_length=_MAX_LABELS)
     remaining_ms: _Count = 0
+    born: Any = None
 
-    def announcement(self, boot: str) -> Announcement:
+    def announcement(self, runner_id: str) -> Announcement:
         """Translate."""
         room = self.free_capacity
         return Announcement(
-            boot,
+            boot_name(runner_id, self.born),
             self.service,
             Size(room.cpu, room.mem_mb, room.gpu),
             self.labels,
@@ -84,36 +86,60 @@
         super().__init__()
         self._on_report = on_report
         self._on_leave = on_leave
+        self._last: Announcement | None = None
 
     def render_POST(self, request: Request) -> bytes:
         """Take one call."""
         path = request.path.decode('latin-1')
-        boot, _slash, verb = path.removeprefix(_PREFIX).partition('/')
+        runner_id, _slash, verb = path.removeprefix(_PREFIX).partition('/')
         request.setHeader('content-type', 'application/json')
-        request.setResponseCode(self._answer(boot, verb, request))
+        request.setResponseCode(self._answer(runner_id, verb, request))
         return b'{}'
 
-    def _answer(self, boot: str, verb: str, request: Request) -> int:
-        if verb in {'heartbeat', 'deregister'} and not _BOOT.fullmatch(boot):
-            detail = f'no name of a boot: {boot[:_MAX_NAME]!r}'
+    def _answer(self, runner_id: str, verb: str, request: Request) -> int:
+        if verb not in {'heartbeat', 'deregister'}:
+            return _MISSING
+        if not _ID.fullmatch(runner_id):
+            detail = f'no id of a runner: {runner_id[:_MAX_NAME]!r}'
             log_event(Event.PEER_ERROR, peer='runner', detail=detail)
             return _BAD
+        body = request.content.read()
         if verb == 'heartbeat':
-            return self._take(boot, request.content.read())
-        if verb == 'deregister':
-            self._on_leave(boot)
-            return _OK
-        return _MISSING
+            return self._take(runner_id, body)
+        self._on_leave(self._leaving_boot(runner_id, body))
+        return _OK
 
-    def _take(self, boot: str, body: bytes) -> int:
+    def _take(self, runner_id: str, body: bytes) -> int:
         try:
             report = _Report.model_validate_json(body)
         except ValidationError as error:
-            log_event(Event.PEER_ERROR, peer=boot, detail=_first(error))
+            log_event(Event.PEER_ERROR, peer=runner_id, detail=_first(error))
             return _BAD
-        self._on_report(report.announcement(boot))
+        self._last = report.announcement(runner_id)
+        self._on_report(self._last)
         return _OK
 
+    def _leaving_boot(self, runner_id: str, body: bytes) -> str:
+        """Name the incarnation that says farewell.
+
+        A farewell without a start may be a late one of the incarnation before:
+        it counts for the present one only if that has said that it leaves.
+        """
+        boot = boot_name(runner_id, _born_in(body))
+        last = self._last
+        if boot != runner_id or last is None or not last.is_leaving:
+            return boot
+        return last.boot if worker_id(last.boot) == runner_id else boot
+
+
+def _born_in(body: bytes) -> Any:
+    """Return what a farewell says of the runner's start, None for nothing."""
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return None
+    return fields.get('born') if isinstance(fields, dict) else None
+
 
 def _first(error: ValidationError) -> str:
     problem: dict[str, Any] = dict(error.errors()[0])
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -1,6 +1,7 @@
 """A runner of the platform as ``jobs.worker_port.WorkerPort``."""
 
 import re
+from dataclasses import replace
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, Callable, Final, Mapping
@@ -21,7 +22,11 @@
     WorkerUnreachable,
 )
 from hyssopring.logs import Event, log_event
-from hyssopring.platform.incarnation import RestartLog
+from hyssopring.platform.incarnation import (
+    RestartLog,
+    listed_boot,
+    worker_id,
+)
 from hyssopring.platform.json_calls import JsonAnswer, JsonClient
 
 __all__ = ('PlatformWorker',)
@@ -105,8 +110,7 @@
             fields,
             look.wait_ms + _LOOK_TIMEOUT_MS,
         )
-        calling.addCallback(self._note_restart, look)
-        return calling.addCallback(_listing, self._say)
+        return calling.addCallback(self._listed, look)
 
     def start(self, start: Start) -> Deferred:
         """See ``WorkerPort``."""
@@ -154,9 +158,12 @@
         calling = self._call('/-/pace', boot, fields, _TIMEOUT_MS)
         return calling.addCallback(_taken)
 
-    def _note_restart(self, answer: JsonAnswer, look: Look) -> JsonAnswer:
-        self._restarts.listed(look.boot, answer.fields, look.recorded)
-        return answer
+    def _listed(self, answer: JsonAnswer, look: Look) -> Listing:
+        fields = answer.fields
+        self._restarts.listed(worker_id(look.boot), fields, look.recorded)
+        listing = _listing(answer, self._say)
+        boot = listed_boot(look.boot, fields.get('born'))
+        return replace(listing, boot=boot)
 
     def _say(self, kind: str, found: object) -> None:
         """Log one kind of what is odd once: each look lists it again."""
@@ -182,7 +189,7 @@
             path,
             fields,
             timeout_ms,
-            (('Expected-Instance', boot),),
+            (('Expected-Instance', worker_id(boot)),),
         )
         return calling.addCallbacks(_same_boot, _unreachable)
 
--- a/tests/test_border_incarnations.py
+++ b/tests/test_border_incarnations.py
@@ -1,10 +1,15 @@
 """Incarnations of a runner, as the border tells them apart."""
 
 import pytest
+from test_border_runner import GOOD
 from test_platform import LOOK, Answers, result_of, worker_with
 
+from hyssopring.jobs.advice_port import Question
 from hyssopring.logs import Event, _emit, listen_to_events
-from hyssopring.platform.incarnation import born_text
+from hyssopring.platform.advice import PlatformAdvice
+from hyssopring.platform.incarnation import boot_name
+from hyssopring.platform.reports import ReportsResource
+from standins.runner_wire import post_report
 
 BORN = 1_764_756_371_000
 
@@ -33,8 +38,8 @@
     for born in (BORN, BORN, BORN + 5000, BORN + 5000):
         look(worker, born=born, running=[], finished=[[1]])
     assert len(restarts) == 1
-    assert restarts[0]['before'] == str(BORN)
-    assert restarts[0]['born'] == str(BORN + 5000)
+    assert restarts[0]['before'] == f'i-1#{BORN}'
+    assert restarts[0]['boot'] == f'i-1#{BORN + 5000}'
     assert restarts[0]['finished'] == 1
 
 
@@ -50,10 +55,90 @@
 
 @pytest.mark.parametrize('odd', ODD_STARTS)
 def test_an_odd_start_names_an_incarnation_all_the_same(odd):
-    words = {born_text(other) for other in (*ODD_STARTS, BORN)}
+    words = {boot_name('i-1', other) for other in (*ODD_STARTS, BORN)}
     assert len(words) == len(ODD_STARTS) + 1
-    assert born_text(odd) == born_text(odd)
+    assert boot_name('i-1', odd) == boot_name('i-1', odd)
 
 
 def test_a_whole_number_names_the_same_start_in_either_form():
-    assert born_text(BORN) == born_text(float(BORN)) == str(BORN)
+    whole = boot_name('i-1', BORN)
+    assert whole == boot_name('i-1', float(BORN)) == f'i-1#{BORN}'
+
+
+class Reports:
+    """An agent's resource for reports, and what it has passed on."""
+
+    def __init__(self):
+        self.boots, self.left = [], []
+        self._resource = ReportsResource(
+            lambda told: self.boots.append(told.boot), self.left.append
+        )
+
+    def beat(self, **changes):
+        post_report(self._resource, 'i-1', {**GOOD, **changes})
+
+    def leave(self, fields):
+        post_report(self._resource, 'i-1', fields, 'deregister')
+
+
+def test_each_incarnation_reports_under_a_boot_of_its_own():
+    reports = Reports()
+    for born in (BORN, BORN + 1, None):
+        reports.beat(born=born)
+    assert reports.boots == [f'i-1#{BORN}', f'i-1#{BORN + 1}', 'i-1']
+
+
+@pytest.mark.parametrize('odd', ODD_STARTS)
+def test_a_report_with_an_odd_start_is_taken(odd):
+    reports = Reports()
+    reports.beat(born=odd)
+    assert len(reports.boots) == 1
+
+
+def test_a_farewell_counts_for_the_incarnation_that_it_names():
+    reports = Reports()
+    reports.beat(born=BORN + 1)
+    reports.leave({'born': BORN})
+    assert reports.left == [f'i-1#{BORN}']
+
+
+@pytest.mark.parametrize(
+    ('state', 'boot'), [('ready', 'i-1'), ('draining', f'i-1#{BORN}')]
+)
+def test_a_farewell_without_a_start_needs_a_worker_that_leaves(state, boot):
+    """Guards against a late farewell that ends the next incarnation."""
+    reports = Reports()
+    reports.beat(born=BORN, state=state)
+    reports.leave({})
+    assert reports.left == [boot]
+
+
+@pytest.mark.parametrize(
+    ('asked', 'born', 'boot'),
+    [
+        (f'i-1#{BORN}', BORN, f'i-1#{BORN}'),
+        (f'i-1#{BORN}', BORN + 1, f'i-1#{BORN + 1}'),
+        (f'i-1#{BORN}', None, f'i-1#{BORN}'),
+        ('i-1', BORN, 'i-1'),
+    ],
+)
+def test_a_list_names_the_incarnation_that_answered(asked, born, boot):
+    worker = worker_with(Answers(200, {'clockMs': 1, 'born': born}))
+    listing = result_of(worker.look(type('Look', (), {**LOOK, 'boot': asked})))
+    assert listing.boot == boot
+
+
+def test_calls_carry_the_id_alone():
+    answers = Answers(200, {'clockMs': 1})
+    worker_with(answers).stop(f'i-1#{BORN}', 1, 'a', 1)
+    assert answers.calls[0][-1] == (('Expected-Instance', 'i-1'),)
+
+
+def test_advice_is_asked_by_id_and_counts_for_the_incarnation():
+    boots = (f'i-1#{BORN}', 'i-2')
+    answers = Answers(200, {'approved': [['i-1', 't'], ['i-2', 'u']]})
+    advice = PlatformAdvice(None, '127.0.0.1:1')
+    advice._client = answers
+    advised = result_of(advice.ask(Question('step', boots, 100)))
+    assert answers.calls[0][2]['workers'] == ['i-1', 'i-2']
+    assert advised.ticket_by_boot == {boots[0]: 't', 'i-2': 'u'}
