Incarnations: nothing that was sent to the former one acts in the next

What callers saw: tasks ran twice where orders were carried out late around a restart of a worker under its id; jobs that never finished, as an agent could no longer order its worker.

Cause: calls name the id, which both incarnations have. - Fences and holds were taken from the worker's clock, which starts anew: a late start of the former incarnation had the higher fence, ran in the next one, and the agent's own orders were refused, raised by 1 each 0.1 s. - Each look carried an acknowledgement and a hold, also after looks without an answer, when another incarnation may be there. - An attempt that the next incarnation had been sent and listed counted as lost with the former one (owner), and as a suspect of its crash (agent).

Change: - Fences come from the time of day (FenceCounter), above all that an agent or incarnation before was sent; a refused one is raised by doubled steps. The first look at a new incarnation makes older calls void. - After a look without an answer the next ones acknowledge and extend nothing, and starts wait, until the known incarnation has answered. - Acknowledgements go only while a recorded end is listed, with a look that does not wait, and starts after one have a higher fence: in the next incarnation an acknowledgement cannot follow a start's end that nobody has read. - What the next incarnation lists is carried over with its facts, is no suspect of the crash, and keeps its place with the owner, also across an upgrade from the release that knows ids alone. - A worker that fell silent soon after its return counts as lapsed 10 s after it, the longest hold that a stray call may have set.

The test of an upgraded agent passes on the code before as well. 570 tests of jobs, border and workers pass.

Ruled out: comparing the order of `born` (clocks are set back), an epoch in the store (a write at each restart, and none while the store is away).

--- a/hyssopring/clock.py
+++ b/hyssopring/clock.py
@@ -1,9 +1,15 @@
-"""The one clock type: monotonic milliseconds."""
+"""The one clock type: monotonic milliseconds; and the time of day."""
 
 import time
 from typing import Protocol
 
-__all__ = ('MILLIS_PER_SECOND', 'Clock', 'ManualClock', 'MonotonicClock')
+__all__ = (
+    'MILLIS_PER_SECOND',
+    'Clock',
+    'ManualClock',
+    'MonotonicClock',
+    'wall_ms',
+)
 
 MILLIS_PER_SECOND = 1000
 
@@ -43,3 +49,8 @@
         if millis < 0:
             raise ValueError('a clock never steps back')
         self._now += millis
+
+
+def wall_ms() -> float:
+    """Return the milliseconds since 1970; the time of day may be set back."""
+    return time.time() * MILLIS_PER_SECOND
--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -11,6 +11,7 @@
 from hyssopring.clock import Clock
 from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
 from hyssopring.jobs.ends import EndTable
+from hyssopring.jobs.fences import FenceCounter
 from hyssopring.jobs.messages import (
     RUNNING_HERE,
     AgentLeft,
@@ -52,12 +53,16 @@
         clock: Clock,
         port: WorkerPort,
         send: Send,
+        wall_ms: Callable[[], float],
     ) -> None:
-        """Talk to the worker by ``port`` and to entries by ``send``."""
+        """Talk to the worker by ``port`` and to entries by ``send``.
+
+        ``wall_ms`` tells the milliseconds since 1970.
+        """
         self._reactor = reactor
         self._clock = clock
         self._send = send
-        self.watch = WorkerWatch(reactor, clock, port)
+        self.watch = WorkerWatch(reactor, clock, port, FenceCounter(wall_ms))
         self.table = AttemptTable()
         self._rights = Rights()
         self._orders = WorkerOrders(
@@ -102,7 +107,7 @@
         wait for an agent that never comes back, and keepers with it.
         """
         self._is_stopping = True
-        is_idle = self.watch.is_leaving and not self.table.by_task
+        is_idle = self.watch.announced.is_leaving and not self.table.by_task
         if not is_idle and not self.watch.has_ended:
             return
         ends = list(self._ends.by_number.values())
@@ -197,7 +202,7 @@
             return 'deposed'
         if order.boot != self.watch.boot:
             return 'boot'
-        if self.watch.is_leaving or self._is_stopping:
+        if self.watch.announced.is_leaving or self._is_stopping:
             return 'leaving'
         if self._rights.until(order.shard) <= self._clock.now():
             return 'no-grant'
@@ -214,7 +219,7 @@
         size = Size(cpu, facts.memory_mb, facts.accelerators)
         # What is being stopped counts until the worker has listed its end.
         used = self.table.used().plus(size)
-        if not used.fits_in(self.watch.room):
+        if not used.fits_in(self.watch.announced.room):
             return 'room'
         return ''
 
@@ -244,15 +249,22 @@
             StartRefusal(facts.task, facts.attempt, reason, reign),
         )
 
-    def _new_boot(self) -> None:
+    def _new_boot(self, listing: Listing) -> None:
         now = self._clock.now()
         self._met_at = now
         self._ends = EndTable(self._ends)
+        before = [*self.table.by_task.values(), *self._lapsed_attempts]
         if self.watch.past is not None:
-            attempts = [*self.table.by_task.values(), *self._lapsed_attempts]
-            self._ends.take_crash(self.watch.past, attempts, now)
+            lost = [
+                each
+                for each in before
+                if not listing.names(each.task, each.number)
+            ]
+            self._ends.take_crash(self.watch.past, lost, now)
         self._lapsed_attempts = []
         self.table.clear()
+        # Orders to the incarnation before that this one has carried out.
+        self.table.carry_over(before, listing, now)
         self.watch.recorded = self._ends.recorded
         self._report_soon()
 
@@ -345,13 +357,13 @@
             WorkerReport(
                 self._sequence,
                 watch.boot,
-                watch.service,
-                list(watch.labels),
-                watch.room.cpu_millis,
-                watch.room.memory_mb,
-                watch.room.accelerators,
-                watch.is_leaving,
-                watch.remaining_ms,
+                watch.announced.service,
+                list(watch.announced.labels),
+                watch.announced.room.cpu_millis,
+                watch.announced.room.memory_mb,
+                watch.announced.room.accelerators,
+                watch.announced.is_leaving,
+                watch.announced.remaining_ms,
                 watch.silent_ms,
                 reigns,
                 [each.report() for each in attempts if each.shard in own],
--- /dev/null
+++ b/hyssopring/jobs/announced.py
@@ -0,0 +1,89 @@
+"""What one boot of a worker has last said of itself."""
+
+from hyssopring.clock import Clock
+from hyssopring.jobs.model import Size
+from hyssopring.jobs.times import ROOM_MS
+from hyssopring.jobs.worker_port import Announcement
+from hyssopring.logs import Event, log_event
+
+__all__ = ('AnnouncedState',)
+
+
+class AnnouncedState:
+    """Takes a worker's reports about itself; a late one changes nothing.
+
+    Attributes:
+        withdrawn_at: When the worker said that it ends, None before that.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Nothing was announced yet."""
+        self._clock = clock
+        self._boot = ''
+        self.service = ''
+        self.labels: tuple[str, ...] = ()
+        self._room = Size()
+        self._announced_at = clock.now()
+        self._sequence = 0
+        self._is_leaving = False
+        self._leaves_at = clock.now()
+        self.withdrawn_at: float | None = None
+
+    @classmethod
+    def of_boot(
+        cls,
+        clock: Clock,
+        announced: Announcement,
+        announced_at: float,
+    ) -> 'AnnouncedState':
+        """Begin with the report by which a boot was found."""
+        state = cls(clock)
+        state.take(announced)
+        state._announced_at = announced_at
+        return state
+
+    @property
+    def room(self) -> Size:
+        """What the worker has, as it has announced a short while ago."""
+        age_ms = self._clock.now() - self._announced_at
+        return self._room if age_ms <= ROOM_MS else Size()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the worker gets no new tasks any more."""
+        return self._is_leaving
+
+    @property
+    def remaining_ms(self) -> int:
+        """How long a leaving worker still runs at least."""
+        return max(0, int(self._leaves_at - self._clock.now()))
+
+    def take(self, announced: Announcement) -> bool:
+        """Take a report; True if the room is another one than before."""
+        if announced.sequence < self._sequence:
+            return False
+        self._boot = announced.boot
+        self._sequence = announced.sequence
+        self.service = announced.service
+        self.labels = announced.labels
+        self._announced_at = self._clock.now()
+        has_changed = announced.room != self._room
+        self._room = announced.room
+        if announced.is_leaving:
+            self._leave(announced.remaining_ms)
+        return has_changed
+
+    def withdraw(self) -> None:
+        """The worker says that it ends now."""
+        self.withdrawn_at = self._clock.now()
+        self._leave(0)
+
+    def _leave(self, remaining_ms: int) -> None:
+        if not self._is_leaving:
+            self._is_leaving = True
+            log_event(
+                Event.BACKEND_LEAVING,
+                boot=self._boot,
+                remaining_ms=remaining_ms,
+            )
+        self._leaves_at = self._clock.now() + remaining_ms
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -1,12 +1,13 @@
 """The attempts on one worker, as its agent knows them."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Iterable
 
 from hyssopring.jobs.messages import AttemptReport, TaskFacts
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.shards import shard_of_task
-from hyssopring.jobs.worker_port import WorkerRow
+from hyssopring.jobs.worker_port import Listing, WorkerRow
 
 __all__ = (
     'FULL_PACE',
@@ -84,6 +85,17 @@
         if self.confirmed_at is None:
             self.confirmed_at = now
 
+    def moved(self, now: float) -> 'Attempt':
+        """Return the attempt as it runs on another boot of the worker."""
+        return replace(
+            self,
+            phase=Phase.RUNNING,
+            ordered_at=now,
+            pace=UNKNOWN_PACE,
+            stop_taken_at=None,
+            is_stop_under_way=False,
+        )
+
     def report(self) -> AttemptReport:
         """Return what an owner is told."""
         return AttemptReport(
@@ -125,6 +137,18 @@
             known.take(row, now)
         return known
 
+    def carry_over(
+        self,
+        attempts: Iterable[Attempt],
+        listing: Listing,
+        now: float,
+    ) -> None:
+        """Keep what is known of attempts that another boot lists as running."""
+        listed = {(row.task, row.attempt) for row in listing.rows}
+        for attempt in attempts:
+            if (attempt.task, attempt.number) in listed:
+                self.add(attempt.moved(now))
+
     def ended(self, task: str, number: int) -> None:
         """An attempt takes no room any more and never starts again."""
         known = self.by_task.get(task)
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -52,15 +52,20 @@
             return
         if attempt.phase is not Phase.STARTING:
             return
+        if not self._watch.is_answering:
+            # It would be carried out by whichever incarnation comes next.
+            self._again(self.start, order, attempt)
+            return
         if attempt.tries >= _MAX_TRIES or not self._has_room(attempt):
             self.stop(attempt)
             return
         attempt.tries += 1
         watch = self._watch
+        fence = watch.fences.current
         asked = self._port.start(
             Start(
                 order.boot,
-                watch.fence,
+                fence,
                 attempt.task,
                 attempt.number,
                 order.payload,
@@ -72,8 +77,8 @@
         asked.addCallbacks(
             self._started,
             self._unanswered,
-            callbackArgs=(order, attempt),
-            errbackArgs=(self.start, order, attempt),
+            callbackArgs=(fence, order, attempt),
+            errbackArgs=(fence, self.start, order, attempt),
         )
 
     def stop(self, attempt: Attempt) -> None:
@@ -89,7 +94,7 @@
         watch = self._watch
         asked = self._port.set_pace(
             watch.boot,
-            watch.fence,
+            watch.fences.current,
             attempt.task,
             attempt.number,
             percent,
@@ -101,9 +106,10 @@
         if not self._is_current(boot, attempt):
             return
         attempt.is_stop_under_way = True
+        fence = self._watch.fences.current
         asked = self._port.stop(
             boot,
-            self._watch.fence,
+            fence,
             attempt.task,
             attempt.number,
         )
@@ -111,15 +117,18 @@
             self._stopped,
             self._unanswered,
             callbackArgs=(attempt,),
-            errbackArgs=(self._send_stop, boot, attempt),
+            errbackArgs=(fence, self._send_stop, boot, attempt),
         )
 
     def _started(
         self,
         outcome: StartOutcome,
+        fence: int,
         order: StartOrder,
         attempt: Attempt,
     ) -> None:
+        if outcome is not StartOutcome.FENCED:
+            self._watch.fences.taken()
         if not self._is_current(order.boot, attempt):
             return
         if outcome is StartOutcome.STARTED:
@@ -127,7 +136,7 @@
                 attempt.phase = Phase.RUNNING
             attempt.confirmed_at = self._clock.now()
         elif outcome in {StartOutcome.FENCED, StartOutcome.LATE}:
-            self._watch.raise_fence()
+            self._watch.fences.refused(fence)
             self._again(self.start, order, attempt)
         elif attempt.tries > 1:
             self._copy_refused(outcome, attempt)
@@ -155,12 +164,13 @@
     def _unanswered(
         self,
         failure: TwistedFailure,
+        fence: int,
         again: Callable[..., None],
         *order: Any,
     ) -> None:
         failure.trap(WorkerUnreachable, WorkerReplaced)
         if failure.check(WorkerFenced):
-            self._watch.raise_fence()
+            self._watch.fences.refused(fence)
         self._again(again, *order)
 
     def _again(self, again: Callable[..., None], *order: Any) -> None:
@@ -175,7 +185,7 @@
         """Whether a start that is repeated still fits; the first one did."""
         if not attempt.tries:
             return True
-        return self._table.used().fits_in(self._watch.room)
+        return self._table.used().fits_in(self._watch.announced.room)
 
     def _is_current(self, boot: str, attempt: Attempt) -> bool:
         return (
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -173,6 +173,10 @@
         placed = worker.placed_by_task.get(told.task)
         if placed is None or placed.number < told.attempt:
             placed = self._adopt(worker, boot, told, record)
+        elif placed.number == told.attempt:
+            # The incarnation before may have got the order, and this one runs
+            # it: started elsewhere the task would run twice.
+            placed.boot = boot
         if placed is None or record is None:
             log_event(
                 Event.TASK_STOPPED,
--- a/hyssopring/jobs/times.py
+++ b/hyssopring/jobs/times.py
@@ -9,6 +9,7 @@
     'GRANT_MS',
     'HOLD_MS',
     'LAPSED_MS',
+    'LONGEST_HOLD_MS',
     'LOST_AFTER_MS',
     'RENEW_MS',
     'REPORT_MS',
@@ -37,6 +38,10 @@
 # killed is back within 5 s.
 HOLD_MS: Final = 6000.0
 
+# A worker cuts every longer hold to this. One that was set by the clock of a
+# former incarnation may last as long.
+LONGEST_HOLD_MS: Final = 10_000.0
+
 # A worker that no agent has reached for this long has nothing running.
 LAPSED_MS: Final = HOLD_MS * (1 + CLOCK_DRIFT) + 200.0
 
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -1,19 +1,22 @@
 """Watches one worker: its boot, its lists, and the hold on its tasks."""
 
+import math
 from collections import deque
 from typing import Any, Callable, Final
 
 from twisted.python.failure import Failure as TwistedFailure
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
-from hyssopring.jobs.model import Size
+from hyssopring.jobs.announced import AnnouncedState
+from hyssopring.jobs.fences import FenceCounter
 from hyssopring.jobs.stalls import StallWatch
-from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS, ROOM_MS
+from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS, LONGEST_HOLD_MS
 from hyssopring.jobs.worker_lives import PastLife
 from hyssopring.jobs.worker_port import (
     Announcement,
     Listing,
     Look,
+    WorkerFenced,
     WorkerPort,
     WorkerReplaced,
     WorkerUnreachable,
@@ -29,6 +32,8 @@
 # leaves time for their recording.
 _UNRECORDED_PAUSE_MS: Final = 60.0
 _RETRY_MS: Final = 150.0
+# The worker answers, and a higher fence is to hand.
+_FENCED_PAUSE_MS: Final = 20.0
 # Two looks were not answered.
 _SILENT_MS: Final = 1500
 # A worker that withdraws ends at once; a look under way is answered or fails
@@ -42,17 +47,22 @@
 
     Attributes:
         boot: The boot whose lists are known, empty for none.
-        fence: The number that each order carries; it is taken from the
-            worker's own clock, so that a new agent's is above those of the
-            agent before it, without anything kept anywhere.
+        fences: Numbers the orders.
+        announced: What that boot says of itself.
     """
 
-    def __init__(self, reactor: Any, clock: Clock, port: WorkerPort) -> None:
-        """See ``begin``; the callbacks are set by the owner before it."""
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        port: WorkerPort,
+        fences: FenceCounter,
+    ) -> None:
+        """Look once a worker has announced itself; set the callbacks first."""
         self._reactor = reactor
         self._clock = clock
         self._port = port
-        self.on_boot: Callable[[], None] = _nothing
+        self.on_boot: Callable[[Listing], None] = _meet_nobody
         self.on_listing: Callable[[Listing, float], None] = _ignore
         self.on_lapse: Callable[[], None] = _nothing
         self.on_room: Callable[[], None] = _nothing
@@ -60,53 +70,38 @@
         self.has_unrecorded: Callable[[], bool] = bool
         self.recorded: Callable[[], int] = int
         self.boot = ''
-        self.fence = 0
-        self.service = ''
-        self._room = Size()
-        self._announced_at = clock.now()
-        self.labels: tuple[str, ...] = ()
-        self.leaving_since: float | None = None
-        self._withdrawn_at: float | None = None
-        self._leaves_at = clock.now()
-        self._sequence = 0
+        self.fences = fences
+        self.announced = AnnouncedState(clock)
         self._candidate: Announcement | None = None
         self._candidate_at = clock.now()
         self.past: PastLife | None = None
         self._past_boots: deque[str] = deque(maxlen=_PAST_BOOTS)
         self._clock_base = float()
         self._held_until = clock.now()
-        # Until when a former agent of this VM may have held the tasks.
+        # Until when calls that this agent does not know of, or that were sent
+        # to the former incarnation, may hold the tasks.
         self._inherited_until = clock.now()
         self._has_lapsed = False
         self._stalls = StallWatch(clock)
         self._is_looking = False
+        self._oldest_listed: float = math.inf
         self._heard_at = clock.now()
         self._failing_since: float | None = None
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether the worker gets no new tasks any more."""
-        return self.leaving_since is not None
-
-    @property
-    def room(self) -> Size:
-        """What the worker has, as it has announced a short while ago."""
-        age_ms = self._clock.now() - self._announced_at
-        return self._room if age_ms <= ROOM_MS else Size()
+    def is_answering(self) -> bool:
+        """Whether the last look was answered by the present incarnation."""
+        return self._failing_since is None
 
     @property
     def has_ended(self) -> bool:
         """Whether the worker withdrew, and has answered nothing since."""
-        if self._withdrawn_at is None:
+        withdrawn_at = self.announced.withdrawn_at
+        if withdrawn_at is None:
             return False
-        since_ms = self._clock.now() - self._withdrawn_at
+        since_ms = self._clock.now() - withdrawn_at
         return _ENDED_MS < since_ms <= self.silent_ms
 
-    @property
-    def remaining_ms(self) -> int:
-        """How long a leaving worker still runs at least."""
-        return max(0, int(self._leaves_at - self._clock.now()))
-
     @property
     def silent_ms(self) -> int:
         """For how long no worker has answered this agent."""
@@ -117,7 +112,8 @@
         if announced.boot in self._past_boots:
             return
         if announced.boot == self.boot:
-            self._update(announced)
+            if self.announced.take(announced):
+                self.on_room()
             return
         # A report may have been held up and speak of a life that is over:
         # a boot counts only once the worker itself has answered under it.
@@ -128,8 +124,7 @@
     def withdraw(self, boot: str) -> None:
         """The worker says that this boot ends."""
         if boot == self.boot:
-            self._withdrawn_at = self._clock.now()
-            self._leave(0)
+            self.announced.withdraw()
 
     def worker_time(self, at: float) -> int:
         """Return a reading that the worker's clock has not passed at ``at``.
@@ -159,7 +154,9 @@
             return
         candidate = self._candidate
         if candidate is not None:
-            self._send(Look(candidate.boot, candidate.clock_ms, 0, None, 0))
+            # Makes void what was sent to incarnations before.
+            self.fences.advance()
+            self._send_plain(candidate.boot)
         elif self.boot:
             self._look_again()
 
@@ -180,20 +177,34 @@
             )
             self.on_lapse()
 
-    def raise_fence(self) -> None:
-        """Make all orders void that were sent and not yet carried out."""
-        self.fence = max(self.fence + 1, self.worker_time(self._clock.now()))
-
     def _look_again(self) -> None:
+        """Look at the known incarnation, unless it may have been replaced.
+
+        After a look without an answer another incarnation may be there, which
+        must take neither acknowledgements nor a hold by the clock of this one.
+        """
+        if not self.is_answering:
+            self._send_plain(self.boot)
+            return
+        recorded = self.recorded()
+        is_listed = self._oldest_listed <= recorded
         self._send(
             Look(
                 self.boot,
-                self.fence,
-                self.recorded(),
+                self.fences.current,
+                recorded if is_listed else 0,
                 self._extension(),
-                _WAIT_MS,
+                0 if is_listed else _WAIT_MS,
             ),
         )
+        if is_listed:
+            # A start after it must not be followed by this acknowledgement in
+            # the next incarnation, where it would reach that start's end.
+            self.fences.advance()
+
+    def _send_plain(self, boot: str) -> None:
+        """Look, and change nothing."""
+        self._send(Look(boot, self.fences.current, 0, None, 0))
 
     def _extension(self) -> int | None:
         """Until when a look extends the hold, None if there is no right."""
@@ -218,9 +229,10 @@
             self._met_another(look)
             return
         if look.boot != self.boot:
-            self._adopt(look)
+            self._adopt(look, listing)
         self._heard_at = self._clock.now()
         self._failing_since = None
+        self._oldest_listed = _oldest_number(listing)
         self._clock_base = listing.clock_ms
         self._has_lapsed = False
         self.on_listing(listing, sent_at)
@@ -229,9 +241,12 @@
 
     def _failed(self, failure: TwistedFailure, look: Look) -> None:
         self._is_looking = False
-        reason = failure.trap(WorkerReplaced, WorkerUnreachable)
-        if reason is WorkerReplaced:
+        failure.trap(WorkerReplaced, WorkerUnreachable)
+        if failure.check(WorkerReplaced):
             self._met_another(look)
+        elif failure.check(WorkerFenced):
+            self.fences.refused(look.fence)
+            self._later(_FENCED_PAUSE_MS)
         else:
             self._look_failed()
 
@@ -260,7 +275,7 @@
     def _later(self, pause_ms: float) -> None:
         self._reactor.callLater(pause_ms / MILLIS_PER_SECOND, self.look)
 
-    def _adopt(self, look: Look) -> None:
+    def _adopt(self, look: Look, listing: Listing) -> None:
         assert self._candidate is not None, 'only a candidate is adopted'
         if self.boot:
             self._past_boots.append(self.boot)
@@ -268,49 +283,36 @@
                 self.boot,
                 self._heard_at,
                 self._failing_since,
-                self.is_leaving,
+                self.announced.is_leaving,
             )
             log_event(Event.WORKER_REPLACED, boot=look.boot, before=self.boot)
+            self._inherited_until = self._clock.now() + LONGEST_HOLD_MS
         else:
             # A former agent may have extended the hold until now. Taken for
             # over as this one never gave it, running tasks would be reported
             # as gone by the first late answer, and start a second time.
             self._inherited_until = self._clock.now() + HOLD_MS
-        announced = self._candidate
+        self.announced = AnnouncedState.of_boot(
+            self._clock,
+            self._candidate,
+            self._candidate_at,
+        )
         self._candidate = None
         self.boot = look.boot
-        self.fence = look.fence
-        self.leaving_since = None
-        self._withdrawn_at = None
-        self._sequence = 0
         self._held_until = self._clock.now()
-        self._update(announced)
-        self._announced_at = self._candidate_at
-        self.on_boot()
+        self.on_boot(listing)
 
-    def _update(self, announced: Announcement) -> None:
-        if announced.sequence < self._sequence:
-            return
-        self._sequence = announced.sequence
-        self.service = announced.service
-        self.labels = announced.labels
-        self._announced_at = self._clock.now()
-        has_changed = announced.room != self._room
-        self._room = announced.room
-        if has_changed:
-            self.on_room()
-        if announced.is_leaving:
-            self._leave(announced.remaining_ms)
-
-    def _leave(self, remaining_ms: int) -> None:
-        if self.leaving_since is None:
-            self.leaving_since = self._clock.now()
-            log_event(
-                Event.BACKEND_LEAVING,
-                boot=self.boot,
-                remaining_ms=remaining_ms,
-            )
-        self._leaves_at = self._clock.now() + remaining_ms
+
+def _oldest_number(listing: Listing) -> float:
+    """Return the lowest number of an end that is listed."""
+    numbers = [end.number for end in listing.ends]
+    if listing.last_void:
+        numbers.append(listing.last_void)
+    return min(numbers, default=math.inf)
+
+
+def _meet_nobody(_listing: Listing) -> None:
+    """No owner is set yet."""
 
 
 def _nothing() -> None:
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -144,6 +144,12 @@
     last_void: int = 0
     boot: str = ''
 
+    def names(self, task: str, attempt: int) -> bool:
+        """Whether an attempt runs or has ended there."""
+        running = {(row.task, row.attempt) for row in self.rows}
+        ended = {(end.task, end.attempt) for end in self.ends}
+        return (task, attempt) in running | ended
+
 
 class WorkerPort(Protocol):
     """Calls to the worker; each returns a Twisted ``Deferred``.
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -4,7 +4,7 @@
 import uuid
 from typing import Any
 
-from hyssopring.clock import Clock, MonotonicClock
+from hyssopring.clock import Clock, MonotonicClock, wall_ms
 from hyssopring.jobs.agent_core import JobAgentCore
 from hyssopring.jobs.discovery import EntryDiscovery
 from hyssopring.jobs.links import TURN_S, LinkDialler
@@ -42,6 +42,7 @@
             self._clock,
             PlatformWorker(reactor, settings.app),
             self._send,
+            wall_ms,
         )
         self._dialler = LinkDialler(
             reactor,
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -1,10 +1,14 @@
 """The entry's process on the platform."""
 
-import time
 import uuid
 from typing import Any, Final
 
-from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
+from hyssopring.clock import (
+    MILLIS_PER_SECOND,
+    Clock,
+    MonotonicClock,
+    wall_ms,
+)
 from hyssopring.jobs.entries import EntryMembership
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.links import TURN_S, LinkDialler, LinkListener
@@ -70,7 +74,7 @@
         self.core = JobEntryCore(
             reactor,
             self._clock,
-            _wall_ms,
+            wall_ms,
             store,
             self._membership,
             self,
@@ -215,9 +219,5 @@
         self.core.take(message, peer_id)
 
 
-def _wall_ms() -> float:
-    return time.time() * MILLIS_PER_SECOND
-
-
 def _ignore(_entry_id: str) -> None:
     """Nothing depends on connections between entries being open."""
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -228,6 +228,8 @@
 
 
 def _listing(answer: JsonAnswer, say: _Say) -> Listing:
+    if answer.fields.get('reason') == 'fence':
+        raise WorkerFenced('an order with a higher fence came first')
     if answer.status != HTTPStatus.OK:
         raise WorkerUnreachable(f'the runner answered {answer.status}')
     try:
--- a/standins/jobs/faults.py
+++ b/standins/jobs/faults.py
@@ -14,13 +14,14 @@
 class RandomDay:
     """Jobs and faults drawn from one seed; the book asserts all the while."""
 
-    def __init__(self, seed, workers=4):
+    def __init__(self, seed, workers=4, keeps_ids=False):
         self.random = random.Random(seed)
         self.works = {}
         self.deployment = Deployment(
             workers=workers,
             work_ms=self._work_ms,
             rate=self.random.choice([1, 0.98]),
+            keeps_ids=keeps_ids,
         )
         self.jobs = {}
         self.cancelled = set()
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -179,6 +179,7 @@
             self.clock,
             WorkerLink(self.port, self.reactor),
             self.send,
+            deployment.wall_ms,
         )
         watch = self.core.watch
         self.reports = ReportsResource(watch.announce, watch.withdraw)
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -50,6 +50,8 @@
         keeps_id: Each incarnation has the same id, and all counts start anew.
         clocks_ms: What the steady clocks of its incarnations begin with.
         lose_looks: So many looks are carried out and not answered.
+        lists_when_fenced: It lists also for a look with too low a fence.
+        tells_born: Whether it says when it started.
     """
 
     def __init__(
@@ -89,6 +91,8 @@
         self.has_beats = True
         self.clocks_ms = itertools.repeat(FIRST_CLOCK_MS)
         self.lose_looks = 0
+        self.tells_born = keeps_id
+        self.lists_when_fenced = True
         self.fill_tasks = set()
         self.advice = None
         self.begin()
@@ -159,7 +163,7 @@
 
     def born_fields(self):
         """What it says of its start in reports and lists."""
-        if not self.keeps_id:
+        if not self.tells_born:
             return {}
         return {'born': BORN_BASE_MS + int(self.born_at * SECOND_MS)}
 
@@ -279,6 +283,8 @@
             self.hold_ms = max(self.hold_ms, min(until_ms, most))
 
     def _look(self, look):
+        if look.fence < self.fence and not self.lists_when_fenced:
+            raise WorkerFenced('a higher fence was seen')
         if look.fence >= self.fence:
             self.fence = look.fence
             self._hold(look.until_ms)
