Watch: the next incarnation of a worker is met within milliseconds

Until an agent's first look has raised the fence, a new incarnation carries out whatever arrives.

Each plain look raises the fence first, so that an incarnation that answers before it has reported is fenced as well.

--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -9,6 +9,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.announced import AnnouncedState
 from hyssopring.jobs.fences import FenceCounter
+from hyssopring.jobs.look_retries import ANSWER_MS, LookRetries
 from hyssopring.jobs.stalls import StallWatch
 from hyssopring.jobs.times import CLOCK_DRIFT, HOLD_MS, LONGEST_HOLD_MS
 from hyssopring.jobs.worker_lives import PastLife
@@ -83,7 +84,9 @@
         self._inherited_until = clock.now()
         self._has_lapsed = False
         self._stalls = StallWatch(clock)
-        self._is_looking = False
+        # The look under way; an answer to any other one comes too late.
+        self._pending: Look | None = None
+        self._retries = LookRetries()
         self._oldest_listed: float = math.inf
         self._heard_at = clock.now()
         self._failing_since: float | None = None
@@ -117,8 +120,14 @@
             return
         # A report may have been held up and speak of a life that is over:
         # a boot counts only once the worker itself has answered under it.
+        is_new = not self._candidate or announced.boot != self._candidate.boot
         self._candidate = announced
         self._candidate_at = self._clock.now()
+        if is_new:
+            # Until the next incarnation is met it carries out what was sent to
+            # the former one, and the look under way may get no answer.
+            self._pending = None
+            self._retries.answered()
         self.look()
 
     def withdraw(self, boot: str) -> None:
@@ -150,12 +159,10 @@
 
     def look(self) -> None:
         """Ask for the lists, unless that is under way."""
-        if self._is_looking:
+        if self._pending is not None:
             return
         candidate = self._candidate
         if candidate is not None:
-            # Makes void what was sent to incarnations before.
-            self.fences.advance()
             self._send_plain(candidate.boot)
         elif self.boot:
             self._look_again()
@@ -188,13 +195,15 @@
             return
         recorded = self.recorded()
         is_listed = self._oldest_listed <= recorded
+        wait_ms = 0 if is_listed else _WAIT_MS
         self._send(
             Look(
                 self.boot,
                 self.fences.current,
                 recorded if is_listed else 0,
                 self._extension(),
-                0 if is_listed else _WAIT_MS,
+                wait_ms,
+                wait_ms + ANSWER_MS,
             ),
         )
         if is_listed:
@@ -203,8 +212,10 @@
             self.fences.advance()
 
     def _send_plain(self, boot: str) -> None:
-        """Look, and change nothing."""
-        self._send(Look(boot, self.fences.current, 0, None, 0))
+        """Look, and only make void what was sent to incarnations before."""
+        self.fences.advance()
+        answer_ms = self._retries.answer_ms
+        self._send(Look(boot, self.fences.current, 0, None, 0, answer_ms))
 
     def _extension(self) -> int | None:
         """Until when a look extends the hold, None if there is no right."""
@@ -212,7 +223,7 @@
         return self.worker_time(until) if until > self._clock.now() else None
 
     def _send(self, look: Look) -> None:
-        self._is_looking = True
+        self._pending = look
         sent_at = self._clock.now()
         asked = self._port.look(look)
         asked.addCallbacks(
@@ -224,7 +235,9 @@
         asked.addErrback(self._broken)
 
     def _listed(self, listing: Listing, look: Look, sent_at: float) -> None:
-        self._is_looking = False
+        if look is not self._pending:
+            return
+        self._pending = None
         if listing.boot not in {'', look.boot}:
             self._met_another(look)
             return
@@ -232,6 +245,7 @@
             self._adopt(look, listing)
         self._heard_at = self._clock.now()
         self._failing_since = None
+        self._retries.answered()
         self._oldest_listed = _oldest_number(listing)
         self._clock_base = listing.clock_ms
         self._has_lapsed = False
@@ -240,8 +254,10 @@
         self._later(pause)
 
     def _failed(self, failure: TwistedFailure, look: Look) -> None:
-        self._is_looking = False
         failure.trap(WorkerReplaced, WorkerUnreachable)
+        if look is not self._pending:
+            return
+        self._pending = None
         if failure.check(WorkerReplaced):
             self._met_another(look)
         elif failure.check(WorkerFenced):
@@ -259,11 +275,12 @@
     def _look_failed(self) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
-        self._later(_RETRY_MS)
+        self._later(self._retries.pause_ms)
+        self._retries.failed()
 
     def _broken(self, failure: TwistedFailure) -> None:
         """An error of ours in handling a list: say so, and go on looking."""
-        self._is_looking = False
+        self._pending = None
         log_event(
             Event.PEER_ERROR,
             peer='worker',
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -80,6 +80,7 @@
         recorded: Ends up to this number may be forgotten.
         until_ms: On the worker's clock; None extends nothing.
         wait_ms: How long the answer may wait for an end.
+        answer_ms: Within this time the answer has to be whole.
     """
 
     boot: str
@@ -87,6 +88,7 @@
     recorded: int
     until_ms: int | None
     wait_ms: int
+    answer_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/hyssopring/platform/json_calls.py
+++ b/hyssopring/platform/json_calls.py
@@ -7,7 +7,12 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import Agent
 
-from hyssopring.web_client import FetchedAnswer, fetch, pooled_agent
+from hyssopring.web_client import (
+    FetchedAnswer,
+    agent_with,
+    connection_pool,
+    fetch,
+)
 
 __all__ = ('JsonAnswer', 'JsonClient', 'UnreadableAnswer')
 
@@ -39,7 +44,8 @@
         """Connect lazily to HOST:PORT."""
         self._reactor = reactor
         self._url = f'http://{address}'
-        self._agent: Agent = pooled_agent(reactor, max_connections, idle_s)
+        self._pool = connection_pool(reactor, max_connections, idle_s)
+        self._agent: Agent = agent_with(reactor, self._pool)
 
     def call(
         self,
@@ -67,6 +73,10 @@
         )
         return calling.addCallback(_read)
 
+    def close_idle(self) -> None:
+        """Make the next calls on new connections."""
+        self._pool.closeCachedConnections()
+
 
 def _read(answer: FetchedAnswer) -> JsonAnswer:
     if not answer.body:
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -35,8 +35,6 @@
 _IDLE_S: Final = 30
 # The runner is on the same machine and answers within a few ms.
 _TIMEOUT_MS: Final = 400.0
-# A look's answer waits for an end, and this much longer.
-_LOOK_TIMEOUT_MS: Final = 700.0
 
 # Runs that 'broken' (another member ended), 'alone' and 'lapsed' name were
 # not at fault: they run again, like stopped ones.
@@ -93,9 +91,11 @@
         )
         self._said: set[str] = set()
         self._restarts = RestartLog()
+        self._boot = ''
 
     def look(self, look: Look) -> Deferred:
         """See ``WorkerPort``."""
+        self._meet(look.boot)
         fields: dict[str, Any] = {
             'fencingToken': look.fence,
             'lastSeen': look.recorded,
@@ -108,7 +108,7 @@
             '/-/hold',
             look.boot,
             fields,
-            look.wait_ms + _LOOK_TIMEOUT_MS,
+            look.answer_ms,
         )
         return calling.addCallback(self._listed, look)
 
@@ -158,6 +158,12 @@
         calling = self._call('/-/pace', boot, fields, _TIMEOUT_MS)
         return calling.addCallback(_taken)
 
+    def _meet(self, boot: str) -> None:
+        """Use no connection to a former boot: it may be silent for good."""
+        if boot != self._boot:
+            self._boot = boot
+            self._client.close_idle()
+
     def _listed(self, answer: JsonAnswer, look: Look) -> Listing:
         fields = answer.fields
         self._restarts.listed(worker_id(look.boot), fields, look.recorded)
--- a/hyssopring/web_client.py
+++ b/hyssopring/web_client.py
@@ -25,6 +25,8 @@
     'SlowAnswer',
     'TooLargeAnswer',
     'TruncatedAnswer',
+    'agent_with',
+    'connection_pool',
     'fetch',
     'pooled_agent',
 )
@@ -133,12 +135,12 @@
         return HostnameEndpoint(self._reactor, host, uri.port)
 
 
-def pooled_agent(
+def connection_pool(
     reactor: Any,
     max_connections: int,
     idle_s: int = _DEFAULT_IDLE_S,
-) -> Agent:
-    """Return an HTTP client that keeps connections and never repeats.
+) -> HTTPConnectionPool:
+    """Return a pool that keeps connections and never repeats a request.
 
     A pooled connection may have gone silent or been closed; the library's
     own retry would send a request twice without telling us.
@@ -147,6 +149,23 @@
     pool.maxPersistentPerHost = max_connections
     pool.cachedConnectionTimeout = idle_s
     pool.retryAutomatically = False
+    return pool
+
+
+def pooled_agent(
+    reactor: Any,
+    max_connections: int,
+    idle_s: int = _DEFAULT_IDLE_S,
+) -> Agent:
+    """Return an HTTP client with a ``connection_pool`` of its own."""
+    return agent_with(
+        reactor,
+        connection_pool(reactor, max_connections, idle_s),
+    )
+
+
+def agent_with(reactor: Any, pool: HTTPConnectionPool) -> Agent:
+    """Return an HTTP client that takes its connections from a pool."""
     return Agent.usingEndpointFactory(
         reactor,
         _EndpointFactory(reactor),
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -20,7 +20,6 @@
 
 CALL_S = 0.001
 TIMEOUT_S = 0.4
-LOOK_TIMEOUT_S = 1.2
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2
 SECOND_MS = 1000
@@ -187,10 +186,11 @@
         return max(0, int(left_s * SECOND_MS))
 
     def look(self, look):
+        timeout_s = look.answer_ms / SECOND_MS
         if self.lose_looks and not self.is_dark:
             self.lose_looks -= 1
-            return self._lose(look.boot, lambda: self._look(look))
-        return self._call(look.boot, lambda: self._look(look), LOOK_TIMEOUT_S)
+            return self._lose(look.boot, lambda: self._look(look), timeout_s)
+        return self._call(look.boot, lambda: self._look(look), timeout_s)
 
     def start(self, start):
         return self._order(start.boot, lambda: self._start(start))
@@ -220,9 +220,9 @@
             return self._lose(boot, action)
         return self._call(boot, action)
 
-    def _lose(self, boot, action):
+    def _lose(self, boot, action, timeout_s=TIMEOUT_S):
         self.reactor.callLater(self.late_s, self._if_same, boot, action)
-        return self._fail(WorkerUnreachable('lost'), TIMEOUT_S)
+        return self._fail(WorkerUnreachable('lost'), timeout_s)
 
     def _if_same(self, boot, action):
         if boot == self.boot and not self.is_down:
--- a/standins/runner_wire.py
+++ b/standins/runner_wire.py
@@ -24,6 +24,7 @@
     StartOutcome.BAD_TICKET: 'ticket',
 }
 UNHEALTHY = 503
+LOOK_TIMEOUT_MS = 1200
 
 
 class RunnerCalls:
@@ -32,10 +33,13 @@
     def __init__(self, worker):
         self.worker = worker
 
-    def call(self, path, worker_id, body):
+    def call(self, path, worker_id, body, timeout_ms=LOOK_TIMEOUT_MS):
         """Return a deferred answer; it fails where none comes."""
-        name = path.removeprefix('/-/').replace('-', '_')
-        calling = getattr(self, f'_{name}')(worker_id, body)
+        if path == '/-/hold':
+            calling = self._hold(worker_id, body, timeout_ms)
+        else:
+            name = path.removeprefix('/-/').replace('-', '_')
+            calling = getattr(self, f'_{name}')(worker_id, body)
         calling.addErrback(_refusal)
         return calling.addCallback(self._with_clock)
 
@@ -72,13 +76,14 @@
         )
         return pacing.addCallback(_nothing_more)
 
-    def _hold(self, worker_id, body):
+    def _hold(self, worker_id, body, timeout_ms):
         look = Look(
             worker_id,
             body['fencingToken'],
             body['lastSeen'],
             body.get('untilMs'),
             0,
+            timeout_ms,
         )
         listing = self.worker.look(look)
         return listing.addCallback(_listing_answer, self.worker)
@@ -90,11 +95,15 @@
     def __init__(self, worker):
         self._calls = RunnerCalls(worker)
 
-    def call(self, _method, path, fields, _timeout_ms, headers=()):
+    def close_idle(self):
+        """There are no connections here."""
+
+    def call(self, _method, path, fields, timeout_ms, headers=()):
         """Return a deferred ``JsonAnswer``."""
         worker_id = dict(headers)['Expected-Instance']
         answer = Deferred()
-        self._calls.call(path, worker_id, fields).addCallbacks(
+        calling = self._calls.call(path, worker_id, fields, timeout_ms)
+        calling.addCallbacks(
             lambda told: answer.callback(JsonAnswer(*told)), answer.errback
         )
         return answer
--- a/tests/test_border_incarnations.py
+++ b/tests/test_border_incarnations.py
@@ -142,3 +142,12 @@
     advised = result_of(advice.ask(Question('step', boots, 100)))
     assert answers.calls[0][2]['workers'] == ['i-1', 'i-2']
     assert advised.ticket_by_boot == {boots[0]: 't', 'i-2': 'u'}
+
+
+def test_a_new_incarnation_is_met_on_a_new_connection():
+    """Guards against connections to the former one that are silent for good."""
+    answers = Answers(200, {'clockMs': 1})
+    worker = worker_with(answers)
+    for boot in (f'i-1#{BORN}', f'i-1#{BORN}', f'i-1#{BORN + 1}'):
+        worker.look(type('Look', (), {**LOOK, 'boot': boot}))
+    assert answers.closings == 2
--- a/tests/test_jobs_returning_workers.py
+++ b/tests/test_jobs_returning_workers.py
@@ -148,6 +148,7 @@
     deployment = returning(work_ms=lambda task: LONG_MS)
     job, worker = lose_one_start(deployment, late_s=0.2)
     worker.crash()
+    agent_of(deployment, worker).thaws_at = deployment.reactor.seconds() + 1
     deployment.run(12)
     assert deployment.state(job.job_id) is JobState.COMPLETED
     assert len(starts_of(deployment, job)) == 1
@@ -328,3 +329,16 @@
     restart(deployment, deployment.agents['agent-0'])
     deployment.run(25)
     assert deployment.state(job.job_id, deployment.owner) is JobState.COMPLETED
+
+
+def test_the_next_incarnation_is_met_beside_a_look_without_an_answer():
+    """Guards against late orders that come before the agent's first look."""
+    deployment = returning(workers=1)
+    worker, agent = deployment.workers[0], deployment.agents['agent-0']
+    worker.lose_looks = 1
+    deployment.run(0.02)
+    former = agent.core.watch.boot
+    worker.crash()
+    agent.beat()
+    deployment.run(0.03)
+    assert agent.core.watch.boot != former
--- /dev/null
+++ b/tests/test_look_retries.py
@@ -0,0 +1,14 @@
+"""How soon a look is repeated, and how long each one may take."""
+
+from hyssopring.jobs.look_retries import ANSWER_MS, LookRetries
+
+
+def test_times_double_up_to_their_limits():
+    retries = LookRetries()
+    first = retries.answer_ms
+    for _each in range(20):
+        retries.failed()
+    assert first < retries.answer_ms == ANSWER_MS
+    assert retries.pause_ms < ANSWER_MS
+    retries.answered()
+    assert retries.answer_ms == first
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -167,6 +167,10 @@
         self.answer = JsonAnswer(status, fields or {})
         self.error = error
         self.calls = []
+        self.closings = 0
+
+    def close_idle(self):
+        self.closings += 1
 
     def call(self, *call, silence_ms=None):
         self.calls.append(call)
@@ -369,4 +373,5 @@
     'recorded': 0,
     'until_ms': None,
     'wait_ms': 0,
+    'answer_ms': 700,
 }
