Security, explain: only a worker's own machine announces; a lapse names boots

A report of a new incarnation makes the agent give up all that runs on its worker, and anybody who reached the agent's port could send one.

--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -34,10 +34,6 @@
             '{task} crashes the workers that start it: given up after '
             + '{crashes} crashes, on {agents}'
         ),
-        Event.TASK_LAPSED: (
-            f'{_ATTEMPT} on {{agent}} is taken for over: {{reason}} '
-            + f'(order {{order}}, {_AGES})'
-        ),
         Event.TASK_OVERRUN: '{task} has run {took_ms} ms and runs on',
         Event.TASK_PACED: (
             '{task} runs at pace {pace}, before {before}: the worst tail '
@@ -98,6 +94,14 @@
     return f'{text} ({_AGES})'.format_map(words)
 
 
+def _lapsed(words: _Words) -> str:
+    attempt = _ATTEMPT.format_map(words)
+    text = f'{attempt} on {{agent}} is taken for over: {{reason}}'
+    if words['boot'] != words['present']:
+        text = f'{text}, {{boot}} before, {{present}} now'
+    return f'{text} (order {{order}}, {_AGES})'.format_map(words)
+
+
 def _refused(words: _Words) -> str:
     kind = words.get('kind', words.get('why', 'unknown'))
     return f'refused: {kind}: {words["detail"]}'
@@ -138,6 +142,7 @@
         Event.JOB_FINISHED: _finished,
         Event.REQUEST_REFUSED: _refused,
         Event.TASK_FINISHED: _ended,
+        Event.TASK_LAPSED: _lapsed,
         Event.TASK_PLACED: _placed,
         Event.TASK_REFUSED: _start_refused,
     }
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -359,6 +359,8 @@
             attempt=placed.number,
             agent=worker.agent_id,
             reason=reason,
+            boot=placed.boot,
+            present=worker.boot,
             order=placed.order,
             grant_age_ms=int(now - worker.granted_at),
             report_age_ms=int(now - worker.reported_at),
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -61,6 +61,7 @@
         self._reports = ReportsResource(
             self.core.watch.announce,
             self.core.watch.withdraw,
+            settings.own_hosts,
         )
         self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
 
--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from typing import Annotated, Any, Callable, Final, Literal
+from typing import Annotated, Any, Callable, Container, Final, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic import alias_generators
@@ -19,6 +19,7 @@
 _PREFIX: Final = '/-/instances/'
 _OK: Final = 200
 _BAD: Final = 400
+_FORBIDDEN: Final = 403
 _MISSING: Final = 404
 # It goes out again as a header of each call to the runner.
 _ID: Final = re.compile('[A-Za-z0-9._~:@+=-]{1,128}')
@@ -81,9 +82,15 @@
         self,
         on_report: Callable[[Announcement], None],
         on_leave: Callable[[str], None],
+        own_hosts: Container[str],
     ) -> None:
-        """Pass reports and farewells on."""
+        """Pass reports and farewells on that come from ``own_hosts``.
+
+        Whoever can report a new incarnation makes the agent give up all that
+        runs: only the runner on the same machine may.
+        """
         super().__init__()
+        self._own_hosts = own_hosts
         self._on_report = on_report
         self._on_leave = on_leave
         self._last: Announcement | None = None
@@ -99,6 +106,10 @@
     def _answer(self, runner_id: str, verb: str, request: Request) -> int:
         if verb not in {'heartbeat', 'deregister'}:
             return _MISSING
+        host = getattr(request.getClientAddress(), 'host', '')
+        if host not in self._own_hosts:
+            log_event(Event.PEER_ERROR, peer=host, detail='a foreign report')
+            return _FORBIDDEN
         if not _ID.fullmatch(runner_id):
             detail = f'no id of a runner: {runner_id[:_MAX_NAME]!r}'
             log_event(Event.PEER_ERROR, peer='runner', detail=detail)
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -18,6 +18,7 @@
     'node_file',
 )
 
+_LOOPBACK: Final = '127.0.0.1'
 _FILE_VARIABLE: Final = 'HYSSOPRING_NODE_FILE'
 # A file of the platform has a few kilobytes; parsing stops long before it
 # takes a noticeable time.
@@ -88,6 +89,12 @@
         """Where this process listens for others of the system."""
         return f'{self.ip}:{self.internal_ports[0]}'
 
+    @property
+    def own_hosts(self) -> frozenset[str]:
+        """The addresses under which programs of this machine call."""
+        runner_host = self.app.rpartition(':')[0]
+        return frozenset((self.ip, runner_host, _LOOPBACK))
+
     @property
     def seed_addresses(self) -> tuple[str, ...]:
         """Where the processes on the seeds' machines listen.
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -11,7 +11,12 @@
 from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.worker import PlatformWorker
 from standins.jobs.advice import AdviceLink
-from standins.runner_wire import RunnerClient, post_report, report_fields
+from standins.runner_wire import (
+    OWN_HOST,
+    RunnerClient,
+    post_report,
+    report_fields,
+)
 
 AGENT_TURN_S = 0.1
 ENTRY_TURN_S = 0.2
@@ -182,7 +187,9 @@
             deployment.wall_ms,
         )
         watch = self.core.watch
-        self.reports = ReportsResource(watch.announce, watch.withdraw)
+        self.reports = ReportsResource(
+            watch.announce, watch.withdraw, (OWN_HOST,)
+        )
         self.links = set()
         self.every(AGENT_TURN_S, self.core.turn)
         self.every(BEAT_S, self.beat)
--- a/standins/runner_wire.py
+++ b/standins/runner_wire.py
@@ -3,6 +3,7 @@
 import json
 from io import BytesIO
 
+from twisted.internet.address import IPv4Address
 from twisted.internet.defer import Deferred
 from twisted.web.test.requesthelper import DummyRequest
 
@@ -25,6 +26,7 @@
 }
 UNHEALTHY = 503
 LOOK_TIMEOUT_MS = 1200
+OWN_HOST = '127.0.0.1'
 
 
 class RunnerCalls:
@@ -133,9 +135,11 @@
     return {**fields, **worker.born_fields()}
 
 
-def post_report(resource, worker_id, fields, verb='heartbeat'):
+def post_report(resource, worker_id, fields, verb='heartbeat', host=OWN_HOST):
     """Hand a report to an agent's resource; return the status."""
+    client = IPv4Address('TCP', host, 1)
     request = DummyRequest([])
+    request.client = client
     request.path = f'/-/instances/{worker_id}/{verb}'.encode('latin-1')
     request.content = BytesIO(json.dumps(fields).encode())
     request.responseCode = 200
--- a/tests/test_border_incarnations.py
+++ b/tests/test_border_incarnations.py
@@ -9,7 +9,7 @@
 from hyssopring.platform.advice import PlatformAdvice
 from hyssopring.platform.incarnation import boot_name
 from hyssopring.platform.reports import ReportsResource
-from standins.runner_wire import post_report
+from standins.runner_wire import OWN_HOST, post_report
 
 BORN = 1_764_756_371_000
 
@@ -71,7 +71,9 @@
     def __init__(self):
         self.boots, self.left = [], []
         self._resource = ReportsResource(
-            lambda told: self.boots.append(told.boot), self.left.append
+            lambda told: self.boots.append(told.boot),
+            self.left.append,
+            (OWN_HOST,),
         )
 
     def beat(self, **changes):
@@ -151,3 +153,14 @@
     for boot in (f'i-1#{BORN}', f'i-1#{BORN}', f'i-1#{BORN + 1}'):
         worker.look(type('Look', (), {**LOOK, 'boot': boot}))
     assert answers.closings == 2
+
+
+@pytest.mark.parametrize('verb', ['heartbeat', 'deregister'])
+def test_another_machine_can_report_no_incarnation(verb):
+    """Guards against running tasks that a foreign report makes given up."""
+    reports = Reports()
+    status = post_report(
+        reports._resource, 'i-1', {**GOOD, 'born': BORN}, verb, '10.1.0.9'
+    )
+    assert status == 403
+    assert not reports.boots and not reports.left
--- a/tests/test_border_runner.py
+++ b/tests/test_border_runner.py
@@ -7,6 +7,7 @@
 import pytest
 from border_support import mutated
 from test_platform import LOOK, Answers, result_of, worker_with
+from twisted.internet.address import IPv4Address
 from twisted.web.test.requesthelper import DummyRequest
 
 from hyssopring.jobs.attempts import AttemptTable
@@ -15,6 +16,7 @@
 from hyssopring.jobs.worker_port import Listing, WorkerUnreachable
 from hyssopring.platform.reports import ReportsResource
 from standins.jobs.deployment import a_job, settled, starts_of
+from standins.runner_wire import OWN_HOST
 
 GOOD = {
     'service': 'service',
@@ -31,10 +33,13 @@
 class Reports:
     def __init__(self):
         self.told, self.left = [], []
-        self.resource = ReportsResource(self.told.append, self.left.append)
+        self.resource = ReportsResource(
+            self.told.append, self.left.append, (OWN_HOST,)
+        )
 
     def post(self, body, boot='i-1', verb='heartbeat'):
         request = DummyRequest([])
+        request.client = IPv4Address('TCP', OWN_HOST, 1)
         request.path = f'/-/instances/{boot}/{verb}'.encode('latin-1')
         request.content = io.BytesIO(body)
         request.responseCode = 200
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -67,7 +67,7 @@
     )
 
 
-def lapsed(second, reason):
+def lapsed(second, reason, **boots):
     return line(
         second,
         'TASK_LAPSED',
@@ -78,6 +78,7 @@
         order=7,
         grant_age_ms=8400,
         report_age_ms=8450,
+        **boots,
     )
 
 
@@ -383,3 +384,18 @@
     err = capsys.readouterr().err
     assert stop.value.code == 2 and err.count('\n') == 1
     assert words in err
+
+
+def test_a_lapse_names_both_incarnations_of_the_worker(explain):
+    boots = {'boot': 'i-1#1000', 'present': 'i-1#5000'}
+    text = '\n'.join(
+        explain(
+            [
+                accepted(1),
+                placed(1.1),
+                lapsed(4, 'worker replaced', **boots),
+                placed(4.1, attempt=2, agent='side-2'),
+            ]
+        )
+    )
+    assert 'worker replaced, i-1#1000 before, i-1#5000 now' in text
--- a/tests/test_jobs_returning_workers.py
+++ b/tests/test_jobs_returning_workers.py
@@ -161,8 +161,11 @@
     worker = deployment.workers[0]
     lost = lose_first_acknowledgement(worker, late_s=1.2)
     deployment.submit(a_job(1, steps=((1, ()),)))
-    while not lost:
+    for _step in range(500):
+        if lost:
+            break
         deployment.run(0.01)
+    assert lost
     worker.has_beats = False
     job, _worker = lose_one_start(deployment, late_s=0.1)
     worker.crash()
