--- a/hyssopring/platform/json_calls.py
+++ b/hyssopring/platform/json_calls.py
@@ -5,14 +5,8 @@
 from typing import Any, Final
 
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent
 
-from hyssopring.web_client import (
-    FetchedAnswer,
-    agent_with,
-    connection_pool,
-    fetch,
-)
+from hyssopring.web_client import FetchedAnswer, fetch, pooled_agent
 
 __all__ = ('JsonAnswer', 'JsonClient', 'UnreadableAnswer')
 
@@ -44,8 +38,7 @@
         """Connect lazily to HOST:PORT."""
         self._reactor = reactor
         self._url = f'http://{address}'
-        self._pool = connection_pool(reactor, max_connections, idle_s)
-        self._agent: Agent = agent_with(reactor, self._pool)
+        self._agent = pooled_agent(reactor, max_connections, idle_s)
 
     def call(
         self,
@@ -75,7 +68,7 @@
 
     def close_idle(self) -> None:
         """Make the next calls on new connections."""
-        self._pool.closeCachedConnections()
+        self._agent.close_idle()
 
 
 def _read(answer: FetchedAnswer) -> JsonAnswer:
--- a/hyssopring/web_client.py
+++ b/hyssopring/web_client.py
@@ -22,11 +22,10 @@
 
 __all__ = (
     'FetchedAnswer',
+    'PooledAgent',
     'SlowAnswer',
     'TooLargeAnswer',
     'TruncatedAnswer',
-    'agent_with',
-    'connection_pool',
     'fetch',
     'pooled_agent',
 )
@@ -135,42 +134,47 @@
         return HostnameEndpoint(self._reactor, host, uri.port)
 
 
-def connection_pool(
-    reactor: Any,
-    max_connections: int,
-    idle_s: int = _DEFAULT_IDLE_S,
-) -> HTTPConnectionPool:
-    """Return a pool that keeps connections and never repeats a request.
+class PooledAgent:
+    """An HTTP client that keeps connections and never repeats a request.
 
     A pooled connection may have gone silent or been closed; the library's
     own retry would send a request twice without telling us.
     """
-    pool = HTTPConnectionPool(reactor)
-    pool.maxPersistentPerHost = max_connections
-    pool.cachedConnectionTimeout = idle_s
-    pool.retryAutomatically = False
-    return pool
+
+    def __init__(
+        self,
+        reactor: Any,
+        max_connections: int,
+        idle_s: int,
+    ) -> None:
+        """Connect lazily, and keep idle connections for a while."""
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = max_connections
+        pool.cachedConnectionTimeout = idle_s
+        pool.retryAutomatically = False
+        self._pool = pool
+        self._agent = Agent.usingEndpointFactory(
+            reactor,
+            _EndpointFactory(reactor),
+            pool,
+        )
+
+    def request(self, *request: Any) -> Deferred:
+        """Send a request; see the library's ``Agent``."""
+        return self._agent.request(*request)
+
+    def close_idle(self) -> None:
+        """Make the next requests on new connections."""
+        self._pool.closeCachedConnections()
 
 
 def pooled_agent(
     reactor: Any,
     max_connections: int,
     idle_s: int = _DEFAULT_IDLE_S,
-) -> Agent:
-    """Return an HTTP client with a ``connection_pool`` of its own."""
-    return agent_with(
-        reactor,
-        connection_pool(reactor, max_connections, idle_s),
-    )
-
-
-def agent_with(reactor: Any, pool: HTTPConnectionPool) -> Agent:
-    """Return an HTTP client that takes its connections from a pool."""
-    return Agent.usingEndpointFactory(
-        reactor,
-        _EndpointFactory(reactor),
-        pool,
-    )
+) -> PooledAgent:
+    """Return an HTTP client with connections of its own."""
+    return PooledAgent(reactor, max_connections, idle_s)
 
 
 class _Exchange:
@@ -226,7 +230,7 @@
 
 def fetch(
     reactor: Any,
-    agent: Agent,
+    agent: PooledAgent,
     method: str,
     url: str,
     body: bytes = b'',
