Observability: an owner says why a lasting task does not run (event 3044)

What callers saw: a task that lasts was run by nothing for half a minute. The logs could not tell the hypotheses apart: nothing compared the tasks that should run with those that wait and those that were ordered, and nothing said why a waiting task was not placed.

The owner now looks each second. A lasting task that no report tells of for over 3 s gets one line each 5 s, 20 a second at the most, with the first obstacle: unheard agents and for how long, trial, ticket, worker, label, room, limit, no authority, an order or a stop without an answer, or no account at all. The spans of a story have a module of their own.

--- a/hyssopring/cli/log_causes.py
+++ b/hyssopring/cli/log_causes.py
@@ -7,14 +7,12 @@
 contain the former), then of the runs; else to the longest of all.
 """
 
-import enum
-from dataclasses import dataclass
-from types import MappingProxyType
-from typing import Final, Iterator, Mapping, Sequence
+from typing import Final, Sequence
 
-from hyssopring.cli.log_absences import Absence, millis_of
+from hyssopring.cli.log_absences import Absence
 from hyssopring.cli.log_lines import LogLine
 from hyssopring.cli.log_sentences import shown_seconds
+from hyssopring.cli.log_spans import Span, absent_spans, told_spans
 from hyssopring.logs import Event
 
 __all__ = ('likely_cause',)
@@ -24,34 +22,7 @@
 _LONG_MS: Final = 1000
 # A span explains a delay if it is at least one in so many parts of it.
 _PARTS: Final = 2
-_STEPS: Final = frozenset(
-    (Event.TASK_PLACED, Event.TASK_FINISHED, Event.TASK_LAPSED)
-)
 _NONE: Final = 'Likely cause: none is seen'
-_CAUSE_BY_REASON: Final[Mapping[str, str]] = MappingProxyType(
-    {
-        'lapsed': 'its agent was not heard of for 8.4 s; see 2002 and 2007',
-        'not listed': 'the worker crashed, or the start did not arrive',
-        'worker replaced': 'the worker crashed, or the start did not arrive',
-    }
-)
-
-
-class _Rank(enum.IntEnum):
-    """How sure a span's cause is; the surest first."""
-
-    TOLD = 0
-    INFERRED = 1
-    RUN = 2
-
-
-@dataclass(frozen=True)
-class _Span:
-    """A stretch of the job's time and what it was spent on."""
-
-    millis: float
-    cause: str
-    rank: _Rank = _Rank.TOLD
 
 
 def likely_cause(lines: Sequence[LogLine], away: Sequence[Absence]) -> str:
@@ -61,7 +32,7 @@
     if refused is not None and _last(lines, Event.JOB_ACCEPTED) is None:
         return _refusal(refused, away)
     sources = {line.source for line in lines}
-    spans = [*_spans(lines), *_absent(away, sources)]
+    spans = [*told_spans(lines), *absent_spans(away, sources)]
     if finished is None:
         return _longest(spans, 0)
     if finished.record.get('state') == 'failed':
@@ -72,7 +43,7 @@
     return _longest(spans, late_ms)
 
 
-def _longest(spans: Sequence[_Span], late_ms: float) -> str:
+def _longest(spans: Sequence[Span], late_ms: float) -> str:
     long = [span for span in spans if span.millis >= _LONG_MS]
     if not long:
         return _NONE
@@ -127,68 +98,6 @@
     )
 
 
-def _spans(lines: Sequence[LogLine]) -> Iterator[_Span]:
-    yield from _handovers(lines)
-    accepted = _last(lines, Event.JOB_ACCEPTED)
-    first = next(
-        (line for line in lines if line.event == Event.TASK_PLACED),
-        None,
-    )
-    if accepted is not None and first is not None:
-        wait = millis_of(first.at - accepted.at)
-        cause = 'no room, or more urgent work first'
-        yield _Span(wait, cause, _Rank.INFERRED)
-    last_by_task: dict[str, LogLine] = {}
-    for line in lines:
-        task = str(line.record.get('task', ''))
-        before = last_by_task.get(task)
-        if before is not None:
-            yield from _between(before, line)
-        if task and line.event in _STEPS:
-            last_by_task[task] = line
-
-
-def _between(before: LogLine, line: LogLine) -> Iterator[_Span]:
-    """Return the span between two steps of a task, if it says something."""
-    millis = millis_of(line.at - before.at)
-    steps = (before.event, line.event)
-    how = before.record.get('how')
-    if steps == (Event.TASK_PLACED, Event.TASK_LAPSED):
-        reason = str(line.record.get('reason', 'unknown'))
-        yield _Span(
-            millis, f'{reason}: {_CAUSE_BY_REASON.get(reason, "see 3007")}'
-        )
-    elif steps == (Event.TASK_PLACED, Event.TASK_FINISHED):
-        cause = 'the worker is slow, or the task was slowed down (3026)'
-        yield _Span(millis, cause, _Rank.RUN)
-    elif steps == (Event.TASK_FINISHED, Event.TASK_PLACED):
-        if how == 'stopped':
-            cause = 'moved: its worker left, or held still beside keepers'
-            yield _Span(millis, cause, _Rank.INFERRED)
-
-
-def _handovers(lines: Sequence[LogLine]) -> Iterator[_Span]:
-    """Return how long the shard had no owner that wrote, at most.
-
-    An owner that dies writes no line, so that the time is counted from the
-    last line of the story before the next owner's first.
-    """
-    for before, line in zip(lines, lines[1:], strict=False):
-        if line.event == Event.SHARD_ACQUIRED:
-            unheard = line.record.get('unheard', 'unknown')
-            cause = f'at most: the owner died or gave way ({unheard} unheard)'
-            yield _Span(millis_of(line.at - before.at), cause)
-
-
-def _absent(away: Sequence[Absence], sources: set[str]) -> Iterator[_Span]:
-    """Return the absences from processes that wrote of the job or shard."""
-    for absence in away:
-        if absence.source not in sources:
-            continue
-        cause = f'the store was away from {absence.source}'
-        yield _Span(absence.millis, cause)
-
-
 def _late_ms(finished: LogLine) -> float:
     age, due = finished.record.get('age_ms'), finished.record.get('due_ms')
     if isinstance(age, int) and isinstance(due, int):
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -53,6 +53,11 @@
             + 'starting: crash {crashes} in a row, {cause}'
         ),
         Event.TASK_UNPLACED: '{task} cannot be placed: {why}',
+        Event.TASK_WAITING: (
+            '{task} has run nowhere for {waited_ms} ms: {reason} {agents} '
+            + '({count} agents, {left_ms} ms left at most; {waiting} '
+            + 'lasting tasks wait)'
+        ),
     }
 )
 
--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -189,6 +189,14 @@
             return run.waiting
         return run.waiting & run.located
 
+    def ready_runs(self) -> Iterator[StepRun]:
+        """Step runs whose turn has come, unless the job has ended."""
+        if self.final_state is not None:
+            return
+        for run in self.step_runs.values():
+            if self._is_ready(run):
+                yield run
+
     def open_runs(self) -> Iterator[StepRun]:
         """Step runs with waiting tasks whose turn has come."""
         if self.final_state is not None:
--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -72,7 +72,7 @@
             if boots is None:
                 self._unfit_by_kind.setdefault(kind, []).append(step.size)
             return None
-        allowed = [option for option in roomy if _permits(option, step, name)]
+        allowed = [option for option in roomy if option.permits(step, name)]
         if not allowed:
             return None
         rack = step.rack
@@ -102,7 +102,7 @@
             for option in self._options(service, boots)
             if option.allows(step, is_starved=True)
             and option.has_label(step)
-            and _permits(option, step, name)
+            and option.permits(step, name)
         ]
         if not allowed:
             return None
@@ -197,11 +197,6 @@
         return False
 
 
-def _permits(option: Option, step: Step, name: TaskName) -> bool:
-    limit = step.max_per_worker
-    return not limit or option.count(name) < limit
-
-
 def _fit_all(
     options: list[Option],
     step: Step,
--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -129,7 +129,11 @@
 
     def may_run_on(self, agent_id: str) -> bool:
         """Whether an agent that was not heard may run what it was ordered."""
+        return self._clock.now() <= self.until(agent_id)
+
+    def until(self, agent_id: str) -> float:
+        """When all that an agent was granted before this owner is over."""
         until = self._lost_at_by_agent.get(agent_id, self._wait_until)
         if self._has_earlier:
             until = max(until, self._wait_until)
-        return self._clock.now() <= until
+        return until
--- a/hyssopring/jobs/measures.py
+++ b/hyssopring/jobs/measures.py
@@ -30,6 +30,7 @@
         Event.WORKER_RESTARTED: ('workers_restarted_total', ''),
         Event.TASK_SUSPECTED: ('suspects_total', 'cause'),
         Event.TASK_GIVEN_UP: ('jobs_given_up_total', ''),
+        Event.TASK_WAITING: ('lasting_tasks_waited_total', 'reason'),
         Event.SUSPECT_CLEARED: ('suspects_cleared_total', ''),
         Event.ADVICE_GIVEN: ('questions_answered_total', ''),
         Event.ADVICE_UNAVAILABLE: ('questions_unanswered_total', ''),
--- a/hyssopring/jobs/options.py
+++ b/hyssopring/jobs/options.py
@@ -179,6 +179,11 @@
             report is not None and step.label in report.labels
         )
 
+    def permits(self, step: Step, name: TaskName) -> bool:
+        """Whether one more task of a step and occurrence may be here."""
+        limit = step.max_per_worker
+        return not limit or self.count(name) < limit
+
     def count(self, name: TaskName) -> int:
         """How many tasks of a step and occurrence are here."""
         return sum(
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -126,6 +126,10 @@
             return run.waiting
         return record.located_waiting(run)
 
+    def wait_ms(self, agent_id: str) -> float:
+        """For how long an unheard agent may still run what it was ordered."""
+        return max(0, self.former.until(agent_id) - self._clock.now())
+
     def confirmed(self, sent_at: float) -> None:
         """A reading that was sent then shows that the shard is still owned."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -30,6 +30,7 @@
 from hyssopring.jobs.stalls import StallWatch
 from hyssopring.jobs.stopping import mark_stopping
 from hyssopring.jobs.suspects import Suspects
+from hyssopring.jobs.waits import LastingTaskWatch
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
@@ -79,6 +80,14 @@
             self._advice,
             self._suspects,
         )
+        self.waits = LastingTaskWatch(
+            clock,
+            fleet,
+            self.shards,
+            may_act,
+            self._advice,
+            self._suspects,
+        )
         self._stalls = StallWatch(clock)
         self._reader = ReportReader(
             clock,
@@ -247,6 +256,7 @@
             self._give_up_lost(now)
         self._list_agents()
         self._advice.look()
+        self.waits.look()
         self.plan_soon()
 
     def _give_up_lost(self, now: float) -> None:
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -122,11 +122,7 @@
         if not waiting:
             return
         waiting.sort(key=lambda each: each.urgency)
-        takers = [
-            worker
-            for worker in self._shards.startable_on(self._fleet.takers())
-            if worker.agent_id not in self._suspects.agents
-        ]
+        takers = self._suspects.spared(self._shards)
         placement = PlacementRound(takers, self.harms)
         for each in waiting:
             self._place(placement, each)
--- a/hyssopring/jobs/suspects.py
+++ b/hyssopring/jobs/suspects.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import Container, Final
+from typing import Collection, Final
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.book import JobRecord
@@ -16,6 +16,7 @@
 from hyssopring.jobs.fleet import Fleet, Placed, Worker
 from hyssopring.jobs.messages import EndReport
 from hyssopring.jobs.model import AttemptEnd, TaskName
+from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.worker_deaths import WorkerDeaths
 from hyssopring.logs import Event, log_event
 
@@ -71,10 +72,18 @@
         self.deaths = WorkerDeaths(clock, fleet)
 
     @property
-    def agents(self) -> Container[str]:
+    def agents(self) -> Collection[str]:
         """The agents whose workers are to get no other start now."""
         return self._trial_by_agent.keys()
 
+    def spared(self, shards: OwnedShards) -> list[Worker]:
+        """Return the workers that any task may be started on now."""
+        return [
+            worker
+            for worker in shards.startable_on(self._fleet.takers())
+            if worker.agent_id not in self._trial_by_agent
+        ]
+
     def needs_trial(self, record: JobRecord, name: TaskName) -> bool:
         """Whether a task is a suspect that can wait for a trial."""
         if record.crashes.is_empty:
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -38,6 +38,7 @@
         Event.ADVICE_UNAVAILABLE: 'WARNING',
         Event.BACKEND_SIZE_UNKNOWN: 'WARNING',
         Event.TASK_UNKNOWN: 'WARNING',
+        Event.TASK_WAITING: 'WARNING',
         Event.VM_OVERCOMMITTED: 'WARNING',
         Event.WORKER_CRASHED: 'WARNING',
         Event.WORKER_RESTARTED: 'WARNING',
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -187,6 +187,7 @@
         shards = self.core.owner.shards
         gauge('shards_owned', len(shards.by_shard))
         gauge('jobs_live', len(shards.live_jobs()))
+        gauge('lasting_tasks_waiting', self.core.owner.waits.waiting)
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         table = self._callers.table
