Red tests: a lost VM holds up lasting tasks that it cannot run, from each takeover anew

A VM stays away and owners die in series: no lasting task of any VM runs, however long the VM has been lost. All power is lost, a VM and the former owner's machine never come back: new jobs would run, nothing accepted before does.

--- /dev/null
+++ b/tests/test_jobs_lost_vms.py
@@ -0,0 +1,133 @@
+"""VMs that stay away while owners die: what waits for them, and how long."""
+
+from standins.jobs.deployment import Deployment, a_job, settled
+
+FOREVER_MS = 1e9
+LOST = 0
+RESTART_S = 1.0
+# A dead owner is missed after 3 s; the next in rank takes the shard 1.5 s later
+# at the latest, and loads it.
+TAKEOVER_S = 5.5
+
+
+def lasting(count, workers=5, entries=3):
+    """Tasks that last, spread over all workers."""
+    deployment = settled(
+        Deployment(
+            workers=workers, entries=entries, work_ms=lambda task: FOREVER_MS
+        )
+    )
+    job = a_job(steps=((count, ()),), is_keeper=True, max_per_worker=1)
+    deployment.submit(job)
+    deployment.run(1)
+    assert len(running(deployment, job)) == count
+    return deployment, job
+
+
+def running(deployment, job):
+    """The indices of the tasks that run now."""
+    return {
+        int(task.rpartition('.')[2])
+        for task, held in deployment.book.running.items()
+        if held and task.startswith(job.job_id)
+    }
+
+
+def lose_vm(deployment, number=LOST):
+    """A VM is gone: its worker and its agent; return its tasks."""
+    worker = deployment.workers[number]
+    lost = {int(task.rpartition('.')[2]) for task in worker.runs}
+    worker.crash()
+    worker.is_dark = True
+    deployment.kill_agent(f'agent-{number}')
+    return lost
+
+
+def fail_elsewhere(deployment):
+    for number, worker in enumerate(deployment.workers):
+        if number != LOST:
+            worker.fail_all()
+
+
+def kill_owner(deployment, back_s=None):
+    """Kill the owner's process; it is started again after a while."""
+    name = deployment.owner
+    deployment.kill_entry(name)
+    if back_s is not None:
+        deployment.reactor.callLater(back_s, deployment.start_entry, name)
+
+
+def run_until_owned(deployment):
+    """Go on until a living entry has taken over and knows all jobs."""
+    for _each in range(1000):
+        deployment.run(0.01)
+        for entry in deployment.entries.values():
+            shards = entry.core.owner.shards.by_shard.values()
+            if entry.is_alive and any(owned.is_loaded for owned in shards):
+                return
+    raise AssertionError('nobody has taken the shard')
+
+
+def lose_all_power(deployment, away):
+    """All processes and workers end at once; some VMs stay away."""
+    for name, entry in deployment.entries.items():
+        if entry.is_alive:
+            deployment.kill_entry(name)
+    for number, worker in enumerate(deployment.workers):
+        name = f'agent-{number}'
+        if deployment.agents[name].is_alive:
+            deployment.kill_agent(name)
+        worker.crash()
+        worker.is_dark = True
+        if number not in away:
+            deployment.reactor.callLater(1, power_up, deployment, number)
+
+
+def power_up(deployment, number):
+    worker = deployment.workers[number]
+    worker.is_dark = False
+    deployment.start_agent(f'agent-{number}', worker)
+
+
+def test_takeovers_in_series_do_not_prolong_the_wait_for_a_lost_vm(back_s=0.7):
+    """Each owner began its wait for a lost VM anew, beside room elsewhere."""
+    deployment, job = lasting(4, entries=6)
+    lost = lose_vm(deployment)
+    for _each in range(4):
+        kill_owner(deployment, back_s)
+        fail_elsewhere(deployment)
+        run_until_owned(deployment)
+        deployment.run(2)
+    kill_owner(deployment, back_s)
+    run_until_owned(deployment)
+    deployment.run(RESTART_S)
+    assert running(deployment, job) == set(range(4)), lost
+
+
+def test_a_lost_vm_holds_up_only_the_tasks_that_it_may_run():
+    """Lasting tasks that ended elsewhere waited for a VM they never were on."""
+    deployment, job = lasting(5)
+    lost = lose_vm(deployment)
+    kill_owner(deployment)
+    fail_elsewhere(deployment)
+    run_until_owned(deployment)
+    deployment.run(RESTART_S)
+    assert running(deployment, job) >= set(range(5)) - lost
+
+
+def test_a_loss_of_power_with_a_replaced_entry_holds_up_no_other_task():
+    """All power is lost; one VM and the owner's machine never come back.
+
+    Another entry takes the shard while the former owner may still act as far
+    as anybody knows, and all lasting tasks waited 18 s for the lost VM.
+    """
+    deployment, job = lasting(5)
+    owner = deployment.owner
+    lost = {int(task[-1]) for task in deployment.workers[LOST].runs}
+    lose_all_power(deployment, away={LOST})
+    names = [name for name in deployment.entries if name != owner]
+    for name in [*names, 'entry-9']:
+        deployment.reactor.callLater(1, deployment.start_entry, name)
+    run_until_owned(deployment)
+    deployment.run(RESTART_S + 0.7)
+    assert running(deployment, job) >= set(range(5)) - lost
