Roster: a lost VM holds up only the lasting tasks that it may run

What callers saw: while one VM stayed away, new jobs ran and ended on all others, and nothing that had been accepted under an earlier owner started: lasting tasks of all jobs were away for 8.4 s after each takeover, 18.4 s where the former owner's machine was gone too (the users' LOST).

Cause: a new owner knows what ran on which agent from the agents alone. While one is unheard, each task that no other agent names may run there, and all of them waited. Class: a wait for evidence about one thing that is applied to all.

Change: a lasting task stands in the row of each agent that may run it, before it is ordered there (one transaction for up to 45 agents, batch tasks cost nothing). A next owner waits, for a lasting task, for the unheard agents whose rows name it. A task is taken off a row once it runs elsewhere or its job has ended, and not while a silent former owner may still order it there. The rows count once the 'roster' row says that they are complete: from the first owner on, or after an owner has heard all agents; an owner of the release before makes them incomplete, a row that cannot be read does so durably before any row is rewritten.

What stays: a task that may run on the lost VM itself waits until its grants are surely over; batch tasks of earlier reigns wait as before.

--- a/hyssopring/jobs/absences.py
+++ b/hyssopring/jobs/absences.py
@@ -5,6 +5,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.former_owner import FormerOwner
+from hyssopring.jobs.reign_rows import ReignRows
 from hyssopring.jobs.roster import Roster
 from hyssopring.jobs.store_time import StoreTime
 
@@ -12,8 +13,6 @@
 
 # Agents dial a new owner's process within this time, and need no row.
 _AWAY_MS: Final = MILLIS_PER_SECOND
-# A wait that ends sooner than was written is written again if it saves this.
-_SHORTER_MS: Final = 500.0
 
 
 class Absences:
@@ -26,12 +25,14 @@
         self,
         clock: Clock,
         roster: Roster,
+        reign_rows: ReignRows,
         former: FormerOwner,
         store_time: StoreTime,
     ) -> None:
         """Know of no agent that is away."""
         self._clock = clock
         self._roster = roster
+        self._reign_rows = reign_rows
         self._former = former
         self._store_time = store_time
         self._since_by_agent: dict[str, float] = {}
@@ -51,7 +52,7 @@
         """
         now = self._clock.now()
         if not self._former.may_act:
-            self._roster.waited()
+            self._reign_rows.waited()
         for agent_id in self._roster.agents:
             if agent_id not in unheard and fleet.runs_nothing(agent_id):
                 self._strike(agent_id, now)
@@ -76,13 +77,6 @@
         over_at_by_agent = {}
         for agent_id, since in self._since_by_agent.items():
             over_at = max(self.over_at(agent_id), fleet.over_at(agent_id))
-            is_away = now - since >= _AWAY_MS
-            if is_away and self._is_news(agent_id, over_at, now):
+            if now - since >= _AWAY_MS and over_at > now:
                 over_at_by_agent[agent_id] = over_at
         self._roster.suspend(over_at_by_agent, self._store_time)
-
-    def _is_news(self, agent_id: str, over_at: float, now: float) -> bool:
-        told = self._roster.over_at(agent_id)
-        if told is None:
-            return over_at > now
-        return over_at < told - _SHORTER_MS and told > now
--- a/hyssopring/jobs/book.py
+++ b/hyssopring/jobs/book.py
@@ -52,6 +52,10 @@
         """Whether this task has ended as done."""
         return bool(self.done >> index & 1)
 
+    def task(self, job_id: str, index: int) -> TaskName:
+        """Name one task of the step."""
+        return TaskName(job_id, self.occurrence, self.number, index)
+
     def placed(self, index: int) -> None:
         """An attempt of the task may run from now on."""
         self.waiting.discard(index)
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -190,10 +190,12 @@
     Attributes:
         reign: The last one that is known to have kept to the rows.
         since: The first of those that have done so without a gap.
+        is_complete: The rows name all agents that may run a lasting task.
     """
 
     reign: int
     since: int
+    is_complete: bool = False
 
     @classmethod
     def from_row(cls, row: Row | None) -> 'RosterRow':
@@ -206,8 +208,12 @@
     def next(self, former_reign: int) -> 'RosterRow':
         """Return the row of the owner that follows a reign."""
         reign = former_reign + 1
-        since = self.since if self.reign == former_reign else reign
-        return RosterRow(reign, max(1, since))
+        if not former_reign:
+            # Nobody has ordered anything before.
+            return RosterRow(reign, reign, is_complete=True)
+        if self.reign != former_reign:
+            return RosterRow(reign, reign)
+        return RosterRow(reign, self.since, self.is_complete)
 
     def to_text(self) -> str:
         """Return the row's text."""
@@ -216,28 +222,38 @@
 
 @dataclass(frozen=True)
 class AgentRow:
-    """An agent that was away when its row was written.
+    """An agent that may hold tasks of a shard.
 
     Attributes:
-        over_ms: By the store's clock: all that any owner had granted there is
-            over then, unless the row has changed.
-        reign: The writer's.
+        over_ms: Of an agent that was away, by the store's clock: all that any
+            owner had granted there is over then, unless the row has changed.
+        reign: Whose word ``over_ms`` is.
+        tasks: The lasting tasks that it may run, by their names.
     """
 
-    over_ms: float
-    reign: int
+    over_ms: float | None = None
+    reign: int = 0
+    tasks: tuple[str, ...] = ()
 
     @classmethod
     def from_text(cls, text: str) -> 'AgentRow':
-        """Read a row; raises UnreadableRow."""
-        row = _read(_AGENT_ROW, 'agent', text)
-        if not math.isfinite(row.over_ms) or not 0 <= row.reign < _MAX_REIGN:
+        """Read a row, also an empty one; raises UnreadableRow."""
+        row = _read(_AGENT_ROW, 'agent', text) if text else cls()
+        is_time = row.over_ms is None or math.isfinite(row.over_ms)
+        if not is_time or not 0 <= row.reign < _MAX_REIGN:
             raise UnreadableRow('agent: no such time or reign')
         return row
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether the agent was away."""
+        return self.over_ms is not None
+
     def to_text(self) -> str:
-        """Return the row's text."""
-        return _AGENT_ROW.dump_json(self).decode()
+        """Return the row's text, empty if it says nothing."""
+        if self == AgentRow():
+            return ''
+        return _AGENT_ROW.dump_json(self, exclude_defaults=True).decode()
 
 
 @dataclass(frozen=True)
--- a/hyssopring/jobs/entries.py
+++ b/hyssopring/jobs/entries.py
@@ -324,7 +324,7 @@
             confirmed_at=sent_at,
             former=silent,
             over_since=self._over_since.get(takeover.version),
-            roster_since=takeover.next_roster.since,
+            roster=takeover.next_roster,
         )
         return taking.addCallback(self._taken, taken)
 
--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -4,7 +4,7 @@
 from typing import Callable
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.documents import FormerReign
+from hyssopring.jobs.documents import FormerReign, RosterRow
 from hyssopring.jobs.messages import ShardGivenUp
 from hyssopring.jobs.times import LOST_AFTER_MS, ROSTER_WAIT_MS
 
@@ -22,7 +22,7 @@
         confirmed_at: When the call was sent that took the shard.
         former: The owner before this one if it is among those in doubt.
         over_since: Since when this entry knows that the former owner is over.
-        roster_since: From which reign on the agents' rows can be relied on.
+        roster: Which reigns have kept to the agents' rows.
     """
 
     shard: int
@@ -33,7 +33,7 @@
     confirmed_at: float
     former: FormerReign | None = None
     over_since: float | None = None
-    roster_since: int = 0
+    roster: RosterRow = RosterRow(0, 0)
 
     @property
     def is_former_over(self) -> bool:
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -11,10 +11,12 @@
 from hyssopring.jobs.documents import JobRow, ProgressRow
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.former_owner import FormerOwner, ShardReign
-from hyssopring.jobs.model import JobState
+from hyssopring.jobs.locations import Locations
+from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.odd_rows import OddRows
 from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
-from hyssopring.jobs.roster import Roster, RosterReigns
+from hyssopring.jobs.reign_rows import ReignRows
+from hyssopring.jobs.roster import Roster
 from hyssopring.jobs.row_keys import (
     cancel_key,
     is_job_key,
@@ -91,18 +93,29 @@
         # Jobs whose progress cannot be read; see ``_inherit``.
         self._unclear: set[str] = set()
         self._check = owner_check(taken.shard, taken.version)
+        reign_rows = ReignRows(
+            store,
+            taken.shard,
+            self._check,
+            taken.roster,
+            not taken.is_former_over,
+        )
         self.roster = Roster(
+            clock,
             store,
             taken.shard,
             self._check,
-            RosterReigns(taken.reign, taken.roster_since),
+            reign_rows,
             events.on_listed,
-            not taken.is_former_over,
         )
         self._reader = ShardReader(reactor, clock, store, self)
+        self.locations = Locations(
+            clock, self.roster, reign_rows, self.former, self.by_job
+        )
         self._absences = Absences(
             clock,
             self.roster,
+            reign_rows,
             self.former,
             self._reader.store_time,
         )
@@ -133,7 +146,18 @@
         """
         if not record.is_inherited or not self.unheard:
             return run.waiting
-        return record.located_waiting(run)
+        located = record.located_waiting(run)
+        if not run.step.is_keeper:
+            return located
+        return located | {
+            index
+            for index in run.waiting
+            if not self.holders(run.task(record.job.job_id, index))
+        }
+
+    def holders(self, name: TaskName) -> set[str]:
+        """Return the unheard agents that may run a lasting task."""
+        return self.locations.holders(str(name), self.unheard)
 
     def wait_ms(self, agent_id: str) -> float:
         """For how long an unheard agent may still run what it was ordered."""
@@ -177,6 +201,10 @@
         }
         if self.is_loaded:
             self._absences.look(fleet, self.unheard)
+            self.locations.look(
+                fleet, self.heard.__contains__, bool(self.unheard)
+            )
+            self.roster.write()
 
     def live_jobs(self) -> list[JobRecord]:
         """Return the jobs whose final state is not decided."""
@@ -255,6 +283,7 @@
     def loaded(self, jobs: list[Row], ends: list[Row]) -> None:
         """Take over all stored rows."""
         self.unheard = set(self.roster.agents)
+        self.locations.loaded()
         end_by_job = {row.place.key: row for row in ends}
         for row in jobs:
             if is_job_key(row.place.key):
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -138,33 +138,61 @@
             return
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
         for index in sorted(waiting.indices):
-            name = TaskName(
-                record.job.job_id,
-                run.occurrence,
-                run.number,
-                index,
-            )
+            name = run.task(record.job.job_id, index)
             if self._suspects.needs_trial(record, name):
                 self._place_in_trial(placement, waiting, name)
-                continue
-            worker = placement.choose(
-                record.job.queue.service,
-                run.step,
-                name,
-                is_starved,
-                waiting.tickets,
-            )
-            is_starved = False
-            if worker is None:
+            elif self._place_task(placement, waiting, name, is_starved):
+                is_starved = False
+            else:
                 return
-            task = str(name)
-            self._start(
-                waiting,
-                name,
-                worker,
-                record.next_number(task),
-                record.checkpoint_by_task.get(task, ''),
-            )
+
+    def _place_task(
+        self,
+        placement: PlacementRound,
+        waiting: '_Waiting',
+        name: TaskName,
+        is_starved: bool,
+    ) -> bool:
+        """Start a task; False if no worker takes one of the step now."""
+        record, task = waiting.record, str(name)
+        worker = placement.choose(
+            record.job.queue.service,
+            waiting.run.step,
+            name,
+            is_starved,
+            waiting.tickets,
+        )
+        if worker is None:
+            return False
+        if not self._is_located(waiting, [name], [worker]):
+            worker = self._located_worker(placement, waiting, name)
+        if worker is not None:
+            number = record.next_number(task)
+            checkpoint = record.checkpoint_by_task.get(task, '')
+            self._start(waiting, name, worker, number, checkpoint)
+        return True
+
+    def _located_worker(
+        self,
+        placement: PlacementRound,
+        waiting: '_Waiting',
+        name: TaskName,
+    ) -> Worker | None:
+        """Return a worker whose agent's row lists a task, if none can be added.
+
+        In an outage of the store a lasting task that has ended starts again
+        where it was.
+        """
+        owned = self._shards.by_shard[shard_of(name.job_id)]
+        if not owned.roster.is_failing:
+            return None
+        boots = owned.locations.located_on(str(name), self._fleet.takers())
+        if waiting.tickets is not None:
+            boots &= waiting.tickets.keys()
+        service = waiting.record.job.queue.service
+        return placement.choose(
+            service, waiting.run.step, name, is_starved=False, boots=boots
+        )
 
     def _place_in_trial(
         self,
@@ -183,7 +211,7 @@
             self._suspects.isolated_agents(record, name),
             waiting.tickets,
         )
-        if worker is None:
+        if worker is None or not self._is_located(waiting, [name], [worker]):
             return
         number = record.next_number(task)
         checkpoint = record.checkpoint_by_task.get(task, '')
@@ -209,7 +237,7 @@
             names,
             waiting.tickets,
         )
-        if not workers:
+        if not workers or not self._is_located(waiting, names, workers):
             return
         number = record.next_gang_number(names)
         checkpoint = record.gang_checkpoint(names)
@@ -219,6 +247,26 @@
                 placement.withdraw(worker)
                 self._suspects.begin(record, name, number, worker.agent_id)
 
+    def _is_located(
+        self,
+        waiting: '_Waiting',
+        names: list[TaskName],
+        workers: list[Worker],
+    ) -> bool:
+        """Whether the rows of the workers' agents list the tasks, if lasting.
+
+        Else the next round starts them: a next owner would start a task again
+        that may run on an agent which it cannot reach.
+        """
+        if not waiting.run.step.is_keeper:
+            return True
+        owned = self._shards.by_shard[shard_of(names[0].job_id)]
+        located = [
+            owned.locations.locate(worker.agent_id, [str(name)])
+            for name, worker in zip(names, workers, strict=True)
+        ]
+        return all(located)
+
     def _start(
         self,
         waiting: '_Waiting',
--- a/hyssopring/jobs/roster.py
+++ b/hyssopring/jobs/roster.py
@@ -1,13 +1,16 @@
 """The agents that may hold tasks of a shard, as its next owner reads them."""
 
-from dataclasses import dataclass
-from typing import Any, Callable, Final, Iterable, Mapping
+from dataclasses import replace
+from typing import Callable, Collection, Final, Iterable, Mapping
 
 from twisted.python.failure import Failure as TwistedFailure
 
+from hyssopring.clock import Clock
 from hyssopring.jobs.documents import AgentRow
 from hyssopring.jobs.odd_rows import OddRows
-from hyssopring.jobs.row_keys import agent_key, wait_key
+from hyssopring.jobs.reign_rows import ReignRows
+from hyssopring.jobs.roster_entry import RosterEntry
+from hyssopring.jobs.row_keys import agent_key
 from hyssopring.jobs.rows import (
     Committed,
     Conflict,
@@ -21,41 +24,15 @@
 )
 from hyssopring.jobs.store_time import StoreTime
 
-__all__ = ('Roster', 'RosterReigns')
+__all__ = ('Roster',)
 
 # A transaction holds at most 100 entries: an agent has two, and one is the
 # owner's check.
 _MAX_AGENTS: Final = 45
-
-
-@dataclass(frozen=True, slots=True)
-class RosterReigns:
-    """The reigns whose words on the roster count.
-
-    Attributes:
-        reign: The present owner's.
-        since: From this one on every owner has kept to what the rows say.
-    """
-
-    reign: int
-    since: int
-
-
-@dataclass(slots=True)
-class _Listed:
-    """An agent that is durably listed.
-
-    Attributes:
-        version: Its row's.
-        is_suspended: The row says, or may come to say, that the agent is away:
-            no grant may be given there before that is taken back.
-        over_at: When all that was granted there is over, by the clock; None
-            if the row does not say so.
-    """
-
-    version: int
-    is_suspended: bool = False
-    over_at: float | None = None
+# After a failed write nothing is written for this long.
+_REST_MS: Final = 200.0
+# A wait that ends sooner than was written is written again if it saves this.
+_SHORTER_MS: Final = 500.0
 
 
 class Roster:
@@ -63,83 +40,100 @@
 
     An agent is listed before it is sent its first task, and struck off once
     nothing there can run any more. A next owner waits for each listed agent
-    that it cannot reach. The row of one that is away says until when: without
-    it each owner of a series would begin the wait anew, and all that their
-    predecessors had accepted would wait with it.
+    that it cannot reach. Two things keep that wait short:
+
+    - The row of an agent that is away says until when. Without it each owner
+      of a series would begin the wait anew.
+    - A lasting task stands in the row of each agent that may run it, before
+      it is sent there. Without it all of them would wait for any lost VM.
     """
 
     def __init__(
         self,
+        clock: Clock,
         store: RowStore,
         shard: int,
         owner_check: RowCheck,
-        reigns: RosterReigns,
-        on_listed: Callable[[], None],
-        owes_wait: bool = False,
+        reigns: ReignRows,
+        on_written: Callable[[], None],
     ) -> None:
-        """Write under ``owner_check``; ``on_listed`` hears of new rows.
-
-        ``owes_wait`` says that a former owner may still act, and that the
-        store says so to next owners until ``waited``.
+        """Write under ``owner_check``; ``on_written`` hears of new rows.
+
+        Args:
+            clock: Spaces writes that fail.
+            store: Holds the rows.
+            shard: The shard.
+            owner_check: Lets the owner of this reign alone write.
+            reigns: Which reigns have kept to the rows.
+            on_written: Called whenever a row says what it is to say.
         """
-        self.owes_wait = owes_wait
         self.is_known = False
-        self._is_clearing = False
+        self._clock = clock
         self._store = store
         self._shard = shard
         self._check = owner_check
         self._reigns = reigns
-        self._on_listed = on_listed
-        self._listed_by_agent: dict[str, _Listed] = {}
-        self._version_by_unlisted: dict[str, int] = {}
+        self._on_written = on_written
+        self._entry_by_agent: dict[str, RosterEntry] = {}
         self._odd = OddRows()
-        self._is_adding = False
-        self._is_suspending = False
-        self._readmitting: set[str] = set()
+        self._is_writing = False
+        self._rests_until = clock.now()
 
     @property
     def agents(self) -> tuple[str, ...]:
         """The agents that are durably listed."""
-        return tuple(self._listed_by_agent)
+        return tuple(filter(self.__contains__, self._entry_by_agent))
 
     def __contains__(self, agent_id: str) -> bool:
         """Whether an agent is durably listed."""
-        return agent_id in self._listed_by_agent
+        entry = self._entry_by_agent.get(agent_id)
+        return entry is not None and entry.is_listed
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last write has failed a moment ago."""
+        return self._clock.now() < self._rests_until
 
     def loaded(self, rows: Iterable[Row], store_time: StoreTime) -> None:
         """Take over the stored rows."""
         self.is_known = True
-        self._listed_by_agent = {
+        self._entry_by_agent = {
             row.place.key: self._read(row, store_time) for row in rows
         }
 
     def may_grant(self, agent_id: str) -> bool:
         """Whether the agent's row lets it be granted."""
-        listed = self._listed_by_agent.get(agent_id)
-        return self.is_known and not (listed and listed.is_suspended)
+        entry = self._entry_by_agent.get(agent_id)
+        return self.is_known and not (entry and entry.may_be_suspended)
 
     def over_at(self, agent_id: str) -> float | None:
         """When all that an agent was granted is over, None if not known."""
-        listed = self._listed_by_agent.get(agent_id)
-        return listed.over_at if listed else None
+        entry = self._entry_by_agent.get(agent_id)
+        return entry.over_at if entry else None
+
+    def tasks(self, agent_id: str) -> tuple[str, ...]:
+        """Return the lasting tasks that an agent may run."""
+        entry = self._entry_by_agent.get(agent_id)
+        return entry.wanted.tasks if entry else ()
+
+    def is_located(self, agent_id: str, tasks: Collection[str]) -> bool:
+        """Whether lasting tasks surely stand in an agent's row."""
+        entry = self._entry_by_agent.get(agent_id)
+        return entry is not None and entry.sure_tasks.issuperset(tasks)
 
     def add(self, agents: Iterable[str]) -> None:
-        """List agents; call again while some are not listed."""
-        missing = [each for each in agents if each not in self]
-        if not missing or self._is_adding:
-            return
-        self._is_adding = True
-        batch = missing[:_MAX_AGENTS]
-        checks, puts = [self._check], []
-        for agent_id in batch:
-            # A removal that is still to be carried out must not follow.
-            place = agent_key(self._shard, agent_id)
-            version = self._version_by_unlisted.get(agent_id, 0)
-            checks.append(RowCheck(place, version))
-            puts.append(RowPut(place, ''))
-        adding = self._store.commit(Transaction(tuple(checks), tuple(puts)))
-        adding.addCallbacks(self._added, _retried, callbackArgs=(batch,))
-        adding.addBoth(self._settled)
+        """List agents that are not listed yet."""
+        for agent_id in agents:
+            self._entry_by_agent.setdefault(agent_id, RosterEntry())
+        self.write()
+
+    def locate(self, agent_id: str, tasks: Iterable[str]) -> None:
+        """Say which lasting tasks an agent may run."""
+        entry = self._entry_by_agent.get(agent_id)
+        told = tuple(sorted(tasks))
+        if entry is not None and entry.wanted.tasks != told:
+            entry.want(replace(entry.wanted, tasks=told))
+            self.write()
 
     def suspend(
         self,
@@ -148,65 +142,31 @@
     ) -> None:
         """Say of agents that are away when all granted there is over.
 
-        From the call on they get no grant until ``readmit`` has taken it back:
-        a write without an answer may be carried out late.
+        They get no grant before ``readmit`` has taken it back.
         """
-        batch = {
-            agent_id: over_at
-            for agent_id, over_at in over_at_by_agent.items()
-            if agent_id in self
-        }
-        if not batch or self._is_suspending or not store_time.is_known:
+        if not store_time.is_known:
             return
-        batch = dict(list(batch.items())[:_MAX_AGENTS])
-        self._is_suspending = True
-        checks, puts = [self._check], []
-        for agent_id, over_at in batch.items():
-            listed = self._listed_by_agent[agent_id]
-            listed.is_suspended = True
-            place = agent_key(self._shard, agent_id)
-            checks.append(RowCheck(place, listed.version))
-            told = AgentRow(store_time.latest(over_at), self._reigns.reign)
-            puts.append(RowPut(place, told.to_text()))
-        suspending = self._store.commit(Transaction(tuple(checks), tuple(puts)))
-        suspending.addCallbacks(
-            self._suspended, _retried, callbackArgs=(batch,)
-        )
-        suspending.addBoth(self._suspending_settled)
+        for agent_id, over_at in over_at_by_agent.items():
+            entry = self._entry_by_agent.get(agent_id)
+            over_ms = store_time.latest(over_at)
+            if entry is None or not _is_news(entry.wanted.over_ms, over_ms):
+                continue
+            told = replace(
+                entry.wanted, over_ms=over_ms, reign=self._reigns.row.reign
+            )
+            entry.over_at = over_at
+            entry.may_be_suspended = True
+            entry.want(told)
+        self.write()
 
     def readmit(self, agent_id: str) -> None:
-        """Take back what its row says: the agent is here again."""
-        listed = self._listed_by_agent.get(agent_id)
-        if listed is None or not listed.is_suspended:
-            return
-        if agent_id in self._readmitting:
-            return
-        self._readmitting.add(agent_id)
-        place = agent_key(self._shard, agent_id)
-        # Whether an earlier write is still to be carried out or not, it does
-        # not follow this one: each checks the row's version.
-        readmitting = self._store.commit(
-            Transaction(
-                (self._check, RowCheck(place, listed.version)),
-                (RowPut(place, ''),),
-            ),
-        )
-        readmitting.addCallbacks(
-            self._readmitted,
-            _retried,
-            callbackArgs=(agent_id,),
-        )
-        readmitting.addBoth(self._readmitting_settled, agent_id)
-
-    def waited(self) -> None:
-        """No former owner acts any more: next owners need not wait for it."""
-        if not self.owes_wait or self._is_clearing:
+        """Take back that an agent is away: it is here again."""
+        entry = self._entry_by_agent.get(agent_id)
+        if entry is None or not entry.may_be_suspended:
             return
-        self._is_clearing = True
-        place = wait_key(self._shard)
-        clearing = self._store.commit(Transaction((self._check,), (), (place,)))
-        clearing.addCallbacks(self._cleared, _retried)
-        clearing.addBoth(self._clearing_settled)
+        if entry.wanted.is_suspended:
+            entry.want(replace(entry.wanted, over_ms=None, reign=0))
+        self.write()
 
     def strike(self, agent_id: str) -> None:
         """Take an agent off the list, on which nothing can run any more.
@@ -214,104 +174,120 @@
         The row's version is checked: a write that is carried out late must
         not remove the row of an agent that has been listed again since.
         """
-        listed = self._listed_by_agent.pop(agent_id, None)
-        if listed is None:
+        entry = self._entry_by_agent.get(agent_id)
+        if entry is None or entry.is_dirty or self._is_writing:
             return
+        self._entry_by_agent.pop(agent_id)
         place = agent_key(self._shard, agent_id)
         striking = self._store.commit(
             Transaction(
-                (self._check, RowCheck(place, listed.version)),
+                (self._check, RowCheck(place, entry.version)),
                 (),
                 (place,),
             ),
         )
         striking.addErrback(_retried)
 
-    def _read(self, row: Row, store_time: StoreTime) -> _Listed:
-        """Read a row; what owners before ``since`` said may be outdated."""
-        listed = _Listed(row.version)
-        told = self._odd.read(AgentRow.from_text, row) if row.text else None
-        if told is None or told.reign < self._reigns.since:
-            return listed
-        listed.is_suspended = True
-        if store_time.is_known:
-            listed.over_at = store_time.reached(told.over_ms)
-        return listed
+    def write(self) -> None:
+        """Write the rows that do not say what they are to say.
 
-    def _added(self, outcome: Committed | Conflict, batch: list[str]) -> None:
-        if isinstance(outcome, Conflict):
-            version_by_agent = self._versions(outcome)
-            for missing in batch:
-                version = version_by_agent.get(missing, 0)
-                self._version_by_unlisted[missing] = version
+        One transaction is under way at a time, and each checks the versions:
+        one that is carried out late does not follow its successors.
+        """
+        if self._is_writing or self.is_failing or not self.is_known:
+            return
+        if self._reigns.is_void:
+            self._reigns.void()
             return
+        batch = [
+            agent_id
+            for agent_id, entry in self._entry_by_agent.items()
+            if entry.is_dirty
+        ][:_MAX_AGENTS]
+        if not batch:
+            return
+        self._is_writing = True
+        checks, puts = [self._check], []
+        row_by_agent = {}
         for agent_id in batch:
-            self._version_by_unlisted.pop(agent_id, None)
-            self._listed_by_agent[agent_id] = _Listed(outcome.version)
-        self._on_listed()
-
-    def _versions(self, conflict: Conflict) -> dict[str, int]:
-        """Return the versions of agents' rows that a check has found."""
-        return {
-            row.place.key: row.version
-            for row in conflict.rows
-            if row.place == agent_key(self._shard, row.place.key)
-        }
-
-    def _found(self, conflict: Conflict, batch: Iterable[str]) -> None:
-        """Take the versions of rows that have others than were known.
+            entry = self._entry_by_agent[agent_id]
+            place = agent_key(self._shard, agent_id)
+            row_by_agent[agent_id] = entry.sent()
+            checks.append(RowCheck(place, entry.version))
+            puts.append(RowPut(place, row_by_agent[agent_id].to_text()))
+        writing = self._store.commit(Transaction(tuple(checks), tuple(puts)))
+        writing.addCallbacks(
+            self._written,
+            self._unwritten,
+            callbackArgs=(row_by_agent,),
+            errbackArgs=(row_by_agent,),
+        )
 
-        A write without an answer was carried out after all. An agent without
-        a row is to be listed again.
-        """
-        version_by_agent = self._versions(conflict)
-        for agent_id in batch:
-            version = version_by_agent.get(agent_id)
-            if version is None:
-                self._listed_by_agent.pop(agent_id, None)
-            elif agent_id in self:
-                self._listed_by_agent[agent_id].version = version
+    def _read(self, row: Row, store_time: StoreTime) -> RosterEntry:
+        """Read a row; what owners before ``since`` said may be outdated."""
+        entry = RosterEntry(row.version, is_listed=True, is_dirty=False)
+        told = self._odd.read(AgentRow.from_text, row)
+        if told is None:
+            # It may have listed any task.
+            self._reigns.void()
+            return entry
+        entry.wanted = told
+        entry.sure_tasks = frozenset(told.tasks)
+        if told.over_ms is None or told.reign < self._reigns.row.since:
+            entry.wanted = replace(told, over_ms=None, reign=0)
+            return entry
+        entry.may_be_suspended = True
+        if store_time.is_known:
+            entry.over_at = store_time.reached(told.over_ms)
+        return entry
 
-    def _suspended(
+    def _written(
         self,
         outcome: Committed | Conflict,
-        batch: Mapping[str, float],
+        row_by_agent: Mapping[str, AgentRow],
     ) -> None:
+        self._is_writing = False
         if isinstance(outcome, Conflict):
-            self._found(outcome, batch)
-            return
-        for agent_id, over_at in batch.items():
-            listed = self._listed_by_agent.get(agent_id)
-            # An answer that was overtaken by the next write says nothing.
-            if listed is not None and listed.version < outcome.version:
-                listed.version = outcome.version
-                listed.over_at = over_at
-
-    def _readmitted(
+            self._take_versions(outcome, row_by_agent)
+        else:
+            for agent_id, row in row_by_agent.items():
+                entry = self._entry_by_agent[agent_id]
+                entry.written(row, outcome.version)
+            self._on_written()
+        self.write()
+
+    def _take_versions(
         self,
-        outcome: Committed | Conflict,
-        agent_id: str,
+        conflict: Conflict,
+        agents: Iterable[str],
     ) -> None:
-        if isinstance(outcome, Conflict):
-            self._found(outcome, (agent_id,))
-            return
-        self._listed_by_agent[agent_id] = _Listed(outcome.version)
-        self._on_listed()
+        """Write again on the versions that a check has found.
 
-    def _settled(self, _done: Any) -> None:
-        self._is_adding = False
-
-    def _suspending_settled(self, _done: Any) -> None:
-        self._is_suspending = False
+        A write without an answer was carried out after all.
+        """
+        version_by_place = {row.place: row.version for row in conflict.rows}
+        check = self._check
+        if version_by_place.get(check.place) != check.version:
+            # Another owner has the shard; the next reading of it tells.
+            self._rests_until = self._clock.now() + _REST_MS
+        for agent_id in agents:
+            place = agent_key(self._shard, agent_id)
+            self._entry_by_agent[agent_id].found(version_by_place.get(place, 0))
 
-    def _readmitting_settled(self, _done: Any, agent_id: str) -> None:
-        self._readmitting.discard(agent_id)
+    def _unwritten(
+        self,
+        failure: TwistedFailure,
+        agents: Iterable[str],
+    ) -> None:
+        _retried(failure)
+        self._is_writing = False
+        self._rests_until = self._clock.now() + _REST_MS
+        for agent_id in agents:
+            self._entry_by_agent[agent_id].is_dirty = True
 
-    def _cleared(self, outcome: Committed | Conflict) -> None:
-        self.owes_wait = not isinstance(outcome, Committed)
 
-    def _clearing_settled(self, _done: Any) -> None:
-        self._is_clearing = False
+def _is_news(told_ms: float | None, over_ms: float) -> bool:
+    return told_ms is None or over_ms < told_ms - _SHORTER_MS
 
 
 def _retried(failure: TwistedFailure) -> None:
--- a/hyssopring/jobs/waits.py
+++ b/hyssopring/jobs/waits.py
@@ -33,6 +33,7 @@
     """What keeps a lasting task from running.
 
     NO_AUTHORITY: This owner may not order: the store does not answer it.
+    NOT_DURABLE: Where it is to run cannot be written: the store fails.
     UNHEARD: An agent that is away may still run the task.
     TRIAL: A suspect waits for a worker that may be spared.
     NO_TICKET: The advice service has allowed no worker yet.
@@ -47,6 +48,7 @@
     """
 
     NO_AUTHORITY = 'no-authority'
+    NOT_DURABLE = 'not-durable'
     UNHEARD = 'unheard'
     TRIAL = 'trial'
     NO_TICKET = 'no-ticket'
@@ -217,9 +219,11 @@
         record, name = absent.record, absent.name
         owned = self._shards.by_shard[shard_of(name.job_id)]
         if name.index not in owned.startable(record, absent.run):
-            agents = tuple(sorted(owned.unheard))
+            agents = tuple(sorted(owned.holders(name)))
             left = map(owned.wait_ms, agents)
             return _Obstacle(WaitReason.UNHEARD, agents, max(left, default=0))
+        if owned.roster.is_failing:
+            return _Obstacle(WaitReason.NOT_DURABLE)
         if self._suspects.needs_trial(record, name):
             trials = tuple(sorted(self._suspects.agents))
             return _Obstacle(WaitReason.TRIAL, trials)
@@ -250,9 +254,7 @@
     for index in range(run.step.count):
         order = order_by_index.get(index)
         if order is None or not order.is_running:
-            name = TaskName(
-                record.job.job_id, run.occurrence, run.number, index
-            )
+            name = run.task(record.job.job_id, index)
             yield _Absent(record, run, name, order)
 
 
--- /dev/null
+++ b/tests/test_jobs_locations.py
@@ -0,0 +1,230 @@
+"""Which agents may run a lasting task, as the rows tell the next owner.
+
+The workers' book asserts all the while that no task runs twice.
+"""
+
+import pytest
+
+from hyssopring.jobs.documents import AgentRow, RosterRow
+from hyssopring.jobs.model import Size
+from hyssopring.jobs.row_keys import agent_key, owner_key, roster_key
+from hyssopring.jobs.rows import RowPut, Transaction
+from hyssopring.jobs.times import LOST_AFTER_MS
+from standins.jobs.deployment import Deployment, a_job, settled, starts_of
+
+FOREVER_MS = 1e9
+LOST_AFTER_S = LOST_AFTER_MS / 1000
+ROOM = Size(16_000, 64_000, 4)
+
+
+def lasting(count=3, workers=3, entries=3, **changes):
+    deployment = settled(
+        Deployment(
+            workers=workers, entries=entries, work_ms=lambda task: FOREVER_MS
+        )
+    )
+    job = a_job(steps=((count, ()),), is_keeper=True, **changes)
+    deployment.submit(job)
+    deployment.run(2)
+    return deployment, job
+
+
+def listed(deployment, number):
+    row = deployment.rows.rows.get(agent_key(0, f'agent-{number}'))
+    return set(AgentRow.from_text(row.text).tasks) if row else set()
+
+
+def holder(deployment, task):
+    """The number of the worker that runs a task."""
+    return next(
+        number
+        for number, worker in enumerate(deployment.workers)
+        if task in worker.runs
+    )
+
+
+def owned_shard(deployment):
+    entry = deployment.entries[deployment.owner]
+    return entry.core.owner.shards.by_shard[0]
+
+
+def roster_row(deployment):
+    return RosterRow.from_row(deployment.rows.rows[roster_key(0)])
+
+
+def run_until_loaded(deployment, reign):
+    for _each in range(1000):
+        deployment.run(0.01)
+        for entry in deployment.entries.values():
+            for owned in entry.core.owner.shards.by_shard.values():
+                if entry.is_alive and owned.reign == reign and owned.is_loaded:
+                    return owned
+    raise AssertionError('there is no such owner')
+
+
+def test_each_lasting_task_stands_in_the_row_of_its_agent():
+    """A next owner could not tell which tasks a lost VM may run."""
+    deployment, job = lasting(max_per_worker=1)
+    for number, worker in enumerate(deployment.workers):
+        assert listed(deployment, number) == set(worker.runs)
+    assert roster_row(deployment).is_complete
+    assert len(starts_of(deployment, job)) == 3
+
+
+def test_batch_tasks_cost_no_row():
+    """Thousands of short tasks a second cannot each be written first."""
+    deployment = settled(Deployment(workers=3, work_ms=lambda task: 500))
+    versions = [row.version for row in agent_rows(deployment)]
+    deployment.submit(a_job(steps=((20, ()),)))
+    deployment.run(4)
+    assert [row.version for row in agent_rows(deployment)] == versions
+
+
+def agent_rows(deployment):
+    return [
+        deployment.rows.rows[agent_key(0, f'agent-{number}')]
+        for number in range(len(deployment.workers))
+    ]
+
+
+def test_a_task_that_has_moved_is_waited_for_where_it_is():
+    """A task that has just moved to a VM which is then lost ran twice.
+
+    Ordered there before the row said so, the next owner would not wait for
+    that VM.
+    """
+    deployment, job = lasting(count=1)
+    task = f'{job.job_id}.0.0.0'
+    before = holder(deployment, task)
+    deployment.workers[before].room = Size()
+    deployment.run(2)
+    deployment.workers[before].fail_all()
+    for _each in range(200):
+        deployment.run(0.01)
+        if len(starts_of(deployment, job)) == 2:
+            break
+    after = holder(deployment, task)
+    assert after != before
+    deployment.cut_off(f'agent-{after}')
+    deployment.kill_entry(deployment.owner)
+    deployment.run(6)
+    assert len(starts_of(deployment, job)) == 2
+    deployment.workers[before].room = ROOM
+    deployment.run(LOST_AFTER_S + 14)
+    assert len(starts_of(deployment, job)) == 3
+
+
+def test_a_task_that_runs_elsewhere_is_taken_off_its_former_agent_s_row():
+    """Each VM that a task was ever on would hold it up once it is lost."""
+    deployment, job = lasting(count=1)
+    task = f'{job.job_id}.0.0.0'
+    before = holder(deployment, task)
+    deployment.workers[before].room = Size()
+    deployment.run(2)
+    deployment.workers[before].fail_all()
+    deployment.run(3)
+    assert listed(deployment, before) == set()
+    assert listed(deployment, holder(deployment, task)) == {task}
+
+
+def test_the_tasks_of_a_cancelled_job_are_taken_off():
+    """Rows would grow by each job that ever lasted."""
+    deployment, job = lasting(count=1)
+    number = holder(deployment, f'{job.job_id}.0.0.0')
+    desk = deployment.entries[deployment.owner].core.desk
+    desk.cancel(job.job_id, 1e12)
+    deployment.run(3)
+    assert listed(deployment, number) == set()
+
+
+def test_a_task_starts_again_where_it_was_though_the_store_is_away():
+    """In an outage no row can be written, and a failed task stayed away."""
+    deployment, job = lasting(count=1)
+    before = holder(deployment, f'{job.job_id}.0.0.0')
+    deployment.workers[before].room = Size(4000, 8000)
+    deployment.run(2)
+    deployment.rows.is_down = True
+    deployment.run(1)
+    deployment.workers[before].fail_all()
+    deployment.run(1)
+    assert deployment.workers[before].runs
+    assert len(starts_of(deployment, job)) == 2
+
+
+@pytest.mark.parametrize('fault', ['is_down', 'is_silent'])
+def test_a_task_starts_on_no_other_worker_before_its_row_says_so(fault):
+    """A start without a row would be unknown to the next owner."""
+    deployment, job = lasting(count=1)
+    task = f'{job.job_id}.0.0.0'
+    before = holder(deployment, task)
+    setattr(deployment.rows, fault, True)
+    deployment.workers[before].room = Size()
+    deployment.run(2)
+    deployment.workers[before].fail_all()
+    deployment.run(4)
+    assert len(starts_of(deployment, job)) == 1
+    setattr(deployment.rows, fault, False)
+    deployment.run(2.5)
+    assert len(starts_of(deployment, job)) == 2
+    assert listed(deployment, holder(deployment, task)) == {task}
+
+
+def take_over_by_the_release_before(deployment):
+    """An owner that writes no roster row has had the shard meanwhile."""
+    place = owner_key(0)
+    text = deployment.rows.rows[place].text
+    newer = text.replace('"reign":1', '"reign":2')
+    assert newer != text
+    deployment.rows.apply(Transaction((), (RowPut(place, newer),)))
+
+
+def test_rows_count_as_incomplete_after_an_owner_of_the_release_before():
+    """It orders lasting tasks without naming them in any row."""
+    deployment, job = lasting(count=3, max_per_worker=1)
+    deployment.cut_off('agent-0')
+    take_over_by_the_release_before(deployment)
+    owned = run_until_loaded(deployment, 3)
+    assert not roster_row(deployment).is_complete
+    waiting = next(iter(owned.by_job[job.job_id].job.tasks(0, 0)))
+    assert owned.holders(waiting) == owned.unheard
+    deployment.heal('agent-0')
+    deployment.run(25)
+    assert roster_row(deployment).is_complete
+    assert set.union(*(listed(deployment, each) for each in range(3))) == {
+        str(name) for name in job.tasks(0, 0)
+    }
+
+
+def test_a_row_that_cannot_be_read_may_name_any_task():
+    """Rewritten, it would hide from later owners what it has named."""
+    deployment, _job = lasting(count=3, max_per_worker=1)
+    place = agent_key(0, 'agent-0')
+    deployment.rows.apply(Transaction((), (RowPut(place, '{"tasks":7}'),)))
+    deployment.cut_off('agent-0')
+    deployment.kill_entry(deployment.owner)
+    owned = run_until_loaded(deployment, 2)
+    assert not owned.locations.holders('any', {'agent-0'}) == set()
+    deployment.run(0.1)
+    assert not roster_row(deployment).is_complete
+
+
+def test_a_silent_owner_s_rows_are_not_pruned():
+    """A former owner may still order a task where it has listed it."""
+    deployment, job = lasting(count=1)
+    task = f'{job.job_id}.0.0.0'
+    before = holder(deployment, task)
+    former = deployment.entries[deployment.owner]
+    former.has_peers = False
+    deployment.rows.shunned.add(former.name)
+    owned = run_until_loaded(deployment, 2)
+    assert owned.former.may_act
+    deployment.run(1)
+    deployment.workers[before].room = Size()
+    deployment.run(2)
+    deployment.workers[before].fail_all()
+    deployment.run(3)
+    assert holder(deployment, task) != before
+    assert listed(deployment, before) == {task}
+    assert owned.former.may_act
+    deployment.run(20)
+    assert listed(deployment, before) == set()
