Stalls: a process whose turns are late again and again gives lost VMs up

Cause: after a late turn a process judged nobody by silence for one second, which was assumed to be enough to read what lay unread. Turns that are late more often than that kept it from judging for ever: an owner its agents, an agent its worker. Class: a wait for evidence without a bound.

Change: what lies unread is read between two turns, so that three turns in time are waited for, however long they take; after 3 s of late turns the next one in time judges all the same.

--- a/hyssopring/jobs/stalls.py
+++ b/hyssopring/jobs/stalls.py
@@ -10,8 +10,11 @@
 # the process was stopped or has more to do than it can: what others have sent
 # lies unread.
 _LATE_MS: Final = 600.0
-# What lies unread is read within this time, which is assumed.
-_CATCH_UP_MS: Final = 1000.0
+# What lies unread is read between two turns, unless the second is late again.
+_TURNS_TO_READ: Final = 3
+# A process that is late again and again judges all the same after this time:
+# its shards' lost VMs would never be given up.
+_LONGEST_MS: Final = 3000.0
 
 
 class StallWatch:
@@ -26,12 +29,25 @@
         """Expect turns some times a second from now on."""
         self._clock = clock
         self._turned_at = clock.now()
-        self._blind_until = clock.now()
+        self._blind_since: float | None = None
+        self._turns_left = 0
 
     def has_kept_up(self) -> bool:
         """Note a turn; False if silence says nothing about others now."""
         now = self._clock.now()
-        if now - self._turned_at > _LATE_MS:
-            self._blind_until = now + _CATCH_UP_MS
+        is_late = now - self._turned_at > _LATE_MS
+        if is_late:
+            if self._blind_since is None:
+                self._blind_since = now
+            self._turns_left = _TURNS_TO_READ
         self._turned_at = now
-        return now >= self._blind_until
+        if self._blind_since is None:
+            return True
+        if is_late:
+            return False
+        self._turns_left -= 1
+        if self._turns_left and now - self._blind_since < _LONGEST_MS:
+            return False
+        self._blind_since = None
+        self._turns_left = 0
+        return True
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -34,6 +34,7 @@
 
     Attributes:
         rate: How fast its steady clock runs.
+        labels: What it announces of itself.
         is_dark: It answers nothing and runs on.
         is_gone: It has left for good, and reports no more.
         lose_next: So many orders are carried out and not answered.
@@ -70,6 +71,7 @@
         self.work_ms = work_ms
         self.room = room or Size(16_000, 64_000, 0)
         self.rate = rate
+        self.labels = ('a', 'r1')
         self.is_dark = False
         self.is_leaving = False
         self.is_gone = False
@@ -172,7 +174,7 @@
             self.boot,
             'service',
             self.room,
-            ('a', 'r1'),
+            self.labels,
             self.is_leaving,
             self._remaining_ms(),
             self.sequence,
--- a/tests/test_jobs_stalls.py
+++ b/tests/test_jobs_stalls.py
@@ -1,5 +1,7 @@
 """A process that is behind judges nobody by silence."""
 
+from hyssopring.clock import ManualClock
+from hyssopring.jobs.stalls import StallWatch
 from standins.jobs.deployment import a_job, settled, starts_of
 
 
@@ -32,3 +34,32 @@
     owner.take = take
     deployment.run(3)
     assert len(starts_of(deployment, job)) == 5
+
+
+def turns(clock, watch, *gaps_ms):
+    """Whether the watch judges at each of some turns."""
+    told = []
+    for gap_ms in gaps_ms:
+        clock.advance(gap_ms)
+        told.append(watch.has_kept_up())
+    return told
+
+
+def test_a_process_judges_again_after_turns_in_time():
+    """What came during a stall must have been read before silence counts."""
+    clock = ManualClock(0)
+    watch = StallWatch(clock)
+    assert turns(clock, watch, 200, 900) == [True, False]
+    assert turns(clock, watch, 200, 200, 200) == [False, False, True]
+    assert turns(clock, watch, 900, 200, 900) == [False, False, False]
+    assert turns(clock, watch, 200, 200, 200) == [False, False, True]
+
+
+def test_a_process_that_is_late_again_and_again_judges_all_the_same():
+    """It never gave a lost VM up, and all earlier jobs waited for that one."""
+    clock = ManualClock(0)
+    watch = StallWatch(clock)
+    told = turns(clock, watch, *(20 * [700, 200]))
+    assert not any(told[:4])
+    assert sum(told) >= 4
+    assert not any(told[::2])
