Watch: no stray hold is waited for on a worker with another id

Cause: since workers may return under their id, a call to the incarnation before may hold the next one's tasks for ten seconds. That was assumed of each next incarnation, also of one that no such call can reach.

Change: a report says by which name calls reach the worker; the ten seconds are assumed where the next incarnation has the same one.

--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -71,6 +71,7 @@
         self.has_unrecorded: Callable[[], bool] = bool
         self.recorded: Callable[[], int] = int
         self.boot = ''
+        self._target = ''
         self.fences = fences
         self.announced = AnnouncedState(clock)
         self._candidate: Announcement | None = None
@@ -292,6 +293,13 @@
     def _later(self, pause_ms: float) -> None:
         self._reactor.callLater(pause_ms / MILLIS_PER_SECOND, self.look)
 
+    @property
+    def _stray_hold_ms(self) -> float:
+        """How long a hold may last that the boot before was sent."""
+        assert self._candidate is not None, 'there is a next boot'
+        may_stray = self._candidate.target in {'', self._target}
+        return LONGEST_HOLD_MS if may_stray else 0
+
     def _adopt(self, look: Look, listing: Listing) -> None:
         assert self._candidate is not None, 'only a candidate is adopted'
         if self.boot:
@@ -303,7 +311,7 @@
                 self.announced.is_leaving,
             )
             log_event(Event.WORKER_REPLACED, boot=look.boot, before=self.boot)
-            self._inherited_until = self._clock.now() + LONGEST_HOLD_MS
+            self._inherited_until = self._clock.now() + self._stray_hold_ms
         else:
             # A former agent may have extended the hold until now. Taken for
             # over as this one never gave it, running tasks would be reported
@@ -314,6 +322,7 @@
             self._candidate,
             self._candidate_at,
         )
+        self._target = self._candidate.target
         self._candidate = None
         self.boot = look.boot
         self._held_until = self._clock.now()
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -59,6 +59,8 @@
         sequence: Rises with each report of a boot, so that a late one shows.
         clock_ms: The worker's own steady clock.
         remaining_ms: While it leaves: how long it still runs at least.
+        target: The name by which calls reach it, empty if it may be any: a
+            call that was sent to one boot reaches the next one of that name.
     """
 
     boot: str
@@ -69,6 +71,7 @@
     remaining_ms: int
     sequence: int
     clock_ms: int
+    target: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -70,6 +70,7 @@
             self.remaining_ms,
             self.sequence,
             self.clock_ms,
+            runner_id,
         )
 
 
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -179,6 +179,7 @@
             self._remaining_ms(),
             self.sequence,
             self.clock_ms(),
+            self.boot,
         )
 
     def _remaining_ms(self):
--- a/tests/test_jobs_lasting_waits.py
+++ b/tests/test_jobs_lasting_waits.py
@@ -7,11 +7,13 @@
 import pytest
 
 from hyssopring.clock import MILLIS_PER_SECOND
+from hyssopring.jobs.model import Size
 from standins.jobs.deployment import Deployment, a_job, settled
 from standins.jobs.lasting_rule import LastingRule
 
 FOREVER_MS = 1e9
 WATCHED_S = 20
+ROOMY = Size(64_000, 256_000, 0)
 LATE_S = 0.7
 MARGIN_S = 3
 LATE_EACH_S = 1.5
@@ -33,6 +35,30 @@
     rule.disturb()
 
 
+@pytest.mark.parametrize('keeps_ids', [False, True])
+@pytest.mark.parametrize('after_s', [0.1, 1, 3])
+def test_a_worker_that_is_lost_soon_after_its_return(keeps_ids, after_s):
+    """Guards against a hold of a former incarnation that outlasts the rule.
+
+    The worker starts again, takes tasks, and is lost for good; its agent stays.
+    """
+    deployment, rule = lasting(60, keeps_ids=keeps_ids)
+    worker = deployment.workers[0]
+    worker.go_down(0.3)
+    rule.disturb(0.3)
+    for _each in range(100):
+        if worker.runs:
+            break
+        rule.run(0.05)
+    rule.run(after_s)
+    assert worker.runs
+    for other in deployment.workers[1:]:
+        other.room = ROOMY
+    lose_worker(worker, rule)
+    rule.run(WATCHED_S)
+    assert not rule.lost
+
+
 def turn_late(deployment, process):
     """The process stands still for a moment, again and again."""
     process.thaws_at = deployment.reactor.seconds() + LATE_S
