Choice: a worker that has refused a start comes last for some seconds

What callers saw: one unhealthy worker of four held a lasting task for as long as it was so (20 s, 169 starts, virtual time), beside idle workers. The same where a worker leaves starts without an answer.

Cause: only a bad ticket was remembered of a refusal. The worker that refuses is the most idle one, and was chosen again in each round.

Change: a worker that has refused a start, or of which an ordered start was never listed, is the last choice for 5 s; it still gets what no other takes.

Evidence: test_tasks_do_not_wait_for_a_worker_that_starts_nothing, both cases failed before.

--- a/hyssopring/jobs/choice.py
+++ b/hyssopring/jobs/choice.py
@@ -34,14 +34,22 @@
         self,
         workers: Iterable[Worker],
         harms: Harms | None = None,
+        refusing: Container[str] = (),
     ) -> None:
-        """Look at these workers once; what is placed is counted here."""
+        """Look at these workers once; what is placed is counted here.
+
+        Args:
+            workers: Those that may get tasks.
+            harms: What is known of fillers beside keepers.
+            refusing: Agents whose workers have refused starts: they come last.
+        """
         harms = harms or Harms()
         self._unfit_by_kind: dict[_Kind, list[Size]] = {}
         self._options_by_service: dict[str, list[Option]] = {}
         for worker in workers:
             options = self._options_by_service.setdefault(worker.service, [])
-            options.append(Option.from_worker(worker, harms))
+            is_refusing = worker.agent_id in refusing
+            options.append(Option.from_worker(worker, harms, is_refusing))
 
     def choose(
         self,
@@ -78,7 +86,13 @@
         rack = step.rack
         if step.is_local and not rack:
             rack = self._rack_of(service, name)
-        best = max(allowed, key=lambda option: option.score(step, rack))
+        best = max(
+            allowed,
+            key=lambda option: (
+                not option.is_refusing,
+                option.score(step, rack),
+            ),
+        )
         best.take(step)
         return best.worker
 
@@ -109,6 +123,7 @@
         best = min(
             allowed,
             key=lambda option: (
+                option.is_refusing,
                 option.worker.agent_id in avoided,
                 option.worker.exposure(),
             ),
@@ -213,14 +228,14 @@
     limit = step.max_per_worker or len(names)
     while len(chosen) < len(names):
         allowed = [
-            (trial.score(step), number)
+            (not trial.is_refusing, trial.score(step), number)
             for number, (option, trial) in enumerate(trials)
             if trial.allows(step, is_starved=True)
             and used[option.worker.agent_id] < limit
         ]
         if not allowed:
             return []
-        option, trial = trials[max(allowed)[1]]
+        option, trial = trials[max(allowed)[-1]]
         trial.take(step)
         used[option.worker.agent_id] += 1
         chosen.append(option)
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -17,6 +17,8 @@
 # A worker that has not answered its agent for this long gets no new tasks.
 _SILENT_MS = 1500
 _REPORTS_TO_SHOW = 2
+# A worker that has refused a start is the last choice for this long.
+_REFUSING_MS = 5000.0
 # Some two days of VMs that are replaced; one that is remembered saves a next
 # owner a wait of seconds, one that is not costs it.
 _MAX_DEPARTED = 1000
@@ -119,6 +121,7 @@
             former one as far as can be known.
         connection: This entry's name for the agent's connection.
         orders: How many starts were sent on it.
+        refused_at: When it last did not take a start, None if never.
     """
 
     agent_id: str
@@ -129,6 +132,7 @@
     granted_at: float = 0
     connection: str = ''
     orders: int = 0
+    refused_at: float | None = None
     placed_by_task: dict[str, Placed] = field(default_factory=dict)
 
     @property
@@ -334,6 +338,19 @@
             if not worker.placed_by_task and self.is_lost(agent_id):
                 self.by_agent.pop(agent_id)
 
+    def refusing(self) -> set[str]:
+        """Return the agents whose workers have refused starts of late.
+
+        The most idle worker would be sent each start again, beside others
+        that run what they are sent.
+        """
+        since = self._clock.now() - _REFUSING_MS
+        return {
+            worker.agent_id
+            for worker in self.by_agent.values()
+            if worker.refused_at is not None and worker.refused_at > since
+        }
+
     def takers(self) -> list[Worker]:
         """Return the workers that new tasks may be sent to now.
 
--- a/hyssopring/jobs/options.py
+++ b/hyssopring/jobs/options.py
@@ -51,6 +51,7 @@
         unused: Thousandths of a core that keepers reserve and do not use.
         is_strained: Whether fillers disturb the keepers enough already.
         headrooms: Of each keeper, once all fillers work at full pace.
+        is_refusing: The worker has refused a start a short while ago.
     """
 
     worker: Worker
@@ -63,9 +64,15 @@
     is_strained: bool
     harms: Harms
     headrooms: list[float]
+    is_refusing: bool = False
 
     @classmethod
-    def from_worker(cls, worker: Worker, harms: Harms) -> 'Option':
+    def from_worker(
+        cls,
+        worker: Worker,
+        harms: Harms,
+        is_refusing: bool = False,
+    ) -> 'Option':
         fillers = worker.fillers()
         keepers = worker.keepers()
         reserved = sum(placed.step.size.cpu_millis for placed in keepers)
@@ -81,6 +88,7 @@
             bool(keepers) and _is_strained(fillers, keepers),
             harms,
             [_headroom(harms, each, fillers) for each in keepers],
+            is_refusing,
         )
 
     @property
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -1,7 +1,7 @@
 """The owner's part in jobs: what starts where, and what its end means."""
 
 from functools import singledispatchmethod
-from typing import Any, Callable
+from typing import Any, Callable, Final
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.advice import AdviceDesk
@@ -31,10 +31,23 @@
 from hyssopring.jobs.stopping import mark_stopping
 from hyssopring.jobs.suspects import Suspects
 from hyssopring.jobs.waits import LastingTaskWatch
+from hyssopring.jobs.worker_port import StartOutcome
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
 
+# The worker itself did not take a start, and may not take the next one.
+_WORKERS_REASONS: Final = frozenset(
+    (
+        StartOutcome.FENCED.value,
+        StartOutcome.INVALID.value,
+        StartOutcome.LATE.value,
+        StartOutcome.NO_ROOM.value,
+        StartOutcome.OLD.value,
+        StartOutcome.UNHEALTHY.value,
+    )
+)
+
 
 class JobOwner:
     """Plans the shards that this entry owns."""
@@ -222,6 +235,8 @@
         if placed and placed.number == message.attempt and is_settled:
             if message.reason == BAD_TICKET:
                 self._advice.rejected(placed.name, placed.boot)
+            elif message.reason in _WORKERS_REASONS:
+                worker.refused_at = self._clock.now()
             self._reader.gone(worker, placed, message.reason)
         owned = self.shards.by_shard.get(shard_of_task(message.task))
         if owned is not None and message.reign > owned.reign:
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -123,7 +123,7 @@
             return
         waiting.sort(key=lambda each: each.urgency)
         takers = self._suspects.spared(self._shards)
-        placement = PlacementRound(takers, self.harms)
+        placement = PlacementRound(takers, self.harms, self._fleet.refusing())
         for each in waiting:
             self._place(placement, each)
 
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -157,6 +157,8 @@
             if placed.boot != report.boot:
                 self.gone(worker, placed, 'worker replaced')
             elif task not in listed and worker.has_taken(placed, report):
+                # Its worker may have left the start without an answer.
+                worker.refused_at = self._clock.now()
                 self.gone(worker, placed, 'not listed')
 
     def _take_attempt(
--- a/tests/test_jobs_lasting_waits.py
+++ b/tests/test_jobs_lasting_waits.py
@@ -8,6 +8,7 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.jobs.model import Size
+from hyssopring.jobs.worker_port import WorkerUnreachable
 from standins.jobs.deployment import Deployment, a_job, settled
 from standins.jobs.lasting_rule import LastingRule
 
@@ -107,3 +108,23 @@
     lose_worker(deployment.workers[0], rule)
     rule.run(WATCHED_S)
     assert not rule.lost
+
+
+def refuse_starts(worker):
+    worker.is_unhealthy = True
+
+
+def answer_no_start(worker):
+    worker.start = lambda start: worker._fail(WorkerUnreachable('none'), 0.4)
+
+
+@pytest.mark.parametrize('turn_bad', [refuse_starts, answer_no_start])
+def test_tasks_do_not_wait_for_a_worker_that_starts_nothing(turn_bad):
+    """Guards against starts that go to one bad worker, beside idle ones."""
+    deployment, rule = lasting(2)
+    turn_bad(deployment.workers[0])
+    rule.disturb()
+    for worker in deployment.workers:
+        worker.fail_all()
+    rule.run(WATCHED_S)
+    assert not rule.lost
