Suspects: a lasting task waits for a trial for two seconds in all

What callers saw (virtual time): innocent lasting tasks that were starting as their worker crashed waited 11.7 s for 20 tasks, 22.7 s for 40, as each trial ended the step's round, and the next suspect's wait began only then. Crashes in a row added up (9.5 s after the fourth, 12.5 s after the fifth). Crashes of long ago came on top of the wait for a lost VM (10.25 s and more).

Cause: the planner left a step at the first task that found no worker, also where a trial had just taken the last one out of the round; the wait was 2 s for each crash of a task; crashes were forgotten after a trial only, so that a task which has run since was tried again after its next end, and by each new owner from the beginning. Class: waits in a row, each with a bound, without one on their sum.

Change: the step's other tasks are placed first, then its suspects, whose waits all begin at once; a lasting task waits 2 s whatever its crashes; an attempt that is seen for a second clears its task, with or without a trial (a gang's members still pass together).

--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -136,15 +136,20 @@
         if run.step.is_gang:
             self._place_gang(placement, waiting)
             return
+        names = [
+            run.task(record.job.job_id, index)
+            for index in sorted(waiting.indices)
+        ]
+        innocent, suspects = self._suspects.sorted_out(record, names)
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
-        for index in sorted(waiting.indices):
-            name = run.task(record.job.job_id, index)
-            if self._suspects.needs_trial(record, name):
-                self._place_in_trial(placement, waiting, name)
-            elif self._place_task(placement, waiting, name, is_starved):
-                is_starved = False
-            else:
-                return
+        for name in innocent:
+            if not self._place_task(placement, waiting, name, is_starved):
+                # Nor does any worker take another task of the step.
+                break
+            is_starved = False
+        # A trial takes a worker out of the round, which others could use.
+        for suspect in suspects:
+            self._place_in_trial(placement, waiting, suspect)
 
     def _place_task(
         self,
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -17,7 +17,7 @@
 from hyssopring.jobs.seen_ends import SeenEnds
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.stopping import mark_stopping
-from hyssopring.jobs.suspects import Suspects
+from hyssopring.jobs.suspects import TRIAL_MS, Suspects
 from hyssopring.jobs.task_facts import facts_of
 from hyssopring.jobs.times import LAPSED_MS
 from hyssopring.jobs.unknown_jobs import UnknownJobs
@@ -191,6 +191,8 @@
             return
         assert worker.report is not None, 'it has told of the attempt'
         placed.take(told, self._clock.now(), worker.report.silent_ms)
+        if placed.seen_ms >= TRIAL_MS and not record.crashes.is_empty:
+            self._suspects.outlived(record, name)
         record.keep_checkpoint(told.task, told.checkpoint)
         self._answer(worker, told, placed, owned)
 
--- a/hyssopring/jobs/suspects.py
+++ b/hyssopring/jobs/suspects.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import Collection, Final
+from typing import Collection, Final, Iterable
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.book import JobRecord
@@ -20,10 +20,10 @@
 from hyssopring.jobs.worker_deaths import WorkerDeaths
 from hyssopring.logs import Event, log_event
 
-__all__ = ('Suspects',)
+__all__ = ('TRIAL_MS', 'Suspects')
 
 # An attempt that has run for this long has not crashed its worker by starting.
-_TRIAL_MS: Final = MILLIS_PER_SECOND
+TRIAL_MS: Final = MILLIS_PER_SECOND
 # Isolated crashes on so many workers show that the task is the cause.
 _ENOUGH_WORKERS: Final = 2
 # Where workers often die of other causes, it takes so many crashes in all.
@@ -35,8 +35,8 @@
 _MOST_CRASHES: Final = 5
 # One in so many workers is on trial at most.
 _WORKERS_PER_TRIAL: Final = 4
-# A suspect waits so long for a trial for each of its crashes; then it starts
-# like any other task.
+# A suspect waits so long for a trial for each of its crashes, a lasting one so
+# long in all; then it starts like any other task.
 _WAIT_MS: Final = 2 * MILLIS_PER_SECOND
 # A worker on trial that has been silent for this long has crashed.
 _SILENT_MS: Final = 500.0
@@ -94,7 +94,21 @@
             return False
         now = self._clock.now()
         since = record.trial_wanted_since.setdefault(suspect, now)
-        return now - since < _WAIT_MS * len(crashes)
+        is_lasting = record.job.steps[name.step].is_keeper
+        return now - since < _WAIT_MS * (1 if is_lasting else len(crashes))
+
+    def sorted_out(
+        self,
+        record: JobRecord,
+        names: Iterable[TaskName],
+    ) -> tuple[list[TaskName], list[TaskName]]:
+        """Return the tasks that need no trial, and those that do."""
+        innocent: list[TaskName] = []
+        suspects: list[TaskName] = []
+        for name in names:
+            needs_trial = self.needs_trial(record, name)
+            (suspects if needs_trial else innocent).append(name)
+        return innocent, suspects
 
     def isolated_agents(self, record: JobRecord, name: TaskName) -> set[str]:
         """Return the agents of a suspect's isolated crashes."""
@@ -126,11 +140,23 @@
         trial = _Trial(record, name, attempt, agent_id)
         self._trial_by_agent[agent_id] = trial
 
+    def outlived(self, record: JobRecord, name: TaskName) -> None:
+        """Clear a task an attempt of which has outlived its start.
+
+        Crashes that an innocent task was caught in would make it wait for a
+        trial after each of its later ends.
+        """
+        suspect = record.budget_key(name)
+        is_gang = record.job.steps[name.step].is_gang
+        if not is_gang and record.crashes.of(suspect):
+            record.crashes.clear(suspect)
+            record.trial_wanted_since.pop(suspect, None)
+
     def look(self) -> None:
         """End the trials that are decided; call before each planning round."""
         for trials in self._by_suspect().values():
             placed = [self._placed(trial) for trial in trials]
-            if all(each and each.seen_ms >= _TRIAL_MS for each in placed):
+            if all(each and each.seen_ms >= TRIAL_MS for each in placed):
                 self._passed(trials)
             elif not all(placed):
                 self._release(trials)
