--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -13,6 +13,7 @@
 GAUGES = {
     'shards_owned',
     'jobs_live',
+    'lasting_tasks_waiting',
     'agents_connected',
     'requests_open',
     'configuration_version',
