--- a/hyssopring/jobs/roster.py
+++ b/hyssopring/jobs/roster.py
@@ -250,9 +250,8 @@
         if isinstance(outcome, Conflict):
             self._take_versions(outcome, row_by_agent)
         else:
-            for agent_id, row in row_by_agent.items():
-                entry = self._entry_by_agent[agent_id]
-                entry.written(row, outcome.version)
+            for agent_id, entry in self._entries(row_by_agent):
+                entry.written(row_by_agent[agent_id], outcome.version)
             self._on_written()
         self.write()
 
@@ -270,9 +269,9 @@
         if version_by_place.get(check.place) != check.version:
             # Another owner has the shard; the next reading of it tells.
             self._rests_until = self._clock.now() + _REST_MS
-        for agent_id in agents:
+        for agent_id, entry in self._entries(agents):
             place = agent_key(self._shard, agent_id)
-            self._entry_by_agent[agent_id].found(version_by_place.get(place, 0))
+            entry.found(version_by_place.get(place, 0))
 
     def _unwritten(
         self,
@@ -282,8 +281,16 @@
         _retried(failure)
         self._is_writing = False
         self._rests_until = self._clock.now() + _REST_MS
-        for agent_id in agents:
-            self._entry_by_agent[agent_id].is_dirty = True
+        for _agent_id, entry in self._entries(agents):
+            entry.is_dirty = True
+
+    def _entries(self, agents: Iterable[str]) -> list[tuple[str, RosterEntry]]:
+        """Return the entries of agents; a new reading may have fewer."""
+        return [
+            (agent_id, self._entry_by_agent[agent_id])
+            for agent_id in agents
+            if agent_id in self._entry_by_agent
+        ]
 
 
 def _is_news(told_ms: float | None, over_ms: float) -> bool:
