Handover: an owner hands on what the one before said of an unheard agent

An agent was killed and its worker ran on; its owner gave the shard up as planned and named its grant; the next one had not heard the agent when it gave the shard up 0.3 s later, and named no grant there and a wait of 0, to which the first one's word had brought it. The third owner started the agent's tasks elsewhere 2 s after the agent's death.

Change: unheard agents that the former owner has named are named again, with the later of its word and of the own last grant.

Rows that say until when an agent may run tasks do not cover it: an agent that was not away for a second has none.

--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -125,6 +125,11 @@
         if self.is_over and self._given_up_at is None:
             self._given_up_at = at
 
+    @property
+    def named_agents(self) -> set[str]:
+        """The agents whose last grants the former owner has told."""
+        return set(self._lost_at_by_agent)
+
     def had_given_up(self, at: float) -> bool:
         """Whether the former owner had said by then that it orders nothing."""
         return self._given_up_at is not None and self._given_up_at <= at
--- a/hyssopring/jobs/handover.py
+++ b/hyssopring/jobs/handover.py
@@ -3,6 +3,7 @@
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.messages import AgentGrant, ShardGivenUp
 from hyssopring.jobs.owned_shard import OwnedShard
+from hyssopring.jobs.times import LOST_AFTER_MS
 
 __all__ = ('GivenUpShards', 'given_up')
 
@@ -10,13 +11,23 @@
 def given_up(owned: OwnedShard, fleet: Fleet, now: float) -> ShardGivenUp:
     """Describe a shard that this entry has just dropped.
 
-    Only agents that had confirmed this reign are named: of the others a
-    former owner may have granted later than is known here.
+    Agents that had confirmed this reign are named with its own last grant. Of
+    the others a former owner may have granted later than is known here: those
+    that it has named are handed on.
     """
-    grants = [
-        AgentGrant(agent_id, int(now - worker.granted_at))
-        for agent_id, worker in fleet.by_agent.items()
+    lost_at_by_agent = {
+        agent_id: fleet.over_at(agent_id)
+        for agent_id in fleet.by_agent
         if agent_id in owned.heard
+    }
+    for agent_id in owned.unheard & owned.former.named_agents:
+        lost_at_by_agent[agent_id] = max(
+            owned.former.until(agent_id),
+            fleet.over_at(agent_id),
+        )
+    grants = [
+        AgentGrant(agent_id, int(now + LOST_AFTER_MS - lost_at))
+        for agent_id, lost_at in lost_at_by_agent.items()
     ]
     wait_ms = int(owned.former.wait_ms)
     return ShardGivenUp(owned.shard, owned.reign, grants, wait_ms)
--- a/tests/test_jobs_owner_waits.py
+++ b/tests/test_jobs_owner_waits.py
@@ -214,3 +214,23 @@
     assert owned.former.wait_ms > 12_000
     deployment.run(15)
     assert wait_key(0) not in deployment.rows.rows
+
+
+def test_an_owner_hands_on_what_the_one_before_said_of_an_unheard_agent():
+    """An agent dies; its owner and the next one give the shard up in a row.
+
+    The second had not heard the agent and named no grant of it, nor a wait:
+    the third started its tasks at once, while they ran on.
+    """
+    deployment, former, others = three(entries=3)
+    job = start_one(deployment, former)
+    number = busy(deployment)
+    deployment.kill_agent(f'agent-{number}')
+    former.core.release()
+    second = run_until_taken(deployment, others)
+    deployment.run(0.3)
+    assert second.core.owner.shards.by_shard[0].is_loaded
+    second.core.release()
+    run_until_taken(deployment, [each for each in others if each != second])
+    deployment.run(12)
+    assert len(starts_of(deployment, job)) == 2
