Agents: one that is stopped beside a dead worker ends when the hold is over

A worker was gone at 8.0 s, its agent stopped at 11.8 s with eight tasks that it had not seen ended; without any fault of owners they ran again at 20.2 s, 12.2 s after their last run.

Cause: a process that was told to stop ended at once, and with it the only knowledge of when the hold of its silent worker is over; owners count from their last grant to the agent.

Change: it stays, within the time that a stop may take, until the worker answers again (which keeps its tasks for the next agent) or its hold is surely over; then it says that it leaves and that nothing runs there. The message is the one that idle agents send, so that owners of the release before take it.

Evidence: test_an_agent_that_stops_beside_a_dead_worker_... failed before.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -12,9 +12,9 @@
 from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
 from hyssopring.jobs.ends import EndTable
 from hyssopring.jobs.fences import FenceCounter
+from hyssopring.jobs.leaving import Leaving
 from hyssopring.jobs.messages import (
     RUNNING_HERE,
-    AgentLeft,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -75,11 +75,16 @@
         )
         self._pacer = Pacer(clock, self._orders.set_pace)
         self._ends = EndTable()
+        self.leaving = Leaving(
+            self.watch,
+            self.table,
+            lambda: self._ends.by_number.values(),
+            send,
+        )
         self._sequence = 0
         self._reported_at_by_entry: dict[str, float] = {}
         self._taken = TakenOrders()
         self._is_report_due = False
-        self._is_stopping = False
         # What a silent worker had when it was given up: it may have crashed.
         self._lapsed_attempts: list[Attempt] = []
         self._met_at = clock.now()
@@ -103,16 +108,12 @@
         """Start nothing any more; the process ends.
 
         A worker that stays keeps its tasks for the next agent. Where it leaves
-        and runs nothing each entry is told: the next owner of a shard would
-        wait for an agent that never comes back, and keepers with it.
+        or is silent, and runs nothing, each entry is told: the next owner of
+        a shard would wait for an agent that never comes back, and keepers with
+        it.
         """
-        self._is_stopping = True
-        is_idle = self.watch.announced.is_leaving and not self.table.by_task
-        if not is_idle and not self.watch.has_ended:
-            return
-        ends = list(self._ends.by_number.values())
-        for entry_id in self._reported_at_by_entry:
-            self._send(entry_id, AgentLeft(self.watch.boot, ends))
+        self.leaving.is_begun = True
+        self.leaving.tell(self._reported_at_by_entry)
 
     def turn(self) -> None:
         """Regular work; call a few times a second."""
@@ -123,6 +124,7 @@
                 self._report(entry_id)
         if self._rights.latest > now and not self._awaits_grants(now):
             self._stop_ungranted(now)
+        self.leaving.tell(self._reported_at_by_entry)
 
     @singledispatchmethod
     def take(self, message: JobsMessage, entry_id: str) -> None:
@@ -202,7 +204,7 @@
             return 'deposed'
         if order.boot != self.watch.boot:
             return 'boot'
-        if self.watch.announced.is_leaving or self._is_stopping:
+        if self.watch.announced.is_leaving or self.leaving.is_begun:
             return 'leaving'
         if self._rights.until(order.shard) <= self._clock.now():
             return 'no-grant'
--- a/hyssopring/jobs/watch.py
+++ b/hyssopring/jobs/watch.py
@@ -97,6 +97,11 @@
         """Whether the last look was answered by the present incarnation."""
         return self._failing_since is None
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether the worker is silent, and its hold surely over."""
+        return self._has_lapsed
+
     @property
     def has_ended(self) -> bool:
         """Whether the worker withdrew, and has answered nothing since."""
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -2,9 +2,9 @@
 
 import random
 import uuid
-from typing import Any
+from typing import Any, Final
 
-from hyssopring.clock import Clock, MonotonicClock, wall_ms
+from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock, wall_ms
 from hyssopring.jobs.agent_core import JobAgentCore
 from hyssopring.jobs.discovery import EntryDiscovery
 from hyssopring.jobs.links import TURN_S, LinkDialler
@@ -26,6 +26,9 @@
 
 __all__ = ('AgentProcess',)
 
+# Of the time that a stop may take, left for the last messages.
+_RESERVE_S: Final = 0.8
+
 
 class AgentProcess:
     """One running agent."""
@@ -63,6 +66,7 @@
             self.core.watch.withdraw,
             settings.own_hosts,
         )
+        self._is_stopping = False
         self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
 
     def start(self) -> None:
@@ -85,14 +89,24 @@
         self._dialler.learn(settings.seed_addresses)
 
     def stop(self) -> None:
-        """End at once: the worker keeps its tasks until the next agent."""
+        """End at once: the worker keeps its tasks until the next agent.
+
+        The hold of one that is silent runs out first, if there is time.
+        """
+        if self._is_stopping:
+            return
+        self._is_stopping = True
         self.core.stop()
         log_event(
             Event.PROCESS_STOPPING,
             calls=0,
             tasks=len(self.core.table.by_task),
         )
-        self._lifecycle.drain(lambda: True, 0)
+        wait_s = max(0, self._settings.bounds.grace_s - _RESERVE_S)
+        self._lifecycle.drain(
+            lambda: self.core.leaving.may_end,
+            wait_s * MILLIS_PER_SECOND,
+        )
 
     def _gauge(self) -> None:
         gauge = self._metrics.gauge
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -15,6 +15,8 @@
 
 LINK_S = 0.001
 STEP_S = 0.01
+# How long an agent that is stopped may take.
+GRACE_S = 5.2
 WALL_MS = 1_700_000_000_000
 
 
@@ -118,8 +120,21 @@
 
     def stop_agent(self, name):
         """End an agent as planned: it may still say something."""
-        self.agents[name].core.stop()
-        self.reactor.callLater(STEP_S, self.kill_agent, name)
+        agent = self.agents[name]
+        agent.core.stop()
+        self._end_agent(agent, self.reactor.seconds() + GRACE_S)
+
+    def _end_agent(self, agent, deadline):
+        if not agent.is_alive:
+            return
+        if agent.core.leaving.may_end or self.reactor.seconds() > deadline:
+            self.reactor.callLater(STEP_S, self._kill_process, agent)
+        else:
+            self.reactor.callLater(0.05, self._end_agent, agent, deadline)
+
+    def _kill_process(self, agent):
+        if agent.is_alive:
+            self.kill_agent(agent.name)
 
     def _unlink(self, name):
         for pair in [pair for pair in self.links if name in pair]:
--- a/tests/test_jobs_lost_vms.py
+++ b/tests/test_jobs_lost_vms.py
@@ -148,3 +148,29 @@
     left_s = lost_at + LOST_AFTER_MS / 1000 - deployment.reactor.seconds()
     deployment.run(left_s + RESTART_S)
     assert running(deployment, job) == set(range(5))
+
+
+def test_an_agent_that_stops_beside_a_dead_worker_says_when_its_hold_is_over():
+    """A worker dies, and its agent is stopped while its tasks may run on.
+
+    Only its own process could tell when the hold was over: the owner counted
+    from its last grant, and the tasks were away for 12 s.
+    """
+    deployment, job = lasting(5, per_worker=2)
+    died_at = deployment.reactor.seconds()
+    deployment.workers[LOST].crash()
+    deployment.workers[LOST].is_dark = True
+    deployment.run(3.5)
+    deployment.stop_agent(f'agent-{LOST}')
+    left_s = died_at + 7.5 - deployment.reactor.seconds()
+    deployment.run(left_s)
+    assert running(deployment, job) == set(range(5))
+
+
+def test_an_agent_that_stops_beside_a_worker_that_lives_ends_at_once():
+    """The worker keeps its tasks for the next agent, which must not wait."""
+    deployment, job = lasting(5, per_worker=2)
+    deployment.stop_agent(f'agent-{LOST}')
+    deployment.run(0.1)
+    assert not deployment.agents[f'agent-{LOST}'].is_alive
+    assert running(deployment, job) == set(range(5))
