Red test: an agent that left as its owner was lost is still waited for

The agent's last word cannot end the wait, as a silent former owner may have granted the agent's next process meanwhile.

--- a/tests/test_jobs_lost_vms.py
+++ b/tests/test_jobs_lost_vms.py
@@ -174,3 +174,23 @@
     deployment.run(0.1)
     assert not deployment.agents[f'agent-{LOST}'].is_alive
     assert running(deployment, job) == set(range(5))
+
+
+def test_an_agent_that_left_as_its_owner_was_lost_is_not_waited_for():
+    """A worker dies, its agent is stopped, and the owner's VM is lost at once.
+
+    The agent says that nothing runs there, but not whether its next process was
+    granted by the silent owner: the next one waits 18 s from its takeover.
+    """
+    deployment, job = lasting(5, per_worker=2)
+    died_at = deployment.reactor.seconds()
+    assert deployment.workers[LOST].runs
+    deployment.workers[LOST].crash()
+    deployment.workers[LOST].is_dark = True
+    deployment.run(3.5)
+    deployment.stop_agent(f'agent-{LOST}')
+    deployment.run(2)
+    kill_owner(deployment)
+    left_s = died_at + 5.5 + 7 - deployment.reactor.seconds()
+    deployment.run(left_s)
+    assert running(deployment, job) == set(range(5))
