--- a/standins/jobs/book.py
+++ b/standins/jobs/book.py
@@ -31,6 +31,8 @@
         self.most_failures = {}
         self.starts = []
         self.ends = []
+        # When each task's last run ended, and the name of its worker.
+        self.last_run_by_task = {}
         self.sizes = {}
         self.keepers = set()
         # Jobs whose tasks start with a ticket only.
@@ -73,6 +75,7 @@
     def ended(self, now, worker, run, how):
         self.running[run.task].discard(worker.boot)
         self.ends.append((now, run.task, run.number, how))
+        self.last_run_by_task[run.task] = (now, worker.name)
 
     def noted(self, task, number, how):
         """An end is acknowledged."""
--- a/standins/jobs/crashing_days.py
+++ b/standins/jobs/crashing_days.py
@@ -14,8 +14,8 @@
         crashing: The tasks that crash their workers.
     """
 
-    def __init__(self, seed, workers=6):
-        super().__init__(seed, workers)
+    def __init__(self, seed, workers=6, has_keepers=True):
+        super().__init__(seed, workers, has_keepers=has_keepers)
         self.crashing = set()
         for worker in self.deployment.workers:
             worker.kills = self.crashing.__contains__
--- a/standins/jobs/faults.py
+++ b/standins/jobs/faults.py
@@ -4,17 +4,25 @@
 
 from hyssopring.jobs.model import Job, JobState, Queue, Size, Step
 from standins.jobs.deployment import Deployment
+from standins.jobs.keeper_jobs import KeeperJobs
+from standins.jobs.keeper_watch import KeeperWatch
+from standins.jobs.stillness import Stillness
 
 DAY_S = 40
 QUIET_S = 45
 JOB_EACH_S = 0.6
 FAULT_EACH_S = 2.5
+TICK_S = 0.2
+FOREVER_MS = 1e9
 
 
 class RandomDay:
-    """Jobs and faults drawn from one seed; the book asserts all the while."""
+    """Jobs and faults drawn from one seed; the book asserts all the while.
 
-    def __init__(self, seed, workers=4, keeps_ids=False):
+    With jobs that last beside the others a day takes another course.
+    """
+
+    def __init__(self, seed, workers=4, keeps_ids=False, has_keepers=True):
         self.random = random.Random(seed)
         self.works = {}
         self.deployment = Deployment(
@@ -28,6 +36,8 @@
         self.accepted = {}
         self.faults = []
         self.number = 0
+        self.keepers = KeeperJobs(seed, self.deployment, has_keepers)
+        self.watch = self._new_watch()
         for worker in self.deployment.workers:
             worker.fails = self._fails
 
@@ -38,8 +48,9 @@
         next_job, next_fault = 0, 1
         elapsed = 0
         while elapsed < DAY_S:
-            deployment.run(0.2)
-            elapsed += 0.2
+            self.keepers.submit_due()
+            self._tick()
+            elapsed += TICK_S
             if elapsed > next_job:
                 next_job += self.random.expovariate(1 / JOB_EACH_S)
                 self._submit()
@@ -47,10 +58,25 @@
                 next_fault += self.random.expovariate(1 / FAULT_EACH_S)
                 self._fault()
         self._heal()
-        deployment.run(QUIET_S)
-        return [line for job_id in self.jobs for line in self._check(job_id)]
+        for _tick in range(round(QUIET_S / TICK_S)):
+            self._tick()
+        left = [line for job_id in self.jobs for line in self._check(job_id)]
+        return [*self.watch.missed, *left, *self._check_keepers()]
+
+    def _new_watch(self):
+        return KeeperWatch(self.deployment, Stillness(self.deployment))
+
+    def _tick(self):
+        self.deployment.run(TICK_S)
+        self.watch.look(self._live_keepers())
+
+    def _live_keepers(self):
+        """Jobs of tasks that last, which are owed."""
+        return self.keepers.accepted
 
     def _work_ms(self, task):
+        if self.keepers.has(task):
+            return FOREVER_MS
         return self.works.setdefault(task, self.random.choice([200, 800, 2500]))
 
     def _fails(self, task):
@@ -225,6 +251,12 @@
         state = self.deployment.state(job_id, self.deployment.owner)
         yield from self._check_state(job_id, state)
 
+    def _check_keepers(self):
+        for job in self._live_keepers():
+            state = self.deployment.state(job.job_id, self.deployment.owner)
+            if state is not JobState.ACTIVE:
+                yield f'{job.job_id} lasts and is {state}'
+
     def _check_state(self, job_id, state):
         if state is None or not state.is_final:
             yield f'{job_id} is {state}'
--- a/standins/jobs/keeper_watch.py
+++ b/standins/jobs/keeper_watch.py
@@ -1,64 +1,117 @@
-"""Notices keepers that do not run though nothing keeps them from it."""
+"""Notices tasks that last and that nothing runs, by the rule's own bound."""
 
 from hyssopring.jobs.model import Size
+from standins.jobs.lost_vms import LostVms, is_away
 
-WAIT_S = 12
+# A task that lasts is lost if nothing runs of it for the window, which begins
+# no sooner than this long after its last run and after its cause for calm.
+LAST_RUN_S = 6
+WINDOW_S = 3
+CALM_S = 4
+# There must be capacity for it so many times over.
+ROOMS = 2
 
 
 class KeeperWatch:
-    """Looks at the tasks of keepers while a day goes on.
+    """Looks at the tasks that last while a day goes on.
 
     Attributes:
-        missed: One line for each task that did not run for ``WAIT_S`` in
-            which nothing was disturbed and some worker had room for it.
+        elsewhere: One line for each task that was lost, and whose last run was
+            on a VM that is not away.
+        on_lost: One line for each whose last run was on a VM that is away, and
+            which was not started once it surely ran there no more.
+        held: How long each task waited beyond the rule's bound for the VM of
+            its last run, though not yet beyond the bound of safety.
+        longest_s: The longest wait of a task in calm, with room for it, whose
+            last run was not on a VM that is away.
+        longest_on_lost_s: The longest of all others, from their VM's loss on.
     """
 
-    def __init__(self, deployment, calm):
+    def __init__(self, deployment, stillness):
         self._deployment = deployment
-        self._calm = calm
-        self._since_by_task = {}
-        self.missed = {}
+        self._stillness = stillness
+        self._lost_vms = LostVms(deployment, stillness)
+        self._wanted_since = {}
+        self._room_since = {}
+        self.elsewhere = {}
+        self.on_lost = {}
+        self.held = {}
+        self.longest_s = 0
+        self.longest_on_lost_s = 0
+
+    @property
+    def missed(self):
+        """All that broke a bound."""
+        return [*self.elsewhere.values(), *self.on_lost.values()]
 
     def look(self, jobs):
-        """Look at the keepers that should run; call several times a second."""
-        has_room = self._has_room()
+        """Look at the jobs that should run; call several times a second."""
+        self._stillness.look()
+        self._lost_vms.look()
+        rooms = self._count_rooms()
         wanted = {
-            str(task): step.size
+            str(task): step.charge
             for job in jobs
             for number, step in enumerate(job.steps)
             for task in job.tasks(0, number)
         }
-        for task in self._since_by_task.keys() - wanted.keys():
-            self._since_by_task.pop(task)
+        for task in self._wanted_since.keys() - wanted.keys():
+            self._wanted_since.pop(task)
         for task, size in wanted.items():
-            if self.is_running(task) or not has_room(size):
-                self._since_by_task.pop(task, None)
-            else:
+            self._wanted_since.setdefault(task, self._now())
+            if rooms(size) < ROOMS:
+                self._room_since.pop(task, None)
+            self._room_since.setdefault(task, self._now())
+            if rooms(size) >= ROOMS and not self.is_running(task):
                 self._wait(task)
 
     def is_running(self, task):
         return bool(self._deployment.book.running.get(task))
 
+    def _now(self):
+        return self._deployment.reactor.seconds()
+
     def _wait(self, task):
-        now = self._deployment.reactor.seconds()
-        since = self._since_by_task.setdefault(task, now)
-        since = max(since, self._calm.since)
-        if now - since > WAIT_S and task not in self.missed:
-            self.missed[task] = (
-                f'{now:.1f} keeper {task} waits with room and calm '
-                f'since {since:.1f}'
-            )
-
-    def _has_room(self):
-        """Whether some worker that takes tasks has room for one more."""
+        ended_at, vm = self._last_run(task)
+        lost_at = self._lost_vms.lost_at.get(vm)
+        calm_since = self._stillness.since
+        waits_s = self._now() - max(ended_at, calm_since)
+        window = self._now() - WINDOW_S
+        begins = max(calm_since + CALM_S, self._room_since[task])
+        is_due = window > max(begins, ended_at + LAST_RUN_S)
+        line = (
+            f'{self._now():.1f} {task} waits with room, last run until '
+            f'{ended_at:.1f}, calm since {calm_since:.1f}'
+        )
+        if lost_at is None:
+            self.longest_s = max(self.longest_s, waits_s)
+            if is_due:
+                self.elsewhere.setdefault(task, line)
+            return
+        lost_s = self._now() - lost_at
+        self.longest_on_lost_s = max(self.longest_on_lost_s, lost_s)
+        if window > max(begins, self._lost_vms.safe_at(vm)):
+            self.on_lost.setdefault(task, f'{line}, VM lost at {lost_at:.1f}')
+        elif is_due:
+            self.held[task] = waits_s
+
+    def _last_run(self, task):
+        """When it ended, and on which VM."""
+        never = (self._wanted_since[task], None)
+        return self._deployment.book.last_run_by_task.get(task, never)
+
+    def _count_rooms(self):
+        """How many tasks of a size the workers that take tasks have room for.
+
+        More than the rule asks for are not counted on one worker.
+        """
         free = [self._free(worker) for worker in self._takers()]
-        return lambda size: any(size.fits_in(each) for each in free)
+        return lambda size: sum(_times(size, each) for each in free)
 
     def _takers(self):
         for agent in self._deployment.agents.values():
-            worker = agent.worker
-            if agent.is_alive and not worker.is_leaving and not worker.is_dark:
-                yield worker
+            if not is_away(agent) and not agent.worker.is_leaving:
+                yield agent.worker
 
     def _free(self, worker):
         used = Size()
@@ -66,3 +119,12 @@
             job_id = run.task.split('.')[0]
             used = used.plus(self._deployment.book.sizes[job_id])
         return worker.room.minus(used)
+
+
+def _times(size, free):
+    """How many times over a size fits, up to the rule's count."""
+    count = 0
+    while count < ROOMS and size.fits_in(free):
+        free = free.minus(size)
+        count += 1
+    return count
--- a/standins/jobs/returning_days.py
+++ b/standins/jobs/returning_days.py
@@ -13,8 +13,8 @@
         restarts: How many workers' starts were drawn.
     """
 
-    def __init__(self, seed, workers=4):
-        super().__init__(seed, workers, keeps_ids=True)
+    def __init__(self, seed, workers=4, has_keepers=True):
+        super().__init__(seed, workers, keeps_ids=True, has_keepers=has_keepers)
         self.restarts = 0
         for worker in self.deployment.workers:
             worker.clocks_ms = iter(lambda: self.random.choice(CLOCKS_MS), None)
--- a/standins/jobs/rolling_days.py
+++ b/standins/jobs/rolling_days.py
@@ -1,15 +1,17 @@
 """Seeded days of rolling replacements, with keepers beside batch jobs."""
 
 from hyssopring.jobs.model import Job, JobState, Queue, Size, Step
-from standins.jobs.faults import FAULT_EACH_S, JOB_EACH_S, QUIET_S
-from standins.jobs.keeper_watch import KeeperWatch
+from standins.jobs.faults import (
+    FAULT_EACH_S,
+    FOREVER_MS,
+    JOB_EACH_S,
+    QUIET_S,
+)
 from standins.jobs.rolling_faults import RollingFaults
 
 ROUNDS = 2
-TICK_S = 0.2
 CALM_S = 14
 CALM_MAX_S = 40
-FOREVER_MS = 1e9
 SIZE = Size(1500, 2000, 0)
 MOST_KEEPERS = 10
 KEEPER_PART = 0.15
@@ -23,9 +25,10 @@
     long enough to see that each keeper with room runs again.
     """
 
-    def __init__(self, seed, workers=5):
-        super().__init__(seed, workers)
-        self.watch = KeeperWatch(self.deployment, self.calm)
+    job_each_s = JOB_EACH_S
+
+    def __init__(self, seed, workers=5, keeps_ids=False):
+        super().__init__(seed, workers, keeps_ids)
         self.cancels = {}
 
     def play(self):
@@ -37,7 +40,7 @@
             self._pass_calm()
         self._heal()
         self._pass(QUIET_S, has_jobs=False)
-        return [*self.watch.missed.values(), *self._left()]
+        return [*self.watch.missed, *self._left()]
 
     def _pass(self, seconds, fault_each_s=None, has_jobs=True):
         end = self._now() + seconds
@@ -45,7 +48,7 @@
         while self._now() < end:
             self._tick()
             if has_jobs and self._now() > next_job:
-                next_job += self.random.expovariate(1 / JOB_EACH_S)
+                next_job += self.random.expovariate(1 / self.job_each_s)
                 self._submit()
             if fault_each_s and self._now() > next_fault:
                 next_fault += self.random.expovariate(1 / fault_each_s)
@@ -58,9 +61,8 @@
             self._pass(1)
 
     def _tick(self):
-        self.deployment.run(TICK_S)
+        super()._tick()
         self.calm.look()
-        self.watch.look(self._live_keepers())
 
     def _work_ms(self, task):
         job_id, _occurrence, step, _index = task.split('.')
@@ -89,10 +91,11 @@
         wanted = sum(step.count for step in self._keeper_steps())
         is_keeper = self.random.random() < KEEPER_PART
         if is_keeper and wanted < MOST_KEEPERS:
-            steps = (self._draw_keeper(),)
-        else:
-            count = self.random.randint(1, 3)
-            steps = tuple(map(self._draw_step, range(count)))
+            return self._job(self._draw_keeper())
+        count = self.random.randint(1, 3)
+        return self._job(*map(self._draw_step, range(count)))
+
+    def _job(self, *steps):
         queue = Queue('queue', 'service', 0, 6, 2, 1000)
         return Job(f'{self.number:016x}', queue, 'x', steps)
 
--- a/standins/jobs/rolling_faults.py
+++ b/standins/jobs/rolling_faults.py
@@ -9,8 +9,10 @@
 
 from standins.jobs.calm import Calm
 from standins.jobs.faults import RandomDay
+from standins.jobs.keeper_watch import KeeperWatch
 from standins.jobs.rows import no_pauses
 from standins.jobs.slow_links import SlowLinks
+from standins.jobs.stillness import Stillness
 
 # A planned stop of an entry: it gives its shards up and goes on for a while.
 LINGER_S = 3
@@ -32,16 +34,24 @@
         stopping: Entries in a planned stop; they take no jobs.
     """
 
-    def __init__(self, seed, workers=5):
-        super().__init__(seed, workers)
+    def __init__(self, seed, workers=5, keeps_ids=False):
+        self.leaving = set()
+        self.gone = set()
+        self.stopping = set()
+        super().__init__(seed, workers, keeps_ids)
         self.calm = Calm(self.deployment)
         self.chances = random.Random(f'chances {seed}')
         self.links = SlowLinks(self.chances)
         self.deployment.link_s = self.links
         self.deployment.drops_old = True
-        self.leaving = set()
-        self.gone = set()
-        self.stopping = set()
+
+    def _new_watch(self):
+        stillness = Stillness(
+            self.deployment,
+            self.gone,
+            lambda: self.links.is_slow or self.stopping,
+        )
+        return KeeperWatch(self.deployment, stillness)
 
     def _kinds(self):
         self.calm.touch()
--- a/standins/jobs/slow_links.py
+++ b/standins/jobs/slow_links.py
@@ -19,6 +19,11 @@
         self._received = {}
         self._arrival_by_pair = {}
 
+    @property
+    def is_slow(self):
+        """Whether any process is far away now."""
+        return bool(self._sent or self._received)
+
     def slow(self, name, range_s, is_sent=True, is_received=True):
         """Delay what a process sends, is sent, or both, by so many seconds."""
         if is_sent:
--- /dev/null
+++ b/standins/jobs/stillness.py
@@ -0,0 +1,92 @@
+"""Since when nothing was done to a deployment, by what can be seen of it.
+
+``Calm`` counts what a day still has in hand. Here a process that is away and
+stays away is no disruption: only that it goes, and that it comes back.
+"""
+
+from standins.jobs.rows import no_pauses
+
+
+class Stillness:
+    """Looks for disruptions of a deployment.
+
+    Attributes:
+        since: When something was last wrong; it lies ahead while a process is
+            frozen, or an order is still to be carried out late.
+        silent_at: When a process of an entry was last away or frozen, so that
+            an owner may not be known to be dead.
+    """
+
+    def __init__(self, deployment, gone=(), is_disturbed=lambda: False):
+        """``gone`` names the agents of VMs that never come back."""
+        self._deployment = deployment
+        self._gone = gone
+        self._is_disturbed = is_disturbed
+        self._seen = None
+        self._armed = {}
+        self.since = 0
+        self.silent_at = 0
+
+    def look(self):
+        """Note what is wrong now; call several times a second."""
+        seen = self._processes()
+        if seen != self._seen or self._is_wrong():
+            self._touch()
+        self._seen = seen
+        self._look_for_lost_answers()
+        for process in self._live():
+            if process.thaws_at is not None:
+                self.since = max(self.since, process.thaws_at)
+        if any(map(self._is_silent, self._deployment.entries.values())):
+            self.silent_at = self._now()
+
+    def lasted_s(self):
+        """For how long nothing has been wrong."""
+        return self._now() - self.since
+
+    def _now(self):
+        return self._deployment.reactor.seconds()
+
+    def _touch(self, ahead_s=0):
+        self.since = max(self.since, self._now() + ahead_s)
+
+    def _live(self):
+        deployment = self._deployment
+        everyone = [*deployment.entries.values(), *deployment.agents.values()]
+        return [each for each in everyone if each.is_alive]
+
+    def _processes(self):
+        """All that runs: an end and a start of a process change it."""
+        workers = self._deployment.workers
+        lives = [(each, each.lives) for each in workers]
+        return self._live(), lives, self._deployment.rows.kept_from
+
+    def _is_wrong(self):
+        deployment, rows = self._deployment, self._deployment.rows
+        is_store_wrong = rows.is_down or rows.is_silent or rows.shunned
+        return bool(
+            self._is_disturbed()
+            or deployment.cut
+            or deployment.blocked
+            or is_store_wrong
+            or rows.pauses is not no_pauses
+            or any(map(self._is_worker_wrong, deployment.agents.values()))
+        )
+
+    def _is_worker_wrong(self, agent):
+        worker = agent.worker
+        if agent.name in self._gone:
+            return False
+        return worker.is_dark or worker.slow_s or worker.is_unhealthy
+
+    def _look_for_lost_answers(self):
+        """Each answer that is lost; not that some are going to be."""
+        for each in [*self._deployment.workers, self._deployment.rows]:
+            armed = each.lose_next + getattr(each, 'lose_looks', 0)
+            if armed < self._armed.get(each, 0):
+                self._touch(each.late_s)
+            self._armed[each] = armed
+
+    def _is_silent(self, entry):
+        is_frozen = entry.thaws_at is not None and entry.thaws_at > self._now()
+        return not entry.is_alive or is_frozen
--- a/tests/test_jobs_rolling.py
+++ b/tests/test_jobs_rolling.py
@@ -10,8 +10,8 @@
     """Entries and VMs are replaced in turn over slow links, stores, workers.
 
     The book of the workers asserts that no task runs twice, starts after its
-    end was noted, or takes a worker over its room. In each calm of 12 s all
-    keepers with room run; at the end each accepted batch job has ended, each
+    end was noted, or takes a worker over its room. In all calm each
+    keeper with room runs by the rule's bound; at the end each accepted batch job has ended, each
     keeper that nobody cancelled runs, and nothing else does.
     """
     day = RollingDay(seed)
--- /dev/null
+++ b/tests/test_stillness.py
@@ -0,0 +1,108 @@
+"""What counts as a disruption of a virtual deployment, and what does not."""
+
+import pytest
+
+from standins.jobs.deployment import Deployment
+from standins.jobs.stillness import Stillness
+
+TICK_S = 0.2
+WHILE_S = 5
+
+
+def watched(seconds, deployment, stillness):
+    for _tick in range(round(seconds / TICK_S)):
+        deployment.run(TICK_S)
+        stillness.look()
+
+
+def still(**options):
+    """A deployment that has not been disturbed for a while."""
+    deployment = Deployment(workers=2, entries=2)
+    stillness = Stillness(deployment, **options)
+    watched(WHILE_S, deployment, stillness)
+    assert stillness.lasted_s() > WHILE_S - 2 * TICK_S
+    return deployment, stillness
+
+
+def test_a_vm_that_stays_away_disturbs_nothing():
+    """Its end and its return do; guards against calm that never begins."""
+    deployment, stillness = still()
+    deployment.kill_agent('agent-0')
+    deployment.workers[0].go_down(WHILE_S)
+    watched(TICK_S, deployment, stillness)
+    assert stillness.lasted_s() == 0
+    watched(WHILE_S - 1, deployment, stillness)
+    assert stillness.lasted_s() > WHILE_S - 2
+    watched(1, deployment, stillness)
+    assert stillness.lasted_s() < 1
+
+
+def go_dark(deployment):
+    deployment.workers[0].is_dark = True
+
+
+def slow_worker(deployment):
+    deployment.workers[0].slow_s = 1
+
+
+def cut_off(deployment):
+    deployment.cut_off('agent-0')
+
+
+def store_down(deployment):
+    deployment.rows.is_down = True
+
+
+def shun(deployment):
+    deployment.rows.shunned.add('entry-0')
+
+
+def freeze(deployment):
+    deployment.entries['entry-0'].thaws_at = 1e9
+
+
+@pytest.mark.parametrize(
+    'fault', [go_dark, slow_worker, cut_off, store_down, shun, freeze]
+)
+def test_what_goes_on_disturbs_all_the_while(fault):
+    """Guards against blame while a fault is there."""
+    deployment, stillness = still()
+    fault(deployment)
+    watched(WHILE_S, deployment, stillness)
+    assert stillness.lasted_s() <= 0
+
+
+def test_a_worker_of_a_vm_that_is_gone_for_good_disturbs_nothing():
+    """It answers nobody for ever; guards against calm that never begins."""
+    deployment, stillness = still(gone={'agent-0'})
+    deployment.kill_agent('agent-0')
+    go_dark(deployment)
+    watched(WHILE_S, deployment, stillness)
+    assert stillness.lasted_s() > WHILE_S - 2 * TICK_S
+
+
+def test_a_lost_answer_disturbs_until_its_order_is_carried_out():
+    """Guards against blame for a start that comes late on purpose."""
+    deployment, stillness = still()
+    worker = deployment.workers[0]
+    worker.lose_next = 1
+    worker.late_s = WHILE_S
+    watched(1, deployment, stillness)
+    assert stillness.lasted_s() > WHILE_S
+    worker.lose_next = 0
+    watched(TICK_S, deployment, stillness)
+    assert stillness.since == pytest.approx(
+        deployment.reactor.seconds() + WHILE_S
+    )
+
+
+def test_an_entry_that_is_away_is_silent():
+    """Guards against a bound of safety that is too short for its owner."""
+    deployment, stillness = still()
+    assert stillness.silent_at == 0
+    deployment.kill_entry('entry-0')
+    watched(1, deployment, stillness)
+    assert stillness.silent_at == deployment.reactor.seconds()
+    deployment.start_entry('entry-0')
+    watched(1, deployment, stillness)
+    assert stillness.silent_at < deployment.reactor.seconds() - TICK_S
