Absences: an agent whose worker is silent counts as away before it is

Cause: the row that says until when an agent may run tasks was written only once the agent itself had been away for a second; nobody was there to write it.

When the worker answers, the row is taken back first.

--- a/hyssopring/jobs/absences.py
+++ b/hyssopring/jobs/absences.py
@@ -11,14 +11,16 @@
 
 __all__ = ('Absences',)
 
-# Agents dial a new owner's process within this time, and need no row.
+# Agents dial a new owner's process within this time, and workers that are
+# slow for a moment answer again: they need no row.
 _AWAY_MS: Final = MILLIS_PER_SECOND
 
 
 class Absences:
     """Writes until when each agent that is away may run tasks.
 
-    Owners that die in series would each wait for it anew.
+    Owners that die in series would each wait for it anew. An agent whose worker
+    is silent may be gone as well before anybody could write that.
     """
 
     def __init__(
@@ -72,7 +74,7 @@
         self._since_by_agent = {
             agent_id: self._since_by_agent.get(agent_id, now)
             for agent_id in self._roster.agents
-            if not fleet.is_connected(agent_id)
+            if not fleet.is_at_work(agent_id)
         }
         over_at_by_agent = {}
         for agent_id, since in self._since_by_agent.items():
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -218,6 +218,15 @@
         """Whether nothing that was ordered there can run any more."""
         return now - self.granted_at > LOST_AFTER_MS
 
+    @property
+    def has_silent_worker(self) -> bool:
+        """Whether the worker has not answered its agent for some time.
+
+        Its hold is not extended meanwhile, so that a grant is of no use.
+        """
+        report = self.report
+        return report is not None and report.silent_ms >= _SILENT_MS
+
     @property
     def has_no_worker(self) -> bool:
         """Whether the agent is here, and surely nothing runs beside it.
@@ -284,10 +293,14 @@
             self.departed.pop(next(iter(self.departed)))
         return departed
 
-    def is_connected(self, agent_id: str) -> bool:
-        """Whether an agent has an open connection."""
+    def is_at_work(self, agent_id: str) -> bool:
+        """Whether an agent has an open connection, and its worker answers."""
         worker = self.by_agent.get(agent_id)
-        return worker is not None and worker.is_connected
+        return (
+            worker is not None
+            and worker.is_connected
+            and not worker.has_silent_worker
+        )
 
     def over_at(self, agent_id: str) -> float:
         """When all that this entry has granted an agent is over."""
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -314,7 +314,9 @@
 
     def _grant(self, report: WorkerReport, worker: Worker) -> None:
         """Grant an agent, unless its row tells others that none does."""
-        if self.shards.may_grant(worker.agent_id):
+        if worker.has_silent_worker:
+            grant = Grant(report.sequence, [], 0)
+        elif self.shards.may_grant(worker.agent_id):
             grant = Grant(report.sequence, self.shards.reigns(), GRANT_TTL_MS)
             worker.granted_at = self._clock.now()
         else:
--- a/tests/test_jobs_absences.py
+++ b/tests/test_jobs_absences.py
@@ -134,6 +134,28 @@
     assert worker.granted_at > granted_at
 
 
+def test_an_agent_whose_worker_answers_again_is_waited_for_again():
+    """A worker is silent for some seconds and runs on; then all is cut off.
+
+    An owner that went by what the row had said of the silent worker's agent
+    would start the task a second time while it runs.
+    """
+    deployment, job = lasting()
+    worker = deployment.workers[0]
+    worker.is_dark = True
+    deployment.run(4)
+    assert AgentRow.from_text(row_text(deployment)).is_suspended
+    worker.is_dark = False
+    deployment.run(2)
+    assert not AgentRow.from_text(row_text(deployment)).is_suspended
+    assert worker.runs
+    deployment.cut_off(AWAY)
+    kill_owner(deployment)
+    assert wait_left_s(deployment) > LOST_AFTER_S - 1
+    deployment.run(LOST_AFTER_S + 3)
+    assert len(starts_of(deployment, job)) == 3
+
+
 @pytest.mark.parametrize('late_s', [0.2, 1, 3])
 def test_a_row_that_is_written_late_does_not_follow_the_agent_s_return(late_s):
     """The write that an agent is away has no answer, and is done later.
--- a/tests/test_jobs_lost_vms.py
+++ b/tests/test_jobs_lost_vms.py
@@ -179,8 +179,8 @@
 def test_an_agent_that_left_as_its_owner_was_lost_is_not_waited_for():
     """A worker dies, its agent is stopped, and the owner's VM is lost at once.
 
-    The agent says that nothing runs there, but not whether its next process was
-    granted by the silent owner: the next one waits 18 s from its takeover.
+    Nobody had written until when its tasks may run, and the next owner waited
+    18 s from its takeover.
     """
     deployment, job = lasting(5, per_worker=2)
     died_at = deployment.reactor.seconds()
