Unheard agents: an owner's own grants count, and a retried load changes nothing

Change: a wait for an unheard agent ends after the own last grant as well; a planned stop names all agents that may run tasks; the first reading of the agents' rows stands, as the owner alone writes them.

Class: a wait that counts from another event than the last grant.

--- a/hyssopring/jobs/handover.py
+++ b/hyssopring/jobs/handover.py
@@ -12,19 +12,19 @@
     """Describe a shard that this entry has just dropped.
 
     Agents that had confirmed this reign are named with its own last grant. Of
-    the others a former owner may have granted later than is known here: those
-    that it has named are handed on.
+    the others a former owner may have granted later than is known here: each
+    that may run tasks still is named with the later of both.
     """
     lost_at_by_agent = {
         agent_id: fleet.over_at(agent_id)
         for agent_id in fleet.by_agent
         if agent_id in owned.heard
     }
-    for agent_id in owned.unheard & owned.former.named_agents:
-        lost_at_by_agent[agent_id] = max(
-            owned.former.until(agent_id),
-            fleet.over_at(agent_id),
-        )
+    known = owned.unheard | owned.former.named_agents | fleet.by_agent.keys()
+    for agent_id in known - owned.heard:
+        lost_at = max(owned.former.until(agent_id), fleet.over_at(agent_id))
+        if lost_at > now:
+            lost_at_by_agent[agent_id] = lost_at
     grants = [
         AgentGrant(agent_id, int(now + LOST_AFTER_MS - lost_at))
         for agent_id, lost_at in lost_at_by_agent.items()
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -194,10 +194,13 @@
             fleet: The agents as this entry knows them.
         """
         now = self._clock.now()
+        # One that was granted under this reign and is not heard yet runs on
+        # until that grant is over.
         self.unheard = {
             agent_id
             for agent_id in self.unheard
-            if now <= self._absences.over_at(agent_id)
+            if now
+            <= max(self._absences.over_at(agent_id), fleet.over_at(agent_id))
         }
         if self.is_loaded:
             self._absences.look(fleet, self.unheard)
--- a/hyssopring/jobs/roster.py
+++ b/hyssopring/jobs/roster.py
@@ -95,7 +95,13 @@
         return self._clock.now() < self._rests_until
 
     def loaded(self, rows: Iterable[Row], store_time: StoreTime) -> None:
-        """Take over the stored rows."""
+        """Take over the stored rows.
+
+        Those of a load that is tried again are left: this owner alone writes
+        rows, and has changed some since, perhaps after they were read.
+        """
+        if self.is_known:
+            return
         self.is_known = True
         self._entry_by_agent = {
             row.place.key: self._read(row, store_time) for row in rows
