Soak of the platform's programs: machines lost, owners in series, tasks that fail

Drawn from a random stream of their own: machines that stay away, losses of all power with a machine that stays away or is replaced, owners killed 2 to 5 s apart, lasting tasks that fail by themselves. In two of three runs other faults stop around them, so that calm follows. A watch looks at the rule's bound for tasks that last while the run goes on, and keeps those apart whose last run was on a machine that is away.

--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -35,18 +35,21 @@
     parser.add_argument(
         '--minutes', type=float, help='take new seeds for this long'
     )
+    parser.add_argument(
+        '--agents', type=int, help='so many agents more than five'
+    )
     parser.add_argument(
         '--again', action='store_true', help='the seeds that failed once'
     )
     return parser.parse_args()
 
 
-def _play(seed, seconds):
+def _play(seed, seconds, more_agents):
     """Play one seed in this process, which can do so once."""
     from soak.platform.run import Run
 
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    plan = draw_plan(seed, seconds)
+    plan = draw_plan(seed, seconds, more_agents)
     run = Run(plan, folder)
     broken = run.play()
     print(run.summary(), flush=True)
@@ -59,13 +62,16 @@
     return 1
 
 
-def _play_apart(seconds, seed):
+def _play_apart(options, seed):
     """Play one seed in a process of its own."""
     command = [sys.executable, '-m', 'soak.platform', '--seed', str(seed)]
+    command += ['--seconds', str(options.seconds)]
+    if options.agents is not None:
+        command += ['--agents', str(options.agents)]
     return subprocess.run(
-        [*command, '--seconds', str(seconds)],
+        command,
         cwd=ROOT,
-        timeout=seconds + EXTRA_S,
+        timeout=options.seconds + EXTRA_S,
         check=False,
     ).returncode
 
@@ -88,16 +94,16 @@
     """Play what the arguments say; the exit code."""
     options = _parse()
     if options.minutes is None and options.seeds == 1 and not options.again:
-        return _play(options.seed, options.seconds)
+        return _play(options.seed, options.seconds, options.agents)
     codes, together = [], []
     with ThreadPoolExecutor(options.jobs) as pool:
         for seed in _seeds(options):
             together.append(seed)
             if len(together) == options.jobs:
-                play = partial(_play_apart, options.seconds)
+                play = partial(_play_apart, options)
                 codes += pool.map(play, together)
                 together = []
-        codes += pool.map(partial(_play_apart, options.seconds), together)
+        codes += pool.map(partial(_play_apart, options), together)
     print(f'{len(codes)} seeds, {len(codes) - codes.count(0)} failed')
     return int(any(codes))
 
--- a/soak/platform/callers.py
+++ b/soak/platform/callers.py
@@ -74,7 +74,7 @@
     def __init__(self, world):
         self.world = world
         self.book = world.book
-        ports = list(world.fronts.values())
+        ports = world.front_ports
         self.callers = [
             Caller(world.host, ports, first) for first in range(len(ports))
         ]
@@ -123,7 +123,7 @@
             f'keeper {task} does not run'
             for job_id in self.accepted
             if self.jobs[job_id].is_keeper
-            for task in _tasks(self.jobs[job_id])
+            for task in tasks_of(self.jobs[job_id])
             if len(self.book.running.get(task, ())) != 1
         ]
 
@@ -134,7 +134,7 @@
             self.broken.append(f'{job_id} was refused and has started')
         done = {row[1] for row in self.book.ends if row[3] is AttemptEnd.DONE}
         for job_id in self.completed:
-            missing = set(_tasks(self.jobs[job_id])) - done
+            missing = set(tasks_of(self.jobs[job_id])) - done
             if missing:
                 self.broken.append(f'{job_id} is completed without {missing}')
         return self.broken + self.book.broken
@@ -143,7 +143,9 @@
         self.jobs[job.job_id] = job
         self.book.sizes[job.job_id] = Size(job.cpu, MEMORY_MB, 0)
         if job.is_keeper:
-            self.book.keepers.update(_tasks(job))
+            self.book.keepers.update(tasks_of(job))
+        if job.is_failing:
+            self.book.failing.update(tasks_of(job))
 
     def _is_settled(self, job, is_first, status, fields):
         if status == 200:
@@ -192,7 +194,7 @@
     return answer.run_state is RunState.NOT_RUN
 
 
-def _tasks(job):
+def tasks_of(job):
     return [
         f'{job.job_id}.0.{step}.{index}'
         for step, count in enumerate(job.counts)
--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -7,6 +7,17 @@
 import random
 from dataclasses import dataclass, replace
 
+from soak.platform.machines import (
+    FAILING_CPU,
+    FAILING_JOBS,
+    FAILING_TASKS,
+    FAILS_MS,
+    MORE_AGENTS,
+    Event,
+    Fleet,
+    Losses,
+)
+
 ENTRIES = 3
 RUNNERS = 3
 # Runners that may leave for good; the first two always stay.
@@ -36,20 +47,6 @@
 MAX_QUEUES = 4200
 
 
-@dataclass(frozen=True)
-class Event:
-    """At ``at`` seconds ``name`` happens to all that ``target`` matches."""
-
-    at: float
-    name: str
-    target: str
-    given: tuple = ()
-
-    def __str__(self):
-        given = ' '.join(map(str, self.given))
-        return f'{self.at:6.2f} {self.name} {self.target} {given}'.rstrip()
-
-
 @dataclass(frozen=True)
 class PlannedJob:
     """A job to hand in. One that gives up is not tried after a refusal."""
@@ -62,6 +59,7 @@
     gives_up: bool = False
     is_twice: bool = False
     is_malformed: bool = False
+    is_failing: bool = False
 
 
 @dataclass(frozen=True)
@@ -75,6 +73,7 @@
     events: tuple
     narrow: str
     bytes_per_s: int
+    more_agents: int = 0
 
     def lines(self):
         """One line for each event, in their order."""
@@ -88,9 +87,17 @@
         rng = random.Random(f'{self.seed} {task}')
         return rng.choice(WORKS_MS)
 
+    def fail_ms(self, task, number):
+        """After how long a run of a task that can't stay up fails."""
+        rng = random.Random(f'{self.seed} {task} {number}')
+        return rng.uniform(*FAILS_MS)
 
-def draw_plan(seed, seconds):
-    """Draw jobs and faults for so many seconds."""
+
+def draw_plan(seed, seconds, more_agents=None):
+    """Draw jobs and faults for so many seconds.
+
+    Without ``more_agents`` the seed says how many there are.
+    """
     rng = random.Random(f'events {seed}')
     rates = tuple(rng.choice(RATES) for _each in range(RUNNERS + JOINERS))
     jobs = _jobs(random.Random(f'jobs {seed}'), seconds)
@@ -98,7 +105,39 @@
     events = tuple(_sized(each, links) for each in _events(rng, seconds))
     narrow = f'entry-{links.randrange(ENTRIES)}'
     rate = links.choice(NARROW_BYTES_PER_S)
-    return Plan(seed, seconds, rates, jobs, events, narrow, rate)
+    machines = random.Random(f'machines {seed}')
+    drawn = machines.choice(MORE_AGENTS)
+    more = drawn if more_agents is None else more_agents
+    rates += tuple(machines.choice(RATES) for _each in range(more))
+    jobs += _failing_jobs(machines, seconds)
+    losses = Losses(machines, _fleet(more), seconds)
+    losses.draw()
+    events = _in_order(losses.thinned(events), seconds)
+    return Plan(seed, seconds, rates, jobs, events, narrow, rate, more)
+
+
+def _fleet(more_agents):
+    agents = RUNNERS + JOINERS + more_agents
+    return Fleet(
+        tuple(f'entry-{number}' for number in range(ENTRIES)),
+        tuple(f'agent-{number}' for number in range(agents)),
+        OWNER,
+    )
+
+
+def _failing_jobs(rng, seconds):
+    """Tasks that last and can't stay up, handed in at first and later."""
+    return tuple(
+        PlannedJob(
+            round(rng.uniform(0, seconds / 2), 2) if number else 0,
+            f'{0xFA11 + number:016x}',
+            (FAILING_TASKS,),
+            FAILING_CPU,
+            is_keeper=True,
+            is_failing=True,
+        )
+        for number in range(FAILING_JOBS)
+    )
 
 
 def _sized(event, rng):
@@ -142,6 +181,10 @@
             events.append(_event(rng, round(moment, 2), target))
             moment += rng.uniform(0.02, 0.6)
         at += rng.expovariate(1 / SERIES_EACH_S)
+    return _in_order(events, seconds)
+
+
+def _in_order(events, seconds):
     inside = [event for event in events if event.at < seconds]
     return tuple(sorted(inside, key=lambda event: event.at))
 
--- a/soak/platform/proxy.py
+++ b/soak/platform/proxy.py
@@ -37,6 +37,12 @@
             connection.up.flush()
             connection.down.flush()
 
+    @property
+    def is_foul(self):
+        """Whether connections misbehave at this moment."""
+        ends = [self.delayed_until, self.refused_until]
+        return max(*ends, *self.held_until.values()) > reactor.seconds()
+
     def delay(self, delay_s, lasts):
         """Pass on later for a while."""
         self.delay_s = delay_s
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -7,10 +7,13 @@
 from twisted.internet.defer import gatherResults, inlineCallbacks
 
 from soak.platform.callers import Caller, Callers, nap
+from soak.platform.calm import Calm
+from soak.platform.lasting import LastingWatch
 from soak.platform.plan import PlannedJob
 from soak.platform.world import World
 
 TICK_S = 0.02
+WATCH_S = 0.1
 CHECK_S = 0.2
 # Programs take this long to be up on a busy machine; faults come after it.
 UP_S = 20
@@ -38,6 +41,8 @@
         self.folder = folder
         self.world = World(plan, folder)
         self.callers = Callers(self.world)
+        self.calm = Calm(self.world)
+        self.watch = LastingWatch(self.world, self.callers, self.calm)
         self.broken = []
         self.happened = []
         self.quiet_s = 0
@@ -68,9 +73,15 @@
             f'keepers after {self.keepers_s:.1f} s, '
             f'quiet after {self.quiet_s:.1f} s, '
             f'{self.world.queues} queues in force after '
-            f'{self.in_force_s:.1f} s, {len(self.broken)} broken'
+            f'{self.in_force_s:.1f} s, lasting tasks missed '
+            f'{self._longest("elsewhere")}, away {self._longest("away")}, '
+            f'{len(self.broken)} broken'
         )
 
+    def _longest(self, place):
+        missed_s = max(0, self.watch.longest_s[place])
+        return f'{missed_s:.1f} s (calm wait {self.watch.waits_s[place]:.1f} s)'
+
     def trace(self):
         """What happened and what ran, by the clock of the programs' logs."""
         book = self.world.book
@@ -87,6 +98,8 @@
         except Exception:
             self.broken.append(traceback.format_exc())
         finally:
+            # Whoever misses a task goes on: others may be missed as well.
+            self.broken += self.watch.missed
             self.is_over = self.callers.is_over = True
             self.world.close()
             reactor.stop()
@@ -94,6 +107,7 @@
     @inlineCallbacks
     def _phases(self):
         self._tick()
+        self._watch()
         self.world.start()
         yield self._until(self._is_up, UP_S)
         self.callers.start()
@@ -136,15 +150,23 @@
             self.world.tick()
             reactor.callLater(TICK_S, self._tick)
 
+    def _watch(self):
+        if not self.is_over:
+            self.calm.look()
+            self.watch.look()
+            reactor.callLater(WATCH_S, self._watch)
+
     def _happen(self, event):
         if not (self.is_over or self.is_healed):
             owner = self.world.owner()
             text = f'{event} (owner {owner})'
             self.happened.append((reactor.seconds(), text))
+            self.calm.happened(event)
             self.world.happen(event)
 
     def _heal(self):
         self.is_healed, self.healed_at = True, reactor.seconds()
+        self.calm.touch('all faults ended')
         self.world.heal()
         for number, caller in enumerate(self.callers.callers):
             job = PlannedJob(0, f'{LATE_JOB + number:016x}', (2, 1), 500)
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+from collections import Counter
 from fnmatch import fnmatch
 
 from twisted.internet import reactor
@@ -24,27 +25,25 @@
     OWNER,
     RUNNERS,
 )
+from soak.platform.program import Program
 from soak.platform.proxy import Proxy, Weather
 from standins.jobs.rows import MemoryRows
 from standins.jobs.book import Book
 from standins.jobs.worker import SimWorker
 from standins.narrow_link import NarrowLink, a_configuration
 from standins.platform import RunnerResource, StoreResource, beat
-from standins.programs import free_ports, settings_file, start_program
+from standins.programs import free_ports, settings_file
 
 # Each port is drawn once, before any is listened on: none is taken twice.
-PORTS = 80
+PORTS_EACH = 6
+# Comes up when another entry's machine is replaced.
+SPARE_ENTRY = f'entry-{ENTRIES}'
 PLACE = RowKey('op', '', 'config')
 HOST_NAME = 'h.example'
 # A keeper runs until it is stopped: far longer than any run.
 KEEPER_MS = 10**9
 # Room for four or so of the larger tasks: planners have to choose.
 ROOM = Size(5000, 20_000, 0)
-# What a program that was ended from outside may say; it ended itself with any
-# other code. A signal that comes before its handler is set ends it too.
-ENDED_CODES = frozenset(
-    (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP),
-)
 
 
 def own_host():
@@ -65,76 +64,17 @@
     def __init__(self):
         super().__init__()
         self.workers = []
+        # Tasks that last and fail by themselves.
+        self.failing = set()
+        self.runs_by_task = Counter()
 
     def started(self, now, worker, run):
         for each in self.workers:
             each.settle()
+        self.runs_by_task[run.task] += 1
         super().started(now, worker, run)
 
 
-class Program:
-    """One process that is started again whenever it has ended."""
-
-    def __init__(self, name, environment, folder):
-        self.name = name
-        self.environment = environment
-        self.log = folder / f'{name}.log'
-        self.process = None
-        self.is_wanted = False
-        self.start_at = 0
-        self.resume_at = None
-        self.starts = 0
-        self.odd_codes = set()
-
-    @property
-    def is_alive(self):
-        return self.process is not None and self.process.poll() is None
-
-    def tick(self):
-        """Start or resume the process when that is due."""
-        now = reactor.seconds()
-        if self.resume_at is not None and now >= self.resume_at:
-            self.resume_at = None
-            self._signal(signal.SIGCONT)
-        if self.is_alive or not self.is_wanted or now < self.start_at:
-            return
-        self._note_end()
-        role = self.name.partition('-')[0]
-        with self.log.open('ab') as output:
-            self.process = start_program(
-                ['hyssopring.platform', role], self.environment, output
-            )
-        self.starts += 1
-
-    def end(self, number, back=0):
-        """Send a signal that ends it; it is started again later."""
-        self.start_at = max(self.start_at, reactor.seconds() + back)
-        self._signal(number)
-
-    def pause(self, lasts):
-        self.resume_at = max(self.resume_at or 0, reactor.seconds() + lasts)
-        self._signal(signal.SIGSTOP)
-
-    def reread(self):
-        self._signal(signal.SIGHUP)
-
-    def close(self):
-        """End it for good, at once."""
-        self.is_wanted = False
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-
-    def _note_end(self):
-        code = self.process.returncode if self.process else 0
-        if code not in ENDED_CODES:
-            self.odd_codes.add(code)
-
-    def _signal(self, number):
-        if self.is_alive:
-            self.process.send_signal(number)
-
-
 class World:
     """All processes of a run and the platform around them."""
 
@@ -142,7 +82,12 @@
         self.plan = plan
         self.folder = folder
         self.host = own_host()
-        self.ports = iter(free_ports(PORTS, self.host))
+        self.agents = [
+            f'agent-{number}'
+            for number in range(RUNNERS + JOINERS + plan.more_agents)
+        ]
+        processes = ENTRIES + 1 + len(self.agents)
+        self.ports = iter(free_ports(processes * PORTS_EACH, self.host))
         self.rows = MemoryRows(reactor)
         self.rows.version = 1
         self.version = 0
@@ -152,14 +97,19 @@
         self.weathers = {}
         self.programs = {}
         self.workers = {}
+        # Where callers go, by the names of the entries that are there.
         self.fronts = {}
+        self.spare_front = None
+        # Entries whose machines were replaced, and when.
+        self.replaced_at = {}
         self._build()
+        self.front_ports = list(self.fronts.values())
         self.link = NarrowLink(reactor, plan.bytes_per_s)
         self._narrow(plan.narrow)
 
     def _build(self):
-        names = [f'agent-{each}' for each in range(RUNNERS + JOINERS)]
-        entries = [f'entry-{each}' for each in range(ENTRIES)]
+        names = self.agents
+        entries = [*(f'entry-{each}' for each in range(ENTRIES)), SPARE_ENTRY]
         inner = {name: next(self.ports) for name in entries}
         seen = {
             name: self._proxy(name, port, [*entries, *names])
@@ -175,6 +125,7 @@
             bind['ready'] = self._address(ready)
             self.fronts[name] = front
             self._program(name, inner[name], bind, inner[name], '')
+        self.spare_front = self.fronts.pop(SPARE_ENTRY)
         for number, name in enumerate(names):
             app, control = next(self.ports), next(self.ports)
             self._runner(name, self.plan.rates[number], app, control)
@@ -209,6 +160,7 @@
         direct = next(self.ports)
         reactor.listenTCP(direct, site, interface=self.host)
         store = self._address(self._proxy('store', direct, [name]))
+        metrics = next(self.ports)
         environment = settings_file(
             self.folder,
             name,
@@ -218,13 +170,18 @@
             seed,
             app,
             self.host,
-            next(self.ports),
+            metrics,
         )
-        self.programs[name] = Program(name, environment, self.folder)
+        probe = f'http://{self._address(metrics)}/metrics'
+        if 'ready' in bind:
+            probe = f'http://{bind["ready"]}/-/readyz'
+        program = Program(name, environment, self.folder, probe)
+        self.programs[name] = program
 
     def _runner(self, name, rate, app, control):
         worker = SimWorker(reactor, name, self.book, self._work_ms, ROOM, rate)
         worker.control = self._address(control)
+        worker.fails = self.book.failing.__contains__
         self.workers[name] = worker
         self.book.workers.append(worker)
         reactor.listenTCP(
@@ -232,14 +189,16 @@
         )
 
     def _work_ms(self, task):
+        if task in self.book.failing:
+            return self.plan.fail_ms(task, self.book.runs_by_task[task])
         if task in self.book.keepers:
             return KEEPER_MS
         return self.plan.work_ms(task)
 
     def start(self):
         """Start all but those that join later."""
-        for number in range(RUNNERS):
-            self.join(f'agent-{number}')
+        for name in self.agents[:RUNNERS] + self.agents[RUNNERS + JOINERS :]:
+            self.join(name)
         for name in self.fronts:
             self.programs[name].is_wanted = True
 
@@ -263,6 +222,30 @@
         program.is_wanted = False
         program.end(signal.SIGTERM)
 
+    def away(self, name, lasts):
+        """Lose a machine, runner and agent: for good if ``lasts`` is None."""
+        worker, program = self.workers[name], self.programs[name]
+        if not program.is_wanted or worker.is_gone:
+            return
+        program.lose(lasts)
+        if lasts is None:
+            worker.is_gone = worker.is_dark = True
+            worker.crash()
+        else:
+            worker.go_down(lasts)
+
+    def replace(self, name, back):
+        """An entry's machine is lost; another one comes in its place."""
+        if name == SPARE_ENTRY or self.programs[SPARE_ENTRY].is_wanted:
+            return
+        self.programs[name].lose(None)
+        self.replaced_at[name] = reactor.seconds()
+        place = self.front_ports.index(self.fronts.pop(name))
+        self.fronts[SPARE_ENTRY] = self.spare_front
+        self.front_ports[place] = self.spare_front
+        spare = self.programs[SPARE_ENTRY]
+        spare.is_wanted, spare.start_at = True, reactor.seconds() + back
+
     def configure(self, more_queues):
         """The operator adds queues; the first one always stays."""
         self.version += 1
@@ -305,7 +288,7 @@
         return OwnerRow.from_text(row.text).entry_id if row else ''
 
     def heal(self):
-        """All faults end; what is stopped comes back at once."""
+        """All faults end; what is stopped comes back, but lost machines."""
         rows = self.rows
         rows.is_down = rows.is_silent = False
         rows.slow_s = rows.lose_next = 0
@@ -315,9 +298,7 @@
             worker.is_dark = worker.is_gone
             worker.lose_next = 0
         for program in self.programs.values():
-            program.start_at = 0
-            if program.resume_at is not None:
-                program.resume_at = 0
+            program.heal()
 
     def close(self):
         for program in self.programs.values():
@@ -339,7 +320,7 @@
             self._for_a_while(thing, 'is_dark', True, *event.given)
         elif event.name == 'lose-orders':
             thing.lose_next, thing.late_s = event.given
-        elif event.name in {'join', 'leave'}:
+        elif event.name in {'join', 'leave', 'away', 'replace'}:
             getattr(self, event.name)(name, *event.given)
         else:
             getattr(thing, event.name)(*event.given)
@@ -351,6 +332,9 @@
     def _back(self, thing, name):
         setattr(thing, name, getattr(thing, 'is_gone', False))
 
+    def _do_heal(self):
+        self.heal()
+
     def _do_configure(self, more_queues):
         self.configure(more_queues)
 
--- a/standins/narrow_link.py
+++ b/standins/narrow_link.py
@@ -41,6 +41,12 @@
         """Nothing more of this connection arrives."""
         self._waiting_by_connection.pop(connection, None)
 
+    def waiting_s(self):
+        """Return how long what waits now will take."""
+        waiting = self._waiting_by_connection.values()
+        left = sum(size for each in waiting for size, _arrived in each)
+        return left / self._bytes_per_s
+
     def turn(self):
         """Carry what there was room for since the last turn; call often."""
         now = self._reactor.seconds()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -218,12 +218,14 @@
     """Report to the agent on the runner's own machine until it is gone."""
     if worker.is_gone:
         return
+    reactor.callLater(BEAT_S, beat, agent, worker, control)
+    if worker.is_down:
+        return
     body = {**report_fields(worker), 'address': control}
     url = f'http://{control}/-/instances/{worker.boot}/heartbeat'.encode()
     producer = _BytesProducer(json.dumps(body).encode())
     headers = Headers({'content-type': ['application/json']})
     agent.request(b'POST', url, headers, producer).addBoth(lambda _answer: None)
-    reactor.callLater(BEAT_S, beat, agent, worker, control)
 
 
 def main(path):
