--- a/soak/platform/lasting.py
+++ b/soak/platform/lasting.py
@@ -106,7 +106,8 @@
         lost = '' if lost_at is None else f', lost for {now - lost_at:.1f} s'
         return (
             f'{now:.3f} {place}: {task} does not run for '
-            f'{now - last.seen_at:.1f} s, last on {last.worker or "none"}{lost}; '
+            f'{now - last.seen_at:.1f} s, '
+            f'last on {last.worker or "none"}{lost}; '
             f'calm for {now - self.calm.since:.1f} s, '
             f'before it: {self.calm.why}; '
             f'owner {self.world.owner()}, away {away}'
--- a/soak/platform/machines.py
+++ b/soak/platform/machines.py
@@ -69,7 +69,7 @@
             at += self.rng.uniform(*STORM_S)
             if at >= self.seconds:
                 return
-            begun = at
+            begun = round(at, 2)
             self._add(begun, 'heal', 'all')
             at = self._series(begun + 0.1) + 0.1
             at += self.rng.uniform(*self.rng.choice(CALMS_S))
--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -42,6 +42,8 @@
 RATES = (1, 0.98)
 # What a link of 10 and of 5 Mbit/s carries to one entry of each run.
 NARROW_BYTES_PER_S = (700_000, 350_000)
+# In this share of the runs runners come back under their former ids.
+KEEPS_IDS = 0.5
 # How many queues a change of the configuration adds, and all of them at most.
 MORE_QUEUES = (0, 0, 1400)
 MAX_QUEUES = 4200
@@ -74,12 +76,15 @@
     narrow: str
     bytes_per_s: int
     more_agents: int = 0
+    keeps_ids: bool = False
 
     def lines(self):
         """One line for each event, in their order."""
         rates = ' '.join(map(str, self.rates))
         head = f'seed {self.seed}, {self.seconds} s, runners at rates {rates}'
         link = f'{self.bytes_per_s} bytes a second come to {self.narrow}'
+        if self.keeps_ids:
+            link += ', runners keep their ids'
         return [head, link, *map(str, self.events)]
 
     def work_ms(self, task):
@@ -113,7 +118,8 @@
     losses = Losses(machines, _fleet(more), seconds)
     losses.draw()
     events = _in_order(losses.thinned(events), seconds)
-    return Plan(seed, seconds, rates, jobs, events, narrow, rate, more)
+    keeps = machines.random() < KEEPS_IDS
+    return Plan(seed, seconds, rates, jobs, events, narrow, rate, more, keeps)
 
 
 def _fleet(more_agents):
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -179,7 +179,15 @@
         self.programs[name] = program
 
     def _runner(self, name, rate, app, control):
-        worker = SimWorker(reactor, name, self.book, self._work_ms, ROOM, rate)
+        worker = SimWorker(
+            reactor,
+            name,
+            self.book,
+            self._work_ms,
+            ROOM,
+            rate,
+            self.plan.keeps_ids,
+        )
         worker.control = self._address(control)
         worker.fails = self.book.failing.__contains__
         self.workers[name] = worker
--- a/tests/test_soak_platform.py
+++ b/tests/test_soak_platform.py
@@ -1,12 +1,29 @@
 """The fault soak of the platform's programs: a short run, and its parts."""
 
+import random
 import re
 import subprocess
 import sys
 
 import pytest
+from twisted.internet.task import Clock
 
-from soak.platform.plan import PlannedJob, draw_plan
+from hyssopring.jobs.model import Size
+from soak.platform.machines import MORE_AGENTS, Losses
+from soak.platform.plan import (
+    JOINERS,
+    OWNER,
+    RATES,
+    RUNNERS,
+    PlannedJob,
+    _events,
+    _failing_jobs,
+    _fleet,
+    draw_plan,
+)
+from standins.jobs.book import Run
+from standins.jobs.rows import MemoryRows
+from standins.jobs.worker import SimWorker
 from standins.programs import ROOT
 
 SECONDS = 6
@@ -39,6 +56,7 @@
     def __init__(self, book):
         self.book = book
         self.fronts = {'entry-0': 0}
+        self.front_ports = [0]
         self.host = ''
 
 
@@ -77,3 +95,210 @@
     assert callers._is_settled(job, True, 503, {'error': 'store-unavailable'})
     callers.book.starts.append((0, 'agent-0', 'a.0.0.0', 1))
     assert callers.check() == ['a was refused and has started']
+
+
+def test_losses_of_machines_leave_other_faults_as_they_are():
+    """Guards old seeds: their faults outside of a calm must not change."""
+    seeds = [seed for seed in range(40) if 'heal' not in _names(seed)]
+    assert seeds
+    for seed in seeds:
+        losses = _losses(seed)
+        rng = random.Random(f'events {seed}')
+        for _each in range(RUNNERS + JOINERS):
+            rng.choice(RATES)
+        drawn = _events(rng, 30)
+        others = [each for each in _told(seed) if each not in losses]
+        assert [each[:2] for each in others] == [
+            (each.at, each.name) for each in drawn
+        ]
+
+
+def test_calm_follows_losses():
+    """Guards the watch: without spans of calm it has nothing to look at."""
+    seeds = [seed for seed in range(40) if 'heal' in _names(seed)]
+    assert len(seeds) > 20
+    for seed in seeds:
+        events = draw_plan(seed, 60).events
+        healed_at = [each.at for each in events if each.name == 'heal']
+        for at in healed_at:
+            after = [each for each in events if at < each.at < at + 9]
+            assert {each.name for each in after} <= {
+                'away',
+                'replace',
+                'kill',
+            }
+
+
+def test_a_run_has_each_loss():
+    """Guards against a kind of loss that is never drawn."""
+    events = [each for seed in range(40) for each in draw_plan(seed, 60).events]
+    aways = [each.given[0] for each in events if each.name == 'away']
+    assert None in aways
+    assert any(away is not None and away > 20 for away in aways)
+    assert any(each.name == 'replace' for each in events)
+    assert any(each.name == 'kill' and each.target == OWNER for each in events)
+
+
+def _names(seed):
+    return {each.name for each in draw_plan(seed, 30).events}
+
+
+def _told(seed):
+    return [
+        (each.at, each.name, each.target) for each in draw_plan(seed, 30).events
+    ]
+
+
+def _losses(seed):
+    rng = random.Random(f'machines {seed}')
+    more = rng.choice(MORE_AGENTS)
+    for _each in range(more):
+        rng.choice(RATES)
+    _failing_jobs(rng, 30)
+    losses = Losses(rng, _fleet(more), 30)
+    losses.draw()
+    return {(each.at, each.name, each.target) for each in losses.events}
+
+
+class _Program:
+    def __init__(self, name):
+        self.name = name
+        self.starts = 1
+        self.is_up = self.is_alive = self.is_due = True
+        self.resume_at = None
+        self.down_at = self.started_at = 0
+
+    def end(self, at):
+        self.is_up = self.is_alive = self.is_due = False
+        self.down_at = at
+
+
+class _Link:
+    def waiting_s(self):
+        return 0
+
+
+class _WatchedWorld:
+    """A world with two agents, and one task that lasts, on the first."""
+
+    def __init__(self, clock):
+        from soak.platform.world import SettlingBook
+
+        names = ['entry-0', 'agent-0', 'agent-1']
+        self.book = SettlingBook()
+        self.rows = MemoryRows(clock)
+        self.link = _Link()
+        self.weathers = {}
+        self.programs = {name: _Program(name) for name in names}
+        self.agents = names[1:]
+        self.fronts = {'entry-0': 0}
+        self.replaced_at = {}
+        self.host = ''
+        self.front_ports = [0]
+        self.workers = {
+            name: SimWorker(clock, name, self.book, lambda task: 10**6)
+            for name in self.agents
+        }
+
+    def owner(self):
+        return 'entry-0'
+
+
+class _Watched:
+    """A watch in virtual time."""
+
+    def __init__(self, monkeypatch):
+        from soak.platform import calm, callers, lasting
+
+        self.clock = Clock()
+        for module in (calm, lasting):
+            monkeypatch.setattr(module, 'reactor', self.clock)
+        self.world = _WatchedWorld(self.clock)
+        told = callers.Callers(self.world)
+        told._expect(PlannedJob(0, 'a', (1,), 300, is_keeper=True))
+        told.accepted.append('a')
+        self.calm = calm.Calm(self.world)
+        self.watch = lasting.LastingWatch(self.world, told, self.calm)
+
+    def start_on(self, name):
+        run = Run('a.0.0.0', 1, 10**6, '')
+        self.world.workers[name].runs[run.task] = run
+        self.world.book.started(
+            self.clock.seconds(), self.world.workers[name], run
+        )
+
+    def missed_after(self, seconds):
+        """The places of what was missed by then."""
+        for _each in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            self.calm.look()
+            self.watch.look()
+        return [line.split()[1] for line in self.watch.missed]
+
+
+@pytest.fixture
+def watched(monkeypatch):
+    return _Watched(monkeypatch)
+
+
+def test_a_task_is_missed_after_the_rules_bound(watched):
+    """Guards the watch: 6 s after the last run, and 3 s of nothing."""
+    watched.start_on('agent-0')
+    assert watched.missed_after(20) == []
+    watched.world.workers['agent-0'].crash()
+    assert watched.missed_after(8.8) == []
+    assert watched.missed_after(0.4) == ['elsewhere:']
+
+
+def test_a_fault_in_the_calm_before_delays_the_bound(watched):
+    """Guards against blame for a task under faults."""
+    watched.start_on('agent-0')
+    watched.missed_after(1)
+    watched.world.workers['agent-0'].crash()
+    watched.missed_after(8)
+    watched.world.rows.is_down = True
+    watched.missed_after(1)
+    watched.world.rows.is_down = False
+    assert watched.missed_after(6.8) == []
+    assert watched.missed_after(0.4) == ['elsewhere:']
+
+
+def test_a_start_disturbs_until_the_process_serves_but_not_for_ever(watched):
+    """Guards against a program that never serves and so hides all."""
+    program = watched.world.programs['entry-0']
+    program.is_up = False
+    program.started_at = watched.clock.seconds()
+    watched.missed_after(9)
+    assert watched.clock.seconds() - watched.calm.since < 0.2
+    watched.missed_after(3)
+    assert watched.clock.seconds() - watched.calm.since > 1
+
+
+def test_without_room_twice_over_nothing_is_missed(watched):
+    """Guards against blame where the rule asks for nothing."""
+    watched.start_on('agent-0')
+    watched.world.workers['agent-0'].crash()
+    watched.world.workers['agent-0'].is_leaving = True
+    watched.world.workers['agent-1'].room = Size(500, 1000, 0)
+    assert watched.missed_after(30) == []
+
+
+def test_a_task_of_a_machine_that_is_away_waits_for_its_grant(watched):
+    """Guards the two lists: only such tasks wait for the machine."""
+    watched.start_on('agent-0')
+    watched.missed_after(1)
+    watched.world.workers['agent-0'].crash()
+    watched.world.programs['agent-0'].end(watched.clock.seconds())
+    assert watched.missed_after(11.2) == []
+    assert watched.missed_after(0.4) == ['away:']
+
+
+def test_a_silent_former_owner_makes_the_wait_longer(watched):
+    """Guards against blame while an entry that is lost may still grant."""
+    watched.start_on('agent-0')
+    watched.missed_after(1)
+    watched.world.workers['agent-0'].crash()
+    for name in ('agent-0', 'entry-0'):
+        watched.world.programs[name].end(watched.clock.seconds())
+    assert watched.missed_after(21.2) == []
+    assert watched.missed_after(0.4) == ['away:']
