--- a/soak/platform/lasting.py
+++ b/soak/platform/lasting.py
@@ -37,6 +37,7 @@
             whose last run was on a machine that is away, and all others.
         missed: One line for each task and time that it was missed too long.
         waits_s: How long tasks waited in calm at the worst, in the same lists.
+        calm_s: For how long in all a task could have been missed.
     """
 
     def __init__(self, world, callers, calm):
@@ -51,6 +52,8 @@
         self.taken_at = 0
         self.longest_s = {'away': 0, 'elsewhere': 0}
         self.waits_s = {'away': 0, 'elsewhere': 0}
+        self.calm_s = 0
+        self.looked_at = reactor.seconds()
         self.reported = set()
         self.missed = []
 
@@ -58,6 +61,9 @@
         now = reactor.seconds()
         self._read_starts()
         self._look_at_owner(now)
+        if now - self.calm.since > CALM_BEFORE_S + MISSED_S:
+            self.calm_s += now - self.looked_at
+        self.looked_at = now
         free = [self._free(worker) for worker in self._takers()]
         for job_id in self.callers.accepted:
             job = self.callers.jobs[job_id]
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -73,7 +73,8 @@
             f'keepers after {self.keepers_s:.1f} s, '
             f'quiet after {self.quiet_s:.1f} s, '
             f'{self.world.queues} queues in force after '
-            f'{self.in_force_s:.1f} s, lasting tasks missed '
+            f'{self.in_force_s:.1f} s, in {self.watch.calm_s:.1f} s '
+            f'of calm lasting tasks missed '
             f'{self._longest("elsewhere")}, away {self._longest("away")}, '
             f'{len(self.broken)} broken'
         )
