--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -38,28 +38,31 @@
     parser.add_argument(
         '--agents', type=int, help='so many agents more than five'
     )
+    parser.add_argument(
+        '--keep', action='store_true', help='the logs of a good seed, too'
+    )
     parser.add_argument(
         '--again', action='store_true', help='the seeds that failed once'
     )
     return parser.parse_args()
 
 
-def _play(seed, seconds, more_agents):
+def _play(options):
     """Play one seed in this process, which can do so once."""
     from soak.platform.run import Run
 
-    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    plan = draw_plan(seed, seconds, more_agents)
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
+    plan = draw_plan(options.seed, options.seconds, options.agents)
     run = Run(plan, folder)
     broken = run.play()
     print(run.summary(), flush=True)
-    if not broken:
+    if not (broken or options.keep):
         shutil.rmtree(folder)
         return 0
     (folder / 'plan.txt').write_text('\n'.join(plan.lines()))
     (folder / 'trace.txt').write_text('\n'.join(run.trace()))
     print(*plan.lines(), *broken, f'logs: {folder}', sep='\n', flush=True)
-    return 1
+    return int(bool(broken))
 
 
 def _play_apart(options, seed):
@@ -94,7 +97,7 @@
     """Play what the arguments say; the exit code."""
     options = _parse()
     if options.minutes is None and options.seeds == 1 and not options.again:
-        return _play(options.seed, options.seconds, options.agents)
+        return _play(options)
     codes, together = [], []
     with ThreadPoolExecutor(options.jobs) as pool:
         for seed in _seeds(options):
