--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -23,6 +23,7 @@
 _LOST_VM = 'a lost VM held up all lasting tasks, from each takeover anew'
 SEEDS_AGAIN = {
     192: (12, _LOST_VM),
+    2077: (13, _LOST_VM),
     60002: (45, _LOST_VM),
     61001: (45, _LOST_VM),
     61015: (45, _LOST_VM),
