--- a/hyssopring/jobs/former_owner.py
+++ b/hyssopring/jobs/former_owner.py
@@ -64,11 +64,6 @@
         """Whether no former owner orders anything any more."""
         return not self._in_doubt
 
-    @property
-    def has_wait(self) -> bool:
-        """Whether an agent of which nothing is known may still run tasks."""
-        return self._clock.now() <= self._wait_until
-
     @property
     def wait_ms(self) -> float:
         """For how long an agent of which nothing is known may run tasks."""
--- a/hyssopring/jobs/locations.py
+++ b/hyssopring/jobs/locations.py
@@ -43,8 +43,8 @@
         self._looked_at = clock.now()
         self._agents_by_task: dict[str, set[str]] = defaultdict(set)
 
-    def locate(self, agent_id: str, tasks: list[str]) -> bool:
-        """Whether tasks may be ordered on an agent; else that is prepared."""
+    def ensure_located(self, agent_id: str, tasks: list[str]) -> bool:
+        """Whether an agent's row lists tasks; else write that it does."""
         if self._roster.is_located(agent_id, tasks):
             return True
         known = self._roster.tasks(agent_id)
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -183,10 +183,10 @@
         waiting: '_Waiting',
         name: TaskName,
     ) -> Worker | None:
-        """Return a worker whose agent's row lists a task, if none can be added.
+        """Return a worker whose agent's row lists the task already.
 
-        In an outage of the store a lasting task that has ended starts again
-        where it was.
+        While the store fails no row can be written: a lasting task that has
+        ended starts again where it was.
         """
         owned = self._shards.by_shard[shard_of(name.job_id)]
         if not owned.roster.is_failing:
@@ -267,7 +267,7 @@
             return True
         owned = self._shards.by_shard[shard_of(names[0].job_id)]
         located = [
-            owned.locations.locate(worker.agent_id, [str(name)])
+            owned.locations.ensure_located(worker.agent_id, [str(name)])
             for name, worker in zip(names, workers, strict=True)
         ]
         return all(located)
--- a/hyssopring/jobs/roster.py
+++ b/hyssopring/jobs/roster.py
@@ -178,7 +178,8 @@
         """Take an agent off the list, on which nothing can run any more.
 
         The row's version is checked: a write that is carried out late must
-        not remove the row of an agent that has been listed again since.
+        not remove the row of an agent that has been listed again since. While
+        rows are being written nothing is struck; the next turn tries again.
         """
         entry = self._entry_by_agent.get(agent_id)
         if entry is None or entry.is_dirty or self._is_writing:
@@ -300,6 +301,10 @@
 
 
 def _is_news(told_ms: float | None, over_ms: float) -> bool:
+    """Whether a row should tell an agent's time.
+
+    It never becomes later: the agent gets no grant once its row is written.
+    """
     return told_ms is None or over_ms < told_ms - _SHORTER_MS
 
 
