--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -27,6 +27,7 @@
     60002: (45, _LOST_VM),
     61001: (45, _LOST_VM),
     61015: (45, _LOST_VM),
+    64004: (32, 'an agent that left while the store failed holds up its tasks'),
 }
 # Enough for the slowest ways in which a run may go: 20 s, 70 s and 10 s.
 EXTRA_S = 120
