Absences: an owner that lives for a moment has told its successors

Cause: an owner wrote the row of an agent that is away a second after it had begun to look. Change: the second counts from when the agent was last there, or from the entry's own start, and the owner looks as soon as it knows the jobs.

Evidence: test_owners_that_live_for_a_moment_do_not_prolong_the_wait failed before.

--- a/hyssopring/jobs/absences.py
+++ b/hyssopring/jobs/absences.py
@@ -11,8 +11,8 @@
 
 __all__ = ('Absences',)
 
-# Agents dial a new owner's process within this time, and workers that are
-# slow for a moment answer again: they need no row.
+# Agents dial a new entry's process within this time, and workers that are slow
+# for a moment answer again: they need no row.
 _AWAY_MS: Final = MILLIS_PER_SECOND
 
 
@@ -37,7 +37,6 @@
         self._reign_rows = reign_rows
         self._former = former
         self._store_time = store_time
-        self._since_by_agent: dict[str, float] = {}
 
     def over_at(self, agent_id: str) -> float:
         """When nothing that former owners have granted can run any more."""
@@ -71,14 +70,12 @@
             self._roster.strike(agent_id)
 
     def _suspend(self, fleet: Fleet, now: float) -> None:
-        self._since_by_agent = {
-            agent_id: self._since_by_agent.get(agent_id, now)
-            for agent_id in self._roster.agents
-            if not fleet.is_at_work(agent_id)
-        }
         over_at_by_agent = {}
-        for agent_id, since in self._since_by_agent.items():
+        for agent_id in self._roster.agents:
+            away_since = fleet.away_since(agent_id)
+            if away_since is None or now - away_since < _AWAY_MS:
+                continue
             over_at = max(self.over_at(agent_id), fleet.over_at(agent_id))
-            if now - since >= _AWAY_MS and over_at > now:
+            if over_at > now:
                 over_at_by_agent[agent_id] = over_at
         self._roster.suspend(over_at_by_agent, self._store_time)
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -121,6 +121,7 @@
             former one as far as can be known.
         connection: This entry's name for the agent's connection.
         orders: How many starts were sent on it.
+        disconnected_at: When its last connection was lost.
         refused_at: When it last did not take a start, None if never.
     """
 
@@ -133,6 +134,7 @@
     connection: str = ''
     orders: int = 0
     refused_at: float | None = None
+    disconnected_at: float = 0
     placed_by_task: dict[str, Placed] = field(default_factory=dict)
 
     @property
@@ -219,13 +221,20 @@
         return now - self.granted_at > LOST_AFTER_MS
 
     @property
-    def has_silent_worker(self) -> bool:
-        """Whether the worker has not answered its agent for some time.
+    def silent_since(self) -> float | None:
+        """Since when the worker counts as silent, None if it does not.
 
         Its hold is not extended meanwhile, so that a grant is of no use.
         """
         report = self.report
-        return report is not None and report.silent_ms >= _SILENT_MS
+        if report is None or report.silent_ms < _SILENT_MS:
+            return None
+        return self.reported_at - report.silent_ms + _SILENT_MS
+
+    @property
+    def has_silent_worker(self) -> bool:
+        """Whether the worker has not answered its agent for some time."""
+        return self.silent_since is not None
 
     @property
     def has_no_worker(self) -> bool:
@@ -263,6 +272,7 @@
         """Know no agent; ``incarnation`` is the entry's process."""
         self._clock = clock
         self._incarnation = incarnation
+        self._begun_at = clock.now()
         self._connections = count(1)
         self.departed: dict[str, Departed] = {}
         self.by_agent: dict[str, Worker] = {}
@@ -283,7 +293,9 @@
 
     def disconnected(self, agent_id: str) -> None:
         """The agent's connection is gone."""
-        self.by_agent[agent_id].is_connected = False
+        worker = self.by_agent[agent_id]
+        worker.is_connected = False
+        worker.disconnected_at = self._clock.now()
 
     def left(self, worker: Worker, message: AgentLeft) -> 'Departed':
         """An agent says that it ends, and that nothing runs there."""
@@ -293,14 +305,17 @@
             self.departed.pop(next(iter(self.departed)))
         return departed
 
-    def is_at_work(self, agent_id: str) -> bool:
-        """Whether an agent has an open connection, and its worker answers."""
+    def away_since(self, agent_id: str) -> float | None:
+        """Since when an agent is away or its worker silent, None if neither.
+
+        One that this process has never met may have been away for longer.
+        """
         worker = self.by_agent.get(agent_id)
-        return (
-            worker is not None
-            and worker.is_connected
-            and not worker.has_silent_worker
-        )
+        if worker is None:
+            return self._begun_at
+        if not worker.is_connected:
+            return worker.disconnected_at
+        return worker.silent_since
 
     def over_at(self, agent_id: str) -> float:
         """When all that this entry has granted an agent is over."""
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -127,6 +127,8 @@
     def loaded(self) -> None:
         """A shard's jobs are known: hear what runs, and what has ended."""
         self.hear_departed()
+        for owned in self.shards.by_shard.values():
+            owned.turn(self._fleet)
         self.ask_all()
 
     def hear_departed(self) -> None:
--- a/tests/test_jobs_lost_vms.py
+++ b/tests/test_jobs_lost_vms.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hyssopring.jobs.times import LOST_AFTER_MS
+from hyssopring.jobs.times import LOST_AFTER_MS, ROSTER_WAIT_MS
 from standins.jobs.deployment import Deployment, a_job, settled
 
 FOREVER_MS = 1e9
@@ -194,3 +194,19 @@
     left_s = died_at + 5.5 + 7 - deployment.reactor.seconds()
     deployment.run(left_s)
     assert running(deployment, job) == set(range(5))
+
+
+def test_owners_that_live_for_a_moment_do_not_prolong_the_wait():
+    """Owners were killed 0.3 s after their takeovers, and wrote nothing."""
+    deployment, job = lasting(4, entries=9)
+    lose_vm(deployment)
+    kill_owner(deployment)
+    run_until_owned(deployment)
+    first_at = deployment.reactor.seconds()
+    for _each in range(6):
+        deployment.run(0.3)
+        kill_owner(deployment)
+        run_until_owned(deployment)
+    left_s = first_at + ROSTER_WAIT_MS / 1000 - deployment.reactor.seconds()
+    deployment.run(max(0, left_s) + RESTART_S)
+    assert running(deployment, job) == set(range(4))
