--- a/tests/test_jobs_lasting.py
+++ b/tests/test_jobs_lasting.py
@@ -1,4 +1,4 @@
-"""Tasks that last and stay away, in virtual time, measured by the rule.
+"""Tasks that last and stay away, in virtual time, judged by the rule.
 
 Made after a day on which tasks that fail by themselves after some seconds ran
 nowhere, beside workers that die and owners that are killed in series.
--- a/tests/test_jobs_lasting_trials.py
+++ b/tests/test_jobs_lasting_trials.py
@@ -1,6 +1,6 @@
 """Tasks that last, beside trials of tasks that were starting at a crash.
 
-Measured by the rule: from nine seconds after its last run each of them has to
+By the rule: from nine seconds after its last run each of them has to
 run again, if the last seven were calm.
 """
 
--- a/tests/test_jobs_lasting_waits.py
+++ b/tests/test_jobs_lasting_waits.py
@@ -1,6 +1,6 @@
 """Tasks that last, and what an owner or an agent waits for before the next run.
 
-Measured by the rule: from nine seconds after its last run each of them has to
+By the rule: from nine seconds after its last run each of them has to
 run again, if the last seven were calm.
 """
 
