Evacuation of an availability zone: no task starts there

What callers and operators saw: the operator's rows op/evacuate/ZONE were read by nobody; tasks went on starting in a zone that was to receive nothing more.

Cause: the follower of the operator's table looked at the configuration's row only, and neither planner nor agent knew of zones that take nothing.

Change: entries read all evacuation rows at one version of the store, again whenever one changed, the history was lost or changes were skipped, and tell all entries and agents. The higher version wins. The owner places nothing there, nor anything before it knows the rows; the agent refuses starts and repeats none, and tells an owner that is behind. Tasks at work go on.

Ruled out: single changes instead of whole sets (a skipped or late one would stay for ever); agents as readers of the table; stops of lasting tasks.

--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -33,6 +33,8 @@
         Event.AGENT_DISCONNECTED,
         Event.CONNECTION_SILENT,
         Event.AGENT_LEFT,
+        Event.EVACUATION_BEGUN,
+        Event.EVACUATION_ENDED,
     )
 )
 _Record = Mapping[str, Any]
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -17,6 +17,13 @@
         Event.AGENT_DISCONNECTED: 'the connection to {agent} ended',
         Event.AGENT_LEFT: '{agent} ended with its worker; nothing runs there',
         Event.CONNECTION_SILENT: 'nothing was heard of {agent}; dialled anew',
+        Event.EVACUATION_BEGUN: (
+            'zone {zone} is evacuated: nothing is placed there, {age_ms} ms '
+            + 'after {source} knew of it'
+        ),
+        Event.EVACUATION_ENDED: (
+            'zone {zone} is evacuated no longer, after {age_ms} ms'
+        ),
         Event.JOB_ACCEPTED: 'accepted in queue {queue} with {tasks} tasks',
         Event.JOB_FORGOTTEN: 'its rows were deleted, an hour after its end',
         Event.KEEPER_LOST: '{task} is down on {agent}: {why}',
--- a/hyssopring/cli/log_timeline.py
+++ b/hyssopring/cli/log_timeline.py
@@ -5,6 +5,10 @@
 from typing import Final, Iterable, Iterator, Sequence
 
 from hyssopring.cli.log_causes import likely_cause
+from hyssopring.cli.log_evacuations import (
+    find_evacuations,
+    is_evacuation_event,
+)
 from hyssopring.cli.log_lines import FoundLines, LogLine, Subject
 from hyssopring.cli.log_outages import (
     StoreOutage,
@@ -59,9 +63,14 @@
         line
         for line in found.lines
         if not is_outage_event(line)
+        and not is_evacuation_event(line)
         and (subject.is_named_in(line) or window.includes(line))
     ]
-    shown = [*_last_owner_line(found.lines, window.since), *in_window]
+    shown = [
+        *_last_owner_line(found.lines, window.since),
+        *find_evacuations(found.lines, window.since, window.until),
+        *in_window,
+    ]
     outages = [
         outage
         for outage in find_outages(found.lines)
--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -14,9 +14,10 @@
 from hyssopring.jobs.agent_shutdown import AgentShutdown
 from hyssopring.jobs.attempts import Attempt, AttemptTable, Phase
 from hyssopring.jobs.end_table import EndTable
+from hyssopring.jobs.evacuation_messages import EvacuationNotice
 from hyssopring.jobs.fences import FenceCounter
 from hyssopring.jobs.messages import (
-    RUNNING_HERE,
+    EVACUATED,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -29,6 +30,7 @@
 )
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.orders import WorkerOrders
+from hyssopring.jobs.own_zone import OwnZone
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.received_starts import ReceivedStarts
 from hyssopring.jobs.shards import shard_of_task
@@ -53,6 +55,7 @@
         monitor: Polls the worker and extends the hold on its tasks.
         table: The attempts that use resources of the worker.
         shutdown: State of the process's shutdown.
+        own_zone: Whether the worker's availability zone is evacuated.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         port: WorkerPort,
         send: Send,
         wall_ms: Callable[[], float],
+        zone: str = '',
     ) -> None:
         """Start polling when the worker announces itself.
 
@@ -69,10 +73,12 @@
             port: Calls to the worker.
             send: Sends a message to the entry of the given ID.
             wall_ms: Returns the milliseconds since 1970.
+            zone: Availability zone of the worker.
         """
         self._reactor = reactor
         self._clock = clock
         self._send = send
+        self.own_zone = OwnZone(clock, zone, send)
         self.monitor = WorkerMonitor(
             reactor, clock, port, FenceCounter(wall_ms)
         )
@@ -85,6 +91,7 @@
             self.monitor,
             self.table,
             self._start_refused,
+            lambda: not self.own_zone.is_evacuated,
         )
         self._pacer = Pacer(clock, self._orders.set_pace)
         self._ends = EndTable()
@@ -113,6 +120,7 @@
     def connected(self, entry_id: str) -> None:
         """Report the worker's state to an entry that has connected."""
         self._report(entry_id)
+        self.own_zone.announce_to(entry_id)
 
     def disconnected(self, entry_id: str) -> None:
         """Stop reporting to an entry whose connection is closed."""
@@ -181,6 +189,12 @@
         if attempt is not None and attempt.number == facts.attempt:
             attempt.facts = facts
 
+    @handle_message.register
+    def _handle_evacuations(
+        self, notice: EvacuationNotice, entry_id: str
+    ) -> None:
+        self.own_zone.handle_notice(notice, entry_id)
+
     @handle_message.register
     def _handle_start(self, order: StartOrder, entry_id: str) -> None:
         facts = order.facts
@@ -189,6 +203,10 @@
             return
         reason = self._refusal_reason(order, entry_id)
         if reason:
+            if reason == EVACUATED:
+                # The owner does not know of the evacuation yet, and would
+                # send the start again.
+                self.own_zone.announce_to(entry_id)
             self._refuse(entry_id, order.shard, facts, reason)
             return
         attempt = Attempt(
@@ -217,31 +235,19 @@
 
     def _refusal_reason(self, order: StartOrder, entry_id: str) -> str:
         """Return why a start order is refused; empty if it is accepted."""
-        facts = order.facts
         if not self._leases.observe_epoch(order.shard, order.reign, entry_id):
             return 'deposed'
         if order.boot != self.monitor.boot:
             return 'boot'
         if self.monitor.announced.is_leaving or self.shutdown.has_begun:
             return 'leaving'
+        if self.own_zone.is_evacuated:
+            return EVACUATED
         if self._leases.expiry_of(order.shard) <= self._clock.now():
             return 'no-grant'
-        return self._task_refusal_reason(facts)
-
-    def _task_refusal_reason(self, facts: TaskRequirements) -> str:
-        if facts.task in self.table.by_task:
-            return RUNNING_HERE
-        if self.table.is_closed(facts.task, facts.attempt):
-            return 'closed'
-        if not self.table.is_sized:
-            return 'unsized'
-        cpu = 0 if facts.fills else facts.cpu_millis
-        size = Size(cpu, facts.memory_mb, facts.accelerators)
-        # An attempt being stopped counts until the worker has listed its end.
-        used = self.table.used().plus(size)
-        if not used.fits_in(self.monitor.announced.capacity):
-            return 'room'
-        return ''
+        return self.table.refusal_reason(
+            order.facts, self.monitor.announced.capacity
+        )
 
     def _start_refused(self, attempt: Attempt, reason: str) -> None:
         """Pass on that the worker refused a start."""
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field, replace
 from typing import Iterable
 
-from hyssopring.jobs.messages import AttemptReport, TaskRequirements
+from hyssopring.jobs.messages import (
+    RUNNING_HERE,
+    AttemptReport,
+    TaskRequirements,
+)
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.worker_port import Listing, WorkerRow
@@ -220,6 +224,22 @@
             total = total.plus(attempt.reserved_size())
         return total
 
+    def refusal_reason(self, facts: TaskRequirements, capacity: Size) -> str:
+        """Return why an attempt may not start; empty if it may.
+
+        The reasons are those of a ``StartRefusal``.
+        """
+        if facts.task in self.by_task:
+            return RUNNING_HERE
+        if self.is_closed(facts.task, facts.attempt):
+            return 'closed'
+        if not self.is_sized:
+            return 'unsized'
+        cpu = 0 if facts.fills else facts.cpu_millis
+        size = Size(cpu, facts.memory_mb, facts.accelerators)
+        # An attempt being stopped counts until the worker has listed its end.
+        return '' if self.used().plus(size).fits_in(capacity) else 'room'
+
     def clear(self) -> None:
         """Forget all attempts, for a new incarnation of the worker."""
         self.by_task.clear()
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -14,6 +14,7 @@
 )
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.entry_membership import EntryMembership
+from hyssopring.jobs.evacuation_messages import EvacuationNotice
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.former_owner import AcquiredShard
 from hyssopring.jobs.handover import ReleasedShards, release_message
@@ -47,6 +48,7 @@
 )
 from hyssopring.jobs.shards import shard_of
 from hyssopring.jobs.shared_configuration import SharedConfiguration
+from hyssopring.jobs.shared_evacuations import SharedEvacuations
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobEntryCore',)
@@ -62,6 +64,7 @@
         fleet: The agents known to this entry.
         owner: Plans the owned shards.
         configuration: The configuration that the entries share.
+        evacuations: The evacuated zones that entries and agents share.
         job_api: Serves callers' requests about jobs.
     """
 
@@ -83,7 +86,12 @@
         self._membership = membership
         self._peers = peers
         self._released_shards = ReleasedShards()
-        self.fleet = Fleet(clock, membership.incarnation)
+        self.evacuations = SharedEvacuations(clock, peers, lambda: self.agents)
+        self.fleet = Fleet(
+            clock,
+            membership.incarnation,
+            self.evacuations.known.allows_starts,
+        )
         self.owner = JobOwner(
             reactor,
             clock,
@@ -119,6 +127,7 @@
         """Register an agent that has opened a connection."""
         worker = self.fleet.record_connection(agent_id, zone)
         log_event(Event.AGENT_CONNECTED, agent=agent_id)
+        self.evacuations.announce_to(agent_id)
         self.owner.agent_connected(worker)
 
     def agent_disconnected(self, agent_id: str) -> None:
@@ -202,15 +211,10 @@
             ),
         )
 
-    @handle_message.register
-    def _handle_state_response(
-        self, message: JobStateResponse, peer_id: str
-    ) -> None:
-        self._requests.handle_response(message.number, message)
-
-    @handle_message.register
-    def _handle_pending_response(
-        self, message: PendingJobsResponse, peer_id: str
+    @handle_message.register(JobStateResponse)
+    @handle_message.register(PendingJobsResponse)
+    def _handle_peer_response(
+        self, message: JobStateResponse | PendingJobsResponse, peer_id: str
     ) -> None:
         self._requests.handle_response(message.number, message)
 
@@ -227,6 +231,12 @@
     def _handle_configuration(self, message: JobsMessage, peer_id: str) -> None:
         self.configuration.handle_message(message, peer_id)
 
+    @handle_message.register
+    def _handle_evacuations(
+        self, message: EvacuationNotice, peer_id: str
+    ) -> None:
+        self.evacuations.handle_notice(message, peer_id)
+
     @handle_message.register
     def _handle_relayed_response(
         self, message: RelayedResponse, peer_id: str
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from itertools import count
-from typing import Final
+from typing import Callable, Final
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.messages import AgentLeft
@@ -36,12 +36,20 @@
         by_agent: Agents with their workers, by agent ID.
     """
 
-    def __init__(self, clock: Clock, incarnation: str = '') -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        incarnation: str = '',
+        allows_starts: Callable[[str], bool] | None = None,
+    ) -> None:
         """Start without agents.
 
         Args:
             incarnation: Identifies the entry's process.
+            allows_starts: Returns whether tasks may start in an availability
+                zone; None if they may in every one.
         """
+        self._allows_starts = allows_starts or _allow_all
         self._clock = clock
         self._incarnation = incarnation
         self._started_at_ms = clock.now()
@@ -164,6 +172,21 @@
         grant has expired would count as ended at once, and would be started
         there again in each round.
         """
+        return [
+            worker
+            for worker in self._workers_with_grant()
+            if self._allows_starts(worker.zone)
+        ]
+
+    def evacuated_workers(self) -> list[Worker]:
+        """Return the workers that get no tasks because of their zone."""
+        return [
+            worker
+            for worker in self._workers_with_grant()
+            if not self._allows_starts(worker.zone)
+        ]
+
+    def _workers_with_grant(self) -> list[Worker]:
         now_ms = self._clock.now()
         return [
             worker
@@ -173,3 +196,7 @@
 
 
 GRANT_TTL_MS = int(GRANT_MS)
+
+
+def _allow_all(_zone: str) -> bool:
+    return True
--- a/hyssopring/jobs/keeper_waits.py
+++ b/hyssopring/jobs/keeper_waits.py
@@ -3,7 +3,7 @@
 import enum
 from collections import defaultdict
 from dataclasses import dataclass
-from typing import Callable, Final, Iterator, Mapping
+from typing import Callable, Final, Iterable, Iterator, Mapping
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.crash_suspects import CrashSuspects
@@ -42,6 +42,8 @@
     NO_LABEL: No such worker has the required label.
     NO_ROOM: No such worker has enough free capacity.
     WORKER_LIMIT: All such workers have reached the step's limit per worker.
+    EVACUATED: The workers on which the task could start are in evacuated
+        availability zones, or the evacuated zones are not known yet.
     UNCONFIRMED: The start was sent, and no report has listed the task.
     STOPPING: An attempt is being stopped.
     NEXT_ROUND: Nothing: the next planning round places the task.
@@ -57,6 +59,7 @@
     NO_LABEL = 'no-label'
     NO_ROOM = 'no-room'
     WORKER_LIMIT = 'worker-limit'
+    EVACUATED = 'evacuated'
     UNCONFIRMED = 'unconfirmed'
     STOPPING = 'stopping'
     NEXT_ROUND = 'next-round'
@@ -258,6 +261,20 @@
 
     def _placement_obstacle(self, missing: _MissingTask) -> WaitReason:
         """Return why no worker is chosen for a task that may start."""
+        workers = self._suspects.available_workers(self._shards)
+        reason = self._unmet_condition(missing, workers)
+        if reason is WaitReason.NEXT_ROUND:
+            return reason
+        evacuated_workers = self._fleet.evacuated_workers()
+        with_evacuated = self._unmet_condition(missing, evacuated_workers)
+        if with_evacuated is WaitReason.NEXT_ROUND:
+            return WaitReason.EVACUATED
+        return reason
+
+    def _unmet_condition(
+        self, missing: _MissingTask, workers: Iterable[Worker]
+    ) -> WaitReason:
+        """Return the first condition that none of the workers meets."""
         service = missing.record.job.queue.service
         tickets = self._ticket_manager.valid_tickets(
             missing.record, missing.run
@@ -265,7 +282,7 @@
         interference = InterferenceModel()
         options = [
             PlacementOption.from_worker(worker, interference)
-            for worker in self._suspects.available_workers(self._shards)
+            for worker in workers
             if worker.service == service
             and (tickets is None or worker.boot in tickets)
         ]
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -14,6 +14,7 @@
     ConfigurationRequest,
     ConfigurationText,
 )
+from hyssopring.jobs.evacuation_messages import EvacuationNotice
 from hyssopring.jobs.relay_messages import (
     RelayedChanges,
     RelayedCommit,
@@ -29,6 +30,7 @@
 
 __all__ = (
     'BAD_TICKET',
+    'EVACUATED',
     'RUNNING_HERE',
     'AgentGrant',
     'AgentGreeting',
@@ -232,6 +234,8 @@
 
 # Reason of a ``StartRefusal``: an attempt of the task is on the worker.
 RUNNING_HERE: Final = 'running'
+# Reason of a ``StartRefusal``: the agent's availability zone is evacuated.
+EVACUATED: Final = 'evacuated'
 # Reason of a ``StartRefusal``: the worker rejected the order's ticket.
 BAD_TICKET: Final = 'ticket'
 
@@ -243,7 +247,8 @@
     Other attempts of the task are not affected.
 
     Attributes:
-        reason: The value of a ``StartOutcome``, ``RUNNING_HERE``, or one of:
+        reason: The value of a ``StartOutcome``, ``RUNNING_HERE``,
+            ``EVACUATED``, or one of:
             'deposed': the agent knows a higher epoch of the shard;
             'boot': the order is for another incarnation of the worker;
             'leaving': the worker leaves or the agent shuts down;
@@ -407,6 +412,7 @@
     | ConfigurationRequest
     | ConfigurationText
     | ConfigurationPart
+    | EvacuationNotice
 )
 
 # The first byte of a frame is the class's index here: add new ones last.
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -38,12 +38,14 @@
         monitor: WorkerMonitor,
         table: AttemptTable,
         on_refused: Callable[[Attempt, str], None],
+        may_start: Callable[[], bool],
     ) -> None:
         """Send requests by ``port``.
 
         Args:
             on_refused: Called with an attempt that the worker refused to start
                 and the reason.
+            may_start: Returns whether tasks may still start on the worker.
         """
         self._reactor = reactor
         self._clock = clock
@@ -51,6 +53,7 @@
         self._monitor = monitor
         self._table = table
         self._on_refused = on_refused
+        self._may_start = may_start
 
     def start(self, order: StartOrder, attempt: Attempt) -> None:
         """Send a start, and repeat it until it is answered or abandoned."""
@@ -62,7 +65,11 @@
             # The next incarnation might carry it out.
             self._retry_later(self.start, order, attempt)
             return
-        if attempt.tries >= _MAX_TRIES or not self._has_room(attempt):
+        if (
+            attempt.tries >= _MAX_TRIES
+            or not self._may_start()
+            or not self._has_room(attempt)
+        ):
             self.stop(attempt)
             return
         attempt.tries += 1
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -46,6 +46,7 @@
             PlatformWorker(reactor, settings.app),
             self._send,
             wall_ms,
+            settings.zone,
         )
         self._dialler = LinkDialler(
             reactor,
@@ -114,6 +115,7 @@
         gauge('attempts_running', len(self.core.table.by_task))
         gauge('worker_silent_ms', self.core.monitor.silent_ms)
         gauge('entries_connected', len(self._dialler.connected))
+        gauge('zones_evacuated', len(self.core.own_zone.evacuations.zones))
 
     def _tick(self) -> None:
         self._dialler.tick()
--- a/hyssopring/platform/configuration.py
+++ b/hyssopring/platform/configuration.py
@@ -21,6 +21,7 @@
 )
 from hyssopring.jobs.stored_configuration import StoredConfiguration
 from hyssopring.logs import Event, log_event
+from hyssopring.platform.evacuations import is_evacuation
 
 __all__ = ('ConfigurationFollower', 'read_configuration')
 
@@ -107,7 +108,12 @@
 
 
 class ConfigurationFollower:
-    """Follows the newest configuration; its version never decreases."""
+    """Follows the newest configuration; its version never decreases.
+
+    Attributes:
+        on_evacuations_outdated: Called when the rows that evacuate zones,
+            which are in the same table, may have changed.
+    """
 
     def __init__(
         self,
@@ -119,6 +125,7 @@
         self._reactor = reactor
         self._store = store
         self._on_table = on_table
+        self.on_evacuations_outdated: Callable[[], None] = _ignore
         self._version = -1
         self._store_version = 0
         self._reading: Deferred | None = None
@@ -126,6 +133,7 @@
 
     def start(self) -> None:
         """Read the configuration, then follow its changes."""
+        self.on_evacuations_outdated()
         reading = self._store.read(_CONFIGURATION_TABLE, '', _ROW_KEY.key)
         self._await(reading, self._on_read)
 
@@ -137,6 +145,8 @@
         """
         if self._apply(stored, 'peer') and stored.row_version:
             self._store_version = max(self._store_version, stored.row_version)
+            # The changes up to that version are not read any more.
+            self.on_evacuations_outdated()
             if self._reading is not None:
                 self._reading.cancel()
 
@@ -159,6 +169,8 @@
         self._continue()
 
     def _on_changes(self, changes: Changes) -> None:
+        if any(map(is_evacuation, changes.rows)):
+            self.on_evacuations_outdated()
         self._apply_newest(changes.rows)
         self._store_version = max(self._store_version, changes.version)
         self._continue()
@@ -236,5 +248,9 @@
         return True
 
 
+def _ignore() -> None:
+    """Default of ``on_evacuations_outdated``."""
+
+
 def _row_version(stored: StoredConfiguration) -> int:
     return stored.row_version
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -32,6 +32,7 @@
 from hyssopring.platform.advice import advice_client_for
 from hyssopring.platform.callers import CallersResource
 from hyssopring.platform.configuration import ConfigurationFollower
+from hyssopring.platform.evacuations import EvacuationReader
 from hyssopring.platform.listening import listen
 from hyssopring.platform.metrics import serve_metrics
 from hyssopring.platform.readiness import ReadyResource
@@ -109,6 +110,12 @@
             self._on_configuration,
         )
         self.core.configuration.on_stored = self._follower.apply_from_peer
+        self._follower.on_evacuations_outdated = EvacuationReader(
+            reactor,
+            direct,
+            settings.zones,
+            self.core.evacuations.apply_stored,
+        ).refresh
         self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
         self._is_stopping = False
         self._entry_addresses: list[str] = []
@@ -196,6 +203,7 @@
         )
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
+        gauge('zones_evacuated', len(self.core.evacuations.known.zones))
         table = self._callers.table
         gauge('configuration_version', table.version if table else 0)
 
@@ -221,6 +229,7 @@
             self.send_response(peer_id, EntryAddresses(self._entry_addresses))
         else:
             self.core.configuration.announce_to(peer_id)
+            self.core.evacuations.announce_to(peer_id)
 
     def _handle_message(self, peer_id: str, message: JobsMessage) -> None:
         self.core.handle_message(message, peer_id)
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -72,6 +72,7 @@
     node_name: str
     ip: str
     zone: str
+    zones: dict[str, str] = Field(default_factory=dict)
     bind_addresses: BindAddresses
     internal_ports: tuple[int, int]
     seeds: tuple[str, ...] = ()
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -9,7 +9,7 @@
 from hyssopring.jobs.model import Job, Queue, Size, Step
 from standins.jobs.advice import SimAdvice
 from standins.jobs.run_recorder import RunRecorder
-from standins.jobs.processes import Agent, Entry
+from standins.jobs.processes import ZONE, Agent, Entry
 from standins.jobs.rows import MemoryRows
 from standins.jobs.worker import SimWorker
 
@@ -25,6 +25,8 @@
 
     Attributes:
         step_s: The step by which the clock advances.
+        zones: If set, the agents are in these zones in turn, and the entries
+            follow the operator's rows.
     """
 
     step_s = STEP_S
@@ -37,8 +39,14 @@
         rate=1,
         cores_by_entry=(),
         keeps_ids=False,
+        zones=(),
     ):
         self.cores_by_entry = dict(cores_by_entry)
+        self.zones = zones
+        self.zone_by_agent = {
+            f'agent-{number}': zone
+            for number, zone in zip(range(workers), itertools.cycle(zones))
+        }
         self.reactor = Reactor()
         self.rows = MemoryRows(self.reactor)
         self.run_recorder = RunRecorder()
@@ -110,7 +118,8 @@
     def link(self, agent, entry):
         generation = object()
         self.links[agent.name, entry.name] = generation
-        entry.core.agent_connected(agent.name, 'zone')
+        zone = self.zone_by_agent.get(agent.name, ZONE)
+        entry.core.agent_connected(agent.name, zone)
         agent.core.connected(entry.name)
 
     def block(self, agent_name, entry_name):
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -8,6 +8,8 @@
 from hyssopring.jobs.entry_membership import EntryMembership
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.times import ENTRY_HEARTBEAT_MS
+from hyssopring.platform.configuration import ConfigurationFollower
+from hyssopring.platform.evacuations import EvacuationReader
 from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.worker import PlatformWorker
 from standins.jobs.advice import AdviceLink
@@ -23,6 +25,7 @@
 POLL_S = 1.5
 BEAT_S = 1.5
 REDIAL_S = 0.3
+ZONE = 'zone'
 
 
 class ReactorClock:
@@ -108,11 +111,28 @@
             self,
             AdviceLink(deployment.advice, name, self.reactor),
         )
+        if deployment.zones:
+            self._follow_operator(deployment.zones)
+        else:
+            self.core.evacuations.apply_stored(0, ())
         self.every(ENTRY_HEARTBEAT_MS / MILLIS_PER_SECOND, self.membership.tick)
         self.every(ENTRY_TICK_S, self.core.tick)
         self.every(POLL_S, self.core.poll)
         self.reactor.callLater(0, self.membership.tick)
 
+    def _follow_operator(self, zones):
+        store = self.deployment.rows.client(self.name, self.reactor)
+        follower = ConfigurationFollower(
+            self.reactor, store, lambda table, stored: None
+        )
+        follower.on_evacuations_outdated = EvacuationReader(
+            self.reactor,
+            store,
+            zones,
+            self.core.evacuations.apply_stored,
+        ).refresh
+        follower.start()
+
     @property
     def connected_entries(self):
         return [
@@ -188,6 +208,7 @@
             WorkerLink(self.port, self.reactor),
             self.send,
             deployment.wall_ms,
+            deployment.zone_by_agent.get(name, ZONE),
         )
         monitor = self.core.monitor
         self.reports = ReportsResource(
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -30,6 +30,8 @@
     'TASK_GIVEN_UP': 3041,
     'SUSPECT_CLEARED': 3042,
     'TASK_WAITING': 3044,
+    'EVACUATION_BEGUN': 4005,
+    'EVACUATION_ENDED': 4007,
     'STORE_UNREACHABLE': 5001,
     'STORE_RECOVERED': 5002,
 }
@@ -414,3 +416,42 @@
         )
     )
     assert 'worker replaced, i-1#1000 before, i-1#5000 now' in text
+
+
+def evacuation(second, name, version, age_ms=0):
+    return line(
+        second,
+        name,
+        zone='zone-a',
+        version=version,
+        source='store',
+        age_ms=age_ms,
+    )
+
+
+def test_evacuations_in_a_jobs_time_are_shown_once(explain):
+    """Guards against a job that waits for room without a visible reason."""
+    begun = [evacuation(1, 'EVACUATION_BEGUN', 5)]
+    ended = [evacuation(9, 'EVACUATION_ENDED', 6, 8000)]
+    timeline = explain(
+        [*begun, accepted(3), placed(9.5), *ended, finished(12, 9000, 4000)],
+        [*begun, *ended],
+    )
+    shown = [text for text in timeline if 'zone-a' in text]
+    assert len(shown) == 2
+    assert 'zone zone-a is evacuated: nothing is placed there' in shown[0]
+    assert 'evacuated no longer, after 8000 ms' in shown[1]
+
+
+def test_evacuation_that_ended_before_a_job_is_not_shown(explain):
+    """Guards against a timeline that blames a past evacuation."""
+    timeline = explain(
+        [
+            evacuation(1, 'EVACUATION_BEGUN', 5),
+            evacuation(2, 'EVACUATION_ENDED', 6, 1000),
+            accepted(3),
+            placed(3.5),
+            finished(5, 2000, 4000),
+        ]
+    )
+    assert not [text for text in timeline if 'zone-a' in text]
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -17,6 +17,7 @@
     'agents_connected',
     'requests_open',
     'configuration_version',
+    'zones_evacuated',
     'attempts_running',
     'worker_silent_ms',
     'entries_connected',
