Colocation bench: a second load of large workers and wide jobs

What it is for: the work of one deployment has shifted to workers of 64 cores that lasting tasks reserve almost entirely, and to jobs of wide steps of 7-core tasks.

--- a/bench/colocation.py
+++ b/bench/colocation.py
@@ -6,7 +6,8 @@
 difference to the first variant with its standard error.
 
     python -m bench.colocation [--seeds 8] [--first 1] [--jobs 4]
-        [--variants 'as it is,no pace'] [--plot docs/plots/colocation.svg]
+        [--load 'small workers'] [--variants 'as it is,no pace']
+        [--plot docs/plots/colocation.svg]
 """
 
 import argparse
@@ -18,12 +19,14 @@
 from loguru import logger
 
 from bench.colocation_day import Day
+from bench.colocation_load import LOADS_BY_NAME
 from bench.colocation_score import Score
 from bench.colocation_variants import AS_IT_IS, VARIANTS_BY_NAME
 
 matplotlib.use('Agg')
 from matplotlib import pyplot  # noqa: E402
 
+DEFAULT_LOAD = 'small workers'
 HEADINGS = (
     ('worth', 'of all that is owed'),
     ('large', 'of what large jobs are owed'),
@@ -34,21 +37,21 @@
 )
 
 
-def play(variant, seed):
+def play(variant, seed, load=DEFAULT_LOAD):
     """Simulate one seed under one variant; patches stay in this process."""
     with ExitStack() as patches:
         for change in VARIANTS_BY_NAME[variant]:
             patches.enter_context(change())
-        return Score.from_day(Day(seed).play())
+        return Score.from_day(Day(seed, LOADS_BY_NAME[load]).play())
 
 
-def play_all(names, seeds, jobs):
+def play_all(names, seeds, jobs, load=DEFAULT_LOAD):
     """Return scores by variant, each in the order of the seeds."""
-    pairs = [(name, seed) for name in names for seed in seeds]
+    plays = [(name, seed, load) for name in names for seed in seeds]
     with ProcessPoolExecutor(jobs, initializer=logger.remove) as pool:
-        scores = pool.map(play, *zip(*pairs, strict=True))
+        scores = pool.map(play, *zip(*plays, strict=True))
     scores_by_variant = {name: [] for name in names}
-    for (name, _seed), score in zip(pairs, scores, strict=True):
+    for (name, *_), score in zip(plays, scores, strict=True):
         scores_by_variant[name].append(score)
     return scores_by_variant
 
@@ -108,6 +111,7 @@
     parser.add_argument('--seeds', type=int, default=8)
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--jobs', type=int, default=4)
+    parser.add_argument('--load', default=DEFAULT_LOAD, choices=LOADS_BY_NAME)
     parser.add_argument('--variants', default=','.join(VARIANTS_BY_NAME))
     parser.add_argument('--plot')
     arguments = parser.parse_args()
@@ -115,7 +119,9 @@
         name for name in arguments.variants.split(',') if name != AS_IT_IS
     ]
     seeds = range(arguments.first, arguments.first + arguments.seeds)
-    scores_by_variant = play_all([AS_IT_IS, *variants], seeds, arguments.jobs)
+    scores_by_variant = play_all(
+        [AS_IT_IS, *variants], seeds, arguments.jobs, arguments.load
+    )
     for line in table(scores_by_variant):
         print(line)
     if arguments.plot:
--- a/bench/colocation_day.py
+++ b/bench/colocation_day.py
@@ -9,24 +9,17 @@
 import random
 from dataclasses import dataclass
 
-from bench.colocation_jobs import SMALL_PER_S, JobDraw
+from bench.colocation_jobs import JobDraw
+from bench.colocation_load import SMALL_WORKERS
 from hyssopring.jobs.model import AttemptEnd, Job, Size, TaskName
 from standins.jobs.deployment import Deployment
 from standins.jobs.interference import Interference
 from standins.jobs.shared_worker import KeeperTimes, SharedWorker
 
-WORKERS = 11
-CORES = (32, 32, 48)
-MEMORY_MB = 128_000
-# Share of all cores that keepers reserve.
-KEEPER_RESERVED_SHARE = 0.62
 ACQUISITION_S = 3
 KEEPER_START_S = 4
 LOAD_S = 36
 COOLDOWN_S = 14
-LARGE_PER_S = 0.75
-# A burst of large jobs exceeds what the workers can finish in time.
-BURST_FACTOR = 2.6
 BURST_S = 6
 OUTAGE_S = 5
 TICK_S = 0.1
@@ -84,7 +77,7 @@
 
     def __init__(self, day):
         self.day = day
-        super().__init__(workers=WORKERS)
+        super().__init__(workers=day.load.workers)
 
     def _worker(self, name):
         cores = self.day.cores[int(name.rpartition('-')[2])]
@@ -92,7 +85,7 @@
             self.reactor,
             name,
             self.run_recorder,
-            Size(cores * MILLIS, MEMORY_MB, 0),
+            Size(cores * MILLIS, self.day.load.memory_mb, 0),
             self.day.interference,
             self.day,
         )
@@ -107,14 +100,24 @@
         keeper_s: Keeper-seconds that should have run under load.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, load=SMALL_WORKERS):
+        self.load = load
         self.random = random.Random(seed)
         self.interference = Interference(
-            seed, is_synchronous=self.random.random() < 0.6
+            seed,
+            is_synchronous=self.random.random() < 0.6,
+            keeper_images=load.keepers.images,
+            filler_images=load.filler_images,
+            mean_share=load.mean_interference,
+            load=load.keepers.load,
+            load_swing=load.keepers.load_swing,
+            load_period_s=load.keepers.load_period_s,
         )
-        self.jobs = JobDraw(self.random, self.interference)
+        self.jobs = JobDraw(self.random, self.interference, load)
         self.times = KeeperTimes()
-        self.cores = [self.random.choice(CORES) for _ in range(WORKERS)]
+        self.cores = [
+            self.random.choice(load.cores) for _ in range(load.workers)
+        ]
         self.deployment = SharedDeployment(self)
         self.submitted_by_id = {}
         self.keepers = 0
@@ -152,13 +155,14 @@
         next_large = next_small = begin
         while self.now < begin + LOAD_S:
             is_burst = burst_at <= self.now < burst_at + BURST_S
-            rate = LARGE_PER_S * (BURST_FACTOR if is_burst else 1)
+            rate = self.load.large.per_s
+            rate *= self.load.burst_factor if is_burst else 1
             while next_large <= self.now:
                 self._submit(self.jobs.draw_large())
                 next_large += self.random.expovariate(rate)
             while next_small <= self.now:
                 self._submit(self.jobs.draw_small())
-                next_small += self.random.expovariate(SMALL_PER_S)
+                next_small += self.random.expovariate(self.load.small.per_s)
             self._run(TICK_S)
 
     def _run(self, seconds):
@@ -194,7 +198,8 @@
 
     def _submit_keepers(self):
         """Submit keepers until their share of all cores is reserved."""
-        left_millis = sum(self.cores) * MILLIS * KEEPER_RESERVED_SHARE
+        left_millis = sum(self.cores) * MILLIS
+        left_millis *= self.load.keepers.reserved_share
         while left_millis > 0:
             job = self.jobs.draw_keepers()
             for step in job.steps:
--- a/bench/colocation_jobs.py
+++ b/bench/colocation_jobs.py
@@ -1,44 +1,15 @@
 """Random jobs of a day: keepers, large best-effort jobs, small jobs."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from hyssopring.jobs.model import Job, Queue, Size, Step
+from bench.colocation_load import KEEPER_QUEUE
+from hyssopring.jobs.model import Job, Size, Step
 
 MILLIS = 1000
-SMALL_PER_S = 2.2
-MAX_TASKS = 32
-# Latency target of a keeper as a multiple of the base latency.
-TARGET_FACTOR = 4.5
 # Share of its reservation that a best-effort task uses.
 APPETITES = (0.67, 1, 1)
 CHECKPOINTING_SHARE = 0.85
 
-KEEPER_QUEUE = Queue('keepers', 'service', 0, 2, 2.2, 2500)
-LARGE_QUEUE = Queue('large', 'service', 2, 4, 2.0, 1000)
-SMALL_QUEUE = Queue('small', 'service', 0, 4, 1.5, 250)
-
-
-@dataclass(frozen=True)
-class JobKind:
-    """Mean properties of the jobs of a queue.
-
-    Attributes:
-        steps: Mean, deviation and maximum of the number of steps.
-        width: Mean number of tasks in a step.
-        size: Mean size of a task.
-        work_s: Mean run time of an unthrottled task, in seconds.
-    """
-
-    queue: Queue
-    steps: tuple[float, float, int]
-    width: int
-    size: Size
-    work_s: float
-
-
-LARGE_KIND = JobKind(LARGE_QUEUE, (2, 0.8, 5), 8, Size(3500, 6400, 0), 3.4)
-SMALL_KIND = JobKind(SMALL_QUEUE, (1.6, 0.7, 4), 6, Size(480, 960, 0), 2.0)
-
 
 class JobDraw:
     """Draws jobs and records the hidden properties of their tasks.
@@ -48,8 +19,9 @@
         appetite_by_task: The share of its reservation that a task uses.
     """
 
-    def __init__(self, draw, interference):
+    def __init__(self, draw, interference, load):
         self._random = draw
+        self._load = load
         self._interference = interference
         self._job_count = 0
         self.work_s_by_task = {}
@@ -57,13 +29,15 @@
 
     def draw_keepers(self):
         """Draw keepers of one image with a random limit for each worker."""
-        cpu = int(min(10_000, max(3000, self._random.gauss(6400, 1600))))
+        kind = self._load.keepers
+        mean, deviation, least, most = kind.cpu_millis
+        cpu = int(min(most, max(least, self._random.gauss(mean, deviation))))
         step = Step(
-            self._random.randint(3, 8),
-            Size(cpu, 13_000, 0),
+            self._random.randint(*kind.width),
+            Size(cpu, kind.memory_mb, 0),
             is_keeper=True,
             image=self._random.choice(self._interference.keeper_images),
-            target_ms=round(TARGET_FACTOR * self._interference.base_ms),
+            target_ms=round(kind.target_factor * self._interference.base_ms),
             max_per_worker=self._random.choice([0, 0, 1, 2]),
             max_unavailable=1,
         )
@@ -77,11 +51,11 @@
             'fills': True,
             'saves': self._random.random() < CHECKPOINTING_SHARE,
         }
-        return self._batch(LARGE_KIND, best_effort_fields)
+        return self._batch(self._load.large, best_effort_fields)
 
     def draw_small(self):
         """Draw a job whose steps are ordinary batch tasks."""
-        return self._batch(SMALL_KIND, {})
+        return self._batch(self._load.small, {})
 
     def _batch(self, kind, changes):
         mean, deviation, max_steps = kind.steps
@@ -109,9 +83,10 @@
         width = kind.width * self._random.lognormvariate(0, 0.5)
         mean = kind.size.cpu_millis
         cpu = self._random.gauss(mean, mean * 0.3)
-        estimate_ms = work_s * self._random.uniform(0.8, 1.25) * MILLIS
+        error = kind.estimate_error
+        estimate_ms = work_s * self._random.uniform(1 / error, error) * MILLIS
         return Step(
-            max(1, min(MAX_TASKS, round(width))),
+            max(1, min(kind.max_width, round(width))),
             replace(
                 kind.size, cpu_millis=int(min(2 * mean, max(mean / 3, cpu)))
             ),
--- a/bench/colocation_score.py
+++ b/bench/colocation_score.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from bench.colocation_day import COOLDOWN_S, LOAD_S
-from bench.colocation_jobs import LARGE_QUEUE, SMALL_QUEUE
+from bench.colocation_load import LARGE_QUEUE, SMALL_QUEUE
 
 # Weights of keepers, large and small jobs in the score: users of the simulated
 # days depend on keepers most.
--- a/standins/jobs/interference.py
+++ b/standins/jobs/interference.py
@@ -18,6 +18,10 @@
 NEGLIGIBLE_SHARE = 0.003
 MEAN_SHARE = 0.03
 MAX_SHARE = 0.1
+# Ranges of a keeper's mean load, its swing and its period in seconds.
+LOAD = (0.36, 0.46)
+LOAD_SWING = (0.3, 0.55)
+LOAD_PERIOD_S = (8, 14)
 # Minimum remaining capacity, so that the tail latency stays finite.
 MIN_REMAINING_SHARE = 0.02
 
@@ -53,19 +57,36 @@
             best-effort task takes, by the images of both.
     """
 
-    def __init__(self, seed, is_synchronous=True):
-        """Draw the model; ``is_synchronous`` gives all loads similar phases."""
+    def __init__(
+        self,
+        seed,
+        is_synchronous=True,
+        keeper_images=KEEPER_IMAGES,
+        filler_images=FILLER_IMAGES,
+        mean_share=MEAN_SHARE,
+        load=LOAD,
+        load_swing=LOAD_SWING,
+        load_period_s=LOAD_PERIOD_S,
+    ):
+        """Draw the model; ``is_synchronous`` gives all loads similar phases.
+
+        Args:
+            mean_share: The mean of what a core of an interfering best-effort
+                task takes of a keeper's capacity.
+            load: The range of a keeper's mean load; the next two are those of
+                its swing and period.
+        """
         generator = random.Random(f'interference {seed}')
-        self.keeper_images = [f'keeper-{n}' for n in range(KEEPER_IMAGES)]
-        self.filler_images = [f'filler-{n}' for n in range(FILLER_IMAGES)]
+        self.keeper_images = [f'keeper-{n}' for n in range(keeper_images)]
+        self.filler_images = [f'filler-{n}' for n in range(filler_images)]
         self.noise = generator.uniform(0.05, 0.12)
         self.base_ms = generator.choice([4, 4, 8])
         common = generator.random()
         self.load_by_image = {
             image: Wave(
-                generator.uniform(0.36, 0.46),
-                generator.uniform(0.3, 0.55),
-                generator.uniform(8, 14),
+                generator.uniform(*load),
+                generator.uniform(*load_swing),
+                generator.uniform(*load_period_s),
                 common + generator.uniform(-0.1, 0.1)
                 if is_synchronous
                 else generator.random(),
@@ -73,7 +94,7 @@
             for image in self.keeper_images
         }
         self.interference_by_images = {
-            (keeper, filler): self._draw_interference(generator)
+            (keeper, filler): self._draw_interference(generator, mean_share)
             for keeper in self.keeper_images
             for filler in self.filler_images
         }
@@ -88,10 +109,10 @@
         return self.base_ms / max(MIN_REMAINING_SHARE, 1 - used_share)
 
     @staticmethod
-    def _draw_interference(generator):
+    def _draw_interference(generator, mean_share):
         mean = generator.uniform(0, NEGLIGIBLE_SHARE)
         if generator.random() < INTERFERING_PART:
-            mean = min(MAX_SHARE, generator.expovariate(1 / MEAN_SHARE))
+            mean = min(MAX_SHARE, generator.expovariate(1 / mean_share))
         return Wave(
             mean,
             generator.uniform(0, 0.4),
