--- a/standins/programs.py
+++ b/standins/programs.py
@@ -30,6 +30,7 @@
         'nodeName': name,
         'ip': host,
         'zone': 'z',
+        'zones': {'z': 'r'},
         'bindAddresses': bind,
         'internalPorts': [inner, inner],
         'seeds': [f'{host}:{seed}'],
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -172,6 +172,39 @@
     assert ('the owner died' in cause) == was_owner, explanation
 
 
+def write_rows(tmp_path, **changes):
+    """Commit a transaction at the stand-in's store, as an operator does."""
+    store = json.loads((tmp_path / 'standin.json').read_text())['store']
+    request = urllib.request.Request(
+        f'http://{store}/-/rows-tx',
+        data=json.dumps(changes).encode(),
+        headers={'Content-Type': 'application/json'},
+    )
+    with urllib.request.urlopen(request, timeout=5) as response:
+        assert response.status == 200
+
+
+def test_nothing_starts_while_the_zone_is_evacuated(tmp_path):
+    """Guards the path of an operator's row to the agents' refusals."""
+    path = '/q/5c0e7a21d94b36f8'
+    row = {'table': 'op', 'part': '', 'key': 'evacuate/z'}
+    with run_platform(tmp_path) as ((first, second), _entries):
+        wait_for_response((200, {'pending': 0}), first, 'GET', '/q/')
+        wait_for_response((200, {'pending': 0}), second, 'GET', '/q/')
+        write_rows(tmp_path, writes=[{**row, 'value': 'e30='}])
+        time.sleep(1)
+        body = {'steps': [{'count': 3, 'cpu': 500}]}
+        assert call(second, 'POST', path, body)[0] == 200
+        time.sleep(3)
+        assert call(first, 'GET', path) == (200, {'state': 'queued'})
+        write_rows(tmp_path, remove=[row])
+        wait_for_response((200, {'state': 'completed'}), first, 'GET', path)
+    logs = [log.read_text() for log in tmp_path.glob('process-*.log')]
+    assert sum('EVACUATION_BEGUN' in log for log in logs) == 2
+    assert sum('EVACUATION_IN_FORCE' in log for log in logs) == 2
+    assert sum('EVACUATION_ENDED' in log for log in logs) == 4
+
+
 def test_agents_find_entries_although_all_seeds_are_stale(tmp_path):
     """All processes restart while the seeds name machines that are gone.
 
