Evacuation: a task that runs in the zone is not refused

What callers could have seen: two runs of one task.

Cause: an agent in an evacuated zone refused each start as 'evacuated' before it looked whether the task runs there. The owner counts every refusal but 'running' as settled and starts the task elsewhere; where it did not know of the run, both run.

Change: 'running' comes first. A test sends such an order: it failed before ('evacuated' instead of 'running').

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -18,6 +18,7 @@
 from hyssopring.jobs.fences import FenceCounter
 from hyssopring.jobs.messages import (
     EVACUATED,
+    RUNNING_HERE,
     EndsRecorded,
     Grant,
     JobsMessage,
@@ -241,13 +242,16 @@
             return 'boot'
         if self.monitor.announced.is_leaving or self.shutdown.has_begun:
             return 'leaving'
-        if self.own_zone.is_evacuated:
-            return EVACUATED
         if self._leases.expiry_of(order.shard) <= self._clock.now():
             return 'no-grant'
-        return self.table.refusal_reason(
+        reason = self.table.refusal_reason(
             order.facts, self.monitor.announced.capacity
         )
+        # A task that runs here must not count as refused: it would start
+        # elsewhere as well.
+        if self.own_zone.is_evacuated and reason != RUNNING_HERE:
+            return EVACUATED
+        return reason
 
     def _start_refused(self, attempt: Attempt, reason: str) -> None:
         """Pass on that the worker refused a start."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,9 +1,12 @@
 """No task starts in an evacuated availability zone."""
 
+from dataclasses import replace
+
 import pytest
 
 from hyssopring.jobs.evacuation_messages import EvacuatedZone, EvacuationNotice
 from hyssopring.jobs.keeper_waits import WaitReason
+from hyssopring.jobs.messages import RUNNING_HERE, StartOrder
 from hyssopring.jobs.model import AttemptEnd, JobState
 from hyssopring.jobs.rows import RowKey, RowPut, Transaction
 from hyssopring.logs import Event, _emit, listen_to_events
@@ -162,6 +165,29 @@
     assert not refusals(log_lines)
 
 
+def test_task_that_runs_in_an_evacuated_zone_is_not_refused(log_lines):
+    """Guards against a second run elsewhere of a task that runs there."""
+    deployment = zoned(work_ms=lambda task: 20_000)
+    submit_jobs(deployment, [1])
+    deployment.run(1)
+    evacuate(deployment, 'zone-a')
+    deployment.run(0.5)
+    agent = deployment.agents['agent-0']
+    attempt = next(iter(agent.core.table.by_task.values()))
+    owner = deployment.entries[deployment.owner].core
+    order = StartOrder(
+        attempt.shard,
+        owner.owner.shards.by_shard[attempt.shard].epoch,
+        agent.core.monitor.boot,
+        'x',
+        '',
+        replace(attempt.facts, attempt=attempt.number + 1),
+        owner.fleet.by_agent['agent-0'].connection,
+    )
+    agent.core.handle_message(order, deployment.owner)
+    assert [line['reason'] for line in refusals(log_lines)] == [RUNNING_HERE]
+
+
 def test_agent_refuses_starts_of_an_owner_that_does_not_know():
     """Guards against an owner that is cut off from store and peers."""
     deployment = zoned()
