Evacuation: an entry that the store rejects reads the rows through a peer

What callers could have seen: an entry that starts while the store turns it away, and takes a shard through a peer, would have started nothing until the store served it itself: it places nothing before it knows the evacuated zones, and peers say nothing where none is.

Change: the read goes through the relayed store. A test starts such an entry; it failed before. The test of an owner without store and peers now also takes its peers from it, as its text says: the relay would have told it.

--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -112,7 +112,7 @@
         self.core.configuration.on_stored = self._follower.apply_from_peer
         self._follower.on_evacuations_outdated = EvacuationReader(
             reactor,
-            direct,
+            store,
             settings.zones,
             self.core.evacuations.apply_stored,
         ).refresh
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -112,7 +112,7 @@
             AdviceLink(deployment.advice, name, self.reactor),
         )
         if deployment.zones:
-            self._follow_operator(deployment.zones)
+            self._follow_operator(deployment.zones, client)
         else:
             self.core.evacuations.apply_stored(0, ())
         self.every(ENTRY_HEARTBEAT_MS / MILLIS_PER_SECOND, self.membership.tick)
@@ -120,14 +120,14 @@
         self.every(POLL_S, self.core.poll)
         self.reactor.callLater(0, self.membership.tick)
 
-    def _follow_operator(self, zones):
+    def _follow_operator(self, zones, relayed):
         store = self.deployment.rows.client(self.name, self.reactor)
         follower = ConfigurationFollower(
             self.reactor, store, lambda table, stored: None
         )
         follower.on_evacuations_outdated = EvacuationReader(
             self.reactor,
-            store,
+            relayed,
             zones,
             self.core.evacuations.apply_stored,
         ).refresh
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -193,6 +193,7 @@
     deployment = zoned()
     owner = deployment.entries[deployment.owner]
     owner.core.evacuations.handle_notice = lambda notice, peer_id: None
+    owner.has_peers = False
     deployment.rows.rejected_clients.add(deployment.owner)
     evacuate(deployment, 'zone-a')
     deployment.run(0.5)
@@ -263,6 +264,20 @@
     assert deployment.run_recorder.starts
 
 
+def test_entry_that_starts_while_the_store_rejects_it_may_plan():
+    """Guards against an owner that starts nothing, as it has read nothing.
+
+    A peer makes its calls, so that it may own shards.
+    """
+    deployment = zoned()
+    name = deployment.owner
+    deployment.rows.rejected_clients.add(name)
+    deployment.kill_entry(name)
+    deployment.start_entry(name)
+    deployment.run(3)
+    assert deployment.entries[name].core.evacuations.known.is_known
+
+
 def test_evacuation_after_the_store_has_dropped_its_history():
     """Guards against changes that a follower misses for good."""
     deployment = zoned()
