--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -56,3 +56,16 @@
     listen_to_events(hear)
     yield logged
     _emit._listeners.remove(hear)
+
+
+@pytest.fixture
+def log_lines():
+    """Return the events logged during the test, with their fields."""
+    lines = []
+
+    def record(event, fields):
+        lines.append({'event': event, **fields})
+
+    listen_to_events(record)
+    yield lines
+    _emit._listeners.remove(record)
