--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -51,17 +51,27 @@
 
 @dataclass(frozen=True)
 class JobRow:
-    """An accepted job; ``accepted_ms`` is in ms since 1970."""
+    """An accepted job.
+
+    Attributes:
+        accepted_ms: When it was accepted, in ms since 1970.
+        zone: The availability zone of the entry that accepted it.
+        first_asked_ms: When it was first submitted, in ms since 1970, if it
+            was rejected then; else 0.
+    """
 
     job: Job
     accepted_ms: float
+    zone: str = ''
+    first_asked_ms: float = 0
 
     @classmethod
     def from_text(cls, text: str) -> 'JobRow':
         """Parse a row; raises MalformedRowError."""
         row = _parse(_JOB_ROW, 'job', text)
-        if not math.isfinite(row.accepted_ms) or not row.job.is_valid:
-            raise MalformedRowError('job: invalid steps or accepted_ms')
+        is_time = math.isfinite(row.accepted_ms + row.first_asked_ms)
+        if not is_time or not row.job.is_valid:
+            raise MalformedRowError('job: invalid steps or times')
         return row
 
     def to_text(self) -> str:
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -46,6 +46,7 @@
     RelayedRead,
     RelayedResponse,
 )
+from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.jobs.shards import shard_of
 from hyssopring.jobs.shared_configuration import SharedConfiguration
 from hyssopring.jobs.shared_evacuations import SharedEvacuations
@@ -77,8 +78,14 @@
         membership: EntryMembership,
         peers: RelayPeers,
         advice: AdviceClient,
+        options: SchedulingOptions | None = None,
     ) -> None:
-        """Build the owner and connect the membership's callbacks."""
+        """Build the owner and connect the membership's callbacks.
+
+        Args:
+            options: The optional parts of scheduling; None for none of them.
+        """
+        self._options = options or SchedulingOptions()
         self._reactor = reactor
         self._clock = clock
         self._wall_ms = wall_ms
@@ -101,6 +108,7 @@
             wall_ms,
             self._on_ownership_lost,
             advice,
+            self._options,
         )
         self._requests = PeerRequests(reactor, peers)
         self.configuration = SharedConfiguration(reactor, peers)
--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -14,6 +14,7 @@
 from hyssopring.addresses import is_address, parse_address
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.messages import (
+    PROTOCOL_RELEASE,
     AgentGreeting,
     EntryGreeting,
     JobsMessage,
@@ -54,11 +55,11 @@
     def on_receive(self, connection: FramedConnection, message: Any) -> None:
         if isinstance(message, AgentGreeting):
             self.peer_id = message.agent_id
-            connection.send(EntryGreeting(self.listener.entry_id))
+            connection.send(self.listener.greeting)
             self.listener.handle_greeting(self, message)
         elif isinstance(message, EntryGreeting):
             self.peer_id = message.entry_id
-            connection.send(EntryGreeting(self.listener.entry_id))
+            connection.send(self.listener.greeting)
             self.listener.handle_greeting(self, message)
         elif self.peer_id and self.listener.is_current(self):
             self.listener.on_message(self.peer_id, message)
@@ -90,7 +91,7 @@
     ) -> None:
         """Call back with the peer's id on a greeting, message or close."""
         self._clock = clock
-        self.entry_id = entry_id
+        self.greeting = EntryGreeting(entry_id, PROTOCOL_RELEASE)
         self.on_message = on_message
         self._on_greeting = on_greeting
         self._on_close = on_close
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -31,6 +31,7 @@
 __all__ = (
     'BAD_TICKET',
     'EVACUATED',
+    'PROTOCOL_RELEASE',
     'RUNNING_HERE',
     'AgentGrant',
     'AgentGreeting',
@@ -61,6 +62,10 @@
 )
 
 
+# Raised with each new message class that is not sent to older processes.
+PROTOCOL_RELEASE: Final = 1
+
+
 @struct
 class ShardEpoch:
     """A shard and an epoch of its owner."""
@@ -71,9 +76,15 @@
 
 @struct
 class EntryGreeting:
-    """The first message of an entry that connects to another one."""
+    """The first message of an entry that connects to another one.
+
+    Attributes:
+        release: ``PROTOCOL_RELEASE`` of the sender. A process closes a
+            connection on which a message class that it does not know arrives.
+    """
 
     entry_id: str
+    release: int = 0
 
 
 @struct
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -27,6 +27,7 @@
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.planning import Send, StepPlanner
 from hyssopring.jobs.reports import ReportReconciler
+from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.jobs.shards import shard_of, shard_of_task
 from hyssopring.jobs.stall_detector import StallDetector
 from hyssopring.jobs.stop_marks import mark_stopping
@@ -62,8 +63,14 @@
         wall_ms: Callable[[], float],
         on_ownership_lost: Callable[[OwnedShard], None],
         advice: AdviceClient,
+        options: SchedulingOptions,
     ) -> None:
-        """Send orders to agents by ``send`` while ``may_act`` returns True."""
+        """Send orders to agents by ``send`` while ``may_act`` returns True.
+
+        Args:
+            options: The optional parts of scheduling.
+        """
+        self._options = options
         self._on_ownership_lost = on_ownership_lost
         self._clock = clock
         self._fleet = fleet
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -17,6 +17,7 @@
     LinkListener,
 )
 from hyssopring.jobs.messages import (
+    PROTOCOL_RELEASE,
     AgentGreeting,
     EntryAddresses,
     EntryGreeting,
@@ -24,6 +25,7 @@
 )
 from hyssopring.jobs.queues import QueueTable
 from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.jobs.stored_configuration import StoredConfiguration
 from hyssopring.jobs.times import ENTRY_HEARTBEAT_MS
 from hyssopring.lifecycle import Lifecycle
@@ -31,10 +33,9 @@
 from hyssopring.metrics import Metrics
 from hyssopring.platform.advice import advice_client_for
 from hyssopring.platform.callers import CallersResource
-from hyssopring.platform.configuration import ConfigurationFollower
-from hyssopring.platform.evacuations import EvacuationReader
 from hyssopring.platform.listening import listen
 from hyssopring.platform.metrics import serve_metrics
+from hyssopring.platform.operator_rows import follow_operator
 from hyssopring.platform.readiness import ReadyResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
@@ -53,7 +54,12 @@
 class EntryProcess:
     """An entry and its connections, ports and timers."""
 
-    def __init__(self, reactor: Any, settings: NodeSettings) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        settings: NodeSettings,
+        options: SchedulingOptions,
+    ) -> None:
         """Build the core, its clients and its resources; open no port yet."""
         self._reactor = reactor
         self._settings = settings
@@ -84,11 +90,12 @@
             self._membership,
             self,
             advice_client_for(reactor, settings.recommendation),
+            options,
         )
         self._dialler = LinkDialler(
             reactor,
             self._clock,
-            EntryGreeting(settings.node_name),
+            EntryGreeting(settings.node_name, PROTOCOL_RELEASE),
             _ignore,
             self._handle_message,
             _ignore,
@@ -102,20 +109,14 @@
         )
         self._callers = CallersResource(self._clock, self.core.job_api)
         self._ready = ReadyResource()
-        # Not relayed by peers: they announce a newer configuration themselves
-        # and send it in less data than the complete response of a relay.
-        self._follower = ConfigurationFollower(
+        self._follower = follow_operator(
             reactor,
+            settings,
+            self.core,
             direct,
+            store,
             self._on_configuration,
         )
-        self.core.configuration.on_stored = self._follower.apply_from_peer
-        self._follower.on_evacuations_outdated = EvacuationReader(
-            reactor,
-            store,
-            settings.zones,
-            self.core.evacuations.apply_stored,
-        ).refresh
         self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
         self._is_stopping = False
         self._entry_addresses: list[str] = []
--- a/hyssopring/platform/roles.py
+++ b/hyssopring/platform/roles.py
@@ -4,39 +4,52 @@
 import signal
 import sys
 from functools import partial
-from typing import Any, Callable
+from types import MappingProxyType
+from typing import Any, Callable, Final
 
 from hyssopring.errors import Failure
+from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.logs import configure_json_logging
 from hyssopring.platform.settings import (
     NodeSettings,
     load_node_settings,
     node_file,
 )
+from hyssopring.settings import SchedulingSettings, load_settings
 
 __all__ = ('main',)
 
 _EXIT_BAD_SETTINGS = 2
+_MAX_FILES_BY_ROLE: Final = MappingProxyType({'entry': 1, 'agent': 0})
 
 
 def main(arguments: list[str]) -> None:
-    """Run the role named by the only argument until it is stopped."""
-    if len(arguments) != 1 or arguments[0] not in {'entry', 'agent'}:
-        _exit_with_error('usage: python -m hyssopring.platform entry|agent')
+    """Run a role until it is stopped.
+
+    Args:
+        arguments: The role; for an entry also the file with the settings of
+            the optional parts of scheduling, if any is on.
+    """
+    role, *files = arguments or ['']
+    if role not in _MAX_FILES_BY_ROLE or len(files) > _MAX_FILES_BY_ROLE[role]:
+        _exit_with_error(
+            'usage: python -m hyssopring.platform entry [FILE]|agent'
+        )
     loaded = load_node_settings(node_file())
     if loaded.is_err():
         failure: Failure = loaded.unwrap_err()
         _exit_with_error(failure.detail)
+    process_class = _process_class(role, files)
     configure_json_logging()
-    _run(arguments[0], loaded.unwrap())
+    _run(process_class, loaded.unwrap())
 
 
-def _run(role: str, settings: NodeSettings) -> None:
+def _run(process_class: Callable[..., Any], settings: NodeSettings) -> None:
     from twisted.internet import reactor  # noqa: PLC0415, WPS433
 
     from hyssopring.platform.reloading import SettingsReloader  # noqa: WPS433
 
-    process = _process_class(role)(reactor, settings)
+    process = process_class(reactor, settings)
     process.start()
     _enable_garbage_collector()
     reloader = SettingsReloader(reactor, node_file(), process.reload)
@@ -59,14 +72,14 @@
     gc.enable()
 
 
-def _process_class(role: str) -> Any:
+def _process_class(role: str, files: list[str]) -> Callable[..., Any]:
     """Import the modules of one role only, to save memory."""
     if role == 'entry':
         from hyssopring.platform.entry_process import (  # noqa: WPS433
             EntryProcess,
         )
 
-        return EntryProcess
+        return partial(EntryProcess, options=_scheduling_options(files))
     from hyssopring.platform.agent_process import (  # noqa: WPS433
         AgentProcess,
     )
@@ -74,6 +87,16 @@
     return AgentProcess
 
 
+def _scheduling_options(files: list[str]) -> SchedulingOptions:
+    """Read which optional parts of scheduling are on; none without a file."""
+    if not files:
+        return SchedulingOptions()
+    loaded = load_settings(files[0], SchedulingSettings)
+    if loaded.is_err():
+        _exit_with_error(loaded.unwrap_err().detail)
+    return loaded.unwrap().to_options()
+
+
 def _call_in_reactor(
     reactor: Any,
     action: Callable[[], None],
--- a/hyssopring/settings/__init__.py
+++ b/hyssopring/settings/__init__.py
@@ -12,11 +12,13 @@
     EntrySettings,
     OperatorSettings,
 )
+from hyssopring.settings.scheduling import SchedulingSettings
 
 __all__ = (
     'AgentSettings',
     'EntrySettings',
     'OperatorSettings',
+    'SchedulingSettings',
     'check_document',
     'load_settings',
     'parse_commented',
--- a/hyssopring/settings/loading.py
+++ b/hyssopring/settings/loading.py
@@ -4,7 +4,6 @@
 import pathlib
 from typing import Any, Final, TypeVar
 
-import json5
 from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
@@ -15,6 +14,7 @@
     EntrySettings,
     OperatorSettings,
 )
+from hyssopring.settings.scheduling import SchedulingSettings
 
 __all__ = (
     'check_document',
@@ -32,7 +32,12 @@
 
 _Model = TypeVar('_Model', bound=BaseModel)
 _Models = tuple[type[BaseModel], ...]
-_ROLE_MODELS: _Models = (EntrySettings, AgentSettings, OperatorSettings)
+_ROLE_MODELS: _Models = (
+    EntrySettings,
+    AgentSettings,
+    OperatorSettings,
+    SchedulingSettings,
+)
 
 
 def load_settings(path: str, model: type[_Model]) -> Result[_Model, Failure]:
@@ -89,6 +94,9 @@
                 f'{error}; with comments at most {_MAX_JSON5_SIZE} characters '
                 + f'are read, found {len(text)}',
             ) from error
+    # Plain JSON does not need the memory of this parser.
+    import json5  # noqa: PLC0415, WPS433
+
     return json5.loads(text, allow_duplicate_keys=False)
 
 
--- a/hyssopring/settings/reference.py
+++ b/hyssopring/settings/reference.py
@@ -10,6 +10,13 @@
     EntrySettings,
     OperatorSettings,
 )
+from hyssopring.settings.scheduling import (
+    AdmissionSettings,
+    FairnessSettings,
+    LearningSettings,
+    RebalancingSettings,
+    StragglerSettings,
+)
 
 __all__ = ('reference_page',)
 
@@ -29,6 +36,11 @@
     ('Agent (`hyssopring agent FILE`)', AgentSettings),
     ('`capacity` of an agent', CapacitySettings),
     ('Operator (`--settings FILE` of the commands)', OperatorSettings),
+    ('`learning` of `deploy/scheduling.json`', LearningSettings),
+    ('`admission` of `deploy/scheduling.json`', AdmissionSettings),
+    ('`fairness` of `deploy/scheduling.json`', FairnessSettings),
+    ('`stragglers` of `deploy/scheduling.json`', StragglerSettings),
+    ('`rebalancing` of `deploy/scheduling.json`', RebalancingSettings),
 )
 _TEMPLATE_BY_LIMIT = (
     ('minimum', 'at least {0}'),
@@ -88,4 +100,6 @@
         'addresses of an entry differ; a port is 0 to 65535, and not 0 where\n'
         'others dial it. All entries of a deployment use the same `shards`,\n'
         '`inner_secret` and lease times.\n'
+        '\nThe objects of `deploy/scheduling.json` turn on optional parts of\n'
+        "scheduling on the users' platform; a part without one is off.\n"
     )
