--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -27,6 +27,7 @@
         step_s: The step by which the clock advances.
         zones: If set, the agents are in these zones in turn, and the entries
             follow the operator's rows.
+        options: The optional parts of scheduling; None for none of them.
     """
 
     step_s = STEP_S
@@ -40,7 +41,9 @@
         cores_by_entry=(),
         keeps_ids=False,
         zones=(),
+        options=None,
     ):
+        self.options = options
         self.cores_by_entry = dict(cores_by_entry)
         self.zones = zones
         self.zone_by_agent = {
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -110,6 +110,7 @@
             self.membership,
             self,
             AdviceLink(deployment.advice, name, self.reactor),
+            deployment.options,
         )
         if deployment.zones:
             self._follow_operator(deployment.zones, client)
