--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from hyssopring.clock import ManualClock
+from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.jobs.advice_client import UnconfiguredAdviceClient
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.fleet import Fleet
@@ -248,6 +249,7 @@
         lambda: 0,
         print,
         UnconfiguredAdviceClient(),
+        SchedulingOptions(),
     )
     held = worker_with('00000000', KEEPER, step)
     task, placed = list(held.placed_by_task.items())[1]
