--- a/bench/colocation_variants.py
+++ b/bench/colocation_variants.py
@@ -10,6 +10,7 @@
     placement_option,
     pacing,
     planning,
+    worker_use,
 )
 from hyssopring.jobs.fleet import PlacedAttempt
 from hyssopring.jobs.interference import InterferenceEstimate, InterferenceModel
@@ -87,7 +88,7 @@
         _patch(InterferenceModel, 'per_core', _unknown_estimate),
     ),
     'no strained rule': (
-        _patch(placement_option, '_is_interference_high', _never_high),
+        _patch(worker_use, '_is_interference_high', _never_high),
     ),
     'no starved rule': (_patch(planning, '_STARVED_MS', _NEVER_MS),),
     'no relief': (
@@ -109,7 +110,7 @@
         ),
     ),
     'keepers use three quarters': (
-        _patch(placement_option, '_UNUSED_RESERVATION_SHARE', 0.25),
+        _patch(worker_use, '_UNUSED_RESERVATION_SHARE', 0.25),
     ),
     'paces cut late': (
         _patch(pacing, '_THROTTLING_HEADROOM', 1.05),
--- a/hyssopring/jobs/crash_suspects.py
+++ b/hyssopring/jobs/crash_suspects.py
@@ -106,8 +106,10 @@
         self,
         record: JobRecord,
         task_names: Iterable[TaskName],
-    ) -> tuple[list[TaskName], list[TaskName]]:
+    ) -> tuple[Iterable[TaskName], list[TaskName]]:
         """Return the tasks that need no trial, and those that need one."""
+        if record.crashes.is_empty:
+            return task_names, []
         unsuspected: list[TaskName] = []
         suspects: list[TaskName] = []
         for task_name in task_names:
--- a/hyssopring/jobs/interference.py
+++ b/hyssopring/jobs/interference.py
@@ -15,12 +15,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from itertools import product
-from typing import Final, Iterable
+from typing import Final, Iterable, Protocol
 
-from hyssopring.jobs.fleet import Worker
+from hyssopring.jobs.fleet import PlacedAttempt, Worker
 
 __all__ = (
     'MAX_HEADROOM',
+    'ImageEstimates',
     'InterferenceEstimate',
     'InterferenceModel',
     'LatencySample',
@@ -66,6 +67,15 @@
         return self.mean + self.deviation
 
 
+class ImageEstimates(Protocol):
+    """Estimates of interference by pair of images."""
+
+    def per_core(
+        self, latency_critical_image: str, best_effort_image: str
+    ) -> InterferenceEstimate:
+        """Return what a core of the second image takes from the first."""
+
+
 _UNKNOWN_PAIR: Final = InterferenceEstimate(_PRIOR_MEAN, _PRIOR_VARIANCE**0.5)
 
 
@@ -171,21 +181,41 @@
         """Update the estimates from the reports of all workers."""
         observation_by_task: dict[str, _Observation] = {}
         for worker in workers:
-            millicores_by_image: Counter[str] = Counter()
-            for best_effort in worker.best_effort_tasks():
-                millicores_by_image[best_effort.step.image] += best_effort.load
-            for placed in worker.latency_critical_tasks():
-                sample = LatencySample(
-                    str(placed.name),
-                    placed.step.image,
-                    placed.load,
-                    placed.step.target_ms,
-                )
-                observation_by_task[sample.task] = self._observe(
-                    sample, millicores_by_image, now_ms
-                )
+            observation_by_task.update(self._observations_on(worker, now_ms))
         self._observation_by_task = observation_by_task
 
+    def _observations_on(
+        self, worker: Worker, now_ms: float
+    ) -> dict[str, _Observation]:
+        """Return the latest observations of the tasks on a worker.
+
+        Most workers have not reported since the last round, and their
+        best-effort tasks need not be counted.
+        """
+        observation_by_task: dict[str, _Observation] = {}
+        changed: list[PlacedAttempt] = []
+        for task, placed in worker.placed_by_task.items():
+            if not placed.step.target_ms:
+                continue
+            previous = self._observation_by_task.get(task)
+            if previous is None or previous.sample.tail_ms != placed.load:
+                changed.append(placed)
+            else:
+                observation_by_task[task] = previous
+        if changed:
+            millicores_by_image = _millicores_by_image(worker)
+        for placed in changed:
+            sample = LatencySample(
+                str(placed.name),
+                placed.step.image,
+                placed.load,
+                placed.step.target_ms,
+            )
+            observation_by_task[sample.task] = self._observe(
+                sample, millicores_by_image, now_ms
+            )
+        return observation_by_task
+
     def observe_worker(
         self,
         samples: Iterable[LatencySample],
@@ -271,3 +301,11 @@
             kalman_filter.update(
                 core_change_by_image, headrooms[0] - headrooms[1]
             )
+
+
+def _millicores_by_image(worker: Worker) -> Counter[str]:
+    """Return what each best-effort image uses, in thousandths of a core."""
+    millicores_by_image: Counter[str] = Counter()
+    for best_effort in worker.best_effort_tasks():
+        millicores_by_image[best_effort.step.image] += best_effort.load
+    return millicores_by_image
--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -116,6 +116,7 @@
     idle_since: float | None = None
     crashes: CrashHistory = field(init=False)
     trial_wanted_since: dict[str, float] = field(default_factory=dict)
+    _work_left: float | None = field(default=None, init=False)
 
     def __post_init__(self) -> None:
         """Load the crash history from the progress row."""
@@ -166,6 +167,7 @@
                 if not run.is_done_task(index)
             }
             self.step_runs[run.name] = run
+        self._work_left = None
 
     def open_due_occurrences(self, wall_ms: float) -> None:
         """Open the occurrences that are due.
@@ -234,12 +236,14 @@
 
         The unit is a thousandth of a core times a millisecond.
         """
-        return sum(
-            (run.step.count - run.done.bit_count())
-            * run.step.estimate_ms
-            * run.step.size.cpu_millis
-            for run in self.step_runs.values()
-        )
+        if self._work_left is None:
+            self._work_left = sum(
+                (run.step.count - run.done.bit_count())
+                * run.step.estimate_ms
+                * run.step.size.cpu_millis
+                for run in self.step_runs.values()
+            )
+        return self._work_left
 
     def next_attempt(self, task: str) -> int:
         """Return a new attempt number above all earlier ones of a task."""
@@ -276,6 +280,7 @@
         if run is None or run.is_done_task(name.index):
             return False
         run.mark_done(name.index)
+        self._work_left = None
         self.progress.done[run.name] = run.done
         self.checkpoint_by_task.pop(str(name), None)
         self.crashes.clear(self.budget_key(name))
--- a/hyssopring/jobs/keeper_waits.py
+++ b/hyssopring/jobs/keeper_waits.py
@@ -14,6 +14,7 @@
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.placement_option import PlacementOption
 from hyssopring.jobs.shards import shard_of
+from hyssopring.jobs.step_impact import RoundEstimates
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.logs import Event, log_event
 
@@ -279,9 +280,9 @@
         tickets = self._ticket_manager.valid_tickets(
             missing.record, missing.run
         )
-        interference = InterferenceModel()
+        estimates = RoundEstimates(InterferenceModel())
         options = [
-            PlacementOption.from_worker(worker, interference)
+            PlacementOption.from_worker(worker, estimates)
             for worker in workers
             if worker.service == service
             and (tickets is None or worker.boot in tickets)
--- a/hyssopring/jobs/placement_option.py
+++ b/hyssopring/jobs/placement_option.py
@@ -3,28 +3,17 @@
 from dataclasses import dataclass
 from typing import Final
 
-from hyssopring.jobs.fleet import PlacedAttempt, Worker
-from hyssopring.jobs.interference import (
-    MAX_HEADROOM,
-    InterferenceEstimate,
-    InterferenceModel,
-)
+from hyssopring.jobs.fleet import Worker
+from hyssopring.jobs.interference import MAX_HEADROOM
 from hyssopring.jobs.model import Size, Step, TaskName
+from hyssopring.jobs.step_impact import RoundEstimates
+from hyssopring.jobs.worker_use import WorkerUse
 
-__all__ = ('NEGLIGIBLE_INTERFERENCE', 'PlacementOption')
+__all__ = ('PlacementOption',)
 
 # A best-effort task starts only where at least this share of the CPU that it
 # asks for is idle; with less it would only slow the tasks that already run.
 _MIN_IDLE_CPU_SHARE: Final = 0.7
-# Latency-critical tasks use about half of the CPU that they reserve.
-# Best-effort tasks may use the rest, throttled by the agent if necessary.
-_UNUSED_RESERVATION_SHARE: Final = 0.5
-# No best-effort task is added beside latency-critical tasks while the running
-# ones are throttled below this mean pace (in percent), while a tail latency is
-# above this share of its target, or while the last one started has not been
-# measured.
-_LOW_PACE: Final = 60
-_HIGH_TAIL_SHARE: Final = 0.55
 # Scores are in thousandths of a core, like the idle CPU that they start from.
 # Latency-critical tasks are packed together with tasks that do not interfere,
 # which leaves workers without any to best-effort tasks. Beside a
@@ -33,20 +22,12 @@
 _LATENCY_CRITICAL_PACKING_BONUS: Final = 20_000
 _BEST_EFFORT_NEIGHBOR_PENALTY: Final = 4000
 _RACK_MISMATCH_PENALTY: Final = 4000
-# Headroom is the ratio of a task's latency target to its tail latency. A
-# best-effort task that takes less than this much of it, at the upper bound of
-# the estimate, may start before the last one started has been measured.
-NEGLIGIBLE_INTERFERENCE: Final = 0.35
 # The headroom that each latency-critical task keeps once all best-effort tasks
 # beside it run at full pace. Samples vary by 0.36 at random and by 0.3 as load
 # changes.
 _MIN_HEADROOM: Final = 1.2
-# The assumed headroom of a task without a measured tail latency.
-_NEW_TASK_HEADROOM: Final = 1.5
 # Interference at and above this scores the same.
 _MAX_INTERFERENCE: Final = 1.0
-_FULL_PACE: Final = 100
-_MILLIS_PER_CORE: Final = 1000
 
 
 @dataclass(slots=True)
@@ -76,40 +57,38 @@
     latency_critical_count: int
     best_effort_count: int
     is_interference_high: bool
-    interference: InterferenceModel
+    estimates: RoundEstimates
     headrooms: list[float]
     is_refusing: bool = False
+    _placed_count: int = -1
+    _images: tuple[str, ...] = ()
+    _image_set: frozenset[str] = frozenset()
 
     @classmethod
     def from_worker(
         cls,
         worker: Worker,
-        interference: InterferenceModel,
+        estimates: RoundEstimates,
         is_refusing: bool = False,
+        use: WorkerUse | None = None,
     ) -> 'PlacementOption':
-        """Build the option from a worker's latest report."""
-        best_effort = worker.best_effort_tasks()
-        latency_critical = worker.latency_critical_tasks()
-        reserved_cpu = sum(
-            placed.step.size.cpu_millis for placed in latency_critical
-        )
-        best_effort_cpu = sum(placed.cpu_used_millis for placed in best_effort)
+        """Build the option from a worker's latest report.
+
+        Args:
+            use: The worker's use, if it is known already.
+        """
+        use = use or WorkerUse.from_worker(worker)
         return cls(
             worker,
-            worker.free(),
-            best_effort_cpu,
-            sum(placed.cpu_at_full_pace for placed in best_effort)
-            - best_effort_cpu,
-            reserved_cpu * _UNUSED_RESERVATION_SHARE,
-            len(latency_critical),
-            len(best_effort),
-            bool(latency_critical)
-            and _is_interference_high(best_effort, latency_critical),
-            interference,
-            [
-                _headroom(interference, placed, best_effort)
-                for placed in latency_critical
-            ],
+            use.free,
+            use.best_effort_cpu,
+            use.throttled_cpu,
+            use.unused_cpu,
+            len(use.headroom_by_position),
+            use.best_effort_count,
+            use.is_interference_high,
+            estimates,
+            use.headrooms(estimates),
             is_refusing,
         )
 
@@ -125,44 +104,64 @@
             is_starved: Whether the task may start even if it interferes with
                 others.
         """
-        if not step.reserved_size.fits_in(self.free):
+        if not self._has_free_resources(step):
             return False
         if not step.fills or is_starved:
             return True
-        if not self.latency_critical_count:
-            return self._has_idle_cpu(step)
-        if not self._leaves_headroom(step):
+        # The conditions that take least time come first.
+        if not self._has_idle_cpu(step):
             return False
+        if not self.latency_critical_count:
+            return True
         if self.is_interference_high and not self.is_interference_negligible(
             step
         ):
             return False
-        return self._has_idle_cpu(step)
+        return self._leaves_headroom(step)
+
+    def _has_free_resources(self, step: Step) -> bool:
+        """Return whether what a task of the step reserves is free."""
+        free, size = self.free, step.size
+        reserved_cpu = 0 if step.fills else size.cpu_millis
+        return (
+            size.memory_mb <= free.memory_mb
+            and reserved_cpu <= free.cpu_millis
+            and size.accelerators <= free.accelerators
+        )
 
     def is_interference_negligible(self, step: Step) -> bool:
         """Return whether no latency-critical task suffers from the step."""
-        return self.max_interference(step) < NEGLIGIBLE_INTERFERENCE
+        if len(self._latency_critical_images()) < self.latency_critical_count:
+            return False
+        impact = self.estimates.impact_of(step)
+        return impact.disturbed_images.isdisjoint(self._image_set)
 
     def max_interference(self, step: Step) -> float:
         """Return the most headroom that a task of the step may take."""
-        latency_critical = self.worker.latency_critical_tasks()
-        if len(latency_critical) < self.latency_critical_count:
+        images = self._latency_critical_images()
+        if len(images) < self.latency_critical_count:
             # One was placed in this round, and nothing is known about it.
             return _MAX_INTERFERENCE
-        return max(
-            (
-                _cores(step) * self._estimate(placed, step).upper_bound
-                for placed in latency_critical
-            ),
-            default=0,
-        )
+        upper_bound_by_image = self.estimates.impact_of(
+            step
+        ).upper_bound_by_image
+        return max([upper_bound_by_image[image] for image in images], default=0)
 
-    def _estimate(
-        self, latency_critical: PlacedAttempt, step: Step
-    ) -> InterferenceEstimate:
-        return self.interference.per_core(
-            latency_critical.step.image, step.image
-        )
+    def _latency_critical_images(self) -> tuple[str, ...]:
+        """Return the image of each latency-critical task here.
+
+        They change during a round only if a task is placed here.
+        """
+        placed_count = len(self.worker.placed_by_task)
+        if placed_count != self._placed_count:
+            self._placed_count = placed_count
+            self._images = tuple(
+                placed.step.image
+                for placed in self.worker.latency_critical_tasks()
+            )
+            self._image_set = frozenset(self._images)
+            self.estimates.add_images(self._image_set)
+        return self._images
 
     def _leaves_headroom(self, step: Step) -> bool:
         """Return whether all keep enough headroom beside one more task.
@@ -171,14 +170,18 @@
         tasks put a latency-critical task over its target, and were all
         throttled.
         """
-        latency_critical = self.worker.latency_critical_tasks()
-        return all(
-            headroom - _cores(step) * self._estimate(placed, step).mean
-            > _MIN_HEADROOM
-            for headroom, placed in zip(
-                self.headrooms, latency_critical, strict=False
-            )
-        )
+        lowest = min(self.headrooms, default=MAX_HEADROOM)
+        if lowest <= _MIN_HEADROOM:
+            return False
+        images = self._latency_critical_images()
+        impact = self.estimates.impact_of(step)
+        if lowest - impact.max_mean > _MIN_HEADROOM:
+            return True
+        mean_by_image = impact.mean_by_image
+        for headroom, image in zip(self.headrooms, images, strict=False):
+            if headroom - mean_by_image[image] <= _MIN_HEADROOM:
+                return False
+        return True
 
     def _has_idle_cpu(self, step: Step) -> bool:
         """Return whether enough CPU is idle for a best-effort task."""
@@ -215,13 +218,11 @@
             self.is_interference_high = self.is_interference_high or bool(
                 self.latency_critical_count
             )
+            images = self._latency_critical_images()
+            mean_by_image = self.estimates.impact_of(step).mean_by_image
             self.headrooms = [
-                headroom - _cores(step) * self._estimate(placed, step).mean
-                for headroom, placed in zip(
-                    self.headrooms,
-                    self.worker.latency_critical_tasks(),
-                    strict=False,
-                )
+                headroom - mean_by_image[image]
+                for headroom, image in zip(self.headrooms, images, strict=False)
             ]
         if step.target_ms:
             self.latency_critical_count += 1
@@ -246,43 +247,3 @@
             and placed.name.step == task_name.step
             for placed in self.worker.placed_by_task.values()
         )
-
-
-def _cores(step: Step) -> float:
-    return step.size.cpu_millis / _MILLIS_PER_CORE
-
-
-def _headroom(
-    interference: InterferenceModel,
-    latency_critical: PlacedAttempt,
-    best_effort: list[PlacedAttempt],
-) -> float:
-    """Return a task's headroom once best-effort tasks run at full pace."""
-    current = _NEW_TASK_HEADROOM
-    if latency_critical.load:
-        current = min(
-            MAX_HEADROOM,
-            latency_critical.step.target_ms / latency_critical.load,
-        )
-    return current - sum(
-        (placed.cpu_at_full_pace - placed.cpu_used_millis)
-        / _MILLIS_PER_CORE
-        * interference.per_core(
-            latency_critical.step.image, placed.step.image
-        ).mean
-        for placed in best_effort
-    )
-
-
-def _is_interference_high(
-    best_effort: list[PlacedAttempt], latency_critical: list[PlacedAttempt]
-) -> bool:
-    paces = [max(placed.pace, 0) for placed in best_effort]
-    if any(not placed.has_measured_usage for placed in best_effort):
-        return True
-    if sum(paces) < _LOW_PACE * len(paces):
-        return True
-    tail_shares = [
-        placed.load / placed.step.target_ms for placed in latency_critical
-    ]
-    return max(tail_shares) > _HIGH_TAIL_SHARE
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -1,19 +1,23 @@
 """The choice of a worker for each pending task of a planning round."""
 
 from collections import Counter
-from dataclasses import dataclass, replace
-from typing import Container, Iterable
+from dataclasses import replace
+from typing import Container, Iterable, NamedTuple
 
 from hyssopring.jobs.fleet import Worker
-from hyssopring.jobs.interference import InterferenceModel
+from hyssopring.jobs.interference import (
+    ImageEstimates,
+    InterferenceModel,
+)
 from hyssopring.jobs.model import Size, Step, TaskName
 from hyssopring.jobs.placement_option import PlacementOption
+from hyssopring.jobs.step_impact import RoundEstimates
+from hyssopring.jobs.worker_use import WorkerUses
 
 __all__ = ('PlacementRound',)
 
 
-@dataclass(frozen=True, slots=True)
-class _Requirements:
+class _Requirements(NamedTuple):
     """What tasks require of a worker, except for their size.
 
     Attributes:
@@ -34,8 +38,9 @@
     def __init__(
         self,
         workers: Iterable[Worker],
-        interference: InterferenceModel | None = None,
+        interference: ImageEstimates | None = None,
         refusing: Container[str] = (),
+        uses: WorkerUses | None = None,
     ) -> None:
         """Take the free capacity of the workers once for the whole round.
 
@@ -45,15 +50,20 @@
                 None if nothing has been observed.
             refusing: IDs of agents whose workers have recently refused starts;
                 they are chosen last.
+            uses: What is known of the workers from former rounds; None if
+                nothing is.
         """
-        interference = interference or InterferenceModel()
+        estimates = RoundEstimates(interference or InterferenceModel())
+        uses = uses or WorkerUses()
         self._rejected_sizes: dict[_Requirements, list[Size]] = {}
         self._options_by_service: dict[str, list[PlacementOption]] = {}
         for worker in workers:
             options = self._options_by_service.setdefault(worker.service, [])
             is_refusing = worker.agent_id in refusing
             options.append(
-                PlacementOption.from_worker(worker, interference, is_refusing)
+                PlacementOption.from_worker(
+                    worker, estimates, is_refusing, uses.use_of(worker)
+                )
             )
 
     def choose(
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -1,7 +1,7 @@
 """Planning rounds that start pending tasks of the owned shards on workers."""
 
 from dataclasses import dataclass
-from typing import Any, Callable, Final, Mapping
+from typing import Any, Callable, Final, Iterator, Mapping
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.crash_suspects import CrashSuspects
@@ -16,6 +16,7 @@
 from hyssopring.jobs.task_requirements import facts_of
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.jobs.urgency import Urgency, urgency
+from hyssopring.jobs.worker_use import WorkerUses
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Send', 'StepPlanner')
@@ -51,6 +52,15 @@
     indices: set[int]
     ticket_by_boot: Mapping[str, str] | None
 
+    def task_names(self) -> Iterator[TaskName]:
+        """Iterate over the tasks that wait now, in the order of their indices.
+
+        In most steps of a long queue only the first one is needed.
+        """
+        job_id = self.record.job.job_id
+        for index in sorted(self.indices):
+            yield self.run.task(job_id, index)
+
     def ticket_for(self, worker: Worker) -> str:
         """Return the worker's ticket, empty if the step needs none."""
         return self.ticket_by_boot[worker.boot] if self.ticket_by_boot else ''
@@ -92,6 +102,7 @@
         self._ticket_manager = ticket_manager
         self._suspects = suspects
         self.interference = InterferenceModel()
+        self._uses = WorkerUses()
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -137,10 +148,14 @@
         ]
         if not pending_steps:
             return
-        pending_steps.sort(key=lambda pending: pending.urgency)
+        pending_steps.sort(key=lambda pending: pending.urgency.sort_key)
         workers = self._suspects.available_workers(self._shards)
+        self._uses.retain(workers)
         placement = PlacementRound(
-            workers, self.interference, self._fleet.recently_refusing()
+            workers,
+            self.interference,
+            self._fleet.recently_refusing(),
+            self._uses,
         )
         for pending in pending_steps:
             self._place(placement, pending)
@@ -158,11 +173,9 @@
         if run.step.is_gang:
             self._place_gang(placement, pending)
             return
-        task_names = [
-            run.task(record.job.job_id, index)
-            for index in sorted(pending.indices)
-        ]
-        unsuspected, suspects = self._suspects.partition(record, task_names)
+        unsuspected, suspects = self._suspects.partition(
+            record, pending.task_names()
+        )
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
         for task_name in unsuspected:
             if not self._place_task(placement, pending, task_name, is_starved):
--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -35,6 +35,11 @@
     lateness: int
     order: float
 
+    @property
+    def sort_key(self) -> tuple[int, int, float]:
+        """Return a tuple that sorts alike and is compared faster."""
+        return self.priority, self.lateness, self.order
+
 
 def urgency(record: JobRecord, run: StepRun, wall_ms: float) -> Urgency:
     """Return the urgency of a step's pending tasks.
--- a/tests/test_jobs_colocation.py
+++ b/tests/test_jobs_colocation.py
@@ -10,7 +10,7 @@
 from hyssopring.jobs.messages import TaskRequirements
 from hyssopring.jobs.model import TaskName
 from hyssopring.jobs.pacing import Pacer
-from hyssopring.jobs.placement_option import NEGLIGIBLE_INTERFERENCE
+from hyssopring.jobs.step_impact import NEGLIGIBLE_INTERFERENCE
 from hyssopring.jobs.placement_round import PlacementRound
 from standins.jobs.colocated import FILLER, KEEPER, LOUD, MILD, worker_with
 
--- a/tests/test_jobs_load.py
+++ b/tests/test_jobs_load.py
@@ -24,6 +24,7 @@
 from hyssopring.jobs.placement_option import PlacementOption
 from hyssopring.jobs.placement_round import PlacementRound
 from hyssopring.jobs.planning import StepPlanner
+from hyssopring.jobs.step_impact import RoundEstimates
 from hyssopring.jobs.urgency import urgency
 from standins.jobs.colocated import FILLER, KEEPER, QUICK, worker_with
 from standins.jobs.deployment import a_job, settled, starts_of
@@ -97,7 +98,9 @@
     calm = [KEEPER] * 5
     harmless = replace(FILLER, size=Size(2000, 500, 0), image='mild')
     worker = worker_with('reserved', *calm, *[harmless] * 2, load=20)
-    option = PlacementOption.from_worker(worker, InterferenceModel())
+    option = PlacementOption.from_worker(
+        worker, RoundEstimates(InterferenceModel())
+    )
     assert option.idle_cpu == 16_000 / 2 - 2 * 2000 + 500
 
 
