--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -56,6 +56,7 @@
         self._connection_numbers = count(1)
         self.departure_by_agent: dict[str, AgentDeparture] = {}
         self.by_agent: dict[str, Worker] = {}
+        self._agents_by_task: dict[str, set[str]] = {}
 
     def record_connection(self, agent_id: str, zone: str) -> Worker:
         """Record a new connection of an agent and return its worker."""
@@ -152,6 +153,32 @@
             if not worker.placed_by_task and self.is_lost(agent_id):
                 self.by_agent.pop(agent_id)
 
+    def record_placement(self, worker: Worker, task: str) -> None:
+        """Record that an attempt of a task was placed on a worker."""
+        self._agents_by_task.setdefault(task, set()).add(worker.agent_id)
+
+    def record_removal(self, task: str) -> None:
+        """Record that all attempts of a task were discarded."""
+        self._agents_by_task.pop(task, None)
+
+    def workers_with(self, task: str) -> list[Worker]:
+        """Return the workers on which an attempt of a task is placed.
+
+        Attempts that have been removed since are dropped from the index here:
+        it may name too many workers, never too few.
+        """
+        workers = [
+            worker
+            for agent_id in self._agents_by_task.get(task, ())
+            if (worker := self.by_agent.get(agent_id)) is not None
+            and task in worker.placed_by_task
+        ]
+        if workers:
+            self._agents_by_task[task] = {worker.agent_id for worker in workers}
+        else:
+            self._agents_by_task.pop(task, None)
+        return workers
+
     def recently_refusing(self) -> set[str]:
         """Return the IDs of agents whose workers recently refused a start.
 
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -163,6 +163,7 @@
             for task in list(worker.placed_by_task):
                 if shard_of_task(task) == owned.shard:
                     worker.placed_by_task.pop(task)
+                    self._fleet.record_removal(task)
 
     def on_job_accepted(self, record: JobRecord) -> None:
         """Plan a job that was added to an owned shard."""
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -368,6 +368,7 @@
             self._clock.now(),
             checkpoint,
         )
+        self._fleet.record_placement(worker, task_id)
         run.mark_running(task_name.index)
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -255,6 +255,7 @@
             self._clock.now(),
         )
         worker.placed_by_task[attempt_report.task] = placed
+        self._fleet.record_placement(worker, attempt_report.task)
         if not is_wanted:
             reason = 'another attempt runs, or the task has ended'
             mark_stopping(placed, worker, reason)
@@ -397,8 +398,7 @@
         task = str(name)
         return [
             (worker, worker.placed_by_task[task])
-            for worker in self._fleet.by_agent.values()
-            if task in worker.placed_by_task
+            for worker in self._fleet.workers_with(task)
         ]
 
 
--- a/tests/test_jobs_same_choice.py
+++ b/tests/test_jobs_same_choice.py
@@ -11,8 +11,9 @@
 
 import pytest
 
+from hyssopring.clock import ManualClock
 from hyssopring.jobs.documents import JobRow
-from hyssopring.jobs.fleet import PlacedAttempt
+from hyssopring.jobs.fleet import Fleet, PlacedAttempt
 from hyssopring.jobs.interference import InterferenceModel, LatencySample
 from hyssopring.jobs.job_record import JobRecord
 from hyssopring.jobs.model import Job, Queue, Schedule, Size, TaskName
@@ -188,6 +189,28 @@
         assert fleet.model.per_core(*pair) == fleet.plain_model.per_core(*pair)
 
 
+def test_workers_with_a_task_are_found_after_each_change():
+    """Guards against an index that misses a running attempt.
+
+    The task would be started a second time.
+    """
+    draw = random.Random(1)
+    fleet = Fleet(ManualClock())
+    workers = [fleet.record_connection(f'w{n}', 'zone') for n in range(5)]
+    for _change in range(2000):
+        worker, task = draw.choice(workers), f'job.0.0.{draw.randrange(8)}'
+        if draw.random() < 0.5:
+            worker.placed_by_task[task] = None
+            fleet.record_placement(worker, task)
+        else:
+            worker.placed_by_task.pop(task, None)
+        task = f'job.0.0.{draw.randrange(8)}'
+        found = {each.agent_id for each in fleet.workers_with(task)}
+        assert found == {
+            each.agent_id for each in workers if task in each.placed_by_task
+        }
+
+
 def test_work_left_follows_each_end():
     """Guards against an order by the work of tasks that have ended."""
     steps = (replace(QUICK, count=3), replace(QUICK, count=2, after=(0,)))
