--- a/hyssopring/jobs/announced_state.py
+++ b/hyssopring/jobs/announced_state.py
@@ -61,8 +61,15 @@
         return max(0, int(self._leaves_at - self._clock.now()))
 
     def update(self, announcement: Announcement) -> bool:
-        """Apply an announcement; return whether the resources changed."""
-        if announcement.sequence < self._sequence:
+        """Apply an announcement; return whether the resources changed.
+
+        A delayed one, with a lower sequence number than the last, is ignored,
+        unless the last is too old to count: a wrong number that is far too high
+        would otherwise make all later announcements void.
+        """
+        age_ms = self._clock.now() - self._announced_at
+        is_delayed = announcement.sequence < self._sequence
+        if is_delayed and age_ms <= CAPACITY_TTL_MS:
             return False
         self._boot = announcement.boot
         self._sequence = announcement.sequence
--- a/hyssopring/platform/evacuations.py
+++ b/hyssopring/platform/evacuations.py
@@ -122,5 +122,5 @@
 def _is_object(text: str) -> bool:
     try:
         return isinstance(json.loads(text), dict)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
--- a/hyssopring/platform/incarnation.py
+++ b/hyssopring/platform/incarnation.py
@@ -54,7 +54,11 @@
     is_integer = isinstance(born, int) and not isinstance(born, bool)
     if is_integer and 0 <= born < _MAX_EXACT_INTEGER:
         return str(born)
-    encoded = json.dumps(born, sort_keys=True).encode()
+    try:
+        encoded = json.dumps(born, sort_keys=True).encode()
+    except RecursionError:
+        # Nested as deeply as the parser permits; one name for all of these.
+        encoded = b'nested'
     return hashlib.sha256(encoded).hexdigest()[:_DIGEST_LENGTH]
 
 
--- a/hyssopring/platform/json_calls.py
+++ b/hyssopring/platform/json_calls.py
@@ -76,7 +76,7 @@
         return JsonResponse(response.status, {})
     try:
         fields = json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise MalformedResponseError(str(error)) from error
     if not isinstance(fields, dict):
         raise MalformedResponseError('response body is not a JSON object')
--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from dataclasses import replace
 from typing import Annotated, Any, Callable, Container, Final, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -39,13 +40,17 @@
 class _Capacity(BaseModel):
     model_config = _MODEL
 
-    cpu: _Count = 0
-    mem_mb: _Count = 0
+    cpu: _Count
+    mem_mb: _Count
     gpu: _Count = 0
 
 
 class _Report(BaseModel):
-    """One report; ``free_capacity`` is the total capacity, at any load."""
+    """One report; ``free_capacity`` is the total capacity, at any load.
+
+    A report without the capacity is malformed: read as none, it would stop all
+    starts on a worker whose capacity is known.
+    """
 
     model_config = _MODEL
 
@@ -53,7 +58,7 @@
     state: Literal['ready', 'draining']
     sequence: _Count
     clock_ms: _Count = 0
-    free_capacity: _Capacity = _Capacity()
+    free_capacity: _Capacity
     labels: tuple[_Name, ...] = Field(default=(), max_length=_MAX_LABELS)
     remaining_ms: _Count = 0
     born: Any = None
@@ -127,8 +132,7 @@
         body = request.content.read()
         if verb == 'heartbeat':
             return self._handle_heartbeat(runner_id, body)
-        self._on_leave(self._leaving_boot(runner_id, body))
-        return _STATUS_OK
+        return self._handle_deregistration(runner_id, body)
 
     def _handle_heartbeat(self, runner_id: str, body: bytes) -> int:
         try:
@@ -138,30 +142,57 @@
                 Event.PEER_ERROR, peer=runner_id, detail=_first_problem(error)
             )
             return _STATUS_BAD_REQUEST
-        self._last_announcement = report.to_announcement(runner_id)
-        self._on_report(self._last_announcement)
+        announcement = report.to_announcement(runner_id)
+        last = self._last_announcement
+        if (
+            'labels' not in report.model_fields_set
+            and last is not None
+            and last.boot == announcement.boot
+        ):
+            announcement = replace(announcement, labels=last.labels)
+        self._last_announcement = announcement
+        self._on_report(announcement)
+        return _STATUS_OK
+
+    def _handle_deregistration(self, runner_id: str, body: bytes) -> int:
+        """Handle a deregistration, whose body may be empty.
+
+        A body that cannot be read may name any incarnation.
+        """
+        try:
+            fields = _json_object(body) if body else {}
+        except ValueError as error:
+            log_event(Event.PEER_ERROR, peer=runner_id, detail=str(error))
+            return _STATUS_BAD_REQUEST
+        self._on_leave(self._leaving_boot(runner_id, fields.get('born')))
         return _STATUS_OK
 
-    def _leaving_boot(self, runner_id: str, body: bytes) -> str:
+    def _leaving_boot(self, runner_id: str, born: Any) -> str:
         """Return the incarnation that deregisters.
 
         A call without a start may be a delayed one of the previous incarnation.
         It counts for the present one only if its last report was ``draining``.
         """
-        boot = boot_name(runner_id, _reported_start(body))
+        boot = boot_name(runner_id, born)
         last = self._last_announcement
         if boot != runner_id or last is None or not last.is_leaving:
             return boot
         return last.boot if worker_id(last.boot) == runner_id else boot
 
 
-def _reported_start(body: bytes) -> Any:
-    """Return the runner's start in the body of a call, None without one."""
+def _json_object(body: bytes) -> dict[str, Any]:
+    """Return the fields of a body.
+
+    Raises:
+        ValueError: The body is not a JSON object.
+    """
     try:
         fields = json.loads(body)
-    except ValueError:
-        return None
-    return fields.get('born') if isinstance(fields, dict) else None
+    except RecursionError as error:
+        raise ValueError('the body is nested too deeply') from error
+    if not isinstance(fields, dict):
+        raise ValueError('the body is not a JSON object')
+    return fields
 
 
 def _first_problem(error: ValidationError) -> str:
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -75,6 +75,9 @@
 # Padding for rows with missing fields.
 _MISSING_FIELDS: Final = (None, None, None, None, None)
 _MAX_EXACT_INTEGER: Final = 2**53
+# In characters. A job's progress row, which has the checkpoints of all its
+# tasks, holds 65,536 bytes.
+_MAX_CHECKPOINT: Final = 16_384
 
 
 class PlatformWorker:
@@ -343,7 +346,15 @@
 
 
 def _checkpoint(candidate: Any) -> str:
-    return candidate if isinstance(candidate, str) else ''
+    """Return a checkpoint that reports and rows can hold, or an empty one."""
+    if not isinstance(candidate, str) or len(candidate) > _MAX_CHECKPOINT:
+        return ''
+    try:
+        candidate.encode()
+    except UnicodeEncodeError:
+        # JSON may escape half of a surrogate pair, which UTF-8 cannot encode.
+        return ''
+    return candidate
 
 
 def _is_task(name: Any) -> bool:
--- a/tests/test_evacuation_reader.py
+++ b/tests/test_evacuation_reader.py
@@ -125,3 +125,11 @@
     _after, feed = store.feeds.pop()
     feed.callback(Changes((row(key, 6),), 6))
     assert bool(outdated) is is_outdated
+
+
+def test_deeply_nested_row_evacuates_its_zone_and_hides_no_other(reader):
+    """Guards against one row whose error makes each read fail."""
+    reader.refresh()
+    nested = Row(RowKey('op', '', 'evacuate/a'), '[' * 100_000, 1)
+    reader.store.answer('evacuate/', nested, row('evacuate/b'), version=6)
+    assert reader.seen == [{'a', 'b'}]
