--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -16,6 +16,10 @@
     {
         Event.AGENT_DISCONNECTED: 'the connection to {agent} ended',
         Event.AGENT_LEFT: '{agent} ended with its worker; nothing runs there',
+        Event.CANCELLED_TASK_FOUND: (
+            f'{_ATTEMPT} was found on {{agent}} and is stopped: its job had '
+            + 'ended before as {state}'
+        ),
         Event.CONNECTION_SILENT: 'nothing was heard of {agent}; dialled anew',
         Event.EVACUATION_BEGUN: (
             'zone {zone} is evacuated: nothing is placed there, {age_ms} ms '
--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -354,7 +354,8 @@
             listed_tasks.add(row.task)
             if row.task not in self.table.by_task:
                 has_changed = True
-            self.table.update_listed(row, now_ms)
+            attempt = self.table.update_listed(row, now_ms)
+            self._orders.repeat_stop(attempt, sent_at)
         if listing.is_complete:
             # A row that could not be parsed may belong to any attempt. An
             # attempt dropped by mistake would start again while it runs.
--- a/hyssopring/jobs/job_api.py
+++ b/hyssopring/jobs/job_api.py
@@ -137,6 +137,9 @@
         )
         if outcome.is_err():
             return outcome
+        if not isinstance(outcome.unwrap(), Committed):
+            # The job has ended, and its rows were removed after the read.
+            return Ok(False)  # noqa: FBT003, WPS425 -- no such job
         log_event(Event.TASK_CANCELLED, job=job_id)
         self._shards.cancel(job_id)
         self._send_to_owner(shard_of(job_id), CancelNotice(job_id))
--- a/hyssopring/jobs/job_metrics.py
+++ b/hyssopring/jobs/job_metrics.py
@@ -25,6 +25,7 @@
         Event.TASK_REFUSED: ('starts_refused_total', 'reason'),
         Event.TASK_FINISHED: ('attempts_ended_total', 'how'),
         Event.TASK_LAPSED: ('attempts_given_up_total', 'reason'),
+        Event.CANCELLED_TASK_FOUND: ('cancelled_tasks_found_total', 'state'),
         Event.TASK_PACED: ('paces_set_total', ''),
         Event.WORKER_CRASHED: ('workers_crashed_total', ''),
         Event.WORKER_RESTARTED: ('workers_restarted_total', ''),
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -25,6 +25,9 @@
 # After this many tries a start is abandoned with a stop, which also keeps
 # copies in flight from being carried out.
 _MAX_TRIES: Final = 6
+# A task stops within 900 ms. One that runs later was started after its stop
+# was accepted.
+_STOP_REPEAT_MS: Final = 1000.0
 
 
 class WorkerOrders:
@@ -101,6 +104,18 @@
             return
         self._send_stop(self._monitor.boot, attempt)
 
+    def repeat_stop(self, attempt: Attempt, listed_at: float) -> None:
+        """Stop an attempt again if a listing shows that it runs on.
+
+        Args:
+            listed_at: When the poll of that listing was sent.
+        """
+        accepted_at = attempt.stop_accepted_at
+        if accepted_at is None or listed_at - accepted_at <= _STOP_REPEAT_MS:
+            return
+        attempt.stop_accepted_at = None
+        self.stop(attempt)
+
     def set_pace(self, attempt: Attempt, percent: int) -> None:
         """Limit an attempt to this percentage of its processor time."""
         attempt.pace = percent
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -75,6 +75,7 @@
             may be in both sets, or in neither.
         is_loaded: Whether all stored jobs are loaded.
         is_dropped: Whether this entry has stopped owning the shard.
+        look_up: Reads the row of a job; see ``ShardReader``.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
             events.on_roster_written,
         )
         self._reader = ShardReader(reactor, clock, store, self)
+        self.look_up = self._reader.look_up
         self.locations = Locations(
             clock, self.roster, epoch_rows, self.former, self.by_job
         )
@@ -321,6 +323,9 @@
         )
         for early_row in self._rows_before_load:
             self.add(early_row)
+        for job_id in self._cancelled_before_job & self.by_job.keys():
+            self._cancelled_before_job.discard(job_id)
+            self.cancel(job_id)
         self._events.on_loaded()
 
     def forget_ended(self, before_ms: float) -> None:
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -5,6 +5,7 @@
 from hyssopring.clock import Clock
 from hyssopring.jobs.crash_suspects import TRIAL_MS, CrashSuspects
 from hyssopring.jobs.fleet import AgentDeparture, Fleet, PlacedAttempt, Worker
+from hyssopring.jobs.found_tasks import FoundTasks
 from hyssopring.jobs.job_record import JobRecord, StepRun
 from hyssopring.jobs.messages import (
     AttemptReport,
@@ -69,6 +70,7 @@
         self._sink = sink
         self._seen_ends = SeenEnds(clock)
         self._unknown_jobs = UnknownJobs(clock)
+        self._found_tasks = FoundTasks()
 
     def forget(self, shard: int) -> None:
         """Discard the state of a shard that is no longer owned."""
@@ -173,7 +175,9 @@
     ) -> None:
         name = TaskName.from_text(attempt_report.task)
         record = owned.by_job.get(name.job_id)
-        if record is None and not self._unknown_jobs.has_timed_out(name.job_id):
+        if record is None and not self._unknown_jobs.is_absent(
+            name.job_id, owned
+        ):
             return
         placed = worker.placed_by_task.get(attempt_report.task)
         if placed is None or placed.attempt < attempt_report.attempt:
@@ -184,13 +188,7 @@
             # elsewhere would run the task twice.
             placed.boot = boot
         if placed is None or record is None:
-            log_event(
-                Event.TASK_STOPPED,
-                task=attempt_report.task,
-                attempt=attempt_report.attempt,
-                agent=worker.agent_id,
-                why='its job is not known',
-            )
+            self._found_tasks.record_unknown(worker, attempt_report, record)
             self._sink.stop(
                 owned, worker, attempt_report.task, attempt_report.attempt
             )
@@ -255,7 +253,10 @@
             self._clock.now(),
         )
         worker.placed_by_task[attempt_report.task] = placed
-        if not is_wanted:
+        if record.final_state is not None:
+            mark_stopping(placed, worker, 'its job has ended')
+            self._found_tasks.record(worker, attempt_report, record)
+        elif not is_wanted:
             reason = 'another attempt runs, or the task has ended'
             mark_stopping(placed, worker, reason)
         if is_wanted:
@@ -278,7 +279,9 @@
             return
         name = TaskName.from_text(end.task)
         record = owned.by_job.get(name.job_id)
-        if record is None and not self._unknown_jobs.has_timed_out(name.job_id):
+        if record is None and not self._unknown_jobs.is_absent(
+            name.job_id, owned
+        ):
             return
         self._seen_ends.add(ack, owned.shard)
         if record is None or record.step_run_of(name) is None:
--- a/hyssopring/jobs/shard_reader.py
+++ b/hyssopring/jobs/shard_reader.py
@@ -1,6 +1,6 @@
 """Reads a shard's rows: all of them once, then the changes."""
 
-from typing import Any, Final, Protocol
+from typing import Any, Callable, Final, Protocol
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure as TwistedFailure
@@ -13,6 +13,7 @@
     JOBS_TABLE,
     PROGRESS_TABLE,
     is_job_key,
+    job_key,
     owner_key,
     part_of,
 )
@@ -112,6 +113,26 @@
         )
         polling.addErrback(self._on_poll_failed)
 
+    @inlineCallbacks
+    def look_up(self, job_id: str, on_read: Callable[[bool], None]) -> Any:
+        """Read the row of a job of which neither message nor poll came.
+
+        Args:
+            on_read: Called with whether the job is stored, unless the read
+                fails or another entry owns the shard. A stored job is
+                delivered before.
+        """
+        try:
+            row = yield self._store.read_one(job_key(job_id))
+            is_owner = yield self._is_owner()
+        except (StoreRefused, StoreUncertain):
+            return
+        if not is_owner or self._rows.is_dropped:
+            return
+        if row is not None and self._is_new(row):
+            self._rows.on_job_row_found(row)
+        on_read(row is not None)
+
     @inlineCallbacks
     def _load(self) -> Any:
         agents = yield self._read_part(AGENTS_TABLE, self._part)
