--- a/hyssopring/jobs/interference.py
+++ b/hyssopring/jobs/interference.py
@@ -13,14 +13,17 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
-from itertools import product
-from typing import Final, Iterable
+from dataclasses import dataclass
+from typing import Callable, Final, Iterable, Iterator
 
 from hyssopring.jobs.fleet import Worker
+from hyssopring.jobs.kalman_filter import KalmanFilter
+from hyssopring.learning.learned_pairs import LearnedPairs
+from hyssopring.learning.pairs import Pair, PairKey
 
 __all__ = (
     'MAX_HEADROOM',
+    'PRIOR',
     'InterferenceEstimate',
     'InterferenceModel',
     'LatencySample',
@@ -29,10 +32,7 @@
 # The prior for the headroom that a core of an unknown image takes, and its
 # variance. Of 36 pairs, ten took 0.2 to 0.5, two 0.16 and the others
 # less than 0.1.
-_PRIOR_MEAN: Final = 0.15
-_PRIOR_VARIANCE: Final = 0.1
-# Headroom varies by about 0.36 between samples with unchanged best-effort use.
-_NOISE_VARIANCE: Final = 0.13
+PRIOR: Final = Pair(0.15, 0.1)
 # Higher headrooms count as equal: the task is nearly idle.
 MAX_HEADROOM: Final = 6.0
 # Below this headroom, the tail latency no longer depends on neighboring tasks.
@@ -41,8 +41,6 @@
 # than this, and if they are at most this far apart.
 _MIN_USE_CHANGE: Final = 0.1
 _MAX_SAMPLE_GAP_MS: Final = 1200.0
-# Rounding errors may make a variance negative after many samples.
-_MIN_VARIANCE: Final = 1e-6
 # Best-effort images that are kept per latency-critical image.
 _MAX_IMAGES: Final = 40
 _MILLIS_PER_CORE: Final = 1000
@@ -66,66 +64,15 @@
         return self.mean + self.deviation
 
 
-_UNKNOWN_PAIR: Final = InterferenceEstimate(_PRIOR_MEAN, _PRIOR_VARIANCE**0.5)
+def _to_estimate(pair: Pair) -> InterferenceEstimate:
+    return InterferenceEstimate(max(pair.mean, 0), pair.variance**0.5)
 
 
-@dataclass(slots=True)
-class _KalmanFilter:
-    """What each best-effort image takes from one latency-critical image.
+_UNKNOWN_PAIR: Final = _to_estimate(PRIOR)
 
-    Attributes:
-        mean_by_image: Headroom per core.
-        covariances: By pairs of images; pairs without one have covariance 0.
-    """
 
-    mean_by_image: dict[str, float] = field(default_factory=dict)
-    covariances: dict[tuple[str, str], float] = field(default_factory=dict)
-
-    def add_image(self, image: str) -> None:
-        """Start from the prior for an image that is new."""
-        if image not in self.mean_by_image:
-            self.mean_by_image[image] = _PRIOR_MEAN
-            self.covariances[image, image] = _PRIOR_VARIANCE
-
-    def update(
-        self, core_change_by_image: dict[str, float], lost_headroom: float
-    ) -> None:
-        """Correct the estimates by one change of use and of headroom."""
-        for image in core_change_by_image:
-            self.add_image(image)
-        gain_by_image = self._gains(core_change_by_image)
-        variance = _NOISE_VARIANCE + _dot(gain_by_image, core_change_by_image)
-        error = lost_headroom - _dot(self.mean_by_image, core_change_by_image)
-        for image, gain in gain_by_image.items():
-            self.mean_by_image[image] += gain * error / variance
-        for first, second in product(gain_by_image, repeat=2):
-            covariance = self.covariances.get((first, second), 0)
-            covariance -= (
-                gain_by_image[first] * gain_by_image[second] / variance
-            )
-            self.covariances[first, second] = covariance
-
-    def _gains(
-        self, core_change_by_image: dict[str, float]
-    ) -> dict[str, float]:
-        """Return the gain of each image's mean, before normalization."""
-        return {
-            image: sum(
-                self.covariances.get((image, other), 0) * cores
-                for other, cores in core_change_by_image.items()
-            )
-            for image in self.mean_by_image
-        }
-
-
-def _dot(
-    factor_by_image: dict[str, float],
-    core_change_by_image: dict[str, float],
-) -> float:
-    return sum(
-        factor_by_image[image] * cores
-        for image, cores in core_change_by_image.items()
-    )
+def _start_from_constant(_best_effort_image: str) -> Pair:
+    return PRIOR
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,9 +109,15 @@
 class InterferenceModel:
     """Estimate which best-effort images slow which latency-critical ones."""
 
-    def __init__(self) -> None:
-        """Start without observations."""
-        self._filter_by_image: dict[str, _KalmanFilter] = {}
+    def __init__(self, learned: LearnedPairs | None = None) -> None:
+        """Start without observations.
+
+        Args:
+            learned: Start values of pairs that are not yet observed; None for
+                the constant prior.
+        """
+        self._learned = learned
+        self._filter_by_image: dict[str, KalmanFilter] = {}
         self._observation_by_task: dict[str, _Observation] = {}
 
     def observe_workers(self, workers: Iterable[Worker], now_ms: float) -> None:
@@ -185,6 +138,8 @@
                     sample, millicores_by_image, now_ms
                 )
         self._observation_by_task = observation_by_task
+        if self._learned is not None:
+            self._learned.update_priors(self.known_pairs(), now_ms)
 
     def observe_worker(
         self,
@@ -209,19 +164,42 @@
         """Return what a core of the second image takes from the first."""
         kalman_filter = self._filter_by_image.get(latency_critical_image)
         if (
-            kalman_filter is None
-            or best_effort_image not in kalman_filter.mean_by_image
+            kalman_filter is not None
+            and best_effort_image in kalman_filter.mean_by_image
         ):
+            return _to_estimate(kalman_filter.pair(best_effort_image))
+        if self._learned is None:
             return _UNKNOWN_PAIR
-        variance = max(
-            kalman_filter.covariances[best_effort_image, best_effort_image],
-            _MIN_VARIANCE,
-        )
-        return InterferenceEstimate(
-            max(kalman_filter.mean_by_image[best_effort_image], 0),
-            variance**0.5,
+        return _to_estimate(
+            self._learned.start((latency_critical_image, best_effort_image))
         )
 
+    def known_pairs(self) -> Iterator[tuple[PairKey, Pair]]:
+        """Iterate over all pairs that were observed or loaded."""
+        for image, kalman_filter in self._filter_by_image.items():
+            for best_effort_image in kalman_filter.mean_by_image:
+                pair = kalman_filter.pair(best_effort_image)
+                yield (image, best_effort_image), pair
+        if self._learned is not None:
+            yield from self._learned
+
+    def forget(self) -> None:
+        """Forget all pairs."""
+        self._filter_by_image.clear()
+        if self._learned is not None:
+            self._learned.clear()
+
+    def add_learned(self, pairs: Iterable[tuple[PairKey, Pair]]) -> None:
+        """Merge pairs that another owner has learned, by precision."""
+        if self._learned is None:
+            return
+        for images, pair in pairs:
+            kalman_filter = self._filter_by_image.get(images[0])
+            if kalman_filter and images[1] in kalman_filter.mean_by_image:
+                kalman_filter.merge(images[1], pair)
+            else:
+                self._learned.add(images, pair)
+
     def _observe(
         self,
         sample: LatencySample,
@@ -259,15 +237,56 @@
             )
             > _MIN_USE_CHANGE
         }
-        image = current.sample.image
-        kalman_filter = self._filter_by_image.setdefault(image, _KalmanFilter())
-        if (
-            core_change_by_image
-            and len(
-                kalman_filter.mean_by_image.keys() | core_change_by_image.keys()
-            )
-            <= _MAX_IMAGES
-        ):
-            kalman_filter.update(
-                core_change_by_image, headrooms[0] - headrooms[1]
+        if core_change_by_image:
+            self._update(
+                current.sample.image,
+                core_change_by_image,
+                headrooms[0] - headrooms[1],
             )
+
+    def _update(
+        self,
+        image: str,
+        core_change_by_image: dict[str, float],
+        lost_headroom: float,
+    ) -> None:
+        """Update the filter of a latency-critical image."""
+        kalman_filter = self._filter_by_image.get(image)
+        if kalman_filter is None:
+            kalman_filter = KalmanFilter(self._start_of(image))
+            self._filter_by_image[image] = kalman_filter
+        if self._learned is not None:
+            self._make_room(image, core_change_by_image)
+        images = kalman_filter.mean_by_image.keys() | core_change_by_image
+        if len(images) <= _MAX_IMAGES:
+            kalman_filter.update(core_change_by_image, lost_headroom)
+            kalman_filter.move_to_end(core_change_by_image)
+
+    def _start_of(self, image: str) -> Callable[[str], Pair]:
+        learned = self._learned
+        if learned is None:
+            return _start_from_constant
+        return lambda best_effort_image: learned.take(
+            (image, best_effort_image)
+        )
+
+    def _make_room(self, image: str, changed_images: Iterable[str]) -> None:
+        """Put aside the pairs that were updated least recently.
+
+        Without it, images that are no longer used would keep new ones out.
+        """
+        kalman_filter = self._filter_by_image[image]
+        new_images = set(changed_images) - kalman_filter.mean_by_image.keys()
+        excess = len(new_images) + len(kalman_filter.mean_by_image)
+        excess -= _MAX_IMAGES
+        for best_effort_image in list(kalman_filter.mean_by_image):
+            if excess <= 0:
+                return
+            if best_effort_image not in changed_images:
+                excess -= 1
+                self._put_aside((image, best_effort_image))
+
+    def _put_aside(self, images: PairKey) -> None:
+        assert self._learned is not None, 'only where learning is on'
+        pair = self._filter_by_image[images[0]].remove(images[1])
+        self._learned.add(images, pair)
