--- a/bench/colocation_variants.py
+++ b/bench/colocation_variants.py
@@ -34,18 +34,18 @@
     return placed.step.size.cpu_millis * max(placed.pace, 0) / 100
 
 
-def _urgency_by_age(record, run, wall_ms) -> Urgency:
+def _urgency_by_age(record, run, wall_ms, _job_times) -> Urgency:
     """Order by acceptance time within the priority of the queue."""
     priority = -1 if run.step.is_keeper else record.job.queue.priority
     return Urgency(priority, 0, record.accepted_ms)
 
 
-def _urgency_by_deadline(record, run, wall_ms) -> Urgency:
+def _urgency_by_deadline(record, run, wall_ms, _job_times) -> Urgency:
     priority = -1 if run.step.is_keeper else record.job.queue.priority
     return Urgency(priority, 0, record.deadline(run.occurrence))
 
 
-def _urgency_by_work(record, run, wall_ms) -> Urgency:
+def _urgency_by_work(record, run, wall_ms, _job_times) -> Urgency:
     """Order by remaining work, also for jobs that are late already."""
     priority = -1 if run.step.is_keeper else record.job.queue.priority
     return Urgency(priority, 0, record.work_left())
--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -1,7 +1,7 @@
 """In-memory state of an accepted job: its done, running and waiting tasks."""
 
 from dataclasses import dataclass, field
-from typing import Final, Iterator
+from typing import Final, Iterator, Sequence
 
 from hyssopring.jobs.crash_history import CrashHistory
 from hyssopring.jobs.documents import JobRow, ProgressRow
@@ -229,14 +229,20 @@
             self.idle_since = now_ms
         return now_ms - self.idle_since
 
-    def work_left(self) -> float:
+    def work_left(self, run_ms_by_step: Sequence[float] | None = None) -> float:
         """Return the estimated CPU work of tasks that are not done.
 
         The unit is a thousandth of a core times a millisecond.
+
+        Args:
+            run_ms_by_step: Expected run time of a task of each step; None for
+                the caller's estimates.
         """
+        if run_ms_by_step is None:
+            run_ms_by_step = self.job.estimate_ms_by_step
         return sum(
             (run.step.count - run.done.bit_count())
-            * run.step.estimate_ms
+            * run_ms_by_step[run.step_index]
             * run.step.size.cpu_millis
             for run in self.step_runs.values()
         )
@@ -316,12 +322,13 @@
 
     def deadline(self, occurrence: int = 0) -> float:
         """Return when an occurrence should be completed, in ms since 1970."""
-        queue = self.job.queue
-        allowed = (
-            queue.slack_factor * self.job.critical_path_ms + queue.target_ms
+        return self.begun_ms(occurrence) + self.job.queue.objective_ms(
+            self.job.critical_path_ms
         )
-        due_ms = self.job.schedule.due_ms(occurrence)
-        return max(self.accepted_ms, due_ms) + allowed
+
+    def begun_ms(self, occurrence: int) -> float:
+        """Return when an occurrence could begin, in ms since 1970."""
+        return max(self.accepted_ms, self.job.schedule.due_ms(occurrence))
 
     @property
     def _open_count(self) -> int:
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 from functools import cached_property
-from typing import Final, Iterator
+from typing import Final, Iterator, Sequence
 
 __all__ = (
     'AdviceTiming',
@@ -15,6 +15,7 @@
     'Size',
     'Step',
     'TaskName',
+    'longest_paths',
 )
 
 # Same limit as for a submission; bounds the memory of the shard's owner.
@@ -219,6 +220,22 @@
     target_ms: int = 0
     advice: AdviceTiming | None = None
 
+    def objective_ms(self, critical_path_ms: float) -> float:
+        """Return the objective for the duration of a job."""
+        return self.slack_factor * critical_path_ms + self.target_ms
+
+
+def longest_paths(
+    steps: Sequence[Step], run_ms_by_step: Sequence[float]
+) -> tuple[float, ...]:
+    """Return, by step, the longest path of work that begins with it, in ms."""
+    path_ms = [float(run_ms) for run_ms in run_ms_by_step]
+    for number in range(len(steps) - 1, -1, -1):
+        for earlier in steps[number].after:
+            through_ms = run_ms_by_step[earlier] + path_ms[number]
+            path_ms[earlier] = max(path_ms[earlier], through_ms)
+    return tuple(path_ms)
+
 
 @dataclass(frozen=True)
 class Job:
@@ -240,15 +257,15 @@
         """Longest path of estimated work through the graph, in ms."""
         return max(self.critical_path_ms_by_step, default=0)
 
+    @cached_property
+    def estimate_ms_by_step(self) -> tuple[int, ...]:
+        """Estimated run time of one task of each step, in ms."""
+        return tuple(step.estimate_ms for step in self.steps)
+
     @cached_property
     def critical_path_ms_by_step(self) -> tuple[float, ...]:
         """By step: the longest path of estimated work that begins with it."""
-        path_ms = [float(step.estimate_ms) for step in self.steps]
-        for number in range(len(self.steps) - 1, -1, -1):
-            for earlier in self.steps[number].after:
-                through_ms = self.steps[earlier].estimate_ms + path_ms[number]
-                path_ms[earlier] = max(path_ms[earlier], through_ms)
-        return tuple(path_ms)
+        return longest_paths(self.steps, self.estimate_ms_by_step)
 
     @property
     def is_valid(self) -> bool:
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -8,6 +8,7 @@
 from hyssopring.jobs.fleet import Fleet, PlacedAttempt, Worker
 from hyssopring.jobs.interference import InterferenceModel
 from hyssopring.jobs.job_record import JobRecord, StepRun
+from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
@@ -61,6 +62,7 @@
 
     Attributes:
         interference: What the reports of all workers show of interference.
+        job_times: Tells how long steps take.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._ticket_manager = ticket_manager
         self._suspects = suspects
         self.interference = InterferenceModel()
+        self.job_times: JobTimeSource = CallerEstimates()
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -125,7 +128,7 @@
         wall_ms = self._wall_ms()
         pending_steps = [
             _PendingStep(
-                urgency(record, run, wall_ms),
+                urgency(record, run, wall_ms, self.job_times),
                 record,
                 run,
                 indices,
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -1,6 +1,6 @@
 """Reconciles agents' reports with the attempts that the owner has ordered."""
 
-from typing import Final, Protocol, TypeVar
+from typing import Callable, Final, Protocol, TypeVar
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.crash_suspects import TRIAL_MS, CrashSuspects
@@ -12,7 +12,7 @@
     TaskRequirements,
     WorkerReport,
 )
-from hyssopring.jobs.model import AttemptEnd, JobState, TaskName
+from hyssopring.jobs.model import AttemptEnd, Job, JobState, TaskName
 from hyssopring.jobs.owned_shard import Ack, OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.seen_ends import SeenEnds
@@ -60,8 +60,15 @@
         shards: OwnedShards,
         sink: ReportSink,
         suspects: CrashSuspects,
+        on_done: Callable[[Job, Worker, PlacedAttempt], None] | None = None,
     ) -> None:
-        """Create a reconciler that passes its actions to ``sink``."""
+        """Create a reconciler that passes its actions to ``sink``.
+
+        Args:
+            on_done: Called with each known attempt that ended ``done``; None
+                for no call.
+        """
+        self._on_done = on_done
         self._suspects = suspects
         self._clock = clock
         self._fleet = fleet
@@ -287,9 +294,17 @@
         placed = worker.placed_by_task.get(end.task)
         if placed is not None and placed.attempt <= end.attempt:
             worker.placed_by_task.pop(end.task)
+            self._report_done(record.job, end, worker, placed)
         self._apply_end(record, name, end, worker, owned)
         owned.save(record, ack)
 
+    def _report_done(
+        self, job: Job, end: EndReport, worker: Worker, placed: PlacedAttempt
+    ) -> None:
+        is_same = placed.attempt == end.attempt
+        if self._on_done and is_same and end.how == AttemptEnd.DONE.value:
+            self._on_done(job, worker, placed)
+
     def _apply_end(
         self,
         record: JobRecord,
--- a/hyssopring/jobs/ticket_manager.py
+++ b/hyssopring/jobs/ticket_manager.py
@@ -18,6 +18,7 @@
 )
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.job_record import JobRecord, StepRun
+from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 from hyssopring.jobs.model import AdviceTiming, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.ticket_requests import (
@@ -70,6 +71,7 @@
         shards: OwnedShards,
         may_act: Callable[[], bool],
         wall_ms: Callable[[], float],
+        job_times: JobTimeSource | None = None,
     ) -> None:
         """Start without tickets.
 
@@ -77,7 +79,10 @@
             may_act: Returns whether this owner may start tasks now; no query
                 is sent otherwise.
             wall_ms: Returns the milliseconds since 1970.
+            job_times: Tells how long steps take; None for the callers'
+                estimates.
         """
+        self._job_times = job_times or CallerEstimates()
         self._reactor = reactor
         self._clock = clock
         self._advice_client = advice_client
@@ -221,7 +226,9 @@
             self._clock.now(),
         ):
             rank = _NO_TICKETS
-        step_urgency = urgency(request.record, request.run, self._wall_ms())
+        step_urgency = urgency(
+            request.record, request.run, self._wall_ms(), self._job_times
+        )
         return step_urgency.priority, rank, step_urgency
 
     def _send_query(
--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from hyssopring.jobs.job_record import JobRecord, StepRun
+from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 
 __all__ = ('Urgency', 'urgency')
 
@@ -17,6 +18,7 @@
 _MAX_OBJECTIVES: Final = 3
 # Keepers come before the first priority of queues, which is 0.
 _KEEPER_PRIORITY: Final = -1
+_CALLER_ESTIMATES: Final = CallerEstimates()
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -36,11 +38,17 @@
     order: float
 
 
-def urgency(record: JobRecord, run: StepRun, wall_ms: float) -> Urgency:
+def urgency(
+    record: JobRecord,
+    run: StepRun,
+    wall_ms: float,
+    source: JobTimeSource = _CALLER_ESTIMATES,
+) -> Urgency:
     """Return the urgency of a step's pending tasks.
 
     Args:
         wall_ms: The time of day in ms since 1970.
+        source: Tells how long the steps take.
     """
     if run.step.is_keeper:
         # Keepers come first: users are without them until they run again, and
@@ -48,19 +56,13 @@
         # would count as overdue, and wait as long as batch tasks arrive.
         return Urgency(_KEEPER_PRIORITY, 0, record.accepted_ms)
     priority = record.job.queue.priority
-    deadline_ms = record.deadline(run.occurrence)
-    latest_start_ms = (
-        deadline_ms - record.job.critical_path_ms_by_step[run.step_index]
-    )
-    if wall_ms <= latest_start_ms:
-        return Urgency(priority, 0, record.work_left())
-    begun_ms = max(
-        record.accepted_ms,
-        record.job.schedule.due_ms(run.occurrence),
-    )
-    allowed_ms = _MAX_OBJECTIVES * (deadline_ms - begun_ms)
-    is_overdue = (
-        wall_ms + record.job.critical_path_ms_by_step[run.step_index]
-        > begun_ms + allowed_ms
-    )
-    return Urgency(priority, 2 if is_overdue else 1, record.work_left())
+    times = source.times_of(record.job)
+    path_ms = times.path_ms_by_step[run.step_index]
+    work_left = record.work_left(times.run_ms_by_step)
+    begun_ms = record.begun_ms(run.occurrence)
+    objective_ms = record.job.queue.objective_ms(times.critical_path_ms)
+    deadline_ms = begun_ms + objective_ms
+    if wall_ms <= deadline_ms - path_ms:
+        return Urgency(priority, 0, work_left)
+    is_overdue = wall_ms + path_ms > begun_ms + _MAX_OBJECTIVES * objective_ms
+    return Urgency(priority, 2 if is_overdue else 1, work_left)
--- a/hyssopring/jobs/workers.py
+++ b/hyssopring/jobs/workers.py
@@ -19,6 +19,9 @@
 # and its usage does not show what it would use at full pace.
 _SLOW_PACE: Final = 40
 _FULL_PACE: Final = 100
+# A task counts as throttled below this percentage; its run time is then not
+# that of a task at full pace.
+_MIN_FULL_PACE: Final = 90
 # The first measurements of a best-effort task may cover only a part of their
 # interval; it counts with at least this share of its request.
 _MIN_USAGE_SHARE: Final = 0.5
@@ -38,6 +41,7 @@
         pace: Allowed percentage of its processor time; negative if unknown.
         report_count: The number of reports that included it.
         slow_since: Since when its pace has been low, None if it is not.
+        was_throttled: Whether its pace has ever been reduced or unknown.
         observed_since: When a report first included it.
         observed_ms: How long from then on its worker has been answering.
     """
@@ -57,6 +61,7 @@
     is_stopping: bool = False
     observed_since: float | None = None
     observed_ms: float = 0
+    was_throttled: bool = False
 
     @property
     def has_measured_usage(self) -> bool:
@@ -110,6 +115,8 @@
             self.slow_since = None
         elif self.slow_since is None:
             self.slow_since = now_ms
+        if reported.pace < _MIN_FULL_PACE:
+            self.was_throttled = True
         self.percent = reported.percent
         self.load = reported.load
         self.pace = reported.pace
