--- a/bench/colocation_day.py
+++ b/bench/colocation_day.py
@@ -75,9 +75,9 @@
 
     step_s = 0.02
 
-    def __init__(self, day):
+    def __init__(self, day, options=None):
         self.day = day
-        super().__init__(workers=day.load.workers)
+        super().__init__(workers=day.load.workers, options=options)
 
     def _worker(self, name):
         cores = self.day.cores[int(name.rpartition('-')[2])]
@@ -100,7 +100,7 @@
         keeper_s: Keeper-seconds that should have run under load.
     """
 
-    def __init__(self, seed, load=SMALL_WORKERS):
+    def __init__(self, seed, load=SMALL_WORKERS, options=None):
         self.load = load
         self.random = random.Random(seed)
         self.interference = Interference(
@@ -118,7 +118,7 @@
         self.cores = [
             self.random.choice(load.cores) for _ in range(load.workers)
         ]
-        self.deployment = SharedDeployment(self)
+        self.deployment = SharedDeployment(self, options)
         self.submitted_by_id = {}
         self.keepers = 0
         self.keeper_s = 0
--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -24,7 +24,14 @@
 _RECORD_START: Final = re.compile(r'\{(?="at")')
 # The name of a machine or process in the prefix that a log collector adds.
 _PROCESS_NAME: Final = re.compile(r'(?<![\w.-])[A-Za-z][\w.-]*')
-_SHARD_EVENTS: Final = frozenset((Event.SHARD_ACQUIRED, Event.SHARD_LOST))
+_SHARD_EVENTS: Final = frozenset(
+    (
+        Event.SHARD_ACQUIRED,
+        Event.SHARD_LOST,
+        Event.LEARNED_STATE_LOADED,
+        Event.LEARNED_STATE_IGNORED,
+    )
+)
 # Events of a process or an agent: relevant to every job that ran meanwhile.
 _CONTEXT_EVENTS: Final = frozenset(
     (
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -27,6 +27,15 @@
         Event.JOB_ACCEPTED: 'accepted in queue {queue} with {tasks} tasks',
         Event.JOB_FORGOTTEN: 'its rows were deleted, an hour after its end',
         Event.KEEPER_LOST: '{task} is down on {agent}: {why}',
+        Event.LEARNED_STATE_IGNORED: (
+            'what the former owner learned is ignored in {problems} parts: '
+            + '{detail}'
+        ),
+        Event.LEARNED_STATE_LOADED: (
+            'this entry goes on with what the former owner learned until '
+            + '{age_ms} ms before: {pairs} pairs of images, run times of '
+            + '{keys} images or steps'
+        ),
         Event.SHARD_ACQUIRED: (
             'this entry took shard {shard} under reign {reign}: {jobs} jobs, '
             + '{unheard} agents not heard of yet'
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -14,6 +14,8 @@
 hs_entry   (empty)        entry id        the entry, each second
 hs_agent   shard          agent id        the shard's owner, see ``Roster``;
                                           empty, or an ``AgentRow``
+hs_learned shard          'summary'       the shard's owner, where learning is
+                                          on; see ``learning.summary_text``
 ========== ============== =============== ================================
 """
 
--- a/hyssopring/jobs/job_metrics.py
+++ b/hyssopring/jobs/job_metrics.py
@@ -32,6 +32,8 @@
         Event.TASK_GIVEN_UP: ('jobs_given_up_total', ''),
         Event.TASK_WAITING: ('lasting_tasks_waited_total', 'reason'),
         Event.SUSPECT_CLEARED: ('suspects_cleared_total', ''),
+        Event.LEARNED_STATE_LOADED: ('learned_states_loaded_total', ''),
+        Event.LEARNED_STATE_IGNORED: ('learned_states_ignored_total', ''),
         Event.ADVICE_GIVEN: ('questions_answered_total', ''),
         Event.ADVICE_UNAVAILABLE: ('questions_unanswered_total', ''),
         Event.SHARD_ACQUIRED: ('shards_acquired_total', ''),
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -33,6 +33,7 @@
 )
 from hyssopring.jobs.shard_reader import ShardReader
 from hyssopring.jobs.times import OWNER_LEASE_MS
+from hyssopring.learning.stored_summary import StoredSummary
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Ack', 'OwnedShard', 'ShardEvents')
@@ -75,6 +76,7 @@
             may be in both sets, or in neither.
         is_loaded: Whether all stored jobs are loaded.
         is_dropped: Whether this entry has stopped owning the shard.
+        stored_summary: The row of what the shard's owners have learned.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         # Jobs whose progress row is malformed; see ``_inherit``.
         self._malformed_progress: set[str] = set()
         self._check = owner_check(acquired.shard, acquired.version)
+        self.stored_summary = StoredSummary(store, self.shard, self._check)
         epoch_rows = EpochRows(
             store,
             acquired.shard,
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -33,6 +33,7 @@
 from hyssopring.jobs.stop_marks import mark_stopping
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.jobs.worker_port import StartOutcome
+from hyssopring.learning.owner_learning import OwnerLearning
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobOwner',)
@@ -51,7 +52,12 @@
 
 
 class JobOwner:
-    """Plans the tasks of the owned shards and orders agents to run them."""
+    """Plans the tasks of the owned shards and orders agents to run them.
+
+    Attributes:
+        learning: What it learns from the tasks, as the options ask for.
+        run_times: Learned run times; None if no part uses them.
+    """
 
     def __init__(
         self,
@@ -78,6 +84,8 @@
         self._may_act = may_act
         self._wall_ms = wall_ms
         self.shards = OwnedShards()
+        self.learning = OwnerLearning(clock, wall_ms, options)
+        self.run_times = self.learning.run_times
         self._ticket_manager = TicketManager(
             reactor,
             clock,
@@ -86,6 +94,7 @@
             self.shards,
             may_act,
             wall_ms,
+            self.learning.job_times,
         )
         self._ticket_manager.on_tickets = self.schedule_planning
         self._suspects = CrashSuspects(clock, fleet)
@@ -100,6 +109,8 @@
             self._ticket_manager,
             self._suspects,
         )
+        self._planner.interference = self.learning.interference
+        self._planner.job_times = self.learning.job_times
         self.keeper_waits = KeeperWaitMonitor(
             clock,
             fleet,
@@ -115,6 +126,7 @@
             self.shards,
             self,
             self._suspects,
+            self.learning.record_done,
         )
         self._moves = TaskMover(
             clock,
@@ -129,6 +141,7 @@
         """Start to own a shard: load its rows and request reports."""
         self.shards.by_shard[owned.shard] = owned
         owned.load()
+        self.learning.acquire(owned)
         self.request_all_reports()
 
     def on_shard_loaded(self) -> None:
@@ -156,6 +169,7 @@
         """Stop owning a shard and discard its attempts."""
         owned.drop()
         self._reconciler.forget(owned.shard)
+        self.learning.drop(owned.shard)
         if self.shards.by_shard.get(owned.shard) is owned:
             self.shards.by_shard.pop(owned.shard)
         log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.epoch)
@@ -287,6 +301,7 @@
         self._add_to_roster()
         self._ticket_manager.check()
         self.keeper_waits.check()
+        self.learning.tick()
         self.schedule_planning()
 
     def _apply_timeouts(self, now_ms: float) -> None:
--- a/hyssopring/jobs/row_keys.py
+++ b/hyssopring/jobs/row_keys.py
@@ -8,6 +8,7 @@
     'CANCEL_SUFFIX',
     'ENTRIES_TABLE',
     'JOBS_TABLE',
+    'LEARNED_TABLE',
     'OWNERS_TABLE',
     'PROGRESS_TABLE',
     'agent_key',
@@ -15,6 +16,7 @@
     'former_owners_key',
     'is_job_key',
     'job_key',
+    'learned_key',
     'owner_key',
     'part_of',
     'progress_key',
@@ -26,6 +28,7 @@
 OWNERS_TABLE = 'hs_owner'
 ENTRIES_TABLE = 'hs_entry'
 AGENTS_TABLE = 'hs_agent'
+LEARNED_TABLE = 'hs_learned'
 CANCEL_SUFFIX = '/x'
 
 
@@ -72,3 +75,8 @@
 def roster_key(shard: int) -> RowKey:
     """Return the key of a shard's ``RosterRow``."""
     return RowKey(OWNERS_TABLE, part_of(shard), 'roster')
+
+
+def learned_key(shard: int) -> RowKey:
+    """Return the key of the summary of what a shard's owners learned."""
+    return RowKey(LEARNED_TABLE, part_of(shard), 'summary')
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -29,6 +29,7 @@
         Event.INVARIANT_VIOLATED: 'ERROR',
         Event.CONNECTION_SILENT: 'WARNING',
         Event.KEEPER_LOST: 'WARNING',
+        Event.LEARNED_STATE_IGNORED: 'WARNING',
         Event.PEER_ERROR: 'WARNING',
         Event.SETTINGS_REFUSED: 'WARNING',
         Event.STORE_UNREACHABLE: 'WARNING',
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -202,6 +202,9 @@
         gauge(
             'lasting_tasks_waiting', self.core.owner.keeper_waits.waiting_count
         )
+        learning = self.core.owner.learning
+        gauge('learned_pairs', learning.pair_count)
+        gauge('learned_run_times', learning.key_count)
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -30,6 +30,8 @@
     'TASK_GIVEN_UP': 3041,
     'SUSPECT_CLEARED': 3042,
     'TASK_WAITING': 3044,
+    'LEARNED_STATE_LOADED': 3050,
+    'LEARNED_STATE_IGNORED': 3051,
     'EVACUATION_BEGUN': 4005,
     'EVACUATION_ENDED': 4007,
     'STORE_UNREACHABLE': 5001,
@@ -285,6 +287,36 @@
     assert len(timeline) == 4
 
 
+def test_a_timeline_tells_what_a_new_owner_has_learned(explain):
+    timeline = explain(
+        [
+            accepted(0),
+            line(
+                1,
+                'LEARNED_STATE_LOADED',
+                shard=0,
+                pairs=180,
+                keys=30,
+                age_ms=3900,
+                bytes=2795,
+            ),
+            line(
+                2,
+                'LEARNED_STATE_IGNORED',
+                shard=0,
+                problems=1,
+                detail='version 2',
+            ),
+            placed(3),
+            ended(4, 'done'),
+            finished(4, 4000, 9000),
+        ]
+    )
+    text = '\n'.join(timeline)
+    assert 'learned until 3900 ms before: 180 pairs of images' in text
+    assert 'is ignored in 1 parts: version 2' in text
+
+
 def test_a_timeline_starts_with_the_owner_at_that_time(explain):
     owner_lines = [
         line(second, 'SHARD_ACQUIRED', shard=0, reign=reign, jobs=1, unheard=0)
