--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -1,7 +1,7 @@
 """In-memory state of an accepted job: its done, running and waiting tasks."""
 
 from dataclasses import dataclass, field
-from typing import Final, Iterator
+from typing import Final, Iterable, Iterator, Sequence
 
 from hyssopring.jobs.crash_history import CrashHistory
 from hyssopring.jobs.documents import JobRow, ProgressRow
@@ -231,17 +231,20 @@
             self.idle_since = now_ms
         return now_ms - self.idle_since
 
-    def work_left(self) -> float:
+    def work_left(self, run_ms_by_step: Sequence[float] | None = None) -> float:
         """Return the estimated CPU work of tasks that are not done.
 
         The unit is a thousandth of a core times a millisecond.
+
+        Args:
+            run_ms_by_step: Expected run time of a task of each step; None for
+                the caller's estimates.
         """
+        if run_ms_by_step is not None:
+            return _work_of(self.step_runs.values(), run_ms_by_step)
         if self._work_left is None:
-            self._work_left = sum(
-                (run.step.count - run.done.bit_count())
-                * run.step.estimate_ms
-                * run.step.size.cpu_millis
-                for run in self.step_runs.values()
+            self._work_left = _work_of(
+                self.step_runs.values(), self.job.estimate_ms_by_step
             )
         return self._work_left
 
@@ -321,12 +324,13 @@
 
     def deadline(self, occurrence: int = 0) -> float:
         """Return when an occurrence should be completed, in ms since 1970."""
-        queue = self.job.queue
-        allowed = (
-            queue.slack_factor * self.job.critical_path_ms + queue.target_ms
+        return self.begun_ms(occurrence) + self.job.queue.objective_ms(
+            self.job.critical_path_ms
         )
-        due_ms = self.job.schedule.due_ms(occurrence)
-        return max(self.accepted_ms, due_ms) + allowed
+
+    def begun_ms(self, occurrence: int) -> float:
+        """Return when an occurrence could begin, in ms since 1970."""
+        return max(self.accepted_ms, self.job.schedule.due_ms(occurrence))
 
     @property
     def _open_count(self) -> int:
@@ -349,3 +353,14 @@
             self.step_runs[f'{run.occurrence}.{earlier}'].is_done
             for earlier in run.step.after
         )
+
+
+def _work_of(
+    step_runs: Iterable[StepRun], run_ms_by_step: Sequence[float]
+) -> float:
+    return sum(
+        (run.step.count - run.done.bit_count())
+        * run_ms_by_step[run.step_index]
+        * run.step.size.cpu_millis
+        for run in step_runs
+    )
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -33,6 +33,7 @@
 )
 from hyssopring.jobs.shard_reader import ShardReader
 from hyssopring.jobs.times import OWNER_LEASE_MS
+from hyssopring.learning.stored_summary import StoredSummary
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Ack', 'OwnedShard', 'ShardEvents')
@@ -76,6 +77,7 @@
         is_loaded: Whether all stored jobs are loaded.
         is_dropped: Whether this entry has stopped owning the shard.
         look_up: Reads the row of a job; see ``ShardReader``.
+        stored_summary: The row of what the shard's owners have learned.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         # Jobs whose progress row is malformed; see ``_inherit``.
         self._malformed_progress: set[str] = set()
         self._check = owner_check(acquired.shard, acquired.version)
+        self.stored_summary = StoredSummary(store, self.shard, self._check)
         epoch_rows = EpochRows(
             store,
             acquired.shard,
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -8,6 +8,7 @@
 from hyssopring.jobs.fleet import Fleet, PlacedAttempt, Worker
 from hyssopring.jobs.interference import InterferenceModel
 from hyssopring.jobs.job_record import JobRecord, StepRun
+from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
@@ -71,6 +72,7 @@
 
     Attributes:
         interference: What the reports of all workers show of interference.
+        job_times: Tells how long steps take.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self._suspects = suspects
         self.interference = InterferenceModel()
         self._uses = WorkerUses()
+        self.job_times: JobTimeSource = CallerEstimates()
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -136,7 +139,7 @@
         wall_ms = self._wall_ms()
         pending_steps = [
             _PendingStep(
-                urgency(record, run, wall_ms),
+                urgency(record, run, wall_ms, self.job_times),
                 record,
                 run,
                 indices,
