--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -100,6 +100,8 @@
         crashes: Crashes of workers that were starting its tasks.
         trial_wanted_since: Since when a suspect has waited for a trial, by
             the key of its budget.
+        first_asked_ms: When it was first submitted, in ms since 1970, if it
+            was rejected then; else 0.
     """
 
     job: Job
@@ -116,6 +118,7 @@
     idle_since: float | None = None
     crashes: CrashHistory = field(init=False)
     trial_wanted_since: dict[str, float] = field(default_factory=dict)
+    first_asked_ms: float = 0
 
     def __post_init__(self) -> None:
         """Load the crash history from the progress row."""
@@ -136,6 +139,7 @@
             epoch,
             is_inherited,
             progress or ProgressRow(),
+            first_asked_ms=row.first_asked_ms,
         )
         if not row.job.schedule.times:
             record.open_occurrence(0)
@@ -321,7 +325,17 @@
             queue.slack_factor * self.job.critical_path_ms + queue.target_ms
         )
         due_ms = self.job.schedule.due_ms(occurrence)
-        return max(self.accepted_ms, due_ms) + allowed
+        return max(self.asked_ms, due_ms) + allowed
+
+    @property
+    def asked_ms(self) -> float:
+        """When its caller first submitted it, in ms since 1970.
+
+        Wall clocks of VMs differ: a job is never asked after its acceptance.
+        """
+        if self.first_asked_ms <= 0:
+            return self.accepted_ms
+        return min(self.first_asked_ms, self.accepted_ms)
 
     @property
     def _open_count(self) -> int:
--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -28,7 +28,7 @@
         lateness: 0 while the job can end in time, 1 while it can end before
             ``_MAX_OBJECTIVES`` times its objective, 2 after that.
         order: The work that remains, in core-milliseconds, so that most jobs
-            end in time; for keepers, when they were accepted.
+            end in time; for keepers, when they were first submitted.
     """
 
     priority: int
@@ -46,7 +46,7 @@
         # Keepers come first: users are without them until they run again, and
         # they are small compared to the batch work that waits. By age they
         # would count as overdue, and wait as long as batch tasks arrive.
-        return Urgency(_KEEPER_PRIORITY, 0, record.accepted_ms)
+        return Urgency(_KEEPER_PRIORITY, 0, record.asked_ms)
     priority = record.job.queue.priority
     deadline_ms = record.deadline(run.occurrence)
     latest_start_ms = (
@@ -55,7 +55,7 @@
     if wall_ms <= latest_start_ms:
         return Urgency(priority, 0, record.work_left())
     begun_ms = max(
-        record.accepted_ms,
+        record.asked_ms,
         record.job.schedule.due_ms(run.occurrence),
     )
     allowed_ms = _MAX_OBJECTIVES * (deadline_ms - begun_ms)
