--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -170,6 +170,7 @@
         self.dialler = dialler
         self.address = address
         self.entry_id = ''
+        self.release = 0
         self.connection: FramedConnection | None = None
         self.is_dialling = False
         self.next_dial_at = _NEVER
@@ -234,6 +235,7 @@
         if isinstance(message, EntryGreeting):
             if not self.entry_id:
                 self.entry_id = message.entry_id
+                self.release = message.release
                 self.backoff_ms = _MIN_BACKOFF_MS
                 self.dialler.handle_greeting(self)
         elif self.dialler.is_current(self):
@@ -333,6 +335,11 @@
         dialled.connection.send(message)
         return True
 
+    def release_of(self, entry_id: str) -> int:
+        """Return the release in a connected entry's greeting, else 0."""
+        dialled = self._dialled_by_entry.get(entry_id)
+        return dialled.release if dialled else 0
+
     def handle_greeting(self, dialled: _DialledAddress) -> None:
         """Register a connection whose entry has responded to the greeting."""
         self._dialled_by_entry[dialled.entry_id] = dialled
--- a/hyssopring/jobs/relay.py
+++ b/hyssopring/jobs/relay.py
@@ -79,6 +79,9 @@
     def connected_entries(self) -> list[str]:
         """IDs of the entries that this one has a connection to."""
 
+    def release_of(self, entry_id: str) -> int:
+        """Return the release in a connected entry's greeting, else 0."""
+
 
 class RelayedStore:
     """A ``RowStore`` that relays its calls while direct ones fail."""
