--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -51,7 +51,13 @@
 
 
 class JobOwner:
-    """Plans the tasks of the owned shards and orders agents to run them."""
+    """Plans the tasks of the owned shards and orders agents to run them.
+
+    Attributes:
+        unplaced: Steps of which a task found no worker in the last planning
+            round, with their jobs.
+        done_observers: Called when tasks are done; see ``OnDone``.
+    """
 
     def __init__(
         self,
@@ -108,6 +114,7 @@
             self._ticket_manager,
             self._suspects,
         )
+        self.unplaced = self._planner.unplaced
         self._stall_detector = StallDetector(clock)
         self._reconciler = ReportReconciler(
             clock,
@@ -116,6 +123,7 @@
             self,
             self._suspects,
         )
+        self.done_observers = self._reconciler.done_observers
         self._moves = TaskMover(
             clock,
             fleet,
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -61,6 +61,8 @@
 
     Attributes:
         interference: What the reports of all workers show of interference.
+        unplaced: Steps of which a task found no worker in the last planning
+            round, with their jobs.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._ticket_manager = ticket_manager
         self._suspects = suspects
         self.interference = InterferenceModel()
+        self.unplaced: list[tuple[JobRecord, StepRun]] = []
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -122,6 +125,7 @@
             self._fleet.by_agent.values(), self._clock.now()
         )
         self._suspects.check()
+        self.unplaced.clear()
         wall_ms = self._wall_ms()
         pending_steps = [
             _PendingStep(
@@ -167,6 +171,7 @@
         for task_name in unsuspected:
             if not self._place_task(placement, pending, task_name, is_starved):
                 # No worker qualifies for the step's other tasks either.
+                self.unplaced.append((record, run))
                 break
             is_starved = False
         # Trials come last: each one excludes its worker from the round.
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -1,6 +1,6 @@
 """Reconciles agents' reports with the attempts that the owner has ordered."""
 
-from typing import Final, Protocol, TypeVar
+from typing import Callable, Final, Protocol, TypeVar
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.crash_suspects import TRIAL_MS, CrashSuspects
@@ -23,12 +23,17 @@
 from hyssopring.jobs.unknown_jobs import UnknownJobs
 from hyssopring.logs import Event, log_event
 
-__all__ = ('ReportReconciler', 'ReportSink')
+__all__ = ('OnDone', 'ReportReconciler', 'ReportSink')
 
 _CRASHES: Final = frozenset(
     (AttemptEnd.CRASHED.value, AttemptEnd.CRASHED_IN_TRIAL.value)
 )
 
+# Called with a step, how many of its tasks are done now (all members of a gang
+# at once), and the time in ms for which the task has run; None if it did not
+# run from its beginning under this owner.
+OnDone = Callable[[JobRecord, StepRun, int, float | None], None]
+
 _TaskReport = TypeVar('_TaskReport', AttemptReport, EndReport)
 
 
@@ -51,7 +56,11 @@
 
 
 class ReportReconciler:
-    """Applies agents' reports to the jobs of the owned shards."""
+    """Applies agents' reports to the jobs of the owned shards.
+
+    Attributes:
+        done_observers: Called when tasks are done; see ``OnDone``.
+    """
 
     def __init__(
         self,
@@ -62,6 +71,7 @@
         suspects: CrashSuspects,
     ) -> None:
         """Create a reconciler that passes its actions to ``sink``."""
+        self.done_observers: list[OnDone] = []
         self._suspects = suspects
         self._clock = clock
         self._fleet = fleet
@@ -281,15 +291,44 @@
         if record is None and not self._unknown_jobs.has_timed_out(name.job_id):
             return
         self._seen_ends.add(ack, owned.shard)
-        if record is None or record.step_run_of(name) is None:
+        run = record.step_run_of(name) if record else None
+        if record is None or run is None:
             self._sink.acknowledge_ends([ack])
             return
         placed = worker.placed_by_task.get(end.task)
         if placed is not None and placed.attempt <= end.attempt:
             worker.placed_by_task.pop(end.task)
+        done_before = run.done.bit_count()
         self._apply_end(record, name, end, worker, owned)
+        done_count = run.done.bit_count() - done_before
+        self._notify_observers(
+            record, run, done_count, self._run_ms(placed, end)
+        )
         owned.save(record, ack)
 
+    def _notify_observers(
+        self,
+        record: JobRecord,
+        run: StepRun,
+        done_count: int,
+        run_ms: float | None,
+    ) -> None:
+        if done_count:
+            for observe in self.done_observers:
+                observe(record, run, done_count, run_ms)
+
+    def _run_ms(
+        self, placed: PlacedAttempt | None, end: EndReport
+    ) -> float | None:
+        """Return how long an ended attempt has run, None if unknown."""
+        if placed is None or placed.attempt != end.attempt:
+            return None
+        # An attempt without a start of this connection may have been adopted,
+        # and its placement says nothing about its begin.
+        if placed.checkpoint or not placed.start_index:
+            return None
+        return self._clock.now() - placed.placed_at
+
     def _apply_end(
         self,
         record: JobRecord,
