--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -4,17 +4,11 @@
 from functools import singledispatchmethod
 from typing import Any, Callable, Final
 
+from hyssopring.admission.entry_admission import EntryAdmission
 from hyssopring.clock import Clock
 from hyssopring.jobs.advice_client import AdviceClient
-from hyssopring.jobs.configuration_messages import (
-    ConfigurationNotice,
-    ConfigurationPart,
-    ConfigurationRequest,
-    ConfigurationText,
-)
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.entry_membership import EntryMembership
-from hyssopring.jobs.evacuation_messages import EvacuationNotice
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.former_owner import AcquiredShard
 from hyssopring.jobs.handover import ReleasedShards, release_message
@@ -48,8 +42,7 @@
 )
 from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.jobs.shards import shard_of
-from hyssopring.jobs.shared_configuration import SharedConfiguration
-from hyssopring.jobs.shared_evacuations import SharedEvacuations
+from hyssopring.jobs.shared_state import SharedState
 from hyssopring.logs import Event, log_event
 
 __all__ = ('JobEntryCore',)
@@ -67,6 +60,8 @@
         configuration: The configuration that the entries share.
         evacuations: The evacuated zones that entries and agents share.
         job_api: Serves callers' requests about jobs.
+        admission: Rejects jobs that could only end too late; None to reject
+            none.
     """
 
     def __init__(
@@ -79,11 +74,13 @@
         peers: RelayPeers,
         advice: AdviceClient,
         options: SchedulingOptions | None = None,
+        zone: str = '',
     ) -> None:
         """Build the owner and connect the membership's callbacks.
 
         Args:
             options: The optional parts of scheduling; None for none of them.
+            zone: The availability zone of this entry.
         """
         self._options = options or SchedulingOptions()
         self._reactor = reactor
@@ -93,7 +90,9 @@
         self._membership = membership
         self._peers = peers
         self._released_shards = ReleasedShards()
-        self.evacuations = SharedEvacuations(clock, peers, lambda: self.agents)
+        self._shared = SharedState(reactor, clock, peers, lambda: self.agents)
+        self.configuration = self._shared.configuration
+        self.evacuations = self._shared.evacuations
         self.fleet = Fleet(
             clock,
             membership.incarnation,
@@ -111,7 +110,6 @@
             self._options,
         )
         self._requests = PeerRequests(reactor, peers)
-        self.configuration = SharedConfiguration(reactor, peers)
         self.job_api = JobApi(
             reactor,
             clock,
@@ -121,7 +119,10 @@
             self.owner.shards,
             peers,
             self._requests,
+            zone,
         )
+        self.admission = self._build_admission()
+        self._shared.admission = self.admission
         membership.owned = lambda: tuple(self.owner.shards.by_shard)
         membership.on_acquired = self._on_acquired
         membership.on_release_requested = self._release_shards
@@ -131,6 +132,23 @@
         """The ids of the connected agents."""
         return self.fleet.connected_agents()
 
+    def _build_admission(self) -> EntryAdmission | None:
+        if self._options.admission is None:
+            return None
+        admission = EntryAdmission(
+            self._reactor,
+            self._clock,
+            self._wall_ms,
+            self._store,
+            self._peers,
+            self.fleet,
+            self.owner,
+            self._may_act,
+            self._options.admission,
+        )
+        self.job_api.gate = admission.gate
+        return admission
+
     def agent_connected(self, agent_id: str, zone: str) -> None:
         """Register an agent that has opened a connection."""
         worker = self.fleet.record_connection(agent_id, zone)
@@ -147,11 +165,7 @@
     @singledispatchmethod
     def handle_message(self, message: JobsMessage, peer_id: str) -> None:
         """Handle a message of an agent or an entry; log an unexpected one."""
-        log_event(
-            Event.PEER_ERROR,
-            peer=peer_id,
-            detail=f'unexpected {type(message).__name__}',
-        )
+        self._shared.handle_message(message, peer_id)
 
     @handle_message.register
     def _handle_report(self, message: WorkerReport, peer_id: str) -> None:
@@ -232,19 +246,6 @@
     def _handle_relayed_call(self, message: JobsMessage, peer_id: str) -> None:
         self._store.serve(message, peer_id)
 
-    @handle_message.register(ConfigurationNotice)
-    @handle_message.register(ConfigurationRequest)
-    @handle_message.register(ConfigurationText)
-    @handle_message.register(ConfigurationPart)
-    def _handle_configuration(self, message: JobsMessage, peer_id: str) -> None:
-        self.configuration.handle_message(message, peer_id)
-
-    @handle_message.register
-    def _handle_evacuations(
-        self, message: EvacuationNotice, peer_id: str
-    ) -> None:
-        self.evacuations.handle_notice(message, peer_id)
-
     @handle_message.register
     def _handle_relayed_response(
         self, message: RelayedResponse, peer_id: str
@@ -256,6 +257,8 @@
         for owned in self.owner.shards.by_shard.values():
             owned.former.check(self._membership.is_dead)
         self.owner.tick()
+        if self.admission is not None:
+            self.admission.tick()
 
     def poll(self) -> None:
         """Poll for jobs without a notice; call each second or so."""
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import Any, Final, get_args
 
+from hyssopring.admission.messages import QueueOutlookNotice, RejectionNotice
 from hyssopring.jobs.configuration_messages import (
     ConfigurationNotice,
     ConfigurationPart,
@@ -424,6 +425,8 @@
     | ConfigurationText
     | ConfigurationPart
     | EvacuationNotice
+    | QueueOutlookNotice
+    | RejectionNotice
 )
 
 # The first byte of a frame is the class's index here: add new ones last.
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -28,6 +28,7 @@
         zones: If set, the agents are in these zones in turn, and the entries
             follow the operator's rows.
         options: The optional parts of scheduling; None for none of them.
+        zone_by_entry: The availability zones of entries by name.
     """
 
     step_s = STEP_S
@@ -42,8 +43,10 @@
         keeps_ids=False,
         zones=(),
         options=None,
+        zone_by_entry=(),
     ):
         self.options = options
+        self.zone_by_entry = dict(zone_by_entry)
         self.cores_by_entry = dict(cores_by_entry)
         self.zones = zones
         self.zone_by_agent = {
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -6,6 +6,7 @@
 from hyssopring.jobs.agent_core import JobAgentCore
 from hyssopring.jobs.entry_core import JobEntryCore
 from hyssopring.jobs.entry_membership import EntryMembership
+from hyssopring.jobs.messages import PROTOCOL_RELEASE
 from hyssopring.jobs.relay import RelayedStore
 from hyssopring.jobs.times import ENTRY_HEARTBEAT_MS
 from hyssopring.platform.configuration import ConfigurationFollower
@@ -87,6 +88,8 @@
     def __init__(self, deployment, name, incarnation):
         super().__init__(deployment, name)
         self.has_peers = True
+        # ``EntryGreeting.release`` of the process.
+        self.release = PROTOCOL_RELEASE
         client = RelayedStore(
             self.reactor,
             self.clock,
@@ -111,6 +114,7 @@
             self,
             AdviceLink(deployment.advice, name, self.reactor),
             deployment.options,
+            deployment.zone_by_entry.get(name, ZONE),
         )
         if deployment.zones:
             self._follow_operator(deployment.zones, client)
@@ -145,6 +149,9 @@
             and not self.deployment.is_cut(self.name, name)
         ]
 
+    def release_of(self, entry_id):
+        return self.deployment.entries[entry_id].release
+
     def send_to_entry(self, entry_id, message):
         return self.deployment.carry(self, entry_id, message)
 
