--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -100,6 +100,9 @@
         crashes: Crashes of workers that were starting its tasks.
         trial_wanted_since: Since when a suspect has waited for a trial, by
             the key of its budget.
+        first_asked_ms: When it was first submitted, in ms since 1970, if it
+            was rejected then; else 0.
+        asked_ms: When its caller first submitted it, in ms since 1970.
     """
 
     job: Job
@@ -116,11 +119,17 @@
     idle_since: float | None = None
     crashes: CrashHistory = field(init=False)
     trial_wanted_since: dict[str, float] = field(default_factory=dict)
+    asked_ms: float = field(init=False)
     _work_left: float | None = field(default=None, init=False)
+    first_asked_ms: float = 0
 
     def __post_init__(self) -> None:
         """Load the crash history from the progress row."""
         self.crashes = CrashHistory(self.progress.failed)
+        self.asked_ms = self.accepted_ms
+        if self.first_asked_ms > 0:
+            # Wall clocks of VMs differ: no job is asked after its acceptance.
+            self.asked_ms = min(self.first_asked_ms, self.accepted_ms)
 
     @classmethod
     def from_row(
@@ -137,6 +146,7 @@
             epoch,
             is_inherited,
             progress or ProgressRow(),
+            first_asked_ms=row.first_asked_ms,
         )
         if not row.job.schedule.times:
             record.open_occurrence(0)
@@ -330,7 +340,7 @@
 
     def begun_ms(self, occurrence: int) -> float:
         """Return when an occurrence could begin, in ms since 1970."""
-        return max(self.accepted_ms, self.job.schedule.due_ms(occurrence))
+        return max(self.asked_ms, self.job.schedule.due_ms(occurrence))
 
     @property
     def _open_count(self) -> int:
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -57,6 +57,9 @@
     Attributes:
         learning: What it learns from the tasks, as the options ask for.
         run_times: Learned run times; None if no part uses them.
+        unplaced: Steps of which a task found no worker in the last planning
+            round, with their jobs.
+        done_observers: Called when tasks are done; see ``OnDone``.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
             self._ticket_manager,
             self._suspects,
         )
+        self.unplaced = self._planner.unplaced
         self._stall_detector = StallDetector(clock)
         self._reconciler = ReportReconciler(
             clock,
@@ -128,6 +132,7 @@
             self._suspects,
             self.learning.record_done,
         )
+        self.done_observers = self._reconciler.done_observers
         self._moves = TaskMover(
             clock,
             fleet,
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -73,6 +73,8 @@
     Attributes:
         interference: What the reports of all workers show of interference.
         job_times: Tells how long steps take.
+        unplaced: Steps of which a task found no worker in the last planning
+            round, with their jobs.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         self.interference = InterferenceModel()
         self._uses = WorkerUses()
         self.job_times: JobTimeSource = CallerEstimates()
+        self.unplaced: list[tuple[JobRecord, StepRun]] = []
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -136,6 +139,7 @@
             self._fleet.by_agent.values(), self._clock.now()
         )
         self._suspects.check()
+        self.unplaced.clear()
         wall_ms = self._wall_ms()
         pending_steps = [
             _PendingStep(
@@ -183,6 +187,7 @@
         for task_name in unsuspected:
             if not self._place_task(placement, pending, task_name, is_starved):
                 # No worker qualifies for the step's other tasks either.
+                self.unplaced.append((record, run))
                 break
             is_starved = False
         # Trials come last: each one excludes its worker from the round.
