--- a/bench/colocation_variants.py
+++ b/bench/colocation_variants.py
@@ -9,6 +9,7 @@
     task_mover,
     placement_option,
     pacing,
+    pending_step,
     planning,
     worker_use,
 )
@@ -94,9 +95,11 @@
     'no relief': (
         _patch(task_mover.TaskMover, 'move_throttled_tasks', _skip_relief),
     ),
-    'first come first served': (_patch(planning, 'urgency', _urgency_by_age),),
-    'by deadline': (_patch(planning, 'urgency', _urgency_by_deadline),),
-    'by work left alone': (_patch(planning, 'urgency', _urgency_by_work),),
+    'first come first served': (
+        _patch(pending_step, 'urgency', _urgency_by_age),
+    ),
+    'by deadline': (_patch(pending_step, 'urgency', _urgency_by_deadline),),
+    'by work left alone': (_patch(pending_step, 'urgency', _urgency_by_work),),
     'keepers anywhere': (
         _patch(placement_option, '_LATENCY_CRITICAL_PACKING_BONUS', 0),
         _patch(placement_option, '_BEST_EFFORT_NEIGHBOR_PENALTY', 0),
--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -35,6 +35,7 @@
         Event.AGENT_LEFT,
         Event.EVACUATION_BEGUN,
         Event.EVACUATION_ENDED,
+        Event.SHARES_LIMITED,
     )
 )
 _Record = Mapping[str, Any]
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -114,6 +114,16 @@
     return f'{text} (order {{order}}, {_AGES})'.format_map(fields)
 
 
+def _describe_shares(fields: _Fields) -> str:
+    text = 'no group waits for its share any more, after {lasted_ms} ms'
+    if fields.get('is_limited') is True:
+        text = (
+            'too little room: {count} groups have reached their shares and '
+            + 'wait behind others: {groups}'
+        )
+    return text.format_map(fields)
+
+
 def _describe_refusal(fields: _Fields) -> str:
     kind = fields.get('kind', fields.get('why', 'unknown'))
     return f'refused: {kind}: {fields["detail"]}'
@@ -159,6 +169,7 @@
     {
         Event.JOB_FINISHED: _describe_job_end,
         Event.REQUEST_REFUSED: _describe_refusal,
+        Event.SHARES_LIMITED: _describe_shares,
         Event.TASK_FINISHED: _describe_end,
         Event.TASK_LAPSED: _describe_lapse,
         Event.TASK_PLACED: _describe_placement,
--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -100,6 +100,7 @@
         crashes: Crashes of workers that were starting its tasks.
         trial_wanted_since: Since when a suspect has waited for a trial, by
             the key of its budget.
+        zone: The availability zone of the job's callers, empty if unknown.
     """
 
     job: Job
@@ -116,6 +117,7 @@
     idle_since: float | None = None
     crashes: CrashHistory = field(init=False)
     trial_wanted_since: dict[str, float] = field(default_factory=dict)
+    zone: str = ''
     _work_left: float | None = field(default=None, init=False)
 
     def __post_init__(self) -> None:
@@ -137,6 +139,7 @@
             epoch,
             is_inherited,
             progress or ProgressRow(),
+            zone=row.zone,
         )
         if not row.job.schedule.times:
             record.open_occurrence(0)
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -4,6 +4,7 @@
 from typing import Any, Callable, Final
 
 from hyssopring.clock import Clock
+from hyssopring.fairness import FairShares
 from hyssopring.jobs.advice_client import AdviceClient
 from hyssopring.jobs.crash_suspects import CrashSuspects
 from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Worker
@@ -51,7 +52,12 @@
 
 
 class JobOwner:
-    """Plans the tasks of the owned shards and orders agents to run them."""
+    """Plans the tasks of the owned shards and orders agents to run them.
+
+    Attributes:
+        fair_shares: The shares of groups of jobs; None if the deployment has
+            none.
+    """
 
     def __init__(
         self,
@@ -100,6 +106,8 @@
             self._ticket_manager,
             self._suspects,
         )
+        self.fair_shares = FairShares.from_options(clock, options.fairness)
+        self._planner.fair_shares = self.fair_shares
         self.keeper_waits = KeeperWaitMonitor(
             clock,
             fleet,
@@ -158,6 +166,8 @@
         self._reconciler.forget(owned.shard)
         if self.shards.by_shard.get(owned.shard) is owned:
             self.shards.by_shard.pop(owned.shard)
+        if self.fair_shares is not None:
+            self.fair_shares.forget()
         log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.epoch)
         for worker in self._fleet.by_agent.values():
             for task in list(worker.placed_by_task):
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -160,6 +160,27 @@
         self.exclude(best.worker)
         return best.worker
 
+    def is_short_of_room(
+        self,
+        service: str,
+        step: Step,
+        allowed_boots: Container[str] | None = None,
+    ) -> bool:
+        """Return whether only other tasks keep a step's task from starting.
+
+        False if no worker could hold the task if it were idle, or if the
+        step's limit for each worker is reached: waiting changes neither.
+        """
+        possible = [
+            option
+            for option in self._options(service, allowed_boots)
+            if option.has_label(step)
+            and step.size.fits_in(option.worker.capacity)
+        ]
+        return bool(possible) and not any(
+            option.has_capacity(step, is_starved=False) for option in possible
+        )
+
     def exclude(self, worker: Worker) -> None:
         """Place no further tasks on a worker in this round."""
         options = self._options_by_service[worker.service]
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -1,21 +1,20 @@
 """Planning rounds that start pending tasks of the owned shards on workers."""
 
-from dataclasses import dataclass
-from typing import Any, Callable, Final, Iterator, Mapping
+from typing import Any, Callable, Final
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.fairness import FairShares
 from hyssopring.jobs.crash_suspects import CrashSuspects
 from hyssopring.jobs.fleet import Fleet, PlacedAttempt, Worker
 from hyssopring.jobs.interference import InterferenceModel
-from hyssopring.jobs.job_record import JobRecord, StepRun
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.pending_step import PendingStep, list_pending_steps
 from hyssopring.jobs.placement_round import PlacementRound
 from hyssopring.jobs.shards import shard_of
 from hyssopring.jobs.task_requirements import facts_of
 from hyssopring.jobs.ticket_manager import TicketManager
-from hyssopring.jobs.urgency import Urgency, urgency
 from hyssopring.jobs.worker_use import WorkerUses
 from hyssopring.logs import Event, log_event
 
@@ -36,41 +35,13 @@
 Send = Callable[[str, JobsMessage], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingStep:
-    """The tasks of a step that may start now.
-
-    Attributes:
-        indices: Indices of the tasks within the step.
-        ticket_by_boot: Tickets by the incarnation of a worker that may run
-            the tasks; None if any worker may.
-    """
-
-    urgency: Urgency
-    record: JobRecord
-    run: StepRun
-    indices: set[int]
-    ticket_by_boot: Mapping[str, str] | None
-
-    def task_names(self) -> Iterator[TaskName]:
-        """Iterate over the tasks that wait now, in the order of their indices.
-
-        In most steps of a long queue only the first one is needed.
-        """
-        job_id = self.record.job.job_id
-        for index in sorted(self.indices):
-            yield self.run.task(job_id, index)
-
-    def ticket_for(self, worker: Worker) -> str:
-        """Return the worker's ticket, empty if the step needs none."""
-        return self.ticket_by_boot[worker.boot] if self.ticket_by_boot else ''
-
-
 class StepPlanner:
     """Start the pending tasks of the owned shards.
 
     Attributes:
         interference: What the reports of all workers show of interference.
+        fair_shares: The shares of groups of jobs; None if the deployment has
+            none.
     """
 
     def __init__(
@@ -102,6 +73,7 @@
         self._ticket_manager = ticket_manager
         self._suspects = suspects
         self.interference = InterferenceModel()
+        self.fair_shares: FairShares | None = None
         self._uses = WorkerUses()
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
@@ -133,22 +105,19 @@
             self._fleet.by_agent.values(), self._clock.now()
         )
         self._suspects.check()
-        wall_ms = self._wall_ms()
-        pending_steps = [
-            _PendingStep(
-                urgency(record, run, wall_ms),
-                record,
-                run,
-                indices,
-                self._ticket_manager.valid_tickets(record, run),
-            )
-            for record in self._shards.live_jobs()
-            for run in record.open_runs()
-            if (indices := self._shards.startable(record, run))
-        ]
+        live_jobs = self._shards.live_jobs()
+        if self.fair_shares is not None:
+            self.fair_shares.observe(live_jobs)
+        pending_steps = list_pending_steps(
+            live_jobs,
+            self._shards,
+            self._ticket_manager,
+            self._wall_ms(),
+            self.fair_shares,
+        )
         if not pending_steps:
+            self._record_scarcity(is_scarce=False)
             return
-        pending_steps.sort(key=lambda pending: pending.urgency.sort_key)
         workers = self._suspects.available_workers(self._shards)
         self._uses.retain(workers)
         placement = PlacementRound(
@@ -157,39 +126,64 @@
             self._fleet.recently_refusing(),
             self._uses,
         )
+        is_scarce = False
         for pending in pending_steps:
-            self._place(placement, pending)
+            if not self._place(placement, pending) and not is_scarce:
+                is_scarce = self._is_short_of_room(placement, pending)
+        self._record_scarcity(is_scarce=is_scarce)
 
-    def _place(
-        self,
-        placement: PlacementRound,
-        pending: '_PendingStep',
-    ) -> None:
+    def _is_short_of_room(
+        self, placement: PlacementRound, pending: PendingStep
+    ) -> bool:
+        """Return whether a batch or best-effort step waits for capacity."""
+        if self.fair_shares is None or pending.run.step.is_keeper:
+            return False
+        return placement.is_short_of_room(
+            pending.record.job.queue.service,
+            pending.run.step,
+            pending.ticket_by_boot,
+        )
+
+    def _record_scarcity(self, *, is_scarce: bool) -> None:
+        if self.fair_shares is not None:
+            self.fair_shares.is_scarce = is_scarce
+
+    def _place(self, placement: PlacementRound, pending: PendingStep) -> bool:
+        """Start the tasks of a step as far as possible.
+
+        Returns:
+            False if a task found no worker.
+        """
         record, run = pending.record, pending.run
         if pending.ticket_by_boot is not None:
             self._ticket_manager.schedule_check()
             if not pending.ticket_by_boot:
-                return
+                return True
         if run.step.is_gang:
             self._place_gang(placement, pending)
-            return
+            return True
         unsuspected, suspects = self._suspects.partition(
             record, pending.task_names()
         )
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
+        is_placed = True
         for task_name in unsuspected:
-            if not self._place_task(placement, pending, task_name, is_starved):
+            is_placed = self._place_task(
+                placement, pending, task_name, is_starved
+            )
+            if not is_placed:
                 # No worker qualifies for the step's other tasks either.
                 break
             is_starved = False
         # Trials come last: each one excludes its worker from the round.
         for suspect in suspects:
             self._place_in_trial(placement, pending, suspect)
+        return is_placed
 
     def _place_task(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
         is_starved: bool,
     ) -> bool:
@@ -221,7 +215,7 @@
     def _recorded_worker(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
     ) -> Worker | None:
         """Return a worker whose agent's row already lists a keeper's task.
@@ -249,7 +243,7 @@
     def _place_in_trial(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
     ) -> None:
         """Start a suspect in isolation, where a crash loses least."""
@@ -277,7 +271,7 @@
     def _place_gang(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
     ) -> None:
         """Start all members of a gang or none: they only work together."""
         record, run = pending.record, pending.run
@@ -313,7 +307,7 @@
 
     def _is_location_recorded(
         self,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_names: list[TaskName],
         workers: list[Worker],
     ) -> bool:
@@ -334,7 +328,7 @@
 
     def _start(
         self,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
         worker: Worker,
         attempt: int,
--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -10,11 +10,13 @@
 
 from hyssopring.jobs.job_record import JobRecord, StepRun
 
-__all__ = ('Urgency', 'urgency')
+__all__ = ('OVERDUE', 'Urgency', 'urgency')
 
 # A job that ends after this many times its objective is worth no more to its
 # caller than one that ends much later.
 _MAX_OBJECTIVES: Final = 3
+# The lateness of a step whose job can only end later than that.
+OVERDUE: Final = 2
 # Keepers come before the first priority of queues, which is 0.
 _KEEPER_PRIORITY: Final = -1
 
@@ -35,11 +37,6 @@
     lateness: int
     order: float
 
-    @property
-    def sort_key(self) -> tuple[int, int, float]:
-        """Return a tuple that sorts alike and is compared faster."""
-        return self.priority, self.lateness, self.order
-
 
 def urgency(record: JobRecord, run: StepRun, wall_ms: float) -> Urgency:
     """Return the urgency of a step's pending tasks.
@@ -68,4 +65,4 @@
         wall_ms + record.job.critical_path_ms_by_step[run.step_index]
         > begun_ms + allowed_ms
     )
-    return Urgency(priority, 2 if is_overdue else 1, record.work_left())
+    return Urgency(priority, OVERDUE if is_overdue else 1, record.work_left())
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -202,6 +202,8 @@
         gauge(
             'lasting_tasks_waiting', self.core.owner.keeper_waits.waiting_count
         )
+        shares = self.core.owner.fair_shares
+        gauge('groups_limited', len(shares.limited_groups) if shares else 0)
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -30,6 +30,7 @@
     'TASK_GIVEN_UP': 3041,
     'SUSPECT_CLEARED': 3042,
     'TASK_WAITING': 3044,
+    'SHARES_LIMITED': 3054,
     'EVACUATION_BEGUN': 4005,
     'EVACUATION_ENDED': 4007,
     'STORE_UNREACHABLE': 5001,
@@ -455,3 +456,25 @@
         ]
     )
     assert not [text for text in timeline if 'zone-a' in text]
+
+
+def test_limited_shares_in_a_jobs_time_are_shown(explain):
+    """Guards against a job that waits behind others for no visible reason."""
+    limits = [
+        line(
+            second,
+            'SHARES_LIMITED',
+            is_limited=is_limited,
+            groups='wide/east wide/west' if is_limited else '',
+            count=2 * is_limited,
+            lasted_ms=0 if is_limited else 4000,
+        )
+        for second, is_limited in ((4, True), (8, False))
+    ]
+    timeline = explain(
+        [accepted(3), *limits, placed(9.5), finished(12, 9000, 4000)]
+    )
+    shown = [text for text in timeline if 'shares' in text or 'share ' in text]
+    assert len(shown) == 2
+    assert 'wait behind others: wide/east wide/west' in shown[0]
+    assert 'no group waits for its share any more, after 4000 ms' in shown[1]
