--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -42,6 +42,7 @@
         Event.AGENT_LEFT,
         Event.EVACUATION_BEGUN,
         Event.EVACUATION_ENDED,
+        Event.SHARES_LIMITED,
     )
 )
 _Record = Mapping[str, Any]
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -141,6 +141,16 @@
     return text.format_map(fields)
 
 
+def _describe_shares(fields: _Fields) -> str:
+    text = 'no group waits for its share any more, after {lasted_ms} ms'
+    if fields.get('is_limited') is True:
+        text = (
+            'too little room: {count} groups have reached their shares and '
+            + 'wait behind others: {groups}'
+        )
+    return text.format_map(fields)
+
+
 def _describe_refusal(fields: _Fields) -> str:
     kind = fields.get('kind', fields.get('why', 'unknown'))
     return f'refused: {kind}: {fields["detail"]}'
@@ -187,6 +197,7 @@
         Event.JOB_FINISHED: _describe_job_end,
         Event.JOB_REJECTED: _describe_rejection,
         Event.REQUEST_REFUSED: _describe_refusal,
+        Event.SHARES_LIMITED: _describe_shares,
         Event.TASK_FINISHED: _describe_end,
         Event.TASK_LAPSED: _describe_lapse,
         Event.TASK_PLACED: _describe_placement,
--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -103,6 +103,7 @@
         first_asked_ms: When it was first submitted, in ms since 1970, if it
             was rejected then; else 0.
         asked_ms: When its caller first submitted it, in ms since 1970.
+        zone: The availability zone of the job's callers, empty if unknown.
     """
 
     job: Job
@@ -120,6 +121,7 @@
     crashes: CrashHistory = field(init=False)
     trial_wanted_since: dict[str, float] = field(default_factory=dict)
     asked_ms: float = field(init=False)
+    zone: str = ''
     _work_left: float | None = field(default=None, init=False)
     first_asked_ms: float = 0
 
@@ -147,6 +149,7 @@
             is_inherited,
             progress or ProgressRow(),
             first_asked_ms=row.first_asked_ms,
+            zone=row.zone,
         )
         if not row.job.schedule.times:
             record.open_occurrence(0)
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -4,6 +4,7 @@
 from typing import Any, Callable, Final
 
 from hyssopring.clock import Clock
+from hyssopring.fairness import FairShares
 from hyssopring.jobs.advice_client import AdviceClient
 from hyssopring.jobs.crash_suspects import CrashSuspects
 from hyssopring.jobs.fleet import GRANT_TTL_MS, Fleet, Worker
@@ -60,6 +61,8 @@
         unplaced: Steps of which a task found no worker in the last planning
             round, with their jobs.
         done_observers: Called when tasks are done; see ``OnDone``.
+        fair_shares: The shares of groups of jobs; None if the deployment has
+            none.
     """
 
     def __init__(
@@ -114,6 +117,8 @@
         )
         self._planner.interference = self.learning.interference
         self._planner.job_times = self.learning.job_times
+        self.fair_shares = FairShares.from_options(clock, options.fairness)
+        self._planner.fair_shares = self.fair_shares
         self.keeper_waits = KeeperWaitMonitor(
             clock,
             fleet,
@@ -177,6 +182,8 @@
         self.learning.drop(owned.shard)
         if self.shards.by_shard.get(owned.shard) is owned:
             self.shards.by_shard.pop(owned.shard)
+        if self.fair_shares is not None:
+            self.fair_shares.forget()
         log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.epoch)
         for worker in self._fleet.by_agent.values():
             for task in list(worker.placed_by_task):
--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -11,11 +11,13 @@
 from hyssopring.jobs.job_record import JobRecord, StepRun
 from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 
-__all__ = ('Urgency', 'urgency')
+__all__ = ('OVERDUE', 'Urgency', 'urgency')
 
 # A job that ends after this many times its objective is worth no more to its
 # caller than one that ends much later.
 _MAX_OBJECTIVES: Final = 3
+# The lateness of a step whose job can only end later than that.
+OVERDUE: Final = 2
 # Keepers come before the first priority of queues, which is 0.
 _KEEPER_PRIORITY: Final = -1
 _CALLER_ESTIMATES: Final = CallerEstimates()
@@ -37,11 +39,6 @@
     lateness: int
     order: float
 
-    @property
-    def sort_key(self) -> tuple[int, int, float]:
-        """Return a tuple that sorts alike and is compared faster."""
-        return self.priority, self.lateness, self.order
-
 
 def urgency(
     record: JobRecord,
@@ -70,4 +67,4 @@
     if wall_ms <= deadline_ms - path_ms:
         return Urgency(priority, 0, work_left)
     is_overdue = wall_ms + path_ms > begun_ms + _MAX_OBJECTIVES * objective_ms
-    return Urgency(priority, 2 if is_overdue else 1, work_left)
+    return Urgency(priority, OVERDUE if is_overdue else 1, work_left)
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -210,6 +210,8 @@
         learning = self.core.owner.learning
         gauge('learned_pairs', learning.pair_count)
         gauge('learned_run_times', learning.key_count)
+        shares = self.core.owner.fair_shares
+        gauge('groups_limited', len(shares.limited_groups) if shares else 0)
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
