--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -35,6 +35,8 @@
         Event.AGENT_LEFT,
         Event.EVACUATION_BEGUN,
         Event.EVACUATION_ENDED,
+        Event.WORKER_SLOW,
+        Event.WORKER_RECOVERED,
     )
 )
 _Record = Mapping[str, Any]
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -36,6 +36,11 @@
         Event.TASK_CANCELLED: '{task} was cancelled',
         Event.TASK_EVICTED: '{task} is moved from {agent}: {why}',
         Event.SUSPECT_CLEARED: f'{_ATTEMPT} outlived its start: no suspect now',
+        Event.TASK_COPIED: (
+            f'{_ATTEMPT} is a copy, on {{agent}}: attempt {{first}} on '
+            + '{first_agent} has run {run_ms} ms, and the usual time is '
+            + '{usual_ms} ms'
+        ),
         Event.TASK_FAILED: '{task} is given up after {tries} attempts',
         Event.TASK_GIVEN_UP: (
             '{task} crashes the workers that start it: given up after '
@@ -54,6 +59,14 @@
         Event.WORKER_RESTARTED: (
             'the worker started again under its id: {boot}, before {before}'
         ),
+        Event.WORKER_RECOVERED: (
+            'the worker of {agent} counts as slow no longer, after '
+            + '{slow_ms} ms: its speed is {speed} of the usual one'
+        ),
+        Event.WORKER_SLOW: (
+            'the worker of {agent} is chosen last: tasks of {keys} images or '
+            + 'steps run there at {speed} of their usual speed'
+        ),
         Event.TASK_STOPPED: f'{_ATTEMPT} is to stop on {{agent}}: {{why}}',
         Event.TASK_SUSPECTED: (
             f'the worker of {{agent}} crashed under {_ATTEMPT} as it was '
--- a/hyssopring/cli/log_timeline.py
+++ b/hyssopring/cli/log_timeline.py
@@ -25,7 +25,13 @@
 _MARGIN: Final = timedelta(seconds=1)
 _SHARD_EVENTS: Final = frozenset((Event.SHARD_ACQUIRED, Event.SHARD_LOST))
 _AGENT_EVENTS: Final = frozenset(
-    (Event.AGENT_DISCONNECTED, Event.CONNECTION_SILENT, Event.AGENT_LEFT)
+    (
+        Event.AGENT_DISCONNECTED,
+        Event.CONNECTION_SILENT,
+        Event.AGENT_LEFT,
+        Event.WORKER_SLOW,
+        Event.WORKER_RECOVERED,
+    )
 )
 
 
--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -26,6 +26,8 @@
         waiting: Indices of tasks that neither run nor are done.
         running: Indices of tasks with an attempt that may run.
         observed: Indices of tasks that were seen running under this epoch.
+        unconfirmed: Indices of done tasks whose end is not durable yet while
+            another attempt may still run; see ``UnconfirmedEnds``.
     """
 
     occurrence: int
@@ -35,6 +37,7 @@
     waiting: set[int] = field(default_factory=set)
     running: set[int] = field(default_factory=set)
     observed: set[int] = field(default_factory=set)
+    unconfirmed: set[int] = field(default_factory=set)
 
     @property
     def name(self) -> str:
@@ -51,6 +54,11 @@
         """Whether all tasks are done."""
         return self.done.bit_count() == self.step.count
 
+    @property
+    def allows_successors(self) -> bool:
+        """Whether the steps after it may start."""
+        return self.is_done and not self.unconfirmed
+
     def is_done_task(self, index: int) -> bool:
         """Whether a task is done."""
         return bool(self.done >> index & 1)
@@ -341,6 +349,6 @@
 
     def _are_predecessors_done(self, run: StepRun) -> bool:
         return all(
-            self.step_runs[f'{run.occurrence}.{earlier}'].is_done
+            self.step_runs[f'{run.occurrence}.{earlier}'].allows_successors
             for earlier in run.step.after
         )
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -143,6 +143,11 @@
     fills: bool = False
     max_unavailable: int = 0
 
+    @property
+    def is_copyable(self) -> bool:
+        """Whether a second attempt of a task may run beside the first."""
+        return self.may_copy and not self.is_gang and not self.is_keeper
+
     @property
     def reserved_size(self) -> Size:
         """Resources that a task reserves on its worker.
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -33,7 +33,9 @@
 from hyssopring.jobs.stop_marks import mark_stopping
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.jobs.worker_port import StartOutcome
+from hyssopring.learning.run_times import RunTimes
 from hyssopring.logs import Event, log_event
+from hyssopring.stragglers import Stragglers
 
 __all__ = ('JobOwner',)
 
@@ -51,7 +53,12 @@
 
 
 class JobOwner:
-    """Plans the tasks of the owned shards and orders agents to run them."""
+    """Plans the tasks of the owned shards and orders agents to run them.
+
+    Attributes:
+        run_times: Run times learned from ends.
+        stragglers: Copies of tasks and slow workers; None if that is off.
+    """
 
     def __init__(
         self,
@@ -115,6 +122,7 @@
             self.shards,
             self,
             self._suspects,
+            options.stragglers is not None,
         )
         self._moves = TaskMover(
             clock,
@@ -124,6 +132,18 @@
             self._ticket_manager,
             self._planner.interference,
         )
+        self.run_times = RunTimes()
+        self.stragglers: Stragglers | None = None
+        if options.stragglers is not None:
+            self.stragglers = Stragglers(
+                clock,
+                fleet,
+                self.shards,
+                self._planner,
+                self.run_times,
+                self.stop,
+                options.stragglers,
+            )
 
     def acquire(self, owned: OwnedShard) -> None:
         """Start to own a shard: load its rows and request reports."""
@@ -175,7 +195,8 @@
 
     def acknowledge_ends(self, acks: list[Ack]) -> None:
         """Allow agents to drop ends that are durable."""
-        self._reconciler.mark_durable(acks)
+        if self._reconciler.mark_durable(acks):
+            self.schedule_planning()
         numbers_by_boot: dict[tuple[str, str], list[int]] = {}
         for ack in acks:
             incarnation = (ack.agent_id, ack.boot)
@@ -287,6 +308,8 @@
         self._add_to_roster()
         self._ticket_manager.check()
         self.keeper_waits.check()
+        if self.stragglers is not None:
+            self.stragglers.tick(self._may_act())
         self.schedule_planning()
 
     def _apply_timeouts(self, now_ms: float) -> None:
--- a/hyssopring/jobs/placement_option.py
+++ b/hyssopring/jobs/placement_option.py
@@ -11,7 +11,7 @@
 )
 from hyssopring.jobs.model import Size, Step, TaskName
 
-__all__ = ('NEGLIGIBLE_INTERFERENCE', 'PlacementOption')
+__all__ = ('NEGLIGIBLE_INTERFERENCE', 'VERY_SLOW', 'PlacementOption')
 
 # A best-effort task starts only where at least this share of the CPU that it
 # asks for is idle; with less it would only slow the tasks that already run.
@@ -45,6 +45,9 @@
 _NEW_TASK_HEADROOM: Final = 1.5
 # Interference at and above this scores the same.
 _MAX_INTERFERENCE: Final = 1.0
+# Below this relative speed, a worker gets urgent tasks only if no other worker
+# has room.
+VERY_SLOW: Final = 0.3
 _FULL_PACE: Final = 100
 _MILLIS_PER_CORE: Final = 1000
 
@@ -66,6 +69,7 @@
         headrooms: The headroom of each latency-critical task once all
             best-effort tasks run at full pace.
         is_refusing: Whether the worker has recently refused a start.
+        slow_speed: The worker's relative speed if it counts as slow, else 1.
     """
 
     worker: Worker
@@ -79,6 +83,7 @@
     interference: InterferenceModel
     headrooms: list[float]
     is_refusing: bool = False
+    slow_speed: float = 1
 
     @classmethod
     def from_worker(
@@ -86,6 +91,7 @@
         worker: Worker,
         interference: InterferenceModel,
         is_refusing: bool = False,
+        slow_speed: float = 1,
     ) -> 'PlacementOption':
         """Build the option from a worker's latest report."""
         best_effort = worker.best_effort_tasks()
@@ -111,6 +117,7 @@
                 for placed in latency_critical
             ],
             is_refusing,
+            slow_speed,
         )
 
     @property
@@ -226,6 +233,28 @@
         if step.target_ms:
             self.latency_critical_count += 1
 
+    def speed_rank(self, is_urgent: bool) -> tuple[bool, bool, bool]:
+        """Return what comes before the score; higher is better.
+
+        Args:
+            is_urgent: Whether the task must not run on a very slow worker
+                while another one has room.
+        """
+        is_excluded = is_urgent and self.slow_speed < VERY_SLOW
+        is_last = self.slow_speed < 1 and (is_excluded or not self._is_idle())
+        return not is_excluded, not self.is_refusing, not is_last
+
+    def _is_idle(self) -> bool:
+        """Return whether no batch task is here.
+
+        A slow worker without one gets a task as any other does: a probe,
+        which shows whether it has recovered.
+        """
+        return all(
+            placed.step.is_keeper
+            for placed in self.worker.placed_by_task.values()
+        )
+
     def has_label(self, step: Step) -> bool:
         """Return whether the worker has the label that the step requires."""
         report = self.worker.report
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
-from typing import Container, Iterable
+from typing import Container, Iterable, Mapping
 
 from hyssopring.jobs.fleet import Worker
 from hyssopring.jobs.interference import InterferenceModel
@@ -29,13 +29,18 @@
 
 
 class PlacementRound:
-    """Choose workers for all pending tasks of one planning round."""
+    """Choose workers for all pending tasks of one planning round.
+
+    Attributes:
+        has_rejected: Whether a task or gang has found no worker.
+    """
 
     def __init__(
         self,
         workers: Iterable[Worker],
         interference: InterferenceModel | None = None,
         refusing: Container[str] = (),
+        slow_speed_by_boot: Mapping[str, float] | None = None,
     ) -> None:
         """Take the free capacity of the workers once for the whole round.
 
@@ -45,7 +50,11 @@
                 None if nothing has been observed.
             refusing: IDs of agents whose workers have recently refused starts;
                 they are chosen last.
+            slow_speed_by_boot: Relative speeds of slow workers, which are
+                chosen last; None for none.
         """
+        self.has_rejected = False
+        slow_speeds = slow_speed_by_boot or {}
         interference = interference or InterferenceModel()
         self._rejected_sizes: dict[_Requirements, list[Size]] = {}
         self._options_by_service: dict[str, list[PlacementOption]] = {}
@@ -53,7 +62,12 @@
             options = self._options_by_service.setdefault(worker.service, [])
             is_refusing = worker.agent_id in refusing
             options.append(
-                PlacementOption.from_worker(worker, interference, is_refusing)
+                PlacementOption.from_worker(
+                    worker,
+                    interference,
+                    is_refusing,
+                    slow_speeds.get(worker.boot, 1),
+                )
             )
 
     def choose(
@@ -63,6 +77,7 @@
         task_name: TaskName,
         is_starved: bool,
         allowed_boots: Container[str] | None = None,
+        is_urgent: bool = False,
     ) -> Worker | None:
         """Return the best worker for a task, None if none qualifies.
 
@@ -74,13 +89,42 @@
                 with others.
             allowed_boots: Incarnations of workers to choose from; None for
                 all.
+            is_urgent: Whether very slow workers come after all others.
         """
+        eligible = self._eligible(
+            service, step, task_name, is_starved, allowed_boots
+        )
+        if not eligible:
+            self.has_rejected = True
+            return None
+        rack = step.rack
+        if step.is_local and not rack:
+            rack = self._rack_of(service, task_name)
+        best = max(
+            eligible,
+            key=lambda option: (
+                option.speed_rank(is_urgent),
+                option.score(step, rack),
+            ),
+        )
+        best.reserve(step)
+        return best.worker
+
+    def _eligible(
+        self,
+        service: str,
+        step: Step,
+        task_name: TaskName,
+        is_starved: bool,
+        allowed_boots: Container[str] | None,
+    ) -> list[PlacementOption]:
+        """Return the workers that can take a task."""
         image = step.image if step.fills else ''
         requirements = _Requirements(
             service, step.label, step.fills, image, is_starved
         )
         if self._is_rejected(requirements, step.size):
-            return None
+            return []
         with_capacity = [
             option
             for option in self._options(service, allowed_boots)
@@ -91,26 +135,11 @@
                 self._rejected_sizes.setdefault(requirements, []).append(
                     step.size
                 )
-            return None
-        eligible = [
+        return [
             option
             for option in with_capacity
             if option.is_below_worker_limit(step, task_name)
         ]
-        if not eligible:
-            return None
-        rack = step.rack
-        if step.is_local and not rack:
-            rack = self._rack_of(service, task_name)
-        best = max(
-            eligible,
-            key=lambda option: (
-                not option.is_refusing,
-                option.score(step, rack),
-            ),
-        )
-        best.reserve(step)
-        return best.worker
 
     def choose_for_trial(
         self,
@@ -138,6 +167,7 @@
             and option.is_below_worker_limit(step, task_name)
         ]
         if not eligible:
+            self.has_rejected = True
             return None
         best = min(
             eligible,
@@ -216,6 +246,7 @@
                 for option in chosen:
                     option.reserve(step)
                 return [option.worker for option in chosen]
+        self.has_rejected = True
         return []
 
     def reserve_without_interference(
@@ -261,7 +292,7 @@
     limit = step.max_per_worker or len(task_names)
     while len(chosen) < len(task_names):
         candidates = [
-            (not copy.is_refusing, copy.score(step), position)
+            (copy.speed_rank(is_urgent=False), copy.score(step), position)
             for position, (option, copy) in enumerate(copies)
             if copy.has_capacity(step, is_starved=True)
             and count_by_agent[option.worker.agent_id] < limit
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -1,7 +1,6 @@
 """Planning rounds that start pending tasks of the owned shards on workers."""
 
-from dataclasses import dataclass
-from typing import Any, Callable, Final, Mapping
+from typing import Any, Callable, Collection, Final, Mapping
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.crash_suspects import CrashSuspects
@@ -11,11 +10,12 @@
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.pending_step import PendingStep
 from hyssopring.jobs.placement_round import PlacementRound
 from hyssopring.jobs.shards import shard_of
 from hyssopring.jobs.task_requirements import facts_of
 from hyssopring.jobs.ticket_manager import TicketManager
-from hyssopring.jobs.urgency import Urgency, urgency
+from hyssopring.jobs.urgency import urgency
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Send', 'StepPlanner')
@@ -35,32 +35,14 @@
 Send = Callable[[str, JobsMessage], bool]
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingStep:
-    """The tasks of a step that may start now.
-
-    Attributes:
-        indices: Indices of the tasks within the step.
-        ticket_by_boot: Tickets by the incarnation of a worker that may run
-            the tasks; None if any worker may.
-    """
-
-    urgency: Urgency
-    record: JobRecord
-    run: StepRun
-    indices: set[int]
-    ticket_by_boot: Mapping[str, str] | None
-
-    def ticket_for(self, worker: Worker) -> str:
-        """Return the worker's ticket, empty if the step needs none."""
-        return self.ticket_by_boot[worker.boot] if self.ticket_by_boot else ''
-
-
 class StepPlanner:
     """Start the pending tasks of the owned shards.
 
     Attributes:
         interference: What the reports of all workers show of interference.
+        slow_speed_by_boot: The relative speeds of workers that are chosen
+            last because they are slow.
+        has_unplaced_tasks: Whether a task found no worker in the last round.
     """
 
     def __init__(
@@ -92,6 +74,8 @@
         self._ticket_manager = ticket_manager
         self._suspects = suspects
         self.interference = InterferenceModel()
+        self.slow_speed_by_boot: Mapping[str, float] = {}
+        self.has_unplaced_tasks = False
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -123,14 +107,9 @@
         )
         self._suspects.check()
         wall_ms = self._wall_ms()
+        self.has_unplaced_tasks = False
         pending_steps = [
-            _PendingStep(
-                urgency(record, run, wall_ms),
-                record,
-                run,
-                indices,
-                self._ticket_manager.valid_tickets(record, run),
-            )
+            self._pending_step(record, run, indices, wall_ms)
             for record in self._shards.live_jobs()
             for run in record.open_runs()
             if (indices := self._shards.startable(record, run))
@@ -138,17 +117,76 @@
         if not pending_steps:
             return
         pending_steps.sort(key=lambda pending: pending.urgency)
-        workers = self._suspects.available_workers(self._shards)
-        placement = PlacementRound(
-            workers, self.interference, self._fleet.recently_refusing()
-        )
+        placement = self.new_round()
         for pending in pending_steps:
             self._place(placement, pending)
+        self.has_unplaced_tasks = placement.has_rejected
+
+    def available_workers(self) -> list[Worker]:
+        """Return the workers on which any task may start now."""
+        return self._suspects.available_workers(self._shards)
+
+    def new_round(self) -> PlacementRound:
+        """Return a round of placement on the workers as they are now."""
+        return PlacementRound(
+            self.available_workers(),
+            self.interference,
+            self._fleet.recently_refusing(),
+            self.slow_speed_by_boot,
+        )
+
+    def start_copy(
+        self,
+        placement: PlacementRound,
+        record: JobRecord,
+        run: StepRun,
+        task_name: TaskName,
+        boots: Collection[str],
+    ) -> Worker | None:
+        """Start a second attempt of a running task, if one has room.
+
+        The caller has checked that exactly one attempt may run.
+
+        Args:
+            boots: Incarnations of workers to choose from.
+        """
+        pending = self._pending_step(record, run, set(), self._wall_ms())
+        if pending.ticket_by_boot is not None:
+            boots = pending.ticket_by_boot.keys() & boots
+        worker = placement.choose(
+            record.job.queue.service,
+            run.step,
+            task_name,
+            is_starved=False,
+            allowed_boots=boots,
+        )
+        if worker is None:
+            return None
+        task_id = str(task_name)
+        attempt = record.next_attempt(task_id)
+        checkpoint = record.checkpoint_by_task.get(task_id, '')
+        is_sent = self.start(pending, task_name, worker, attempt, checkpoint)
+        return worker if is_sent else None
+
+    def _pending_step(
+        self,
+        record: JobRecord,
+        run: StepRun,
+        indices: set[int],
+        wall_ms: float,
+    ) -> PendingStep:
+        return PendingStep(
+            urgency(record, run, wall_ms),
+            record,
+            run,
+            indices,
+            self._ticket_manager.valid_tickets(record, run),
+        )
 
     def _place(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
     ) -> None:
         record, run = pending.record, pending.run
         if pending.ticket_by_boot is not None:
@@ -176,7 +214,7 @@
     def _place_task(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
         is_starved: bool,
     ) -> bool:
@@ -194,6 +232,7 @@
             task_name,
             is_starved,
             pending.ticket_by_boot,
+            pending.is_urgent,
         )
         if worker is None:
             return False
@@ -202,13 +241,13 @@
         if worker is not None:
             attempt = record.next_attempt(task_id)
             checkpoint = record.checkpoint_by_task.get(task_id, '')
-            self._start(pending, task_name, worker, attempt, checkpoint)
+            self.start(pending, task_name, worker, attempt, checkpoint)
         return True
 
     def _recorded_worker(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
     ) -> Worker | None:
         """Return a worker whose agent's row already lists a keeper's task.
@@ -236,7 +275,7 @@
     def _place_in_trial(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
     ) -> None:
         """Start a suspect in isolation, where a crash loses least."""
@@ -256,7 +295,7 @@
             return
         attempt = record.next_attempt(task_id)
         checkpoint = record.checkpoint_by_task.get(task_id, '')
-        self._start(
+        self.start(
             pending, task_name, worker, attempt, checkpoint, is_trial=True
         )
         self._suspects.begin_trial(record, task_name, attempt, worker.agent_id)
@@ -264,7 +303,7 @@
     def _place_gang(
         self,
         placement: PlacementRound,
-        pending: '_PendingStep',
+        pending: PendingStep,
     ) -> None:
         """Start all members of a gang or none: they only work together."""
         record, run = pending.record, pending.run
@@ -289,7 +328,7 @@
         attempt = record.next_gang_attempt(task_names)
         checkpoint = record.gang_checkpoint(task_names)
         for task_name, worker in zip(task_names, workers, strict=True):
-            self._start(
+            self.start(
                 pending, task_name, worker, attempt, checkpoint, is_trial
             )
             if is_trial:
@@ -300,7 +339,7 @@
 
     def _is_location_recorded(
         self,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_names: list[TaskName],
         workers: list[Worker],
     ) -> bool:
@@ -319,16 +358,20 @@
         ]
         return all(located)
 
-    def _start(
+    def start(
         self,
-        pending: '_PendingStep',
+        pending: PendingStep,
         task_name: TaskName,
         worker: Worker,
         attempt: int,
         checkpoint: str,
         is_trial: bool = False,
-    ) -> None:
-        """Send a start to a worker's agent and record the attempt."""
+    ) -> bool:
+        """Send a start to a worker's agent and record the attempt.
+
+        Returns:
+            False if it cannot be sent.
+        """
         record, run = pending.record, pending.run
         task_id = str(task_name)
         owned = self._shards.by_shard[shard_of(task_name.job_id)]
@@ -344,7 +387,7 @@
             is_trial,
         )
         if not self._send(worker.agent_id, order):
-            return
+            return False
         worker.starts_sent += 1
         worker.placed_by_task[task_id] = PlacedAttempt(
             task_name,
@@ -369,3 +412,4 @@
             report_age_ms=int(self._clock.now() - worker.reported_at),
             grant_age_ms=int(self._clock.now() - worker.granted_at),
         )
+        return True
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -20,6 +20,7 @@
 from hyssopring.jobs.stop_marks import mark_stopping
 from hyssopring.jobs.task_requirements import facts_of
 from hyssopring.jobs.times import HOLD_EXPIRY_MS
+from hyssopring.jobs.unconfirmed_ends import UnconfirmedEnds
 from hyssopring.jobs.unknown_jobs import UnknownJobs
 from hyssopring.logs import Event, log_event
 
@@ -29,6 +30,9 @@
     (AttemptEnd.CRASHED.value, AttemptEnd.CRASHED_IN_TRIAL.value)
 )
 
+# A copied task has its first attempt and one copy.
+_MAX_ATTEMPTS: Final = 2
+
 _TaskReport = TypeVar('_TaskReport', AttemptReport, EndReport)
 
 
@@ -60,8 +64,16 @@
         shards: OwnedShards,
         sink: ReportSink,
         suspects: CrashSuspects,
+        keeps_copies: bool = False,
     ) -> None:
-        """Create a reconciler that passes its actions to ``sink``."""
+        """Create a reconciler that passes its actions to ``sink``.
+
+        Args:
+            keeps_copies: Whether a second attempt of a task may go on if its
+                step allows copies.
+        """
+        self._keeps_copies = keeps_copies
+        self._unconfirmed_ends = UnconfirmedEnds()
         self._suspects = suspects
         self._clock = clock
         self._fleet = fleet
@@ -73,6 +85,7 @@
     def forget(self, shard: int) -> None:
         """Discard the state of a shard that is no longer owned."""
         self._seen_ends.forget(shard)
+        self._unconfirmed_ends.forget(shard)
         self._unknown_jobs.forget(shard)
 
     def replay_reports(self, record: JobRecord) -> None:
@@ -90,9 +103,14 @@
             if report is not None and not owned.is_dropped:
                 self._apply_report_to_job(worker, report, owned, job_id)
 
-    def mark_durable(self, acks: list[Ack]) -> None:
-        """Record that ends are durable and are being acknowledged."""
+    def mark_durable(self, acks: list[Ack]) -> bool:
+        """Record that ends are durable and are being acknowledged.
+
+        Returns:
+            Whether steps may start that waited for this.
+        """
         self._seen_ends.mark_durable(acks)
+        return self._unconfirmed_ends.mark_durable(acks)
 
     def reconcile(
         self,
@@ -238,13 +256,16 @@
         if run is None:
             return None
         # An older attempt on the same worker is replaced by this one.
-        is_running_elsewhere = any(
-            other is not worker for other, _placed in self.attempts_of(name)
-        )
+        others = [
+            other
+            for other, _placed in self.attempts_of(name)
+            if other is not worker
+        ]
+        may_copy = self._keeps_copies and run.step.is_copyable
         is_wanted = (
             record.final_state is None
             and not run.is_done_task(name.index)
-            and not is_running_elsewhere
+            and len(others) < (_MAX_ATTEMPTS if may_copy else 1)
         )
         placed = PlacedAttempt(
             name,
@@ -260,6 +281,9 @@
             mark_stopping(placed, worker, reason)
         if is_wanted:
             run.mark_running(name.index)
+            if may_copy:
+                # It does not prove that the task runs nowhere else.
+                run.observed.discard(name.index)
             if record.state is JobState.QUEUED:
                 record.state = JobState.ACTIVE
         return placed
@@ -288,8 +312,23 @@
         if placed is not None and placed.attempt <= end.attempt:
             worker.placed_by_task.pop(end.task)
         self._apply_end(record, name, end, worker, owned)
+        self._hold_successors(record, name, owned, ack)
         owned.save(record, ack)
 
+    def _hold_successors(
+        self, record: JobRecord, name: TaskName, owned: OwnedShard, ack: Ack
+    ) -> None:
+        """Hold back the next steps while a done task's other attempt runs."""
+        run = record.step_run_of(name)
+        if not self._keeps_copies or run is None or not run.step.is_copyable:
+            return
+        if not run.is_done_task(name.index):
+            return
+        if not self.attempts_of(name):
+            run.unconfirmed.discard(name.index)
+        elif name.index not in run.unconfirmed:
+            self._unconfirmed_ends.hold(owned.shard, ack, run, name.index)
+
     def _apply_end(
         self,
         record: JobRecord,
@@ -391,6 +430,7 @@
         """Mark a task as waiting unless another attempt may run."""
         if not self.attempts_of(name):
             run.mark_waiting(name.index)
+            run.unconfirmed.discard(name.index)
 
     def attempts_of(self, name: TaskName) -> list[tuple[Worker, PlacedAttempt]]:
         """Return the attempts of a task that may run, with their workers."""
--- a/hyssopring/logs/_emit.py
+++ b/hyssopring/logs/_emit.py
@@ -35,6 +35,7 @@
         Event.TASK_GIVEN_UP: 'WARNING',
         Event.TASK_LAPSED: 'WARNING',
         Event.TASK_SUSPECTED: 'WARNING',
+        Event.WORKER_SLOW: 'WARNING',
         Event.ADVICE_UNAVAILABLE: 'WARNING',
         Event.BACKEND_SIZE_UNKNOWN: 'WARNING',
         Event.TASK_UNKNOWN: 'WARNING',
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -202,6 +202,10 @@
         gauge(
             'lasting_tasks_waiting', self.core.owner.keeper_waits.waiting_count
         )
+        stragglers = self.core.owner.stragglers
+        if stragglers is not None:
+            gauge('copies_running', stragglers.copy_count)
+            gauge('workers_slow', stragglers.slow_count)
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -5,7 +5,7 @@
 from twisted.internet.task import Clock as Reactor
 
 from hyssopring.clock import MILLIS_PER_SECOND
-from hyssopring.jobs.messages import pack, unpack
+from hyssopring.jobs.messages import StartOrder, pack, unpack
 from hyssopring.jobs.model import Job, Queue, Size, Step
 from standins.jobs.advice import SimAdvice
 from standins.jobs.run_recorder import RunRecorder
@@ -81,8 +81,13 @@
     def _worker(self, name):
         worker = SimWorker(self.reactor, name, self.run_recorder, **self._work)
         worker.advice = self.advice
+        worker.shows_progress = self._has_stragglers
         return worker
 
+    @property
+    def _has_stragglers(self):
+        return self.options is not None and self.options.stragglers is not None
+
     def add_vm(self, name):
         """Add a VM with a worker and its agent."""
         worker = self._worker(f'worker-{name}')
@@ -178,6 +183,9 @@
         is_agent_link = name in self.agents or sender.name in self.agents
         if is_agent_link and generation is None:
             return False
+        if isinstance(message, StartOrder):
+            facts = message.facts
+            self.run_recorder.ordered(facts.task, facts.attempt)
         payload = pack(message)
         self.reactor.callLater(
             self.link_s(self.reactor.seconds(), sender.name, name),
@@ -218,6 +226,8 @@
         if job.queue.advice is not None:
             self.run_recorder.advised.add(job.job_id)
         for number, step in enumerate(job.steps):
+            if step.is_copyable and self._has_stragglers:
+                self.run_recorder.copyable.add((job.job_id, str(number)))
             if step.is_keeper:
                 self.run_recorder.keepers.update(map(str, job.tasks(0, number)))
         until = self.wall_ms() - WALL_MS + 2000
--- a/standins/jobs/run_recorder.py
+++ b/standins/jobs/run_recorder.py
@@ -18,6 +18,8 @@
     ends_at: float
     checkpoint: str
     stops_at: float | None = None
+    # How long the whole task takes on a worker of usual speed.
+    work_s: float = 0
 
 
 class RunRecorder:
@@ -37,6 +39,12 @@
         self.keepers = set()
         # Jobs whose tasks need a ticket to start.
         self.advised = set()
+        # Job and step of tasks that may have two attempts at a time, and the
+        # highest attempt ordered of each task: so far, and when its last end
+        # was noted. A copy's order may still be on its way then.
+        self.copyable = set()
+        self.ordered_by_task = {}
+        self.ordered_at_end = {}
         # Times of crashes by the task that caused them.
         self.kills = {}
         self.broken = []
@@ -46,14 +54,35 @@
         self._check_budget(now, run)
         self._check_failures(run.task)
         holders = self.running.setdefault(run.task, set())
-        if holders:
+        most = 2 if self.is_copyable(run.task) else 1
+        if len(holders) >= most or worker.boot in holders:
             self.broken.append(
                 f'{now:.2f} {run.task} runs twice: {holders}, {worker.name}'
             )
         if run.task in self.noted_done and run.task not in self.keepers:
-            self.broken.append(f'{now:.2f} {run.task} starts though it is done')
+            self._check_start_after_end(now, run)
         holders.add(worker.boot)
 
+    def is_copyable(self, task):
+        """Return whether a task may have two attempts at a time."""
+        job_id, _occurrence, step, _index = task.split('.')
+        return (job_id, step) in self.copyable
+
+    def ordered(self, task, number):
+        """Record that an owner has ordered a start."""
+        known = self.ordered_by_task.get(task, 0)
+        self.ordered_by_task[task] = max(known, number)
+
+    def _check_start_after_end(self, now, run):
+        """Check that nothing is ordered after the end was noted."""
+        if self._was_on_its_way(run.task, run.number):
+            return
+        self.broken.append(f'{now:.2f} {run.task} starts though it is done')
+
+    def _was_on_its_way(self, task, number):
+        """Return whether a copy was ordered before its task's end was noted."""
+        return self.is_copyable(task) and number <= self.ordered_at_end[task]
+
     def killed(self, task, worker):
         self.kills.setdefault(task, []).append(worker.reactor.seconds())
 
@@ -81,10 +110,14 @@
         """Record that an end was acknowledged."""
         if how is AttemptEnd.DONE:
             self.noted_done.add(task)
+            self._note_orders(task)
         elif how is AttemptEnd.FAILED:
             self.noted_failed.setdefault(task, set()).add(number)
             self._check_failures(task)
 
+    def _note_orders(self, task):
+        self.ordered_at_end.setdefault(task, self.ordered_by_task.get(task, 0))
+
     def _check_failures(self, task):
         """Check that no start follows the last permitted failure."""
         noted = self.noted_failed.get(task, ())
@@ -96,6 +129,11 @@
         most = self.most_failures.get(task.split('.')[0])
         if most is None or task in self.keepers or len(ended) < most:
             return
-        starts = [at for at, _worker, name, _ in self.starts if name == task]
+        self._note_orders(task)
+        starts = [
+            at
+            for at, _worker, name, number in self.starts
+            if name == task and not self._was_on_its_way(task, number)
+        ]
         if starts and max(starts) > ended[most - 1]:
             self.broken.append(f'{task} starts after {most} noted failures')
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -53,6 +53,9 @@
         lose_polls: The number of next polls that are carried out but not
             answered.
         answers_when_fenced: It answers a poll even if its fence is too low.
+        speed: Its speed relative to other workers.
+        shows_progress: Its listings show how far tasks have come; otherwise
+            they show 50%.
         announces_born: Whether it announces its start time.
     """
 
@@ -97,6 +100,8 @@
         self.announces_born = keeps_id
         self.answers_when_fenced = True
         self.fill_tasks = set()
+        self.speed = 1
+        self.shows_progress = False
         self.advice = None
         self.begin()
 
@@ -125,6 +130,20 @@
         self.runs = {}
         self.begin()
 
+    def set_speed(self, speed):
+        """Change the speed of all runs, also of those that have begun."""
+        now = self.reactor.seconds()
+        for run in self.runs.values():
+            run.ends_at = now + (run.ends_at - now) * self.speed / speed
+        self.speed = speed
+
+    def percent_of(self, run):
+        """Return how far a run has come."""
+        if not self.shows_progress:
+            return 50
+        left_s = (run.ends_at - self.reactor.seconds()) * self.speed
+        return max(0, min(99, int(100 * (1 - left_s / run.work_s))))
+
     def go_down(self, away_s):
         """Crash, unless it is down, and restart later."""
         if self.is_down:
@@ -301,7 +320,9 @@
             self._hold(request.hold_until_ms)
             self._acknowledge(request.acked_through)
         rows = tuple(
-            WorkerRow(run.task, run.number, run.checkpoint, 50, 0)
+            WorkerRow(
+                run.task, run.number, run.checkpoint, self.percent_of(run), 0
+            )
             for run in self.runs.values()
         )
         self.listed.update(end.number for end in self.ends)
@@ -335,8 +356,15 @@
         if not self._has_ticket(start):
             return StartOutcome.BAD_TICKET
         self.highest_by_task[start.task] = start.attempt
-        ends_at = self.reactor.seconds() + self.work_ms(start.task) / SECOND_MS
-        run = Run(start.task, start.attempt, ends_at, start.checkpoint)
+        work_s = self.work_ms(start.task) / SECOND_MS
+        ends_at = self.reactor.seconds() + work_s / self.speed
+        run = Run(
+            start.task,
+            start.attempt,
+            ends_at,
+            start.checkpoint,
+            work_s=work_s,
+        )
         self.runs[start.task] = run
         self.run_recorder.started(self.reactor.seconds(), self, run)
         self._check_room()
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -30,6 +30,9 @@
     'TASK_GIVEN_UP': 3041,
     'SUSPECT_CLEARED': 3042,
     'TASK_WAITING': 3044,
+    'TASK_COPIED': 3055,
+    'WORKER_SLOW': 3056,
+    'WORKER_RECOVERED': 3057,
     'EVACUATION_BEGUN': 4005,
     'EVACUATION_ENDED': 4007,
     'STORE_UNREACHABLE': 5001,
@@ -163,6 +166,50 @@
     )
 
 
+def test_a_copy_says_why_and_what_is_known_of_the_worker(explain):
+    """Guards against a second attempt that the timeline does not explain."""
+    timeline = explain(
+        [
+            accepted(1),
+            placed(1.1),
+            line(2, 'WORKER_SLOW', agent='side-1', boot='b', speed=0.2, keys=3),
+            placed(4, attempt=2, agent='side-2'),
+            line(
+                4,
+                'TASK_COPIED',
+                task=TASK,
+                attempt=2,
+                agent='side-2',
+                first=1,
+                first_agent='side-1',
+                run_ms=2900,
+                usual_ms=1300,
+                high_ms=0,
+                gain_ms=900,
+            ),
+            line(
+                6,
+                'WORKER_RECOVERED',
+                agent='side-1',
+                boot='b',
+                speed=0.9,
+                slow_ms=4000,
+            ),
+            finished(6.1, 5100, 9000),
+        ]
+    )
+    text = '\n'.join(timeline)
+    assert (
+        'attempt 2 is a copy, on side-2: attempt 1 on side-1 has run 2900 ms, '
+        'and the usual time is 1300 ms'
+    ) in text
+    assert (
+        'the worker of side-1 is chosen last: tasks of 3 images or steps run '
+        'there at 0.2 of their usual speed'
+    ) in text
+    assert 'counts as slow no longer, after 4000 ms' in text
+
+
 def test_lines_of_two_processes_are_in_order_of_time(explain):
     timeline = explain(
         [
