--- a/hyssopring/stragglers/progress_table.py
+++ b/hyssopring/stragglers/progress_table.py
@@ -23,6 +23,8 @@
 # An overdue run that reports no progress gives a sample this often.
 _OVERDUE_SAMPLE_MS: Final = 1000.0
 
+_MEDIAN_SHARE: Final = 0.5
+
 _AttemptKey = tuple[str, str, int]
 
 
@@ -105,7 +107,7 @@
         """Return what is known of an attempt's run."""
         progress, step = tracked.progress, tracked.run.step
         siblings = tracked.siblings
-        siblings_ms = siblings.median_ms(tracked.placed.boot)
+        siblings_ms = self._siblings_ms(tracked)
         estimate_ms = step.estimate_ms
         return RunEvidence(
             progress.run_ms,
@@ -209,19 +211,30 @@
                 )
             )
 
-    def _reference_ms(self, tracked: TrackedAttempt) -> float | None:
-        """Return how long the task takes on other workers, None if unknown.
+    def _siblings_ms(self, tracked: TrackedAttempt) -> float | None:
+        """Return how long the task takes its siblings, None if unknown.
 
-        A step with few tasks is compared with earlier runs of its key.
+        If too few are on other workers, those on the same worker count as
+        well, and earlier runs of the key: the worker may slow all of them.
         """
         median_ms = tracked.siblings.median_ms(tracked.placed.boot)
         if median_ms is not None:
             return median_ms
-        estimate_ms = tracked.run.step.estimate_ms
-        run_times = self._run_times
-        if run_times.quantile_ms(tracked.key, estimate_ms, HIGH_SHARE) is None:
-            return None
-        return run_times.expected_ms(tracked.key, estimate_ms)
+        known = (tracked.siblings.median_ms(), self._key_median_ms(tracked))
+        return min((each for each in known if each is not None), default=None)
+
+    def _reference_ms(self, tracked: TrackedAttempt) -> float | None:
+        """Return how long the task takes on other workers, None if unknown.
+
+        A step with few tasks there is compared with earlier runs of its key.
+        """
+        median_ms = tracked.siblings.median_ms(tracked.placed.boot)
+        return self._key_median_ms(tracked) if median_ms is None else median_ms
+
+    def _key_median_ms(self, tracked: TrackedAttempt) -> float | None:
+        return self._run_times.quantile_ms(
+            tracked.key, tracked.run.step.estimate_ms, _MEDIAN_SHARE
+        )
 
 
 def _pace_share(placed: PlacedAttempt) -> float:
--- a/hyssopring/stragglers/step_siblings.py
+++ b/hyssopring/stragglers/step_siblings.py
@@ -7,7 +7,7 @@
 
 __all__ = ('StepSiblings',)
 
-# Fewer siblings on other workers than this show nothing.
+# Fewer siblings than this show nothing.
 _MIN_SIBLINGS: Final = 3
 # The newest runs of a step that are compared with.
 _MAX_RUNS: Final = 48
@@ -43,11 +43,14 @@
         self._finished.append((boot, full_ms))
         self._median_by_boot.clear()
 
-    def median_ms(self, boot: str) -> float | None:
+    def median_ms(self, boot: str = '') -> float | None:
         """Return how long a task takes on workers other than ``boot``.
 
+        Args:
+            boot: An incarnation of a worker; empty for all workers.
+
         Returns:
-            None if too few tasks of other workers are known.
+            None if too few tasks of these workers are known.
         """
         if boot not in self._median_by_boot:
             times_ms = [
--- a/hyssopring/stragglers/worker_speeds.py
+++ b/hyssopring/stragglers/worker_speeds.py
@@ -14,6 +14,8 @@
 _MIN_KEYS: Final = 2
 # A worker that has shown nothing for this long counts as any other.
 _EXPIRY_MS: Final = 30_000.0
+# A sample that is older than the newest one by this much weighs half.
+_HALF_LIFE_MS: Final = 2000.0
 # The weight of a new sample. A slow phase lasts some seconds, and a running
 # task gives a sample each second.
 _SAMPLE_WEIGHT: Final = 0.4
@@ -83,15 +85,25 @@
     def speed_of(self, boot: str) -> float:
         """Return a worker's relative speed, 1 if it is unknown.
 
-        It is the mean over keys. The lowest key alone cannot make a worker
+        It is the mean over keys, in which older samples weigh less. The lowest key alone cannot make a worker
         slow: the speed is never below that of the second lowest.
         """
-        speeds = sorted(
-            known.speed for known in self._by_key_by_boot.get(boot, {}).values()
-        )
-        if len(speeds) < _MIN_KEYS:
+        known_speeds = list(self._by_key_by_boot.get(boot, {}).values())
+        if len(known_speeds) < _MIN_KEYS:
             return 1
-        return max(sum(speeds) / len(speeds), speeds[_MIN_KEYS - 1])
+        newest_ms = max(known.seen_at_ms for known in known_speeds)
+        weights = [
+            _HALF_LIFE_MS / (_HALF_LIFE_MS + newest_ms - known.seen_at_ms)
+            for known in known_speeds
+        ]
+        weighted = sum(
+            weight * known.speed
+            for weight, known in zip(weights, known_speeds, strict=True)
+        )
+        second_lowest = sorted(known.speed for known in known_speeds)[
+            _MIN_KEYS - 1
+        ]
+        return max(weighted / sum(weights), second_lowest)
 
 
 def slow_workers(
--- a/standins/jobs/run_recorder.py
+++ b/standins/jobs/run_recorder.py
@@ -43,6 +43,7 @@
         # highest attempt ordered of each task: so far, and when its last end
         # was noted. A copy's order may still be on its way then.
         self.copyable = set()
+        self.copy_count = 0
         self.ordered_by_task = {}
         self.ordered_at_end = {}
         # Times of crashes by the task that caused them.
@@ -61,6 +62,7 @@
             )
         if run.task in self.noted_done and run.task not in self.keepers:
             self._check_start_after_end(now, run)
+        self.copy_count += bool(holders)
         holders.add(worker.boot)
 
     def is_copyable(self, task):
--- a/tests/test_jobs_random.py
+++ b/tests/test_jobs_random.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins.jobs.copy_days import CopyDay
 from standins.jobs.faults import RandomDay
 
 
@@ -19,3 +20,14 @@
     """
     day = RandomDay(seed, has_keepers=has_keepers)
     assert not day.play(), day.faults
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_random_day_with_copies_keeps_the_promises(seed):
+    """As above, with copies of tasks, slow workers and long runs.
+
+    No task has three attempts at a time, and no other task has two.
+    """
+    day = CopyDay(seed, has_keepers=seed % 2 == 0)
+    assert not day.play(), day.faults
+    assert day.deployment.run_recorder.copy_count
