--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -33,7 +33,7 @@
 from hyssopring.jobs.stop_marks import mark_stopping
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.jobs.worker_port import StartOutcome
-from hyssopring.learning.run_times import RunTimes
+from hyssopring.learning.owner_learning import OwnerLearning
 from hyssopring.logs import Event, log_event
 from hyssopring.stragglers import Stragglers
 
@@ -56,7 +56,8 @@
     """Plans the tasks of the owned shards and orders agents to run them.
 
     Attributes:
-        run_times: Run times learned from ends.
+        learning: What it learns from the tasks, as the options ask for.
+        run_times: Learned run times; None if no part uses them.
         stragglers: Copies of tasks and slow workers; None if that is off.
     """
 
@@ -85,6 +86,8 @@
         self._may_act = may_act
         self._wall_ms = wall_ms
         self.shards = OwnedShards()
+        self.learning = OwnerLearning(clock, wall_ms, options)
+        self.run_times = self.learning.run_times
         self._ticket_manager = TicketManager(
             reactor,
             clock,
@@ -93,6 +96,7 @@
             self.shards,
             may_act,
             wall_ms,
+            self.learning.job_times,
         )
         self._ticket_manager.on_tickets = self.schedule_planning
         self._suspects = CrashSuspects(clock, fleet)
@@ -107,6 +111,8 @@
             self._ticket_manager,
             self._suspects,
         )
+        self._planner.interference = self.learning.interference
+        self._planner.job_times = self.learning.job_times
         self.keeper_waits = KeeperWaitMonitor(
             clock,
             fleet,
@@ -122,6 +128,7 @@
             self.shards,
             self,
             self._suspects,
+            self.learning.record_done,
             options.stragglers is not None,
         )
         self._moves = TaskMover(
@@ -132,9 +139,8 @@
             self._ticket_manager,
             self._planner.interference,
         )
-        self.run_times = RunTimes()
         self.stragglers: Stragglers | None = None
-        if options.stragglers is not None:
+        if options.stragglers is not None and self.run_times is not None:
             self.stragglers = Stragglers(
                 clock,
                 fleet,
@@ -149,6 +155,7 @@
         """Start to own a shard: load its rows and request reports."""
         self.shards.by_shard[owned.shard] = owned
         owned.load()
+        self.learning.acquire(owned)
         self.request_all_reports()
 
     def on_shard_loaded(self) -> None:
@@ -176,6 +183,7 @@
         """Stop owning a shard and discard its attempts."""
         owned.drop()
         self._reconciler.forget(owned.shard)
+        self.learning.drop(owned.shard)
         if self.shards.by_shard.get(owned.shard) is owned:
             self.shards.by_shard.pop(owned.shard)
         log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.epoch)
@@ -308,6 +316,7 @@
         self._add_to_roster()
         self._ticket_manager.check()
         self.keeper_waits.check()
+        self.learning.tick()
         if self.stragglers is not None:
             self.stragglers.tick(self._may_act())
         self.schedule_planning()
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -7,6 +7,7 @@
 from hyssopring.jobs.fleet import Fleet, PlacedAttempt, Worker
 from hyssopring.jobs.interference import InterferenceModel
 from hyssopring.jobs.job_record import JobRecord, StepRun
+from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
@@ -40,6 +41,7 @@
 
     Attributes:
         interference: What the reports of all workers show of interference.
+        job_times: Tells how long steps take.
         slow_speed_by_boot: The relative speeds of workers that are chosen
             last because they are slow.
         has_unplaced_tasks: Whether a task found no worker in the last round.
@@ -74,6 +76,7 @@
         self._ticket_manager = ticket_manager
         self._suspects = suspects
         self.interference = InterferenceModel()
+        self.job_times: JobTimeSource = CallerEstimates()
         self.slow_speed_by_boot: Mapping[str, float] = {}
         self.has_unplaced_tasks = False
         self._is_round_scheduled = False
@@ -176,7 +179,7 @@
         wall_ms: float,
     ) -> PendingStep:
         return PendingStep(
-            urgency(record, run, wall_ms),
+            urgency(record, run, wall_ms, self.job_times),
             record,
             run,
             indices,
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -202,6 +202,9 @@
         gauge(
             'lasting_tasks_waiting', self.core.owner.keeper_waits.waiting_count
         )
+        learning = self.core.owner.learning
+        gauge('learned_pairs', learning.pair_count)
+        gauge('learned_run_times', learning.key_count)
         stragglers = self.core.owner.stragglers
         if stragglers is not None:
             gauge('copies_running', stragglers.copy_count)
--- a/hyssopring/stragglers/worker_speeds.py
+++ b/hyssopring/stragglers/worker_speeds.py
@@ -85,8 +85,9 @@
     def speed_of(self, boot: str) -> float:
         """Return a worker's relative speed, 1 if it is unknown.
 
-        It is the mean over keys, in which older samples weigh less. The lowest key alone cannot make a worker
-        slow: the speed is never below that of the second lowest.
+        It is the mean over keys, in which older samples weigh less. The lowest
+        key alone cannot make a worker slow: the speed is never below that of
+        the second lowest.
         """
         known_speeds = list(self._by_key_by_boot.get(boot, {}).values())
         if len(known_speeds) < _MIN_KEYS:
