--- a/hyssopring/stragglers/copier.py
+++ b/hyssopring/stragglers/copier.py
@@ -77,8 +77,10 @@
         candidates = [
             candidate
             for tracked in table
-            if self._may_copy(tracked, attempt_count_by_task)
+            if attempt_count_by_task[tracked.task] == 1
+            and self._is_eligible(tracked)
             and (candidate := _candidate(tracked, table)) is not None
+            and self._is_only_attempt_known(tracked)
         ]
         if not candidates:
             return
@@ -131,24 +133,26 @@
         self.running_count = len(copied_by_task)
         return budget
 
-    def _may_copy(
-        self, tracked: TrackedAttempt, attempt_count_by_task: Counter[str]
-    ) -> bool:
-        """Return whether a second attempt keeps the rules.
-
-        While agents of an inherited job have not reported, an attempt that
-        this owner does not know of may run there.
-        """
-        placed, record = tracked.placed, tracked.record
-        task = str(placed.name)
-        if not placed.step.is_copyable or attempt_count_by_task[task] != 1:
-            return False
-        if not _is_wanted(tracked) or task in self._copied_at_by_task:
+    def _is_eligible(self, tracked: TrackedAttempt) -> bool:
+        """Return whether a copy of a task with one attempt is allowed."""
+        if not tracked.placed.step.is_copyable or not _is_wanted(tracked):
             return False
-        owned = self._shards.by_shard[shard_of(placed.name.job_id)]
-        if record.is_inherited and owned.unreported:
+        if tracked.task in self._copied_at_by_task:
             return False
-        return not record.crashes.crashes_of(record.budget_key(placed.name))
+        record = tracked.record
+        return record.crashes.is_empty or not record.crashes.crashes_of(
+            record.budget_key(tracked.placed.name)
+        )
+
+    def _is_only_attempt_known(self, tracked: TrackedAttempt) -> bool:
+        """Return whether no attempt can run that this owner does not know of.
+
+        While agents of an inherited job have not reported, one may.
+        """
+        if not tracked.record.is_inherited:
+            return True
+        owned = self._shards.by_shard[shard_of(tracked.placed.name.job_id)]
+        return not owned.unreported
 
     def _start(
         self,
@@ -168,7 +172,7 @@
         )
         if worker is None:
             return False
-        task = str(placed.name)
+        task = tracked.task
         self._copied_at_by_task[task] = self._clock.now()
         log_event(
             Event.TASK_COPIED,
--- a/hyssopring/stragglers/progress_table.py
+++ b/hyssopring/stragglers/progress_table.py
@@ -33,6 +33,7 @@
     """An attempt that may run, with its progress.
 
     Attributes:
+        task: The name of its task.
         step_key: Names its step run among those of all jobs.
         key: The key of its run time.
         is_fresh: Whether it does the whole task, and has been seen from its
@@ -40,6 +41,7 @@
         sampled_at_ms: Its run time at its last sample of the worker's speed.
     """
 
+    task: str
     worker: Worker
     placed: PlacedAttempt
     record: JobRecord
@@ -85,12 +87,12 @@
         self.samples = []
         former = self._by_attempt
         self._by_attempt = {}
-        for worker, placed in self._reported_attempts():
-            key = (worker.agent_id, str(placed.name), placed.attempt)
+        for task, worker, placed in self._reported_attempts():
+            key = (worker.agent_id, task, placed.attempt)
             tracked = former.pop(key, None)
             if tracked is None or tracked.placed is not placed:
                 # Unknown, or of a shard that was lost and taken again.
-                tracked = self._track(worker, placed, now_ms)
+                tracked = self._track(task, worker, placed, now_ms)
             if tracked is not None:
                 self._by_attempt[key] = tracked
         for ended in former.values():
@@ -118,16 +120,19 @@
             self._run_times.expected_ms(tracked.key, estimate_ms),
         )
 
-    def _reported_attempts(self) -> Iterator[tuple[Worker, PlacedAttempt]]:
+    def _reported_attempts(
+        self,
+    ) -> Iterator[tuple[str, Worker, PlacedAttempt]]:
         """Iterate over the batch tasks that agents have reported."""
         for worker in self._fleet.by_agent.values():
-            for placed in worker.placed_by_task.values():
+            for task, placed in worker.placed_by_task.items():
                 is_reported = placed.observed_since is not None
                 if is_reported and not placed.step.is_keeper:
-                    yield worker, placed
+                    yield task, worker, placed
 
     def _track(
         self,
+        task: str,
         worker: Worker,
         placed: PlacedAttempt,
         now_ms: float,
@@ -143,6 +148,7 @@
         assert began_ms is not None, 'checked by the caller'
         percent = 0 if is_fresh else placed.percent
         return TrackedAttempt(
+            task,
             worker,
             placed,
             record,
--- a/hyssopring/stragglers/stragglers.py
+++ b/hyssopring/stragglers/stragglers.py
@@ -17,6 +17,9 @@
 
 # Reports come each 500 ms; more frequent checks would see nothing new.
 _INTERVAL_MS: Final = 350.0
+# Checks use at most this share of the owner's time: with thousands of running
+# tasks they become less frequent.
+_MAX_TIME_SHARE: Final = 0.01
 
 
 class Stragglers:
@@ -46,7 +49,7 @@
             clock, fleet, shards, planner, options.max_copies_share
         )
         self._moves = SlowMoves(clock, shards, planner, stop)
-        self._checked_at_ms = clock.now()
+        self._next_check_at_ms = clock.now()
 
     @property
     def copy_count(self) -> int:
@@ -65,9 +68,15 @@
             may_act: Whether the owner may start and stop tasks now.
         """
         now_ms = self._clock.now()
-        if now_ms - self._checked_at_ms < _INTERVAL_MS:
+        if now_ms < self._next_check_at_ms:
             return
-        self._checked_at_ms = now_ms
+        self._check(may_act)
+        duration_ms = self._clock.now() - now_ms
+        self._next_check_at_ms = now_ms + max(
+            _INTERVAL_MS, duration_ms / _MAX_TIME_SHARE
+        )
+
+    def _check(self, may_act: bool) -> None:
         self._table.update()
         self._slow_set.update(
             self._fleet.by_agent.values(), self._table.samples
