--- a/tests/stragglers_support.py
+++ b/tests/stragglers_support.py
@@ -9,6 +9,8 @@
 from standins.jobs.deployment import Deployment, a_job, settled
 
 OPTIONS = SchedulingOptions(stragglers=StragglerOptions())
+# The budget would hide a copy that another rule forbids.
+ANY_COPIES = SchedulingOptions(stragglers=StragglerOptions(max_copies_share=10))
 STEP_S = 0.01
 PATIENCE = 3000
 
@@ -37,7 +39,8 @@
 
 
 def is_first_task(task):
-    return task.endswith('.0.0.0')
+    """Return whether it is the first task of job 1."""
+    return task == f'{1:016x}.0.0.0'
 
 
 def two_long_runs():
@@ -45,7 +48,7 @@
     return FirstRunLong(is_first_task, long_ms=(60_000, 60_000))
 
 
-def deploy(work_ms=None, options=OPTIONS, workers=6, **more):
+def deploy(work_ms=None, options=ANY_COPIES, workers=6, **more):
     """Return a settled deployment; a job's first task runs long at first."""
     return settled(
         Deployment(
@@ -70,6 +73,12 @@
     return a_job(number, tuple(steps), **changes)
 
 
+def teach(deployment, entry, number=99):
+    """Run many tasks of the key of ``a_copyable_job``, of usual length."""
+    deployment.submit(a_copyable_job(number, tasks=30), entry)
+    deployment.run(1.5)
+
+
 def first_task_of(job):
     return f'{job.job_id}.0.0.0'
 
--- a/tests/test_jobs_copies.py
+++ b/tests/test_jobs_copies.py
@@ -12,6 +12,7 @@
 from standins.jobs.deployment import starts_of
 from standins.jobs.run_recorder import Run
 from tests.stragglers_support import (
+    OPTIONS,
     FirstRunLong,
     a_copyable_job,
     agent_of,
@@ -22,6 +23,7 @@
     owner_record,
     run_until,
     run_until_copied,
+    teach,
     two_long_runs,
 )
 
@@ -44,6 +46,23 @@
     return [row for row in deployment.run_recorder.starts if row[2] == task]
 
 
+def owner_of(deployment, former):
+    """Return the name of the owner after ``former``, None if there is none."""
+    return next(
+        (
+            name
+            for name, entry in deployment.entries.items()
+            if name != former and entry.core.owner.shards.loaded_shards()
+        ),
+        None,
+    )
+
+
+def owned_shard(deployment, former):
+    entry = deployment.entries[owner_of(deployment, former)]
+    return next(iter(entry.core.owner.shards.by_shard.values()))
+
+
 def first_waits(deployment, job):
     """Return whether the first task is marked waiting."""
     return 0 in owner_record(deployment, job).step_runs['0.0'].waiting
@@ -71,11 +90,23 @@
     'changes', [{'may_copy': False}, {'is_gang': True}, {'is_keeper': True}]
 )
 def test_tasks_that_may_not_be_copied_are_not(changes):
-    deployment = deploy(FirstRunLong(is_first_task, usual_ms=2000))
+    """All tasks run far longer than earlier ones of their key."""
+    deployment = deploy(FirstRunLong(lambda task: task.startswith(f'{1:016x}')))
+    teach(deployment, 'entry-0')
     job = a_copyable_job(**changes)
     deployment.submit(job)
-    deployment.run(1.9 if 'is_gang' in changes else 10)
-    assert len(starts_of_task(deployment, first_task_of(job))) == 1
+    deployment.run(8)
+    assert len(starts_of(deployment, job)) == 6
+
+
+def test_a_task_never_has_a_third_attempt():
+    """Both attempts are outliers, and nothing else forbids one more."""
+    deployment = deploy(two_long_runs())
+    job = a_copyable_job()
+    copied(deployment, job)
+    teach(deployment, 'entry-0')
+    deployment.run(15)
+    assert len(starts_of(deployment, job)) == 7
 
 
 def test_the_first_attempt_may_end_first():
@@ -285,11 +316,16 @@
         if name != former:
             deployment.block(agent, name)
     deployment.kill_entry(former)
-    deployment.run(5)
-    assert deployment.owner != former
+    run_until(deployment, lambda: owner_of(deployment, former))
+    teach(deployment, owner_of(deployment, former))
+    deployment.run(1)
+    shard = owned_shard(deployment, former)
+    assert agent in shard.unreported
     assert set(holders_of(deployment, first_task_of(job))) == {first, copy}
-    deployment.run(4)
     assert len(starts_of_task(deployment, first_task_of(job))) == 2
+    run_until(deployment, lambda: agent not in shard.unreported)
+    deployment.run(3)
+    assert len(starts_of_task(deployment, first_task_of(job))) == 3
 
 
 def test_the_next_step_waits_until_the_end_is_durable():
@@ -399,7 +435,9 @@
 def test_copies_stay_within_their_share_of_the_running_cores():
     """Half of the tasks are outliers, and a copy at a time may run."""
     deployment = deploy(
-        FirstRunLong(lambda task: True, long_ms=(1000,)), workers=8
+        FirstRunLong(lambda task: True, long_ms=(1000,)),
+        workers=8,
+        options=OPTIONS,
     )
     is_long = {f'.{index}' for index in range(0, 20, 2)}
     work_ms = FirstRunLong(
@@ -433,3 +471,29 @@
     deployment.run(6)
     assert deployment.state(job.job_id) is JobState.COMPLETED
     assert not holders_of(deployment, task)
+
+
+def test_a_copy_runs_on_another_worker():
+    """On the same worker it would replace the attempt that runs."""
+    deployment = deploy(workers=1)
+    job = a_copyable_job()
+    deployment.submit(job)
+    deployment.run(5)
+    task = first_task_of(job)
+    assert owner_record(deployment, job).attempt_by_task[task] == 1
+
+
+@pytest.mark.parametrize('pace, starts', [(50, 6), (100, 7)])
+def test_a_throttled_task_is_not_copied(pace, starts):
+    """It is slow because its agent slows it beside keepers."""
+    deployment = deploy(two_long_runs())
+    for agent in deployment.agents.values():
+        agent.core._pacer.tick = lambda attempts: None
+    job = a_copyable_job(fills=True)
+    deployment.submit(job)
+    deployment.run(0.2)
+    for agent in deployment.agents.values():
+        for attempt in agent.core.table.by_task.values():
+            attempt.pace = pace
+    deployment.run(8)
+    assert len(starts_of(deployment, job)) == starts
