--- a/tests/test_jobs_copies.py
+++ b/tests/test_jobs_copies.py
@@ -291,11 +291,7 @@
     job = a_copyable_job()
     copied(deployment, job)
     former = deployment.owner
-    deployment.options = None
-    for name in [name for name in deployment.entries if name != former]:
-        deployment.kill_entry(name)
-        deployment.start_entry(name)
-    deployment.run(3)
+    restart_others_without_the_part(deployment, former)
     deployment.kill_entry(former)
     deployment.run(8)
     assert len(holders_of(deployment, first_task_of(job))) == 1
@@ -359,20 +355,58 @@
 
 
 def test_the_next_step_runs_once_when_the_owner_dies_before_the_write():
-    """The next owner sees the first attempt of a task that was done."""
+    """The next owner, without the part, sees the first attempt run.
+
+    It takes the next step for not started. The former owner must not have
+    started it, as its worker may be out of reach.
+    """
     deployment = deploy(two_long_runs())
     job = a_copyable_job(after=(1,))
+    next_task = f'{job.job_id}.0.1.0'
     first, copy = copied(deployment, job)
+    former = deployment.owner
+    restart_others_without_the_part(deployment, former)
     deployment.rows.is_down = True
-    end_now(copy, first_task_of(job))
     first.lose_next, first.late_s = 100, 5
+    end_now(copy, first_task_of(job))
     deployment.run(0.3)
-    deployment.kill_entry(deployment.owner)
+    for worker in holders_of(deployment, next_task):
+        for name in deployment.entries:
+            if name != former:
+                deployment.block(agent_of(deployment, worker), name)
+    deployment.kill_entry(former)
     deployment.rows.is_down = False
     deployment.run(12)
-    first.lose_next = 0
+    assert len(starts_of_task(deployment, next_task)) == 1
+
+
+def restart_others_without_the_part(deployment, former):
+    deployment.options = None
+    for name in [name for name in deployment.entries if name != former]:
+        deployment.kill_entry(name)
+        deployment.start_entry(name)
     deployment.run(3)
-    assert len(starts_of_task(deployment, f'{job.job_id}.0.1.0')) == 1
+
+
+def test_a_new_owner_starts_no_task_whose_copy_may_run_out_of_reach():
+    """It sees one attempt fail; the copy runs beside an unreachable agent."""
+    deployment = deploy(two_long_runs())
+    job = a_copyable_job()
+    task = first_task_of(job)
+    first, copy = copied(deployment, job)
+    agent = agent_of(deployment, copy)
+    former = deployment.owner
+    for name in deployment.entries:
+        if name != former:
+            deployment.block(agent, name)
+    deployment.kill_entry(former)
+    run_until(deployment, lambda: owner_of(deployment, former))
+    deployment.run(1)
+    end_now(first, task, AttemptEnd.FAILED)
+    deployment.run(1)
+    assert agent in owned_shard(deployment, former).unreported
+    assert len(starts_of_task(deployment, task)) == 2
+    run_until(deployment, lambda: len(starts_of_task(deployment, task)) == 3)
 
 
 def test_a_third_attempt_that_a_worker_shows_is_stopped():
