--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -43,6 +43,8 @@
         Event.EVACUATION_BEGUN,
         Event.EVACUATION_ENDED,
         Event.SHARES_LIMITED,
+        Event.WORKER_SLOW,
+        Event.WORKER_RECOVERED,
     )
 )
 _Record = Mapping[str, Any]
--- a/hyssopring/cli/log_timeline.py
+++ b/hyssopring/cli/log_timeline.py
@@ -26,7 +26,13 @@
 _SHARD_EVENTS: Final = frozenset((Event.SHARD_ACQUIRED, Event.SHARD_LOST))
 _REFUSAL_EVENTS: Final = frozenset((Event.REQUEST_REFUSED, Event.JOB_REJECTED))
 _AGENT_EVENTS: Final = frozenset(
-    (Event.AGENT_DISCONNECTED, Event.CONNECTION_SILENT, Event.AGENT_LEFT)
+    (
+        Event.AGENT_DISCONNECTED,
+        Event.CONNECTION_SILENT,
+        Event.AGENT_LEFT,
+        Event.WORKER_SLOW,
+        Event.WORKER_RECOVERED,
+    )
 )
 
 
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -36,6 +36,7 @@
 from hyssopring.jobs.worker_port import StartOutcome
 from hyssopring.learning.owner_learning import OwnerLearning
 from hyssopring.logs import Event, log_event
+from hyssopring.stragglers import Stragglers
 
 __all__ = ('JobOwner',)
 
@@ -63,6 +64,7 @@
         done_observers: Called when tasks are done; see ``OnDone``.
         fair_shares: The shares of groups of jobs; None if the deployment has
             none.
+        stragglers: Copies of tasks and slow workers; None if that is off.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
             self,
             self._suspects,
             self.learning.record_done,
+            options.stragglers is not None,
         )
         self.done_observers = self._reconciler.done_observers
         self._moves = TaskMover(
@@ -146,6 +149,17 @@
             self._ticket_manager,
             self._planner.interference,
         )
+        self.stragglers: Stragglers | None = None
+        if options.stragglers is not None and self.run_times is not None:
+            self.stragglers = Stragglers(
+                clock,
+                fleet,
+                self.shards,
+                self._planner,
+                self.run_times,
+                self.stop,
+                options.stragglers,
+            )
 
     def acquire(self, owned: OwnedShard) -> None:
         """Start to own a shard: load its rows and request reports."""
@@ -202,7 +216,8 @@
 
     def acknowledge_ends(self, acks: list[Ack]) -> None:
         """Allow agents to drop ends that are durable."""
-        self._reconciler.mark_durable(acks)
+        if self._reconciler.mark_durable(acks):
+            self.schedule_planning()
         numbers_by_boot: dict[tuple[str, str], list[int]] = {}
         for ack in acks:
             incarnation = (ack.agent_id, ack.boot)
@@ -315,6 +330,8 @@
         self._ticket_manager.check()
         self.keeper_waits.check()
         self.learning.tick()
+        if self.stragglers is not None:
+            self.stragglers.tick(self._may_act())
         self.schedule_planning()
 
     def _apply_timeouts(self, now_ms: float) -> None:
--- a/hyssopring/jobs/pending_step.py
+++ b/hyssopring/jobs/pending_step.py
@@ -1,6 +1,6 @@
 """The steps whose tasks a planning round tries to start, in their order."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Iterable, Iterator, Mapping
 
 from hyssopring.fairness import FairShares
@@ -12,7 +12,7 @@
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.jobs.urgency import Urgency, urgency
 
-__all__ = ('PendingStep', 'list_pending_steps')
+__all__ = ('PendingStep', 'list_pending_steps', 'pending_step_of')
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +40,14 @@
         urgency = self.urgency
         return urgency.priority, urgency.lateness, self.band, urgency.order
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether its tasks are kept off very slow workers.
+
+        This holds for the first priority, for keepers and for late jobs.
+        """
+        return self.urgency.priority <= 0 or self.urgency.lateness > 0
+
     def task_names(self) -> Iterator[TaskName]:
         """Iterate over the tasks that wait now, in the order of their indices.
 
@@ -54,6 +62,29 @@
         return self.ticket_by_boot[worker.boot] if self.ticket_by_boot else ''
 
 
+def pending_step_of(
+    record: JobRecord,
+    run: StepRun,
+    indices: set[int],
+    wall_ms: float,
+    job_times: JobTimeSource,
+    ticket_manager: TicketManager,
+) -> PendingStep:
+    """Return a step with the tasks of these indices.
+
+    Args:
+        wall_ms: The time of day in ms since 1970.
+        job_times: Tells how long steps take.
+    """
+    return PendingStep(
+        urgency(record, run, wall_ms, job_times),
+        record,
+        run,
+        indices,
+        ticket_manager.valid_tickets(record, run),
+    )
+
+
 def list_pending_steps(
     live_jobs: Iterable[JobRecord],
     shards: OwnedShards,
@@ -74,13 +105,12 @@
     for record, run in runs:
         indices = shards.startable(record, run)
         if indices:
-            step_urgency = urgency(record, run, wall_ms, job_times)
-            tickets = ticket_manager.valid_tickets(record, run)
-            band = 0
-            if shares is not None and not run.step.is_keeper:
-                band = shares.band_of(record, step_urgency.lateness)
-            pending_steps.append(
-                PendingStep(step_urgency, record, run, indices, tickets, band)
+            pending = pending_step_of(
+                record, run, indices, wall_ms, job_times, ticket_manager
             )
+            if shares is not None and not run.step.is_keeper:
+                band = shares.band_of(record, pending.urgency.lateness)
+                pending = replace(pending, band=band)
+            pending_steps.append(pending)
     pending_steps.sort(key=lambda pending: pending.sort_key)
     return pending_steps
--- a/hyssopring/jobs/placement_option.py
+++ b/hyssopring/jobs/placement_option.py
@@ -9,7 +9,7 @@
 from hyssopring.jobs.step_impact import RoundEstimates
 from hyssopring.jobs.worker_use import WorkerUse
 
-__all__ = ('PlacementOption',)
+__all__ = ('VERY_SLOW', 'PlacementOption')
 
 # A best-effort task starts only where at least this share of the CPU that it
 # asks for is idle; with less it would only slow the tasks that already run.
@@ -28,6 +28,9 @@
 _MIN_HEADROOM: Final = 1.2
 # Interference at and above this scores the same.
 _MAX_INTERFERENCE: Final = 1.0
+# Below this relative speed, a worker gets urgent tasks only if no other worker
+# has room.
+VERY_SLOW: Final = 0.3
 
 
 @dataclass(slots=True)
@@ -47,6 +50,7 @@
         headrooms: The headroom of each latency-critical task once all
             best-effort tasks run at full pace.
         is_refusing: Whether the worker has recently refused a start.
+        slow_speed: The worker's relative speed if it counts as slow, else 1.
     """
 
     worker: Worker
@@ -60,6 +64,7 @@
     estimates: RoundEstimates
     headrooms: list[float]
     is_refusing: bool = False
+    slow_speed: float = 1
     _placed_count: int = -1
     _images: tuple[str, ...] = ()
     _image_set: frozenset[str] = frozenset()
@@ -71,11 +76,13 @@
         estimates: RoundEstimates,
         is_refusing: bool = False,
         use: WorkerUse | None = None,
+        slow_speed: float = 1,
     ) -> 'PlacementOption':
         """Build the option from a worker's latest report.
 
         Args:
             use: The worker's use, if it is known already.
+            slow_speed: The worker's relative speed; 1 unless it is slow.
         """
         use = use or WorkerUse.from_worker(worker)
         return cls(
@@ -90,6 +97,7 @@
             estimates,
             use.headrooms(estimates),
             is_refusing,
+            slow_speed,
         )
 
     @property
@@ -227,6 +235,28 @@
         if step.target_ms:
             self.latency_critical_count += 1
 
+    def speed_rank(self, is_urgent: bool) -> tuple[bool, bool, bool]:
+        """Return what comes before the score; higher is better.
+
+        Args:
+            is_urgent: Whether the task must not run on a very slow worker
+                while another one has room.
+        """
+        is_excluded = is_urgent and self.slow_speed < VERY_SLOW
+        is_last = self.slow_speed < 1 and (is_excluded or not self._is_idle())
+        return not is_excluded, not self.is_refusing, not is_last
+
+    def _is_idle(self) -> bool:
+        """Return whether no batch task is here.
+
+        A slow worker without one gets a task as any other does: a probe,
+        which shows whether it has recovered.
+        """
+        return all(
+            placed.step.is_keeper
+            for placed in self.worker.placed_by_task.values()
+        )
+
     def has_label(self, step: Step) -> bool:
         """Return whether the worker has the label that the step requires."""
         report = self.worker.report
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -1,6 +1,6 @@
 """Planning rounds that start pending tasks of the owned shards on workers."""
 
-from typing import Any, Callable, Final
+from typing import Any, Callable, Collection, Final, Mapping
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.fairness import FairShares
@@ -12,7 +12,11 @@
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
 from hyssopring.jobs.owned_shards import OwnedShards
-from hyssopring.jobs.pending_step import PendingStep, list_pending_steps
+from hyssopring.jobs.pending_step import (
+    PendingStep,
+    list_pending_steps,
+    pending_step_of,
+)
 from hyssopring.jobs.placement_round import PlacementRound
 from hyssopring.jobs.shards import shard_of
 from hyssopring.jobs.task_requirements import facts_of
@@ -47,6 +51,9 @@
             round, with their jobs.
         fair_shares: The shares of groups of jobs; None if the deployment has
             none.
+        slow_speed_by_boot: The relative speeds of workers that are chosen
+            last because they are slow.
+        has_unplaced_tasks: Whether a task found no worker in the last round.
     """
 
     def __init__(
@@ -82,6 +89,8 @@
         self._uses = WorkerUses()
         self.job_times: JobTimeSource = CallerEstimates()
         self.unplaced: list[tuple[JobRecord, StepRun]] = []
+        self.slow_speed_by_boot: Mapping[str, float] = {}
+        self.has_unplaced_tasks = False
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
 
@@ -113,6 +122,7 @@
         )
         self._suspects.check()
         self.unplaced.clear()
+        self.has_unplaced_tasks = False
         live_jobs = self._shards.live_jobs()
         if self.fair_shares is not None:
             self.fair_shares.observe(live_jobs)
@@ -127,18 +137,12 @@
         if not pending_steps:
             self._record_scarcity(is_scarce=False)
             return
-        workers = self._suspects.available_workers(self._shards)
-        self._uses.retain(workers)
-        placement = PlacementRound(
-            workers,
-            self.interference,
-            self._fleet.recently_refusing(),
-            self._uses,
-        )
+        placement = self.new_round()
         is_scarce = False
         for pending in pending_steps:
             if not self._place(placement, pending) and not is_scarce:
                 is_scarce = self._is_short_of_room(placement, pending)
+        self.has_unplaced_tasks = placement.has_rejected
         self._record_scarcity(is_scarce=is_scarce)
 
     def _is_short_of_room(
@@ -157,6 +161,62 @@
         if self.fair_shares is not None:
             self.fair_shares.is_scarce = is_scarce
 
+    def available_workers(self) -> list[Worker]:
+        """Return the workers on which any task may start now."""
+        return self._suspects.available_workers(self._shards)
+
+    def new_round(self) -> PlacementRound:
+        """Return a round of placement on the workers as they are now."""
+        workers = self.available_workers()
+        self._uses.retain(workers)
+        return PlacementRound(
+            workers,
+            self.interference,
+            self._fleet.recently_refusing(),
+            self._uses,
+            self.slow_speed_by_boot,
+        )
+
+    def start_copy(
+        self,
+        placement: PlacementRound,
+        record: JobRecord,
+        run: StepRun,
+        task_name: TaskName,
+        boots: Collection[str],
+    ) -> Worker | None:
+        """Start a second attempt of a running task, if one has room.
+
+        The caller has checked that exactly one attempt may run.
+
+        Args:
+            boots: Incarnations of workers to choose from.
+        """
+        pending = pending_step_of(
+            record,
+            run,
+            set(),
+            self._wall_ms(),
+            self.job_times,
+            self._ticket_manager,
+        )
+        if pending.ticket_by_boot is not None:
+            boots = pending.ticket_by_boot.keys() & boots
+        worker = placement.choose(
+            record.job.queue.service,
+            run.step,
+            task_name,
+            is_starved=False,
+            allowed_boots=boots,
+        )
+        if worker is None:
+            return None
+        task_id = str(task_name)
+        attempt = record.next_attempt(task_id)
+        checkpoint = record.checkpoint_by_task.get(task_id, '')
+        is_sent = self.start(pending, task_name, worker, attempt, checkpoint)
+        return worker if is_sent else None
+
     def _place(self, placement: PlacementRound, pending: PendingStep) -> bool:
         """Start the tasks of a step as far as possible.
 
@@ -211,6 +271,7 @@
             task_name,
             is_starved,
             pending.ticket_by_boot,
+            pending.is_urgent,
         )
         if worker is None:
             return False
@@ -219,7 +280,7 @@
         if worker is not None:
             attempt = record.next_attempt(task_id)
             checkpoint = record.checkpoint_by_task.get(task_id, '')
-            self._start(pending, task_name, worker, attempt, checkpoint)
+            self.start(pending, task_name, worker, attempt, checkpoint)
         return True
 
     def _recorded_worker(
@@ -273,7 +334,7 @@
             return
         attempt = record.next_attempt(task_id)
         checkpoint = record.checkpoint_by_task.get(task_id, '')
-        self._start(
+        self.start(
             pending, task_name, worker, attempt, checkpoint, is_trial=True
         )
         self._suspects.begin_trial(record, task_name, attempt, worker.agent_id)
@@ -306,7 +367,7 @@
         attempt = record.next_gang_attempt(task_names)
         checkpoint = record.gang_checkpoint(task_names)
         for task_name, worker in zip(task_names, workers, strict=True):
-            self._start(
+            self.start(
                 pending, task_name, worker, attempt, checkpoint, is_trial
             )
             if is_trial:
@@ -336,7 +397,7 @@
         ]
         return all(located)
 
-    def _start(
+    def start(
         self,
         pending: PendingStep,
         task_name: TaskName,
@@ -344,8 +405,12 @@
         attempt: int,
         checkpoint: str,
         is_trial: bool = False,
-    ) -> None:
-        """Send a start to a worker's agent and record the attempt."""
+    ) -> bool:
+        """Send a start to a worker's agent and record the attempt.
+
+        Returns:
+            False if it cannot be sent.
+        """
         record, run = pending.record, pending.run
         task_id = str(task_name)
         owned = self._shards.by_shard[shard_of(task_name.job_id)]
@@ -361,7 +426,7 @@
             is_trial,
         )
         if not self._send(worker.agent_id, order):
-            return
+            return False
         worker.starts_sent += 1
         worker.placed_by_task[task_id] = PlacedAttempt(
             task_name,
@@ -387,3 +452,4 @@
             report_age_ms=int(self._clock.now() - worker.reported_at),
             grant_age_ms=int(self._clock.now() - worker.granted_at),
         )
+        return True
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -212,6 +212,10 @@
         gauge('learned_run_times', learning.key_count)
         shares = self.core.owner.fair_shares
         gauge('groups_limited', len(shares.limited_groups) if shares else 0)
+        stragglers = self.core.owner.stragglers
+        if stragglers is not None:
+            gauge('copies_running', stragglers.copy_count)
+            gauge('workers_slow', stragglers.slow_count)
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
