--- a/tests/test_jobs_fairness.py
+++ b/tests/test_jobs_fairness.py
@@ -183,6 +183,23 @@
     assert burst.owner.fair_shares.is_scarce
 
 
+def test_keepers_start_first_and_make_no_scarcity():
+    """Guards against keepers that wait for shares, or that set them off."""
+    burst = Burst()
+    # Each keeper fills a worker, so that the last one waits.
+    burst.submit('east', 5, size=Size(16_000, 100, 0), is_keeper=True)
+    burst.deployment.run(1)
+    assert not burst.owner.fair_shares.is_scarce
+    burst = Burst()
+    burst.play(2, {'east': BURST}, {'east': 6})
+    keeper = burst.submit('east', 2, is_keeper=True)
+    burst.submit('west', 20)
+    burst.deployment.run(1.5)
+    run = burst.owner.shards.record_of(keeper.job_id).step_runs['0.0']
+    assert burst.owner.fair_shares.is_scarce
+    assert len(run.running) == 2
+
+
 def test_limits_are_logged_as_they_begin_and_end(events):
     """Guards against a line for each round, and limits that seem to last."""
     burst = burst_of_one_zone()
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -14,6 +14,7 @@
     'shards_owned',
     'jobs_live',
     'lasting_tasks_waiting',
+    'groups_limited',
     'agents_connected',
     'requests_open',
     'configuration_version',
