--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -16,18 +16,20 @@
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics
+from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
 from hyssopring.platform.metrics import serve_metrics
 from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
 from hyssopring.platform.worker import PlatformWorker
-from hyssopring.web_server import QuietSite
 
 __all__ = ('AgentProcess',)
 
 # Part of the grace period of a stop that is reserved for the last messages.
 _LAST_MESSAGES_S: Final = 0.8
+# A report with all labels that are allowed has 70 KB.
+_MAX_REPORT_BYTES: Final = 1024 * 1024
 
 
 class AgentProcess:
@@ -76,7 +78,7 @@
         listen(
             self._reactor,
             settings.bind_addresses.control_plane,
-            QuietSite(self._reports),
+            LeafSite(self._reports, _MAX_REPORT_BYTES),
         )
         serve_metrics(self._reactor, settings, self._metrics)
         self._dialler.add_addresses(settings.seed_addresses)
--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -12,7 +12,6 @@
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.http import Request
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
@@ -20,6 +19,7 @@
 from hyssopring.jobs.model import Job, JobState, Queue, Schedule, Size, Step
 from hyssopring.jobs.queues import QueueTable
 from hyssopring.logs import Event, log_event
+from hyssopring.platform.leaf_site import NOT_DONE_YET
 
 __all__ = ('CallersResource', 'read_job')
 
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -33,13 +33,13 @@
 from hyssopring.metrics import Metrics
 from hyssopring.platform.advice import advice_client_for
 from hyssopring.platform.callers import CallersResource
+from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
 from hyssopring.platform.metrics import serve_metrics
 from hyssopring.platform.operator_rows import follow_operator
 from hyssopring.platform.readiness import ReadyResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
-from hyssopring.web_server import QuietSite
 
 __all__ = ('EntryProcess',)
 
@@ -49,6 +49,9 @@
 # second apart; meanwhile requests are served, also on open connections.
 _DRAIN_DELAY_S: Final = 3.0
 _DRAIN_MS: Final = 1500.0
+# A job's row holds 65,536 bytes; its JSON may be longer by blanks and escapes.
+_MAX_JOB_BYTES: Final = 4 * 1024 * 1024
+_MAX_CHECK_BYTES: Final = 4096
 
 
 class EntryProcess:
@@ -137,8 +140,14 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         bind = self._settings.bind_addresses
-        listen(self._reactor, bind.frontend, QuietSite(self._callers))
-        listen(self._reactor, bind.ready, QuietSite(self._ready))
+        listen(
+            self._reactor,
+            bind.frontend,
+            LeafSite(self._callers, _MAX_JOB_BYTES),
+        )
+        listen(
+            self._reactor, bind.ready, LeafSite(self._ready, _MAX_CHECK_BYTES)
+        )
         listen(self._reactor, self._settings.inner_address, self._listener)
         self._dial_seeds()
         serve_metrics(self._reactor, self._settings, self._metrics)
--- a/hyssopring/platform/metrics.py
+++ b/hyssopring/platform/metrics.py
@@ -9,14 +9,15 @@
 from hyssopring.jobs.job_metrics import JobMetrics
 from hyssopring.logs import Event, listen_to_events, log_event
 from hyssopring.metrics import Metrics, gauge_process
+from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
 from hyssopring.platform.settings import NodeSettings
-from hyssopring.web_server import QuietSite
 
 __all__ = ('METRICS_PATH', 'serve_metrics')
 
 # The deploy file has the same path.
 METRICS_PATH: Final = 'metrics'
+_MAX_BODY_BYTES: Final = 4096
 
 
 class _MetricsResource(Resource):
@@ -44,7 +45,7 @@
     """
     listen_to_events(JobMetrics(metrics).record_event)
     metrics.collect(lambda: gauge_process(metrics))
-    site = QuietSite(_MetricsResource(metrics))
+    site = LeafSite(_MetricsResource(metrics), _MAX_BODY_BYTES)
     try:
         listen(reactor, f'{settings.ip}:{settings.metrics_port}', site)
     except CannotListenError as error:
--- a/hyssopring/platform/roles.py
+++ b/hyssopring/platform/roles.py
@@ -15,7 +15,6 @@
     load_node_settings,
     node_file,
 )
-from hyssopring.settings import SchedulingSettings, load_settings
 
 __all__ = ('main',)
 
@@ -91,6 +90,12 @@
     """Read which optional parts of scheduling are on; none without a file."""
     if not files:
         return SchedulingOptions()
+    # Agents, and entries without a file, do not need the models.
+    from hyssopring.settings import (  # noqa: WPS433
+        SchedulingSettings,
+        load_settings,
+    )
+
     loaded = load_settings(files[0], SchedulingSettings)
     if loaded.is_err():
         _exit_with_error(loaded.unwrap_err().detail)
--- a/hyssopring/settings/__init__.py
+++ b/hyssopring/settings/__init__.py
@@ -1,19 +1,29 @@
-"""Settings of the daemons and of the operators' command line."""
+"""Settings of the daemons and of the operators' command line.
+
+The models of the roles of the command line are imported on first use: the
+platform's processes load other settings, and the models take 1 MB.
+"""
+
+import importlib
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final
 
 from hyssopring.settings.loading import (
     check_document,
     load_settings,
     parse_commented,
     read_document,
-    role_of,
-)
-from hyssopring.settings.models import (
-    AgentSettings,
-    EntrySettings,
-    OperatorSettings,
 )
 from hyssopring.settings.scheduling import SchedulingSettings
 
+if TYPE_CHECKING:
+    from hyssopring.settings.models import (
+        AgentSettings,
+        EntrySettings,
+        OperatorSettings,
+    )
+    from hyssopring.settings.role_models import role_of
+
 __all__ = (
     'AgentSettings',
     'EntrySettings',
@@ -25,3 +35,18 @@
     'read_document',
     'role_of',
 )
+
+_MODULE_BY_NAME: Final = MappingProxyType(
+    {
+        'AgentSettings': 'hyssopring.settings.models',
+        'EntrySettings': 'hyssopring.settings.models',
+        'OperatorSettings': 'hyssopring.settings.models',
+        'role_of': 'hyssopring.settings.role_models',
+    }
+)
+
+
+def __getattr__(name: str) -> Any:  # noqa: WPS413 -- see the module's text
+    if name not in _MODULE_BY_NAME:
+        raise AttributeError(name)
+    return getattr(importlib.import_module(_MODULE_BY_NAME[name]), name)
--- a/hyssopring/settings/loading.py
+++ b/hyssopring/settings/loading.py
@@ -9,19 +9,12 @@
 
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.problems import describe_problems
-from hyssopring.settings.models import (
-    AgentSettings,
-    EntrySettings,
-    OperatorSettings,
-)
-from hyssopring.settings.scheduling import SchedulingSettings
 
 __all__ = (
     'check_document',
     'load_settings',
     'parse_commented',
     'read_document',
-    'role_of',
 )
 
 # json5 takes 1.8 s of processor time for 61,660 characters and twice that for
@@ -31,13 +24,6 @@
 _MAX_JSON5_SIZE: Final = 65_536
 
 _Model = TypeVar('_Model', bound=BaseModel)
-_Models = tuple[type[BaseModel], ...]
-_ROLE_MODELS: _Models = (
-    EntrySettings,
-    AgentSettings,
-    OperatorSettings,
-    SchedulingSettings,
-)
 
 
 def load_settings(path: str, model: type[_Model]) -> Result[_Model, Failure]:
@@ -100,14 +86,6 @@
     return json5.loads(text, allow_duplicate_keys=False)
 
 
-def role_of(document: object) -> type[BaseModel]:
-    """Return the model that has most keys in common with a document."""
-    keys = set(document) if isinstance(document, dict) else set()
-    return max(
-        _ROLE_MODELS, key=lambda model: len(keys & set(model.model_fields))
-    )
-
-
 def _object_of(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     members = dict(pairs)
     if len(members) < len(pairs):
--- a/tests/test_border_runner.py
+++ b/tests/test_border_runner.py
@@ -18,7 +18,12 @@
 from hyssopring.jobs.attempts import AttemptTable
 from hyssopring.jobs.end_table import EndTable
 from hyssopring.jobs.model import AttemptEnd
-from hyssopring.jobs.worker_port import Listing, WorkerUnreachable
+from hyssopring.jobs.worker_port import (
+    Listing,
+    StartOutcome,
+    StartRequest,
+    WorkerUnreachable,
+)
 from hyssopring.platform.reports import ReportsResource
 from standins.jobs.deployment import a_job, settled, starts_of
 from standins.runner_wire import OWN_HOST
@@ -234,3 +239,37 @@
         return Listing(listing.clock_ms, (), listing.ends, not listing.rows)
 
     return poll_without_rows
+
+
+ANSWERS = [
+    (status, fields)
+    for status in (200, 400, 404, 409, 418, 429, 500, 503)
+    for fields in ({}, *({'reason': odd} for odd in (None, 7, [], {}, 'odd')))
+]
+
+
+@pytest.mark.parametrize(('status', 'fields'), ANSWERS)
+def test_malformed_answer_of_an_order_is_no_success_of_another_kind(
+    status, fields
+):
+    """Guards against an error in the agent; the order is sent again or not."""
+    worker = worker_with(FakeJsonClient(status, {**fields, 'clockMs': 'x'}))
+    start = StartRequest('i-1', 1, TASK, 2, 'spec', '', 1000, '')
+    outcome = result_of(worker.start(start))
+    if status == 200:
+        assert outcome is StartOutcome.STARTED
+    elif isinstance(outcome, StartOutcome):
+        assert outcome is not StartOutcome.STARTED
+    else:
+        assert outcome.check(WorkerUnreachable)
+    for answer in (
+        worker.stop('i-1', 1, TASK, 2),
+        worker.set_pace('i-1', 1, TASK, 2, 50),
+    ):
+        stopped = result_of(answer)
+        is_accepted = status in {200, 409}
+        assert (
+            stopped.status == status
+            if is_accepted
+            else stopped.check(WorkerUnreachable)
+        )
