--- a/hyssopring/platform/__main__.py
+++ b/hyssopring/platform/__main__.py
@@ -9,6 +9,10 @@
     # (bench.startup). The collector is enabled once the role has started.
     gc.disable()
 
+    from hyssopring.platform.openssl import exclude_openssl
+
+    exclude_openssl(sys.modules)
+
     from hyssopring.platform.roles import main
 
     main(sys.argv[1:])
--- a/hyssopring/platform/leaf_site.py
+++ b/hyssopring/platform/leaf_site.py
@@ -1,7 +1,7 @@
 """HTTP sites of the platform's processes, each with a single resource.
 
 ``twisted.web.server`` finds resources by path, keeps sessions and renders
-error pages, for which it imports 42 modules that these sites do not need.
+error pages, for which it imports many modules that these sites do not need.
 """
 
 import io
--- a/hyssopring/settings/__init__.py
+++ b/hyssopring/settings/__init__.py
@@ -1,7 +1,7 @@
 """Settings of the daemons and of the operators' command line.
 
-The models of the roles of the command line are imported on first use: the
-platform's processes load other settings, and the models take 1 MB.
+The models of the command line's roles are imported on first use. The platform's
+processes load other settings and do not need their memory.
 """
 
 import importlib
