--- a/hyssopring/admission/gate.py
+++ b/hyssopring/admission/gate.py
@@ -14,7 +14,7 @@
 from hyssopring.admission.messages import QueueOutlookNotice, RejectionNotice
 from hyssopring.admission.peers import share_with_entries
 from hyssopring.admission.rejections import JobAnswers, Rejection
-from hyssopring.admission.reservations import Reservations
+from hyssopring.admission.reservations import MAX_WAIT_MS, Reservations
 from hyssopring.admission.stale_log import StaleLog
 from hyssopring.admission.stored_jobs import StoredJobs, StoredState
 from hyssopring.admission.work import ExpectedMs, estimate_of
@@ -82,7 +82,9 @@
         """Record the answer of another entry."""
         if notice.may_be_stored:
             self._record_storing(notice.job_id)
-        if notice.come_back_ms > 0:
+        # A peer whose wall clock is far ahead names a time that never comes.
+        ahead_ms = notice.come_back_ms - self._wall_ms()
+        if notice.come_back_ms > 0 and ahead_ms <= MAX_WAIT_MS:
             rejection = Rejection.from_notice(notice)
             self._record_rejection(notice.job_id, rejection)
 
--- a/hyssopring/admission/prediction.py
+++ b/hyssopring/admission/prediction.py
@@ -1,6 +1,7 @@
 """The predicted end of a job, from the owner's outlook."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from hyssopring.admission.demand import JobDemand
 from hyssopring.admission.messages import QueueOutlook, QueueOutlookNotice
@@ -8,6 +9,8 @@
 
 __all__ = ('Prediction', 'is_waiting', 'predict')
 
+_MIN_RATE_SHARE: Final = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class Prediction:
@@ -48,11 +51,7 @@
         The prediction; None if nothing is known about the rate at which work
         ends.
     """
-    rate_millis = sum(
-        max(0, service.rate_millis)
-        for service in notice.services
-        if service.service == demand.service
-    )
+    rate_millis = _rate_millis(notice, demand)
     if not rate_millis:
         return None
     work_ahead = unlisted_work + sum(
@@ -67,6 +66,25 @@
     )
 
 
+def _rate_millis(notice: QueueOutlookNotice, demand: JobDemand) -> float:
+    """Return what more urgent queues leave of the service's rate.
+
+    They go on to get new work, but a burst of it may be over soon.
+    """
+    rate_millis = sum(
+        max(0, service.rate_millis)
+        for service in notice.services
+        if service.service == demand.service
+    )
+    urgent_rate_by_queue = {
+        queue.queue: max(0, queue.rate_millis)
+        for queue in notice.queues
+        if queue.service == demand.service and queue.priority < demand.priority
+    }
+    left_millis = rate_millis - sum(urgent_rate_by_queue.values())
+    return max(left_millis, _MIN_RATE_SHARE * rate_millis)
+
+
 def _queues_ahead(
     notice: QueueOutlookNotice, demand: JobDemand
 ) -> list[QueueOutlook]:
--- a/hyssopring/admission/reservations.py
+++ b/hyssopring/admission/reservations.py
@@ -6,13 +6,14 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND
 
-__all__ = ('Reservations',)
+__all__ = ('MAX_WAIT_MS', 'Reservations')
 
 # How long after the first room a job is told to come back at the latest. Many
 # callers do not return after a long wait, and their reservations are in vain.
 _HORIZON_S: Final = 30
 # The longest wait that is named; bounds the table.
 _MAX_WAIT_S: Final = 600
+MAX_WAIT_MS: Final = _MAX_WAIT_S * MILLIS_PER_SECOND
 
 _WorkByPriority = defaultdict[int, float]
 
--- a/tests/test_admission_decision.py
+++ b/tests/test_admission_decision.py
@@ -14,6 +14,7 @@
     RejectionNotice,
     ServiceOutlook,
 )
+from hyssopring.admission.prediction import predict
 from hyssopring.admission.rejections import JobAnswers, Rejection
 from hyssopring.admission.reservations import Reservations
 from hyssopring.admission.work import core_ms, estimate_of, wire_amount
@@ -110,6 +111,21 @@
     assert reason_of(demand_of(priority=2), LATE) is Reason.TOO_LATE
 
 
+@pytest.mark.parametrize(
+    ('urgent_rate', 'expected_rate'), [(4000, 12_000), (15_000, 8000)]
+)
+def test_more_urgent_queues_take_their_part_of_the_rate(
+    urgent_rate, expected_rate
+):
+    """Guards against a prediction that gives a queue all of the room."""
+    known = notice(1000, priority=-1)
+    known.queues[0].rate_millis = urgent_rate
+    prediction = predict(known, demand_of(), 0)
+    assert prediction.rate_millis == expected_rate
+    own = predict(known, demand_of(priority=-1), 0)
+    assert own.rate_millis == RATE
+
+
 @pytest.mark.parametrize('tasks', [1, 100, 100_000])
 def test_size_alone_rejects_no_job(tasks):
     """Guards against estimates that are ten times too high.
--- a/tests/test_admission_failures.py
+++ b/tests/test_admission_failures.py
@@ -27,6 +27,7 @@
     rejections,
     stored_row,
     submit,
+    wall_ms,
 )
 
 
@@ -261,6 +262,20 @@
     assert len(starts_of(deployment, job)) == 16
 
 
+def test_peer_with_a_wrong_wall_clock_is_ignored():
+    """Guards against a time to come back that is hours away."""
+    deployment = overloaded()
+    gate = deployment.entries['entry-1'].core.admission.gate
+    job = job_of(100)
+    hour_ms = 3_600_000
+    come_back_ms = round(wall_ms(deployment)) + hour_ms
+    gate.handle_rejection(
+        RejectionNotice(job.job_id, come_back_ms - 1000, come_back_ms)
+    )
+    outcome = submit(deployment, job, 'entry-1')
+    assert outcome.unwrap_err().retry_after_ms <= 10_000
+
+
 def test_callers_that_leave_hold_no_room():
     """Guards against room that is kept for callers who never return."""
     deployment = overloaded()
