--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -14,6 +14,8 @@
     'shards_owned',
     'jobs_live',
     'lasting_tasks_waiting',
+    'learned_pairs',
+    'learned_run_times',
     'agents_connected',
     'requests_open',
     'configuration_version',
