--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -14,10 +14,13 @@
 
 
 @contextlib.contextmanager
-def run_platform(tmp_path, agents_seed=None, second_entry_after_s=0):
+def run_platform(
+    tmp_path, agents_seed=None, second_entry_after_s=0, entry_files=()
+):
     """Run two entries, two agents and the stand-in, each in a process.
 
-    The seed of the agents is the first entry, or ``agents_seed``. Yield the
+    The seed of the agents is the first entry, or ``agents_seed``. The entries'
+    command names the ``entry_files``. Yield the
     ports of the entries for callers and the processes of the entries.
     """
     ports = iter(free_ports(14))
@@ -57,7 +60,7 @@
                 tmp_path, name, inner[number], bind, store, inner[0], ''
             )
         )
-        commands.append(['hyssopring.platform', 'entry'])
+        commands.append(['hyssopring.platform', 'entry', *entry_files])
     for number, runner in enumerate(runners):
         name = f'agent-{number}'
         bind = {'controlPlane': runner['control']}
@@ -267,6 +270,34 @@
         assert 'hyssopring_attempts_ended_total{how="done"} 1' in agent_metrics
 
 
+def test_an_entry_goes_on_with_what_a_killed_one_has_learned(tmp_path):
+    """The row's way through the store's interface, from process to process."""
+    scheduling = tmp_path / 'scheduling.json'
+    scheduling.write_text('{"learning": {"save_interval_ms": 500}}')
+    files = [str(scheduling)]
+    with run_platform(tmp_path, entry_files=files) as (fronts, entries):
+        body = {'spec': 'x', 'steps': [{'count': 1, 'cpu': 100, 'memMb': 10}]}
+        path = '/q/00000000000000aa'
+        wait_for_response((200, {'pending': 0}), fronts[1], 'GET', '/q/')
+        wait_for_response((200, {}), fronts[0], 'POST', path, body)
+        wait_for_response((200, {'state': 'completed'}), fronts[0], 'GET', path)
+        former = int('hyssopring_shards_owned 1' in scrape(tmp_path, 'entry-1'))
+        assert 'learned_run_times 1' in scrape(tmp_path, f'entry-{former}')
+        time.sleep(1.5)
+        entries[former].kill()
+        wait_for_metric('learned_run_times 1', tmp_path, f'entry-{1 - former}')
+        successor_metrics = scrape(tmp_path, f'entry-{1 - former}')
+        assert 'hyssopring_learned_states_loaded_total 1' in successor_metrics
+
+
+def wait_for_metric(expected, tmp_path, name):
+    """Read the metrics of a process until they have a line."""
+    ends_at = time.monotonic() + TIMEOUT_S
+    while expected not in scrape(tmp_path, name):
+        assert time.monotonic() < ends_at, expected
+        time.sleep(0.1)
+
+
 def scrape(tmp_path, name):
     port = json.loads((tmp_path / f'{name}.json').read_text())['metricsPort']
     address = f'http://127.0.0.1:{port}/metrics'
