--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -15,6 +15,8 @@
     'jobs_live',
     'lasting_tasks_waiting',
     'groups_limited',
+    'learned_pairs',
+    'learned_run_times',
     'agents_connected',
     'requests_open',
     'configuration_version',
