--- a/tests/test_jobs_copies.py
+++ b/tests/test_jobs_copies.py
@@ -360,14 +360,19 @@
     It takes the next step for not started. The former owner must not have
     started it, as its worker may be out of reach.
     """
-    deployment = deploy(two_long_runs())
     job = a_copyable_job(after=(1,))
     next_task = f'{job.job_id}.0.1.0'
+    long_tasks = {first_task_of(job), next_task}
+    deployment = deploy(
+        FirstRunLong(long_tasks.__contains__, long_ms=(60_000, 60_000))
+    )
     first, copy = copied(deployment, job)
     former = deployment.owner
     restart_others_without_the_part(deployment, former)
     deployment.rows.is_down = True
     first.lose_next, first.late_s = 100, 5
+    # The next owner is to hear of the end, and not of the next step.
+    copy.is_unhealthy = True
     end_now(copy, first_task_of(job))
     deployment.run(0.3)
     for worker in holders_of(deployment, next_task):
