--- a/standins/jobs/run_recorder.py
+++ b/standins/jobs/run_recorder.py
@@ -20,6 +20,7 @@
     stops_at: float | None = None
     # How long the whole task takes on a worker of usual speed.
     work_s: float = 0
+    started_at: float = 0
 
 
 class RunRecorder:
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -56,6 +56,8 @@
         speed: Its speed relative to other workers.
         shows_progress: Its listings show how far tasks have come; otherwise
             they show 50%.
+        ready_s: The time from the start of a keeper's task until it shows 100%.
+        load_of: Returns the load that a listing shows for a task.
         announces_born: Whether it announces its start time.
     """
 
@@ -102,6 +104,8 @@
         self.fill_tasks = set()
         self.speed = 1
         self.shows_progress = False
+        self.ready_s = 0
+        self.load_of = lambda task: 0
         self.advice = None
         self.begin()
 
@@ -139,6 +143,9 @@
 
     def percent_of(self, run):
         """Return how far a run has come."""
+        if run.task in self.run_recorder.keepers:
+            is_ready = self.reactor.seconds() - run.started_at >= self.ready_s
+            return 100 if is_ready else 0
         if not self.shows_progress:
             return 50
         left_s = (run.ends_at - self.reactor.seconds()) * self.speed
@@ -321,7 +328,11 @@
             self._acknowledge(request.acked_through)
         rows = tuple(
             WorkerRow(
-                run.task, run.number, run.checkpoint, self.percent_of(run), 0
+                run.task,
+                run.number,
+                run.checkpoint,
+                self.percent_of(run),
+                self.load_of(run.task),
             )
             for run in self.runs.values()
         )
@@ -364,6 +375,7 @@
             ends_at,
             start.checkpoint,
             work_s=work_s,
+            started_at=self.reactor.seconds(),
         )
         self.runs[start.task] = run
         self.run_recorder.started(self.reactor.seconds(), self, run)
