--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -58,6 +58,10 @@
             + '{first_agent} has run {run_ms} ms, and the usual time is '
             + '{usual_ms} ms'
         ),
+        Event.TASK_MOVED: (
+            f'{_ATTEMPT} is moved from {{agent}} in zone {{zone}} to '
+            + '{target}: {why}'
+        ),
         Event.TASK_FAILED: '{task} is given up after {tries} attempts',
         Event.TASK_GIVEN_UP: (
             '{task} crashes the workers that start it: given up after '
--- a/hyssopring/jobs/job_metrics.py
+++ b/hyssopring/jobs/job_metrics.py
@@ -30,6 +30,7 @@
         Event.CANCELLED_TASK_FOUND: ('cancelled_tasks_found_total', 'state'),
         Event.TASK_PACED: ('paces_set_total', ''),
         Event.TASK_COPIED: ('copies_started_total', ''),
+        Event.TASK_MOVED: ('tasks_moved_total', 'why'),
         Event.WORKER_SLOW: ('workers_slow_total', ''),
         Event.WORKER_RECOVERED: ('workers_recovered_total', ''),
         Event.WORKER_CRASHED: ('workers_crashed_total', ''),
--- a/hyssopring/jobs/locations.py
+++ b/hyssopring/jobs/locations.py
@@ -24,6 +24,10 @@
 
     A task is added before it is started. It is removed once it runs elsewhere
     or its job has ended; until then it may start there again without a write.
+
+    Attributes:
+        target_agent_by_task: The agents whose rows are to list tasks that move
+            there, also while they still run elsewhere.
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         self._by_job = by_job
         self._updated_at = clock.now()
         self._agents_by_task: dict[str, set[str]] = defaultdict(set)
+        self.target_agent_by_task: dict[str, str] = {}
 
     def ensure_listed(self, agent_id: str, tasks: list[str]) -> bool:
         """Return whether an agent's row lists tasks; if not, add them."""
@@ -119,7 +124,11 @@
                 task
                 for task in retained
                 if self._is_live(task)
-                and agent_by_task.get(task, agent_id) == agent_id
+                and agent_id
+                in {
+                    agent_by_task.get(task, agent_id),
+                    self.target_agent_by_task.get(task),
+                }
             }
         self._roster.set_tasks(agent_id, retained | placed)
 
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -22,6 +22,7 @@
     RelayedRead,
     RelayedResponse,
 )
+from hyssopring.jobs.worker_port import StartOutcome
 from hyssopring.protocol.structs import (
     ProtocolError,
     read_struct,
@@ -34,6 +35,7 @@
     'EVACUATED',
     'PROTOCOL_RELEASE',
     'RUNNING_HERE',
+    'WORKERS_REASONS',
     'AgentGrant',
     'AgentGreeting',
     'AgentLeft',
@@ -250,6 +252,17 @@
 EVACUATED: Final = 'evacuated'
 # Reason of a ``StartRefusal``: the worker rejected the order's ticket.
 BAD_TICKET: Final = 'ticket'
+# Refusals by the worker itself, which may refuse the next start as well.
+WORKERS_REASONS: Final = frozenset(
+    (
+        StartOutcome.FENCED.value,
+        StartOutcome.INVALID.value,
+        StartOutcome.LATE.value,
+        StartOutcome.NO_ROOM.value,
+        StartOutcome.OLD.value,
+        StartOutcome.UNHEALTHY.value,
+    )
+)
 
 
 @struct
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -1,7 +1,7 @@
 """Starts, stops and tracks the tasks of the shards that this entry owns."""
 
 from functools import singledispatchmethod
-from typing import Any, Callable, Final
+from typing import Any, Callable
 
 from hyssopring.clock import Clock
 from hyssopring.fairness import FairShares
@@ -13,6 +13,7 @@
 from hyssopring.jobs.messages import (
     BAD_TICKET,
     RUNNING_HERE,
+    WORKERS_REASONS,
     AgentLeft,
     EndsRecorded,
     Grant,
@@ -33,25 +34,13 @@
 from hyssopring.jobs.stall_detector import StallDetector
 from hyssopring.jobs.stop_marks import mark_stopping
 from hyssopring.jobs.ticket_manager import TicketManager
-from hyssopring.jobs.worker_port import StartOutcome
 from hyssopring.learning.owner_learning import OwnerLearning
 from hyssopring.logs import Event, log_event
+from hyssopring.rebalancing import Rebalancer
 from hyssopring.stragglers import Stragglers
 
 __all__ = ('JobOwner',)
 
-# Refusals by the worker itself, which may refuse the next start as well.
-_WORKERS_REASONS: Final = frozenset(
-    (
-        StartOutcome.FENCED.value,
-        StartOutcome.INVALID.value,
-        StartOutcome.LATE.value,
-        StartOutcome.NO_ROOM.value,
-        StartOutcome.OLD.value,
-        StartOutcome.UNHEALTHY.value,
-    )
-)
-
 
 class JobOwner:
     """Plans the tasks of the owned shards and orders agents to run them.
@@ -149,6 +138,17 @@
             self._ticket_manager,
             self._planner.interference,
         )
+        self._rebalancer: Rebalancer | None = None
+        if options.rebalancing is not None:
+            self._rebalancer = Rebalancer(
+                clock,
+                fleet,
+                self.shards,
+                self._planner,
+                self._ticket_manager,
+                self.stop,
+                options.rebalancing,
+            )
         self.stragglers: Stragglers | None = None
         if options.stragglers is not None and self.run_times is not None:
             self.stragglers = Stragglers(
@@ -290,7 +290,7 @@
         if placed and placed.attempt == message.attempt and is_settled:
             if message.reason == BAD_TICKET:
                 self._ticket_manager.record_rejection(placed.name, placed.boot)
-            elif message.reason in _WORKERS_REASONS:
+            elif message.reason in WORKERS_REASONS:
                 worker.refused_at = self._clock.now()
             self._reconciler.record_attempt_lost(worker, placed, message.reason)
         owned = self.shards.by_shard.get(shard_of_task(message.task))
@@ -324,6 +324,8 @@
                 self._fleet.schedulable_workers()
             )
             self._moves.move_throttled_tasks(candidates)
+        if self._rebalancer is not None:
+            self._rebalancer.tick(self._may_act())
         if self._stall_detector.record_tick():
             self._apply_timeouts(now_ms)
         self._add_to_roster()
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -37,6 +37,8 @@
 
     Attributes:
         has_rejected: Whether a task or gang has found no worker.
+        reserved_worker_by_task: Workers with room that is reserved for tasks
+            that are being moved, by the names of the tasks.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
                 chosen last; None for none.
         """
         self.has_rejected = False
+        self.reserved_worker_by_task: dict[str, Worker] = {}
         slow_speeds = slow_speed_by_boot or {}
         estimates = RoundEstimates(interference or InterferenceModel())
         uses = uses or WorkerUses()
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -11,6 +11,7 @@
 from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 from hyssopring.jobs.messages import JobsMessage, StartOrder
 from hyssopring.jobs.model import JobState, TaskName
+from hyssopring.jobs.move_targets import MoveTargets
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.pending_step import (
     PendingStep,
@@ -53,6 +54,7 @@
             none.
         slow_speed_by_boot: The relative speeds of workers that are chosen
             last because they are slow.
+        move_targets: Room that is kept for tasks that are being moved.
         has_unplaced_tasks: Whether a task found no worker in the last round.
     """
 
@@ -90,6 +92,7 @@
         self.job_times: JobTimeSource = CallerEstimates()
         self.unplaced: list[tuple[JobRecord, StepRun]] = []
         self.slow_speed_by_boot: Mapping[str, float] = {}
+        self.move_targets = MoveTargets()
         self.has_unplaced_tasks = False
         self._is_round_scheduled = False
         self._next_plan_at_ms = clock.now()
@@ -169,13 +172,15 @@
         """Return a round of placement on the workers as they are now."""
         workers = self.available_workers()
         self._uses.retain(workers)
-        return PlacementRound(
+        placement = PlacementRound(
             workers,
             self.interference,
             self._fleet.recently_refusing(),
             self._uses,
             self.slow_speed_by_boot,
         )
+        self.move_targets.reserve(placement)
+        return placement
 
     def start_copy(
         self,
@@ -236,7 +241,9 @@
         )
         is_starved = record.idle_ms(self._clock.now()) > _STARVED_MS
         is_placed = True
-        for task_name in unsuspected:
+        for task_name in self.move_targets.reserved_first(
+            placement, unsuspected
+        ):
             is_placed = self._place_task(
                 placement, pending, task_name, is_starved
             )
@@ -265,7 +272,9 @@
             location cannot be recorded now.
         """
         record, task_id = pending.record, str(task_name)
-        worker = placement.choose(
+        worker = self.move_targets.take(
+            placement, task_name, pending.run.step, pending.ticket_by_boot
+        ) or placement.choose(
             record.job.queue.service,
             pending.run.step,
             task_name,
@@ -438,6 +447,7 @@
             checkpoint,
         )
         self._fleet.record_placement(worker, task_id)
+        self.move_targets.forget(task_id)
         run.mark_running(task_name.index)
         if record.state is JobState.QUEUED:
             record.state = JobState.ACTIVE
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -37,6 +37,7 @@
     'TASK_COPIED': 3055,
     'WORKER_SLOW': 3056,
     'WORKER_RECOVERED': 3057,
+    'TASK_MOVED': 3058,
     'EVACUATION_BEGUN': 4005,
     'EVACUATION_ENDED': 4007,
     'STORE_UNREACHABLE': 5001,
@@ -270,6 +271,30 @@
     assert 'counts as slow no longer, after 4000 ms' in text
 
 
+def test_a_move_says_from_where_and_why(explain):
+    """Guards against a stop of a keeper that the timeline does not explain."""
+    timeline = explain(
+        [
+            accepted(1),
+            placed(1.1),
+            line(
+                3,
+                'TASK_MOVED',
+                task=TASK,
+                attempt=1,
+                agent='side-1',
+                zone='zone-a',
+                why='evacuated',
+                target='side-2',
+            ),
+            placed(4, attempt=2, agent='side-2'),
+        ]
+    )
+    assert 'is moved from side-1 in zone zone-a to side-2: evacuated' in (
+        '\n'.join(timeline)
+    )
+
+
 def test_lines_of_two_processes_are_in_order_of_time(explain):
     timeline = explain(
         [
