--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -28,8 +28,9 @@
 
 # Part of the grace period of a stop that is reserved for the last messages.
 _LAST_MESSAGES_S: Final = 0.8
-# A report with all labels that are allowed has 70 KB.
-_MAX_REPORT_BYTES: Final = 1024 * 1024
+# A report with all labels that are allowed has 70 KB; another writer's may have
+# more fields.
+_MAX_REPORT_BYTES: Final = 4 * 1024 * 1024
 
 
 class AgentProcess:
