--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -219,6 +219,17 @@
     return notices
 
 
+def test_steps_without_a_worker_are_those_of_the_last_round():
+    """Guards against a list that grows with each planning round."""
+    deployment = overloaded()
+    unplaced = deployment.entries[deployment.owner].core.owner.unplaced
+    assert len(unplaced) == 8
+    deployment.run(3)
+    assert len(unplaced) == 5
+    deployment.run(10)
+    assert not unplaced
+
+
 def test_work_is_counted_once_a_notice(monkeypatch):
     """Guards against an owner that counts its jobs in each round."""
     counts = []
