--- a/tests/test_admission_http.py
+++ b/tests/test_admission_http.py
@@ -5,12 +5,28 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
 
+from hyssopring.admission.messages import QueueOutlook, QueueOutlookNotice
 from hyssopring.jobs.queues import QueueAddress, QueueTable
 from hyssopring.platform.callers import CallersResource
+from hyssopring.platform.entry_process import EntryProcess
+from hyssopring.platform.settings import load_node_settings
 from standins.jobs.processes import ReactorClock
-from admission_support import job_of, overloaded
-
+from admission_support import OPTIONS, job_of, overloaded
+
+NODE = {
+    'nodeName': 'edge-1',
+    'ip': '127.0.0.1',
+    'zone': 'zone',
+    'bindAddresses': {
+        'frontend': '127.0.0.1:1',
+        'ready': '127.0.0.1:2',
+        'controlPlane': '127.0.0.1:3',
+    },
+    'internalPorts': [7720, 7735],
+    'platform': {'address': '127.0.0.1:4'},
+}
 BODY = json.dumps(
     {'steps': [{'count': 16, 'cpu': 1000, 'memMb': 1000, 'estimateMs': 1000}]}
 )
@@ -84,3 +100,18 @@
     request = post(deployment, path)
     deployment.run(int(request.headers['retry-after']) - 0.1)
     assert post(deployment, path).status == 200
+
+
+def test_gauges_show_what_an_entry_knows(tmp_path):
+    """Guards against a process that cannot render its metrics."""
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(NODE))
+    process = EntryProcess(
+        MemoryReactorClock(), load_node_settings(str(path)).unwrap(), OPTIONS
+    )
+    queue = QueueOutlook('queue', 'service', '', 0, 5000, 1, 1, True)
+    process.core.handle_message(QueueOutlookNotice(1, 1, [], [queue]), 'peer')
+    rendered = process._metrics.render()
+    assert 'hyssopring_outlook_work_core_ms 5000' in rendered
+    assert 'hyssopring_jobs_rejected_known 0' in rendered
+    assert 'hyssopring_outlook_age_ms' in rendered
