--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -105,6 +105,8 @@
         self._on_report = on_report
         self._on_leave = on_leave
         self._last_announcement: Announcement | None = None
+        # Another service that the last report named, empty if it named none.
+        self._odd_service = ''
 
     def render_POST(self, request: Request) -> bytes:
         """Handle one call."""
@@ -144,16 +146,32 @@
             return _STATUS_BAD_REQUEST
         announcement = report.to_announcement(runner_id)
         last = self._last_announcement
-        if (
-            'labels' not in report.model_fields_set
-            and last is not None
-            and last.boot == announcement.boot
-        ):
-            announcement = replace(announcement, labels=last.labels)
+        if last is not None and last.boot == announcement.boot:
+            if self._is_odd_service(announcement, last):
+                detail = f'service {announcement.service!r} is reported once'
+                log_event(Event.PEER_ERROR, peer=runner_id, detail=detail)
+                return _STATUS_BAD_REQUEST
+            if 'labels' not in report.model_fields_set:
+                announcement = replace(announcement, labels=last.labels)
         self._last_announcement = announcement
+        self._odd_service = ''
         self._on_report(announcement)
         return _STATUS_OK
 
+    def _is_odd_service(
+        self, announcement: Announcement, last: Announcement
+    ) -> bool:
+        """Whether an incarnation reports another service for the first time.
+
+        An incarnation has one service. A single report of another one is an
+        error; if two in a row name it, the reports before were.
+        """
+        service = announcement.service
+        if service in {last.service, self._odd_service}:
+            return False
+        self._odd_service = service
+        return True
+
     def _handle_deregistration(self, runner_id: str, body: bytes) -> int:
         """Handle a deregistration, whose body may be empty.
 
--- a/tests/test_border_heartbeats.py
+++ b/tests/test_border_heartbeats.py
@@ -138,6 +138,28 @@
     assert agent.core.monitor.announced.labels == worker.labels
 
 
+def test_single_report_of_another_service_changes_nothing(pair, errors):
+    """Guards against tasks that leave a worker because of one report."""
+    _deployment, agent, worker = pair
+    good = report_fields(worker)
+    odd = {**good, 'service': 'odd', 'sequence': good['sequence'] + 1}
+    for _repetition in range(2):
+        assert post(agent, worker, json.dumps(odd).encode()) == 400
+        assert agent.core.monitor.announced.service == 'service'
+        assert post(agent, worker, json.dumps(good).encode()) == 200
+        good['sequence'] += 2
+    assert len(errors) == 2
+
+
+def test_service_that_two_reports_name_counts(pair):
+    """Guards against a first report that was wrong and is kept for ever."""
+    _deployment, agent, worker = pair
+    other = {**report_fields(worker), 'service': 'other'}
+    body = json.dumps(other).encode()
+    assert [post(agent, worker, body) for _repetition in '12'] == [400, 200]
+    assert agent.core.monitor.announced.service == 'other'
+
+
 def test_fields_of_a_later_release_are_ignored(pair):
     _deployment, agent, worker = pair
     fields = {**report_fields(worker), 'later': {'a': [1]}}
