--- a/hyssopring/jobs/placement_option.py
+++ b/hyssopring/jobs/placement_option.py
@@ -233,24 +233,27 @@
         if step.target_ms:
             self.latency_critical_count += 1
 
-    def speed_rank(self, is_urgent: bool) -> tuple[bool, bool, bool]:
+    def speed_rank(
+        self, step: Step, is_urgent: bool
+    ) -> tuple[bool, bool, bool]:
         """Return what comes before the score; higher is better.
 
         Args:
             is_urgent: Whether the task must not run on a very slow worker
                 while another one has room.
         """
+        is_slow = self.slow_speed < 1
         is_excluded = is_urgent and self.slow_speed < VERY_SLOW
-        is_last = self.slow_speed < 1 and (is_excluded or not self._is_idle())
+        is_last = is_slow and (is_excluded or not self._may_probe(step))
         return not is_excluded, not self.is_refusing, not is_last
 
-    def _is_idle(self) -> bool:
-        """Return whether no batch task is here.
+    def _may_probe(self, step: Step) -> bool:
+        """Return whether a task of the step may show a slow worker's speed.
 
-        A slow worker without one gets a task as any other does: a probe,
-        which shows whether it has recovered.
+        A slow worker without a batch task gets one as any other does. Keepers
+        show no speed, and the slowest member of a gang delays all.
         """
-        return all(
+        return not (step.is_keeper or step.is_gang) and all(
             placed.step.is_keeper
             for placed in self.worker.placed_by_task.values()
         )
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -103,7 +103,7 @@
         best = max(
             eligible,
             key=lambda option: (
-                option.speed_rank(is_urgent),
+                option.speed_rank(step, is_urgent),
                 option.score(step, rack),
             ),
         )
@@ -292,7 +292,7 @@
     limit = step.max_per_worker or len(task_names)
     while len(chosen) < len(task_names):
         candidates = [
-            (copy.speed_rank(is_urgent=False), copy.score(step), position)
+            (copy.speed_rank(step, is_urgent=False), copy.score(step), position)
             for position, (option, copy) in enumerate(copies)
             if copy.has_capacity(step, is_starved=True)
             and count_by_agent[option.worker.agent_id] < limit
--- a/tests/test_jobs_slow_workers.py
+++ b/tests/test_jobs_slow_workers.py
@@ -1,5 +1,7 @@
 """Workers that are slower than their peers, in virtual time."""
 
+from dataclasses import replace
+
 import pytest
 
 from hyssopring.jobs.interference import InterferenceModel
@@ -33,12 +35,12 @@
     return worker
 
 
-def choice(workers, speed_by_boot, is_urgent=False, refusing=()):
+def choice(workers, speed_by_boot, is_urgent=False, refusing=(), step=STEP):
     placement = PlacementRound(
         workers, InterferenceModel(), refusing, speed_by_boot
     )
     chosen = placement.choose(
-        'service', STEP, TASK, is_starved=False, is_urgent=is_urgent
+        'service', step, TASK, is_starved=False, is_urgent=is_urgent
     )
     return chosen and chosen.agent_id
 
@@ -66,6 +68,17 @@
     assert choice(workers[:1], {'slow': 0.2}, **urgent) == 'slow'
 
 
+def test_keepers_and_gangs_are_no_probes():
+    """A keeper shows no speed, and a gang is as slow as its slowest member."""
+    workers = [a_worker('slow'), a_worker('full', 2000)]
+    keeper = replace(STEP, is_keeper=True)
+    assert choice(workers, {'slow': 0.4}, step=keeper) == 'full'
+    gang = replace(STEP, is_gang=True)
+    placement = PlacementRound(workers, None, (), {'slow': 0.4})
+    (chosen,) = placement.choose_for_gang('service', gang, [TASK])
+    assert chosen.agent_id == 'full'
+
+
 class Load:
     """Jobs of two queues that keep all workers busy.
 
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -16,6 +16,8 @@
     'lasting_tasks_waiting',
     'learned_pairs',
     'learned_run_times',
+    'copies_running',
+    'workers_slow',
     'agents_connected',
     'requests_open',
     'configuration_version',
