--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -17,6 +17,8 @@
     'groups_limited',
     'learned_pairs',
     'learned_run_times',
+    'copies_running',
+    'workers_slow',
     'agents_connected',
     'requests_open',
     'configuration_version',
