--- a/hyssopring/admission/entry_admission.py
+++ b/hyssopring/admission/entry_admission.py
@@ -45,6 +45,7 @@
         self.publisher = OutlookPublisher(
             clock, fleet, owner, may_act, self._publish
         )
+        self.publisher.expected_ms = owner.learning.expected_ms
 
     @singledispatchmethod
     def handle_notice(self, notice: Any) -> None:
--- a/hyssopring/learning/owner_learning.py
+++ b/hyssopring/learning/owner_learning.py
@@ -12,7 +12,7 @@
 from hyssopring.learning.learned_pairs import LearnedPairs
 from hyssopring.learning.learned_state import LearnedState, LearningShard
 from hyssopring.learning.run_recorder import RunRecorder
-from hyssopring.learning.run_times import RunTimes
+from hyssopring.learning.run_times import RunTimes, run_time_key
 
 __all__ = ('OwnerLearning',)
 
@@ -72,6 +72,14 @@
         if self._recorder is not None:
             self._recorder.record(job, worker, placed)
 
+    def expected_ms(self, job: Job, step_index: int) -> float:
+        """Return the expected run time of a task of a job's step."""
+        estimate_ms = job.steps[step_index].estimate_ms
+        if self.run_times is None:
+            return estimate_ms
+        key = run_time_key(job, step_index)
+        return self.run_times.expected_ms(key, estimate_ms)
+
     def acquire(self, owned: LearningShard) -> None:
         """Start to read what the shard's former owners learned."""
         if self.state is not None:
