--- a/tests/rebalancing_support.py
+++ b/tests/rebalancing_support.py
@@ -17,7 +17,7 @@
 
 
 def running_on(deployment):
-    """Return the tasks that run, with the numbers of their workers."""
+    """Return the tasks that run, with the names of their workers."""
     return {
         task: worker.name
         for worker in deployment.workers
@@ -37,12 +37,21 @@
     }
 
 
+def count_at_work(deployment):
+    """Return how many tasks run and are ready."""
+    return sum(
+        worker.percent_of(run) == 100 and run.stops_at is None
+        for worker in deployment.workers
+        for run in worker.runs.values()
+    )
+
+
 def run_watching(deployment, seconds, step_s=0.05):
-    """Run, and return the fewest tasks that ran at any time."""
-    fewest = len(running_on(deployment))
+    """Run, and return the fewest tasks that were at work at any time."""
+    fewest = count_at_work(deployment)
     for _step in range(round(seconds / step_s)):
         deployment.run(step_s)
-        fewest = min(fewest, len(running_on(deployment)))
+        fewest = min(fewest, count_at_work(deployment))
     return fewest
 
 
--- a/tests/test_keeper_moves.py
+++ b/tests/test_keeper_moves.py
@@ -50,11 +50,12 @@
 @pytest.mark.parametrize('max_unavailable', [0, 1, 3])
 def test_keepers_leave_one_at_a_time(max_unavailable, log_lines):
     """Guards against keepers that stay, and against two moves at once."""
-    deployment = with_keepers(12, 1, max_unavailable, workers=9)
+    deployment = with_keepers(12, 2, max_unavailable, workers=9)
+    deployment.run(3)
     leaving = tasks_in(deployment, 'zone-a')
     assert leaving
     evacuate(deployment, 'zone-a')
-    assert run_watching(deployment, 30) == 11
+    assert run_watching(deployment, 40) == 11
     assert not tasks_in(deployment, 'zone-a')
     assert len(running_on(deployment)) == 12
     moved = [line['task'] for line in moves_in(log_lines)]
@@ -74,17 +75,12 @@
 
 
 def test_nothing_moves_while_a_task_is_unavailable(log_lines):
-    """Guards against a limit that ignores tasks on leaving workers."""
+    """Guards against a stop beside a task that does not serve yet."""
     deployment = with_keepers(6)
-    evacuated = [
-        worker for worker in deployment.workers if worker.name == 'worker-0'
-    ]
-    assert evacuated[0].runs
-    # Its tasks run on until they are stopped, and none is to start elsewhere.
-    for number in (1, 4):
-        deployment.workers[number].ready_s = 10_000
-    for run in deployment.workers[1].runs.values():
-        run.started_at = deployment.reactor.seconds()
+    assert tasks_in(deployment, 'zone-a')
+    other = deployment.workers[1]
+    assert other.runs
+    other.ready_s = 10_000
     deployment.run(2)
     evacuate(deployment, 'zone-a')
     deployment.run(15)
@@ -134,6 +130,7 @@
 def test_moves_end_with_the_evacuation(log_lines):
     """Guards against moves out of a zone that is in use again."""
     deployment = with_keepers(12, 2, workers=9)
+    deployment.run(3)
     count = len(tasks_in(deployment, 'zone-a'))
     assert count > 2
     evacuate(deployment, 'zone-a')
@@ -151,6 +148,7 @@
 def test_next_owner_goes_on(after_s, log_lines):
     """Guards against moves that a killed owner leaves half done."""
     deployment = with_keepers(12, 0.5, workers=9)
+    deployment.run(1)
     leaving = tasks_in(deployment, 'zone-a')
     evacuate(deployment, 'zone-a')
     deployment.run(after_s)
--- a/tests/test_rebalancing_decisions.py
+++ b/tests/test_rebalancing_decisions.py
@@ -7,11 +7,14 @@
 from hyssopring.jobs.fleet import PlacedAttempt, Worker
 from hyssopring.jobs.messages import WorkerReport
 from hyssopring.jobs.model import Size, Step, TaskName
+from hyssopring.jobs.move_targets import MoveTargets
 from hyssopring.jobs.scheduling_options import RebalancingOptions
+from hyssopring.jobs.shards import shard_of
 from hyssopring.rebalancing.decisions import (
     choose_crowded_moves,
     choose_evacuations,
 )
+from hyssopring.rebalancing.keeper_table import list_steps
 from hyssopring.rebalancing.move_times import MoveTimes
 from hyssopring.rebalancing.moves import KeeperTask, StepKeepers
 
@@ -304,3 +307,71 @@
     step.owned.epoch = 2
     times.update(shards_with(step.owned), 1010)
     assert not times.may_move(step, 'task', 1010)
+
+
+def steps_of(worker, is_backing_off=False, is_loaded=True, final_state=None):
+    """Return the steps with a task on a worker, of a shard in some state."""
+    job_id = next(iter(worker.placed_by_task.values())).name.job_id
+    owned = SimpleNamespace(
+        is_loaded=is_loaded,
+        roster=SimpleNamespace(is_backing_off=is_backing_off),
+    )
+    record = SimpleNamespace(
+        final_state=final_state,
+        step_run_of=lambda name: SimpleNamespace(step=None),
+    )
+    shards = SimpleNamespace(
+        by_shard={shard_of(job_id): owned}, record_of=lambda job_id: record
+    )
+    fleet = SimpleNamespace(by_agent={worker.agent_id: worker})
+    return list_steps(fleet, shards)
+
+
+@pytest.mark.parametrize(
+    ('state', 'count'),
+    [
+        ({}, 1),
+        ({'is_backing_off': True}, 0),
+        ({'is_loaded': False}, 0),
+        ({'final_state': 'cancelled'}, 0),
+    ],
+)
+def test_only_steps_that_can_start_elsewhere_are_listed(state, count):
+    """Guards against stops while no row can be written."""
+    worker = a_worker('one')
+    a_step([worker])
+    assert len(steps_of(worker, **state)) == count
+
+
+def round_with(worker, name):
+    return SimpleNamespace(reserved_worker_by_task={str(name): worker})
+
+
+def test_tasks_with_reserved_room_come_first():
+    """Guards against a moved task behind one that finds no room."""
+    names = [TaskName(f'{1:016x}', 0, 0, index) for index in range(3)]
+    targets, placement = MoveTargets(), round_with(a_worker('one'), names[2])
+    assert targets.reserved_first(placement, names) == [
+        names[2],
+        names[0],
+        names[1],
+    ]
+
+
+@pytest.mark.parametrize(
+    ('boots', 'max_per_worker', 'is_taken'),
+    [
+        (None, 0, True),
+        ({'one'}, 0, True),
+        ({'two'}, 0, False),
+        (None, 2, True),
+        (None, 1, False),
+    ],
+)
+def test_reserved_room_is_taken_within_limits(boots, max_per_worker, is_taken):
+    """Guards against starts without ticket or beside too many siblings."""
+    worker = a_worker('one')
+    step = a_step([worker], max_per_worker=max_per_worker).run.step
+    name = TaskName(f'{1:016x}', 0, 0, 7)
+    taken = MoveTargets().take(round_with(worker, name), name, step, boots)
+    assert (taken is worker) is is_taken
