--- a/soak/platform/program.py
+++ b/soak/platform/program.py
@@ -27,14 +27,16 @@
     """A process that is restarted whenever it has ended.
 
     Attributes:
+        arguments: Further arguments of its command.
         probe: A URL that responds with 200 once the process serves.
         is_up: Whether it has served since its last start.
         down_at: When its last end was detected.
     """
 
-    def __init__(self, name, environment, folder, probe):
+    def __init__(self, name, environment, folder, probe, arguments=()):
         self.name = name
         self.environment = environment
+        self.arguments = arguments
         self.log = folder / f'{name}.log'
         self.probe = probe
         self.process = None
@@ -76,7 +78,9 @@
         role = self.name.partition('-')[0]
         with self.log.open('ab') as output:
             self.process = start_program(
-                ['hyssopring.platform', role], self.environment, output
+                ['hyssopring.platform', role, *self.arguments],
+                self.environment,
+                output,
             )
         self.starts += 1
         self.started_at = now_s
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -58,6 +58,15 @@
     )
 
 
+OPTIONAL_PARTS = (
+    'learning',
+    'admission',
+    'fairness',
+    'stragglers',
+    'rebalancing',
+)
+
+
 class SettlingRecorder(RunRecorder):
     """Updates all runners before it records and checks a start.
 
@@ -184,9 +193,22 @@
         probe = f'http://{self._address(metrics)}/metrics'
         if 'ready' in bind:
             probe = f'http://{bind["ready"]}/-/readyz'
-        program = Program(name, environment, self.folder, probe)
+        program = Program(
+            name, environment, self.folder, probe, self._arguments_of(name)
+        )
         self.programs[name] = program
 
+    def _arguments_of(self, name):
+        """Turn the optional parts of scheduling on, for odd seeds only.
+
+        Even seeds guard what deployments without these parts rely on.
+        """
+        if not name.startswith('entry') or not self.plan.seed % 2:
+            return ()
+        path = self.folder / 'scheduling.json'
+        path.write_text(json.dumps(dict.fromkeys(OPTIONAL_PARTS, {})))
+        return (str(path),)
+
     def _runner(self, name, rate, app, control):
         worker = SimWorker(
             reactor,
