--- a/tests/test_jobs_slow_workers.py
+++ b/tests/test_jobs_slow_workers.py
@@ -77,7 +77,7 @@
     keeper = replace(STEP, is_keeper=True)
     assert choice(workers, {'slow': 0.4}, step=keeper) == 'full'
     gang = replace(STEP, is_gang=True)
-    placement = PlacementRound(workers, None, (), {'slow': 0.4})
+    placement = PlacementRound(workers, slow_speed_by_boot={'slow': 0.4})
     (chosen,) = placement.choose_for_gang('service', gang, [TASK])
     assert chosen.agent_id == 'full'
 
