--- a/standins/jobs/faults.py
+++ b/standins/jobs/faults.py
@@ -24,6 +24,8 @@
 
     # The optional parts of scheduling.
     options = None
+    # If set, the agents are in these availability zones in turn.
+    zones = ()
 
     def __init__(self, seed, workers=4, keeps_ids=False, has_keepers=True):
         self.random = random.Random(seed)
@@ -34,6 +36,7 @@
             rate=self.random.choice([1, 0.98]),
             keeps_ids=keeps_ids,
             options=self.options,
+            zones=self.zones,
         )
         self.jobs = {}
         self.cancelled = set()
--- a/tests/test_jobs_random.py
+++ b/tests/test_jobs_random.py
@@ -3,6 +3,7 @@
 import pytest
 
 from standins.jobs.copy_days import CopyDay
+from standins.jobs.evacuation_days import EvacuationDay
 from standins.jobs.faults import RandomDay
 
 
@@ -31,3 +32,14 @@
     day = CopyDay(seed, has_keepers=seed % 2 == 0)
     assert not day.play(), day.faults
     assert day.deployment.run_recorder.copy_count
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_random_day_with_evacuations_keeps_the_promises(seed):
+    """As above, with keepers that are moved out of evacuated zones.
+
+    Guards against moves that run a task twice or leave it stopped.
+    """
+    day = EvacuationDay(seed)
+    assert not day.play(), day.faults
+    assert day.stopped_keepers
