--- a/tests/rebalancing_support.py
+++ b/tests/rebalancing_support.py
@@ -1,12 +1,20 @@
-"""Keepers in a zoned deployment that moves them."""
+"""Keepers in a zoned deployment that moves them, and what an owner sees."""
 
+from types import SimpleNamespace
+
+from hyssopring.jobs.fleet import PlacedAttempt, Worker
+from hyssopring.jobs.messages import WorkerReport
+from hyssopring.jobs.model import Size, Step, TaskName
 from hyssopring.jobs.scheduling_options import (
     RebalancingOptions,
     SchedulingOptions,
 )
 from hyssopring.logs import Event
+from hyssopring.rebalancing.moves import KeeperTask, StepKeepers
 from evacuation_support import zoned
 
+CORES = 16_000
+TARGET_MS = 100
 LASTING_MS = 10_000_000
 OPTIONS = SchedulingOptions(rebalancing=RebalancingOptions())
 
@@ -57,3 +65,53 @@
 
 def moves_in(log_lines):
     return [line for line in log_lines if line['event'] is Event.TASK_MOVED]
+
+
+def a_worker(name, is_leaving=False):
+    worker = Worker(name, 'zone', is_connected=True)
+    worker.report = WorkerReport(
+        sequence=1,
+        boot=name,
+        service='service',
+        labels=[],
+        cpu_millis=CORES,
+        memory_mb=64_000,
+        accelerators=0,
+        is_leaving=is_leaving,
+        remaining_ms=0,
+        silent_ms=0,
+        reigns=[],
+        attempts=[],
+        ends=[],
+        foreign_cpu=0,
+        foreign_memory=0,
+        foreign_accelerators=0,
+        orders=0,
+    )
+    return worker
+
+
+def a_step(workers, job=1, load=0, max_unavailable=1, **changes):
+    """Return a step with a task on each of the workers."""
+    count = changes.pop('count', len(workers))
+    step = Step(
+        count,
+        Size(3200, 1000, 0),
+        is_keeper=True,
+        target_ms=TARGET_MS,
+        max_unavailable=max_unavailable,
+        **changes,
+    )
+    tasks = []
+    for index, worker in enumerate(workers):
+        name = TaskName(f'{job:016x}', 0, 0, index)
+        placed = PlacedAttempt(name, 1, step, worker.boot, 1, 0)
+        placed.percent, placed.report_count, placed.load = 100, 3, load
+        worker.placed_by_task[str(name)] = placed
+        tasks.append(KeeperTask(placed, worker))
+    return StepKeepers(
+        SimpleNamespace(shard=0, epoch=1),
+        SimpleNamespace(is_inherited=False),
+        SimpleNamespace(step=step),
+        tasks,
+    )
