--- a/hyssopring/admission/backlog.py
+++ b/hyssopring/admission/backlog.py
@@ -6,7 +6,7 @@
 
 from hyssopring.admission.ended_work import EndedWork
 from hyssopring.admission.messages import QueueOutlook, ServiceOutlook
-from hyssopring.admission.work import ExpectedMs, core_ms, wire_amount
+from hyssopring.admission.demand import ExpectedMs, core_ms, wire_amount
 from hyssopring.jobs.fleet import Worker
 from hyssopring.jobs.job_record import JobRecord, StepRun
 
--- a/hyssopring/admission/demand.py
+++ b/hyssopring/admission/demand.py
@@ -1,11 +1,26 @@
-"""What a submitted job asks for."""
+"""Amounts of work in core-ms, and what a submitted job asks for."""
 
 from dataclasses import dataclass
+from typing import Callable, Final
 
-from hyssopring.admission.work import ExpectedMs, core_ms
 from hyssopring.jobs.model import Job
 
-__all__ = ('JobDemand',)
+__all__ = (
+    'ExpectedMs',
+    'JobDemand',
+    'core_ms',
+    'estimate_of',
+    'wire_amount',
+)
+
+# Returns the expected run time in ms of a task of a job's step.
+ExpectedMs = Callable[[Job, int], float]
+
+_MILLIS_PER_CORE: Final = 1000
+# Estimates and sizes of jobs may be any number; 32 core-years.
+_MAX_CORE_MS: Final = 1e12
+# Integers are 64 bits long on the wire.
+_MAX_ON_WIRE: Final = 2**53
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,9 +45,7 @@
     def from_job(cls, job: Job, expected_ms: ExpectedMs) -> 'JobDemand':
         """Return the demand of a job that runs once."""
         queue = job.queue
-        objective_ms = (
-            queue.slack_factor * job.critical_path_ms + queue.target_ms
-        )
+        objective_ms = queue.objective_ms(job.critical_path_ms)
         return cls(
             queue.service,
             queue.priority,
@@ -52,3 +65,19 @@
         Work for any worker has no label.
         """
         return not label or label in self.labels
+
+
+def core_ms(run_ms: float, cpu_millis: float) -> float:
+    """Return the work of a run in core-ms, within finite bounds."""
+    work = max(0, run_ms) * max(0, cpu_millis) / _MILLIS_PER_CORE
+    return min(work, _MAX_CORE_MS)
+
+
+def estimate_of(job: Job, step_index: int) -> float:
+    """Return the caller's estimate of a task's run time in ms."""
+    return job.steps[step_index].estimate_ms
+
+
+def wire_amount(amount: float) -> int:
+    """Return an amount as an integer that fits in a message."""
+    return round(min(max(0, amount), _MAX_ON_WIRE))
--- a/hyssopring/admission/gate.py
+++ b/hyssopring/admission/gate.py
@@ -7,17 +7,22 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import inlineCallbacks
 
-from hyssopring.admission.accepted_work import AcceptedWork
+from hyssopring.admission.known_outlook import (
+    AcceptedWork,
+    KnownOutlook,
+    StaleLog,
+)
 from hyssopring.admission.decision import Decision, Knowledge, Reason, decide
-from hyssopring.admission.demand import JobDemand
-from hyssopring.admission.known_outlook import KnownOutlook
+from hyssopring.admission.demand import (
+    ExpectedMs,
+    JobDemand,
+    estimate_of,
+)
 from hyssopring.admission.messages import QueueOutlookNotice, RejectionNotice
 from hyssopring.admission.peers import share_with_entries
 from hyssopring.admission.rejections import JobAnswers, Rejection
 from hyssopring.admission.reservations import MAX_WAIT_MS, Reservations
-from hyssopring.admission.stale_log import StaleLog
 from hyssopring.admission.stored_jobs import StoredJobs, StoredState
-from hyssopring.admission.work import ExpectedMs, estimate_of
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.jobs.model import Job
--- a/hyssopring/admission/publisher.py
+++ b/hyssopring/admission/publisher.py
@@ -5,7 +5,7 @@
 from hyssopring.admission.backlog import Backlog, waits_for_capacity
 from hyssopring.admission.ended_work import EndedWork
 from hyssopring.admission.messages import QueueOutlookNotice
-from hyssopring.admission.work import ExpectedMs, core_ms, estimate_of
+from hyssopring.admission.demand import ExpectedMs, core_ms, estimate_of
 from hyssopring.clock import Clock
 from hyssopring.jobs.fleet import Fleet
 from hyssopring.jobs.job_record import JobRecord, StepRun
--- a/tests/test_admission_decision.py
+++ b/tests/test_admission_decision.py
@@ -2,12 +2,19 @@
 
 import pytest
 
-from hyssopring.admission.accepted_work import AcceptedWork
+from hyssopring.admission.known_outlook import (
+    AcceptedWork,
+    KnownOutlook,
+)
 from hyssopring.admission.backlog import Backlog
 from hyssopring.admission.decision import Knowledge, Reason, decide
-from hyssopring.admission.demand import JobDemand
+from hyssopring.admission.demand import (
+    JobDemand,
+    core_ms,
+    estimate_of,
+    wire_amount,
+)
 from hyssopring.admission.ended_work import EndedWork
-from hyssopring.admission.known_outlook import KnownOutlook
 from hyssopring.admission.messages import (
     QueueOutlook,
     QueueOutlookNotice,
@@ -17,7 +24,6 @@
 from hyssopring.admission.prediction import predict
 from hyssopring.admission.rejections import JobAnswers, Rejection
 from hyssopring.admission.reservations import Reservations
-from hyssopring.admission.work import core_ms, estimate_of, wire_amount
 from hyssopring.clock import ManualClock
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.job_record import JobRecord
