--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -120,16 +120,16 @@
         )
         self.unplaced = self._planner.unplaced
         self._stall_detector = StallDetector(clock)
+        self.done_observers = self.learning.observers.done_observers
         self._reconciler = ReportReconciler(
             clock,
             fleet,
             self.shards,
             self,
             self._suspects,
-            self.learning.record_done,
+            self.learning.observers,
             options.stragglers is not None,
         )
-        self.done_observers = self._reconciler.done_observers
         self._moves = TaskMover(
             clock,
             fleet,
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -1,9 +1,10 @@
 """Reconciles agents' reports with the attempts that the owner has ordered."""
 
-from typing import Callable, Final, Protocol, TypeVar
+from typing import Final, Protocol, TypeVar
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.crash_suspects import TRIAL_MS, CrashSuspects
+from hyssopring.jobs.end_observers import EndObservers
 from hyssopring.jobs.fleet import AgentDeparture, Fleet, PlacedAttempt, Worker
 from hyssopring.jobs.found_tasks import FoundTasks
 from hyssopring.jobs.job_record import JobRecord, StepRun
@@ -13,7 +14,7 @@
     TaskRequirements,
     WorkerReport,
 )
-from hyssopring.jobs.model import AttemptEnd, Job, JobState, TaskName
+from hyssopring.jobs.model import AttemptEnd, JobState, TaskName
 from hyssopring.jobs.owned_shard import Ack, OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
 from hyssopring.jobs.seen_ends import SeenEnds
@@ -25,16 +26,12 @@
 from hyssopring.jobs.unknown_jobs import UnknownJobs
 from hyssopring.logs import Event, log_event
 
-__all__ = ('OnDone', 'ReportReconciler', 'ReportSink')
+__all__ = ('ReportReconciler', 'ReportSink')
 
 _CRASHES: Final = frozenset(
     (AttemptEnd.CRASHED.value, AttemptEnd.CRASHED_IN_TRIAL.value)
 )
 
-# Called with a step, how many of its tasks are done now (all members of a gang
-# at once), and the time in ms for which the task has run; None if it did not
-# run from its beginning under this owner.
-OnDone = Callable[[JobRecord, StepRun, int, float | None], None]
 # A copied task has its first attempt and one copy.
 _MAX_ATTEMPTS: Final = 2
 
@@ -60,11 +57,7 @@
 
 
 class ReportReconciler:
-    """Applies agents' reports to the jobs of the owned shards.
-
-    Attributes:
-        done_observers: Called when tasks are done; see ``OnDone``.
-    """
+    """Applies agents' reports to the jobs of the owned shards."""
 
     def __init__(
         self,
@@ -73,21 +66,19 @@
         shards: OwnedShards,
         sink: ReportSink,
         suspects: CrashSuspects,
-        on_done: Callable[[Job, Worker, PlacedAttempt], None] | None = None,
+        observers: EndObservers,
         keeps_copies: bool = False,
     ) -> None:
         """Create a reconciler that passes its actions to ``sink``.
 
         Args:
-            on_done: Called with each known attempt that ended ``done``; None
-                for no call.
+            observers: Told of attempts and tasks that are done.
             keeps_copies: Whether a second attempt of a task may go on if its
                 step allows copies.
         """
         self._keeps_copies = keeps_copies
         self._unconfirmed_ends = UnconfirmedEnds()
-        self._on_done = on_done
-        self.done_observers: list[OnDone] = []
+        self._observers = observers
         self._suspects = suspects
         self._clock = clock
         self._fleet = fleet
@@ -329,46 +320,14 @@
         placed = worker.placed_by_task.get(end.task)
         if placed is not None and placed.attempt <= end.attempt:
             worker.placed_by_task.pop(end.task)
-            self._report_done(record.job, end, worker, placed)
+            self._observers.attempt_ended(record.job, end, worker, placed)
         done_before = run.done.bit_count()
         self._apply_end(record, name, end, worker, owned)
         done_count = run.done.bit_count() - done_before
-        self._notify_observers(
-            record, run, done_count, self._run_ms(placed, end)
-        )
+        self._observers.tasks_done(record, run, done_count, placed, end)
         self._hold_successors(record, name, owned, ack)
         owned.save(record, ack)
 
-    def _report_done(
-        self, job: Job, end: EndReport, worker: Worker, placed: PlacedAttempt
-    ) -> None:
-        is_same = placed.attempt == end.attempt
-        if self._on_done and is_same and end.how == AttemptEnd.DONE.value:
-            self._on_done(job, worker, placed)
-
-    def _notify_observers(
-        self,
-        record: JobRecord,
-        run: StepRun,
-        done_count: int,
-        run_ms: float | None,
-    ) -> None:
-        if done_count:
-            for observe in self.done_observers:
-                observe(record, run, done_count, run_ms)
-
-    def _run_ms(
-        self, placed: PlacedAttempt | None, end: EndReport
-    ) -> float | None:
-        """Return how long an ended attempt has run, None if unknown."""
-        if placed is None or placed.attempt != end.attempt:
-            return None
-        # An attempt without a start of this connection may have been adopted,
-        # and its placement says nothing about its begin.
-        if placed.checkpoint or not placed.start_index:
-            return None
-        return self._clock.now() - placed.placed_at
-
     def _hold_successors(
         self, record: JobRecord, name: TaskName, owned: OwnedShard, ack: Ack
     ) -> None:
--- a/hyssopring/learning/owner_learning.py
+++ b/hyssopring/learning/owner_learning.py
@@ -3,6 +3,7 @@
 from typing import Callable
 
 from hyssopring.clock import Clock
+from hyssopring.jobs.end_observers import EndObservers
 from hyssopring.jobs.interference import PRIOR, InterferenceModel
 from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
 from hyssopring.jobs.model import Job
@@ -26,6 +27,7 @@
         run_times: Learned run times; None if no part uses them.
         job_times: Expected times of jobs, learned where learning is on.
         state: What is kept for the next owner; None unless learning is on.
+        observers: Told of attempts and tasks that are done.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.run_times: RunTimes | None = None
         self.job_times: JobTimeSource = CallerEstimates()
         self.state: LearnedState | None = None
+        self.observers = EndObservers(clock, self.record_done)
         self._recorder: RunRecorder | None = None
         if options.learning or options.stragglers or options.admission:
             self.run_times = RunTimes()
