--- a/hyssopring/jobs/scheduling_options.py
+++ b/hyssopring/jobs/scheduling_options.py
@@ -73,9 +73,13 @@
 
     Attributes:
         move_interval_ms: The shortest time between two moves of a task.
+        moves_to_fresh_workers: Whether keepers leave crowded workers, too, and
+            not only evacuated zones. It takes workers without keepers from
+            best-effort tasks.
     """
 
     move_interval_ms: float = 60_000
+    moves_to_fresh_workers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hyssopring/rebalancing/rebalancer.py
+++ b/hyssopring/rebalancing/rebalancer.py
@@ -78,6 +78,7 @@
         self._targets = planner.move_targets
         self._ticket_manager = ticket_manager
         self._stop = stop
+        self._options = options
         self._times = MoveTimes(options.move_interval_ms)
         self._prepared_by_task: dict[str, OwnedShard] = {}
         self._stopped_by_task: dict[str, _StoppedMove] = {}
@@ -120,6 +121,8 @@
             {task: target for task, (_, target) in prepared_targets.items()},
         )
         moves = choose_evacuations(steps.values(), evacuated_boots, room)
+        if not self._options.moves_to_fresh_workers:
+            return moves
         if moves or self._stopped_by_task:
             # Measurements do not show yet what the moves under way change.
             return moves
--- a/hyssopring/settings/scheduling.py
+++ b/hyssopring/settings/scheduling.py
@@ -119,6 +119,15 @@
             description='Shortest time between two moves of a task.',
         ),
     ] = RebalancingOptions().move_interval_ms
+    moves_to_fresh_workers: Annotated[
+        bool,
+        Field(
+            description=(
+                'Whether lasting tasks leave crowded workers, too, and not '
+                'only evacuated zones.'
+            ),
+        ),
+    ] = RebalancingOptions().moves_to_fresh_workers
 
 
 class SchedulingSettings(_Strict):
--- a/tests/rebalancing_support.py
+++ b/tests/rebalancing_support.py
@@ -16,7 +16,9 @@
 CORES = 16_000
 TARGET_MS = 100
 LASTING_MS = 10_000_000
-OPTIONS = SchedulingOptions(rebalancing=RebalancingOptions())
+OPTIONS = SchedulingOptions(
+    rebalancing=RebalancingOptions(moves_to_fresh_workers=True)
+)
 
 
 def moving(options=OPTIONS, **given):
--- a/tests/test_fresh_workers.py
+++ b/tests/test_fresh_workers.py
@@ -20,7 +20,7 @@
 
 TARGET_MS = 100
 KEEPER_SIZE = Size(3200, 1000, 0)
-SHORT = SchedulingOptions(rebalancing=RebalancingOptions(5000))
+SHORT = SchedulingOptions(rebalancing=RebalancingOptions(5000, True))
 
 
 def keeper(number, count=3):
@@ -158,3 +158,13 @@
     deployment.run(25)
     assert all(worker.runs for worker in workers)
     assert len(running_on(deployment)) == 15
+
+
+def test_keepers_stay_unless_the_settings_ask_for_these_moves(log_lines):
+    """Guards best-effort tasks on workers without keepers."""
+    options = SchedulingOptions(rebalancing=RebalancingOptions())
+    deployment = crowded(options)
+    deployment.add_vm('fresh')
+    show_loads(deployment)
+    deployment.run(15)
+    assert not moves_in(log_lines)
