Owner: write the rows of agents that it has not met at once

Seen by callers: all power is lost several times, or owners are killed one after the other, and one VM stays away. Keepers' tasks that may run on it waited anew with each owner: 11.0 s after two losses of power, 15.45 s after four, 12.6 s after four killed owners, where a single loss costs 9.55 and 9.25 s.

Cause: an owner writes until when the grants of an agent that is away last, so that the next one goes on with that wait. For an agent that it had never met it did so a second after the start of its own process. An owner that was lost before left no row, and the next one waited for a whole grant again.

Evidence: the wait grew with owners that lived for 0.5 and 1.0 s, and did not with those of 1.5 s (9.7 s after four losses).

Change: the row of an agent that this process has not met is written as soon as the jobs are loaded. It is taken back when the agent connects, and the agent gets its grant when that is written instead of with its next report.

Why it works: the row holds the first owner's bound, no owner grants an agent whose row sets an expiry, and each next owner reads it.

Failing before: four of five cases of the two tests of series; without the grant at the write, test_an_agent_is_granted_as_soon_as_its_row_allows.

Two tests of test_jobs_unheard_grants need an owner that grants an agent before its first report of the epoch. With its row written at once that agent gets none, so they use a store that does not tell its time, where no expiry can be written. With the guard out the same two of the four tests fail as before.

--- a/hyssopring/jobs/absences.py
+++ b/hyssopring/jobs/absences.py
@@ -11,8 +11,9 @@
 
 __all__ = ('Absences',)
 
-# Agents reconnect to a restarted entry within this time, and briefly slow
-# workers respond again; neither is worth a write.
+# Agents reconnect within this time, and briefly slow workers respond again;
+# neither is worth a write. Agents that a new process has not met are: an owner
+# that ends before it has written their rows makes the next one wait anew.
 _MIN_ABSENCE_MS: Final = MILLIS_PER_SECOND
 
 
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -288,9 +288,9 @@
                 self.owner.acknowledge_ends,
                 self._on_ownership_lost,
                 self.owner.on_job_accepted,
-                self.owner.on_job_cancelled,
+                self.owner.stop_job,
                 self.owner.on_shard_loaded,
-                self.owner.schedule_planning,
+                self.owner.on_roster_written,
             ),
         )
         self._released_shards.apply_to(owned, self.fleet)
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -1,5 +1,6 @@
 """The agents and workers known to one entry."""
 
+import math
 from dataclasses import dataclass
 from itertools import count
 from typing import Callable, Final
@@ -52,7 +53,6 @@
         self._allows_starts = allows_starts or _allow_all
         self._clock = clock
         self._incarnation = incarnation
-        self._started_at_ms = clock.now()
         self._connection_numbers = count(1)
         self.departure_by_agent: dict[str, AgentDeparture] = {}
         self.by_agent: dict[str, Worker] = {}
@@ -94,11 +94,11 @@
         """Return since when an agent or its worker has been unreachable.
 
         Return None if neither is. An agent that has never connected to this
-        process may have been unreachable since before the process started.
+        process may have been unreachable for any time.
         """
         worker = self.by_agent.get(agent_id)
         if worker is None:
-            return self._started_at_ms
+            return -math.inf
         if not worker.is_connected:
             return worker.disconnected_at
         return worker.silent_since
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -182,6 +182,14 @@
                 for departed in list(self._fleet.departure_by_agent.values()):
                     self._reconciler.handle_departed_agent(departed, owned)
 
+    def on_roster_written(self) -> None:
+        """Request reports of agents that may get a grant now, and plan."""
+        for worker in self._fleet.by_agent.values():
+            if worker.awaits_grant and self.shards.may_grant(worker.agent_id):
+                worker.awaits_grant = False
+                self._request_report(worker)
+        self.schedule_planning()
+
     def request_all_reports(self) -> None:
         """Add all agents to the rosters and request their reports."""
         self._add_to_roster()
@@ -210,10 +218,6 @@
         self._reconciler.replay_reports(record)
         self.schedule_planning()
 
-    def on_job_cancelled(self, record: JobRecord) -> None:
-        """Stop the attempts of a cancelled job."""
-        self.stop_job(record)
-
     def acknowledge_ends(self, acks: list[Ack]) -> None:
         """Allow agents to drop ends that are durable."""
         if self._reconciler.mark_durable(acks):
@@ -232,6 +236,7 @@
     def agent_connected(self, worker: Worker) -> None:
         """Add an agent to the rosters and request its report."""
         self._add_to_roster()
+        self.shards.clear_expiry(worker.agent_id)
         self._request_report(worker)
 
     @singledispatchmethod
@@ -393,6 +398,7 @@
         else:
             # An empty grant shows the agent that its owner runs.
             grant = Grant(report.sequence, [], 0)
+            worker.awaits_grant = True
             self.shards.clear_expiry(worker.agent_id)
         self._send(worker.agent_id, grant)
 
--- a/hyssopring/jobs/workers.py
+++ b/hyssopring/jobs/workers.py
@@ -135,6 +135,7 @@
         starts_sent: The number of start orders sent on that connection.
         disconnected_at: When its last connection was closed.
         refused_at: When it last refused a start, None if never.
+        awaits_grant: Whether it gets a grant once its row sets no expiry.
     """
 
     agent_id: str
@@ -146,6 +147,7 @@
     connection: str = ''
     starts_sent: int = 0
     refused_at: float | None = None
+    awaits_grant: bool = False
     disconnected_at: float = 0
     placed_by_task: dict[str, PlacedAttempt] = field(default_factory=dict)
 
--- a/tests/test_jobs_lost_vms.py
+++ b/tests/test_jobs_lost_vms.py
@@ -2,12 +2,20 @@
 
 import pytest
 
-from hyssopring.jobs.times import GRANT_EXPIRY_MS, ROSTER_WAIT_MS
+from hyssopring.jobs.times import (
+    GRANT_EXPIRY_MS,
+    GRANT_MS,
+    ROSTER_WAIT_MS,
+)
 from standins.jobs.deployment import Deployment, a_job, settled
 
 KEEPER_MS = 1e9
 LOST_NUMBER = 0
 RESTART_S = 1.0
+POWER_OUTAGE_S = 1.0
+WRITE_S = 0.05
+# One write and messages; agents report each 0.5 s.
+GRANTED_S = 0.2
 
 
 def with_keeper(count, workers=5, entries=3, per_worker=1):
@@ -214,3 +222,65 @@
     left_s = first_at + ROSTER_WAIT_MS / 1000 - deployment.reactor.seconds()
     deployment.run(max(0, left_s) + RESTART_S)
     assert running(deployment, job) == set(range(4))
+
+
+@pytest.mark.parametrize('owned_s', [0.1, 0.5, 1.0])
+def test_power_failures_in_series_do_not_prolong_the_wait(owned_s):
+    """Guards against owners that are lost before they stored any expiry.
+
+    All power is lost four times, and one VM never comes back.
+    """
+    deployment, job = with_keeper(4)
+    lost_at = deployment.reactor.seconds()
+    for _repeat in range(4):
+        lose_all_power(deployment, lost_numbers={LOST_NUMBER})
+        deployment.run(POWER_OUTAGE_S)
+        for name in deployment.entries:
+            deployment.start_entry(name)
+        run_until_owned(deployment)
+        deployment.run(owned_s)
+    over_s = POWER_OUTAGE_S + GRANT_EXPIRY_MS / 1000 + RESTART_S
+    deployment.run(lost_at + over_s - deployment.reactor.seconds())
+    assert running(deployment, job) == set(range(4))
+
+
+@pytest.mark.parametrize('back_s', [0.7, 1.0])
+def test_owners_killed_in_series_beside_a_lost_vm_do_not_prolong_the_wait(
+    back_s,
+):
+    """Guards against short-lived owners that each begin the wait anew."""
+    deployment, job = with_keeper(4)
+    lost_at = deployment.reactor.seconds()
+    lose_vm(deployment)
+    for _repeat in range(4):
+        kill_owner(deployment, back_s)
+        run_until_owned(deployment)
+        deployment.run(0.2)
+    over_s = back_s + GRANT_EXPIRY_MS / 1000 + RESTART_S
+    deployment.run(lost_at + over_s - deployment.reactor.seconds())
+    assert running(deployment, job) == set(range(4))
+
+
+def test_an_agent_is_granted_as_soon_as_its_row_allows():
+    """Guards against agents that wait for their next report after a restart.
+
+    The owner restarts and stores an expiry for each agent, as none has
+    connected yet.
+    """
+    deployment, _job = with_keeper(4)
+    name = deployment.owner
+    kill_owner(deployment, RESTART_S)
+    blocked = {(agent, name) for agent in deployment.agents}
+    deployment.blocked |= blocked
+    deployment.run(RESTART_S)
+    run_until_owned(deployment)
+    deployment.run(RESTART_S)
+    deployment.blocked -= blocked
+    deployment.rows.pauses = lambda: (WRITE_S, 0)
+    for agent in deployment.agents.values():
+        agent.dial()
+    deployment.run(GRANTED_S)
+    now = deployment.reactor.seconds()
+    for agent in deployment.agents.values():
+        left_s = agent.core._leases.latest_expiry / 1000 - now
+        assert left_s > GRANT_MS / 1000 - GRANTED_S
--- a/tests/test_jobs_unheard_grants.py
+++ b/tests/test_jobs_unheard_grants.py
@@ -51,7 +51,12 @@
 
 
 def grant_before_report(deployment):
-    """Let a new owner grant an agent without a report; return the shard."""
+    """Let a new owner grant an agent without a report; return the shard.
+
+    The owner cannot store an expiry, which would prevent the grant, because
+    the store does not tell its time.
+    """
+    deployment.rows.tells_time = False
     deployment.cut_off(LATE)
     name = deployment.owner
     deployment.kill_entry(name)
