Soak of the platform's programs: half of the batch jobs allow copies

docs/design/overload.md listed it as open: no job of the soak had a step that allows copies, so that real processes never ran them under faults.

--- a/soak/platform/callers.py
+++ b/soak/platform/callers.py
@@ -157,6 +157,11 @@
         self.run_recorder.sizes[job.job_id] = Size(job.cpu, MEMORY_MB, 0)
         if job.is_keeper:
             self.run_recorder.keepers.update(tasks_of(job))
+        if job.may_copy and self.world.has_copies:
+            steps = range(len(job.counts))
+            self.run_recorder.copyable.update(
+                (job.job_id, str(step)) for step in steps
+            )
         if job.is_failing:
             self.run_recorder.failing.update(tasks_of(job))
 
@@ -224,6 +229,7 @@
             'memMb': MEMORY_MB,
             'estimateMs': 1000,
             'longRunning': job.is_keeper,
+            'speculative': job.may_copy,
             'after': [number - 1] if number else [],
         }
         for number, count in enumerate(job.counts)
--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -44,6 +44,8 @@
 NARROW_BYTES_PER_S = (700_000, 350_000)
 # Share of the runs in which restarted runners keep their ids.
 KEEPS_IDS_PROBABILITY = 0.5
+# Share of the jobs of batch tasks whose steps allow copies.
+COPYABLE_PROBABILITY = 0.5
 # Queues that a configuration change adds, and their maximum in all.
 MORE_QUEUES = (0, 0, 1400)
 MAX_QUEUES = 4200
@@ -59,6 +61,7 @@
         gives_up: Whether the caller stops after a refusal.
         is_twice: Whether it is submitted again after it was accepted.
         is_failing: Whether its tasks fail repeatedly.
+        may_copy: Whether its tasks may have two attempts at a time.
     """
 
     at: float
@@ -70,6 +73,7 @@
     is_twice: bool = False
     is_malformed: bool = False
     is_failing: bool = False
+    may_copy: bool = False
 
 
 @dataclass(frozen=True)
@@ -128,6 +132,7 @@
     drawn = machines.choice(MORE_AGENTS)
     more = drawn if more_agents is None else more_agents
     rates += tuple(machines.choice(RATES) for _index in range(more))
+    jobs = _with_copies(jobs, random.Random(f'copies {seed}'))
     jobs += _failing_jobs(machines, seconds)
     losses = Losses(machines, _fleet(more), seconds)
     losses.draw()
@@ -192,6 +197,17 @@
     return tuple(jobs)
 
 
+def _with_copies(jobs, rng):
+    """Draw the jobs whose tasks may have copies."""
+    return tuple(
+        replace(
+            job,
+            may_copy=not job.is_keeper and rng.random() < COPYABLE_PROBABILITY,
+        )
+        for job in jobs
+    )
+
+
 def _events(rng, seconds):
     events = [*_changes_of_runners(rng, seconds)]
     at = rng.uniform(0, 1)
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -78,6 +78,7 @@
             f'{starts} program starts, {len(callers.accepted)} jobs accepted, '
             f'{len(callers.refused)} refused, '
             f'{len(self.world.run_recorder.starts)} task starts, '
+            f'{self.world.run_recorder.copy_count} of them copies, '
             f'keepers after {self.keepers_s:.1f} s, '
             f'quiet after {self.quiet_s:.1f} s, '
             f'{self.world.queues} queues in force after '
