Agent: a former agent's hold never takes a worker's room

The room of a worker is withheld while its hold may outlast an own one. A new agent assumes a hold of exactly an own one's length, and the comparison of the rounded times found it longer at some readings of the clock (9 of 2,999 tried): its first report then offered no room, and the next one came half a second later.

The time until which the room is withheld is now kept itself; a new agent sets none.

--- a/hyssopring/jobs/worker_monitor.py
+++ b/hyssopring/jobs/worker_monitor.py
@@ -113,6 +113,8 @@
         # Until when requests of a former agent, or requests sent to the former
         # incarnation, may extend the hold.
         self._inherited_hold_until = clock.now()
+        # Until when the inherited hold lasts longer than an own one.
+        self._long_hold_until = clock.now()
         self._is_hold_expired = False
         self._stall_detector = StallDetector(clock)
         # The poll in flight; answers to earlier polls are dropped.
@@ -138,8 +140,7 @@
         If the worker was lost then, its tasks would count as running for
         longer than owners and the next agent assume.
         """
-        hold_ms = self._inherited_hold_until - self._clock.now()
-        if hold_ms > HOLD_MS:
+        if self._clock.now() < self._long_hold_until:
             return Size()
         return self.announced.capacity
 
@@ -392,6 +393,7 @@
             )
             hold_ms = self._inherited_hold_ms(listing)
             self._inherited_hold_until = self._clock.now() + hold_ms
+            self._long_hold_until = self._inherited_hold_until - HOLD_MS
             log_event(
                 Event.WORKER_REPLACED,
                 boot=request.boot,
