--- a/tests/test_jobs_crashing.py
+++ b/tests/test_jobs_crashing.py
@@ -18,6 +18,7 @@
 MAX_STARTS = 5
 LONG_MS = 20_000
 KEEPER_MS = 1e9
+LATE_KILL_S = 1.5
 
 
 def crashing(workers=WORKERS, kills=None, **options):
@@ -83,6 +84,17 @@
     assert len(starts_of_first(deployment)) >= 3
 
 
+def test_job_fails_if_its_task_crashes_workers_after_its_start():
+    """Guards against endless starts of a task whose crashes come late."""
+    deployment = crashing(work_ms=lambda task: LONG_MS)
+    for worker in deployment.workers:
+        worker.kill_s = LATE_KILL_S
+    job = a_job(CRASHING)
+    deployment.submit(job)
+    deployment.run(60)
+    assert_failed(deployment, job)
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_no_other_job_fails_however_often_workers_are_lost(seed):
     """Guards against failing jobs that merely ran on crashed workers."""
