Shutdown: look again whether requests are open before the process ends

Cause: when no request was open, the reactor was stopped 0.3 s later whatever came in between.

Change: the process ends after 0.3 s in which no request was open and none came. The entry also closes its callers' port when it begins to look, so that only open connections bring requests.

Why it works: the check that ends the process is the last look itself.

--- a/hyssopring/lifecycle.py
+++ b/hyssopring/lifecycle.py
@@ -11,6 +11,9 @@
 
 _IDLE_CHECK_INTERVAL_S = 0.05
 _FINAL_RESPONSES_S = 0.3
+# Open connections bring further requests until the process ends. Without
+# repeated checks one that arrives last would get no response.
+_FINAL_IDLE_CHECKS = round(_FINAL_RESPONSES_S / _IDLE_CHECK_INTERVAL_S)
 
 
 class Lifecycle:
@@ -22,6 +25,7 @@
         self._clock = clock
         self._role = role
         self._loops: list[LoopingCall] = []
+        self._idle_checks = 0
 
     def every(self, interval_s: float, action: Callable[[], Any]) -> None:
         """Call ``action`` periodically, first after one interval."""
@@ -31,14 +35,24 @@
         self._loops.append(loop)
 
     def drain(self, is_idle: Callable[[], bool], drain_ms: float) -> None:
-        """Stop the reactor once idle, after ``drain_ms`` at the latest."""
+        """Stop the reactor once idle for a while, or after a time.
+
+        Args:
+            is_idle: Returns whether no request is open and none came since
+                the last call.
+            drain_ms: The longest time to wait for that.
+        """
         self._check_idle(is_idle, self._clock.now() + drain_ms)
 
     def _check_idle(self, is_idle: Callable[[], bool], deadline: float) -> None:
-        if is_idle() or self._clock.now() > deadline:
+        if self._clock.now() > deadline:
             # Leaves time for sending the last responses.
             self._reactor.callLater(_FINAL_RESPONSES_S, self._stop)
             return
+        self._idle_checks = self._idle_checks + 1 if is_idle() else 0
+        if self._idle_checks > _FINAL_IDLE_CHECKS:
+            self._stop()
+            return
         self._reactor.callLater(
             _IDLE_CHECK_INTERVAL_S,
             self._check_idle,
--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -130,10 +130,18 @@
         self.table: QueueTable | None = None
         self.is_stopping = False
         self.open_requests = 0
+        self._rendered_since_check = False
+
+    def is_idle(self) -> bool:
+        """Return whether no request is open and none came since last asked."""
+        is_idle = not self.open_requests and not self._rendered_since_check
+        self._rendered_since_check = False
+        return is_idle
 
     def render(self, request: Request) -> int:
         """Handle one request."""
         self.open_requests += 1
+        self._rendered_since_check = True
         request.notifyFinish().addBoth(self._on_closed)
         if self.is_stopping:
             request.setHeader('connection', 'close')
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -123,6 +123,7 @@
         )
         self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
         self._is_stopping = False
+        self._front_port: Any = None
         self._entry_addresses: list[str] = []
 
     @property
@@ -145,7 +146,7 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         bind = self._settings.bind_addresses
-        listen(
+        self._front_port = listen(
             self._reactor,
             bind.frontend,
             LeafSite(self._callers, _MAX_JOB_BYTES),
@@ -190,10 +191,8 @@
         self._reactor.callLater(_DRAIN_DELAY_S, self._drain)
 
     def _drain(self) -> None:
-        self._lifecycle.drain(
-            lambda: not self._callers.open_requests,
-            _DRAIN_MS,
-        )
+        self._front_port.stopListening()
+        self._lifecycle.drain(self._callers.is_idle, _DRAIN_MS)
 
     def _renew_membership(self) -> None:
         self._membership.tick()
