--- a/hyssopring/jobs/worker_monitor.py
+++ b/hyssopring/jobs/worker_monitor.py
@@ -13,8 +13,8 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.announced_state import AnnouncedState
 from hyssopring.jobs.fences import FenceCounter
-from hyssopring.jobs.past_incarnation import PastIncarnation
 from hyssopring.jobs.model import Size
+from hyssopring.jobs.past_incarnation import PastIncarnation
 from hyssopring.jobs.poll_backoff import MAX_TIMEOUT_MS, PollBackoff
 from hyssopring.jobs.sent_holds import SentHold, SentHolds
 from hyssopring.jobs.stall_detector import StallDetector
--- a/tests/test_worker_monitor.py
+++ b/tests/test_worker_monitor.py
@@ -1,6 +1,8 @@
 """Polls of one worker and the hold on its tasks."""
 
-from twisted.internet.defer import succeed
+from dataclasses import replace
+
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock as Reactor
 
 from hyssopring.jobs.fences import FenceCounter
@@ -13,15 +15,25 @@
 ANNOUNCEMENT = Announcement(
     'boot', 'service', CAPACITY, (), False, 0, 1, 1000, 'worker'
 )
+LISTING = Listing(1000, (), ())
 STARTS = 3000
 INTERVAL_S = 0.01
 
 
 class IdleWorker:
-    """Answers each poll at once."""
+    """Answers each poll at once, until it is silent."""
+
+    def __init__(self):
+        self.is_silent = False
 
     def poll(self, _request):
-        return succeed(Listing(1000, (), ()))
+        return Deferred() if self.is_silent else succeed(LISTING)
+
+
+def new_monitor(reactor, worker):
+    return WorkerMonitor(
+        Reactor(), ReactorClock(reactor), worker, FenceCounter(lambda: 1)
+    )
 
 
 def test_a_new_agent_s_worker_has_room_at_once():
@@ -29,11 +41,17 @@
     reactor = Reactor()
     for _start in range(STARTS):
         reactor.advance(INTERVAL_S)
-        monitor = WorkerMonitor(
-            Reactor(),
-            ReactorClock(reactor),
-            IdleWorker(),
-            FenceCounter(lambda: 1),
-        )
+        monitor = new_monitor(reactor, IdleWorker())
         monitor.announce(ANNOUNCEMENT)
         assert monitor.capacity == CAPACITY
+
+
+def test_no_start_is_sent_while_another_incarnation_is_announced():
+    """Guards against a hold that the next one takes after its first listing."""
+    worker = IdleWorker()
+    monitor = new_monitor(Reactor(), worker)
+    monitor.announce(ANNOUNCEMENT)
+    assert monitor.is_answering
+    worker.is_silent = True
+    monitor.announce(replace(ANNOUNCEMENT, boot='next', sequence=1))
+    assert not monitor.is_answering
