Soak: a rollout of VMs during a restart of all entries, with real processes

It has its own random stream, so that the faults of older seeds stay what they are (tested over 40 seeds). Callers keep their connections, and batch jobs come meanwhile.

VMs that the rollout replaces end in order: they count neither as a disturbance nor as lost, so their tasks are checked with the bound of all others. Restarts of entries disturb, as before.

--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -28,8 +28,9 @@
     61015: (45, _LOST_VM),
     64004: (32, 'an agent that left while the store failed holds up its tasks'),
 }
-# Enough for the slowest startup, recovery and shutdown: 20 s, 70 s and 10 s.
-EXTRA_S = 120
+# Enough for the slowest startup, recovery, rollout and shutdown: 20 s, 70 s,
+# 110 s and 10 s.
+EXTRA_S = 230
 
 
 def _parse():
--- a/soak/platform/keeper_monitor.py
+++ b/soak/platform/keeper_monitor.py
@@ -133,7 +133,9 @@
         )
 
     def _lost_at(self, name):
-        """Return when a VM or its agent was lost, None if it is up."""
+        """Return when a VM or its agent was lost, None if it was not."""
+        if name in self.world.departed:
+            return None
         program = self.world.programs.get(name)
         if program is None or program.is_alive or not program.starts:
             return None
--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -17,6 +17,7 @@
     Fleet,
     Losses,
 )
+from soak.platform.rollouts import REPLACED, Rollout, draw_rollout
 
 ENTRIES = 3
 RUNNERS = 3
@@ -84,6 +85,7 @@
         rates: Clock rates of the runners.
         narrow: The entry behind the narrow link.
         more_agents: Number of additional agents.
+        rollout: What follows the faults.
     """
 
     seed: int
@@ -95,6 +97,7 @@
     bytes_per_s: int
     more_agents: int = 0
     keeps_ids: bool = False
+    rollout: Rollout = Rollout()
 
     def lines(self):
         """Return a description, with one line for each event."""
@@ -103,7 +106,8 @@
         link = f'{self.bytes_per_s} bytes a second come to {self.narrow}'
         if self.keeps_ids:
             link += ', runners keep their ids'
-        return [head, link, *map(str, self.events)]
+        rollout = [f'rollout {event}' for event in self.rollout.events]
+        return [head, link, *map(str, self.events), *rollout]
 
     def work_ms(self, task):
         """Return a task's duration, which does not depend on other tasks."""
@@ -138,7 +142,12 @@
     losses.draw()
     events = _in_order(losses.merged_with(events), seconds)
     keeps = machines.random() < KEEPS_IDS_PROBABILITY
-    return Plan(seed, seconds, rates, jobs, events, narrow, rate, more, keeps)
+    rollouts = random.Random(f'rollout {seed}')
+    rates += tuple(rollouts.choice(RATES) for _index in range(REPLACED))
+    rollout = draw_rollout(rollouts, _fleet(more), _new_agents(more))
+    return Plan(
+        seed, seconds, rates, jobs, events, narrow, rate, more, keeps, rollout
+    )
 
 
 def _fleet(more_agents):
@@ -150,6 +159,11 @@
     )
 
 
+def _new_agents(more_agents):
+    first = RUNNERS + JOINERS + more_agents
+    return tuple(f'agent-{first + number}' for number in range(REPLACED))
+
+
 def _failing_jobs(rng, seconds):
     """Draw jobs of failing long-running tasks, the first one at the start."""
     return tuple(
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -1,4 +1,4 @@
-"""A run of a seed: faults, recovery, and the shutdown of all programs."""
+"""A run of a seed: faults, recovery, a rollout and the final shutdown."""
 
 import signal
 import traceback
@@ -10,6 +10,7 @@
 from soak.platform.keeper_monitor import KeeperMonitor
 from soak.platform.stability import StabilityMonitor
 from soak.platform.plan import PlannedJob
+from soak.platform.rollouts import FIRST_JOB_ID
 from soak.platform.world import World
 
 TICK_INTERVAL_S = 0.02
@@ -22,6 +23,9 @@
 KEEPERS_TIMEOUT_S = 45
 # A job of three steps takes up to 18 s more, and waits for capacity.
 JOBS_TIMEOUT_S = 70
+# After a rollout: starts of up to 10 s, then 7 s without disturbances until a
+# task is missed.
+ROLLOUT_TIMEOUT_S = 20
 # A stopped entry serves open connections for 3 s and drains for 1.5 s.
 STOP_TIMEOUT_S = 10
 # Guaranteed time until a configuration change is in force.
@@ -138,8 +142,25 @@
         self.quiet_s = reactor.seconds() - self.healed_at
         if not self.broken:
             self.broken += self.callers.open_jobs()
+        if not self.broken and self.plan.rollout.events:
+            yield self._roll_out()
+        if not self.broken:
             yield self._check_shutdown()
 
+    @inlineCallbacks
+    def _roll_out(self):
+        """Play the rollout, with jobs meanwhile, and wait for its end."""
+        rollout = self.plan.rollout
+        for event in rollout.events:
+            reactor.callLater(event.at, self._apply_planned, event)
+        for number, at in enumerate(rollout.job_times):
+            job = PlannedJob(at, f'{FIRST_JOB_ID + number:016x}', (2, 1), 500)
+            reactor.callLater(at, self.callers.submit, job)
+        yield self._until(lambda: False, rollout.ends_at + ROLLOUT_TIMEOUT_S)
+        yield self._until(lambda: not self.callers.open_jobs(), JOBS_TIMEOUT_S)
+        if not self.broken:
+            self.broken += self.callers.open_jobs()
+
     @inlineCallbacks
     def _is_up(self):
         statuses = []
@@ -171,7 +192,11 @@
             reactor.callLater(MONITOR_INTERVAL_S, self._check_monitors)
 
     def _apply_event(self, event):
-        if not (self.is_over or self.is_healed):
+        if not self.is_healed:
+            self._apply_planned(event)
+
+    def _apply_planned(self, event):
+        if not self.is_over:
             owner = self.world.owner()
             text = f'{event} (owner {owner})'
             self.happened.append((reactor.seconds(), text))
--- a/soak/platform/stability.py
+++ b/soak/platform/stability.py
@@ -40,7 +40,12 @@
             self.since, self.why = until, why
 
     def on_event(self, event):
-        """Record the start of an event; ``check`` sees its effects."""
+        """Record the start of an event; ``check`` sees its effects.
+
+        A VM that is replaced as planned disturbs nothing.
+        """
+        if event.name == 'depart':
+            return
         leave_s = event.arguments[0] if event.name == 'leave' else 0
         self.record_disturbance(str(event), reactor.seconds() + leave_s)
 
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -74,16 +74,14 @@
     Attributes:
         fronts: Frontend ports by the names of the current entries.
         replaced_at: Times in s at which entries' VMs were replaced, by name.
+        departed: Agents that ended in order, after their workers' tasks.
     """
 
     def __init__(self, plan, folder):
         self.plan = plan
         self.folder = folder
         self.host = own_host()
-        self.agents = [
-            f'agent-{number}'
-            for number in range(RUNNERS + JOINERS + plan.more_agents)
-        ]
+        self.agents = [f'agent-{number}' for number in range(len(plan.rates))]
         processes = ENTRIES + 1 + len(self.agents)
         self.ports = iter(free_ports(processes * PORTS_PER_PROCESS, self.host))
         self.rows = MemoryRows(reactor)
@@ -98,6 +96,7 @@
         self.fronts = {}
         self.spare_front = None
         self.replaced_at = {}
+        self.departed = set()
         self._build()
         self.front_ports = list(self.fronts.values())
         self.link = NarrowLink(reactor, plan.bytes_per_s)
@@ -225,7 +224,9 @@
 
     def start(self):
         """Start all programs except those that join later."""
-        for name in self.agents[:RUNNERS] + self.agents[RUNNERS + JOINERS :]:
+        joiners_end = RUNNERS + JOINERS
+        additional = self.agents[joiners_end:][: self.plan.more_agents]
+        for name in self.agents[:RUNNERS] + additional:
             self.join(name)
         for name in self.fronts:
             self.programs[name].is_wanted = True
@@ -242,6 +243,15 @@
         self.workers[name].is_leaving = True
         reactor.callLater(notice, self._remove, name)
 
+    def depart(self, name, stopped_s, term_s):
+        """Replace a VM: its worker stops its tasks, its agent ends later."""
+        worker, program = self.workers[name], self.programs[name]
+        if not program.is_wanted or worker.is_gone:
+            return
+        self.departed.add(name)
+        reactor.callLater(stopped_s, worker.stop_all)
+        self.leave(name, term_s)
+
     def _remove(self, name):
         worker, program = self.workers[name], self.programs[name]
         worker.is_gone = True
@@ -355,7 +365,7 @@
             )
         elif event.name == 'lose-orders':
             target.lose_next, target.late_s = event.arguments
-        elif event.name in {'join', 'leave', 'away', 'replace'}:
+        elif event.name in {'join', 'leave', 'depart', 'away', 'replace'}:
             getattr(self, event.name)(name, *event.arguments)
         else:
             getattr(target, event.name)(*event.arguments)
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -179,6 +179,11 @@
         if self.room is room:
             self.kept_room = None
 
+    def stop_all(self):
+        """End all runs as stopped."""
+        for run in list(self.runs.values()):
+            self.end(run, AttemptEnd.STOPPED)
+
     def fail_all(self):
         """End all runs as failed."""
         for run in list(self.runs.values()):
--- a/tests/test_soak_platform.py
+++ b/tests/test_soak_platform.py
@@ -10,8 +10,10 @@
 
 from hyssopring.jobs.model import Size
 from soak.platform.__main__ import EXTRA_S
-from soak.platform.machines import MORE_AGENTS, Losses
+from soak.platform import rollouts
+from soak.platform.machines import MORE_AGENTS, Event, Losses
 from soak.platform.plan import (
+    ENTRIES,
     JOINERS,
     OWNER,
     RATES,
@@ -22,6 +24,7 @@
     _fleet,
     draw_plan,
 )
+from soak.platform.rollouts import REPLACED
 from standins.jobs.run_recorder import Run
 from standins.jobs.rows import MemoryRows
 from standins.jobs.worker import SimWorker
@@ -130,6 +133,31 @@
             }
 
 
+def test_a_rollout_leaves_the_faults_as_they_are(monkeypatch):
+    """Guards old seeds: a rollout must not change the drawing of faults."""
+    with_rollout = [draw_plan(seed, 30) for seed in range(40)]
+    monkeypatch.setattr(rollouts, 'PROBABILITY', 0)
+    for plan in with_rollout:
+        alone = draw_plan(plan.seed, 30)
+        assert not alone.rollout.events
+        assert alone.events == plan.events
+        assert alone.jobs == plan.jobs
+        assert alone.rates == plan.rates
+
+
+def test_a_rollout_restarts_all_entries_and_replaces_vms():
+    """Guards against a rollout without an entry, or without a new VM."""
+    plans = [draw_plan(seed, 30) for seed in range(40)]
+    rolled = [plan for plan in plans if plan.rollout.events]
+    assert 10 < len(rolled) < 30
+    for plan in rolled:
+        names = [event.name for event in plan.rollout.events]
+        assert names.count('term') == ENTRIES
+        assert names.count('join') == names.count('depart') == REPLACED
+        targets = {event.target for event in plan.rollout.events}
+        assert len(targets) == len(names)
+
+
 def test_a_run_has_each_loss():
     """Guards against a kind of loss that is never drawn."""
     events = [each for seed in range(40) for each in draw_plan(seed, 60).events]
@@ -194,6 +222,7 @@
         self.agents = names[1:]
         self.fronts = {'entry-0': 0}
         self.replaced_at = {}
+        self.departed = set()
         self.host = ''
         self.front_ports = [0]
         self.workers = {
@@ -299,6 +328,18 @@
     assert watched.missed_after(0.4) == ['away:']
 
 
+def test_a_task_of_a_vm_that_departed_waits_for_no_grant(watched):
+    """Guards against excusing tasks of VMs that ended in order."""
+    watched.start_on('agent-0')
+    watched.missed_after(1)
+    watched.stability.on_event(Event(0, 'depart', 'agent-0', (1.5, 4.5)))
+    watched.world.departed.add('agent-0')
+    watched.world.workers['agent-0'].stop_all()
+    watched.world.programs['agent-0'].end(watched.clock.seconds())
+    assert watched.missed_after(8.8) == []
+    assert watched.missed_after(0.4) == ['elsewhere:']
+
+
 def test_a_silent_former_owner_makes_the_wait_longer(watched):
     """Guards against a report while a lost entry may still grant a lease."""
     watched.start_on('agent-0')
