Agent: leave once no roster lists the agent, and tell each entry until then

Cause: an agent that left notified the entries connected at that moment, once, and its process ended. Where the shard had no owner then, or the notified entries were stopping, or heard it before the former owner had released the shard, the next owner found the agent's row, naming the tasks, and nobody to ask: it waited 8.4 s for a grant to expire, on top of the takeover.

Now the process stays, within its grace period, until the store shows that no roster lists it. Meanwhile each report is followed by the notice, on every connection, so that an owner that comes later gets a report of its own epoch and a departure after the former owner's end; either ends the wait. An entry keeps a departed agent's connection in its fleet for that, grants it nothing, and does not list it again. An owner removes its row at once if it left after all former owners had ended: they can have reached no next process of it.

In the same class: an agent beside a leaving worker with tasks left ended at once, and nobody heard when the last of them had ended. It now waits for that.

No message or row is new: beside a process of the release before, each side does what it did. Cost: about four reads of one row for each departure, no write.

test_an_agent_that_left_before_its_owner_died_is_waited_for: the agent's process ended by itself 10 ms after its notice, which the test relies on. It now ends by a kill at the same moment; what is asserted is the same.

--- a/hyssopring/jobs/absences.py
+++ b/hyssopring/jobs/absences.py
@@ -62,18 +62,25 @@
             self._epoch_rows.clear_wait()
         for agent_id in self._roster.agents:
             if agent_id not in unreported and fleet.is_certainly_idle(agent_id):
-                self._remove_from_roster(agent_id, now_ms)
+                self._remove_from_roster(agent_id, fleet)
         self._write_expiries(fleet, now_ms)
 
-    def _remove_from_roster(self, agent_id: str, now_ms: float) -> None:
+    def _remove_from_roster(self, agent_id: str, fleet: Fleet) -> None:
         """Remove an agent from the roster unless it may have a grant.
 
         A former owner that may still act may grant unreachable agents or their
-        next processes, except those whose rows set an expiry.
+        next processes, except those whose rows set an expiry. It can have
+        reached no next process of an agent that left after its end.
         """
+        departed = fleet.departure_by_agent.get(agent_id)
         stored_expires_at = self._roster.grant_expires_at(agent_id)
-        if not self._former.may_grants_act or (
-            stored_expires_at is not None and stored_expires_at < now_ms
+        if (
+            not self._former.may_grants_act
+            or (departed is not None and self._former.had_ended(departed.at))
+            or (
+                stored_expires_at is not None
+                and stored_expires_at < self._clock.now()
+            )
         ):
             self._roster.remove(agent_id)
 
--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -34,6 +34,7 @@
 from hyssopring.jobs.own_zone import OwnZone
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.received_starts import ReceivedStarts
+from hyssopring.jobs.roster_lookup import RosterLookup
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.worker_monitor import WorkerMonitor
 from hyssopring.jobs.worker_port import Listing, WorkerPort
@@ -66,6 +67,7 @@
         port: WorkerPort,
         send: Send,
         wall_ms: Callable[[], float],
+        rosters: RosterLookup,
         zone: str = '',
     ) -> None:
         """Start polling when the worker announces itself.
@@ -74,6 +76,7 @@
             port: Calls to the worker.
             send: Sends a message to the entry of the given ID.
             wall_ms: Returns the milliseconds since 1970.
+            rosters: Reads whether the shards' rosters list this agent.
             zone: Availability zone of the worker.
         """
         self._reactor = reactor
@@ -101,6 +104,7 @@
             self.table,
             lambda: self._ends.by_number.values(),
             send,
+            rosters,
         )
         self._sequence = 0
         self._reported_at_by_entry: dict[str, float] = {}
@@ -136,7 +140,7 @@
         returns, and so would its keepers.
         """
         self.shutdown.has_begun = True
-        self.shutdown.announce(self._reported_at_by_entry)
+        self.shutdown.check(self._reported_at_by_entry)
 
     def tick(self) -> None:
         """Do periodic work; call a few times a second."""
@@ -149,7 +153,7 @@
             now_ms
         ):
             self._stop_ungranted(now_ms)
-        self.shutdown.announce(self._reported_at_by_entry)
+        self.shutdown.check(self._reported_at_by_entry)
 
     @singledispatchmethod
     def handle_message(self, message: JobsMessage, entry_id: str) -> None:
@@ -418,3 +422,4 @@
                 self._received_starts.connection(entry_id),
             ),
         )
+        self.shutdown.announce_to(entry_id)
--- a/hyssopring/jobs/agent_shutdown.py
+++ b/hyssopring/jobs/agent_shutdown.py
@@ -4,13 +4,18 @@
 
 from hyssopring.jobs.attempts import AttemptTable
 from hyssopring.jobs.messages import AgentLeft, EndReport, JobsMessage
+from hyssopring.jobs.roster_lookup import RosterLookup
 from hyssopring.jobs.worker_monitor import WorkerMonitor
 
 __all__ = ('AgentShutdown',)
 
 
 class AgentShutdown:
-    """Notifies entries when the agent shuts down and nothing runs any more.
+    """Announces the departure of an agent on whose worker nothing runs.
+
+    An entry that takes a shard later may not have received the announcement.
+    The process therefore announces itself to every entry that it reaches, until
+    no roster lists it.
 
     Attributes:
         has_begun: Whether the shutdown has begun, and no start is accepted.
@@ -22,40 +27,63 @@
         table: AttemptTable,
         ends: Callable[[], Iterable[EndReport]],
         send: Callable[[str, JobsMessage], None],
+        rosters: RosterLookup,
     ) -> None:
         """Begin in normal operation.
 
         Args:
             ends: Returns the ends that are not durable yet.
             send: Sends a message to the entry of the given ID.
+            rosters: Reads whether the shards' rosters list this agent.
         """
         self._monitor = monitor
         self._table = table
         self._ends = ends
         self._send = send
-        self._has_left = False
+        self._rosters = rosters
+        self._is_announced = False
         self.has_begun = False
 
     @property
     def can_exit(self) -> bool:
         """Whether the process may exit.
 
-        Only this agent knows when the hold of a silent worker expires. If it
-        exited before, owners would have to wait for its longer grant to expire.
+        Only this agent knows when the hold of a silent worker expires, and when
+        the last task of a leaving one has ended. If it exited before, owners
+        would have to wait for its longer grant to expire.
         """
-        return self._has_left or self._monitor.is_answering
+        if self._has_left:
+            return self._rosters.is_unlisted
+        monitor = self._monitor
+        return monitor.is_answering and not monitor.announced.is_leaving
 
-    def announce(self, entries: Iterable[str]) -> None:
-        """Notify entries, once, when nothing can run here any more."""
-        if not self.has_begun or self._has_left:
-            return
+    @property
+    def _has_left(self) -> bool:
+        """Whether nothing runs here, and nothing will."""
         monitor = self._monitor
         is_worker_leaving_or_lost = (
             monitor.announced.is_leaving or monitor.is_hold_expired
         )
         is_idle = is_worker_leaving_or_lost and not self._table.by_task
-        self._has_left = is_idle or monitor.has_deregistered
-        if self._has_left:
-            notice = AgentLeft(monitor.boot, list(self._ends()))
+        return self.has_begun and (is_idle or monitor.has_deregistered)
+
+    def check(self, entries: Iterable[str]) -> None:
+        """Announce a departure that begins; call a few times a second.
+
+        Args:
+            entries: The connected entries.
+        """
+        if not self._has_left:
+            self._is_announced = False
+            return
+        if not self._is_announced:
+            self._is_announced = True
             for entry_id in entries:
-                self._send(entry_id, notice)
+                self.announce_to(entry_id)
+        self._rosters.tick()
+
+    def announce_to(self, entry_id: str) -> None:
+        """Announce the departure to an entry, if nothing runs any more."""
+        if self._has_left:
+            notice = AgentLeft(self._monitor.boot, list(self._ends()))
+            self._send(entry_id, notice)
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -136,7 +136,9 @@
         return [
             worker.agent_id
             for worker in self.by_agent.values()
-            if worker.is_connected and not worker.is_without_worker
+            if worker.is_connected
+            and not worker.is_without_worker
+            and worker.agent_id not in self.departure_by_agent
         ]
 
     def connected_agents(self) -> list[str]:
@@ -148,9 +150,14 @@
         ]
 
     def remove_lost(self) -> None:
-        """Remove lost agents without placed attempts, such as replaced VMs."""
+        """Remove lost agents without placed attempts, such as replaced VMs.
+
+        Agents that leave stay while they are connected: the owner of a shard
+        that is taken later needs their reports.
+        """
         for agent_id, worker in list(self.by_agent.items()):
-            if not worker.placed_by_task and self.is_lost(agent_id):
+            is_used = worker.is_connected or worker.placed_by_task
+            if not is_used and self.is_lost(agent_id):
                 self.by_agent.pop(agent_id)
 
     def record_placement(self, worker: Worker, task: str) -> None:
@@ -218,7 +225,9 @@
         return [
             worker
             for worker in self.by_agent.values()
-            if worker.accepts_tasks() and not worker.is_lost(now_ms)
+            if worker.accepts_tasks()
+            and not worker.is_lost(now_ms)
+            and worker.agent_id not in self.departure_by_agent
         ]
 
 
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -256,6 +256,9 @@
         )
         worker.report = report
         worker.reported_at = self._clock.now()
+        if report.attempts:
+            # The worker of an agent that was leaving runs tasks again.
+            self._fleet.departure_by_agent.pop(worker.agent_id, None)
         acknowledged_shards = self.shards.shards_acknowledged_in(report)
         if self.shards.by_shard and self._may_act():
             self._grant(report, worker)
@@ -306,13 +309,14 @@
 
     @handle_message.register
     def _handle_agent_left(self, message: AgentLeft, worker: Worker) -> None:
+        if worker.agent_id not in self._fleet.departure_by_agent:
+            log_event(
+                Event.AGENT_LEFT,
+                agent=worker.agent_id,
+                boot=message.boot,
+                ends=len(message.ends),
+            )
         departed = self._fleet.record_departure(worker, message)
-        log_event(
-            Event.AGENT_LEFT,
-            agent=worker.agent_id,
-            boot=message.boot,
-            ends=len(message.ends),
-        )
         for owned in self.shards.by_shard.values():
             if owned.is_loaded:
                 self._reconciler.handle_departed_agent(departed, owned)
@@ -387,10 +391,11 @@
     def _grant(self, report: WorkerReport, worker: Worker) -> None:
         """Send a grant.
 
-        It is empty if the agent's worker is silent or its row may set an
-        expiry.
+        It is empty if the agent leaves, its worker is silent or its row may set
+        an expiry.
         """
-        if worker.has_silent_worker:
+        has_left = worker.agent_id in self._fleet.departure_by_agent
+        if has_left or worker.has_silent_worker:
             grant = Grant(report.sequence, [], 0)
         elif self.shards.may_grant(worker.agent_id):
             grant = Grant(report.sequence, self.shards.epochs(), GRANT_TTL_MS)
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -13,6 +13,7 @@
     EntryAddresses,
     JobsMessage,
 )
+from hyssopring.jobs.roster_lookup import RosterLookup
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics
@@ -43,12 +44,14 @@
         self._clock: Clock = MonotonicClock()
         self._metrics = Metrics()
         self._metrics.collect(self._update_gauges)
+        store = PlatformStore(reactor, settings.platform.address, self._metrics)
         self.core = JobAgentCore(
             reactor,
             self._clock,
             PlatformWorker(reactor, settings.app),
             self._send,
             wall_ms,
+            RosterLookup(self._clock, store, settings.node_name),
             settings.zone,
         )
         self._dialler = LinkDialler(
@@ -61,7 +64,7 @@
         )
         self._discovery = EntryDiscovery(
             self._clock,
-            PlatformStore(reactor, settings.platform.address, self._metrics),
+            store,
             self._dialler,
             random.Random(uuid.uuid4().int),
         )
@@ -95,8 +98,8 @@
     def stop(self) -> None:
         """Stop promptly; the worker runs its tasks on until the next agent.
 
-        If the worker does not respond, wait first until its hold has expired,
-        as far as the grace period allows.
+        If the worker leaves or does not respond, wait first until nothing runs
+        there and no roster lists the agent, as far as the grace period allows.
         """
         if self._is_stopping:
             return
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -8,6 +8,7 @@
 from hyssopring.jobs.entry_membership import EntryMembership
 from hyssopring.jobs.messages import PROTOCOL_RELEASE
 from hyssopring.jobs.relay import RelayedStore
+from hyssopring.jobs.roster_lookup import RosterLookup
 from hyssopring.jobs.times import ENTRY_HEARTBEAT_MS
 from hyssopring.platform.configuration import ConfigurationFollower
 from hyssopring.platform.evacuations import EvacuationReader
@@ -216,6 +217,9 @@
             WorkerLink(self.port, self.reactor),
             self.send,
             deployment.wall_ms,
+            RosterLookup(
+                self.clock, deployment.rows.client(name, self.reactor), name
+            ),
             deployment.zone_by_agent.get(name, ZONE),
         )
         monitor = self.core.monitor
--- a/tests/test_jobs_owner_waits.py
+++ b/tests/test_jobs_owner_waits.py
@@ -63,6 +63,7 @@
     deployment.block('agent-0', former.name)
     deployment.stop_agent('agent-0')
     deployment.run(0.1)
+    deployment.kill_agent('agent-0')
     deployment.kill_entry(former.name)
     run_until_taken(deployment, [successor])
     deployment.run(0.2)
