Tests: a departure during an outage of the store

The row could not be removed while the store failed, and the owner that had heard of the departure was lost.

--- a/tests/test_jobs_departures.py
+++ b/tests/test_jobs_departures.py
@@ -5,6 +5,7 @@
 
 from hyssopring.jobs.model import AttemptEnd
 from standins.jobs.deployment import Deployment, a_job, settled
+from standins.jobs.lasting_rule import AWAY_S, LastingRule
 from standins.jobs.rolling_release import (
     EntryStops,
     RollingRelease,
@@ -103,6 +104,30 @@
     assert AGENT in owned.roster
 
 
+def test_a_departure_during_a_store_outage_delays_no_keeper():
+    """Guards against departures that are lost with the owner that heard them."""
+    deployment = deploy_workers()
+    job = a_job(steps=((6, ()),), is_keeper=True)
+    deployment.submit(job)
+    rule = LastingRule(deployment, [job])
+    rule.run(3)
+    deployment.rows.is_down = True
+    worker = deployment.workers[0]
+    assert worker.runs
+    leave(deployment)
+    for run in list(worker.runs.values()):
+        worker.end(run, AttemptEnd.STOPPED)
+    rule.run(1)
+    for name in deployment.entries:
+        deployment.kill_entry(name)
+        deployment.reactor.callLater(1, deployment.start_entry, name)
+    rule.run(1.5)
+    deployment.rows.is_down = False
+    rule.disturb()
+    rule.run(15)
+    assert rule.longest_s < AWAY_S
+
+
 def test_the_next_process_of_a_departed_agent_is_waited_for():
     """Guards against two runs of a task, by a departure that is out of date."""
     deployment, former, (successor,) = deploy_three_workers()
