--- a/tests/test_jobs_lost_notices.py
+++ b/tests/test_jobs_lost_notices.py
@@ -2,10 +2,13 @@
 
 from standins.jobs.deployment import Deployment, a_job, settled
 from standins.jobs.lasting_rule import LastingRule
+from standins.jobs.rolling_release import EntryStops, RollingRelease
 
 FOREVER_MS = 1e9
 TASKS = 3
 WATCHED_S = 25
+# Longer than an agent's shutdown may take.
+AWAY_S = 7
 # From an owner's SIGTERM until its process ends, and until the next one runs.
 STOPPING_S = 4.5
 RESTART_S = 2
@@ -47,3 +50,10 @@
     rule.disturb()
     rule.run(WATCHED_S)
     assert not rule.lost, rule.longest_s
+
+
+def test_agents_that_leave_while_no_entry_runs_delay_no_keeper():
+    """Guards against waits for agents that ended before an owner was there."""
+    release = RollingRelease(EntryStops(2.5, 0.2, AWAY_S))
+    release.rule.run(WATCHED_S)
+    assert not release.rule.lost, release.rule.longest_s
