Tests: a deregistration during a poll (fails, listed)

Callers would see a task that lasts run nowhere for 9.4 s after its worker left as announced, and its agent was stopped at about the same time.

Cause: WorkerMonitor.has_deregistered requires that no poll was answered since the deregistration. One that is in flight, or the polls of the worker's last milliseconds, annul it for good; the agent then waits for the hold, 6.1 s, and its process ends before, after 5.2 s. The owner waits for the grant.

--- a/tests/test_jobs_lost_notices.py
+++ b/tests/test_jobs_lost_notices.py
@@ -57,3 +57,19 @@
     release = RollingRelease(EntryStops(2.5, 0.2, AWAY_S))
     release.rule.run(WATCHED_S)
     assert not release.rule.lost, release.rule.longest_s
+
+
+def test_a_worker_that_deregisters_during_a_poll_delays_no_keeper():
+    """Guards against deregistrations that a late answer to a poll annuls."""
+    _deployment, rule, agent = deploy_keepers()
+    worker = agent.worker
+    worker.is_leaving = True
+    agent.beat()
+    agent.core.monitor.deregister(worker.boot)
+    rule.run(0.05)
+    worker.crash()
+    worker.is_down = True
+    rule.run(0.1)
+    agent.deployment.stop_agent(agent.name)
+    rule.run(WATCHED_S)
+    assert not rule.lost, rule.longest_s
