Membership: repeat a release until the store has confirmed it

Cause: the released owner row was written once. Where the store refused that one call, the stopping process counted as the live owner until it had ended, and no entry took the shard for 7 s. Class: told once, and not kept.

The write is now repeated every 0.2 s until it succeeds or conflicts. It checks the version of the owner row, so that a repeated or a late one never takes a shard from the next owner.

--- a/hyssopring/jobs/entry_membership.py
+++ b/hyssopring/jobs/entry_membership.py
@@ -11,7 +11,7 @@
 
 from twisted.python.failure import Failure as TwistedFailure
 
-from hyssopring.clock import Clock
+from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.documents import (
     EntryRow,
     FormerOwnerProcess,
@@ -59,6 +59,8 @@
 # Releases are limited, as a handover stops planning for up to a second.
 _RELEASE_CORES_RATIO: Final = 1.5
 _RELEASE_INTERVAL_MS: Final = 30_000.0
+# The pause before a release that the store has not confirmed is sent again.
+_RELEASE_RETRY_S: Final = 200 / MILLIS_PER_SECOND
 
 
 class EntryMembership:
@@ -154,8 +156,12 @@
         """Stop taking shards."""
         self._is_stopping = True
 
-    def release(self, shard: int, version: int, epoch: int) -> Any:
-        """Release a shard, so that another entry can take it at once."""
+    def release(self, shard: int, version: int, epoch: int) -> None:
+        """Release a shard, so that another entry can take it at once.
+
+        Until the store has confirmed it, a stopping process counts as the live
+        owner. A repeated release conflicts with the next owner's row.
+        """
         row_key = owner_key(shard)
         released = OwnerRow('', '', epoch)
         deferred = self._store.commit(
@@ -164,8 +170,7 @@
                 (RowPut(row_key, released.to_text()),),
             ),
         )
-        deferred.addErrback(self._ignore_store_failure)
-        return deferred
+        deferred.addErrback(self._retry_release, shard, version, epoch)
 
     def renew(self) -> None:
         """Write this entry's row with the shards that it owns."""
@@ -224,6 +229,14 @@
         self._is_renewing = False
         self._ignore_store_failure(failure)
 
+    def _retry_release(
+        self, failure: TwistedFailure, shard: int, version: int, epoch: int
+    ) -> None:
+        self._ignore_store_failure(failure)
+        self._reactor.callLater(
+            _RELEASE_RETRY_S, self.release, shard, version, epoch
+        )
+
     def _ignore_store_failure(self, failure: TwistedFailure) -> None:
         """Ignore a failed call; the store's client logs outages."""
         failure.trap(StoreRefused, StoreUncertain, MalformedRowError)
