Agent: a deregistration holds although polls are answered during the shutdown

Cause: a worker counted as deregistered only if it had answered nothing since the deregistration. An answer to the poll in flight annulled it for good; the agent then waited for the end of the hold, 6.1 s, which is longer than its grace period, and ended without a notice. The owner waited for the grant to expire.

Answers within the 0.5 s in which a poll in flight is answered or fails no longer annul it. Later ones do, as before: the worker runs on.

--- a/hyssopring/jobs/worker_monitor.py
+++ b/hyssopring/jobs/worker_monitor.py
@@ -151,12 +151,15 @@
 
     @property
     def has_deregistered(self) -> bool:
-        """Whether the worker deregistered and has not answered since."""
+        """Whether the worker deregistered, and answers no more.
+
+        It may still answer while it shuts down.
+        """
         deregistered_at = self.announced.deregistered_at
         if deregistered_at is None:
             return False
-        since_ms = self._clock.now() - deregistered_at
-        return _DEREGISTRATION_MS < since_ms <= self.silent_ms
+        silent_since = deregistered_at + _DEREGISTRATION_MS
+        return self._answered_at <= silent_since < self._clock.now()
 
     @property
     def silent_ms(self) -> int:
