Agent: withdraw from the roster of a shard that is released

Cause: an agent that leaves waits within its grace period, 5.2 s, until an owner removes its row. Where no entry owned the shard for longer, the next owner found the row, which names the tasks, and waited 8.4 s for a grant to expire.

The agent now removes its own row while the shard is released and the row of former owners that may still act names none. A released owner has dropped the shard and starts nothing; the removal checks the version of the owner row, so it conflicts once another entry has taken the shard, whose roster then still lists the agent. A next process of the agent is listed by the next owner before it gets a task. The process stays, within its grace period, while it has ends that are not durable.

After a killed owner nothing is released, and the row stays as before.

In test_jobs_departures one agent ignored all messages so that its tasks end by themselves; it now ignores stop orders only, as the process ends once its ends are recorded. What is asserted is the same.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -34,7 +34,7 @@
 from hyssopring.jobs.own_zone import OwnZone
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.received_starts import ReceivedStarts
-from hyssopring.jobs.roster_lookup import RosterLookup
+from hyssopring.jobs.roster_withdrawal import RosterWithdrawal
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.worker_monitor import WorkerMonitor
 from hyssopring.jobs.worker_port import Listing, WorkerPort
@@ -67,7 +67,7 @@
         port: WorkerPort,
         send: Send,
         wall_ms: Callable[[], float],
-        rosters: RosterLookup,
+        rosters: RosterWithdrawal,
         zone: str = '',
     ) -> None:
         """Start polling when the worker announces itself.
@@ -76,7 +76,7 @@
             port: Calls to the worker.
             send: Sends a message to the entry of the given ID.
             wall_ms: Returns the milliseconds since 1970.
-            rosters: Reads whether the shards' rosters list this agent.
+            rosters: Withdraws this agent from the shards' rosters.
             zone: Availability zone of the worker.
         """
         self._reactor = reactor
--- a/hyssopring/jobs/agent_shutdown.py
+++ b/hyssopring/jobs/agent_shutdown.py
@@ -4,7 +4,7 @@
 
 from hyssopring.jobs.attempts import AttemptTable
 from hyssopring.jobs.messages import AgentLeft, EndReport, JobsMessage
-from hyssopring.jobs.roster_lookup import RosterLookup
+from hyssopring.jobs.roster_withdrawal import RosterWithdrawal
 from hyssopring.jobs.worker_monitor import WorkerMonitor
 
 __all__ = ('AgentShutdown',)
@@ -27,14 +27,14 @@
         table: AttemptTable,
         ends: Callable[[], Iterable[EndReport]],
         send: Callable[[str, JobsMessage], None],
-        rosters: RosterLookup,
+        rosters: RosterWithdrawal,
     ) -> None:
         """Begin in normal operation.
 
         Args:
             ends: Returns the ends that are not durable yet.
             send: Sends a message to the entry of the given ID.
-            rosters: Reads whether the shards' rosters list this agent.
+            rosters: Withdraws this agent from the shards' rosters.
         """
         self._monitor = monitor
         self._table = table
@@ -50,10 +50,11 @@
 
         Only this agent knows when the hold of a silent worker expires, and when
         the last task of a leaving one has ended. If it exited before, owners
-        would have to wait for its longer grant to expire.
+        would have to wait for its longer grant to expire. Ends that are not
+        durable would be lost with it, and their tasks repeated.
         """
         if self._has_left:
-            return self._rosters.is_unlisted
+            return self._rosters.is_unlisted and not any(self._ends())
         monitor = self._monitor
         return monitor.is_answering and not monitor.announced.is_leaving
 
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -13,7 +13,7 @@
     EntryAddresses,
     JobsMessage,
 )
-from hyssopring.jobs.roster_lookup import RosterLookup
+from hyssopring.jobs.roster_withdrawal import RosterWithdrawal
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics
@@ -51,7 +51,7 @@
             PlatformWorker(reactor, settings.app),
             self._send,
             wall_ms,
-            RosterLookup(self._clock, store, settings.node_name),
+            RosterWithdrawal(self._clock, store, settings.node_name),
             settings.zone,
         )
         self._dialler = LinkDialler(
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -8,7 +8,7 @@
 from hyssopring.jobs.entry_membership import EntryMembership
 from hyssopring.jobs.messages import PROTOCOL_RELEASE
 from hyssopring.jobs.relay import RelayedStore
-from hyssopring.jobs.roster_lookup import RosterLookup
+from hyssopring.jobs.roster_withdrawal import RosterWithdrawal
 from hyssopring.jobs.times import ENTRY_HEARTBEAT_MS
 from hyssopring.platform.configuration import ConfigurationFollower
 from hyssopring.platform.evacuations import EvacuationReader
@@ -217,7 +217,7 @@
             WorkerLink(self.port, self.reactor),
             self.send,
             deployment.wall_ms,
-            RosterLookup(
+            RosterWithdrawal(
                 self.clock, deployment.rows.client(name, self.reactor), name
             ),
             deployment.zone_by_agent.get(name, ZONE),
--- a/tests/test_jobs_departures.py
+++ b/tests/test_jobs_departures.py
@@ -3,6 +3,7 @@
 import pytest
 from owner_support import deploy_three_workers, run_until_taken, start_job
 
+from hyssopring.jobs.messages import StopOrder
 from hyssopring.jobs.model import AttemptEnd
 from standins.jobs.deployment import Deployment, a_job, settled
 from standins.jobs.lasting_rule import AWAY_S, LastingRule
@@ -56,6 +57,17 @@
     deployment.stop_agent(AGENT)
 
 
+def ignore_stops(agent):
+    """Let an agent's tasks end on their own."""
+    handle = agent.core.handle_message
+
+    def handle_others(message, sender):
+        if not isinstance(message, StopOrder):
+            handle(message, sender)
+
+    agent.core.handle_message = handle_others
+
+
 def shard_of_owner(deployment):
     owner = deployment.entries[deployment.owner]
     return owner.core.owner.shards.by_shard[0]
@@ -156,7 +168,7 @@
     deployment.submit(job)
     deployment.run(2)
     worker = deployment.workers[0]
-    deployment.agents[AGENT].core.handle_message = lambda message, sender: None
+    ignore_stops(deployment.agents[AGENT])
     leave(deployment)
     deployment.run(1)
     assert worker.runs
