--- a/soak/platform/rollouts.py
+++ b/soak/platform/rollouts.py
@@ -20,7 +20,7 @@
 STOPPED_S = 1.5
 TERM_S = 4.5
 # Interval between the restarts of entries.
-ENTRIES_APART_S = (0.5, 1, 1.5, 2)
+ENTRIES_APART_S = (0.1, 0.5, 1, 2)
 # From the SIGTERM of an entry, which serves on for 3 s, until its next start.
 ENTRY_BACK_S = (4.5, 8)
 # Latest beginning of either part.
