--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -27,6 +27,7 @@
     61001: (45, _LOST_VM),
     61015: (45, _LOST_VM),
     64004: (32, 'an agent that left while the store failed holds up its tasks'),
+    29: (1, 'agents that left while no entry was up hold up their tasks'),
 }
 # Enough for the slowest startup, recovery, rollout and shutdown: 20 s, 70 s,
 # 110 s and 10 s.
