Membership: release a shard whose takeover a stop has interrupted

Cause: an entry that is stopped while its takeover is in flight dropped the answer. The owner row then named a process that planned nothing and counted as the live owner until it had ended.

The entry now releases a shard that it wins after its stop, and begins no takeover after it. The release checks the version of its own owner row, as any other.

test_an_entry_stopped_during_its_takeover_releases_the_shard failed before; it passes with the change.

--- a/hyssopring/jobs/entry_membership.py
+++ b/hyssopring/jobs/entry_membership.py
@@ -346,7 +346,9 @@
             self._former_ended_at.setdefault(
                 takeover.version, self._clock.now()
             )
-        if not self._is_first_in_line(shard, takeover.former):
+        if self._is_stopping or not self._is_first_in_line(
+            shard, takeover.former
+        ):
             return None
         unconfirmed = takeover.unconfirmed_owners(self.is_dead)
         owner = OwnerRow(self._entry_id, self._incarnation, takeover.epoch)
@@ -366,7 +368,11 @@
         return deferred.addCallback(self._on_takeover, acquired)
 
     def _on_takeover(self, outcome: object, acquired: AcquiredShard) -> None:
-        if not isinstance(outcome, Committed) or self._is_stopping:
+        if not isinstance(outcome, Committed):
+            return
+        if self._is_stopping:
+            # The stop came while the transaction was in flight.
+            self.release(acquired.shard, outcome.version, acquired.epoch)
             return
         self._free_since.pop(acquired.shard, None)
         self.on_acquired(
