Jobs: the log tells what keeps a queue's tasks from starting

No log line told whether its tasks waited for memory, processors, tickets or the headroom of latency-critical tasks, or ran and were throttled.

QUEUE_WAITS (3062), at most once in 5 s for each of 20 queues, gives the waiting and running tasks of a queue that found no worker, counts the workers by the first obstacle for its most urgent task, and counts throttled best-effort tasks and idle cores. It is computed after a planning round, for one step a queue, and changes no decision.

--- a/hyssopring/jobs/placement_option.py
+++ b/hyssopring/jobs/placement_option.py
@@ -112,12 +112,12 @@
             is_starved: Whether the task may start even if it interferes with
                 others.
         """
-        if not self._has_free_resources(step):
+        if not self.has_free_resources(step):
             return False
         if not step.fills or is_starved:
             return True
         # The conditions that take least time come first.
-        if not self._has_idle_cpu(step):
+        if not self.has_idle_cpu(step):
             return False
         if not self.latency_critical_count:
             return True
@@ -127,7 +127,7 @@
             return False
         return self._leaves_headroom(step)
 
-    def _has_free_resources(self, step: Step) -> bool:
+    def has_free_resources(self, step: Step) -> bool:
         """Return whether what a task of the step reserves is free."""
         free, size = self.free, step.size
         reserved_cpu = 0 if step.fills else size.cpu_millis
@@ -191,7 +191,7 @@
                 return False
         return True
 
-    def _has_idle_cpu(self, step: Step) -> bool:
+    def has_idle_cpu(self, step: Step) -> bool:
         """Return whether enough CPU is idle for a best-effort task."""
         if not self.best_effort_cpu and not self.latency_critical_count:
             return True
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from dataclasses import replace
-from typing import Container, Iterable, Mapping, NamedTuple
+from typing import Container, Final, Iterable, Iterator, Mapping, NamedTuple
 
 from hyssopring.jobs.fleet import Worker
 from hyssopring.jobs.interference import (
@@ -10,12 +10,18 @@
     InterferenceModel,
 )
 from hyssopring.jobs.model import Size, Step, TaskName
+from hyssopring.jobs.placement_obstacles import (
+    PlacementObstacle,
+    count_obstacles,
+)
 from hyssopring.jobs.placement_option import PlacementOption
 from hyssopring.jobs.step_impact import RoundEstimates
 from hyssopring.jobs.worker_use import WorkerUses
 
 __all__ = ('PlacementRound',)
 
+_MILLIS_PER_CORE: Final = 1000
+
 
 class _Requirements(NamedTuple):
     """What tasks require of a worker, except for their size.
@@ -213,6 +219,32 @@
             option.has_capacity(step, is_starved=False) for option in possible
         )
 
+    def obstacles(
+        self,
+        service: str,
+        step: Step,
+        task_name: TaskName,
+        allowed_boots: Container[str] | None = None,
+    ) -> Counter[PlacementObstacle]:
+        """Count the workers by what keeps a task of a step off them."""
+        options = self._options(service, allowed_boots)
+        return count_obstacles(options, step, task_name)
+
+    def count_throttled(self) -> int:
+        """Count the best-effort tasks that run far below their full pace."""
+        return sum(
+            placed.slow_since is not None
+            for option in self._all_options()
+            for placed in option.worker.best_effort_tasks()
+        )
+
+    def idle_cores(self) -> int:
+        """Return the cores that best-effort tasks could still ask for."""
+        idle_millis = sum(
+            max(0, option.idle_cpu) for option in self._all_options()
+        )
+        return int(idle_millis) // _MILLIS_PER_CORE
+
     def exclude(self, worker: Worker) -> None:
         """Place no further tasks on a worker in this round."""
         options = self._options_by_service[worker.service]
@@ -220,6 +252,10 @@
             option for option in options if option.worker is not worker
         ]
 
+    def _all_options(self) -> Iterator[PlacementOption]:
+        for options in self._options_by_service.values():
+            yield from options
+
     def _options(
         self,
         service: str,
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -20,6 +20,7 @@
 )
 from hyssopring.jobs.placement_round import PlacementRound
 from hyssopring.jobs.shards import shard_of
+from hyssopring.jobs.queue_waits import QueueWaitLog
 from hyssopring.jobs.task_requirements import facts_of
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.jobs.worker_use import WorkerUses
@@ -89,6 +90,7 @@
         self.interference = InterferenceModel()
         self.fair_shares: FairShares | None = None
         self._uses = WorkerUses()
+        self._queue_waits = QueueWaitLog(clock)
         self.job_times: JobTimeSource = CallerEstimates()
         self.unplaced: list[tuple[JobRecord, StepRun]] = []
         self.slow_speed_by_boot: Mapping[str, float] = {}
@@ -146,6 +148,7 @@
             if not self._place(placement, pending) and not is_scarce:
                 is_scarce = self._is_short_of_room(placement, pending)
         self.has_unplaced_tasks = placement.has_rejected
+        self._queue_waits.record_round(placement, pending_steps, live_jobs)
         self._record_scarcity(is_scarce=is_scarce)
 
     def _is_short_of_room(
