--- a/bench/colocation_load.py
+++ b/bench/colocation_load.py
@@ -138,7 +138,36 @@
     burst_factor=1.45,
 )
 
+# Many small workers that keepers reserve almost entirely. Each one runs a few
+# of the many pairs of images, and wide jobs ask for more than is left.
+MANY_WORKERS = Load(
+    workers=14,
+    cores=(16, 16, 24),
+    memory_mb=64_000,
+    keepers=KeeperKind(
+        (8, 20),
+        (3200, 800, 1500, 5000),
+        6400,
+        reserved_share=0.9,
+        target_factor=6,
+        images=10,
+        load=(0.42, 0.54),
+        load_swing=(0.4, 0.6),
+        load_period_s=(16, 24),
+    ),
+    large=JobKind(
+        LARGE_QUEUE, (2, 0.8, 5), 20, 80, Size(1800, 3200, 0), 3.1, 1.5, 0.36
+    ),
+    small=JobKind(
+        SMALL_QUEUE, (1.6, 0.7, 4), 10, 57, Size(400, 800, 0), 1.1, 1.9, 1.4
+    ),
+    filler_images=18,
+    mean_interference=0.025,
+    burst_factor=1.5,
+)
+
 LOADS_BY_NAME = {
     'small workers': SMALL_WORKERS,
     'large workers': LARGE_WORKERS,
+    'many workers': MANY_WORKERS,
 }
