Membership: former owners have ended only when the earlier ones have, too

A departure of an agent could be believed although an earlier owner, which was still able to act, might have started tasks on the agent's next process (TWICE). Found by the review of the fix for departures; no task was seen to run twice.

Cause: the time from which departures are believed was set as soon as the last owner was known to have ended, regardless of owners before it that might still act.

It is now set once none of them may act.

test_a_former_owner_has_not_ended_before_earlier_ones_have failed before with 2.3 s where the earlier owner ended at 2.7 s, and passes now.

--- a/hyssopring/jobs/entry_membership.py
+++ b/hyssopring/jobs/entry_membership.py
@@ -107,8 +107,9 @@
         # By owner row version: when it was first read while nothing is known
         # of its entry.
         self._unknown_owner_since: dict[int, float] = {}
-        # By owner row version: when its owner was first known to have ended.
-        # An agent that leaves after that received no later orders of it.
+        # By owner row version: when its owner and all earlier ones were first
+        # known to have ended. An agent that leaves after that received no later
+        # orders of them.
         self._former_ended_at: dict[int, float] = {}
         self._is_stopping = False
         self.owned: Callable[[], tuple[int, ...]] = tuple
@@ -341,8 +342,8 @@
 
     def _on_shard_rows(self, page: Page, shard: int, row: Row | None) -> Any:
         takeover = Takeover.from_page(shard, row, page)
-        unconfirmed_owner = takeover.unconfirmed_owner(self.is_dead)
-        if unconfirmed_owner is None:
+        unconfirmed = takeover.unconfirmed_owners(self.is_dead)
+        if not unconfirmed:
             self._former_ended_at.setdefault(
                 takeover.version, self._clock.now()
             )
@@ -350,7 +351,6 @@
             shard, takeover.former
         ):
             return None
-        unconfirmed = takeover.unconfirmed_owners(self.is_dead)
         owner = OwnerRow(self._entry_id, self._incarnation, takeover.epoch)
         sent_at = self._clock.now()
         deferred = self._store.commit(takeover.transaction(owner, unconfirmed))
@@ -361,7 +361,7 @@
             acquired_at=sent_at,
             unconfirmed=unconfirmed,
             confirmed_at=sent_at,
-            former=unconfirmed_owner,
+            former=takeover.unconfirmed_owner(self.is_dead),
             former_ended_at=self._former_ended_at.get(takeover.version),
             roster=takeover.next_roster,
         )
