Owner: entries without a shard plan nothing

Cause: every agent reports to every entry twice a second, and each report scheduled a planning round, also in an entry that owns no shard. Such a round visits all workers (InterferenceModel.observe_workers) and plans nothing, so that the cost of the 34 idle entries grew with the square of the number of agents. Their periodic checks for tasks to move listed all workers as well.

Change: an entry without a shard schedules no round, except one that discards what it observed as an owner, and neither lists workers for moves nor for rosters. Owners decide as before: nothing changes where a shard is owned.

--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -327,12 +327,8 @@
         now_ms = self._clock.now()
         for record in self.shards.live_jobs():
             record.open_due_occurrences(self._wall_ms())
-        self._moves.evacuate()
-        if self._may_act():
-            candidates = self.shards.startable_on(
-                self._fleet.schedulable_workers()
-            )
-            self._moves.move_throttled_tasks(candidates)
+        if self.shards.by_shard:
+            self._moves.check(may_act=self._may_act())
         if self._rebalancer is not None:
             self._rebalancer.tick(self._may_act())
         if self._stall_detector.record_tick():
@@ -374,9 +370,12 @@
 
     def _add_to_roster(self) -> None:
         """Add agents to the rosters before tasks are sent to them."""
-        agents = self._fleet.agents_with_worker()
-        for owned in self.shards.by_shard.values():
-            if owned.is_loaded:
+        loaded = [
+            owned for owned in self.shards.by_shard.values() if owned.is_loaded
+        ]
+        if loaded:
+            agents = self._fleet.agents_with_worker()
+            for owned in loaded:
                 owned.roster.add(agents)
 
     def schedule_planning(self) -> None:
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -97,11 +97,17 @@
         self.move_targets = MoveTargets()
         self.has_unplaced_tasks = False
         self._is_round_scheduled = False
+        self._has_observed = False
         self._next_plan_at_ms = clock.now()
 
     def schedule_planning(self) -> None:
-        """Schedule one planning round, as soon as the backoff allows."""
-        if not self._is_round_scheduled:
+        """Schedule one planning round, as soon as the backoff allows.
+
+        Each round visits all workers, so an entry that owns no shard plans
+        only once more, to discard what it has observed.
+        """
+        is_needed = self._has_observed or self._shards.by_shard
+        if is_needed and not self._is_round_scheduled:
             self._is_round_scheduled = True
             wait_ms = max(0, self._next_plan_at_ms - self._clock.now())
             self._reactor.callLater(
@@ -122,6 +128,7 @@
         )
 
     def _plan(self) -> None:
+        self._has_observed = bool(self._shards.by_shard)
         self.interference.observe_workers(
             self._fleet.by_agent.values(), self._clock.now()
         )
--- a/hyssopring/jobs/task_mover.py
+++ b/hyssopring/jobs/task_mover.py
@@ -51,6 +51,18 @@
         self._ticket_manager = ticket_manager
         self._interference = interference
 
+    def check(self, may_act: bool) -> None:
+        """Stop the tasks that have to run, or run better, elsewhere.
+
+        Args:
+            may_act: Whether the owner may start and stop tasks now.
+        """
+        self.evacuate()
+        if may_act:
+            self.move_throttled_tasks(
+                self._shards.startable_on(self._fleet.schedulable_workers())
+            )
+
     def evacuate(self) -> None:
         """Stop the tasks of leaving workers before the workers end.
 
