Agent: remember the reports to each entry apart

Cause: a grant counts from the time at which its report was sent, and an agent remembered the last 64 reports to all entries together. With 35 entries it sends 70 a second, so that the grant of an owner that answered after more than 0.9 s extended no lease; after 8 s of that the agent stops the owner's tasks. The time shrinks with each entry more.

Evidence: on the former code a grant for a report is dropped once 400 reports to other entries have been sent (expiry 0 instead of 5100), not after 2 or 40.

Change: 64 reports to each entry, dropped with its connection. A grant for a report to another entry extends nothing, which no entry sends.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -130,6 +130,7 @@
     def disconnected(self, entry_id: str) -> None:
         """Stop reporting to an entry whose connection is closed."""
         self._reported_at_by_entry.pop(entry_id, None)
+        self._leases.forget_reports(entry_id)
 
     def stop(self) -> None:
         """Begin the shutdown: accept no more start orders.
@@ -382,7 +383,7 @@
         now_ms = self._clock.now()
         self._sequence += 1
         self._reported_at_by_entry[entry_id] = now_ms
-        self._leases.note_report_sent(self._sequence, now_ms)
+        self._leases.note_report_sent(entry_id, self._sequence, now_ms)
         shard_epochs = self._leases.epochs_of(entry_id)
         own_shards = {owned.shard for owned in shard_epochs}
         attempts = self.table.by_task.values()
--- a/hyssopring/jobs/agent_leases.py
+++ b/hyssopring/jobs/agent_leases.py
@@ -11,6 +11,7 @@
 
 __all__ = ('AgentLeases',)
 
+# Reports to one entry.
 _MAX_UNACKNOWLEDGED = 64
 
 
@@ -29,7 +30,7 @@
     def __init__(self) -> None:
         """Create a collection without owners."""
         self._lease_by_shard: dict[int, _Lease] = {}
-        self._sent_at_by_sequence: dict[int, float] = {}
+        self._sent_at_by_entry: dict[str, dict[int, float]] = {}
 
     def observe_epoch(self, shard: int, epoch: int, entry_id: str) -> bool:
         """Record an order's epoch; return False if a newer one is known."""
@@ -40,11 +41,18 @@
             return True
         return lease.epoch == epoch and lease.entry_id == entry_id
 
-    def note_report_sent(self, sequence: int, now_ms: float) -> None:
+    def note_report_sent(
+        self, entry_id: str, sequence: int, now_ms: float
+    ) -> None:
         """Record when a report was sent; a grant for it counts from then."""
-        self._sent_at_by_sequence[sequence] = now_ms
-        if len(self._sent_at_by_sequence) > _MAX_UNACKNOWLEDGED:
-            self._sent_at_by_sequence.pop(next(iter(self._sent_at_by_sequence)))
+        sent_at_by_sequence = self._sent_at_by_entry.setdefault(entry_id, {})
+        sent_at_by_sequence[sequence] = now_ms
+        if len(sent_at_by_sequence) > _MAX_UNACKNOWLEDGED:
+            sent_at_by_sequence.pop(next(iter(sent_at_by_sequence)))
+
+    def forget_reports(self, entry_id: str) -> None:
+        """Ignore grants for the reports that were sent to an entry so far."""
+        self._sent_at_by_entry.pop(entry_id, None)
 
     def renew(
         self,
@@ -61,7 +69,7 @@
             epochs: The shards of that entry with their epochs.
             ttl_ms: The time from the report until the leases expire.
         """
-        sent_at = self._sent_at_by_sequence.get(sequence)
+        sent_at = self._sent_at_by_entry.get(entry_id, {}).get(sequence)
         if sent_at is None:
             return
         expires_at = sent_at + min(ttl_ms, GRANT_MS)
