--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -141,7 +141,7 @@
         returns, and so would its keepers.
         """
         self.shutdown.has_begun = True
-        self.shutdown.check(self._reported_at_by_entry)
+        self.shutdown.tick(self._reported_at_by_entry)
 
     def tick(self) -> None:
         """Do periodic work; call a few times a second."""
@@ -154,7 +154,7 @@
             now_ms
         ):
             self._stop_ungranted(now_ms)
-        self.shutdown.check(self._reported_at_by_entry)
+        self.shutdown.tick(self._reported_at_by_entry)
 
     @singledispatchmethod
     def handle_message(self, message: JobsMessage, entry_id: str) -> None:
--- a/hyssopring/jobs/agent_shutdown.py
+++ b/hyssopring/jobs/agent_shutdown.py
@@ -68,8 +68,8 @@
         is_idle = is_worker_leaving_or_lost and not self._table.by_task
         return self.has_begun and (is_idle or monitor.has_deregistered)
 
-    def check(self, entries: Iterable[str]) -> None:
-        """Announce a departure that begins; call a few times a second.
+    def tick(self, entries: Iterable[str]) -> None:
+        """Announce a departure and withdraw from the rosters; call regularly.
 
         Args:
             entries: The connected entries.
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -90,6 +90,10 @@
             self.departure_by_agent.pop(next(iter(self.departure_by_agent)))
         return departed
 
+    def has_departed(self, agent_id: str) -> bool:
+        """Return whether an agent has announced its shutdown."""
+        return agent_id in self.departure_by_agent
+
     def unreachable_since(self, agent_id: str) -> float | None:
         """Return since when an agent or its worker has been unreachable.
 
@@ -110,7 +114,7 @@
 
     def is_lost(self, agent_id: str) -> bool:
         """Return whether an agent is disconnected and can run no task."""
-        if agent_id in self.departure_by_agent:
+        if self.has_departed(agent_id):
             return True
         worker = self.by_agent.get(agent_id)
         if worker is None:
@@ -138,7 +142,7 @@
             for worker in self.by_agent.values()
             if worker.is_connected
             and not worker.is_without_worker
-            and worker.agent_id not in self.departure_by_agent
+            and not self.has_departed(worker.agent_id)
         ]
 
     def connected_agents(self) -> list[str]:
@@ -227,7 +231,7 @@
             for worker in self.by_agent.values()
             if worker.accepts_tasks()
             and not worker.is_lost(now_ms)
-            and worker.agent_id not in self.departure_by_agent
+            and not self.has_departed(worker.agent_id)
         ]
 
 
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -309,7 +309,7 @@
 
     @handle_message.register
     def _handle_agent_left(self, message: AgentLeft, worker: Worker) -> None:
-        if worker.agent_id not in self._fleet.departure_by_agent:
+        if not self._fleet.has_departed(worker.agent_id):
             log_event(
                 Event.AGENT_LEFT,
                 agent=worker.agent_id,
@@ -393,7 +393,7 @@
         It is empty if the agent leaves, its worker is silent or its row may set
         an expiry.
         """
-        has_left = worker.agent_id in self._fleet.departure_by_agent
+        has_left = self._fleet.has_departed(worker.agent_id)
         if has_left or worker.has_silent_worker:
             grant = Grant(report.sequence, [], 0)
         elif self.shards.may_grant(worker.agent_id):
