--- a/hyssopring/jobs/roster.py
+++ b/hyssopring/jobs/roster.py
@@ -38,6 +38,9 @@
 class Roster:
     """One row for each agent, written by the shard's owner alone.
 
+    An agent that leaves removes its own row while the shard is released; see
+    ``RosterWithdrawal``.
+
     An agent is listed before it is sent its first task, and removed once
     nothing can run there any more. The next owner waits for each listed agent
     that it cannot reach. Two things keep that wait short:
