Interference: replicas of a step are compared with each other

What callers saw: wide jobs below their floor while cores were idle; their tasks waited for workers that counted as interfering, or were throttled.

Cause: the only evidence of interference was a change of a task's headroom while the use beside it changed. An image whose use does not change shows nothing, and the load of latency-critical tasks changes meanwhile, which counts as the effect of what started.

Now the samples of two replicas of a step at nearly the same time are compared as well. They share the load of their job, so that its swing cancels out, and each sample is evidence. A comparison that tells next to nothing is skipped, and an outlier has a limited influence, as a sample may cover a part of the use only.

The test of constant use fails on the code before: both images stay at the prior, 0.15 with a deviation of 0.316.

--- a/hyssopring/jobs/interference.py
+++ b/hyssopring/jobs/interference.py
@@ -4,12 +4,18 @@
 best-effort tasks, about two slow a given latency-critical image, and the others
 can run beside it at full pace.
 
-Headroom is the ratio of a task's latency target to its tail latency: 1 at the
-target, more below it. It falls linearly with the cores that best-effort tasks
-use beside it, so that a change of headroom is evidence about the images whose
-use has changed. Each latency-critical image has a Kalman filter for constants
-(Kalman 1960; recursive least squares with a prior) with the full covariance:
-images whose use always changes together each stay uncertain.
+Headroom falls linearly with the cores that best-effort tasks use beside a
+latency-critical task. Two samples are compared: their difference is evidence
+about the images whose use differs. One pair are two successive samples of a
+task. Its own load changes between them, together with the loads of other
+tasks, so that it is confounded with the interference of what has started or
+was throttled meanwhile. The other pair are samples of two tasks of one step at
+nearly the same time: replicas share the load of their job, whose changes cancel
+out.
+
+Each latency-critical image has a Kalman filter for constants (Kalman 1960;
+recursive least squares with a prior) with the full covariance: images whose use
+always changes together each stay uncertain.
 """
 
 from collections import Counter
@@ -18,6 +24,11 @@
 
 from hyssopring.jobs.fleet import PlacedAttempt, Worker
 from hyssopring.jobs.kalman_filter import KalmanFilter
+from hyssopring.jobs.latency_samples import (
+    MAX_HEADROOM,
+    LatencyObservation,
+    LatencySample,
+)
 from hyssopring.learning.learned_pairs import LearnedPairs
 from hyssopring.learning.pairs import Pair, PairKey
 
@@ -34,17 +45,21 @@
 # variance. Of 36 pairs, ten took 0.2 to 0.5, two 0.16 and the others
 # less than 0.1.
 PRIOR: Final = Pair(0.15, 0.1)
-# Higher headrooms count as equal: the task is nearly idle.
-MAX_HEADROOM: Final = 6.0
 # Below this headroom, the tail latency no longer depends on neighboring tasks.
 _MIN_HEADROOM: Final = 0.4
-# Samples are compared if the use of an image, in cores, has changed by more
-# than this, and if they are at most this far apart.
-_MIN_USE_CHANGE: Final = 0.1
+# Samples of a task, and samples of two replicas, are compared if they are at
+# most this far apart.
 _MAX_SAMPLE_GAP_MS: Final = 1200.0
+_MAX_REPLICA_GAP_MS: Final = 600.0
+# Headroom varies by about 0.36 between two samples of a task with unchanged
+# best-effort use. Two replicas also differ in their speed.
+_NOISE_VARIANCE: Final = 0.13
+_REPLICA_NOISE_VARIANCE: Final = 0.26
+# A comparison whose outcome is already known this well, as a part of the noise
+# variance, is skipped: it would cost time and tell nothing.
+_MIN_INFORMATION: Final = 0.02
 # Best-effort images that are kept per latency-critical image.
 _MAX_IMAGES: Final = 40
-_MILLIS_PER_CORE: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,37 +100,6 @@
     return PRIOR
 
 
-@dataclass(frozen=True, slots=True)
-class LatencySample:
-    """The tail latency and target of a latency-critical task, in ms."""
-
-    task: str
-    image: str
-    tail_ms: int
-    target_ms: int
-
-    @property
-    def headroom(self) -> float:
-        """Return the ratio of target to tail, at most ``MAX_HEADROOM``.
-
-        A tail of 0 means that none has been measured yet.
-        """
-        return min(MAX_HEADROOM, self.target_ms / max(self.tail_ms, 1))
-
-
-@dataclass(frozen=True, slots=True)
-class _Observation:
-    """A sample, and what each best-effort image used beside the task.
-
-    Attributes:
-        millicores_by_image: Thousandths of a core.
-    """
-
-    observed_at_ms: float
-    sample: LatencySample
-    millicores_by_image: Counter[str]
-
-
 class InterferenceModel:
     """Estimate which best-effort images slow which latency-critical ones."""
 
@@ -128,26 +112,32 @@
         """
         self._learned = learned
         self._filter_by_image: dict[str, KalmanFilter] = {}
-        self._observation_by_task: dict[str, _Observation] = {}
+        self._observation_by_task: dict[str, LatencyObservation] = {}
+        self._latest_by_step: dict[str, LatencyObservation] = {}
 
     def observe_workers(self, workers: Iterable[Worker], now_ms: float) -> None:
         """Update the estimates from the reports of all workers."""
-        observation_by_task: dict[str, _Observation] = {}
+        observation_by_task: dict[str, LatencyObservation] = {}
         for worker in workers:
             observation_by_task.update(self._observations_on(worker, now_ms))
         self._observation_by_task = observation_by_task
+        self._latest_by_step = {
+            step: observation
+            for step, observation in self._latest_by_step.items()
+            if now_ms - observation.observed_at_ms <= _MAX_REPLICA_GAP_MS
+        }
         if self._learned is not None:
             self._learned.update_priors(self.known_pairs(), now_ms)
 
     def _observations_on(
         self, worker: Worker, now_ms: float
-    ) -> dict[str, _Observation]:
+    ) -> dict[str, LatencyObservation]:
         """Return the latest observations of the tasks on a worker.
 
         Most workers have not reported since the last round, and their
         best-effort tasks need not be counted.
         """
-        observation_by_task: dict[str, _Observation] = {}
+        observation_by_task: dict[str, LatencyObservation] = {}
         changed: list[PlacedAttempt] = []
         for task, placed in worker.placed_by_task.items():
             if not placed.step.target_ms:
@@ -235,43 +225,51 @@
         sample: LatencySample,
         millicores_by_image: Counter[str],
         now_ms: float,
-    ) -> _Observation:
+    ) -> LatencyObservation:
         """Return the task's latest observation; an equal tail is no new one."""
         previous = self._observation_by_task.get(sample.task)
         if previous is not None and previous.sample.tail_ms == sample.tail_ms:
             return previous
-        observation = _Observation(now_ms, sample, millicores_by_image)
-        if previous is not None and sample.tail_ms and previous.sample.tail_ms:
-            self._compare(previous, observation)
+        observation = LatencyObservation(now_ms, sample, millicores_by_image)
+        if sample.tail_ms:
+            if previous is not None and previous.sample.tail_ms:
+                self._compare(
+                    previous, observation, _MAX_SAMPLE_GAP_MS, _NOISE_VARIANCE
+                )
+            self._compare_with_replica(observation)
         return observation
 
-    def _compare(self, previous: _Observation, current: _Observation) -> None:
+    def _compare_with_replica(self, observation: LatencyObservation) -> None:
+        """Compare a sample with the latest one of the same step."""
+        step = observation.sample.step
+        replica = self._latest_by_step.get(step)
+        self._latest_by_step[step] = observation
+        if replica is not None:
+            self._compare(
+                replica,
+                observation,
+                _MAX_REPLICA_GAP_MS,
+                _REPLICA_NOISE_VARIANCE,
+            )
+
+    def _compare(
+        self,
+        previous: LatencyObservation,
+        current: LatencyObservation,
+        max_gap_ms: float,
+        noise_variance: float,
+    ) -> None:
         headrooms = (previous.sample.headroom, current.sample.headroom)
-        if max(headrooms) < _MIN_HEADROOM:
+        gap_ms = current.observed_at_ms - previous.observed_at_ms
+        if max(headrooms) < _MIN_HEADROOM or gap_ms > max_gap_ms:
             return
-        if (
-            current.observed_at_ms - previous.observed_at_ms
-            > _MAX_SAMPLE_GAP_MS
-        ):
-            return
-        core_change_by_image = {
-            best_effort_image: cores
-            for best_effort_image in current.millicores_by_image.keys()
-            | previous.millicores_by_image.keys()
-            if abs(
-                cores := (
-                    current.millicores_by_image[best_effort_image]
-                    - previous.millicores_by_image[best_effort_image]
-                )
-                / _MILLIS_PER_CORE
-            )
-            > _MIN_USE_CHANGE
-        }
+        core_change_by_image = current.core_changes_since(previous)
         if core_change_by_image:
             self._update(
                 current.sample.image,
                 core_change_by_image,
                 headrooms[0] - headrooms[1],
+                noise_variance,
             )
 
     def _update(
@@ -279,6 +277,7 @@
         image: str,
         core_change_by_image: dict[str, float],
         lost_headroom: float,
+        noise_variance: float,
     ) -> None:
         """Update the filter of a latency-critical image."""
         kalman_filter = self._filter_by_image.get(image)
@@ -288,8 +287,13 @@
         if self._learned is not None:
             self._make_room(image, core_change_by_image)
         images = kalman_filter.mean_by_image.keys() | core_change_by_image
-        if len(images) <= _MAX_IMAGES:
-            kalman_filter.update(core_change_by_image, lost_headroom)
+        if len(images) > _MAX_IMAGES:
+            return
+        known_variance = kalman_filter.variance_of(core_change_by_image)
+        if known_variance >= _MIN_INFORMATION * noise_variance:
+            kalman_filter.update_robustly(
+                core_change_by_image, lost_headroom, noise_variance
+            )
             kalman_filter.move_to_end(core_change_by_image)
 
     def _start_of(self, image: str) -> Callable[[str], Pair]:
--- a/hyssopring/jobs/kalman_filter.py
+++ b/hyssopring/jobs/kalman_filter.py
@@ -8,8 +8,9 @@
 
 __all__ = ('KalmanFilter',)
 
-# Headroom varies by about 0.36 between samples with unchanged best-effort use.
-_NOISE_VARIANCE: Final = 0.13
+# An error counts for at most this many standard deviations: a sample may cover
+# only a part of the use that it is compared with.
+_MAX_DEVIATIONS: Final = 3.0
 # Rounding errors may make a variance negative after many samples.
 _MIN_VARIANCE: Final = 1e-6
 
@@ -55,9 +56,13 @@
         self,
         core_change_by_image: dict[str, float],
         lost_headroom: float,
-        noise_variance: float = _NOISE_VARIANCE,
+        noise_variance: float,
     ) -> None:
-        """Correct the estimates by one change of use and of headroom."""
+        """Correct the estimates by one change of use and of headroom.
+
+        Args:
+            noise_variance: How much the change of headroom varies at random.
+        """
         for image in core_change_by_image:
             self.add_image(image)
         gain_by_image = self._gains(core_change_by_image)
@@ -72,6 +77,29 @@
             )
             self.covariances[first, second] = covariance
 
+    def update_robustly(
+        self,
+        core_change_by_image: dict[str, float],
+        lost_headroom: float,
+        noise_variance: float,
+    ) -> None:
+        """Do the same, but limit the influence of an outlier."""
+        variance = self.variance_of(core_change_by_image) + noise_variance
+        expected = _dot(self.mean_by_image, core_change_by_image)
+        limit = _MAX_DEVIATIONS * variance**0.5
+        error = min(limit, max(-limit, lost_headroom - expected))
+        self.update(core_change_by_image, expected + error, noise_variance)
+
+    def variance_of(self, core_change_by_image: dict[str, float]) -> float:
+        """Return the variance of the headroom that a change of use takes."""
+        for image in core_change_by_image:
+            self.add_image(image)
+        return sum(
+            self.covariances.get((first, second), 0) * cores * other_cores
+            for first, cores in core_change_by_image.items()
+            for second, other_cores in core_change_by_image.items()
+        )
+
     def merge(self, image: str, pair: Pair) -> None:
         """Merge another estimate by precision; the image must be held."""
         self.update({image: 1}, pair.mean, pair.variance)
