Agents: use what the owner has learned of interference

Cause: each agent learned interference from its own worker alone. Their agents knew nothing of the pair of images.

Now a grant carries what the owner knows of the images on the agent's worker and has not sent on the connection before, where learning is on. An agent uses the estimate with the smaller deviation, its own or the received one. A new field at the end of the message: agents and owners of the previous release ignore it or send none.

test_a_task_that_the_owner_knows_as_harmless_is_not_throttled fails on the code before: there is nothing that an owner could tell.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -173,6 +173,7 @@
             grant.reigns,
             grant.ttl_ms,
         )
+        self._pacer.received.add(grant.interference)
 
     @handle_message.register
     def _handle_report_request(
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -6,7 +6,7 @@
 """
 
 from types import MappingProxyType
-from typing import Any, Final, get_args
+from typing import Any, Final, cast, get_args
 
 from hyssopring.admission.messages import QueueOutlookNotice, RejectionNotice
 from hyssopring.jobs.configuration_messages import (
@@ -50,6 +50,7 @@
     'JobStateRequest',
     'JobStateResponse',
     'JobsMessage',
+    'PairEstimate',
     'PendingJobsRequest',
     'PendingJobsResponse',
     'ReportRequest',
@@ -178,6 +179,23 @@
     connection: str = ''
 
 
+@struct
+class PairEstimate:
+    """The headroom that one core of an image takes from another image.
+
+    Attributes:
+        latency_critical: The image that loses headroom.
+        best_effort: The image that uses the core.
+        mean_thousandths: The expected headroom, in thousandths.
+        deviation_thousandths: Its standard deviation.
+    """
+
+    latency_critical: str
+    best_effort: str
+    mean_thousandths: int
+    deviation_thousandths: int
+
+
 @struct
 class Grant:
     """Response to a report: renews the agent's leases of these shards.
@@ -185,11 +203,14 @@
     Attributes:
         ttl_ms: Counts from when the agent sent the report with this
             ``sequence``.
+        interference: What the sender has learned of images on the agent's
+            worker and has not sent on this connection before.
     """
 
     sequence: int
     reigns: list[ShardEpoch]
     ttl_ms: int
+    interference: list[PairEstimate] = cast(list[PairEstimate], ())
 
 
 @struct
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -351,6 +351,7 @@
         for owned in self.shards.by_shard.values():
             owned.tick(self._fleet)
         self._fleet.remove_lost()
+        self.learning.retain_agents(self._fleet.by_agent)
 
     def _is_lost(self, worker: Worker, now_ms: float) -> bool:
         """Whether no attempt on a worker can still run.
@@ -397,7 +398,12 @@
         if has_left or worker.has_silent_worker:
             grant = Grant(report.sequence, [], 0)
         elif self.shards.may_grant(worker.agent_id):
-            grant = Grant(report.sequence, self.shards.epochs(), GRANT_TTL_MS)
+            grant = Grant(
+                report.sequence,
+                self.shards.epochs(),
+                GRANT_TTL_MS,
+                self.learning.unsent_estimates(worker),
+            )
             worker.granted_at = self._clock.now()
         else:
             # An empty grant shows the agent that its owner runs.
--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -26,6 +26,7 @@
     InterferenceModel,
     LatencySample,
 )
+from hyssopring.jobs.shared_estimates import ReceivedEstimates
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Pacer',)
@@ -113,7 +114,11 @@
 
 
 class Pacer:
-    """Set the paces of the best-effort tasks on one worker."""
+    """Set the paces of the best-effort tasks on one worker.
+
+    Attributes:
+        received: What owners have learned of interference.
+    """
 
     def __init__(
         self,
@@ -131,6 +136,7 @@
         self._sampled_at_ms = -_MIN_SAMPLE_INTERVAL_MS
         self._over_target_since_ms: float | None = None
         self._interference = InterferenceModel()
+        self.received = ReceivedEstimates()
         # Tasks whose pace changed so recently that no sample shows it.
         self._changed_tasks: set[str] = set()
 
@@ -183,8 +189,7 @@
     ) -> '_LatencyCriticalTask':
         """Predict a task's headroom once the last changes take effect."""
         estimates = [
-            self._interference.per_core(sample.image, task.image)
-            for task in best_effort
+            self._per_core(sample.image, task.image) for task in best_effort
         ]
         unsampled = sum(
             estimate.mean
@@ -193,6 +198,15 @@
         )
         return _LatencyCriticalTask(sample.headroom - unsampled, estimates)
 
+    def _per_core(
+        self, latency_critical_image: str, best_effort_image: str
+    ) -> InterferenceEstimate:
+        """Return the best estimate of what a core of an image takes."""
+        pair = (latency_critical_image, best_effort_image)
+        return self.received.more_certain(
+            pair, self._interference.per_core(*pair)
+        )
+
     def _over_target_ms(self, samples: list[LatencySample]) -> float:
         """Return for how long a tail latency has been over its target."""
         if all(sample.headroom >= 1 for sample in samples):
@@ -228,9 +242,7 @@
         if new_pace == attempt.pace:
             return False
         worst = min(samples, key=lambda sample: sample.headroom, default=None)
-        estimate = self._interference.per_core(
-            worst.image if worst else '', task.image
-        )
+        estimate = self._per_core(worst.image if worst else '', task.image)
         log_event(
             Event.TASK_PACED,
             task=attempt.task,
--- a/hyssopring/learning/owner_learning.py
+++ b/hyssopring/learning/owner_learning.py
@@ -1,13 +1,15 @@
 """What an owner learns from its tasks, as far as its options ask for it."""
 
-from typing import Callable
+from typing import Callable, Iterable
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.end_observers import EndObservers
 from hyssopring.jobs.interference import PRIOR, InterferenceModel
 from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
+from hyssopring.jobs.messages import PairEstimate
 from hyssopring.jobs.model import Job
 from hyssopring.jobs.scheduling_options import SchedulingOptions
+from hyssopring.jobs.shared_estimates import EstimateSender
 from hyssopring.jobs.workers import PlacedAttempt, Worker
 from hyssopring.learning.job_times import LearnedJobTimes
 from hyssopring.learning.learned_pairs import LearnedPairs
@@ -43,11 +45,13 @@
         self.state: LearnedState | None = None
         self.observers = EndObservers(clock, self.record_done)
         self._recorder: RunRecorder | None = None
+        self._estimate_sender: EstimateSender | None = None
         if options.learning or options.stragglers or options.admission:
             self.run_times = RunTimes()
             self._recorder = RunRecorder(clock, self.run_times)
         if options.learning and self.run_times is not None:
             self.interference = InterferenceModel(LearnedPairs(PRIOR))
+            self._estimate_sender = EstimateSender(self.interference)
             self.job_times = LearnedJobTimes(clock, self.run_times)
             self.state = LearnedState(
                 clock,
@@ -83,6 +87,17 @@
         key = run_time_key(job, step_index)
         return self.run_times.expected_ms(key, estimate_ms)
 
+    def unsent_estimates(self, worker: Worker) -> list[PairEstimate]:
+        """Return what an agent lacks of the interference on its worker."""
+        if self._estimate_sender is None:
+            return []
+        return self._estimate_sender.unsent(worker)
+
+    def retain_agents(self, agents: Iterable[str]) -> None:
+        """Forget what was sent to all other agents."""
+        if self._estimate_sender is not None:
+            self._estimate_sender.retain(agents)
+
     def acquire(self, owned: LearningShard) -> None:
         """Start to read what the shard's former owners learned."""
         if self.state is not None:
