Interference: a well-known pair is corrected when its interference changes

Found by reading: comparisons that tell next to nothing are skipped since replicas are compared, so that a pair stayed at its estimate for good once it was certain. An image whose new version interferes would count as harmless on every worker.

Each skipped comparison now widens the variances by 0.5% of themselves, so that a later one counts again. The filter held constants before as well, and corrected them ever more slowly.

The test fails without it: the estimate stays at 0 after 400 samples of an interference of 0.4.

--- a/hyssopring/jobs/interference.py
+++ b/hyssopring/jobs/interference.py
@@ -56,8 +56,10 @@
 _NOISE_VARIANCE: Final = 0.13
 _REPLICA_NOISE_VARIANCE: Final = 0.26
 # A comparison whose outcome is already known this well, as a part of the noise
-# variance, is skipped: it would cost time and tell nothing.
+# variance, is skipped: it would cost time and tell nothing. Each one widens the
+# variances by a part of themselves, as interference may change.
 _MIN_INFORMATION: Final = 0.02
+_WIDENED_PART: Final = 0.005
 # Best-effort images that are kept per latency-critical image.
 _MAX_IMAGES: Final = 40
 
@@ -290,11 +292,13 @@
         if len(images) > _MAX_IMAGES:
             return
         known_variance = kalman_filter.variance_of(core_change_by_image)
-        if known_variance >= _MIN_INFORMATION * noise_variance:
+        if known_variance < _MIN_INFORMATION * noise_variance:
+            kalman_filter.widen(core_change_by_image, _WIDENED_PART)
+        else:
             kalman_filter.update_robustly(
                 core_change_by_image, lost_headroom, noise_variance
             )
-            kalman_filter.move_to_end(core_change_by_image)
+        kalman_filter.move_to_end(core_change_by_image)
 
     def _start_of(self, image: str) -> Callable[[str], Pair]:
         learned = self._learned
--- a/hyssopring/jobs/kalman_filter.py
+++ b/hyssopring/jobs/kalman_filter.py
@@ -83,7 +83,7 @@
         lost_headroom: float,
         noise_variance: float,
     ) -> None:
-        """Do the same, but limit the influence of an outlier."""
+        """Correct the estimates like ``update``, but limit outliers."""
         variance = self.variance_of(core_change_by_image) + noise_variance
         expected = _dot(self.mean_by_image, core_change_by_image)
         limit = _MAX_DEVIATIONS * variance**0.5
@@ -100,6 +100,11 @@
             for second, other_cores in core_change_by_image.items()
         )
 
+    def widen(self, images: Iterable[str], part: float) -> None:
+        """Increase the variances of images by a part of themselves."""
+        for image in images:
+            self.covariances[image, image] *= 1 + part
+
     def merge(self, image: str, pair: Pair) -> None:
         """Merge another estimate by precision; the image must be held."""
         self.update({image: 1}, pair.mean, pair.variance)
--- a/tests/test_interference_replicas.py
+++ b/tests/test_interference_replicas.py
@@ -19,19 +19,20 @@
 TARGET_MS = 100
 
 
-def observe_replicas(samples, seed):
+def observe_replicas(samples, seed, mild_per_core=0.0, model=None, begin=0):
     """Return a model that has seen replicas whose common load swings.
 
     Of three workers, one runs LOUD and one MILD all the time.
     """
     noise = random.Random(seed)
     steps_by_worker = {'w0': (), 'w1': (MILD,), 'w2': (LOUD,)}
-    model = InterferenceModel()
-    for number in range(samples):
+    model = model or InterferenceModel()
+    for number in range(begin, begin + samples):
         own_headroom = 3 - 1.2 * math.sin(math.tau * number / PERIOD_SAMPLES)
         workers = []
         for index, (name, steps) in enumerate(steps_by_worker.items()):
             headroom = own_headroom - LOUD_PER_CORE * CORES * (LOUD in steps)
+            headroom -= mild_per_core * CORES * (MILD in steps)
             tail_ms = TARGET_MS / headroom / noise.gauss(1, 0.08)
             worker = worker_with(name, KEEPER, *steps, load=round(tail_ms))
             keeper = next(iter(worker.latency_critical_tasks()))
@@ -56,6 +57,15 @@
     assert loud.mean == pytest.approx(LOUD_PER_CORE, abs=0.15)
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_a_well_known_pair_is_corrected_when_its_interference_changes(seed):
+    """Guards against estimates that stay fixed once they are certain."""
+    model = observe_replicas(400, seed)
+    assert model.per_core('keeper', 'mild').mean < 0.1
+    observe_replicas(400, seed, 0.4, model, begin=400)
+    assert model.per_core('keeper', 'mild').mean > 0.3
+
+
 def test_an_outlier_has_a_limited_influence():
     """Guards against one partial measurement that outweighs all others."""
     kalman_filter = KalmanFilter(lambda _image: Pair(0.15, 0.1))
