--- a/tests/test_shared_estimates.py
+++ b/tests/test_shared_estimates.py
@@ -5,7 +5,13 @@
 from hyssopring.clock import ManualClock
 from hyssopring.jobs.attempts import Attempt, Phase
 from hyssopring.jobs.interference import PRIOR, InterferenceEstimate
-from hyssopring.jobs.messages import Grant, PairEstimate, pack, unpack
+from hyssopring.jobs.messages import (
+    Grant,
+    PairEstimate,
+    ShardEpoch,
+    pack,
+    unpack,
+)
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.scheduling_options import (
     LearningOptions,
@@ -14,6 +20,7 @@
 from hyssopring.jobs.shared_estimates import EstimateSender, ReceivedEstimates
 from hyssopring.jobs.task_requirements import facts_of
 from hyssopring.learning.owner_learning import OwnerLearning
+from hyssopring.protocol.structs import read_struct, struct, write_struct
 from standins.jobs.colocated import KEEPER, LOUD, MILD, worker_with
 
 PRIOR_DEVIATION = PRIOR.variance**0.5
@@ -128,6 +135,31 @@
     assert list(grant.interference) == estimates
 
 
+@struct
+class FormerGrant:
+    """A grant as the release before reads and writes it."""
+
+    sequence: int
+    reigns: list[ShardEpoch]
+    ttl_ms: int
+
+
+def test_the_release_before_reads_a_grant_with_estimates():
+    """Guards against agents that refuse the grants of a newer owner."""
+    grant = Grant(1, [ShardEpoch(0, 2)], 5000, [PairEstimate('a', 'b', 1, 2)])
+    former = read_struct(FormerGrant, write_struct(grant))
+    assert (former.sequence, former.reigns, former.ttl_ms) == (
+        1,
+        [ShardEpoch(0, 2)],
+        5000,
+    )
+
+
+def test_a_grant_of_the_release_before_carries_no_estimates():
+    former = FormerGrant(1, [], 5000)
+    assert not read_struct(Grant, write_struct(former)).interference
+
+
 def test_without_learning_nothing_is_sent():
     worker = worker_with('worker', KEEPER, MILD)
     for options, count in (
