Stand-ins: ports stay reserved until the processes that use them have ended

Cause: free_ports drew ports by binding to 0 and closed them again, so that another process could be given one before its owner listened (an entry of test_job_submitted_at_both_entries_is_one_job ended with 'Address already in use', once, beside load). A reserved port stays bound by a socket that does not listen; the system gives it to nobody, and a program that sets SO_REUSEADDR can still listen on it, also again after a restart. Three copies of the function become one class.

--- a/bench/sockets.py
+++ b/bench/sockets.py
@@ -14,13 +14,14 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 import urllib.request
 
+from standins.ports import ReservedPorts
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SECRET = 'bench-inner-secret-0123456789'
 TOKEN = 'bench-operator-token-0123456789'
@@ -30,14 +31,6 @@
 TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
 
 
-def free_ports(count):
-    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return [f'127.0.0.1:{port}' for port in ports]
-
-
 class Processes:
     """One entry, one agent, one backend server, the table and a worker."""
 
@@ -46,7 +39,10 @@
         self.profile = profile
         self.process_by_role = {}
         names = 'table callers operators inner announce worker backend'.split()
-        self.address = dict(zip(names, free_ports(len(names))))
+        self.ports = ReservedPorts()
+        self.address = {
+            name: f'{self.ports.host}:{next(self.ports)}' for name in names
+        }
 
     def spawn(self, role, *arguments):
         log = open(self.folder / f'{role}.log', 'w')
@@ -146,6 +142,7 @@
                 process.wait(10)
             except subprocess.TimeoutExpired:
                 process.kill()
+        self.ports.release()
 
 
 class Caller:
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,7 +10,6 @@
 import json
 import pathlib
 import signal
-import socket
 import statistics
 import subprocess
 import sys
@@ -18,6 +17,8 @@
 import time
 from collections import Counter
 
+from standins.ports import ReservedPorts
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WORK = ROOT / '.demo'
 SECRET = 'demo-inner-secret-0123456789'
@@ -29,17 +30,6 @@
 CALLER_COUNT = 8
 
 
-def free_ports(count):
-    """Return unused ports of the local host; they are not reserved."""
-    sockets = [socket.socket() for _ in range(count)]
-    for free_socket in sockets:
-        free_socket.bind(('127.0.0.1', 0))
-    ports = [free_socket.getsockname()[1] for free_socket in sockets]
-    for free_socket in sockets:
-        free_socket.close()
-    return ports
-
-
 class Deployment:
     """The processes of a small deployment on the local host.
 
@@ -47,6 +37,7 @@
         work: The directory of settings and log files.
         processes: The running processes, by name.
         binary: The start of the command line of entries and agents.
+        ports: The reserved ports of all processes.
         table: The address of the stand-in for the table store.
         entries: The addresses of each entry, by port.
         agents: The addresses of each agent, its worker and its backend.
@@ -72,7 +63,7 @@
             ]
         )
         self.work.mkdir(exist_ok=True)
-        ports = iter(free_ports(1 + 3 * ENTRY_COUNT + 3 * AGENT_COUNT))
+        ports = self.ports = ReservedPorts()
         self.table = f'127.0.0.1:{next(ports)}'
         self.entries = [
             {
@@ -246,6 +237,7 @@
                 self.processes[name].send_signal(signal.SIGTERM)
             for name in names:
                 self.wait_or_kill(self.processes[name])
+        self.ports.release()
 
     def wait_or_kill(self, process):
         """Wait 10 s for the end of a process, then kill it."""
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -31,10 +31,9 @@
 from standins.jobs.worker import SimWorker
 from standins.narrow_link import NarrowLink, a_configuration
 from standins.platform import RunnerResource, StoreResource, send_heartbeats
-from standins.programs import free_ports, settings_file
+from standins.ports import ReservedPorts
+from standins.programs import settings_file
 
-# All ports are reserved at once before use, so none is used twice.
-PORTS_PER_PROCESS = 6
 # Started when the VM of another entry is replaced.
 SPARE_ENTRY = f'entry-{ENTRIES}'
 CONFIGURATION_KEY = RowKey('op', '', 'config')
@@ -82,8 +81,7 @@
         self.folder = folder
         self.host = own_host()
         self.agents = [f'agent-{number}' for number in range(len(plan.rates))]
-        processes = ENTRIES + 1 + len(self.agents)
-        self.ports = iter(free_ports(processes * PORTS_PER_PROCESS, self.host))
+        self.ports = ReservedPorts(self.host)
         self.rows = MemoryRows(reactor)
         self.rows.version = 1
         self.version = 0
@@ -167,8 +165,8 @@
             store,
             seed,
             app,
-            self.host,
             metrics,
+            self.host,
         )
         probe = f'http://{self._address(metrics)}/metrics'
         if 'ready' in bind:
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -1,29 +1,17 @@
 """Start programs as local processes, for tests and soak runs."""
 
-import contextlib
 import json
 import pathlib
-import socket
 import subprocess
 import sys
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = '127.0.0.1'
-
+from standins.ports import HOST
 
-def free_ports(count, host=HOST):
-    """Return unused ports; another process may take one meanwhile."""
-    with contextlib.ExitStack() as opened:
-        sockets = [
-            opened.enter_context(socket.socket()) for _port in range(count)
-        ]
-        for unbound in sockets:
-            unbound.bind((host, 0))
-        return [bound.getsockname()[1] for bound in sockets]
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
 def settings_file(
-    folder, name, inner, bind, store, seed, app, host=HOST, metrics=None
+    folder, name, inner, bind, store, seed, app, metrics, host=HOST
 ):
     """Write a process's node file; return the environment that names it."""
     document = {
@@ -36,7 +24,7 @@
         'seeds': [f'{host}:{seed}'],
         'platform': {'address': store},
         'app': app,
-        'metricsPort': metrics or free_ports(1, host)[0],
+        'metricsPort': metrics,
     }
     path = folder / f'{name}.json'
     path.write_text(json.dumps(document))
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -8,7 +8,8 @@
 import urllib.request
 
 from hyssopring.cli.main import main
-from standins.programs import free_ports, settings_file, start_program
+from standins.ports import ReservedPorts
+from standins.programs import settings_file, start_program
 
 TIMEOUT_S = 30
 
@@ -23,7 +24,7 @@
     command names the ``entry_files``. Yield the
     ports of the entries for callers and the processes of the entries.
     """
-    ports = iter(free_ports(14))
+    ports = ReservedPorts()
     store = f'127.0.0.1:{next(ports)}'
     front = [next(ports), next(ports)]
     inner = [next(ports), next(ports)]
@@ -57,7 +58,14 @@
         name = f'entry-{number}'
         environments.append(
             settings_file(
-                tmp_path, name, inner[number], bind, store, inner[0], ''
+                tmp_path,
+                name,
+                inner[number],
+                bind,
+                store,
+                inner[0],
+                '',
+                next(ports),
             )
         )
         commands.append(['hyssopring.platform', 'entry', *entry_files])
@@ -67,7 +75,14 @@
         seed = inner[0] if agents_seed is None else agents_seed
         environments.append(
             settings_file(
-                tmp_path, name, seed, bind, store, seed, runner['app']
+                tmp_path,
+                name,
+                seed,
+                bind,
+                store,
+                seed,
+                runner['app'],
+                next(ports),
             )
         )
         commands.append(['hyssopring.platform', 'agent'])
@@ -75,6 +90,7 @@
     commands.append(commands.pop(2))
     environments.append(environments.pop(2))
     with contextlib.ExitStack() as running:
+        running.callback(ports.release)
         processes = []
         for command, environment in zip(commands, environments, strict=True):
             if 'entry-1' in str(environment):
@@ -214,9 +230,13 @@
     The agents must read the entries from the store. Agents that only dial the
     seeds never connect, and no task runs.
     """
-    with run_platform(tmp_path, agents_seed=free_ports(1)[0]) as (
-        (first, _second),
-        _entries,
+    ports = ReservedPorts()
+    with (
+        ports,
+        run_platform(tmp_path, agents_seed=next(ports)) as (
+            (first, _second),
+            _entries,
+        ),
     ):
         wait_for_response((200, {'pending': 0}), first, 'GET', '/q/')
         assert (
