--- a/hyssopring/cli/commands.py
+++ b/hyssopring/cli/commands.py
@@ -22,6 +22,7 @@
 from hyssopring.cli.exits import CommandFailure, ExitCode
 from hyssopring.cli.explain_logs import explain_logs
 from hyssopring.cli.fleet_pages import wait_until_in_force
+from hyssopring.cli.loss_report import report_losses
 from hyssopring.cli.output import (
     exit_with,
     unwrap_or_exit,
@@ -266,6 +267,23 @@
             as_json=self._as_json,
         )
 
+    @_command
+    def report(
+        self,
+        *files: str,
+        html: str = '',
+        window_s: float = 2,
+        late_share: float = 0.15,
+    ) -> None:
+        """Report what jobs lost, and why, from FILES of JSON lines.
+
+        No entry is asked. Tables by queue, by cause and by the window in
+        which jobs were accepted; --html=FILE writes a page with plots as
+        well. --window-s is the length of a window, --late-share what a late
+        job is worth of one in time.
+        """
+        report_losses(files, html, window_s, late_share)
+
     @_command
     def drain(
         self,
--- a/hyssopring/cli/log_lines.py
+++ b/hyssopring/cli/log_lines.py
@@ -8,15 +8,16 @@
 import json
 import pathlib
 import re
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import IO, Any, Final, Mapping, Sequence
+from typing import IO, Any, Container, Final, Mapping, Sequence
 
 from hyssopring.jobs.shards import shard_of
 from hyssopring.logs import Event
 
-__all__ = ('FoundLines', 'LogLine', 'Subject', 'find_lines')
+__all__ = ('FoundLines', 'LogLine', 'Subject', 'find_lines', 'read_events')
 
 # The log writer buffers at most 256 KiB, so it writes no longer line. Longer
 # lines are read in pieces: data of other programs must not fill the memory.
@@ -47,6 +48,7 @@
         Event.WORKER_RECOVERED,
     )
 )
+_KNOWN_EVENTS: Final = frozenset(Event)
 _Record = Mapping[str, Any]
 
 
@@ -126,10 +128,15 @@
         lines: The lines, in order of time.
         malformed_count: Number of lines that match the search pattern and
             are truncated or not log lines of this project.
+        skipped_by_path: Numbers of lines that were left out, by path and
+            reason; only ``read_events`` counts them.
+        paths_without_lines: Files in which it found no log line at all.
     """
 
     lines: list[LogLine] = field(default_factory=list)
     malformed_count: int = 0
+    skipped_by_path: dict[str, Counter[str]] = field(default_factory=dict)
+    paths_without_lines: list[str] = field(default_factory=list)
 
 
 def find_lines(paths: Sequence[str], subject: Subject) -> FoundLines:
@@ -154,6 +161,47 @@
     return found
 
 
+def read_events(paths: Sequence[str], events: Container[int]) -> FoundLines:
+    """Read the lines of some events, and count what cannot be read.
+
+    Args:
+        paths: The files, read one after the other.
+        events: The numbers of the events.
+
+    Raises:
+        OSError: A file cannot be read.
+    """
+    found = FoundLines()
+    for path in paths:
+        found.skipped_by_path[path] = Counter()
+        file_name = pathlib.PurePath(path).name
+        has_lines = False
+        with open(path, 'rb') as stream:
+            for raw in _raw_lines(stream):
+                lines = list(_parse(raw.decode(errors='replace'), file_name))
+                has_lines = has_lines or bool(lines)
+                found.lines.extend(
+                    each for each in lines if each.event in events
+                )
+                reason = _reason_to_skip(raw, lines)
+                if reason:
+                    found.skipped_by_path[path][reason] += 1
+        if not has_lines:
+            found.paths_without_lines.append(path)
+    found.lines.sort(key=lambda line: line.at)
+    return found
+
+
+def _reason_to_skip(raw: bytes, lines: list[LogLine]) -> str:
+    """Return why a line is left out; empty if it is not."""
+    if not lines:
+        is_cut = _RECORD_START.search(raw.decode(errors='replace'))
+        return 'cut' if is_cut else 'no log line of this program'
+    if any(line.event not in _KNOWN_EVENTS for line in lines):
+        return 'an event of another release'
+    return ''
+
+
 def _task_names(record: _Record) -> list[str]:
     """Return the tasks in the fields ``task`` and ``started``."""
     started = str(record.get('started', '')).split()
--- a/hyssopring/jobs/job_api.py
+++ b/hyssopring/jobs/job_api.py
@@ -131,6 +131,9 @@
                 job=job.job_id,
                 queue=job.queue.name,
                 tasks=sum(step.count for step in job.steps),
+                lasting=any(step.is_keeper for step in job.steps),
+                slack=job.queue.slack_factor,
+                target_ms=job.queue.target_ms,
             )
         return Ok(None)
 
--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -27,6 +27,7 @@
     LatencySample,
 )
 from hyssopring.jobs.shared_estimates import ReceivedEstimates
+from hyssopring.jobs.target_misses import TargetMiss, TargetMissLog
 from hyssopring.logs import Event, log_event
 
 __all__ = ('Pacer',)
@@ -112,6 +113,13 @@
     headroom: float
     estimates: list[InterferenceEstimate]
 
+    def headroom_alone(self, best_effort: list[_BestEffortTask]) -> float:
+        """Return the expected headroom without the best-effort tasks."""
+        return self.headroom + sum(
+            estimate.mean * task.used_cores
+            for estimate, task in zip(self.estimates, best_effort, strict=True)
+        )
+
 
 class Pacer:
     """Set the paces of the best-effort tasks on one worker.
@@ -139,6 +147,7 @@
         self.received = ReceivedEstimates()
         # Tasks whose pace changed so recently that no sample shows it.
         self._changed_tasks: set[str] = set()
+        self._target_misses = TargetMissLog()
 
     def tick(self, attempts: Iterable[Attempt]) -> None:
         """Compute the paces from a listing of the worker's attempts."""
@@ -164,14 +173,15 @@
         samples: list[LatencySample],
     ) -> None:
         over_target_ms = self._over_target_ms(samples)
-        if over_target_ms > _STOP_AFTER_MS:
-            for task in best_effort:
-                task.pace = 0
-            return
         latency_critical = [
             self._latency_critical_task(sample, best_effort)
             for sample in samples
         ]
+        self._log_misses(samples, latency_critical, best_effort)
+        if over_target_ms > _STOP_AFTER_MS:
+            for task in best_effort:
+                task.pace = 0
+            return
         for affected in latency_critical:
             if affected.headroom < _THROTTLING_HEADROOM:
                 _throttle(
@@ -182,6 +192,21 @@
                 )
         _increase_paces(latency_critical, best_effort)
 
+    def _log_misses(
+        self,
+        samples: list[LatencySample],
+        latency_critical: list['_LatencyCriticalTask'],
+        best_effort: list[_BestEffortTask],
+    ) -> None:
+        miss_by_task = {
+            sample.task: TargetMiss(
+                sample.headroom, affected.headroom_alone(best_effort) >= 1
+            )
+            for sample, affected in zip(samples, latency_critical, strict=True)
+            if sample.headroom < 1
+        }
+        self._target_misses.observe(miss_by_task, self._sampled_at_ms)
+
     def _latency_critical_task(
         self,
         sample: LatencySample,
