Discovery: an agent that starts without an entry reads the entries' rows after 100 to 200 ms

Hypothesis: after a loss of all power agents' seeds are stale, and each was heard 0.90 s after its own start, of which 0.8 s are the time until it reads the rows; keepers and jobs wait for it.

The times are random, and a running agent that loses its entries waits 0.8 s as before.

--- a/hyssopring/jobs/discovery.py
+++ b/hyssopring/jobs/discovery.py
@@ -19,9 +19,11 @@
 
 __all__ = ('EntryDiscovery',)
 
-# Seeds answer within a few ms. An agent without a connection for the first
-# time reads the store, and repeats after one to two times the second, randomly
-# so that agents do not read it at once.
+# Seeds answer within a few ms. An agent that starts reads the store after up to
+# twice the first time without a connection, one that loses its connections
+# after the second; all repeat after one to two times the third. The times are
+# random, so that agents that start together do not read at once.
+_FIRST_READ_MS: Final = 100.0
 _NO_ENTRY_MS: Final = 800.0
 _RETRY_MS: Final = 1500.0
 
@@ -45,7 +47,7 @@
         self._store = store
         self._dialler = dialler
         self._rng = rng
-        self._next_read_at = clock.now() + _NO_ENTRY_MS
+        self._next_read_at = clock.now() + rng.uniform(1, 2) * _FIRST_READ_MS
         self._parser = RowParser()
 
     def tick(self) -> None:
