--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -205,6 +205,8 @@
         if owned is not None:
             self._released_shards.apply_to(owned, self.fleet)
             self.owner.process_departed_agents()
+        else:
+            self._membership.on_shard_released()
 
     @handle_message.register
     def _handle_cancellation(self, message: CancelNotice, peer_id: str) -> None:
--- a/hyssopring/jobs/entry_membership.py
+++ b/hyssopring/jobs/entry_membership.py
@@ -59,6 +59,9 @@
 # Releases are limited, as a handover stops planning for up to a second.
 _RELEASE_CORES_RATIO: Final = 1.5
 _RELEASE_INTERVAL_MS: Final = 30_000.0
+# When the rows are read after an owner has told that it releases a shard: its two
+# writes take a few ms each, and the second time is for a slow store.
+_RELEASED_READS_S: Final = (30 / MILLIS_PER_SECOND, 150 / MILLIS_PER_SECOND)
 # The pause before a release that the store has not confirmed is sent again.
 _RELEASE_RETRY_S: Final = 200 / MILLIS_PER_SECOND
 
@@ -149,9 +152,15 @@
     def tick(self) -> None:
         """Renew the row and read the others' each ``ENTRY_HEARTBEAT_MS``."""
         self.renew()
-        deferred = self._store.read(ENTRIES_TABLE, '')
-        deferred.addCallbacks(self._on_entry_rows, self._ignore_store_failure)
-        deferred.addErrback(self._ignore_store_failure)
+        self._read_entries()
+
+    def on_shard_released(self) -> None:
+        """Read the rows soon, as another entry has released a shard.
+
+        Without it, the shard is without an owner until the next tick.
+        """
+        for delay_s in _RELEASED_READS_S:
+            self._reactor.callLater(delay_s, self._read_entries)
 
     def stop(self) -> None:
         """Stop taking shards."""
@@ -204,6 +213,11 @@
             callbackArgs=(sent_at,),
         )
 
+    def _read_entries(self) -> None:
+        deferred = self._store.read(ENTRIES_TABLE, '')
+        deferred.addCallbacks(self._on_entry_rows, self._ignore_store_failure)
+        deferred.addErrback(self._ignore_store_failure)
+
     def _on_renewed(
         self, outcome: Committed | Conflict, sent_at: float
     ) -> None:
