--- a/hyssopring/cli/log_causes.py
+++ b/hyssopring/cli/log_causes.py
@@ -14,7 +14,6 @@
 from hyssopring.cli.log_outages import StoreOutage
 from hyssopring.cli.log_sentences import format_seconds
 from hyssopring.cli.log_spans import Span, spans_of_lines, spans_of_outages
-from hyssopring.errors import ErrorKind
 from hyssopring.logs import Event
 
 __all__ = ('likely_cause',)
@@ -73,24 +72,11 @@
     outages: Sequence[StoreOutage],
 ) -> str:
     kind = refused.record.get('kind', refused.record.get('why'))
-    rejected = _last(lines, Event.JOB_REJECTED)
-    if rejected is not None and kind == ErrorKind.OVERLOADED_QUEUE.value:
-        return _rejection_cause(rejected)
     if any(outage.source == refused.source for outage in outages):
         return f'Likely cause: {kind}; the store was away from that entry'
     return f'Likely cause: {kind}; see its row in docs/ERRORS.md'
 
 
-def _rejection_cause(rejected: LogLine) -> str:
-    record = rejected.record
-    return (
-        f'Likely cause: too much work waited: {record.get("work_ahead")} '
-        + f'core-ms before it, of which {record.get("rate")} ended a second, '
-        + f'by knowledge {record.get("outlook_age_ms")} ms old; the job did '
-        + 'not run'
-    )
-
-
 def _failure_cause(lines: Sequence[LogLine]) -> str:
     given_up = _last(lines, Event.TASK_GIVEN_UP)
     if given_up is not None:
--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -29,10 +29,6 @@
             'zone {zone} is evacuated no longer, after {age_ms} ms'
         ),
         Event.JOB_ACCEPTED: 'accepted in queue {queue} with {tasks} tasks',
-        Event.ADMISSION_STALE: (
-            'jobs are accepted unchecked: what is known of waiting work is '
-            + '{age_ms} ms old ({jobs} jobs since the last such line)'
-        ),
         Event.JOB_FORGOTTEN: 'its rows were deleted, an hour after its end',
         Event.KEEPER_LOST: '{task} is down on {agent}: {why}',
         Event.LEARNED_STATE_IGNORED: (
@@ -148,16 +144,6 @@
     return f'{text} (order {{order}}, {_AGES})'.format_map(fields)
 
 
-def _describe_rejection(fields: _Fields) -> str:
-    text = (
-        'rejected from queue {queue}, {why}: it would end after '
-        + '{predicted_ms} ms, and {limit_ms} ms are the limit; {work_ahead} '
-        + 'core-ms come first, of which {rate} end a second, as known '
-        + '{outlook_age_ms} ms ago; told to come back in {retry_after_ms} ms'
-    )
-    return text.format_map(fields)
-
-
 def _describe_shares(fields: _Fields) -> str:
     text = 'no group waits for its share any more, after {lasted_ms} ms'
     if fields.get('is_limited') is True:
@@ -212,7 +198,6 @@
 _DESCRIBE_BY_EVENT: Final[Mapping[int, _Describe]] = MappingProxyType(
     {
         Event.JOB_FINISHED: _describe_job_end,
-        Event.JOB_REJECTED: _describe_rejection,
         Event.REQUEST_REFUSED: _describe_refusal,
         Event.SHARES_LIMITED: _describe_shares,
         Event.TASK_FINISHED: _describe_end,
--- a/hyssopring/cli/log_spans.py
+++ b/hyssopring/cli/log_spans.py
@@ -57,12 +57,6 @@
     yield from _ownership_gaps(lines)
     yield from _keeper_waits(lines)
     accepted = _first(reversed(lines), Event.JOB_ACCEPTED)
-    rejected = _first(lines, Event.JOB_REJECTED)
-    if accepted is not None and rejected is not None:
-        wait_ms = millis_of(accepted.at - rejected.at)
-        yield Span(
-            wait_ms, 'rejected before, as too much work waited; see 3053'
-        )
     first_placed = _first(lines, Event.TASK_PLACED)
     if accepted is not None and first_placed is not None:
         wait_ms = millis_of(first_placed.at - accepted.at)
--- a/hyssopring/cli/log_timeline.py
+++ b/hyssopring/cli/log_timeline.py
@@ -24,7 +24,6 @@
 # be the call for which a job was refused; clocks of processes differ as well.
 _MARGIN: Final = timedelta(seconds=1)
 _SHARD_EVENTS: Final = frozenset((Event.SHARD_ACQUIRED, Event.SHARD_LOST))
-_REFUSAL_EVENTS: Final = frozenset((Event.REQUEST_REFUSED, Event.JOB_REJECTED))
 _AGENT_EVENTS: Final = frozenset(
     (
         Event.AGENT_DISCONNECTED,
@@ -105,7 +104,7 @@
 
 def _window_of(own_lines: Sequence[LogLine]) -> _Window:
     events = {line.event for line in own_lines}
-    is_refused = events <= _REFUSAL_EVENTS
+    is_refused = events == {Event.REQUEST_REFUSED}
     is_over = is_refused or Event.JOB_FINISHED in events
     agents = frozenset(str(line.record.get('agent', '')) for line in own_lines)
     until = own_lines[-1].at if is_over else datetime.max - _MARGIN
--- a/hyssopring/errors.py
+++ b/hyssopring/errors.py
@@ -35,7 +35,6 @@
     IMPOSSIBLE = 'impossible'
     QUOTA = 'quota'
     OVERLOADED = 'overloaded'
-    OVERLOADED_QUEUE = 'overloaded-queue'
     NO_BACKEND = 'no-backend'
     DEADLINE = 'deadline'
     STOPPING = 'stopping'
@@ -82,7 +81,6 @@
         ErrorKind.IMPOSSIBLE: ErrorAnswer(422, RunState.NOT_RUN),
         ErrorKind.QUOTA: ErrorAnswer(429, RunState.NOT_RUN, 1000),
         ErrorKind.OVERLOADED: ErrorAnswer(503, RunState.NOT_RUN, 500),
-        ErrorKind.OVERLOADED_QUEUE: ErrorAnswer(429, RunState.NOT_RUN, 1000),
         ErrorKind.NO_BACKEND: ErrorAnswer(503, RunState.NOT_RUN, 1000),
         ErrorKind.DEADLINE: ErrorAnswer(504, RunState.NOT_RUN, 500),
         ErrorKind.STOPPING: ErrorAnswer(503, RunState.NOT_RUN, 100),
--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -63,21 +63,17 @@
     Attributes:
         accepted_ms: When it was accepted, in ms since 1970.
         zone: The availability zone of the entry that accepted it.
-        first_asked_ms: When it was first submitted, in ms since 1970, if it
-            was rejected then; else 0.
     """
 
     job: Job
     accepted_ms: float
     zone: str = ''
-    first_asked_ms: float = 0
 
     @classmethod
     def from_text(cls, text: str) -> 'JobRow':
         """Parse a row; raises MalformedRowError."""
         row = _parse(JobRow, 'job', text)
-        is_time = math.isfinite(row.accepted_ms + row.first_asked_ms)
-        if not is_time or not row.job.is_valid:
+        if not math.isfinite(row.accepted_ms) or not row.job.is_valid:
             raise MalformedRowError('job: invalid steps or times')
         return row
 
--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -4,7 +4,6 @@
 from functools import singledispatchmethod
 from typing import Any, Callable, Final
 
-from hyssopring.admission.entry_admission import EntryAdmission
 from hyssopring.clock import Clock
 from hyssopring.jobs.advice_client import AdviceClient
 from hyssopring.jobs.documents import JobRow
@@ -60,8 +59,6 @@
         configuration: The configuration that the entries share.
         evacuations: The evacuated zones that entries and agents share.
         job_api: Serves callers' requests about jobs.
-        admission: Rejects jobs that could only end too late; None to reject
-            none.
     """
 
     def __init__(
@@ -121,8 +118,6 @@
             self._requests,
             zone,
         )
-        self.admission = self._build_admission()
-        self._shared.admission = self.admission
         membership.owned = lambda: tuple(self.owner.shards.by_shard)
         membership.on_acquired = self._on_acquired
         membership.on_release_requested = self._release_shards
@@ -132,23 +127,6 @@
         """The ids of the connected agents."""
         return self.fleet.connected_agents()
 
-    def _build_admission(self) -> EntryAdmission | None:
-        if self._options.admission is None:
-            return None
-        admission = EntryAdmission(
-            self._reactor,
-            self._clock,
-            self._wall_ms,
-            self._store,
-            self._peers,
-            self.fleet,
-            self.owner,
-            self._may_act,
-            self._options.admission,
-        )
-        self.job_api.gate = admission.gate
-        return admission
-
     def agent_connected(self, agent_id: str, zone: str) -> None:
         """Register an agent that has opened a connection."""
         worker = self.fleet.record_connection(agent_id, zone)
@@ -259,8 +237,6 @@
         for owned in self.owner.shards.by_shard.values():
             owned.former.check(self._membership.is_dead)
         self.owner.tick()
-        if self.admission is not None:
-            self.admission.tick()
 
     def poll(self) -> None:
         """Poll for jobs without a notice; call each second or so."""
--- a/hyssopring/jobs/job_api.py
+++ b/hyssopring/jobs/job_api.py
@@ -6,7 +6,6 @@
 from result import Err, Ok
 from twisted.internet.defer import Deferred, inlineCallbacks
 
-from hyssopring.admission.gate import AdmissionGate
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
 from hyssopring.jobs.deadlines import answer_by
@@ -54,7 +53,6 @@
     """Accepts jobs and cancellations, and returns the state of jobs.
 
     Attributes:
-        gate: Rejects jobs that could only end too late; None to reject none.
     """
 
     def __init__(
@@ -74,7 +72,6 @@
         Args:
             zone: The availability zone of this entry.
         """
-        self.gate: AdmissionGate | None = None
         self._zone = zone
         self._reactor = reactor
         self._clock = clock
@@ -98,7 +95,7 @@
         Returns:
             A deferred ``Result``: Ok once the job is stored, also if it was
             submitted before; else a failure whose kind says whether it may
-            still be stored. A job that is rejected is not stored.
+            still be stored.
         """
         seconds = (until_ms - self._clock.now()) / MILLIS_PER_SECOND
         timeout_failure = Failure(
@@ -111,11 +108,7 @@
 
     @inlineCallbacks
     def _submit(self, job: Job, until_ms: float) -> Any:
-        if self.gate is not None:
-            answer = yield self.gate.check(job)
-            if answer is not None:
-                return answer
-        row = self._row_of(job)
+        row = JobRow(job, self._wall_ms(), self._zone)
         row_key = job_key(job.job_id)
         transaction = Transaction(
             (RowCheck(row_key, 0),),
@@ -233,12 +226,6 @@
                 return Err(unknown_outcome)
             yield _retry_delay(self._reactor)
 
-    def _row_of(self, job: Job) -> JobRow:
-        first_asked_ms = (
-            self.gate.first_asked_ms(job.job_id) if self.gate else 0
-        )
-        return JobRow(job, self._wall_ms(), self._zone, first_asked_ms)
-
     def _notify_owner(self, row: JobRow) -> None:
         shard = shard_of(row.job.job_id)
         if shard in self._shards.by_shard:
--- a/hyssopring/jobs/job_metrics.py
+++ b/hyssopring/jobs/job_metrics.py
@@ -20,8 +20,6 @@
     {
         Event.JOB_ACCEPTED: ('jobs_accepted_total', ''),
         Event.JOB_FINISHED: ('jobs_finished_total', 'state'),
-        Event.JOB_REJECTED: ('jobs_rejected_total', 'why'),
-        Event.ADMISSION_STALE: ('admissions_stale_total', ''),
         Event.REQUEST_REFUSED: ('requests_refused_total', 'kind'),
         Event.TASK_PLACED: ('starts_ordered_total', ''),
         Event.TASK_REFUSED: ('starts_refused_total', 'reason'),
--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -108,9 +108,6 @@
         crashes: Crashes of workers that were starting its tasks.
         trial_wanted_since: Since when a suspect has waited for a trial, by
             the key of its budget.
-        first_asked_ms: When it was first submitted, in ms since 1970, if it
-            was rejected then; else 0.
-        asked_ms: When its caller first submitted it, in ms since 1970.
         zone: The availability zone of the job's callers, empty if unknown.
     """
 
@@ -128,18 +125,12 @@
     idle_since: float | None = None
     crashes: CrashHistory = field(init=False)
     trial_wanted_since: dict[str, float] = field(default_factory=dict)
-    asked_ms: float = field(init=False)
     zone: str = ''
     _work_left: float | None = field(default=None, init=False)
-    first_asked_ms: float = 0
 
     def __post_init__(self) -> None:
         """Load the crash history from the progress row."""
         self.crashes = CrashHistory(self.progress.failed)
-        self.asked_ms = self.accepted_ms
-        if self.first_asked_ms > 0:
-            # Wall clocks of VMs differ: no job is asked after its acceptance.
-            self.asked_ms = min(self.first_asked_ms, self.accepted_ms)
 
     @classmethod
     def from_row(
@@ -156,7 +147,6 @@
             epoch,
             is_inherited,
             progress or ProgressRow(),
-            first_asked_ms=row.first_asked_ms,
             zone=row.zone,
         )
         if not row.job.schedule.times:
@@ -351,7 +341,7 @@
 
     def begun_ms(self, occurrence: int) -> float:
         """Return when an occurrence could begin, in ms since 1970."""
-        return max(self.asked_ms, self.job.schedule.due_ms(occurrence))
+        return max(self.accepted_ms, self.job.schedule.due_ms(occurrence))
 
     @property
     def _open_count(self) -> int:
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -8,7 +8,6 @@
 from types import MappingProxyType
 from typing import Any, Final, cast, get_args
 
-from hyssopring.admission.messages import QueueOutlookNotice, RejectionNotice
 from hyssopring.jobs.configuration_messages import (
     ConfigurationNotice,
     ConfigurationPart,
@@ -23,6 +22,10 @@
     RelayedResponse,
 )
 from hyssopring.jobs.worker_port import StartOutcome
+from hyssopring.jobs.retired_messages import (
+    RetiredOutlookNotice,
+    RetiredRejectionNotice,
+)
 from hyssopring.protocol.structs import (
     ProtocolError,
     read_struct,
@@ -459,8 +462,8 @@
     | ConfigurationText
     | ConfigurationPart
     | EvacuationNotice
-    | QueueOutlookNotice
-    | RejectionNotice
+    | RetiredOutlookNotice
+    | RetiredRejectionNotice
 )
 
 # The first byte of a frame is the class's index here: add new ones last.
--- a/hyssopring/jobs/progress_writer.py
+++ b/hyssopring/jobs/progress_writer.py
@@ -177,8 +177,8 @@
             Event.JOB_FINISHED,
             job=job_id,
             state=state.value,
-            age_ms=int(self._wall_ms() - record.asked_ms),
-            due_ms=int(record.deadline() - record.asked_ms),
+            age_ms=int(self._wall_ms() - record.accepted_ms),
+            due_ms=int(record.deadline() - record.accepted_ms),
         )
 
     def _on_flush_failed(
--- a/hyssopring/jobs/scheduling_options.py
+++ b/hyssopring/jobs/scheduling_options.py
@@ -7,7 +7,6 @@
 from typing import Mapping
 
 __all__ = (
-    'AdmissionOptions',
     'FairnessOptions',
     'LearningOptions',
     'RebalancingOptions',
@@ -27,20 +26,6 @@
     save_interval_ms: float = 2000
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionOptions:
-    """When an entry rejects jobs that could only end too late.
-
-    Attributes:
-        max_objectives: A job is rejected if it would end later than this many
-            times its objective.
-        max_outlook_age_ms: An older outlook of the owner rejects nothing.
-    """
-
-    max_objectives: float = 3
-    max_outlook_age_ms: float = 2000
-
-
 @dataclass(frozen=True, slots=True)
 class FairnessOptions:
     """The shares of queues while tasks wait for capacity.
@@ -87,7 +72,6 @@
     """The optional parts of scheduling; None for a part that is off."""
 
     learning: LearningOptions | None = None
-    admission: AdmissionOptions | None = None
     fairness: FairnessOptions | None = None
     stragglers: StragglerOptions | None = None
     rebalancing: RebalancingOptions | None = None
--- a/hyssopring/jobs/shared_state.py
+++ b/hyssopring/jobs/shared_state.py
@@ -3,8 +3,6 @@
 from functools import singledispatchmethod
 from typing import Any, Callable
 
-from hyssopring.admission.entry_admission import EntryAdmission
-from hyssopring.admission.messages import QueueOutlookNotice, RejectionNotice
 from hyssopring.clock import Clock
 from hyssopring.jobs.configuration_messages import (
     ConfigurationNotice,
@@ -15,6 +13,10 @@
 from hyssopring.jobs.evacuation_messages import EvacuationNotice
 from hyssopring.jobs.messages import JobsMessage
 from hyssopring.jobs.relay import RelayPeers
+from hyssopring.jobs.retired_messages import (
+    RetiredOutlookNotice,
+    RetiredRejectionNotice,
+)
 from hyssopring.jobs.shared_configuration import SharedConfiguration
 from hyssopring.jobs.shared_evacuations import SharedEvacuations
 from hyssopring.logs import Event, log_event
@@ -28,8 +30,6 @@
     Attributes:
         configuration: The configuration that the entries share.
         evacuations: The evacuated zones that entries and agents share.
-        admission: What entries share of waiting work and rejected jobs; None
-            if no job is rejected.
     """
 
     def __init__(
@@ -46,7 +46,6 @@
         """
         self.configuration = SharedConfiguration(reactor, peers)
         self.evacuations = SharedEvacuations(clock, peers, connected_agents)
-        self.admission: EntryAdmission | None = None
 
     @singledispatchmethod
     def handle_message(self, message: JobsMessage, peer_id: str) -> None:
@@ -70,10 +69,7 @@
     ) -> None:
         self.evacuations.handle_notice(message, peer_id)
 
-    @handle_message.register(QueueOutlookNotice)
-    @handle_message.register(RejectionNotice)
-    def _handle_admission(
-        self, message: QueueOutlookNotice | RejectionNotice, peer_id: str
-    ) -> None:
-        if self.admission is not None:
-            self.admission.handle_notice(message)
+    @handle_message.register(RetiredOutlookNotice)
+    @handle_message.register(RetiredRejectionNotice)
+    def _ignore(self, message: JobsMessage, peer_id: str) -> None:
+        """Ignore what only an earlier release uses."""
--- a/hyssopring/jobs/urgency.py
+++ b/hyssopring/jobs/urgency.py
@@ -32,7 +32,7 @@
         lateness: 0 while the job can end in time, 1 while it can end before
             ``_MAX_OBJECTIVES`` times its objective, 2 after that.
         order: The work that remains, in core-milliseconds, so that most jobs
-            end in time; for keepers, when they were first submitted.
+            end in time; for keepers, when they were accepted.
     """
 
     priority: int
@@ -56,7 +56,7 @@
         # Keepers come first: users are without them until they run again, and
         # they are small compared to the batch work that waits. By age they
         # would count as overdue, and wait as long as batch tasks arrive.
-        return Urgency(_KEEPER_PRIORITY, 0, record.asked_ms)
+        return Urgency(_KEEPER_PRIORITY, 0, record.accepted_ms)
     priority = record.job.queue.priority
     times = source.times_of(record.job)
     path_ms = times.path_ms_by_step[run.step_index]
--- a/hyssopring/learning/owner_learning.py
+++ b/hyssopring/learning/owner_learning.py
@@ -46,7 +46,7 @@
         self.observers = EndObservers(clock, self.record_done)
         self._recorder: RunRecorder | None = None
         self._estimate_sender: EstimateSender | None = None
-        if options.learning or options.stragglers or options.admission:
+        if options.learning or options.stragglers:
             self.run_times = RunTimes()
             self._recorder = RunRecorder(clock, self.run_times)
         if options.learning and self.run_times is not None:
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -227,18 +227,9 @@
         gauge('agents_connected', len(self.core.agents))
         gauge('requests_open', self._callers.open_requests)
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
-        self._update_admission_gauges()
         table = self._callers.table
         gauge('configuration_version', table.version if table else 0)
 
-    def _update_admission_gauges(self) -> None:
-        admission = self.core.admission
-        if admission is not None:
-            gate, gauge = admission.gate, self._metrics.gauge
-            gauge('outlook_age_ms', gate.outlook_age_ms)
-            gauge('outlook_work_core_ms', gate.outlook_work)
-            gauge('jobs_rejected_known', len(gate.answers))
-
     def _on_configuration(
         self,
         table: QueueTable,
--- a/hyssopring/platform/roles.py
+++ b/hyssopring/platform/roles.py
@@ -9,7 +9,7 @@
 
 from hyssopring.errors import Failure
 from hyssopring.jobs.scheduling_options import SchedulingOptions
-from hyssopring.logs import configure_json_logging
+from hyssopring.logs import Event, configure_json_logging, log_event
 from hyssopring.platform.settings import (
     NodeSettings,
     load_node_settings,
@@ -99,7 +99,10 @@
     loaded = load_settings(files[0], SchedulingSettings)
     if loaded.is_err():
         _exit_with_error(loaded.unwrap_err().detail)
-    return loaded.unwrap().to_options()
+    settings = loaded.unwrap()
+    for key in settings.unused_keys():
+        log_event(Event.SETTING_UNUSED, path=files[0], key=key)
+    return settings.to_options()
 
 
 def _call_in_reactor(
--- a/hyssopring/report/causes.py
+++ b/hyssopring/report/causes.py
@@ -21,7 +21,6 @@
     NO_OWNER = 'no owner'
     WORK = 'its own run time'
     FAILED = 'failed'
-    REJECTED = 'rejected'
     AWAY = 'lasting task away'
     OVER_BY_NEIGHBOURS = 'over target by neighbours'
     OVER_BY_WORKER = 'over target by worker or own load'
--- a/hyssopring/report/day_log.py
+++ b/hyssopring/report/day_log.py
@@ -18,7 +18,6 @@
         Event.PROCESS_STARTED,
         Event.JOB_ACCEPTED,
         Event.JOB_FINISHED,
-        Event.JOB_REJECTED,
         Event.TASK_PLACED,
         Event.TASK_FINISHED,
         Event.TASK_LAPSED,
@@ -94,7 +93,6 @@
             Event.PROCESS_STARTED: self._add_start,
             Event.JOB_ACCEPTED: self._add_job,
             Event.JOB_FINISHED: self._add_job_end,
-            Event.JOB_REJECTED: self._add_rejection,
             Event.TASK_PLACED: self._add_placement,
             Event.TASK_FINISHED: self._add_finish,
             Event.TASK_LAPSED: self._add_lapse,
@@ -148,12 +146,6 @@
         history.finished_s = at_s
         history.state = str(line.record['state'])
 
-    def _add_rejection(self, line: LogLine, at_s: float) -> None:
-        history = self._job(line.record['job'])
-        history.queue = str(line.record['queue'])
-        if history.rejected_s is None:
-            history.rejected_s = at_s
-
     def _add_placement(self, line: LogLine, at_s: float) -> None:
         record = line.record
         self._task(line).attempts.append(
--- a/hyssopring/report/losses.py
+++ b/hyssopring/report/losses.py
@@ -14,7 +14,6 @@
 
 # A job that takes longer than this many times its objective earns nothing.
 _MAX_OBJECTIVES: Final = 3
-_NOT_OWED: Final = frozenset(('cancelled',))
 
 
 @dataclass
@@ -99,11 +98,9 @@
 
     def add(self, history: JobHistory) -> None:
         """Add a job; nothing is owed to one that was cancelled."""
-        if history.accepted_s is None:
-            self._add_rejected(history)
-        elif history.is_lasting:
+        if history.is_lasting:
             self._add_lasting(history)
-        elif history.state not in _NOT_OWED:
+        elif history.accepted_s is not None and history.state != 'cancelled':
             self._add_batch(history, history.accepted_s)
 
     def _class_of(self, history: JobHistory) -> ClassLosses:
@@ -111,13 +108,6 @@
             history.queue, ClassLosses(history.is_lasting)
         )
 
-    def _add_rejected(self, history: JobHistory) -> None:
-        if history.rejected_s is not None:
-            job_class = self._class_of(history)
-            job_class.never += 1
-            self._owe(job_class, history.rejected_s, 1)
-            self._lose(job_class, history.rejected_s, Cause.REJECTED, 1)
-
     def _add_batch(self, history: JobHistory, accepted_s: float) -> None:
         is_open = history.finished_s is None
         until_s = history.finished_s or self._day.ends_s
--- a/hyssopring/settings/reference.py
+++ b/hyssopring/settings/reference.py
@@ -11,7 +11,6 @@
     OperatorSettings,
 )
 from hyssopring.settings.scheduling import (
-    AdmissionSettings,
     FairnessSettings,
     LearningSettings,
     RebalancingSettings,
@@ -37,7 +36,6 @@
     ('`capacity` of an agent', CapacitySettings),
     ('Operator (`--settings FILE` of the commands)', OperatorSettings),
     ('`learning` of `deploy/scheduling.json`', LearningSettings),
-    ('`admission` of `deploy/scheduling.json`', AdmissionSettings),
     ('`fairness` of `deploy/scheduling.json`', FairnessSettings),
     ('`stragglers` of `deploy/scheduling.json`', StragglerSettings),
     ('`rebalancing` of `deploy/scheduling.json`', RebalancingSettings),
--- a/hyssopring/settings/scheduling.py
+++ b/hyssopring/settings/scheduling.py
@@ -3,12 +3,11 @@
 A part is on if the file has its object, which may be empty.
 """
 
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field
 
 from hyssopring.jobs.scheduling_options import (
-    AdmissionOptions,
     FairnessOptions,
     LearningOptions,
     RebalancingOptions,
@@ -17,7 +16,6 @@
 )
 
 __all__ = (
-    'AdmissionSettings',
     'FairnessSettings',
     'LearningSettings',
     'RebalancingSettings',
@@ -51,30 +49,6 @@
     ] = LearningOptions().save_interval_ms
 
 
-class AdmissionSettings(_Strict):
-    """When an entry rejects jobs that could only end too late."""
-
-    max_objectives: Annotated[
-        float,
-        Field(
-            ge=1,
-            le=100,
-            description=(
-                'A job that would end later than this many times its '
-                'objective is rejected.'
-            ),
-        ),
-    ] = AdmissionOptions().max_objectives
-    max_outlook_age_ms: Annotated[
-        float,
-        Field(
-            ge=500,
-            le=30_000,
-            description='An older outlook of the owner rejects nothing.',
-        ),
-    ] = AdmissionOptions().max_outlook_age_ms
-
-
 class FairnessSettings(_Strict):
     """The shares of queues while tasks wait for capacity."""
 
@@ -134,16 +108,20 @@
     """The optional parts of scheduling; one without an object is off."""
 
     learning: LearningSettings | None = None
-    admission: AdmissionSettings | None = None
+    # Accepted for files of the releases that had it; see ``unused_keys``.
+    admission: dict[str, Any] | None = None
     fairness: FairnessSettings | None = None
     stragglers: StragglerSettings | None = None
     rebalancing: RebalancingSettings | None = None
 
+    def unused_keys(self) -> tuple[str, ...]:
+        """Return the keys of the file that this release does not use."""
+        return () if self.admission is None else ('admission',)
+
     def to_options(self) -> SchedulingOptions:
         """Return the options for the entry's core."""
         return SchedulingOptions(
             _options(self.learning, LearningOptions),
-            _options(self.admission, AdmissionOptions),
             _options(self.fairness, FairnessOptions),
             _options(self.stragglers, StragglerOptions),
             _options(self.rebalancing, RebalancingOptions),
