--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -180,11 +180,11 @@
     ) -> None:
         self._released_shards.handle_message(message, self._clock.now())
         owned = self.owner.shards.by_shard.get(message.shard)
-        if owned is not None:
+        if owned is None:
+            self._membership.on_shard_released()
+        else:
             self._released_shards.apply_to(owned, self.fleet)
             self.owner.process_departed_agents()
-        else:
-            self._membership.on_shard_released()
 
     @handle_message.register
     def _handle_cancellation(self, message: CancelNotice, peer_id: str) -> None:
--- a/hyssopring/jobs/entry_membership.py
+++ b/hyssopring/jobs/entry_membership.py
@@ -59,9 +59,9 @@
 # Releases are limited, as a handover stops planning for up to a second.
 _RELEASE_CORES_RATIO: Final = 1.5
 _RELEASE_INTERVAL_MS: Final = 30_000.0
-# When the rows are read after an owner has told that it releases a shard: its two
+# When free shards are looked for after an owner has told of a release: its two
 # writes take a few ms each, and the second time is for a slow store.
-_RELEASED_READS_S: Final = (30 / MILLIS_PER_SECOND, 150 / MILLIS_PER_SECOND)
+_RELEASED_CHECKS_S: Final = (30 / MILLIS_PER_SECOND, 150 / MILLIS_PER_SECOND)
 # The pause before a release that the store has not confirmed is sent again.
 _RELEASE_RETRY_S: Final = 200 / MILLIS_PER_SECOND
 
@@ -152,15 +152,17 @@
     def tick(self) -> None:
         """Renew the row and read the others' each ``ENTRY_HEARTBEAT_MS``."""
         self.renew()
-        self._read_entries()
+        deferred = self._store.read(ENTRIES_TABLE, '')
+        deferred.addCallbacks(self._on_entry_rows, _ignore_store_failure)
+        deferred.addErrback(_ignore_store_failure)
 
     def on_shard_released(self) -> None:
-        """Read the rows soon, as another entry has released a shard.
+        """Look for free shards soon, as another entry has released one.
 
         Without it, the shard is without an owner until the next tick.
         """
-        for delay_s in _RELEASED_READS_S:
-            self._reactor.callLater(delay_s, self._read_entries)
+        for delay_s in _RELEASED_CHECKS_S:
+            self._reactor.callLater(delay_s, self.tick)
 
     def stop(self) -> None:
         """Stop taking shards."""
@@ -213,11 +215,6 @@
             callbackArgs=(sent_at,),
         )
 
-    def _read_entries(self) -> None:
-        deferred = self._store.read(ENTRIES_TABLE, '')
-        deferred.addCallbacks(self._on_entry_rows, self._ignore_store_failure)
-        deferred.addErrback(self._ignore_store_failure)
-
     def _on_renewed(
         self, outcome: Committed | Conflict, sent_at: float
     ) -> None:
@@ -242,20 +239,16 @@
 
     def _on_renewal_failed(self, failure: TwistedFailure) -> None:
         self._is_renewing = False
-        self._ignore_store_failure(failure)
+        _ignore_store_failure(failure)
 
     def _retry_release(
         self, failure: TwistedFailure, shard: int, version: int, epoch: int
     ) -> None:
-        self._ignore_store_failure(failure)
+        _ignore_store_failure(failure)
         self._reactor.callLater(
             _RELEASE_RETRY_S, self.release, shard, version, epoch
         )
 
-    def _ignore_store_failure(self, failure: TwistedFailure) -> None:
-        """Ignore a failed call; the store's client logs outages."""
-        failure.trap(StoreRefused, StoreUncertain, MalformedRowError)
-
     def _on_entry_rows(self, page: Page) -> None:
         now_ms = self._clock.now()
         for row in self._peers.update(page.rows):
@@ -272,7 +265,7 @@
                 (RowCheck(row.row_key, row.version),), (), (row.row_key,)
             ),
         )
-        deferred.addErrback(self._ignore_store_failure)
+        deferred.addErrback(_ignore_store_failure)
 
     def _take_free_shards(self, now_ms: float) -> None:
         """Start takeovers of the shards that no live entry claims."""
@@ -314,7 +307,7 @@
     def _start_takeover(self, shard: int) -> None:
         deferred = self._store.read_one(owner_key(shard))
         deferred.addCallback(self._on_owner_row, shard)
-        deferred.addErrback(self._ignore_store_failure)
+        deferred.addErrback(_ignore_store_failure)
         deferred.addBoth(lambda _done: self._pending_takeovers.discard(shard))
 
     def _is_owner_live(self, former: OwnerRow, version: int) -> bool:
@@ -399,6 +392,11 @@
         self.renew()
 
 
+def _ignore_store_failure(failure: TwistedFailure) -> None:
+    """Ignore a failed call; the store's client logs outages."""
+    failure.trap(StoreRefused, StoreUncertain, MalformedRowError)
+
+
 def _do_nothing() -> None:
     """Do nothing; the default of a callback."""
 
