--- a/hyssopring/cli/loss_report.py
+++ b/hyssopring/cli/loss_report.py
@@ -5,7 +5,7 @@
 
 from hyssopring.cli.documents import usage_failure
 from hyssopring.cli.output import exit_with, write_line
-from hyssopring.report import (
+from hyssopring.cli.report import (
     DayLog,
     read_day_log,
     render_html,
--- a/hyssopring/report/critical_path.py
+++ b/hyssopring/cli/report/critical_path.py
@@ -1,8 +1,8 @@
 """Splits the time of a batch job along its critical path by cause."""
 
-from hyssopring.report.causes import Cause, Units
-from hyssopring.report.histories import Attempt, JobHistory, TaskHistory
-from hyssopring.report.owners import overlap_s
+from hyssopring.cli.report.causes import Cause, Units
+from hyssopring.cli.report.histories import Attempt, JobHistory, TaskHistory
+from hyssopring.cli.report.owners import overlap_s
 
 __all__ = ('seconds_by_cause',)
 
--- a/hyssopring/report/day_log.py
+++ b/hyssopring/cli/report/day_log.py
@@ -7,8 +7,8 @@
 from hyssopring.cli.log_lines import FoundLines, LogLine, read_events
 from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.logs import Event
-from hyssopring.report.histories import Attempt, JobHistory, TaskHistory
-from hyssopring.report.owners import OwnerGaps
+from hyssopring.cli.report.histories import Attempt, JobHistory, TaskHistory
+from hyssopring.cli.report.owners import OwnerGaps
 
 __all__ = ('DayLog', 'read_day_log')
 
--- a/hyssopring/report/html_page.py
+++ b/hyssopring/cli/report/html_page.py
@@ -4,10 +4,10 @@
 import io
 from typing import Any, Final, Iterable, Mapping, Sequence
 
-from hyssopring.report.causes import Cause
-from hyssopring.report.day_log import DayLog
-from hyssopring.report.losses import Losses
-from hyssopring.report.text_page import (
+from hyssopring.cli.report.causes import Cause
+from hyssopring.cli.report.day_log import DayLog
+from hyssopring.cli.report.losses import Losses
+from hyssopring.cli.report.text_page import (
     CAUSE_HEADING,
     CLASS_COLUMNS,
     WINDOW_COLUMNS,
--- a/hyssopring/report/lasting_tasks.py
+++ b/hyssopring/cli/report/lasting_tasks.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Iterator
 
-from hyssopring.report.causes import Cause
-from hyssopring.report.day_log import DayLog
-from hyssopring.report.histories import JobHistory, TaskHistory
+from hyssopring.cli.report.causes import Cause
+from hyssopring.cli.report.day_log import DayLog
+from hyssopring.cli.report.histories import JobHistory, TaskHistory
 
 __all__ = ('LastingLoss', 'losses_of_lasting')
 
--- a/hyssopring/report/losses.py
+++ b/hyssopring/cli/report/losses.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from typing import Final, Iterator
 
-from hyssopring.report.causes import Cause, Units
-from hyssopring.report.critical_path import seconds_by_cause
-from hyssopring.report.day_log import DayLog
-from hyssopring.report.histories import JobHistory
-from hyssopring.report.lasting_tasks import LastingLoss, losses_of_lasting
+from hyssopring.cli.report.causes import Cause, Units
+from hyssopring.cli.report.critical_path import seconds_by_cause
+from hyssopring.cli.report.day_log import DayLog
+from hyssopring.cli.report.histories import JobHistory
+from hyssopring.cli.report.lasting_tasks import LastingLoss, losses_of_lasting
 
 __all__ = ('Cause', 'ClassLosses', 'Losses', 'sum_losses')
 
--- a/hyssopring/report/text_page.py
+++ b/hyssopring/cli/report/text_page.py
@@ -3,9 +3,9 @@
 from typing import Any, Iterator
 
 from hyssopring.cli.tables import render_table
-from hyssopring.report.causes import Cause
-from hyssopring.report.day_log import DayLog
-from hyssopring.report.losses import Losses
+from hyssopring.cli.report.causes import Cause
+from hyssopring.cli.report.day_log import DayLog
+from hyssopring.cli.report.losses import Losses
 
 __all__ = (
     'CAUSE_HEADING',
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -6,7 +6,7 @@
 
 from hyssopring.cli.main import main
 from hyssopring.logs import Event
-from hyssopring.report import Cause, read_day_log, sum_losses
+from hyssopring.cli.report import Cause, read_day_log, sum_losses
 
 JOB = '00000000000000a1'
 KEEPERS = '00000000000000b2'
