--- a/hyssopring/cli/report/critical_path.py
+++ b/hyssopring/cli/report/critical_path.py
@@ -80,10 +80,9 @@
     def _add_run(
         self, task: TaskHistory, attempt: Attempt, since_s: float, end_s: float
     ) -> None:
-        if attempt.how and attempt.how not in _SAVED_ENDS:
-            self.add_wait(since_s, end_s, Cause.RUN_LOST)
-            return
-        if not attempt.how and end_s < self._until_s:
+        """Add an attempt: as work, if its work was kept, else as lost."""
+        is_running = not attempt.how and end_s >= self._until_s
+        if not is_running and attempt.how not in _SAVED_ENDS:
             self.add_wait(since_s, end_s, Cause.RUN_LOST)
             return
         throttled_s = task.throttled_s(since_s, end_s)
--- a/hyssopring/cli/report/histories.py
+++ b/hyssopring/cli/report/histories.py
@@ -1,10 +1,11 @@
 """Histories of jobs, tasks and attempts; times in seconds of the day."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 __all__ = ('Attempt', 'JobHistory', 'TaskHistory')
 
-FULL_PACE = 1.0
+_FULL_PACE: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -60,8 +61,8 @@
         """Return how many seconds of full pace throttling took."""
         changes = [change for change in self.paces if change[0] >= since_s]
         lost_s: float = 0
-        pace, cursor = FULL_PACE, since_s
-        changes.append((until_s, FULL_PACE))
+        pace, cursor = _FULL_PACE, since_s
+        changes.append((until_s, _FULL_PACE))
         for at_s, new_pace in changes:
             end_s = min(at_s, until_s)
             lost_s += max(0, end_s - cursor) * (1 - pace)
@@ -85,6 +86,7 @@
         due_s: How long it may take to be in time, by its callers' estimates.
         slack: How many times its longest chain of work it may take.
         target_s: How much longer it may take.
+        task_by_name: Its tasks, as far as they are named.
     """
 
     job: str
--- a/hyssopring/cli/report/lasting_tasks.py
+++ b/hyssopring/cli/report/lasting_tasks.py
@@ -5,7 +5,7 @@
 
 from hyssopring.cli.report.causes import Cause
 from hyssopring.cli.report.day_log import DayLog
-from hyssopring.cli.report.histories import JobHistory, TaskHistory
+from hyssopring.cli.report.histories import Attempt, JobHistory, TaskHistory
 
 __all__ = ('LastingLoss', 'losses_of_lasting')
 
@@ -49,23 +49,33 @@
 def _away(
     task: TaskHistory, day: DayLog, since_s: float, until_s: float
 ) -> Iterator[_Span]:
+    """Yield the times in which no attempt of a task was on a worker."""
     cursor_s = since_s
     for index, attempt in enumerate(task.attempts):
         if attempt.placed_s > cursor_s:
             yield cursor_s, min(attempt.placed_s, until_s)
-        following = task.attempts[index + 1 : index + 2]
-        next_s = following[0].placed_s if following else until_s
-        end_s = next_s if attempt.ended_s is None else attempt.ended_s
-        starts = day.started_by_process.get(attempt.agent, ())
-        if following:
-            # A worker that is lost takes its agent with it.
-            restarts = [at for at in starts if attempt.placed_s < at < next_s]
-            end_s = min([end_s, *restarts])
+        end_s = until_s
+        if index + 1 < len(task.attempts):
+            end_s = _lost_s(attempt, task.attempts[index + 1], day)
+        if attempt.ended_s is not None:
+            end_s = attempt.ended_s
         cursor_s = max(cursor_s, min(end_s, until_s))
     if cursor_s < until_s:
         yield cursor_s, until_s
 
 
+def _lost_s(attempt: Attempt, following: Attempt, day: DayLog) -> float:
+    """Return when an attempt was over at the latest, if no line tells.
+
+    A VM that is lost takes the agent with it.
+    """
+    starts = day.started_by_process.get(attempt.agent, ())
+    restarts = [
+        at for at in starts if attempt.placed_s < at < following.placed_s
+    ]
+    return min([following.placed_s, *restarts])
+
+
 def _split_by_owner(span: _Span, gaps: list[_Span]) -> Iterator[LastingLoss]:
     """Split the times without an owner off a time away."""
     cursor_s, until_s = span
@@ -87,11 +97,7 @@
         is_away = any(start < end_s and start_s < end for start, end in away)
         if is_away or start_s < since_s or end_s > until_s:
             continue
-        is_by_neighbours = by == 'neighbours'
-        yield LastingLoss(
-            start_s,
-            end_s,
-            Cause.OVER_BY_NEIGHBOURS
-            if is_by_neighbours
-            else Cause.OVER_BY_WORKER,
-        )
+        cause = Cause.OVER_BY_WORKER
+        if by == 'neighbours':
+            cause = Cause.OVER_BY_NEIGHBOURS
+        yield LastingLoss(start_s, end_s, cause)
