--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -19,7 +19,7 @@
 from hyssopring.metrics import Metrics
 from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
-from hyssopring.platform.metrics import serve_metrics
+from hyssopring.platform.metrics import gauge_traffic, serve_metrics
 from hyssopring.platform.reports import ReportsResource
 from hyssopring.platform.settings import NodeSettings
 from hyssopring.platform.store import PlatformStore
@@ -122,6 +122,7 @@
         gauge('worker_silent_ms', self.core.monitor.silent_ms)
         gauge('entries_connected', len(self._dialler.connected))
         gauge('zones_evacuated', len(self.core.own_zone.evacuations.zones))
+        gauge_traffic(self._metrics, self._dialler.traffic)
 
     def _tick(self) -> None:
         self._dialler.tick()
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -35,7 +35,7 @@
 from hyssopring.platform.callers import CallersResource
 from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
-from hyssopring.platform.metrics import serve_metrics
+from hyssopring.platform.metrics import gauge_traffic, serve_metrics
 from hyssopring.platform.operator_rows import follow_operator
 from hyssopring.platform.readiness import ReadyResource
 from hyssopring.platform.settings import NodeSettings
@@ -229,6 +229,9 @@
         gauge('zones_evacuated', len(self.core.evacuations.known.zones))
         table = self._callers.table
         gauge('configuration_version', table.version if table else 0)
+        gauge_traffic(
+            self._metrics, self._dialler.traffic, self._listener.traffic
+        )
 
     def _on_configuration(
         self,
--- a/hyssopring/platform/metrics.py
+++ b/hyssopring/platform/metrics.py
@@ -1,5 +1,6 @@
 """HTTP endpoint for the metrics of a process."""
 
+from collections import Counter
 from typing import Any, Final
 
 from twisted.internet.error import CannotListenError
@@ -12,8 +13,9 @@
 from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
 from hyssopring.platform.settings import NodeSettings
+from hyssopring.protocol.frames import Traffic
 
-__all__ = ('METRICS_PATH', 'serve_metrics')
+__all__ = ('METRICS_PATH', 'gauge_traffic', 'serve_metrics')
 
 # The deploy file has the same path.
 METRICS_PATH: Final = 'metrics'
@@ -34,6 +36,29 @@
         return self._metrics.render().encode()
 
 
+def gauge_traffic(metrics: Metrics, *traffics: Traffic) -> None:
+    """Set the number of bytes, and of messages by kind, on connections."""
+    sent: Counter[str] = Counter()
+    received: Counter[str] = Counter()
+    for traffic in traffics:
+        sent.update(traffic.sent_by_kind)
+        received.update(traffic.received_by_kind)
+    for kind, sent_count in sent.items():
+        metrics.gauge(f'messages_sent_total{{kind="{kind}"}}', sent_count)
+    for kind, received_count in received.items():
+        metrics.gauge(
+            f'messages_received_total{{kind="{kind}"}}', received_count
+        )
+    metrics.gauge(
+        'link_sent_bytes_total',
+        sum(traffic.bytes_sent for traffic in traffics),
+    )
+    metrics.gauge(
+        'link_received_bytes_total',
+        sum(traffic.bytes_received for traffic in traffics),
+    )
+
+
 def serve_metrics(
     reactor: Any,
     settings: NodeSettings,
--- a/hyssopring/protocol/frames.py
+++ b/hyssopring/protocol/frames.py
@@ -1,6 +1,7 @@
 """Framed connection between two processes, on Twisted."""
 
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 from typing import Any, Callable, Final
 
 from twisted.internet.protocol import connectionDone
@@ -19,10 +20,19 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """Bytes on all internal connections of a process, with length prefixes."""
+    """Traffic on all internal connections of a process.
+
+    Attributes:
+        bytes_sent: Includes length prefixes.
+        bytes_received: Includes length prefixes.
+        sent_by_kind: Number of messages by the name of their class.
+        received_by_kind: Number of messages by the name of their class.
+    """
 
     bytes_sent: int = 0
     bytes_received: int = 0
+    sent_by_kind: Counter[str] = field(default_factory=Counter)
+    received_by_kind: Counter[str] = field(default_factory=Counter)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +113,7 @@
         except ProtocolError as error:
             self._fail(str(error))
             return
+        self._traffic.received_by_kind[type(message).__name__] += 1
         self._on_message(self, message)
 
     def lengthLimitExceeded(self, length: int) -> None:
@@ -122,6 +133,7 @@
         """Send one message."""
         payload = self._codec.encode(message)
         self._traffic.bytes_sent += len(payload) + _LENGTH_PREFIX_BYTES
+        self._traffic.sent_by_kind[type(message).__name__] += 1
         self.sendString(payload)
 
     def close(self) -> None:
