--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -30,6 +30,10 @@
     'process_resident_bytes',
     'store_calls_total',
     'store_call_ms',
+    'messages_sent_total',
+    'messages_received_total',
+    'link_sent_bytes_total',
+    'link_received_bytes_total',
 }
 
 
