Reports: entries without a shard get them at intervals that grow with their number

Cause: each agent reported to each entry twice a second, and each entry pinged each other one twice a second, so that messages grow with the product of agents and entries, and with the square of entries. Class: work for all peers at the pace that one of them needs. Evidence: idle processes with 35 entries and 8 agents; an agent sends 63 reports and 12.7 KB a second, an idle entry handles 122 pings in each direction. Change: an agent with a fresh lease and a worker that responds reports to owners each 0.5 s as before, and to the others at most ten times a second together; it reports to all each 0.5 s again as soon as its owner is in doubt, its worker fails a poll or leaves, or it stops. Entries ping 20 others or more each 2 s. Each message announces the time until the next, and the receiver waits that much longer before it closes the connection. A new owner still closes connections without an answer to its requests after 2 s. Peers of the release before get and are expected to send messages twice a second. Up to five entries nothing changes.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -34,6 +34,7 @@
 from hyssopring.jobs.own_zone import OwnZone
 from hyssopring.jobs.pacing import Pacer
 from hyssopring.jobs.received_starts import ReceivedStarts
+from hyssopring.jobs.report_schedule import ReportSchedule
 from hyssopring.jobs.roster_withdrawal import RosterWithdrawal
 from hyssopring.jobs.shards import shard_of_task
 from hyssopring.jobs.worker_monitor import WorkerMonitor
@@ -50,6 +51,11 @@
 Send = Callable[[str, JobsMessage], None]
 
 
+def _no_release(_entry_id: str) -> int:
+    """Return the release of an entry of which nothing is known."""
+    return 0
+
+
 class JobAgentCore:
     """Handles the entries' messages and reports to them for one worker.
 
@@ -69,6 +75,7 @@
         wall_ms: Callable[[], float],
         rosters: RosterWithdrawal,
         zone: str = '',
+        release_of: Callable[[str], int] = _no_release,
     ) -> None:
         """Start polling when the worker announces itself.
 
@@ -78,6 +85,7 @@
             wall_ms: Returns the milliseconds since 1970.
             rosters: Withdraws this agent from the shards' rosters.
             zone: Availability zone of the worker.
+            release_of: Returns the ``EntryGreeting.release`` of an entry.
         """
         self._reactor = reactor
         self._clock = clock
@@ -107,7 +115,7 @@
             rosters,
         )
         self._sequence = 0
-        self._reported_at_by_entry: dict[str, float] = {}
+        self._schedule = ReportSchedule(clock, release_of)
         self._received_starts = ReceivedStarts()
         self._is_report_due = False
         # Attempts of a silent worker whose hold expired; it may have crashed,
@@ -129,7 +137,7 @@
 
     def disconnected(self, entry_id: str) -> None:
         """Stop reporting to an entry whose connection is closed."""
-        self._reported_at_by_entry.pop(entry_id, None)
+        self._schedule.remove(entry_id)
         self._leases.forget_reports(entry_id)
 
     def stop(self) -> None:
@@ -141,20 +149,26 @@
         returns, and so would its keepers.
         """
         self.shutdown.has_begun = True
-        self.shutdown.tick(self._reported_at_by_entry)
+        self.shutdown.tick(self._schedule.entries)
 
     def tick(self) -> None:
         """Do periodic work; call a few times a second."""
         now_ms = self._clock.now()
         self.monitor.check()
-        for entry_id, reported_at in list(self._reported_at_by_entry.items()):
-            if self._leases.is_due(now_ms, reported_at):
-                self._report(entry_id)
+        is_settled = (
+            self.monitor.is_steady
+            and not self.shutdown.has_begun
+            and self._leases.are_fresh(now_ms, self._schedule.entries)
+        )
+        for entry_id in self._schedule.due_entries(
+            self._leases.owners, is_settled=is_settled
+        ):
+            self._report(entry_id)
         if self._leases.latest_expiry > now_ms and not self._awaits_grants(
             now_ms
         ):
             self._stop_ungranted(now_ms)
-        self.shutdown.tick(self._reported_at_by_entry)
+        self.shutdown.tick(self._schedule.entries)
 
     @singledispatchmethod
     def handle_message(self, message: JobsMessage, entry_id: str) -> None:
@@ -376,14 +390,14 @@
 
     def _report_to_owners(self) -> None:
         self._is_report_due = False
-        for entry_id in list(self._reported_at_by_entry):
+        for entry_id in self._schedule.entries:
             if self._leases.epochs_of(entry_id):
                 self._report(entry_id)
 
     def _report(self, entry_id: str) -> None:
         now_ms = self._clock.now()
         self._sequence += 1
-        self._reported_at_by_entry[entry_id] = now_ms
+        next_ms = self._schedule.record_report(entry_id)
         self._leases.note_report_sent(entry_id, self._sequence, now_ms)
         shard_epochs = self._leases.epochs_of(entry_id)
         own_shards = {owned.shard for owned in shard_epochs}
@@ -422,6 +436,7 @@
                 foreign_usage.accelerators,
                 self._received_starts.count(entry_id),
                 self._received_starts.connection(entry_id),
+                int(next_ms),
             ),
         )
         self.shutdown.announce_to(entry_id)
--- a/hyssopring/jobs/agent_leases.py
+++ b/hyssopring/jobs/agent_leases.py
@@ -4,7 +4,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Iterable
+from typing import Container, Final, Iterable
 
 from hyssopring.jobs.messages import ShardEpoch
 from hyssopring.jobs.times import GRANT_MS, REPORT_INTERVAL_MS
@@ -13,6 +13,8 @@
 
 # Reports to one entry.
 _MAX_UNACKNOWLEDGED = 64
+# Three reports without a grant make the owner's state doubtful.
+_MAX_RENEWAL_AGE_MS: Final = 3 * REPORT_INTERVAL_MS
 
 
 @dataclass(slots=True)
@@ -98,6 +100,13 @@
         lease = self._lease_by_shard.get(shard)
         return lease.entry_id if lease else ''
 
+    @property
+    def owners(self) -> frozenset[str]:
+        """The newest known owners of all shards."""
+        return frozenset(
+            lease.entry_id for lease in self._lease_by_shard.values()
+        )
+
     def epochs_of(self, entry_id: str) -> list[ShardEpoch]:
         """Return the shards whose newest known owner is an entry."""
         return [
@@ -111,6 +120,10 @@
         lease = self._lease_by_shard.get(shard)
         return lease.epoch if lease else 0
 
-    def is_due(self, now_ms: float, last_report_at: float) -> bool:
-        """Whether the regular report is due."""
-        return now_ms - last_report_at >= REPORT_INTERVAL_MS
+    def are_fresh(self, now_ms: float, entries: Container[str]) -> bool:
+        """Whether connected owners of all known shards renewed recently."""
+        min_expires_at = now_ms + GRANT_MS - _MAX_RENEWAL_AGE_MS
+        return bool(self._lease_by_shard) and all(
+            lease.entry_id in entries and lease.expires_at >= min_expires_at
+            for lease in self._lease_by_shard.values()
+        )
--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -6,6 +6,7 @@
 dropped its state.
 """
 
+from dataclasses import replace
 from typing import Any, Callable, Final, Iterable
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -15,13 +16,17 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.jobs.messages import (
     PROTOCOL_RELEASE,
+    SPACED_REPORTS_RELEASE,
     AgentGreeting,
     EntryGreeting,
     JobsMessage,
+    ReportRequest,
+    WorkerReport,
     pack,
     unpack,
 )
 from hyssopring.jobs.stall_detector import StallDetector
+from hyssopring.jobs.times import REPORT_INTERVAL_MS, spaced_interval_ms
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.frames import Codec, FramedConnection, Traffic
 
@@ -29,8 +34,12 @@
 
 _CODEC: Final = Codec(pack, unpack)
 _CONNECT_TIMEOUT_S: Final = 1
-# The connecting side sends every half second: this is four missed responses.
-_SILENCE_TIMEOUT_MS: Final = 2000.0
+# Messages may arrive this long after their time, and responses after their
+# requests: as long as three more reports take at the usual interval.
+_DELAY_TIMEOUT_MS: Final = 3 * REPORT_INTERVAL_MS
+_SILENCE_TIMEOUT_MS: Final = REPORT_INTERVAL_MS + _DELAY_TIMEOUT_MS
+# Pings of entries announce no longer interval than this.
+_MAX_PING_INTERVAL_MS: Final = 2000.0
 _MIN_BACKOFF_MS: Final = 300.0
 _MAX_BACKOFF_MS: Final = 1500.0
 
@@ -48,11 +57,16 @@
         self.listener = listener
         self.peer_id = ''
         self.connection: FramedConnection | None = None
+        self._silence_timeout_ms = _SILENCE_TIMEOUT_MS
+        self._requested_at = _NEVER
 
     def on_open(self, connection: FramedConnection) -> None:
         self.connection = connection
 
     def on_receive(self, connection: FramedConnection, message: Any) -> None:
+        if isinstance(message, EntryGreeting | WorkerReport):
+            next_ms = message.next_ms or REPORT_INTERVAL_MS
+            self._silence_timeout_ms = next_ms + _DELAY_TIMEOUT_MS
         if isinstance(message, AgentGreeting):
             self.peer_id = message.agent_id
             connection.send(self.listener.greeting)
@@ -64,6 +78,29 @@
         elif self.peer_id and self.listener.is_current(self):
             self.listener.on_message(self.peer_id, message)
 
+    def send(self, message: JobsMessage, now_ms: float) -> bool:
+        """Send a message; return False if the connection is not open."""
+        connection = self.connection
+        if connection is None:
+            return False
+        if isinstance(message, ReportRequest):
+            if connection.last_received_at >= self._requested_at:
+                self._requested_at = now_ms
+        connection.send(message)
+        return True
+
+    def is_silent(self, now_ms: float) -> bool:
+        """Whether an announced message or a requested report is overdue."""
+        if self.connection is None:
+            return False
+        received_at = self.connection.last_received_at
+        if now_ms - received_at > self._silence_timeout_ms:
+            return True
+        return (
+            received_at < self._requested_at
+            and now_ms - self._requested_at > _SILENCE_TIMEOUT_MS
+        )
+
     def on_protocol_error(
         self,
         connection: FramedConnection,
@@ -117,24 +154,17 @@
     def send(self, peer_id: str, message: JobsMessage) -> bool:
         """Send a message; return False if the peer is not connected."""
         peer = self._peer_by_id.get(peer_id)
-        if peer is None or peer.connection is None:
-            return False
-        peer.connection.send(message)
-        return True
+        return peer is not None and peer.send(message, self._clock.now())
 
     def close_silent_connections(self) -> None:
         """Abort connections that timed out; call periodically."""
         if not self._stall_detector.record_tick():
             return
-        oldest_ms = self._clock.now() - _SILENCE_TIMEOUT_MS
+        now_ms = self._clock.now()
         for peer in list(self._peers):
-            connection = peer.connection
-            if (
-                connection is not None
-                and connection.last_received_at < oldest_ms
-            ):
+            if peer.connection is not None and peer.is_silent(now_ms):
                 log_event(Event.CONNECTION_SILENT, peer=peer.peer_id)
-                connection.abort()
+                peer.connection.abort()
 
     def is_current(self, peer: _Peer) -> bool:
         """Whether this is the peer's newest connection."""
@@ -175,7 +205,9 @@
         self.is_dialling = False
         self.next_dial_at = _NEVER
         self.backoff_ms = _MIN_BACKOFF_MS
-        self.greeting_sent_at = _NEVER
+        self.next_ping_at = _NEVER
+        # When the oldest message was sent whose response is still missing.
+        self._awaits_since = _NEVER
 
     def buildProtocol(self, addr: object) -> FramedConnection:
         return FramedConnection(
@@ -206,29 +238,56 @@
         if self.connection is not None:
             self.connection.close()
 
+    def send(self, message: JobsMessage) -> bool:
+        connection = self.connection
+        if connection is None:
+            return False
+        if isinstance(message, WorkerReport | EntryGreeting):
+            if connection.last_received_at >= self._awaits_since:
+                self._awaits_since = self.dialler.clock.now()
+        connection.send(message)
+        return True
+
     def _check_connection(
         self,
         connection: FramedConnection,
         now_ms: float,
         can_check_silence: bool,
     ) -> None:
-        if (
-            can_check_silence
-            and now_ms - connection.last_received_at > _SILENCE_TIMEOUT_MS
-        ):
+        if can_check_silence and self._is_silent(connection, now_ms):
             log_event(Event.CONNECTION_SILENT, entry=self.address)
             connection.abort()
-        elif (
-            self.dialler.is_pinging
-            and now_ms - self.greeting_sent_at >= _PING_INTERVAL_MS
-        ):
-            self.greeting_sent_at = now_ms
-            connection.send(self.dialler.greeting)
+        elif now_ms >= self.next_ping_at:
+            self._ping(self.dialler.greeting, now_ms)
+
+    def _is_silent(self, connection: FramedConnection, now_ms: float) -> bool:
+        """Whether a response is overdue."""
+        received_at = connection.last_received_at
+        if now_ms - received_at <= _SILENCE_TIMEOUT_MS:
+            return False
+        if not self.entry_id:
+            return True
+        return (
+            received_at < self._awaits_since
+            and now_ms - self._awaits_since > _DELAY_TIMEOUT_MS
+        )
+
+    def _ping(self, greeting: JobsMessage, now_ms: float) -> None:
+        """Repeat an entry's greeting; reports are an agent's pings."""
+        if not isinstance(greeting, EntryGreeting):
+            return
+        interval_ms = REPORT_INTERVAL_MS
+        if self.release >= SPACED_REPORTS_RELEASE:
+            interval_ms = spaced_interval_ms(
+                len(self.dialler.connected), _MAX_PING_INTERVAL_MS
+            )
+        self.next_ping_at = now_ms + interval_ms
+        self.send(replace(greeting, next_ms=int(interval_ms)))
 
     def _opened(self, connection: FramedConnection) -> None:
         self.is_dialling = False
         self.connection = connection
-        self.greeting_sent_at = self.dialler.clock.now()
+        self.next_ping_at = self.dialler.clock.now() + REPORT_INTERVAL_MS
         connection.send(self.dialler.greeting)
 
     def _received(self, _connection: FramedConnection, message: Any) -> None:
@@ -255,15 +314,13 @@
         self.is_dialling = False
         self.connection = None
         self.entry_id = ''
+        self.release = 0
         self.next_dial_at = self.dialler.clock.now() + self.backoff_ms
         self.backoff_ms = min(2 * self.backoff_ms, _MAX_BACKOFF_MS)
         if entry_id:
             self.dialler.handle_close(self, entry_id)
 
 
-_PING_INTERVAL_MS: Final = _SILENCE_TIMEOUT_MS / 4
-
-
 class LinkDialler:
     """Keeps a connection to each known entry."""
 
@@ -283,7 +340,6 @@
         self.reactor = reactor
         self.clock = clock
         self.greeting = greeting
-        self.is_pinging = isinstance(greeting, EntryGreeting)
         self.on_message = on_message
         self._on_open = on_open
         self._on_close = on_close
@@ -330,10 +386,7 @@
     def send(self, entry_id: str, message: JobsMessage) -> bool:
         """Send a message; return False if the entry is not connected."""
         dialled = self._dialled_by_entry.get(entry_id)
-        if dialled is None or dialled.connection is None:
-            return False
-        dialled.connection.send(message)
-        return True
+        return dialled is not None and dialled.send(message)
 
     def release_of(self, entry_id: str) -> int:
         """Return the release in a connected entry's greeting, else 0."""
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -38,6 +38,7 @@
     'EVACUATED',
     'PROTOCOL_RELEASE',
     'RUNNING_HERE',
+    'SPACED_REPORTS_RELEASE',
     'WORKERS_REASONS',
     'AgentGrant',
     'AgentGreeting',
@@ -69,8 +70,12 @@
 )
 
 
-# Raised with each new message class that is not sent to older processes.
-PROTOCOL_RELEASE: Final = 1
+# Raised with each new message class or behaviour that older processes do not
+# support.
+PROTOCOL_RELEASE: Final = 2
+# The first release whose processes wait as long for the next message on a
+# connection as the last one announced.
+SPACED_REPORTS_RELEASE: Final = 2
 
 
 @struct
@@ -88,10 +93,13 @@
     Attributes:
         release: ``PROTOCOL_RELEASE`` of the sender. A process closes a
             connection on which a message class that it does not know arrives.
+        next_ms: The time until the sender repeats it at the latest; 0 for
+            ``REPORT_INTERVAL_MS``.
     """
 
     entry_id: str
     release: int = 0
+    next_ms: int = 0
 
 
 @struct
@@ -160,6 +168,8 @@
             list has ended.
         connection: The entry's name for the connection that ``orders``
             counts; empty while the agent knows none.
+        next_ms: The time until the next report at the latest; 0 for
+            ``REPORT_INTERVAL_MS``.
     """
 
     sequence: int
@@ -180,6 +190,7 @@
     foreign_accelerators: int
     orders: int
     connection: str = ''
+    next_ms: int = 0
 
 
 @struct
--- a/hyssopring/jobs/times.py
+++ b/hyssopring/jobs/times.py
@@ -20,6 +20,7 @@
     'OWNER_LEASE_MS',
     'REPORT_INTERVAL_MS',
     'ROSTER_WAIT_MS',
+    'spaced_interval_ms',
 )
 
 # A worker's clock may be 2% slow. Each wait for a worker is this much longer.
@@ -65,3 +66,17 @@
 # agent which it cannot reach: until both the former owner's lease and the
 # agent's grant have expired.
 ROSTER_WAIT_MS: Final = OWNER_LEASE_MS + GRANT_EXPIRY_MS
+
+# The mean interval between the messages of a process by which it only shows a
+# group of others that it runs.
+_SPACING_MS: Final = 100.0
+
+
+def spaced_interval_ms(count: int, longest_ms: float) -> float:
+    """Return the interval of regular messages to each of many processes.
+
+    Args:
+        count: The number of processes that get such messages.
+        longest_ms: The longest interval to return.
+    """
+    return max(REPORT_INTERVAL_MS, min(longest_ms, count * _SPACING_MS))
--- a/hyssopring/jobs/worker_monitor.py
+++ b/hyssopring/jobs/worker_monitor.py
@@ -35,6 +35,7 @@
 # How long the worker may delay an answer until a task ends. Tail latencies
 # cover 500 ms and are read as often.
 _LONG_POLL_MS: Final = 500
+_MAX_STEADY_SILENCE_MS: Final = 2 * _LONG_POLL_MS
 # A hold is extended by short polls only. A long poll is in flight most of the
 # time, also when the worker ends, and so might extend the hold of the next
 # incarnation.
@@ -133,6 +134,15 @@
         """
         return self._failing_since is None and self._candidate is None
 
+    @property
+    def is_steady(self) -> bool:
+        """Whether the worker responds to each poll and is not leaving."""
+        return (
+            self.is_answering
+            and not self.announced.is_leaving
+            and self.silent_ms <= _MAX_STEADY_SILENCE_MS
+        )
+
     @property
     def capacity(self) -> Size:
         """Total resources for tasks; 0 while the hold may outlast an own one.
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -53,6 +53,7 @@
             wall_ms,
             RosterWithdrawal(self._clock, store, settings.node_name),
             settings.zone,
+            lambda entry_id: self._dialler.release_of(entry_id),
         )
         self._dialler = LinkDialler(
             reactor,
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -221,6 +221,7 @@
                 self.clock, deployment.rows.client(name, self.reactor), name
             ),
             deployment.zone_by_agent.get(name, ZONE),
+            lambda entry_id: deployment.entries[entry_id].release,
         )
         monitor = self.core.monitor
         self.reports = ReportsResource(
