Agents and entries: fewer wake-ups while nothing is due

Cause: an agent did its periodic work ten times a second, and an entry ran four timers with 20 calls a second, also when no deadline was near. Change: a settled agent (fresh leases, a worker that responds, all entries connected) ticks four times a second. An entry has one timer for its ticks, of 200 ms. Agents do not import the options of scheduling. Ruled out: slower ticks for all agents, as a lease that has expired must stop its tasks within 200 ms.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -64,6 +64,8 @@
         table: The attempts that use resources of the worker.
         shutdown: State of the process's shutdown.
         own_zone: Whether the worker's availability zone is evacuated.
+        is_settled: Whether, at the last tick, owners had renewed all leases
+            recently and the worker responded; no deadline is near then.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         )
         self._sequence = 0
         self._schedule = ReportSchedule(clock, release_of)
+        self.is_settled = False
         self._received_starts = ReceivedStarts()
         self._is_report_due = False
         # Attempts of a silent worker whose hold expired; it may have crashed,
@@ -152,16 +155,19 @@
         self.shutdown.tick(self._schedule.entries)
 
     def tick(self) -> None:
-        """Do periodic work; call a few times a second."""
+        """Do periodic work.
+
+        Call ten times a second, or four times while ``is_settled``.
+        """
         now_ms = self._clock.now()
         self.monitor.check()
-        is_settled = (
+        self.is_settled = (
             self.monitor.is_steady
             and not self.shutdown.has_begun
             and self._leases.are_fresh(now_ms, self._schedule.entries)
         )
         for entry_id in self._schedule.due_entries(
-            self._leases.owners, is_settled=is_settled
+            self._leases.owners, is_settled=self.is_settled
         ):
             self._report(entry_id)
         if self._leases.latest_expiry > now_ms and not self._awaits_grants(
--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/links.py
@@ -354,6 +354,11 @@
         """Ids of the connected entries."""
         return list(self._dialled_by_entry)
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether each known address is connected."""
+        return all(dialled.entry_id for dialled in self._by_address.values())
+
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Keep a connection to these addresses, too."""
         for address in addresses:
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -27,6 +27,9 @@
 
 __all__ = ('AgentProcess',)
 
+# Nothing is due soon while the core is settled and no entry has to be dialled.
+# Each wake-up of an idle process costs about as much as the work of a tick.
+_QUIET_TICK_INTERVAL_S: Final = 250 / MILLIS_PER_SECOND
 # Part of the grace period of a stop that is reserved for the last messages.
 _LAST_MESSAGES_S: Final = 0.8
 # A report with all labels that are allowed has 70 KB; another writer's may have
@@ -87,7 +90,6 @@
         )
         serve_metrics(self._reactor, settings, self._metrics)
         self._dialler.add_addresses(settings.seed_addresses)
-        self._lifecycle.every(LINK_TICK_INTERVAL_S, self._tick)
         self._tick()
         log_event(Event.PROCESS_STARTED, role='agent', id=settings.node_name)
 
@@ -126,6 +128,11 @@
         gauge_traffic(self._metrics, self._dialler.traffic)
 
     def _tick(self) -> None:
+        is_quiet = self.core.is_settled and self._dialler.is_complete
+        interval_s = (
+            _QUIET_TICK_INTERVAL_S if is_quiet else LINK_TICK_INTERVAL_S
+        )
+        self._reactor.callLater(interval_s, self._tick)
         self._dialler.tick()
         self._discovery.tick()
         self.core.tick()
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -11,11 +11,7 @@
 )
 from hyssopring.jobs.entry_membership import EntryMembership
 from hyssopring.jobs.entry_core import JobEntryCore
-from hyssopring.jobs.links import (
-    LINK_TICK_INTERVAL_S,
-    LinkDialler,
-    LinkListener,
-)
+from hyssopring.jobs.links import LinkDialler, LinkListener
 from hyssopring.jobs.messages import (
     PROTOCOL_RELEASE,
     AgentGreeting,
@@ -43,6 +39,7 @@
 
 __all__ = ('EntryProcess',)
 
+# One timer for all periodic work, as each wake-up of a process costs time.
 _TICK_INTERVAL_S: Final = 0.2
 _POLL_INTERVAL_S: Final = 1.5
 # The balancer stops opening connections after two failed checks, which are one
@@ -156,15 +153,14 @@
         )
         listen(self._reactor, self._settings.inner_address, self._listener)
         self._dial_seeds()
+        self._dialler.tick()
         serve_metrics(self._reactor, self._settings, self._metrics)
         self._follower.start()
         self._membership.tick()
         every = self._lifecycle.every
         every(ENTRY_HEARTBEAT_MS / MILLIS_PER_SECOND, self._renew_membership)
-        every(_TICK_INTERVAL_S, self.core.tick)
+        every(_TICK_INTERVAL_S, self._tick)
         every(_POLL_INTERVAL_S, self.core.poll)
-        every(LINK_TICK_INTERVAL_S, self._dialler.tick)
-        every(_TICK_INTERVAL_S, self._listener.close_silent_connections)
         log_event(
             Event.PROCESS_STARTED,
             role='entry',
@@ -202,6 +198,11 @@
             and self._membership.is_store_reachable
         )
 
+    def _tick(self) -> None:
+        self.core.tick()
+        self._dialler.tick()
+        self._listener.close_silent_connections()
+
     def _dial_seeds(self) -> None:
         """Dial the seeds, the only peers known without the store."""
         own = self._settings.inner_address
--- a/hyssopring/platform/roles.py
+++ b/hyssopring/platform/roles.py
@@ -8,7 +8,6 @@
 from typing import Any, Callable, Final
 
 from hyssopring.errors import Failure
-from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.logs import Event, configure_json_logging, log_event
 from hyssopring.platform.settings import (
     NodeSettings,
@@ -86,11 +85,15 @@
     return AgentProcess
 
 
-def _scheduling_options(files: list[str]) -> SchedulingOptions:
-    """Read which optional parts of scheduling are on; none without a file."""
+def _scheduling_options(files: list[str]) -> Any:
+    """Return the ``SchedulingOptions`` of a file; no parts without one."""
+    # Agents do not need the options; entries without a file, not the models.
+    from hyssopring.jobs.scheduling_options import (  # noqa: WPS433
+        SchedulingOptions,
+    )
+
     if not files:
         return SchedulingOptions()
-    # Agents, and entries without a file, do not need the models.
     from hyssopring.settings import (  # noqa: WPS433
         SchedulingSettings,
         load_settings,
