--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -123,6 +123,7 @@
         gauge = self._metrics.gauge
         gauge('attempts_running', len(self.core.table.by_task))
         gauge('worker_silent_ms', self.core.monitor.silent_ms)
+        gauge('agent_settled', int(self.core.is_settled))
         gauge('entries_connected', len(self._dialler.connected))
         gauge('zones_evacuated', len(self.core.own_zone.evacuations.zones))
         gauge_traffic(self._metrics, self._dialler.traffic)
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -26,6 +26,7 @@
     'attempts_running',
     'worker_silent_ms',
     'entries_connected',
+    'agent_settled',
     'process_cpu_seconds',
     'process_resident_bytes',
     'store_calls_total',
