--- a/hyssopring/jobs/report_schedule.py
+++ b/hyssopring/jobs/report_schedule.py
@@ -9,9 +9,6 @@
 
 __all__ = ('ReportSchedule',)
 
-# Reports are sent this much earlier than due, as ticks are not exactly periodic
-# and the next one may be much later.
-_TOLERANCE_MS: Final = 50.0
 # Reports to entries without a shard wait for each other this long at most.
 _MAX_INTERVAL_MS: Final = 5000.0
 
@@ -68,7 +65,7 @@
         """
         self._owners = owners
         self._is_settled = is_settled
-        now_ms = self._clock.now() + _TOLERANCE_MS
+        now_ms = self._clock.now()
         return [
             entry_id
             for entry_id, last in self._last_by_entry.items()
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -14,6 +14,7 @@
     JobsMessage,
 )
 from hyssopring.jobs.roster_withdrawal import RosterWithdrawal
+from hyssopring.jobs.times import REPORT_INTERVAL_MS
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics
@@ -28,8 +29,12 @@
 __all__ = ('AgentProcess',)
 
 # Nothing is due soon while the core is settled and no entry has to be dialled.
-# Each wake-up of an idle process costs about as much as the work of a tick.
-_QUIET_TICK_INTERVAL_S: Final = 250 / MILLIS_PER_SECOND
+# Each wake-up of an idle process costs about as much as the work of a tick. A
+# report to an owner is due at each second tick, also if ticks are not exactly
+# periodic.
+_QUIET_TICK_INTERVAL_S: Final = (
+    1.04 * REPORT_INTERVAL_MS / 2 / MILLIS_PER_SECOND
+)
 # Part of the grace period of a stop that is reserved for the last messages.
 _LAST_MESSAGES_S: Final = 0.8
 # A report with all labels that are allowed has 70 KB; another writer's may have
--- a/tests/test_report_schedule.py
+++ b/tests/test_report_schedule.py
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize(('entries', 'due_ms'), [(5, 500), (20, 2000)])
 def test_entries_without_a_shard_get_spaced_reports(entries, due_ms):
-    assert _due_after(due_ms - 100, entries=entries) in ([], ['entry-0'])
+    assert _due_after(due_ms - 1, entries=entries) in ([], ['entry-0'])
     assert len(_due_after(due_ms, entries=entries)) == entries
 
 
