Connections: a module each for the accepting and the dialling side

Cause: links.py had grown to 421 lines with two concepts; an announced interval was believed whatever its length, so that a wrong one kept a dead connection.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -51,11 +51,6 @@
 Send = Callable[[str, JobsMessage], None]
 
 
-def _no_release(_entry_id: str) -> int:
-    """Return the release of an entry of which nothing is known."""
-    return 0
-
-
 class JobAgentCore:
     """Handles the entries' messages and reports to them for one worker.
 
@@ -76,8 +71,8 @@
         send: Send,
         wall_ms: Callable[[], float],
         rosters: RosterWithdrawal,
+        release_of: Callable[[str], int],
         zone: str = '',
-        release_of: Callable[[str], int] = _no_release,
     ) -> None:
         """Start polling when the worker announces itself.
 
@@ -86,8 +81,8 @@
             send: Sends a message to the entry of the given ID.
             wall_ms: Returns the milliseconds since 1970.
             rosters: Withdraws this agent from the shards' rosters.
-            zone: Availability zone of the worker.
             release_of: Returns the ``EntryGreeting.release`` of an entry.
+            zone: Availability zone of the worker.
         """
         self._reactor = reactor
         self._clock = clock
--- a/hyssopring/jobs/links.py
+++ b/hyssopring/jobs/link_dialler.py
@@ -1,9 +1,8 @@
-"""Connections that carry the messages about jobs, on Twisted.
+"""Keeps a connection to each known entry, on Twisted.
 
-Agents and entries connect to entries. The connecting side sends first and
-then periodically; the entry responds each time. A connection on which nothing
-was received for a while is closed, as a device between the two ends may have
-dropped its state.
+The side that connects sends first and then periodically: an agent its reports,
+an entry its greeting. A connection without a response is closed and dialled
+again, as a device between the two ends may have dropped its state.
 """
 
 from dataclasses import replace
@@ -14,30 +13,27 @@
 
 from hyssopring.addresses import is_address, parse_address
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.jobs.link_timing import (
+    DELAY_TIMEOUT_MS,
+    LINK_CODEC,
+    NEVER,
+    SILENCE_TIMEOUT_MS,
+    MessageHandler,
+)
 from hyssopring.jobs.messages import (
-    PROTOCOL_RELEASE,
     SPACED_REPORTS_RELEASE,
-    AgentGreeting,
     EntryGreeting,
     JobsMessage,
-    ReportRequest,
     WorkerReport,
-    pack,
-    unpack,
 )
 from hyssopring.jobs.stall_detector import StallDetector
 from hyssopring.jobs.times import REPORT_INTERVAL_MS, spaced_interval_ms
 from hyssopring.logs import Event, log_event
-from hyssopring.protocol.frames import Codec, FramedConnection, Traffic
+from hyssopring.protocol.frames import FramedConnection, Traffic
 
-__all__ = ('LINK_TICK_INTERVAL_S', 'LinkDialler', 'LinkListener')
+__all__ = ('LINK_TICK_INTERVAL_S', 'LinkDialler')
 
-_CODEC: Final = Codec(pack, unpack)
 _CONNECT_TIMEOUT_S: Final = 1
-# Messages may arrive this long after their time, and responses after their
-# requests: as long as three more reports take at the usual interval.
-_DELAY_TIMEOUT_MS: Final = 3 * REPORT_INTERVAL_MS
-_SILENCE_TIMEOUT_MS: Final = REPORT_INTERVAL_MS + _DELAY_TIMEOUT_MS
 # Pings of entries announce no longer interval than this.
 _MAX_PING_INTERVAL_MS: Final = 2000.0
 _MIN_BACKOFF_MS: Final = 300.0
@@ -45,150 +41,6 @@
 
 # Invalid addresses that are logged, once each.
 _MAX_INVALID_ADDRESSES: Final = 100
-_NEVER: Final = float('-inf')
-
-MessageHandler = Callable[[str, JobsMessage], None]
-
-
-class _Peer:
-    """An accepted connection; its greeting identifies the peer."""
-
-    def __init__(self, listener: 'LinkListener') -> None:
-        self.listener = listener
-        self.peer_id = ''
-        self.connection: FramedConnection | None = None
-        self._silence_timeout_ms = _SILENCE_TIMEOUT_MS
-        self._requested_at = _NEVER
-
-    def on_open(self, connection: FramedConnection) -> None:
-        self.connection = connection
-
-    def on_receive(self, connection: FramedConnection, message: Any) -> None:
-        if isinstance(message, EntryGreeting | WorkerReport):
-            next_ms = message.next_ms or REPORT_INTERVAL_MS
-            self._silence_timeout_ms = next_ms + _DELAY_TIMEOUT_MS
-        if isinstance(message, AgentGreeting):
-            self.peer_id = message.agent_id
-            connection.send(self.listener.greeting)
-            self.listener.handle_greeting(self, message)
-        elif isinstance(message, EntryGreeting):
-            self.peer_id = message.entry_id
-            connection.send(self.listener.greeting)
-            self.listener.handle_greeting(self, message)
-        elif self.peer_id and self.listener.is_current(self):
-            self.listener.on_message(self.peer_id, message)
-
-    def send(self, message: JobsMessage, now_ms: float) -> bool:
-        """Send a message; return False if the connection is not open."""
-        connection = self.connection
-        if connection is None:
-            return False
-        if isinstance(message, ReportRequest):
-            if connection.last_received_at >= self._requested_at:
-                self._requested_at = now_ms
-        connection.send(message)
-        return True
-
-    def is_silent(self, now_ms: float) -> bool:
-        """Whether an announced message or a requested report is overdue."""
-        if self.connection is None:
-            return False
-        received_at = self.connection.last_received_at
-        if now_ms - received_at > self._silence_timeout_ms:
-            return True
-        return (
-            received_at < self._requested_at
-            and now_ms - self._requested_at > _SILENCE_TIMEOUT_MS
-        )
-
-    def on_protocol_error(
-        self,
-        connection: FramedConnection,
-        detail: str,
-    ) -> None:
-        log_event(Event.PEER_ERROR, peer=self.peer_id, detail=detail)
-        connection.abort()
-
-    def on_close(self, _connection: FramedConnection) -> None:
-        self.listener.handle_close(self)
-
-
-class LinkListener(Factory):
-    """Accepts connections of agents and other entries."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        clock: Clock,
-        entry_id: str,
-        on_greeting: Callable[[str, JobsMessage], None],
-        on_message: MessageHandler,
-        on_close: Callable[[str], None],
-    ) -> None:
-        """Call back with the peer's id on a greeting, message or close."""
-        self._clock = clock
-        self.greeting = EntryGreeting(entry_id, PROTOCOL_RELEASE)
-        self.on_message = on_message
-        self._on_greeting = on_greeting
-        self._on_close = on_close
-        self.traffic = Traffic()
-        self._stall_detector = StallDetector(clock)
-        self._peers: set[_Peer] = set()
-        self._peer_by_id: dict[str, _Peer] = {}
-
-    def buildProtocol(self, addr: object) -> FramedConnection:
-        """Accept a connection; its greeting identifies the peer later."""
-        peer = _Peer(self)
-        self._peers.add(peer)
-        return FramedConnection(
-            _CODEC,
-            self._clock,
-            peer.on_open,
-            peer.on_receive,
-            peer.on_protocol_error,
-            peer.on_close,
-            self.traffic,
-        )
-
-    def send(self, peer_id: str, message: JobsMessage) -> bool:
-        """Send a message; return False if the peer is not connected."""
-        peer = self._peer_by_id.get(peer_id)
-        return peer is not None and peer.send(message, self._clock.now())
-
-    def close_silent_connections(self) -> None:
-        """Abort connections that timed out; call periodically."""
-        if not self._stall_detector.record_tick():
-            return
-        now_ms = self._clock.now()
-        for peer in list(self._peers):
-            if peer.connection is not None and peer.is_silent(now_ms):
-                log_event(Event.CONNECTION_SILENT, peer=peer.peer_id)
-                peer.connection.abort()
-
-    def is_current(self, peer: _Peer) -> bool:
-        """Whether this is the peer's newest connection."""
-        return self._peer_by_id.get(peer.peer_id) is peer
-
-    def handle_greeting(self, peer: _Peer, greeting: JobsMessage) -> None:
-        """Register a connection under its peer's id.
-
-        Repeated greetings serve as pings.
-        """
-        older = self._peer_by_id.get(peer.peer_id)
-        if older is peer:
-            return
-        self._peer_by_id[peer.peer_id] = peer
-        if older is not None and older.connection is not None:
-            older.connection.abort()
-        self._on_greeting(peer.peer_id, greeting)
-
-    def handle_close(self, peer: _Peer) -> None:
-        """Remove a closed connection."""
-        self._peers.discard(peer)
-        if peer.peer_id and self.is_current(peer):
-            self._peer_by_id.pop(peer.peer_id)
-            self._on_close(peer.peer_id)
 
 
 class _DialledAddress(Factory):
@@ -203,15 +55,15 @@
         self.release = 0
         self.connection: FramedConnection | None = None
         self.is_dialling = False
-        self.next_dial_at = _NEVER
+        self.next_dial_at = NEVER
         self.backoff_ms = _MIN_BACKOFF_MS
-        self.next_ping_at = _NEVER
+        self.next_ping_at = NEVER
         # When the oldest message was sent whose response is still missing.
-        self._awaits_since = _NEVER
+        self._awaits_since = NEVER
 
     def buildProtocol(self, addr: object) -> FramedConnection:
         return FramedConnection(
-            _CODEC,
+            LINK_CODEC,
             self.dialler.clock,
             self._opened,
             self._received,
@@ -263,13 +115,13 @@
     def _is_silent(self, connection: FramedConnection, now_ms: float) -> bool:
         """Whether a response is overdue."""
         received_at = connection.last_received_at
-        if now_ms - received_at <= _SILENCE_TIMEOUT_MS:
+        if now_ms - received_at <= SILENCE_TIMEOUT_MS:
             return False
         if not self.entry_id:
             return True
         return (
             received_at < self._awaits_since
-            and now_ms - self._awaits_since > _DELAY_TIMEOUT_MS
+            and now_ms - self._awaits_since > DELAY_TIMEOUT_MS
         )
 
     def _ping(self, greeting: JobsMessage, now_ms: float) -> None:
--- a/hyssopring/jobs/report_schedule.py
+++ b/hyssopring/jobs/report_schedule.py
@@ -84,7 +84,6 @@
             The time in ms until the next regular one, which the report
             announces.
         """
-        self._last_by_entry.setdefault(entry_id, _LastReport(0, 0))
         interval_ms = self._interval_ms(entry_id)
         self._last_by_entry[entry_id] = _LastReport(
             self._clock.now(), interval_ms
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -7,7 +7,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock, wall_ms
 from hyssopring.jobs.agent_core import JobAgentCore
 from hyssopring.jobs.discovery import EntryDiscovery
-from hyssopring.jobs.links import LINK_TICK_INTERVAL_S, LinkDialler
+from hyssopring.jobs.link_dialler import LINK_TICK_INTERVAL_S, LinkDialler
 from hyssopring.jobs.messages import (
     AgentGreeting,
     EntryAddresses,
@@ -60,8 +60,8 @@
             self._send,
             wall_ms,
             RosterWithdrawal(self._clock, store, settings.node_name),
-            settings.zone,
             lambda entry_id: self._dialler.release_of(entry_id),
+            settings.zone,
         )
         self._dialler = LinkDialler(
             reactor,
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -220,8 +220,8 @@
             RosterWithdrawal(
                 self.clock, deployment.rows.client(name, self.reactor), name
             ),
-            deployment.zone_by_agent.get(name, ZONE),
             lambda entry_id: deployment.entries[entry_id].release,
+            deployment.zone_by_agent.get(name, ZONE),
         )
         monitor = self.core.monitor
         self.reports = ReportsResource(
--- a/tests/test_job_links.py
+++ b/tests/test_job_links.py
@@ -1,7 +1,8 @@
 """When each end of a connection between processes counts as silent."""
 
 from hyssopring.clock import ManualClock
-from hyssopring.jobs.links import LinkDialler, LinkListener
+from hyssopring.jobs.link_dialler import LinkDialler
+from hyssopring.jobs.link_listener import LinkListener
 from hyssopring.jobs.messages import (
     PROTOCOL_RELEASE,
     AgentGreeting,
@@ -192,3 +193,13 @@
     pings = _pings_in_10_s(release=1, entries=20)
     assert len(pings) >= 18
     assert Grant not in map(type, pings)
+
+
+def test_entry_believes_no_endless_interval():
+    """Guards against a wrong announcement that keeps a dead connection."""
+    entry = _Accepted()
+    entry.receive(_report(next_ms=10**12))
+    entry.run(11_500)
+    assert not entry.connection.is_aborted
+    entry.run(200)
+    assert entry.connection.is_aborted
