--- a/hyssopring/jobs/discovery.py
+++ b/hyssopring/jobs/discovery.py
@@ -7,7 +7,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.documents import EntryRow
-from hyssopring.jobs.link_dialler import LinkDialler
+from hyssopring.jobs.links import LinkDialler
 from hyssopring.jobs.row_keys import ENTRIES_TABLE
 from hyssopring.jobs.row_parser import RowParser
 from hyssopring.jobs.rows import (
--- a/hyssopring/jobs/link_dialler.py
+++ b/hyssopring/jobs/links/dialler.py
@@ -13,7 +13,7 @@
 
 from hyssopring.addresses import is_address, parse_address
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
-from hyssopring.jobs.link_timing import (
+from hyssopring.jobs.links.timing import (
     DELAY_TIMEOUT_MS,
     LINK_CODEC,
     NEVER,
--- a/hyssopring/jobs/link_listener.py
+++ b/hyssopring/jobs/links/listener.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Factory
 
 from hyssopring.clock import Clock
-from hyssopring.jobs.link_timing import (
+from hyssopring.jobs.links.timing import (
     DELAY_TIMEOUT_MS,
     LINK_CODEC,
     NEVER,
--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -7,7 +7,7 @@
 from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock, wall_ms
 from hyssopring.jobs.agent_core import JobAgentCore
 from hyssopring.jobs.discovery import EntryDiscovery
-from hyssopring.jobs.link_dialler import LINK_TICK_INTERVAL_S, LinkDialler
+from hyssopring.jobs.links import LINK_TICK_INTERVAL_S, LinkDialler
 from hyssopring.jobs.messages import (
     AgentGreeting,
     EntryAddresses,
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -11,8 +11,7 @@
 )
 from hyssopring.jobs.entry_membership import EntryMembership
 from hyssopring.jobs.entry_core import JobEntryCore
-from hyssopring.jobs.link_dialler import LinkDialler
-from hyssopring.jobs.link_listener import LinkListener
+from hyssopring.jobs.links import LinkDialler, LinkListener
 from hyssopring.jobs.messages import (
     PROTOCOL_RELEASE,
     AgentGreeting,
--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -17,7 +17,7 @@
     OwnerRow,
     ProgressRow,
 )
-from hyssopring.jobs.link_dialler import LinkDialler
+from hyssopring.jobs.links import LinkDialler
 from hyssopring.jobs.model import JobState
 from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.row_keys import (
--- a/tests/test_job_links.py
+++ b/tests/test_job_links.py
@@ -1,8 +1,7 @@
 """When each end of a connection between processes counts as silent."""
 
 from hyssopring.clock import ManualClock
-from hyssopring.jobs.link_dialler import LinkDialler
-from hyssopring.jobs.link_listener import LinkListener
+from hyssopring.jobs.links import LinkDialler, LinkListener
 from hyssopring.jobs.messages import (
     PROTOCOL_RELEASE,
     AgentGreeting,
--- a/tests/test_jobs_lost_messages.py
+++ b/tests/test_jobs_lost_messages.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from hyssopring.jobs.documents import JobRow
-from hyssopring.jobs.link_dialler import LinkDialler
+from hyssopring.jobs.links import LinkDialler
 from hyssopring.jobs.messages import (
     AgentGreeting,
     EndsRecorded,
