Connections: one that a newer one has replaced is closed after 10 s of silence

Cause: an agent closes a connection when a response is overdue, and sends nothing on a connection that a newer one to the same entry has replaced. If that entry has moved and its former VM was lost without a word, the agent kept the dead connection, and would never have dialled the address again. Change: any dialled connection is closed after 10 s of silence. Test: test_agent_dials_a_replaced_connection_again failed on the code before.

--- a/hyssopring/jobs/links/dialler.py
+++ b/hyssopring/jobs/links/dialler.py
@@ -16,6 +16,7 @@
 from hyssopring.jobs.links.timing import (
     DELAY_TIMEOUT_MS,
     LINK_CODEC,
+    MAX_INTERVAL_MS,
     NEVER,
     SILENCE_TIMEOUT_MS,
     MessageHandler,
@@ -113,11 +114,16 @@
             self._ping(self.dialler.greeting, now_ms)
 
     def _is_silent(self, connection: FramedConnection, now_ms: float) -> bool:
-        """Whether a response is overdue."""
+        """Whether a response is overdue.
+
+        On a connection that a newer one to the same entry has replaced no
+        response is due, as nothing is sent there.
+        """
         received_at = connection.last_received_at
-        if now_ms - received_at <= SILENCE_TIMEOUT_MS:
+        silent_ms = now_ms - received_at
+        if silent_ms <= SILENCE_TIMEOUT_MS:
             return False
-        if not self.entry_id:
+        if not self.entry_id or silent_ms > MAX_INTERVAL_MS:
             return True
         return (
             received_at < self._awaits_since
--- a/hyssopring/jobs/links/listener.py
+++ b/hyssopring/jobs/links/listener.py
@@ -5,7 +5,7 @@
 device between the two ends may have dropped its state.
 """
 
-from typing import Any, Callable, Final
+from typing import Any, Callable
 
 from twisted.internet.protocol import Factory
 
@@ -13,6 +13,7 @@
 from hyssopring.jobs.links.timing import (
     DELAY_TIMEOUT_MS,
     LINK_CODEC,
+    MAX_INTERVAL_MS,
     NEVER,
     SILENCE_TIMEOUT_MS,
     MessageHandler,
@@ -32,9 +33,6 @@
 
 __all__ = ('LinkListener',)
 
-# Longer announced intervals are not believed.
-_MAX_INTERVAL_MS: Final = 10_000.0
-
 
 class _Peer:
     """An accepted connection; its greeting identifies the peer."""
@@ -51,7 +49,7 @@
 
     def on_receive(self, connection: FramedConnection, message: Any) -> None:
         if isinstance(message, EntryGreeting | WorkerReport):
-            next_ms = min(message.next_ms, _MAX_INTERVAL_MS)
+            next_ms = min(message.next_ms, MAX_INTERVAL_MS)
             self._silence_timeout_ms = DELAY_TIMEOUT_MS + max(
                 next_ms, REPORT_INTERVAL_MS
             )
--- a/hyssopring/jobs/links/timing.py
+++ b/hyssopring/jobs/links/timing.py
@@ -9,6 +9,7 @@
 __all__ = (
     'DELAY_TIMEOUT_MS',
     'LINK_CODEC',
+    'MAX_INTERVAL_MS',
     'NEVER',
     'SILENCE_TIMEOUT_MS',
     'MessageHandler',
@@ -21,6 +22,8 @@
 DELAY_TIMEOUT_MS: Final = 3 * REPORT_INTERVAL_MS
 # Without a longer announced interval.
 SILENCE_TIMEOUT_MS: Final = REPORT_INTERVAL_MS + DELAY_TIMEOUT_MS
+# Longer announced intervals are not believed.
+MAX_INTERVAL_MS: Final = 10_000.0
 # Earlier than every time of the clock.
 NEVER: Final = float('-inf')
 
--- a/tests/test_job_links.py
+++ b/tests/test_job_links.py
@@ -173,6 +173,22 @@
     assert connection.is_aborted
 
 
+def test_agent_dials_a_replaced_connection_again():
+    """Guards against an address that is never dialled again.
+
+    Nothing is sent on a connection that a newer one to the same entry has
+    replaced, so that its end is not noticed if its VM has been lost.
+    """
+    agent = _Dialled(AgentGreeting('agent', 'zone'), entries=2)
+    moved = agent.dialler._by_address['10.0.0.2:1']
+    moved.entry_id = 'entry-0'
+    agent.dialler.handle_greeting(moved)
+    agent.run(9900)
+    assert not agent.connection.is_aborted
+    agent.run(200)
+    assert agent.connection.is_aborted
+
+
 def _pings_in_10_s(release, entries):
     entry = _Dialled(EntryGreeting('own', 2), release, entries)
     entry.run(10_000, responds=True)
