--- a/review/standin.py
+++ b/review/standin.py
@@ -310,11 +310,32 @@
         self.noted = {}  # N -> at
         self.ended_now = asyncio.Event()
         self.state = 'ready'
+        self.is_down = False
+        self.lives = 1
+
+    def crash(self):
+        """Lose all that runs and all that is known; silent until ``back``."""
+        self.record('crash', self.id)
+        for task, run in self.runs.items():
+            self.ended.append((now(), task, run['run'], 'crash', 0))
+        self.is_down = True
+        self.runs, self.ends, self.highest = {}, [], {}
+        self.fence = self.until = self.number = self.sequence = 0
+
+    def back(self):
+        """Start again as a new incarnation, with a new id."""
+        self.lives += 1
+        self.id = f'{self.id.partition("-life")[0]}-life{self.lives}'
+        self.base, self.began = random.randrange(10_000, 500_000), now()
+        self.is_down = False
+        self.record('back', self.id)
 
     def clock(self):
         return self.base + int((now() - self.began) * 1000)
 
     async def handle(self, method, path, query, headers, body):
+        if self.is_down:
+            return SILENT
         if headers.get('expected-instance', self.id) != self.id:
             return 421, {}
         fields = json.loads(body)
@@ -328,7 +349,10 @@
         elif path == '/-/run-stop':
             self._stop(fields)
         elif path == '/-/hold':
+            life = self.lives
             answer = await self._hold(fields)
+            if self.is_down or life != self.lives:
+                return SILENT
         return status, {'clockMs': self.clock(), **answer}
 
     def _extend(self, until):
@@ -348,6 +372,8 @@
         self._extend(fields['untilMs'])
         self.highest[task] = run
         work = json.loads(fields['spec'])
+        if 'ms_by_occurrence' in work:
+            work['ms'] = work['ms_by_occurrence'][int(task.split('.')[1])]
         self.runs[task] = {
             'run': run,
             'ends': now() + work['ms'] / 1000,
@@ -395,6 +421,8 @@
 
     def settle(self):
         """End what is due: done, stopped, or out of its lease."""
+        if self.is_down:
+            return
         at = now()
         lapsed = self.clock() >= self.until
         for task, run in list(self.runs.items()):
@@ -419,7 +447,7 @@
         next_beat = 0
         while True:
             self.settle()
-            if now() >= next_beat:
+            if now() >= next_beat and not self.is_down:
                 next_beat = now() + 1.5
                 asyncio.ensure_future(self._beat())
             await asyncio.sleep(0.02)
