Log: the image of a placed task, and on whose account a task is throttled

TASK_PACED named the latency-critical task with the least headroom, which may be over its target by its own load, and no event had an image: throttled tasks could not be attributed to pairs of images. TASK_PLACED and TASK_PACED have the image, and a reduction names the task whose headroom it restores. test_pacing_log fails on the code before (it names the busy task).

--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -65,7 +65,7 @@
         ),
         Event.TASK_OVERRUN: '{task} has run {took_ms} ms and runs on',
         Event.TASK_PACED: (
-            '{task} runs at pace {pace}, before {before}: the worst tail '
+            '{task} runs at pace {pace}, before {before}: a tail '
             + 'beside it is at {tail_percent} % of its target'
         ),
         Event.TASK_STARTED: f'{_ATTEMPT} is started by its agent',
--- a/hyssopring/jobs/pacing.py
+++ b/hyssopring/jobs/pacing.py
@@ -69,6 +69,8 @@
         full_pace_cores: The cores that it uses at full pace.
         used_cores: The cores that it uses now, as far as known.
         pace: The new pace.
+        throttled_for: The latency-critical task whose headroom the last
+            reduction restores, None without one.
     """
 
     attempt: Attempt
@@ -76,11 +78,13 @@
     full_pace_cores: float
     used_cores: float
     pace: float
+    throttled_for: LatencySample | None = None
 
-    def throttle(self, cores: float) -> None:
-        """Reduce the pace by this many cores."""
+    def throttle(self, cores: float, sample: LatencySample) -> None:
+        """Reduce the pace by this many cores, to restore a task's headroom."""
         self.pace *= 1 - cores / self.used_cores
         self.used_cores -= cores
+        self.throttled_for = sample
 
     def allowed_increase(self, cores: float) -> float:
         """Return by how many percent the pace may increase.
@@ -106,10 +110,12 @@
     """A latency-critical task while the paces beside it are computed.
 
     Attributes:
+        headroom: What is left once the last changes take effect.
         estimates: By how much a core of each best-effort task reduces its
             headroom, in the order of the best-effort tasks.
     """
 
+    sample: LatencySample
     headroom: float
     estimates: list[InterferenceEstimate]
 
@@ -221,7 +227,9 @@
             * (task.used_cores - task.attempt.load / _MILLIS_PER_CORE)
             for estimate, task in zip(estimates, best_effort, strict=True)
         )
-        return _LatencyCriticalTask(sample.headroom - unsampled, estimates)
+        return _LatencyCriticalTask(
+            sample, sample.headroom - unsampled, estimates
+        )
 
     def _per_core(
         self, latency_critical_image: str, best_effort_image: str
@@ -266,15 +274,22 @@
         attempt, new_pace = task.attempt, round(task.pace)
         if new_pace == attempt.pace:
             return False
-        worst = min(samples, key=lambda sample: sample.headroom, default=None)
-        estimate = self._per_core(worst.image if worst else '', task.image)
+        affected = task.throttled_for or min(
+            samples, key=lambda sample: sample.headroom, default=None
+        )
+        affected_image = affected.image if affected else ''
+        estimate = self._per_core(affected_image, task.image)
         log_event(
             Event.TASK_PACED,
             task=attempt.task,
+            image=task.image,
             pace=new_pace,
             before=attempt.pace,
-            keeper=worst.task if worst else '',
-            tail_percent=round(FULL_PACE / worst.headroom) if worst else 0,
+            keeper=affected.task if affected else '',
+            keeper_image=affected_image,
+            tail_percent=(
+                round(FULL_PACE / affected.headroom) if affected else 0
+            ),
             harm=round(estimate.mean, 3),
             deviation=round(estimate.deviation, 3),
         )
@@ -343,7 +358,7 @@
             and task.used_cores > 0
         ):
             cores = min(task.used_cores, missing / interference)
-            task.throttle(cores)
+            task.throttle(cores, affected.sample)
             for other in latency_critical:
                 other.headroom += cores * other.estimates[position].mean
 
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -464,6 +464,7 @@
         log_event(
             Event.TASK_PLACED,
             task=task_id,
+            image=run.step.image,
             attempt=attempt,
             agent=worker.agent_id,
             resumed=bool(checkpoint),
