Stand-in: interference by shared resources; wide jobs below their floor there

Pairs of images that interfere were drawn each for itself. The load 'shared resources' draws images by resource, lets all lasting jobs arrive at once, a third of one image in the mean, and loses all power once.

--- a/bench/colocation_day.py
+++ b/bench/colocation_day.py
@@ -22,8 +22,8 @@
 COOLDOWN_S = 14
 BURST_S = 6
 OUTAGE_S = 5
+POWER_OUTAGE_S = 1.6
 TICK_S = 0.1
-SUBMIT_INTERVAL_S = 0.06
 MILLIS = 1000
 # A late job earns reduced credit, up to this multiple of its target time.
 LATE_CREDIT = 0.15
@@ -125,6 +125,7 @@
         self.keepers = 0
         self.keeper_s = 0
         self._ends_seen = 0
+        self._has_power = True
 
     @property
     def now(self):
@@ -156,6 +157,10 @@
         burst_at = begin + self.random.uniform(5, 20)
         next_large = next_small = begin
         while self.now < begin + LOAD_S:
+            if not self._has_power:
+                # Callers repeat their requests until power has returned.
+                self._run(TICK_S)
+                continue
             is_burst = burst_at <= self.now < burst_at + BURST_S
             rate = self.load.large.per_s
             rate *= self.load.burst_factor if is_burst else 1
@@ -192,12 +197,34 @@
             worker = self.random.choice(self.deployment.workers)
             later(wait_s, self._start_outage, worker)
             later(wait_s + OUTAGE_S, setattr, worker, 'is_unresponsive', False)
+        if self.load.power_loss_s is not None:
+            later(self.load.power_loss_s, self._lose_power)
 
     @staticmethod
     def _start_outage(worker):
         worker.crash()
         worker.is_unresponsive = True
 
+    def _lose_power(self):
+        """End all processes and workers; they restart after the outage."""
+        deployment = self.deployment
+        later = deployment.reactor.callLater
+        self._has_power = False
+        later(POWER_OUTAGE_S, setattr, self, '_has_power', True)
+        for name, entry in deployment.entries.items():
+            if entry.is_alive:
+                deployment.kill_entry(name)
+            later(POWER_OUTAGE_S, deployment.start_entry, name)
+        for number, worker in enumerate(deployment.workers):
+            deployment.kill_agent(f'agent-{number}')
+            self._start_outage(worker)
+            later(POWER_OUTAGE_S, self._restore_power, number)
+
+    def _restore_power(self, number):
+        worker = self.deployment.workers[number]
+        worker.is_unresponsive = False
+        self.deployment.start_agent(f'agent-{number}', worker)
+
     def _submit_keepers(self):
         """Submit keepers until their share of all cores is reserved."""
         left_millis = sum(self.cores) * MILLIS
@@ -208,7 +235,7 @@
                 left_millis -= step.count * step.size.cpu_millis
                 self.keepers += step.count
             self._submit(job)
-            self.deployment.run(SUBMIT_INTERVAL_S)
+            self.deployment.run(self.load.keepers.submit_interval_s)
 
     def _submit(self, job):
         critical_path_s = work_core_s = 0
--- a/bench/colocation_jobs.py
+++ b/bench/colocation_jobs.py
@@ -36,13 +36,20 @@
             self._random.randint(*kind.width),
             Size(cpu, kind.memory_mb, 0),
             is_keeper=True,
-            image=self._random.choice(self._interference.keeper_images),
+            image=self._keeper_image(kind.image_skew),
             target_ms=round(kind.target_factor * self._interference.base_ms),
             max_per_worker=self._random.choice([0, 0, 1, 2]),
             max_unavailable=1,
         )
         return self._job(KEEPER_QUEUE, [step])
 
+    def _keeper_image(self, skew):
+        images = self._interference.keeper_images
+        if not skew:
+            return self._random.choice(images)
+        weights = [(rank + 1) ** -skew for rank in range(len(images))]
+        return self._random.choices(images, weights)[0]
+
     def draw_large(self):
         """Draw a job whose steps are best-effort tasks of one image."""
         image = self._random.choice(self._interference.filler_images)
--- a/bench/colocation_load.py
+++ b/bench/colocation_load.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 
 from hyssopring.jobs.model import Queue, Size
-from standins.jobs.interference import PairKinds
+from standins.jobs.interference import PairKinds, ResourceKinds
 
 KEEPER_QUEUE = Queue('keepers', 'service', 0, 2, 2.2, 2500)
 LARGE_QUEUE = Queue('large', 'service', 2, 4, 2.0, 1000)
@@ -47,6 +47,9 @@
         load: Minimum and maximum share of its capacity that a keeper uses.
         load_swing: Minimum and maximum swing of that share.
         load_period_s: Minimum and maximum period of the swing.
+        image_skew: How much more jobs the first images have: the weight of an
+            image is its rank to the power of minus this.
+        submit_interval_s: Time from one job to the next.
     """
 
     width: tuple[int, int]
@@ -58,6 +61,8 @@
     load: tuple[float, float]
     load_swing: tuple[float, float]
     load_period_s: tuple[float, float]
+    image_skew: float = 0
+    submit_interval_s: float = 0.06
 
 
 @dataclass(frozen=True)
@@ -74,6 +79,8 @@
         pair_kinds: Two kinds of pairs of images instead of a continuum.
         has_load_by_job: Whether each job of keepers has its own load, as
             behind one load balancer, and not each image.
+        power_loss_s: When all processes and workers are lost and restart, in
+            seconds from the start of the load; None for never.
     """
 
     workers: int
@@ -85,8 +92,9 @@
     filler_images: int
     mean_interference: float
     burst_factor: float
-    pair_kinds: PairKinds | None = None
+    pair_kinds: PairKinds | ResourceKinds | None = None
     has_load_by_job: bool = False
+    power_loss_s: float | None = None
 
 
 # A small deployment: workers of some 32 cores, tasks of a few cores.
@@ -190,9 +198,30 @@
     has_load_by_job=True,
 )
 
+# Interference by shared resources. All jobs of keepers arrive at once, a third
+# of them of one image, and all tasks are placed anew after a loss of power.
+SHARED_RESOURCES = replace(
+    REPLICATED_KEEPERS,
+    keepers=replace(
+        REPLICATED_KEEPERS.keepers,
+        reserved_share=0.86,
+        image_skew=1,
+        submit_interval_s=0.006,
+    ),
+    pair_kinds=ResourceKinds(
+        resources=3,
+        idle_part=0.22,
+        double_part=0.3,
+        strong=(0.055, 0.13),
+        weak=(0, 0.012),
+    ),
+    power_loss_s=20,
+)
+
 LOADS_BY_NAME = {
     'small workers': SMALL_WORKERS,
     'large workers': LARGE_WORKERS,
     'many workers': MANY_WORKERS,
     'replicated keepers': REPLICATED_KEEPERS,
+    'shared resources': SHARED_RESOURCES,
 }
--- a/standins/jobs/interference.py
+++ b/standins/jobs/interference.py
@@ -4,8 +4,10 @@
 divided by the remaining share of its capacity. Its own load takes a periodic
 share of the capacity, and so does each core that a best-effort task uses, by
 an amount for each pair of images. Most pairs hardly interfere and a few do a
-lot; all amounts vary over time. Keepers of one image have the same load, or
-only those of one job, as behind one load balancer.
+lot; all amounts vary over time. Which ones is drawn for each pair, or follows
+from resources such as a cache or a disk, on which keepers depend and which
+best-effort tasks press. Keepers of one image have the same load, or only those
+of one job, as behind one load balancer.
 """
 
 import math
@@ -43,6 +45,40 @@
     weak: tuple[float, float]
 
 
+@dataclass(frozen=True)
+class ResourceKinds:
+    """Strong interference of the images that share a resource.
+
+    A best-effort image presses one resource or none. A latency-critical image
+    depends on one or two. Pairs without a common resource hardly interfere.
+
+    Attributes:
+        resources: The number of resources.
+        idle_part: The part of best-effort images that press no resource.
+        double_part: The part of latency-critical images that depend on two.
+        strong: The range of the share of a keeper's capacity that a core
+            takes through a common resource.
+        weak: The same for the other pairs.
+    """
+
+    resources: int
+    idle_part: float
+    double_part: float
+    strong: tuple[float, float]
+    weak: tuple[float, float]
+
+    def draw_pressed(self, generator):
+        """Draw the resource that a best-effort image presses, or None."""
+        if generator.random() < self.idle_part:
+            return None
+        return generator.randrange(self.resources)
+
+    def draw_needed(self, generator):
+        """Draw the resources that a latency-critical image depends on."""
+        count = 2 if generator.random() < self.double_part else 1
+        return generator.sample(range(self.resources), count)
+
+
 @dataclass(frozen=True)
 class Wave:
     """A share of a keeper's capacity that varies as a sine of time.
@@ -94,7 +130,8 @@
                 task takes of a keeper's capacity.
             load: The range of a keeper's mean load; the next two are those of
                 its swing and period.
-            pair_kinds: Draws pairs of two kinds; None for a continuum.
+            pair_kinds: Draws pairs of two kinds, each for itself or by
+                resources; None for a continuum.
             has_load_by_job: Whether each job of keepers has its own load.
         """
         generator = random.Random(f'interference {seed}')
@@ -119,8 +156,11 @@
             )
             for image in self.keeper_images
         }
+        self._draw_resources(generator)
         self.interference_by_images = {
-            (keeper, filler): self._draw_interference(generator, mean_share)
+            (keeper, filler): self._draw_interference(
+                generator, mean_share, (keeper, filler)
+            )
             for keeper in self.keeper_images
             for filler in self.filler_images
         }
@@ -149,10 +189,27 @@
             ].at(now_s)
         return self.base_ms / max(MIN_REMAINING_SHARE, 1 - used_share)
 
-    def _draw_interference(self, generator, mean_share):
+    def _draw_resources(self, generator):
+        self._needed_by_image = {}
+        self._pressed_by_image = {}
+        kinds = self._pair_kinds
+        if isinstance(kinds, ResourceKinds):
+            for image in self.keeper_images:
+                self._needed_by_image[image] = kinds.draw_needed(generator)
+            for image in self.filler_images:
+                self._pressed_by_image[image] = kinds.draw_pressed(generator)
+
+    def _is_strong(self, generator, images):
+        if isinstance(self._pair_kinds, PairKinds):
+            return generator.random() < self._pair_kinds.strong_part
+        keeper, filler = images
+        pressed = self._pressed_by_image[filler]
+        return pressed in self._needed_by_image[keeper]
+
+    def _draw_interference(self, generator, mean_share, images):
         kinds = self._pair_kinds
         if kinds is not None:
-            is_strong = generator.random() < kinds.strong_part
+            is_strong = self._is_strong(generator, images)
             mean = generator.uniform(
                 *(kinds.strong if is_strong else kinds.weak)
             )
--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.colocation_day import Day
-from bench.colocation_load import REPLICATED_KEEPERS
+from bench.colocation_load import REPLICATED_KEEPERS, SHARED_RESOURCES
 from bench.colocation_score import Score
 from hyssopring.jobs.scheduling_options import (
     FairnessOptions,
@@ -25,6 +25,14 @@
     large=replace(REPLICATED_KEEPERS.large, per_s=0.475),
     small=replace(REPLICATED_KEEPERS.small, per_s=2.1),
 )
+# A deployment of 69 workers that loses all power once.
+LARGE_LOAD = replace(
+    SHARED_RESOURCES,
+    workers=69,
+    large=replace(SHARED_RESOURCES.large, per_s=1.56),
+    small=replace(SHARED_RESOURCES.small, per_s=6.9),
+    power_loss_s=30,
+)
 # The share of their credit that wide jobs must earn at least, by the sheet of
 # the deployment on which they earned less.
 FLOOR = 0.30
@@ -35,8 +43,8 @@
 class DayWithLostOwners(Day):
     """A day on which each owner is killed in turn, and restarted."""
 
-    def __init__(self, seed):
-        super().__init__(seed, LOAD, OPTIONS)
+    def __init__(self, seed, load=LOAD):
+        super().__init__(seed, load, OPTIONS)
         self.lost = set()
 
     def _schedule_outages(self):
@@ -75,3 +83,11 @@
     day = DayWithLostOwners(seed).play()
     assert not day.deployment.run_recorder.broken
     assert Score.from_day(day).large >= FLOOR
+
+
+@pytest.mark.parametrize('seed', [4, 8, 10])
+def test_wide_jobs_reach_their_floor_where_images_share_resources(seed):
+    """Guards against workers whose mixed keepers tolerate no wide job."""
+    day = DayWithLostOwners(seed, LARGE_LOAD).play()
+    assert not day.deployment.run_recorder.broken
+    assert Score.from_day(day).large >= FLOOR
