Placement: latency-critical tasks beside those that tolerate the same best-effort images

Cause: interference follows from resources that images share, and latency-critical tasks were placed by idle CPU alone.

Change: the score of a worker for a latency-critical task falls by the share of best-effort images that it no longer tolerates, divided among the tasks of the step that fit; without known pairs, each further image halves that share. A best-effort task prefers workers that tolerate few images, which leaves the others to images that need them.

--- a/hyssopring/jobs/interference.py
+++ b/hyssopring/jobs/interference.py
@@ -196,6 +196,10 @@
             self._learned.start((latency_critical_image, best_effort_image))
         )
 
+    def best_effort_images(self) -> set[str]:
+        """Return the best-effort images of all known pairs."""
+        return {images[1] for images, _pair in self.known_pairs()}
+
     def known_pairs(self) -> Iterator[tuple[PairKey, Pair]]:
         """Iterate over all pairs that were observed or loaded."""
         for image, kalman_filter in self._filter_by_image.items():
--- a/hyssopring/jobs/placement_option.py
+++ b/hyssopring/jobs/placement_option.py
@@ -21,6 +21,11 @@
 _INTERFERENCE_PENALTY: Final = 20_000
 _LATENCY_CRITICAL_PACKING_BONUS: Final = 20_000
 _BEST_EFFORT_NEIGHBOR_PENALTY: Final = 4000
+# For a task that alone takes a worker from all best-effort images.
+_LOST_TOLERANCE_PENALTY: Final = 300_000
+# For a best-effort task on a worker that tolerates all best-effort images. Such
+# workers are left to images that few others tolerate.
+_TOLERANT_WORKER_PENALTY: Final = 10_000
 _RACK_MISMATCH_PENALTY: Final = 4000
 # The headroom that each latency-critical task keeps once all best-effort tasks
 # beside it run at full pace. Samples vary by 0.36 at random and by 0.3 as load
@@ -213,10 +218,29 @@
             score += _LATENCY_CRITICAL_PACKING_BONUS
         if step.target_ms:
             score -= _BEST_EFFORT_NEIGHBOR_PENALTY * self.best_effort_count
+            score -= _LOST_TOLERANCE_PENALTY * self._lost_tolerance(step)
+        if step.fills:
+            score -= _TOLERANT_WORKER_PENALTY * self._tolerated_share()
         if rack and rack != self.worker.rack:
             score -= _RACK_MISMATCH_PENALTY
         return score
 
+    def _tolerated_share(self) -> float:
+        """Return the share of best-effort images that run here unthrottled."""
+        self._latency_critical_images()
+        return self.estimates.tolerated_share(self._image_set)
+
+    def _lost_tolerance(self, step: Step) -> float:
+        """Return the share of best-effort images that no longer run here.
+
+        It is divided among the tasks of the step that fit, as only the first
+        one changes which images run here.
+        """
+        self._latency_critical_images()
+        lost = self.estimates.lost_tolerance(self._image_set, step.image)
+        cpu_millis = max(step.size.cpu_millis, 1)
+        return lost / max(1, self.free.cpu_millis // cpu_millis)
+
     def reserve(self, step: Step) -> None:
         """Count one more task of the step."""
         self.free = self.free.minus(step.reserved_size)
--- a/hyssopring/jobs/placement_round.py
+++ b/hyssopring/jobs/placement_round.py
@@ -5,6 +5,7 @@
 from typing import Container, Final, Iterable, Iterator, Mapping, NamedTuple
 
 from hyssopring.jobs.fleet import Worker
+from hyssopring.jobs.image_tolerance import ImageTolerance
 from hyssopring.jobs.interference import (
     ImageEstimates,
     InterferenceModel,
@@ -54,6 +55,7 @@
         refusing: Container[str] = (),
         uses: WorkerUses | None = None,
         slow_speed_by_boot: Mapping[str, float] | None = None,
+        tolerance: ImageTolerance | None = None,
     ) -> None:
         """Take the free capacity of the workers once for the whole round.
 
@@ -67,11 +69,15 @@
                 nothing is.
             slow_speed_by_boot: Relative speeds of slow workers, which are
                 chosen last; None for none.
+            tolerance: What latency-critical images tolerate; None to ignore
+                it.
         """
         self.has_rejected = False
         self.reserved_worker_by_task: dict[str, Worker] = {}
         slow_speeds = slow_speed_by_boot or {}
-        estimates = RoundEstimates(interference or InterferenceModel())
+        estimates = RoundEstimates(
+            interference or InterferenceModel(), tolerance
+        )
         uses = uses or WorkerUses()
         self._rejected_sizes: dict[_Requirements, list[Size]] = {}
         self._options_by_service: dict[str, list[PlacementOption]] = {}
--- a/hyssopring/jobs/planning.py
+++ b/hyssopring/jobs/planning.py
@@ -6,6 +6,7 @@
 from hyssopring.fairness import FairShares
 from hyssopring.jobs.crash_suspects import CrashSuspects
 from hyssopring.jobs.fleet import Fleet, PlacedAttempt, Worker
+from hyssopring.jobs.image_tolerance import ImageTolerance
 from hyssopring.jobs.interference import InterferenceModel
 from hyssopring.jobs.job_record import JobRecord, StepRun
 from hyssopring.jobs.job_times import CallerEstimates, JobTimeSource
@@ -40,6 +41,9 @@
 # nothing to its 61 agents after a power failure.
 _PLANNING_BACKOFF_FACTOR: Final = 2
 
+# How long one state of the estimates decides where latency-critical tasks go.
+_TOLERANCE_INTERVAL_MS: Final = 1000.0
+
 Send = Callable[[str, JobsMessage], bool]
 
 
@@ -89,6 +93,8 @@
         self._suspects = suspects
         self.interference = InterferenceModel()
         self.fair_shares: FairShares | None = None
+        self._tolerance = ImageTolerance(self.interference, ())
+        self._tolerance_at_ms = -_TOLERANCE_INTERVAL_MS
         self._uses = WorkerUses()
         self._queue_waits = QueueWaitLog(clock)
         self.job_times: JobTimeSource = CallerEstimates()
@@ -178,6 +184,16 @@
         """Return the workers on which any task may start now."""
         return self._suspects.available_workers(self._shards)
 
+    def tolerance(self) -> ImageTolerance:
+        """Return what latency-critical images tolerate, by recent estimates."""
+        now_ms = self._clock.now()
+        if now_ms - self._tolerance_at_ms >= _TOLERANCE_INTERVAL_MS:
+            self._tolerance_at_ms = now_ms
+            self._tolerance = ImageTolerance(
+                self.interference, self.interference.best_effort_images()
+            )
+        return self._tolerance
+
     def new_round(self) -> PlacementRound:
         """Return a round of placement on the workers as they are now."""
         workers = self.available_workers()
@@ -188,6 +204,7 @@
             self._fleet.recently_refusing(),
             self._uses,
             self.slow_speed_by_boot,
+            self.tolerance(),
         )
         self.move_targets.reserve(placement)
         return placement
--- a/hyssopring/jobs/step_impact.py
+++ b/hyssopring/jobs/step_impact.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final, Iterable
 
+from hyssopring.jobs.image_tolerance import ImageTolerance
 from hyssopring.jobs.interference import ImageEstimates, InterferenceEstimate
 from hyssopring.jobs.model import Step
 
@@ -64,9 +65,19 @@
     applied meanwhile, so that each is computed once.
     """
 
-    def __init__(self, estimates: ImageEstimates) -> None:
-        """Compute nothing yet."""
+    def __init__(
+        self,
+        estimates: ImageEstimates,
+        tolerance: ImageTolerance | None = None,
+    ) -> None:
+        """Compute nothing yet.
+
+        Args:
+            tolerance: What latency-critical images tolerate; None to ignore
+                it.
+        """
         self._estimates = estimates
+        self._tolerance = tolerance
         self._latency_critical_images: set[str] = set()
         self._estimate_by_pair: dict[tuple[str, str], InterferenceEstimate] = {}
         self._impact_by_task: dict[tuple[str, int], StepImpact] = {}
@@ -79,6 +90,25 @@
             self._impact_by_task.clear()
             self._last = None
 
+    def lost_tolerance(self, images: frozenset[str], image: str) -> float:
+        """Return the share of best-effort images that a worker loses.
+
+        Args:
+            images: The latency-critical images on the worker.
+            image: The image of one more latency-critical task.
+        """
+        if image in images:
+            return 0
+        return self.tolerated_share(images) - self.tolerated_share(
+            images | {image}
+        )
+
+    def tolerated_share(self, images: frozenset[str]) -> float:
+        """Return the share of best-effort images that all of them tolerate."""
+        if self._tolerance is None:
+            return 1
+        return self._tolerance.tolerated_share(images)
+
     def per_core(
         self, latency_critical_image: str, best_effort_image: str
     ) -> InterferenceEstimate:
