--- a/hyssopring/jobs/step_impact.py
+++ b/hyssopring/jobs/step_impact.py
@@ -82,6 +82,7 @@
         self._estimate_by_pair: dict[tuple[str, str], InterferenceEstimate] = {}
         self._impact_by_task: dict[tuple[str, int], StepImpact] = {}
         self._last: tuple[Step, StepImpact] | None = None
+        self._lost_tolerance: dict[tuple[frozenset[str], str], float] = {}
 
     def add_images(self, images: Iterable[str]) -> None:
         """Include the images of latency-critical tasks in all impacts."""
@@ -97,11 +98,13 @@
             images: The latency-critical images on the worker.
             image: The image of one more latency-critical task.
         """
-        if image in images:
-            return 0
-        return self.tolerated_share(images) - self.tolerated_share(
-            images | {image}
-        )
+        lost = self._lost_tolerance.get((images, image))
+        if lost is None:
+            lost = self.tolerated_share(images) - self.tolerated_share(
+                images | {image}
+            )
+            self._lost_tolerance[images, image] = lost
+        return lost
 
     def tolerated_share(self, images: frozenset[str]) -> float:
         """Return the share of best-effort images that all of them tolerate."""
