--- a/hyssopring/jobs/step_impact.py
+++ b/hyssopring/jobs/step_impact.py
@@ -15,6 +15,9 @@
 NEGLIGIBLE_INTERFERENCE: Final = 0.35
 _MILLIS_PER_CORE: Final = 1000
 
+# The latency-critical images on a worker, and the image of one more task.
+_AddedImage = tuple[frozenset[str], str]
+
 
 @dataclass(frozen=True, slots=True)
 class StepImpact:
@@ -82,7 +85,7 @@
         self._estimate_by_pair: dict[tuple[str, str], InterferenceEstimate] = {}
         self._impact_by_task: dict[tuple[str, int], StepImpact] = {}
         self._last: tuple[Step, StepImpact] | None = None
-        self._lost_tolerance: dict[tuple[frozenset[str], str], float] = {}
+        self._lost_tolerance: dict[_AddedImage, float] = {}
 
     def add_images(self, images: Iterable[str]) -> None:
         """Include the images of latency-critical tasks in all impacts."""
