Log: the epoch and the age of the confirmed ownership, where an attempt is given up

TASK_LAPSED (3007) did not say under which epoch an owner gave an attempt up, nor when it last knew that it has the shard; SHARD_LOST (3011) lacked the age. Without them a record cannot tell an owner that was replaced while it was suspended from one whose agents outlived their grants. The timeline of the command line shows both.

--- a/hyssopring/cli/log_sentences.py
+++ b/hyssopring/cli/log_sentences.py
@@ -141,7 +141,8 @@
     text = f'{attempt} on {{agent}} is taken for over: {{reason}}'
     if fields['boot'] != fields['present']:
         text = f'{text}, {{boot}} before, {{present}} now'
-    return f'{text} (order {{order}}, {_AGES})'.format_map(fields)
+    text = f'{text} (order {{order}}, {_AGES}, reign {{reign}}, '
+    return f'{text}confirmed {{confirmed_age_ms}} ms ago)'.format_map(fields)
 
 
 def _describe_shares(fields: _Fields) -> str:
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -188,6 +188,11 @@
         """Record that a read sent at this time confirmed the ownership."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
+    @property
+    def confirmed_age_ms(self) -> float:
+        """The age of the newest read that confirmed the ownership, in ms."""
+        return self._clock.now() - self._confirmed_at
+
     @property
     def is_ownership_confirmed(self) -> bool:
         """Whether the ownership was confirmed within the owner's lease.
@@ -196,7 +201,7 @@
         that was frozen, or refused by the store for a while, renews that row
         later and would act on long after its successor stopped waiting.
         """
-        return self._clock.now() - self._confirmed_at < OWNER_LEASE_MS
+        return self.confirmed_age_ms < OWNER_LEASE_MS
 
     def may_start_on(self, agent_id: str) -> bool:
         """Whether a start may be sent to an agent.
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -206,7 +206,12 @@
             self.shards.by_shard.pop(owned.shard)
         if self.fair_shares is not None:
             self.fair_shares.forget()
-        log_event(Event.SHARD_LOST, shard=owned.shard, reign=owned.epoch)
+        log_event(
+            Event.SHARD_LOST,
+            shard=owned.shard,
+            reign=owned.epoch,
+            confirmed_age_ms=int(owned.confirmed_age_ms),
+        )
         for worker in self._fleet.by_agent.values():
             for task in list(worker.placed_by_task):
                 if shard_of_task(task) == owned.shard:
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -422,6 +422,7 @@
         worker.placed_by_task.pop(task, None)
         record = self._shards.record_of(placed.name.job_id)
         run = record.step_run_of(placed.name) if record else None
+        owned = self._shards.by_shard[shard_of(placed.name.job_id)]
         now_ms = self._clock.now()
         log_event(
             Event.TASK_LAPSED,
@@ -429,6 +430,8 @@
             attempt=placed.attempt,
             agent=worker.agent_id,
             reason=reason,
+            reign=owned.epoch,
+            confirmed_age_ms=int(owned.confirmed_age_ms),
             boot=placed.boot,
             present=worker.boot,
             order=placed.start_index,
