Tests: owners that act again after a successor has taken their shard

The first is the users' record: an owner is suspended for 7 to 8.5 s, resumes within the 10 s of its lease while the store refuses it, counts its grants as expired and starts the task on an agent that has not heard of the successor. The others are the same inference from other evidence: a departure, the report and the end of a restarted agent, and the end of a wait for an unheard agent.

--- a/tests/owner_support.py
+++ b/tests/owner_support.py
@@ -4,6 +4,8 @@
 
 LONG_MS = 90_000
 STEP_S = 0.01
+# Until the answer of a read is handled.
+FRESH_MS = 30
 PATIENCE = 2000
 
 
@@ -55,3 +57,21 @@
     deployment.submit(job, entry.name)
     deployment.run(1)
     return job
+
+
+def run_until_confirmed(deployment, entry):
+    """Run until a read has just confirmed that an entry owns the shard."""
+    (owned,) = entry.core.owner.shards.by_shard.values()
+    for _step in range(PATIENCE):
+        if owned.confirmed_age_ms < FRESH_MS:
+            return
+        deployment.run(STEP_S)
+    raise AssertionError('the ownership is not confirmed')
+
+
+def suspend(deployment, entry, seconds):
+    """Suspend an entry; the store refuses it and no peer reaches it then."""
+    run_until_confirmed(deployment, entry)
+    entry.thaws_at = deployment.reactor.seconds() + seconds
+    entry.has_peers = False
+    deployment.rows.rejected_clients.add(entry.name)
