Owner: timeouts count only if the ownership was confirmed after them

Callers saw tasks that ran twice (TWICE): a second run beside the first, or after an end as done that was recorded.

Cause: an owner may act for 10 s after it last read its owner row, and counts its grants as expired after 8.36 s. One that was suspended for 7 to 8.5 s resumes in between. Its successor has extended the agents' leases, but the former owner took the age of its own grants for proof that the attempts had ended, and started the tasks on an agent that had not heard of the successor. A store that is slow or refuses it keeps it from finding out. The wait for an agent that a new owner has not heard ended in the same way.

Change: an attempt, or the wait for an agent, expires only once a read of the owner row that was sent after the expiry shows this owner; then no other owner can have extended the lease before. The read is requested at the expiry and what waits for it is applied with the answer, so that a lost VM costs one read of the store more. An owner that the store does not answer expires nothing. The timeouts have a module of their own.

--- a/hyssopring/jobs/entry_core.py
+++ b/hyssopring/jobs/entry_core.py
@@ -265,6 +265,7 @@
             ShardEvents(
                 self.owner.acknowledge_ends,
                 self._on_ownership_lost,
+                self.owner.on_ownership_checked,
                 self.owner.on_job_accepted,
                 self.owner.stop_job,
                 self.owner.on_shard_loaded,
--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -7,7 +7,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.messages import AgentLeft
-from hyssopring.jobs.times import GRANT_EXPIRY_MS, GRANT_MS
+from hyssopring.jobs.times import GRANT_MS
 from hyssopring.jobs.workers import PlacedAttempt, Worker
 
 __all__ = ('GRANT_TTL_MS', 'AgentDeparture', 'Fleet', 'PlacedAttempt', 'Worker')
@@ -110,7 +110,7 @@
     def grant_expires_at(self, agent_id: str) -> float:
         """Return when the last grant from this entry to an agent expires."""
         worker = self.by_agent.get(agent_id)
-        return worker.granted_at + GRANT_EXPIRY_MS if worker else 0
+        return worker.grant_expires_at if worker else 0
 
     def is_lost(self, agent_id: str) -> bool:
         """Return whether an agent is disconnected and can run no task."""
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -14,6 +14,7 @@
 from hyssopring.jobs.job_record import JobRecord, StepRun
 from hyssopring.jobs.locations import Locations
 from hyssopring.jobs.model import JobState, TaskName
+from hyssopring.jobs.ownership import Ownership
 from hyssopring.jobs.progress_writer import Ack, ProgressWriter, owner_check
 from hyssopring.jobs.roster import Roster
 from hyssopring.jobs.row_keys import (
@@ -32,7 +33,6 @@
     Transaction,
 )
 from hyssopring.jobs.shard_reader import ShardReader
-from hyssopring.jobs.times import OWNER_LEASE_MS
 from hyssopring.learning.stored_summary import StoredSummary
 from hyssopring.logs import Event, log_event
 
@@ -49,6 +49,8 @@
     Attributes:
         on_ends_durable: Called with the ends that agents may drop.
         on_ownership_lost: Called when another owner has the shard.
+        on_ownership_checked: Called when a requested check of the ownership
+            has succeeded.
         on_job: Called with each job that is added after the load.
         on_cancelled: Called with each job that is cancelled.
         on_loaded: Called once all stored jobs are loaded.
@@ -57,6 +59,7 @@
 
     on_ends_durable: Callable[[list[Ack]], None]
     on_ownership_lost: Callable[['OwnedShard'], None]
+    on_ownership_checked: Callable[[], None]
     on_job: Callable[[JobRecord], None]
     on_cancelled: Callable[[JobRecord], None]
     on_loaded: Callable[[], None]
@@ -77,6 +80,7 @@
         is_loaded: Whether all stored jobs are loaded.
         is_dropped: Whether this entry has stopped owning the shard.
         look_up: Reads the row of a job; see ``ShardReader``.
+        ownership: When it was last known that no other entry has the shard.
         stored_summary: The row of what the shard's owners have learned.
     """
 
@@ -94,7 +98,6 @@
         self.epoch = acquired.epoch
         self.version = acquired.version
         self.former = FormerOwners(clock, acquired)
-        self._confirmed_at = acquired.confirmed_at
         self._cancelled_before_job: set[str] = set()
         self._clock = clock
         self._store = store
@@ -128,6 +131,9 @@
         )
         self._reader = ShardReader(reactor, clock, store, self)
         self.look_up = self._reader.look_up
+        self.ownership = Ownership(
+            clock, acquired.confirmed_at, self._reader.check_ownership
+        )
         self.locations = Locations(
             clock, self.roster, epoch_rows, self.former, self.by_job
         )
@@ -184,24 +190,10 @@
             0, self._absences.grant_expires_at(agent_id) - self._clock.now()
         )
 
-    def on_ownership_confirmed(self, sent_at: float) -> None:
-        """Record that a read sent at this time confirmed the ownership."""
-        self._confirmed_at = max(self._confirmed_at, sent_at)
-
-    @property
-    def confirmed_age_ms(self) -> float:
-        """The age of the newest read that confirmed the ownership, in ms."""
-        return self._clock.now() - self._confirmed_at
-
-    @property
-    def is_ownership_confirmed(self) -> bool:
-        """Whether the ownership was confirmed within the owner's lease.
-
-        The entry's own row does not prove that it owns the shard. An owner
-        that was frozen, or refused by the store for a while, renews that row
-        later and would act on long after its successor stopped waiting.
-        """
-        return self.confirmed_age_ms < OWNER_LEASE_MS
+    def on_ownership_checked(self) -> None:
+        """Report that a requested check has confirmed the ownership."""
+        if self.is_loaded and not self.is_dropped:
+            self._events.on_ownership_checked()
 
     def may_start_on(self, agent_id: str) -> bool:
         """Whether a start may be sent to an agent.
@@ -219,16 +211,10 @@
         Args:
             fleet: The agents known to this entry.
         """
-        now_ms = self._clock.now()
-        # An agent may have a grant of this epoch before its first report.
         self.unreported = {
             agent_id
             for agent_id in self.unreported
-            if now_ms
-            <= max(
-                self._absences.grant_expires_at(agent_id),
-                fleet.grant_expires_at(agent_id),
-            )
+            if not self._has_expired(agent_id, fleet)
         }
         if self.is_loaded:
             self._absences.check(fleet, self.unreported)
@@ -237,6 +223,18 @@
             )
             self.roster.write()
 
+    def _has_expired(self, agent_id: str, fleet: Fleet) -> bool:
+        """Whether no owner's grant to an unreported agent is valid."""
+        # An agent may have a grant of this epoch before its first report.
+        expires_at = max(
+            self._absences.grant_expires_at(agent_id),
+            fleet.grant_expires_at(agent_id),
+        )
+        return (
+            self._clock.now() > expires_at
+            and self.ownership.is_confirmed_since(expires_at)
+        )
+
     def live_jobs(self) -> list[JobRecord]:
         """Return the jobs without a final state."""
         live = [
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -77,7 +77,7 @@
     def is_ownership_confirmed(self) -> bool:
         """Whether the ownership of each shard was confirmed recently."""
         return all(
-            owned.is_ownership_confirmed for owned in self.by_shard.values()
+            owned.ownership.is_recent for owned in self.by_shard.values()
         )
 
     def startable_on(self, workers: Iterable[Worker]) -> list[Worker]:
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -27,11 +27,11 @@
 from hyssopring.jobs.task_mover import TaskMover
 from hyssopring.jobs.owned_shard import Ack, OwnedShard
 from hyssopring.jobs.owned_shards import OwnedShards
+from hyssopring.jobs.owner_timeouts import OwnerTimeouts
 from hyssopring.jobs.planning import Send, StepPlanner
 from hyssopring.jobs.reports import ReportReconciler
 from hyssopring.jobs.scheduling_options import SchedulingOptions
 from hyssopring.jobs.shards import shard_of, shard_of_task
-from hyssopring.jobs.stall_detector import StallDetector
 from hyssopring.jobs.stop_marks import mark_stopping
 from hyssopring.jobs.ticket_manager import TicketManager
 from hyssopring.learning.owner_learning import OwnerLearning
@@ -119,7 +119,6 @@
             self._suspects,
         )
         self.unplaced = self._planner.unplaced
-        self._stall_detector = StallDetector(clock)
         self.done_observers = self.learning.observers.done_observers
         self._reconciler = ReportReconciler(
             clock,
@@ -130,6 +129,9 @@
             self.learning.observers,
             options.stragglers is not None,
         )
+        self._timeouts = OwnerTimeouts(
+            clock, fleet, self.shards, self._reconciler.record_attempt_lost
+        )
         self._moves = TaskMover(
             clock,
             fleet,
@@ -182,6 +184,11 @@
                 for departed in list(self._fleet.departure_by_agent.values()):
                     self._reconciler.handle_departed_agent(departed, owned)
 
+    def on_ownership_checked(self) -> None:
+        """Apply what waited for a check of the ownership."""
+        self._timeouts.on_ownership_checked()
+        self.schedule_planning()
+
     def on_roster_written(self) -> None:
         """Request reports of agents that may get a grant now, and plan."""
         for worker in self._fleet.by_agent.values():
@@ -210,7 +217,7 @@
             Event.SHARD_LOST,
             shard=owned.shard,
             reign=owned.epoch,
-            confirmed_age_ms=int(owned.confirmed_age_ms),
+            confirmed_age_ms=int(owned.ownership.age_ms),
         )
         for worker in self._fleet.by_agent.values():
             for task in list(worker.placed_by_task):
@@ -329,15 +336,14 @@
 
     def tick(self) -> None:
         """Start due occurrences, expire attempts; call a few times a second."""
-        now_ms = self._clock.now()
         for record in self.shards.live_jobs():
             record.open_due_occurrences(self._wall_ms())
         if self.shards.by_shard:
             self._moves.check(may_act=self._may_act())
         if self._rebalancer is not None:
             self._rebalancer.tick(self._may_act())
-        if self._stall_detector.record_tick():
-            self._apply_timeouts(now_ms)
+        self._timeouts.tick()
+        self.learning.retain_agents(self._fleet.by_agent)
         self._add_to_roster()
         self._ticket_manager.check()
         self.keeper_waits.check()
@@ -346,34 +352,6 @@
             self.stragglers.tick(self._may_act())
         self.schedule_planning()
 
-    def _apply_timeouts(self, now_ms: float) -> None:
-        for worker in self._fleet.by_agent.values():
-            if worker.placed_by_task and self._is_lost(worker, now_ms):
-                for placed in list(worker.placed_by_task.values()):
-                    self._reconciler.record_attempt_lost(
-                        worker, placed, 'lapsed'
-                    )
-        for owned in self.shards.by_shard.values():
-            owned.tick(self._fleet)
-        self._fleet.remove_lost()
-        self.learning.retain_agents(self._fleet.by_agent)
-
-    def _is_lost(self, worker: Worker, now_ms: float) -> bool:
-        """Whether no attempt on a worker can still run.
-
-        A disconnected agent may have been restarted and reach a former owner
-        only. Its new process does not know this epoch and accepts the former
-        owner's grants as long as that owner may act.
-        """
-        may_former_act = any(
-            owned.former.may_grants_act
-            for owned in self.shards.by_shard.values()
-        )
-        is_disconnected = not worker.is_connected
-        return worker.is_lost(now_ms) and not (
-            is_disconnected and may_former_act
-        )
-
     def _add_to_roster(self) -> None:
         """Add agents to the rosters before tasks are sent to them."""
         loaded = [
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -431,7 +431,7 @@
             agent=worker.agent_id,
             reason=reason,
             reign=owned.epoch,
-            confirmed_age_ms=int(owned.confirmed_age_ms),
+            confirmed_age_ms=int(owned.ownership.age_ms),
             boot=placed.boot,
             present=worker.boot,
             order=placed.start_index,
--- a/hyssopring/jobs/shard_reader.py
+++ b/hyssopring/jobs/shard_reader.py
@@ -7,6 +7,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.documents import MalformedRowError
+from hyssopring.jobs.ownership import Ownership
 from hyssopring.jobs.row_keys import (
     AGENTS_TABLE,
     CANCEL_SUFFIX,
@@ -41,11 +42,13 @@
         shard: Number of the shard.
         version: Version of the owner row with which the shard was taken.
         is_dropped: The shard was released; nothing more is delivered.
+        ownership: Records the reads that showed this owner's row.
     """
 
     shard: int
     version: int
     is_dropped: bool
+    ownership: Ownership
 
     def on_agent_rows(self, agents: list[Row]) -> None:
         """Handle all rows of agents; job rows follow."""
@@ -62,8 +65,8 @@
     def on_ownership_lost(self) -> None:
         """Handle that another owner has taken the shard."""
 
-    def on_ownership_confirmed(self, sent_at: float) -> None:
-        """Handle that a read sent at ``sent_at`` showed this owner's row."""
+    def on_ownership_checked(self) -> None:
+        """Handle that a requested check has confirmed the ownership."""
 
     def cancel(self, job_id: str) -> None:
         """Handle the cancellation of a job."""
@@ -91,6 +94,7 @@
         self._rows = rows
         self._part = part_of(rows.shard)
         self._is_polling = False
+        self._is_checking = False
         self._read_version = 0
         self._seen_version = 0
 
@@ -113,6 +117,13 @@
         )
         polling.addErrback(self._on_poll_failed)
 
+    def check_ownership(self) -> None:
+        """Read the owner row, unless such a read is in flight."""
+        if not self._is_checking and not self._rows.is_dropped:
+            self._is_checking = True
+            checking = self._is_owner()
+            checking.addCallbacks(self._on_checked, self._on_check_failed)
+
     @inlineCallbacks
     def look_up(self, job_id: str, on_read: Callable[[bool], None]) -> Any:
         """Read the row of a job of which neither message nor poll came.
@@ -162,7 +173,7 @@
         if self._rows.is_dropped:
             return False
         if row is not None and row.version == self._rows.version:
-            self._rows.on_ownership_confirmed(sent_at)
+            self._rows.ownership.confirm(sent_at)
             return True
         self._rows.on_ownership_lost()
         return False
@@ -233,6 +244,15 @@
             if row.row_key.key.endswith(CANCEL_SUFFIX):
                 self._rows.cancel(row.row_key.key.removesuffix(CANCEL_SUFFIX))
 
+    def _on_checked(self, is_owner: bool) -> None:
+        self._is_checking = False
+        if is_owner:
+            self._rows.on_ownership_checked()
+
+    def _on_check_failed(self, failure: TwistedFailure) -> None:
+        failure.trap(StoreRefused, StoreUncertain)
+        self._is_checking = False
+
     def _on_poll_failed(self, failure: TwistedFailure) -> None:
         self._is_polling = False
         reason = failure.trap(
--- a/hyssopring/jobs/stall_detector.py
+++ b/hyssopring/jobs/stall_detector.py
@@ -31,6 +31,12 @@
         self._stalled_since: float | None = None
         self._catch_up_ticks_left = 0
 
+    @property
+    def is_timely(self) -> bool:
+        """Whether timeouts of peers are meaningful now, between two ticks."""
+        gap_ms = self._clock.now() - self._last_tick_at
+        return self._stalled_since is None and gap_ms <= _MAX_GAP_MS
+
     def record_tick(self) -> bool:
         """Record a tick; return whether timeouts of peers are meaningful."""
         now_ms = self._clock.now()
--- a/hyssopring/jobs/workers.py
+++ b/hyssopring/jobs/workers.py
@@ -230,9 +230,18 @@
             return False
         return self.is_connected and report.silent_ms < _SILENT_MS
 
+    @property
+    def grant_expires_at(self) -> float:
+        """When the last grant from this owner has expired for certain."""
+        return self.granted_at + GRANT_EXPIRY_MS
+
     def is_lost(self, now_ms: float) -> bool:
-        """Return whether no attempt placed there can still be running."""
-        return now_ms - self.granted_at > GRANT_EXPIRY_MS
+        """Return whether this owner's last grant has expired.
+
+        Then no attempt placed there runs, unless a successor of this owner has
+        renewed the agent's lease.
+        """
+        return now_ms > self.grant_expires_at
 
     @property
     def silent_since(self) -> float | None:
--- a/tests/owner_support.py
+++ b/tests/owner_support.py
@@ -63,7 +63,7 @@
     """Run until a read has just confirmed that an entry owns the shard."""
     (owned,) = entry.core.owner.shards.by_shard.values()
     for _step in range(PATIENCE):
-        if owned.confirmed_age_ms < FRESH_MS:
+        if owned.ownership.age_ms < FRESH_MS:
             return
         deployment.run(STEP_S)
     raise AssertionError('the ownership is not confirmed')
