Owner: a departure counts only if the ownership was confirmed after it

An agent tells all entries that it leaves and that nothing runs there. An owner whose successor has recorded the end of a task as done took it for lost with the agent and started the task again, on an agent that had not heard of the successor (TWICE). Same cause as for timeouts: evidence that is newer than the last moment at which no successor can have acted. The departure is applied once a read sent after it has confirmed the ownership.

--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -80,15 +80,12 @@
         worker.is_connected = False
         worker.disconnected_at = self._clock.now()
 
-    def record_departure(
-        self, worker: Worker, message: AgentLeft
-    ) -> 'AgentDeparture':
+    def record_departure(self, worker: Worker, message: AgentLeft) -> None:
         """Record the shutdown of an agent whose worker runs no task."""
         departed = AgentDeparture(worker, message, self._clock.now())
         self.departure_by_agent[worker.agent_id] = departed
         if len(self.departure_by_agent) > _MAX_DEPARTED:
             self.departure_by_agent.pop(next(iter(self.departure_by_agent)))
-        return departed
 
     def has_departed(self, agent_id: str) -> bool:
         """Return whether an agent has announced its shutdown."""
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -178,15 +178,20 @@
         self.request_all_reports()
 
     def process_departed_agents(self) -> None:
-        """Apply the last messages of agents that left before the load."""
+        """Apply the last messages of agents that have left.
+
+        An agent may have obeyed a successor of this owner until it left.
+        """
+        departures = list(self._fleet.departure_by_agent.values())
         for owned in self.shards.by_shard.values():
-            if owned.is_loaded:
-                for departed in list(self._fleet.departure_by_agent.values()):
+            for departed in departures if owned.is_loaded else ():
+                if owned.ownership.is_confirmed_since(departed.at):
                     self._reconciler.handle_departed_agent(departed, owned)
 
     def on_ownership_checked(self) -> None:
         """Apply what waited for a check of the ownership."""
         self._timeouts.on_ownership_checked()
+        self.process_departed_agents()
         self.schedule_planning()
 
     def on_roster_written(self) -> None:
@@ -328,10 +333,8 @@
                 boot=message.boot,
                 ends=len(message.ends),
             )
-        departed = self._fleet.record_departure(worker, message)
-        for owned in self.shards.by_shard.values():
-            if owned.is_loaded:
-                self._reconciler.handle_departed_agent(departed, owned)
+        self._fleet.record_departure(worker, message)
+        self.process_departed_agents()
         self.schedule_planning()
 
     def tick(self) -> None:
