Owner: a report proves how an attempt ended only for the agent's present process

An agent that obeyed the successor of an owner and is restarted does not know the successor any more. If it reaches the former owner first, its report lists neither the attempt nor its recorded end, or an end that the successor has acted upon already; the former owner started the task again (TWICE).

An agent that has received a start on its present connection obeys this owner, so its word on that attempt counts as before. For all other attempts, and for the wait for unheard agents, a report counts once a read of the owner row that was sent after the agent connected has confirmed the ownership; then the report is requested anew.

--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -69,6 +69,7 @@
         worker.connection = (
             f'{self._incarnation}/{next(self._connection_numbers)}'
         )
+        worker.connected_at = self._clock.now()
         worker.starts_sent = 0
         for placed in worker.placed_by_task.values():
             placed.start_index = 0
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -192,6 +192,10 @@
         """Apply what waited for a check of the ownership."""
         self._timeouts.on_ownership_checked()
         self.process_departed_agents()
+        for worker in self._fleet.by_agent.values():
+            if worker.awaits_check:
+                worker.awaits_check = False
+                self._request_report(worker)
         self.schedule_planning()
 
     def on_roster_written(self) -> None:
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -134,7 +134,8 @@
         for attempt in _select_shard(report.attempts, owned.shard):
             self._record_attempt(worker, report.boot, attempt, owned)
         self._drop_unlisted(worker, report, owned)
-        owned.unreported.discard(worker.agent_id)
+        if self._is_proof(worker, None, owned):
+            owned.unreported.discard(worker.agent_id)
 
     def handle_departed_agent(
         self, departed: AgentDeparture, owned: OwnedShard
@@ -167,6 +168,24 @@
             if TaskName.from_text(attempt.task).job_id == job_id:
                 self._record_attempt(worker, report.boot, attempt, owned)
 
+    def _is_proof(
+        self, worker: Worker, placed: PlacedAttempt | None, owned: OwnedShard
+    ) -> bool:
+        """Return whether an agent's report proves how an attempt ended.
+
+        A process of the agent that has ended since may have obeyed a successor
+        of this owner, which knows more of the task. The present one has obeyed
+        this owner if it received the start from it.
+
+        Args:
+            placed: The attempt, None for any attempt.
+        """
+        if placed is not None and placed.start_index:
+            return True
+        is_proof = owned.ownership.is_confirmed_since(worker.connected_at)
+        worker.awaits_check = worker.awaits_check or not is_proof
+        return is_proof
+
     def _drop_unlisted(
         self,
         worker: Worker,
@@ -178,6 +197,7 @@
             (task, placed)
             for task, placed in worker.placed_by_task.items()
             if shard_of(placed.name.job_id) == owned.shard
+            and self._is_proof(worker, placed, owned)
         ]
         for task, placed in ordered:
             if placed.boot != report.boot:
@@ -312,12 +332,14 @@
             name.job_id, owned
         ):
             return
+        placed = worker.placed_by_task.get(end.task)
+        if not self._is_proof(worker, placed, owned):
+            return
         self._seen_ends.add(ack, owned.shard)
         run = record.step_run_of(name) if record else None
         if record is None or run is None:
             self._sink.acknowledge_ends([ack])
             return
-        placed = worker.placed_by_task.get(end.task)
         if placed is not None and placed.attempt <= end.attempt:
             worker.placed_by_task.pop(end.task)
             self._observers.attempt_ended(record.job, end, worker, placed)
--- a/hyssopring/jobs/workers.py
+++ b/hyssopring/jobs/workers.py
@@ -34,7 +34,8 @@
     Attributes:
         boot: The worker's incarnation that it was sent to or that runs it.
         start_index: The position of its start order on the agent's
-            connection; 0 if it was sent on an earlier connection.
+            connection; 0 if it was sent on an earlier connection, or by a
+            former owner.
         placed_at: When it was placed.
         percent: Progress, as the task reports it.
         load: See ``AttemptReport``.
@@ -132,10 +133,13 @@
         granted_at: When its agent last got a grant from this owner, or the
             latest time at which a former owner may have sent one.
         connection: This entry's ID of the agent's connection.
+        connected_at: When that connection was made.
         starts_sent: The number of start orders sent on that connection.
         disconnected_at: When its last connection was closed.
         refused_at: When it last refused a start, None if never.
         awaits_grant: Whether it gets a grant once its row sets no expiry.
+        awaits_check: Whether a report was not applied in full, as the
+            ownership was not confirmed since the agent has connected.
     """
 
     agent_id: str
@@ -145,9 +149,11 @@
     reported_at: float = 0
     granted_at: float = 0
     connection: str = ''
+    connected_at: float = 0
     starts_sent: int = 0
     refused_at: float | None = None
     awaits_grant: bool = False
+    awaits_check: bool = False
     disconnected_at: float = 0
     placed_by_task: dict[str, PlacedAttempt] = field(default_factory=dict)
 
