--- a/hyssopring/jobs/job_record.py
+++ b/hyssopring/jobs/job_record.py
@@ -307,7 +307,10 @@
         The last end may be recorded before all occurrences are open, so the
         end of a job does not follow from an end alone.
         """
-        if self.final_state is not None or not self.is_all_done:
+        is_all_done = self._open_count == self.job.occurrences and all(
+            run.is_done for run in self.step_runs.values()
+        )
+        if self.final_state is not None or not is_all_done:
             return False
         self.final_state = JobState.COMPLETED
         return True
@@ -336,13 +339,6 @@
         index = 0 if self.job.steps[name.step].is_gang else name.index
         return f'{name.occurrence}.{name.step}.{index}'
 
-    @property
-    def is_all_done(self) -> bool:
-        """Whether all tasks of all occurrences are done."""
-        return self._open_count == self.job.occurrences and all(
-            run.is_done for run in self.step_runs.values()
-        )
-
     def deadline(self, occurrence: int = 0) -> float:
         """Return when an occurrence should be completed, in ms since 1970."""
         return self.begun_ms(occurrence) + self.job.queue.objective_ms(
