Recorder: starts between a done end and its note

Rule TWICE forbids a start after a run has ended as done if that end is taken note of then or later, unless the worker's hold lapses in between. The record of runs saw only starts after the note. A task that a second owner started between the end and its note, and that did not run beside the first attempt, passed.

Each note now checks the starts since the end. Workers forget which run an end belongs to when their hold lapses. Copyable tasks and keepers are exempt as before.

--- a/standins/jobs/run_recorder.py
+++ b/standins/jobs/run_recorder.py
@@ -29,6 +29,9 @@
     def __init__(self):
         self.running = {}
         self.noted_done = set()
+        # The starts and ends of each task in order, each with its time, its
+        # run and how it ended; None for a start.
+        self.history_by_task = {}
         self.noted_failed = {}
         # The number of failures that a job permits each task.
         self.most_failures = {}
@@ -53,6 +56,7 @@
 
     def started(self, now, worker, run):
         self.starts.append((now, worker.name, run.task, run.number))
+        self.history_by_task.setdefault(run.task, []).append((now, run, None))
         self._check_budget(now, run)
         self._check_failures(run.task)
         holders = self.running.setdefault(run.task, set())
@@ -82,6 +86,21 @@
             return
         self.broken.append(f'{now:.2f} {run.task} starts though it is done')
 
+    def _check_starts_since(self, ended):
+        """Check that nothing has started after an end that is noted now."""
+        task = ended.task
+        if self.is_copyable(task) or task in self.keepers:
+            return
+        ended_at = None
+        for now, run, how in self.history_by_task[task]:
+            if run is ended and how is not None:
+                ended_at = now
+            elif how is None and ended_at is not None:
+                self.broken.append(
+                    f'{now:.2f} {task} starts though it is done since '
+                    f'{ended_at:.2f}, which is noted later'
+                )
+
     def _was_on_its_way(self, task, number):
         """Return whether a copy was ordered before its task's end was noted."""
         return self.is_copyable(task) and number <= self.ordered_at_end[task]
@@ -107,13 +126,21 @@
     def ended(self, now, worker, run, how):
         self.running[run.task].discard(worker.boot)
         self.ends.append((now, run.task, run.number, how))
+        self.history_by_task[run.task].append((now, run, how))
         self.last_run_by_task[run.task] = (now, worker.name)
 
-    def noted(self, task, number, how):
-        """Record that an end was acknowledged."""
+    def noted(self, task, number, how, run=None):
+        """Record that an end was acknowledged.
+
+        Args:
+            run: The run that has ended; None if the worker's hold has lapsed
+                since, so that the end is never taken note of.
+        """
         if how is AttemptEnd.DONE:
             self.noted_done.add(task)
             self._note_orders(task)
+            if run is not None:
+                self._check_starts_since(run)
         elif how is AttemptEnd.FAILED:
             self.noted_failed.setdefault(task, set()).add(number)
             self._check_failures(task)
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -123,6 +123,8 @@
         self.hold_ms = 0
         self.runs = {}
         self.ends = []
+        # The runs by the numbers of their ends, since the hold last lapsed.
+        self.run_by_end = {}
         self.listed = set()
         self.number = 0
         self.highest_by_task = {}
@@ -242,7 +244,8 @@
     def settle(self):
         """End the runs that are due; call before reading the listing."""
         now = self.reactor.seconds()
-        if self.runs and self.hold_ms and self.clock_ms() > self.hold_ms:
+        if self.hold_ms and self.clock_ms() > self.hold_ms:
+            self.run_by_end.clear()
             for run in list(self.runs.values()):
                 self.end(run, AttemptEnd.LOST)
         for run in list(self.runs.values()):
@@ -352,7 +355,12 @@
                 self.run_recorder.broken.append(
                     f'{self.name}: unread {end} is dropped'
                 )
-            self.run_recorder.noted(end.task, end.attempt, end.how)
+            self.run_recorder.noted(
+                end.task,
+                end.attempt,
+                end.how,
+                self.run_by_end.get(end.number),
+            )
         self.ends = [end for end in self.ends if end.number > recorded]
 
     def _start(self, start):
@@ -425,6 +433,7 @@
         self.ends.append(
             EndRow(self.number, run.task, run.number, how, run.checkpoint)
         )
+        self.run_by_end[self.number] = run
         self.run_recorder.ended(self.reactor.seconds(), self, run, how)
 
 
