--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -138,6 +138,22 @@
         self.blocked.add((agent_name, entry_name))
         self._unlink_pair((agent_name, entry_name))
 
+    def time_out(self, agent_name, entry_name):
+        """Close a silent connection; a frozen process learns it later."""
+        pair = (agent_name, entry_name)
+        if self.links.pop(pair, None) is None:
+            return
+        agent, entry = self.agents[agent_name], self.entries[entry_name]
+        for process, learn, peer in (
+            (agent, agent.core.disconnected, entry_name),
+            (entry, entry.core.agent_disconnected, agent_name),
+        ):
+            process.reactor.run(self._learn_of_end, pair, learn, peer)
+
+    def _learn_of_end(self, pair, learn, peer):
+        if pair not in self.links:
+            learn(peer)
+
     def stop_agent(self, name):
         """Shut an agent down gracefully, with time for its last messages."""
         agent = self.agents[name]
