Timers of a process go on after an error

Cause: Lifecycle.every passed the action to a LoopingCall, which ends for good at the first exception. One row that a tick could not handle left a process that ran on without its periodic work: an entry no longer renewed its row, polled for jobs or enforced timeouts, and nothing but Twisted's message about an unhandled error told of it.

Before: test_a_timer_goes_on_after_an_error_which_is_logged_once fails, the timer ends after the first of 6 calls.

--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -83,3 +83,21 @@
     arrivals_s = [number / 20 for number in range(60)]
     reactor, _requests = drained(arrivals_s, 0.2)
     assert reactor.stopped_at < DRAIN_MS / 1000 + MARGIN_S
+
+
+def test_a_timer_goes_on_after_an_error_which_is_logged_once(errors):
+    """Guards against a process that runs on without its periodic work."""
+    reactor = StoppableReactor()
+    lifecycle = Lifecycle(reactor, ReactorClock(reactor), 'entry')
+    calls = []
+
+    def act():
+        calls.append(reactor.seconds())
+        if len(calls) in {1, 2, 4}:
+            raise RecursionError
+
+    lifecycle.every(1, act)
+    for _second in range(6):
+        reactor.advance(1)
+    assert len(calls) == 6
+    assert len(errors) == 1 and errors[0]['peer'] == 'entry'
