--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -25,6 +25,7 @@
 
 _JOB_ID: Final = re.compile('[0-9a-f]{16}')
 _DEADLINE_HEADER: Final = 'deadline-ms'
+_DEADLINE: Final = re.compile('[0-9]{1,12}')
 _DEFAULT_DEADLINE_MS: Final = 3000.0
 # Shares of a caller's deadline after which a response is sent in any case. The
 # rest of a submission's deadline is left for another attempt at another entry.
@@ -99,8 +100,8 @@
     """Parse the body of a submission.
 
     Raises:
-        ValueError: The body is malformed, or a step does not follow the steps
-            that it depends on.
+        ValueError: The body is malformed, a step does not follow the steps
+            that it depends on, or a number is out of range.
     """
     submission = _Submission.model_validate_json(body)
     for index, step in enumerate(submission.steps):
@@ -114,7 +115,10 @@
         submission.repeat_count,
     )
     steps = tuple(step.to_step() for step in submission.steps)
-    return Job(job_id, queue, submission.spec, steps, schedule)
+    job = Job(job_id, queue, submission.spec, steps, schedule)
+    if not job.is_valid:
+        raise ValueError('a number is out of range')
+    return job
 
 
 class CallersResource(Resource):
@@ -241,7 +245,9 @@
     def _response_deadline(self, request: Request, share: float) -> float:
         header = request.getHeader(_DEADLINE_HEADER) or ''
         deadline_ms = (
-            float(header) if header.isdigit() else _DEFAULT_DEADLINE_MS
+            float(header)
+            if _DEADLINE.fullmatch(header)
+            else _DEFAULT_DEADLINE_MS
         )
         return self._clock.now() + deadline_ms * share
 
