A listing with a full page of ends is not known to be whole

Cause: the platform lists 500 ends at a time, and later ones only once these are acknowledged, which needs the store. The parser of the listing called it complete whenever all rows of running attempts were valid, so the agent took an attempt that was neither running nor among the first 500 ends for lost, and the owner started its task again. The stand-in listed all ends at once, so no test met the limit.

Change: a listing with as many ends as the platform lists at a time is incomplete. Attempts that it lacks stay in the agent's table, and in its reports, until their ends are listed. The same inference was made for the first listing of a new incarnation: an attempt that it may have left out counted as a crash; SentHolds asks the same question now (Listing.may_include). The stand-in lists the 500 oldest ends.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -310,7 +310,7 @@
             lost_attempts = [
                 attempt
                 for attempt in former_attempts
-                if not listing.lists(attempt.task, attempt.number)
+                if not listing.may_include(attempt.task, attempt.number)
             ]
             self._ends.add_crashes(
                 self.monitor.past_incarnation, lost_attempts, now_ms
@@ -376,8 +376,8 @@
             attempt = self.table.update_listed(row, now_ms)
             self._orders.repeat_stop(attempt, sent_at)
         if listing.is_complete:
-            # A row that could not be parsed may belong to any attempt. An
-            # attempt dropped by mistake would start again while it runs.
+            # An attempt dropped by mistake would start again while it runs, or
+            # although its end shows that it is done.
             has_changed |= self.table.drop_unlisted(listed_tasks, sent_at)
         self._pacer.tick(self.table.by_task.values())
         if has_changed:
--- a/hyssopring/jobs/sent_holds.py
+++ b/hyssopring/jobs/sent_holds.py
@@ -112,6 +112,4 @@
 
     If it has confirmed a start, it lists the attempt.
     """
-    if not hold.has_started or not listing.is_complete:
-        return True
-    return listing.lists(hold.task, hold.attempt)
+    return not hold.has_started or listing.may_include(hold.task, hold.attempt)
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -155,14 +155,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """The running attempts of a worker and its unacknowledged ends.
+    """The running attempts of a worker and its first unacknowledged ends.
 
     Attributes:
         clock_ms: A reading of the worker's monotonic clock.
         rows: The running attempts.
-        ends: The unacknowledged ends.
-        is_complete: Whether all rows were valid, so that an attempt that is
-            not listed has ended.
+        ends: The unacknowledged ends, from the lowest number on.
+        is_complete: Whether all running attempts and all unacknowledged ends
+            are known to be listed. Only then does an attempt that is not
+            listed neither run nor have an end that will be listed later.
         last_unidentified_end: The highest number of an end without a valid
             task, 0 for none; it is acknowledged without being recorded.
         boot: The incarnation that answered; empty if it is certainly the one
@@ -182,6 +183,10 @@
         ended = {(end.task, end.attempt) for end in self.ends}
         return (task, attempt) in running | ended
 
+    def may_include(self, task: str, attempt: int) -> bool:
+        """Return whether an attempt is listed or may have been left out."""
+        return not self.is_complete or self.lists(task, attempt)
+
 
 class WorkerPort(Protocol):
     """Requests to the worker; each method returns a Twisted ``Deferred``.
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -75,6 +75,9 @@
 # Padding for rows with missing fields.
 _MISSING_FIELDS: Final = (None, None, None, None, None)
 _MAX_EXACT_INTEGER: Final = 2**53
+# The runner lists this many ends at a time, and further ones only when these
+# have been acknowledged.
+_ENDS_PER_LISTING: Final = 500
 # In characters. A job's progress row, which has the checkpoints of all its
 # tasks, holds 65,536 bytes.
 _MAX_CHECKPOINT: Final = 16_384
@@ -263,8 +266,10 @@
 ) -> Listing:
     """Parse a listing and skip its malformed rows.
 
-    A malformed row of a running attempt may be that of any attempt. The listing
-    is then incomplete: attempts that are not listed may still run.
+    A malformed row of a running attempt may be that of any attempt, and a
+    listing with as many ends as the runner lists at a time may leave out later
+    ends. The listing is then incomplete: attempts that are not listed may still
+    run or may have ended in any way.
     """
     listed = list(fields.get('running', ()))
     rows = tuple(row for row in map(_parse_run, listed) if row is not None)
@@ -272,16 +277,15 @@
         log_malformed(
             'running', [row for row in listed if _parse_run(row) is None]
         )
-    ends = [
-        _parse_end(row, log_malformed) for row in fields.get('finished', ())
-    ]
+    finished = list(fields.get('finished', ()))
+    ends = [_parse_end(row, log_malformed) for row in finished]
     identified = tuple(end for end in ends if isinstance(end, EndRow))
     unidentified = [end for end in ends if isinstance(end, int)]
     return Listing(
         _parse_clock(fields['clockMs']),
         rows,
         identified,
-        len(rows) == len(listed),
+        len(rows) == len(listed) and len(finished) < _ENDS_PER_LISTING,
         max(unidentified, default=0),
     )
 
--- a/standins/jobs/shared_worker.py
+++ b/standins/jobs/shared_worker.py
@@ -3,12 +3,12 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import Deferred
 
 from hyssopring.jobs.model import Size, Step
-from hyssopring.jobs.worker_port import Listing, StartOutcome, WorkerRow
+from hyssopring.jobs.worker_port import StartOutcome, WorkerRow
 from standins.jobs.worker import CALL_S, SimWorker
 
 # Times of the platform: measurements cover 500 ms, a pace takes effect after
@@ -208,7 +208,7 @@
     def _poll(self, request):
         listing = super()._poll(request)
         rows = tuple(self._row(row) for row in listing.rows)
-        return Listing(listing.clock_ms, rows, listing.ends)
+        return replace(listing, rows=rows)
 
     def _row(self, row):
         shared = self._shared_by_task[row.task]
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -24,6 +24,8 @@
 STOP_S = 0.2
 SECOND_MS = 1000
 FIRST_CLOCK_MS = 1000
+# A listing has this many ends at most, the oldest ones.
+ENDS_LISTED = 500
 BORN_BASE_MS = 1_700_000_000_000
 # Smaller resources are enforced after this time: 3 s and one announcement.
 SHRINK_S = 4.5
@@ -341,8 +343,10 @@
             )
             for run in self.runs.values()
         )
-        self.listed.update(end.number for end in self.ends)
-        return Listing(self.clock_ms(), rows, tuple(self.ends))
+        ends = tuple(self.ends[:ENDS_LISTED])
+        self.listed.update(end.number for end in ends)
+        is_complete = len(ends) < ENDS_LISTED
+        return Listing(self.clock_ms(), rows, ends, is_complete)
 
     def _acknowledge(self, recorded):
         for end in self.ends:
--- a/tests/test_border_runner.py
+++ b/tests/test_border_runner.py
@@ -26,6 +26,7 @@
 )
 from hyssopring.platform.reports import ReportsResource
 from standins.jobs.deployment import a_job, settled, starts_of
+from standins.jobs.worker import ENDS_LISTED
 from standins.runner_wire import OWN_HOST
 
 GOOD = {
@@ -191,6 +192,18 @@
     assert not listing.is_complete and len(errors) == 1
 
 
+@pytest.mark.parametrize('malformed', [0, 1, ENDS_LISTED])
+def test_listing_with_a_full_page_of_ends_is_incomplete(malformed, errors):  # noqa: F811
+    """Guards against taking an attempt with a later end for lost."""
+    ends = [
+        [number, TASK if number > malformed else 'no task', number, 'done', '']
+        for number in range(1, ENDS_LISTED + 1)
+    ]
+    worker = worker_with(None)
+    assert not poll(worker, finished=ends).is_complete
+    assert poll(worker, finished=ends[1:]).is_complete
+
+
 @pytest.mark.parametrize(
     'row', [[TASK], [TASK, 'x', 7, None, []], [TASK, -1, '', 10**30, '']]
 )
