A report tells whether attempts may be missing from it

An agent that starts on a worker with over 500 ends that are not durable knows the running attempts and the first 500 ends. Tasks of the later ends, all done, ran again.

Cause: three consumers took what such an agent did not know for gone. The owner dropped attempts that its report lacked ('not listed'); a new owner counted the agent as heard and started what nobody had reported; an agent on a leaving worker said that it runs nothing and left, after which the owner dropped the rest.

Change: the agent's table of attempts is partial from the first listing of an incarnation until a complete one, or until the hold of a silent worker has expired. Reports say so in a new last field. The owner applies the attempts and ends of a partial report, which gets the next ends listed, and draws no conclusion from what it lacks; the agent does not leave.

Measured: each task starts once in these tests now, and the tasks of a worker that is lost with unlisted ends run again.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -327,6 +327,8 @@
         self._expired_attempts = list(self.table.by_task.values())
         for attempt in list(self.table.by_task.values()):
             self.table.remove(attempt.task, attempt.number)
+        # Attempts that were never listed have ended as well.
+        self.table.is_partial = False
         self._schedule_report()
 
     def _hold_limit(self) -> float:
@@ -438,6 +440,7 @@
                 self._received_starts.count(entry_id),
                 self._received_starts.connection(entry_id),
                 int(next_ms),
+                self.table.is_partial,
             ),
         )
         self.shutdown.announce_to(entry_id)
--- a/hyssopring/jobs/agent_shutdown.py
+++ b/hyssopring/jobs/agent_shutdown.py
@@ -65,7 +65,8 @@
         is_worker_leaving_or_lost = (
             monitor.announced.is_leaving or monitor.is_hold_expired
         )
-        is_idle = is_worker_leaving_or_lost and not self._table.by_task
+        has_attempts = bool(self._table.by_task) or self._table.is_partial
+        is_idle = is_worker_leaving_or_lost and not has_attempts
         return self.has_begun and (is_idle or monitor.has_deregistered)
 
     def tick(self, entries: Iterable[str]) -> None:
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -135,9 +135,12 @@
 
     Attributes:
         by_task: The attempts that use resources of the worker.
+        is_partial: Whether attempts may be missing that another agent started
+            and that the worker runs, or whose ends it has not listed yet.
     """
 
     by_task: dict[str, Attempt] = field(default_factory=dict)
+    is_partial: bool = False
     _closed_attempt_by_task: dict[str, int] = field(default_factory=dict)
 
     def add(self, attempt: Attempt) -> None:
@@ -181,13 +184,18 @@
         self.close(task, number)
 
     def drop_unlisted(self, listed: set[str], sent_at: float) -> bool:
-        """Drop settled attempts that a listing lacks; True if any was.
+        """Drop settled attempts that a complete listing lacks.
 
         Args:
             listed: The tasks that the listing names.
             sent_at: When the poll was sent. An attempt counts as settled if
                 the worker accepted its last request before that.
+
+        Returns:
+            Whether the table has changed.
         """
+        was_partial = self.is_partial
+        self.is_partial = False
         unlisted = [
             attempt
             for attempt in self.by_task.values()
@@ -197,7 +205,7 @@
         ]
         for attempt in unlisted:
             self.remove(attempt.task, attempt.number)
-        return bool(unlisted)
+        return was_partial or bool(unlisted)
 
     def close(self, task: str, number: int) -> None:
         """Refuse this attempt and older ones of the task from now on."""
@@ -244,3 +252,4 @@
         """Forget all attempts, for a new incarnation of the worker."""
         self.by_task.clear()
         self._closed_attempt_by_task.clear()
+        self.is_partial = True
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -160,7 +160,8 @@
         remaining_ms: How long a leaving worker continues to run.
         silent_ms: Time since the worker last answered its agent.
         reigns: Shards that the receiving entry owns as far as the agent
-            knows; the report lists all attempts and ends of these shards.
+            knows; the report lists all attempts and ends of these shards unless
+            ``is_partial``.
         foreign_cpu: With the next two: resources that tasks of other owners
             use.
         orders: Number of start orders that the agent has received from this
@@ -170,6 +171,8 @@
             counts; empty while the agent knows none.
         next_ms: The time until the next report at the latest; 0 for
             ``REPORT_INTERVAL_MS``.
+        is_partial: Whether attempts may be missing that an agent before this
+            one started, as the worker has not listed all ends yet.
     """
 
     sequence: int
@@ -191,6 +194,7 @@
     orders: int
     connection: str = ''
     next_ms: int = 0
+    is_partial: bool = False
 
 
 @struct
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -124,7 +124,7 @@
         report: WorkerReport,
         owned: OwnedShard,
     ) -> None:
-        """Apply a report that lists all attempts of a shard on a worker."""
+        """Apply a report on the attempts of a shard on a worker."""
         if not report.boot and report.silent_ms < HOLD_EXPIRY_MS:
             # A new agent that has not reached its worker yet. Tasks may still
             # run there until the hold expires.
@@ -133,6 +133,9 @@
             self._record_end(worker, report.boot, end, owned)
         for attempt in _select_shard(report.attempts, owned.shard):
             self._record_attempt(worker, report.boot, attempt, owned)
+        if report.is_partial:
+            # An attempt that is not listed may have ended as done.
+            return
         self._drop_unlisted(worker, report, owned)
         owned.unreported.discard(worker.agent_id)
 
--- a/tests/test_jobs_listing_pages.py
+++ b/tests/test_jobs_listing_pages.py
@@ -98,3 +98,55 @@
     deployment.run(2)
     ends = deployment.agents['agent-0'].core._ends
     assert bool(ends.crashes) is is_complete
+
+
+def test_ends_that_a_new_agent_has_not_seen_yet_are_not_lost():
+    """Guards against a new agent's report without the ends of later pages."""
+    ends = Ends()
+    ends.end_tasks_without_store()
+    ends.deployment.kill_agent('agent-0')
+    ends.deployment.run(0.5)
+    ends.deployment.start_agent('agent-0', ends.worker)
+    ends.deployment.run(1)
+    ends.finish()
+
+
+def test_a_new_owner_waits_for_the_ends_that_a_new_agent_has_not_seen_yet():
+    """Guards against an owner that takes a cut report for a whole one."""
+    ends = Ends()
+    ends.end_tasks_without_store()
+    ends.deployment.kill_agent('agent-0')
+    ends.deployment.kill_entry(ends.owner)
+    ends.deployment.run(0.5)
+    ends.deployment.start_agent('agent-0', ends.worker)
+    ends.finish(seconds=15)
+
+
+def test_a_new_agent_of_a_leaving_worker_leaves_after_the_last_end():
+    """Guards against an agent that leaves with ends that it has not seen."""
+    ends = Ends(workers=2)
+    ends.end_tasks_without_store()
+    ends.worker.is_leaving = True
+    ends.deployment.kill_agent('agent-0')
+    ends.deployment.start_agent('agent-0', ends.worker)
+    ends.deployment.run(0.5)
+    ends.deployment.stop_agent('agent-0')
+    ends.finish()
+
+
+def test_tasks_of_a_lost_worker_run_again_though_its_listing_was_cut():
+    """Guards against waiting for ends that no worker will ever list."""
+    ends = Ends(workers=2)
+    ends.end_tasks_without_store()
+    ends.deployment.kill_agent('agent-0')
+    ends.deployment.run(0.5)
+    ends.deployment.start_agent('agent-0', ends.worker)
+    ends.deployment.run(0.5)
+    ends.worker.is_unresponsive = True
+    ends.deployment.rows.is_silent = False
+    ends.deployment.run(30)
+    state = ends.deployment.state(ends.job.job_id)
+    assert state is JobState.COMPLETED
+    ends.deployment.agents['agent-0'].core.stop()
+    ends.deployment.run(2)
+    assert ends.deployment.agents['agent-0'].core.shutdown.can_exit
