--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -310,7 +310,7 @@
             lost_attempts = [
                 attempt
                 for attempt in former_attempts
-                if not listing.lists(attempt.task, attempt.number)
+                if not listing.may_include(attempt.task, attempt.number)
             ]
             self._ends.add_crashes(
                 self.monitor.past_incarnation, lost_attempts, now_ms
@@ -327,6 +327,8 @@
         self._expired_attempts = list(self.table.by_task.values())
         for attempt in list(self.table.by_task.values()):
             self.table.remove(attempt.task, attempt.number)
+        # Attempts that were never listed have ended as well.
+        self.table.is_partial = False
         self._schedule_report()
 
     def _hold_limit(self) -> float:
@@ -376,8 +378,8 @@
             attempt = self.table.update_listed(row, now_ms)
             self._orders.repeat_stop(attempt, sent_at)
         if listing.is_complete:
-            # A row that could not be parsed may belong to any attempt. An
-            # attempt dropped by mistake would start again while it runs.
+            # An attempt dropped by mistake would start again while it runs, or
+            # although its end shows that it is done.
             has_changed |= self.table.drop_unlisted(listed_tasks, sent_at)
         self._pacer.tick(self.table.by_task.values())
         if has_changed:
@@ -438,6 +440,7 @@
                 self._received_starts.count(entry_id),
                 self._received_starts.connection(entry_id),
                 int(next_ms),
+                self.table.is_partial,
             ),
         )
         self.shutdown.announce_to(entry_id)
