Soak: a start between a run's end and the note of that end counts

Cause: the runners' book looked at a start only when the end of an earlier run had been noted before it. A task that started again after it had ended as done, and whose first end was noted later, passed.

Change: when an end is noted, the book looks for starts since that end. Tasks that may be copied or that last are exempt, as are ends after which the runner's lease lapsed. All runs in virtual time have the check, too.

--- a/standins/jobs/run_recorder.py
+++ b/standins/jobs/run_recorder.py
@@ -34,6 +34,9 @@
         self.most_failures = {}
         self.starts = []
         self.ends = []
+        # The number of starts before the end of each run, by the incarnation,
+        # the task and the attempt.
+        self.start_count_by_run = {}
         # When each task's last run ended, and the name of its worker.
         self.last_run_by_task = {}
         self.sizes = {}
@@ -107,6 +110,8 @@
     def ended(self, now, worker, run, how):
         self.running[run.task].discard(worker.boot)
         self.ends.append((now, run.task, run.number, how))
+        ended_run = (worker.boot, run.task, run.number)
+        self.start_count_by_run[ended_run] = len(self.starts)
         self.last_run_by_task[run.task] = (now, worker.name)
 
     def noted(self, task, number, how):
@@ -118,6 +123,24 @@
             self.noted_failed.setdefault(task, set()).add(number)
             self._check_failures(task)
 
+    def check_later_starts(self, worker, end):
+        """Check that a task has not started since an end that is noted now.
+
+        Args:
+            worker: The worker whose lease has not lapsed since the end.
+        """
+        if end.how is not AttemptEnd.DONE or self.is_copyable(end.task):
+            return
+        ended_run = (worker.boot, end.task, end.attempt)
+        for at, name, task, _number in self.starts[
+            self.start_count_by_run[ended_run] :
+        ]:
+            if task == end.task and task not in self.keepers:
+                self.broken.append(
+                    f'{at:.2f} {task} starts on {name} after its end on '
+                    f'{worker.name}, which is noted later'
+                )
+
     def _note_orders(self, task):
         self.ordered_at_end.setdefault(task, self.ordered_by_task.get(task, 0))
 
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -125,6 +125,8 @@
         self.ends = []
         self.listed = set()
         self.number = 0
+        # The number of the last end before its lease lapsed.
+        self.lapsed_through = 0
         self.highest_by_task = {}
 
     def crash(self):
@@ -242,9 +244,10 @@
     def settle(self):
         """End the runs that are due; call before reading the listing."""
         now = self.reactor.seconds()
-        if self.runs and self.hold_ms and self.clock_ms() > self.hold_ms:
+        if self.hold_ms and self.clock_ms() > self.hold_ms:
             for run in list(self.runs.values()):
                 self.end(run, AttemptEnd.LOST)
+            self.lapsed_through = self.number
         for run in list(self.runs.values()):
             if run.stops_at is not None and run.stops_at <= now:
                 self.end(run, AttemptEnd.STOPPED)
@@ -353,6 +356,8 @@
                     f'{self.name}: unread {end} is dropped'
                 )
             self.run_recorder.noted(end.task, end.attempt, end.how)
+            if end.number > self.lapsed_through:
+                self.run_recorder.check_later_starts(self, end)
         self.ends = [end for end in self.ends if end.number > recorded]
 
     def _start(self, start):
--- a/tests/test_soak_settling_recorder.py
+++ b/tests/test_soak_settling_recorder.py
@@ -1,10 +1,13 @@
 """Checks of the soak on the runs of tasks that may have copies."""
 
 import pytest
+from twisted.internet.task import Clock
 
 from hyssopring.jobs.model import AttemptEnd
+from hyssopring.jobs.worker_port import PollRequest
 from soak.platform.settling_recorder import SettlingRecorder
 from standins.jobs.run_recorder import Run
+from standins.jobs.worker import SimWorker
 
 JOB = '0000000000000001'
 TASK = f'{JOB}.0.0.0'
@@ -49,3 +52,34 @@
         worker, run = start(recorder, number)
         recorder.ended(3, worker, run, AttemptEnd.STOPPED)
     assert len(recorder.broken) == violations
+
+
+@pytest.mark.parametrize(
+    ('may_copy', 'is_keeper', 'lapses', 'violations'),
+    [
+        (False, False, False, 1),
+        (True, False, False, 0),
+        (False, True, False, 0),
+        (False, False, True, 0),
+    ],
+)
+def test_starts_before_an_end_is_noted(may_copy, is_keeper, lapses, violations):
+    """Guards against tasks that start again before their end is noted."""
+    clock, recorder = Clock(), SettlingRecorder()
+    recorder.copyable |= {(JOB, '0')} if may_copy else set()
+    recorder.keepers |= {TASK} if is_keeper else set()
+    runner = SimWorker(clock, 'runner', recorder, lambda task: 0)
+    runner.hold_ms = runner.clock_ms() + 6000
+    run = Run(TASK, 1, 1, '')
+    runner.runs[TASK] = run
+    recorder.started(0, runner, run)
+    clock.advance(2)
+    runner.settle()
+    start(recorder, 2)
+    if lapses:
+        clock.advance(6)
+    for acknowledged in (0, 1):
+        runner.poll(PollRequest('runner-1', 1, acknowledged, None, 0, 400))
+        clock.advance(0.1)
+    assert not runner.ends
+    assert len(recorder.broken) == violations
