Soak: owners that are paused and go on beside their successors

Cause: the soak paused owners, but seldom for as long as a grant lasts while the store failed towards them and agents reached one owner only. Runs did not tell whether two owners had overlapped at all.

Change: pauses of the owner follow the other faults, from a random stream of their own; the events of all seeds stay as they are. The line of a seed has the overlaps, the long pauses and the lapsed attempts.

--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -14,6 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
+from soak.platform.owner_pauses import FAULTS_PER_PAUSE_S
 from soak.platform.plan import draw_plan
 from standins.programs import ROOT
 
@@ -30,8 +31,9 @@
     29: (1, 'agents that left while no entry was up hold up their tasks'),
 }
 # Enough for the slowest startup, recovery, rollout and shutdown: 20 s, 70 s,
-# 110 s and 10 s.
+# 110 s and 10 s; and for each pause of the owner.
 EXTRA_S = 230
+PAUSE_EXTRA_S = 17
 
 
 def _parse():
@@ -48,6 +50,9 @@
     parser.add_argument(
         '--agents', type=int, help='so many agents more than five'
     )
+    parser.add_argument(
+        '--owner-pauses', type=int, help='how many follow the other faults'
+    )
     parser.add_argument(
         '--keep', action='store_true', help='the logs of a good seed, too'
     )
@@ -62,7 +67,9 @@
     from soak.platform.run import Run
 
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
-    plan = draw_plan(options.seed, options.seconds, options.agents)
+    plan = draw_plan(
+        options.seed, options.seconds, options.agents, options.owner_pauses
+    )
     run = Run(plan, folder)
     broken = run.play()
     print(run.summary(), flush=True)
@@ -82,10 +89,15 @@
     command += ['--seconds', str(seconds)]
     if options.agents is not None:
         command += ['--agents', str(options.agents)]
+    if options.owner_pauses is not None:
+        command += ['--owner-pauses', str(options.owner_pauses)]
+    if options.keep:
+        command += ['--keep']
+    pauses = options.owner_pauses or seconds // FAULTS_PER_PAUSE_S
     return subprocess.run(
         command,
         cwd=ROOT,
-        timeout=seconds + EXTRA_S,
+        timeout=seconds + EXTRA_S + pauses * PAUSE_EXTRA_S,
         check=False,
     ).returncode
 
--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -17,6 +17,11 @@
     Fleet,
     Losses,
 )
+from soak.platform.owner_pauses import (
+    FAULTS_PER_PAUSE_S,
+    OwnerPauses,
+    draw_owner_pauses,
+)
 from soak.platform.rollouts import REPLACED, Rollout, draw_rollout
 
 ENTRIES = 3
@@ -86,6 +91,7 @@
         narrow: The entry behind the narrow link.
         more_agents: Number of additional agents.
         rollout: What follows the faults.
+        owner_pauses: The last of the faults.
     """
 
     seed: int
@@ -98,6 +104,7 @@
     more_agents: int = 0
     keeps_ids: bool = False
     rollout: Rollout = Rollout()
+    owner_pauses: OwnerPauses = OwnerPauses()
 
     def lines(self):
         """Return a description, with one line for each event."""
@@ -106,8 +113,9 @@
         link = f'{self.bytes_per_s} bytes a second come to {self.narrow}'
         if self.keeps_ids:
             link += ', runners keep their ids'
+        pauses = [f'owners {event}' for event in self.owner_pauses.events]
         rollout = [f'rollout {event}' for event in self.rollout.events]
-        return [head, link, *map(str, self.events), *rollout]
+        return [head, link, *map(str, self.events), *pauses, *rollout]
 
     def work_ms(self, task):
         """Return a task's duration, which does not depend on other tasks."""
@@ -120,10 +128,11 @@
         return rng.uniform(*FAILS_MS)
 
 
-def draw_plan(seed, seconds, more_agents=None):
+def draw_plan(seed, seconds, more_agents=None, owner_pauses=None):
     """Draw jobs and faults for a run.
 
-    Without ``more_agents`` the seed determines their number.
+    Without ``more_agents`` the seed determines their number. Without
+    ``owner_pauses`` their number follows from the length of the run.
     """
     rng = random.Random(f'events {seed}')
     rates = tuple(rng.choice(RATES) for _index in range(RUNNERS + JOINERS))
@@ -145,8 +154,23 @@
     rollouts = random.Random(f'rollout {seed}')
     rates += tuple(rollouts.choice(RATES) for _index in range(REPLACED))
     rollout = draw_rollout(rollouts, _fleet(more), _new_agents(more))
+    if owner_pauses is None:
+        owner_pauses = int(seconds // FAULTS_PER_PAUSE_S)
+    pauses = draw_owner_pauses(
+        random.Random(f'owner pauses {seed}'), _fleet(more), owner_pauses
+    )
     return Plan(
-        seed, seconds, rates, jobs, events, narrow, rate, more, keeps, rollout
+        seed,
+        seconds,
+        rates,
+        jobs,
+        events,
+        narrow,
+        rate,
+        more,
+        keeps,
+        rollout,
+        pauses,
     )
 
 
--- a/soak/platform/program.py
+++ b/soak/platform/program.py
@@ -31,6 +31,7 @@
         probe: A URL that responds with 200 once the process serves.
         is_up: Whether it has served since its last start.
         down_at: When its last end was detected.
+        pauses: Start and end of each pause, in s.
     """
 
     def __init__(self, name, environment, folder, probe, arguments=()):
@@ -44,6 +45,8 @@
         self.start_at = 0
         self.away_until = 0
         self.resume_at = None
+        self.paused_at = None
+        self.pauses = []
         self.starts = 0
         self.started_at = 0
         self.down_at = 0
@@ -66,12 +69,14 @@
         if self.resume_at is not None and now_s >= self.resume_at:
             self.resume_at = None
             self._signal(signal.SIGCONT)
+            self._record_pause(now_s)
         if self.is_alive:
             self.was_alive = True
             return
         if self.was_alive:
             self.was_alive = self.is_up = False
             self.down_at = now_s
+            self._record_pause(now_s)
         if not self.is_due:
             return
         self._record_exit()
@@ -109,6 +114,8 @@
             self.resume_at or 0, reactor.seconds() + duration_s
         )
         self._signal(signal.SIGSTOP)
+        if self.is_alive and self.paused_at is None:
+            self.paused_at = reactor.seconds()
 
     def reread(self):
         self._signal(signal.SIGHUP)
@@ -143,6 +150,11 @@
         if code not in EXPECTED_EXIT_CODES:
             self.unexpected_exit_codes.add(code)
 
+    def _record_pause(self, now_s):
+        if self.paused_at is not None:
+            self.pauses.append((self.paused_at, now_s))
+            self.paused_at = None
+
     def _signal(self, number):
         if self.is_alive:
             self.process.send_signal(number)
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -8,6 +8,8 @@
 
 from soak.platform.callers import Caller, Callers, sleep
 from soak.platform.keeper_monitor import KeeperMonitor
+from soak.platform.owner_pauses import FIRST_JOB_ID as FIRST_PAUSES_JOB_ID
+from soak.platform.ownerships import Ownerships
 from soak.platform.stability import StabilityMonitor
 from soak.platform.plan import PlannedJob
 from soak.platform.rollouts import FIRST_JOB_ID
@@ -89,6 +91,7 @@
             f'{self.in_force_s:.1f} s, in {self.monitor.calm_s:.1f} s '
             f'of calm lasting tasks missed '
             f'{self._longest("elsewhere")}, away {self._longest("away")}, '
+            f'{Ownerships(self.world.programs, self.folder).summary()}, '
             f'{len(self.broken)} broken'
         )
 
@@ -130,6 +133,7 @@
         for event in self.plan.events:
             reactor.callLater(event.at, self._apply_event, event)
         yield self._until(lambda: False, self.plan.seconds)
+        yield self._pause_owners()
         self._heal()
         yield self._until(
             lambda: not self.callers.keepers_down(), KEEPERS_TIMEOUT_S
@@ -147,15 +151,27 @@
         if not self.broken:
             yield self._check_shutdown()
 
+    @inlineCallbacks
+    def _pause_owners(self):
+        """Play the pauses of owners, with jobs meanwhile."""
+        pauses = self.plan.owner_pauses
+        for event in pauses.events:
+            reactor.callLater(event.at, self._apply_event, event)
+        self._submit_jobs(FIRST_PAUSES_JOB_ID, pauses.job_times)
+        yield self._until(lambda: False, pauses.ends_at)
+
+    def _submit_jobs(self, first_id, times):
+        for number, at in enumerate(times):
+            job = PlannedJob(at, f'{first_id + number:016x}', (2, 1), 500)
+            reactor.callLater(at, self.callers.submit, job)
+
     @inlineCallbacks
     def _roll_out(self):
         """Play the rollout, with jobs meanwhile, and wait for its end."""
         rollout = self.plan.rollout
         for event in rollout.events:
             reactor.callLater(event.at, self._apply_planned, event)
-        for number, at in enumerate(rollout.job_times):
-            job = PlannedJob(at, f'{FIRST_JOB_ID + number:016x}', (2, 1), 500)
-            reactor.callLater(at, self.callers.submit, job)
+        self._submit_jobs(FIRST_JOB_ID, rollout.job_times)
         yield self._until(lambda: False, rollout.ends_at + ROLLOUT_TIMEOUT_S)
         yield self._until(lambda: not self.callers.open_jobs(), JOBS_TIMEOUT_S)
         if not self.broken:
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -17,6 +17,7 @@
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.row_keys import owner_key
 from hyssopring.jobs.rows import RowKey, RowPut, Transaction
+from soak.platform.owner_pauses import OTHERS
 from soak.platform.plan import (
     ENTRIES,
     JOINERS,
@@ -313,7 +314,11 @@
         if method is not None:
             method(*event.arguments)
             return
-        for pattern in event.target.replace(OWNER, self.owner()).split('+'):
+        owner = self.owner()
+        # With the hyphen the set is valid without an owner, too.
+        others = f'entry-[!{owner[-1:]}-]'
+        resolved = event.target.replace(OWNER, owner).replace(OTHERS, others)
+        for pattern in resolved.split('+'):
             for name, target in self._targets(event.name, pattern):
                 self._apply_to(event, name, target)
 
--- a/tests/test_soak_platform.py
+++ b/tests/test_soak_platform.py
@@ -4,6 +4,8 @@
 import re
 import subprocess
 import sys
+from dataclasses import replace
+from datetime import datetime
 
 import pytest
 from twisted.internet.task import Clock
@@ -12,6 +14,7 @@
 from soak.platform.__main__ import EXTRA_S
 from soak.platform import rollouts
 from soak.platform.machines import MORE_AGENTS, Event, Losses
+from soak.platform.ownerships import Ownerships
 from soak.platform.plan import (
     ENTRIES,
     JOINERS,
@@ -168,6 +171,43 @@
     assert any(each.name == 'kill' and each.target == OWNER for each in events)
 
 
+def test_pauses_of_owners_leave_the_other_faults_as_they_are():
+    """Guards old seeds: pauses must not change the drawing of faults."""
+    for seed in range(20):
+        alone = draw_plan(seed, 30, owner_pauses=0)
+        plan = draw_plan(seed, 30, owner_pauses=2)
+        assert not alone.owner_pauses.events
+        names = [each.name for each in plan.owner_pauses.events]
+        assert names.count('pause') >= 2
+        assert alone == replace(plan, owner_pauses=alone.owner_pauses)
+
+
+_LOG = """
+entry-0 {"at": "2026-01-01T00:00:01.000", "event": 3010, "reign": 1}
+entry-1 {"at": "2026-01-01T00:00:06.000", "event": 3010, "reign": 2}
+entry-0 {"at": "2026-01-01T00:00:11.000", "event": 3007, "reason": "lapsed"}
+entry-0 {"at": "2026-01-01T00:00:11.500", "event": 3011, "reign": 1}
+entry-1 {"at": "2026-01-01T00:00:20.000", "event": 2001}
+entry-1 {"at": "2026-01-01T00:00:30.000", "event": 6001}
+entry-0 {"at": "2026-01-01T00:00:24.000", "event": 3010, "reign": 3}
+"""
+
+
+def test_overlaps_of_owners_are_counted(tmp_path):
+    """Guards the figure: neither a pause nor the time after an end counts."""
+    for line in _LOG.split('\n')[1:-1]:
+        with (tmp_path / f'{line[:7]}.log').open('a') as log:
+            log.write(f'{line[8:]}\n')
+    first_s = datetime(2026, 1, 1).timestamp()
+    paused, other = _Program('entry-0'), _Program('entry-1')
+    paused.pauses = [(first_s + 2, first_s + 10)]
+    other.pauses = [(first_s + 25, first_s + 28)]
+    counted = Ownerships({'entry-0': paused, 'entry-1': other}, tmp_path)
+    assert counted.overlaps_s == [pytest.approx(1.5)]
+    assert counted.pauses_s == [8]
+    assert counted.lapsed == 1
+
+
 def _names(seed):
     return {each.name for each in draw_plan(seed, 30).events}
 
