Listing: later ends that are left out are told apart from malformed rows

A table of attempts was partial until a complete listing. A running row that cannot be parsed, listed for good, would have kept it so, and a new owner would have waited for the agent for ever with all batch tasks of inherited jobs. Only ends beyond a full page make it partial; a malformed row counts as before.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -377,6 +377,9 @@
                 has_changed = True
             attempt = self.table.update_listed(row, now_ms)
             self._orders.repeat_stop(attempt, sent_at)
+        if self.table.is_partial and not listing.has_more_ends:
+            self.table.is_partial = False
+            has_changed = True
         if listing.is_complete:
             # An attempt dropped by mistake would start again while it runs, or
             # although its end shows that it is done.
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -184,18 +184,13 @@
         self.close(task, number)
 
     def drop_unlisted(self, listed: set[str], sent_at: float) -> bool:
-        """Drop settled attempts that a complete listing lacks.
+        """Drop settled attempts that a complete listing lacks; True if any was.
 
         Args:
             listed: The tasks that the listing names.
             sent_at: When the poll was sent. An attempt counts as settled if
                 the worker accepted its last request before that.
-
-        Returns:
-            Whether the table has changed.
         """
-        was_partial = self.is_partial
-        self.is_partial = False
         unlisted = [
             attempt
             for attempt in self.by_task.values()
@@ -205,7 +200,7 @@
         ]
         for attempt in unlisted:
             self.remove(attempt.task, attempt.number)
-        return was_partial or bool(unlisted)
+        return bool(unlisted)
 
     def close(self, task: str, number: int) -> None:
         """Refuse this attempt and older ones of the task from now on."""
--- a/hyssopring/jobs/worker_port.py
+++ b/hyssopring/jobs/worker_port.py
@@ -168,6 +168,7 @@
             task, 0 for none; it is acknowledged without being recorded.
         boot: The incarnation that answered; empty if it is certainly the one
             that was asked.
+        has_more_ends: Whether later ends may have been left out.
     """
 
     clock_ms: int
@@ -176,6 +177,7 @@
     is_complete: bool = True
     last_unidentified_end: int = 0
     boot: str = ''
+    has_more_ends: bool = False
 
     def lists(self, task: str, attempt: int) -> bool:
         """Return whether an attempt is listed as running or ended."""
--- a/hyssopring/platform/worker.py
+++ b/hyssopring/platform/worker.py
@@ -281,12 +281,14 @@
     ends = [_parse_end(row, log_malformed) for row in finished]
     identified = tuple(end for end in ends if isinstance(end, EndRow))
     unidentified = [end for end in ends if isinstance(end, int)]
+    has_more_ends = len(finished) >= _ENDS_PER_LISTING
     return Listing(
         _parse_clock(fields['clockMs']),
         rows,
         identified,
-        len(rows) == len(listed) and len(finished) < _ENDS_PER_LISTING,
+        len(rows) == len(listed) and not has_more_ends,
         max(unidentified, default=0),
+        has_more_ends=has_more_ends,
     )
 
 
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -348,8 +348,14 @@
         )
         ends = tuple(self.ends[:ENDS_LISTED])
         self.listed.update(end.number for end in ends)
-        is_complete = len(ends) < ENDS_LISTED
-        return Listing(self.clock_ms(), rows, ends, is_complete)
+        has_more_ends = len(ends) >= ENDS_LISTED
+        return Listing(
+            self.clock_ms(),
+            rows,
+            ends,
+            not has_more_ends,
+            has_more_ends=has_more_ends,
+        )
 
     def _acknowledge(self, recorded):
         for end in self.ends:
--- a/tests/test_border_runner.py
+++ b/tests/test_border_runner.py
@@ -190,6 +190,7 @@
     assert [row.task for row in listing.rows] == [TASK]
     assert len(listing.ends) == 1
     assert not listing.is_complete and len(errors) == 1
+    assert not listing.has_more_ends
 
 
 @pytest.mark.parametrize('malformed', [0, 1, ENDS_LISTED])
@@ -200,7 +201,8 @@
         for number in range(1, ENDS_LISTED + 1)
     ]
     worker = worker_with(None)
-    assert not poll(worker, finished=ends).is_complete
+    listing = poll(worker, finished=ends)
+    assert listing.has_more_ends and not listing.is_complete
     assert poll(worker, finished=ends[1:]).is_complete
 
 
