Ends that are not durable are not forgotten by their owner

Cause: SeenEnds forgot the oldest of 2,000 ends, whether durable or not. While the store is down each worker lists up to 500 ends, so five workers are enough for ends to be forgotten and counted again in each report. By reading: a stopped or failed end of a gang that counts again breaks the gang's next run; failures, crashes and done tasks are recorded by attempt or index and do not count twice.

Change: only durable ends are forgotten. The others are bounded by what workers list before these are acknowledged.

Measured: test_ends_that_are_not_durable_are_remembered fails on the code before (5,000 ends). No run of a whole deployment showed the second break of a gang.

--- a/hyssopring/jobs/seen_ends.py
+++ b/hyssopring/jobs/seen_ends.py
@@ -8,8 +8,9 @@
 
 __all__ = ('SeenEnds',)
 
-# Bounds memory; the oldest ends are forgotten first.
-_MAX_ENDS: Final = 2000
+# Bounds memory; the oldest durable ends are forgotten first. The others are
+# bounded by how many ends workers list before these are acknowledged.
+_MAX_DURABLE_ENDS: Final = 2000
 # An agent that was notified omits a durable end from its next report, which is
 # sent within 500 ms.
 _CONFIRM_AGAIN_MS: Final = 1000.0
@@ -30,6 +31,8 @@
         """Begin without any end."""
         self._clock = clock
         self._end_by_ack: dict[Ack, _CountedEnd] = {}
+        # In the order in which they became durable.
+        self._durable: dict[Ack, None] = {}
 
     def __contains__(self, ack: Ack) -> bool:
         """Return whether an end has been counted."""
@@ -38,8 +41,6 @@
     def add(self, ack: Ack, shard: int) -> None:
         """Count an end of a shard."""
         self._end_by_ack[ack] = _CountedEnd(shard)
-        if len(self._end_by_ack) > _MAX_ENDS:
-            self._end_by_ack.pop(next(iter(self._end_by_ack)))
 
     def forget(self, shard: int) -> None:
         """Forget the ends of a shard whose ownership was lost.
@@ -53,6 +54,9 @@
             for ack, counted in self._end_by_ack.items()
             if counted.shard != shard
         }
+        self._durable = {
+            ack: None for ack in self._durable if ack in self._end_by_ack
+        }
 
     def mark_durable(self, acks: Iterable[Ack]) -> None:
         """Note that ends are durable and that their agents are notified now."""
@@ -60,6 +64,11 @@
             counted = self._end_by_ack.get(ack)
             if counted is not None:
                 counted.confirmed_at = self._clock.now()
+                self._durable[ack] = None
+        while len(self._durable) > _MAX_DURABLE_ENDS:
+            oldest = next(iter(self._durable))
+            self._durable.pop(oldest)
+            self._end_by_ack.pop(oldest)
 
     def must_confirm_again(self, ack: Ack) -> bool:
         """Return whether to notify an agent again that an end is durable.
