--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -120,8 +120,15 @@
     assert dialler.addresses == ['z:1']
 
 
-@pytest.mark.parametrize('address', ['', 'a', 'a:', 'a:b', ':1', 'a:70000'])
+@pytest.mark.parametrize(
+    'address',
+    ['', 'a', 'a:', ':1', 'a:b', 'a:0', 'a:-1', 'a:70000', 'a: 1', 'a:\u0663']
+    + ['a b:1', '\0:1', '\ud800:1', '\xe9:1', 'a..b:1', '..:1', '[]:1']
+    + ['x' * 64 + ':1', 'x.' * 127 + 'x:1', 'a:' + '9' * 5000],
+    ids=lambda odd: ascii(odd)[:20],
+)
 def test_invalid_address_is_not_dialled(address, errors):
+    """Guards against errors of the resolver at each dial."""
     dialler = LinkDialler(Reactor(), ManualClock(), None, None, None, None)
     for _repetition in range(3):
         dialler.add_addresses([address, 'b:1'])
@@ -260,6 +267,12 @@
     '{"state": "active"}',
     '{"done": {"0.0": -1}}',
     '{"done": {"0.0": "many"}}',
+    '{"done": {"0.0": "0xmany"}}',
+    '{"done": {"0.0": "-0x1"}}',
+    '{"done": {"0.0": "0x-1"}}',
+    '{"done": {"0.0": %s}}' % ('9' * 5000),
+    '{"ended_ms": %d}' % 10**400,
+    DEEP,
     '{"ended_ms": NaN}',
 )
 
@@ -289,6 +302,17 @@
     assert 1 <= len(errors) <= 4
 
 
+@pytest.mark.parametrize('count', [1, 14_000, 14_001, 14_300, 100_000])
+def test_progress_of_any_step_can_be_stored(count):
+    """Guards against an owner that cannot record the end of any task.
+
+    The integer of a step of 14,300 tasks has more digits than Python writes.
+    """
+    row = ProgressRow('', {'0.0': (1 << count) - 1})
+    text = row.to_text()
+    assert ProgressRow.from_text(text) == row and len(text) < 65_536
+
+
 def test_state_of_a_job_with_malformed_progress_is_unknown():
     deployment = settled()
     put(deployment, job_key(JOB.job_id), JobRow(JOB, 0).to_text())
