Tests: a waiting task that two owners start

A task waits, all agents have reported to the successor of its owner, which starts it. An agent is restarted: its new process does not know the successor's epoch. If it reaches only the former owner, which may act for up to 10 s after its last confirmed read, that one starts the task there as well (TWICE). It concludes nothing from silence, so that the confirmed timeouts and reports do not help.

--- a/tests/test_jobs_former_owners.py
+++ b/tests/test_jobs_former_owners.py
@@ -13,6 +13,7 @@
     run_until_taken,
     start_job,
     stop_renewals,
+    suspend,
 )
 from twisted.internet.defer import fail
 
@@ -164,6 +165,32 @@
     deployment.run(WAIT_S)
 
 
+def test_a_restarted_agent_gets_no_waiting_task_from_a_former_owner():
+    """Guards against two owners that start a task for the first time.
+
+    All agents obey the successor, which starts the task once a worker fits it.
+    An agent is restarted, does not know the successor any more and reaches the
+    former owner only, for which the task still waits.
+    """
+    deployment, former, (successor,) = deploy_three_workers()
+    job = a_job(steps=((1, ()),), label='b')
+    deployment.submit(job, former.name)
+    deployment.run(1)
+    suspend(deployment, former, 6.5)
+    for number in (0, 2):
+        deployment.block(f'agent-{number}', former.name)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.5)
+    for worker in deployment.workers[:2]:
+        worker.labels = ('b', 'r1')
+    deployment.kill_agent('agent-1')
+    deployment.blocked.add(('agent-1', successor.name))
+    deployment.run(0.2)
+    deployment.start_agent('agent-1', deployment.workers[1])
+    deployment.run(WAIT_S)
+    assert len(starts_of(deployment, job)) == 1
+
+
 def test_a_job_notice_that_a_former_owner_receives_is_forwarded():
     """Guards against a job that waits until all agents have reported.
 
