Soak: pauses of owners that end before the owner's lease more often

Cause: timeouts count from 0.4 to 0.6 s after a resumption, so that a pause of more than 9.2 s is past the owner's lease of 10 s before an attempt can lapse.

--- a/soak/platform/owner_pauses.py
+++ b/soak/platform/owner_pauses.py
@@ -14,7 +14,7 @@
 FAULTS_PER_PAUSE_S = 15
 PAUSE_S = (6, 12)
 # A pause that may end between the expiry of a grant and of the owner's lease.
-CRITICAL_PAUSE_S = (7, 9.8)
+CRITICAL_PAUSE_S = (7, 9.2)
 # How long the faults of links outlast the pause.
 LINK_FAULT_S = (1, 6)
 # Time from the start of a pause until a successor has the shard.
