Soak: paused owners lose their relays to the store, too

Change: in seven of ten pauses its links to the other entries are cut, too. More of the agents are cut off from the other entries. The plans of pauses change; those of the other faults do not.

--- a/soak/platform/owner_pauses.py
+++ b/soak/platform/owner_pauses.py
@@ -31,6 +31,7 @@
     ('refuse',),
 )
 CUTS = (('hold', 'up'), ('hold', 'down'), ('hold', 'both'), ('refuse',))
+NO_RELAY_PROBABILITY = 0.7
 # Batch jobs that are submitted meanwhile.
 JOB_INTERVAL_S = 1
 FIRST_JOB_ID = 0xC000
@@ -85,6 +86,9 @@
         fault = rng.choice([*STORE_FAULTS, None])
         if fault is not None:
             self._cut(at, f'{owner}>store', fault, pause_s)
+        if rng.random() < NO_RELAY_PROBABILITY:
+            # Other entries relay calls to the store.
+            self._cut(at, f'{owner}>{OTHERS}', rng.choice(CUTS), pause_s)
         agents = rng.sample(self.fleet.agents, rng.randint(1, MAX_AGENTS))
         for agent in agents:
             self._agent(at, agent, pause_s)
@@ -95,7 +99,7 @@
     def _agent(self, at, agent, pause_s):
         """Draw the fault of one agent."""
         rng = self.rng
-        kind = rng.choice(['pause', 'kill', OTHERS, OTHERS, self.fleet.owner])
+        kind = rng.choice(['pause', 'kill', *[OTHERS] * 3, self.fleet.owner])
         if kind == 'pause':
             paused_at = at + rng.uniform(0, 2)
             self._add(paused_at, 'pause', agent, pause_s + rng.uniform(-2, 1))
