Owner: no start for an agent that connected after the ownership was confirmed

Callers saw tasks that ran twice with no attempt given up: a task waits, or is the next step, at a suspended owner; its successor, which all agents have reported to, runs it. An agent is restarted, does not know the successor any more, and reaches the former owner first, which starts the task there.

The successor does not wait for an agent that has reported to it, as that one would refuse the former owner; a restart undoes that. A start is now sent only if a read of the owner row that was sent after the agent connected has confirmed the ownership: then no successor has heard the agent before. An unknown attempt on such an agent is left alone until then as well; the former owner stopped its successor's attempt.

--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -9,7 +9,7 @@
 from hyssopring.jobs.absences import Absences
 from hyssopring.jobs.documents import JobRow, ProgressRow
 from hyssopring.jobs.epoch_rows import EpochRows
-from hyssopring.jobs.fleet import Fleet
+from hyssopring.jobs.fleet import Fleet, Worker
 from hyssopring.jobs.former_owner import AcquiredShard, FormerOwners
 from hyssopring.jobs.job_record import JobRecord, StepRun
 from hyssopring.jobs.locations import Locations
@@ -195,15 +195,22 @@
         if self.is_loaded and not self.is_dropped:
             self._events.on_ownership_checked()
 
-    def may_start_on(self, agent_id: str) -> bool:
-        """Whether a start may be sent to an agent.
+    def may_start_on(self, worker: Worker) -> bool:
+        """Whether a start may be sent to a worker's agent.
 
         The agent must be on the roster, where the next owner finds it. Until
         it has reported under this epoch, a former owner may still send it
-        starts and grants, so that its tasks and their expiry are unknown.
+        starts and grants, so that its tasks and their expiry are unknown. A
+        process that it had before this connection may have obeyed a successor,
+        which then does not wait for it.
         """
+        agent_id = worker.agent_id
         is_listed = agent_id in self.reported and agent_id in self.roster
-        return is_listed and self.roster.may_grant(agent_id)
+        return (
+            is_listed
+            and self.roster.may_grant(agent_id)
+            and self.ownership.is_confirmed_since(worker.connected_at)
+        )
 
     def tick(self, fleet: Fleet) -> None:
         """Expire unreported agents and update the rows; call regularly.
--- a/hyssopring/jobs/owned_shards.py
+++ b/hyssopring/jobs/owned_shards.py
@@ -86,8 +86,7 @@
             worker
             for worker in workers
             if all(
-                owned.may_start_on(worker.agent_id)
-                for owned in self.by_shard.values()
+                owned.may_start_on(worker) for owned in self.by_shard.values()
             )
         ]
 
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -226,6 +226,9 @@
             return
         placed = worker.placed_by_task.get(attempt_report.task)
         if placed is None or placed.attempt < attempt_report.attempt:
+            if not self._is_proof(worker, None, owned):
+                # A successor may have started it; it must not be stopped.
+                return
             placed = self._adopt(worker, boot, attempt_report, record)
         elif placed.attempt == attempt_report.attempt:
             # The start may have been sent to the worker's previous
--- a/tests/test_jobs_absences.py
+++ b/tests/test_jobs_absences.py
@@ -123,7 +123,7 @@
     assert worker.is_connected
     owned = owned_shard(deployment)
     assert not owned.roster.may_grant(AGENT)
-    assert not owned.may_start_on(AGENT)
+    assert not owned.may_start_on(worker)
     granted_at = worker.granted_at
     deployment.run(1)
     assert worker.granted_at == granted_at
