Stand-in of the store: pages and transactions have the documented limits

A page ends after 500 rows or 1 MB, also over HTTP, where all rows came at once and `limit` was ignored. A transaction of the system with over 100 entries, 1 MB or a row of 65,536 bytes fails the test in virtual time, and gets status 400 over HTTP. The operator's rows may be larger.

--- a/standins/jobs/rows.py
+++ b/standins/jobs/rows.py
@@ -1,5 +1,8 @@
 """A simulated platform store in memory, with fault injection."""
 
+import itertools
+import math
+
 from twisted.internet.defer import Deferred
 
 from hyssopring.jobs.rows import (
@@ -16,6 +19,12 @@
 ANSWER_S = 0.009
 TIMEOUT_S = 1.2
 PAGE_ROWS = 500
+# Of a page or a transaction.
+MAX_BYTES = 1_000_000
+MAX_ENTRIES = 100
+MAX_ROW_BYTES = 65_536
+# JSON around the names and the value of a row.
+ROW_OVERHEAD_BYTES = 60
 CLOCK_AHEAD_MS = 7_654_321
 
 
@@ -65,6 +74,23 @@
         self.kept_from = self.version
         self.changes = []
 
+    def page(self, table, part, first='', limit=PAGE_ROWS):
+        """Return the first rows of a range and whether it continues."""
+        rows = sorted(
+            (
+                row
+                for place, row in self.rows.items()
+                if place.table == table
+                and place.part == part
+                and place.key >= first
+            ),
+            key=lambda row: row.row_key.key,
+        )
+        sizes = itertools.accumulate(map(wire_bytes, rows))
+        fitting = sum(size <= MAX_BYTES for size in sizes)
+        count = min(max(fitting, 1), limit, PAGE_ROWS)
+        return tuple(rows[:count]), len(rows) > count
+
     def apply(self, transaction):
         parts = {each.row_key.part for each in transaction.checks}
         parts |= {put.row_key.part for put in transaction.puts}
@@ -99,6 +125,7 @@
         self.process_reactor = process_reactor
 
     def commit(self, transaction):
+        assert is_within_limits(transaction), 'the transaction is too large'
         store = self.store
         if store.lose_next and not self._fault():
             store.lose_next -= 1
@@ -116,19 +143,8 @@
         return self._call(lambda: self._changes(table, after), StoreRefused)
 
     def _page(self, table, part, first):
-        rows = sorted(
-            (
-                row
-                for place, row in self.store.rows.items()
-                if place.table == table
-                and place.part == part
-                and place.key >= first
-            ),
-            key=lambda row: row.row_key.key,
-        )
-        page = tuple(rows[:PAGE_ROWS])
-        has_more = len(rows) > PAGE_ROWS
-        return Page(page, has_more, self.store.version, self.store.now_ms)
+        rows, has_more = self.store.page(table, part, first)
+        return Page(rows, has_more, self.store.version, self.store.now_ms)
 
     def _changes(self, table, after):
         if after < self.store.kept_from:
@@ -182,6 +198,29 @@
         return answer
 
 
+def wire_bytes(row):
+    """Return the bytes that a row takes in a call."""
+    place = row.row_key
+    names = len(f'{place.table}{place.part}{place.key}'.encode())
+    value = 4 * math.ceil(len(row.text.encode()) / 3)
+    return names + value + ROW_OVERHEAD_BYTES
+
+
+def is_within_limits(transaction):
+    """Return whether a transaction of the system has an allowed size."""
+    entries = (
+        *transaction.checks,
+        *transaction.puts,
+        *transaction.removals,
+    )
+    put_bytes = [len(put.text.encode()) for put in transaction.puts]
+    return (
+        len(entries) <= MAX_ENTRIES
+        and sum(map(wire_bytes, transaction.puts)) <= MAX_BYTES
+        and max(put_bytes, default=0) <= MAX_ROW_BYTES
+    )
+
+
 def no_pauses():
     """Return the additional delays of a store that is not slow."""
     return 0, 0
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,13 +27,14 @@
     Transaction,
 )
 from hyssopring.web_client import _BytesProducer
-from standins.jobs.rows import MemoryRows
+from standins.jobs.rows import PAGE_ROWS, MemoryRows, is_within_limits
 from standins.jobs.run_recorder import RunRecorder
 from standins.jobs.worker import SimWorker
 from standins.runner_wire import RunnerCalls, report_fields
 
 HEARTBEAT_INTERVAL_S = 0.5
 TASK_DURATION_MS = 300
+BAD_REQUEST = 400
 
 
 def _row_key(fields):
@@ -97,6 +98,9 @@
             self._read(request)
 
     def _commit(self, request, transaction):
+        if not is_within_limits(transaction):
+            self._send(request, BAD_REQUEST, {})
+            return
         if self.rows.lose_next:
             self.rows.lose_next -= 1
             reactor.callLater(self.rows.late_s, self.rows.apply, transaction)
@@ -116,16 +120,9 @@
             self._feed(request, query, int(query['waitMs']))
             return
         part, first = query.get('part', ''), query.get('from', '')
-        rows = [
-            row
-            for row_key, row in sorted(
-                self.rows.rows.items(), key=lambda item: item[0].key
-            )
-            if row_key.table == query['table']
-            and row_key.part == part
-            and row_key.key >= first
-        ]
-        fields = {'rows': self._row_fields(rows), 'hasMore': False}
+        limit = int(query.get('limit', PAGE_ROWS))
+        rows, has_more = self.rows.page(query['table'], part, first, limit)
+        fields = {'rows': self._row_fields(rows), 'hasMore': has_more}
         self._send(request, 200, {**fields, 'ver': self.rows.version})
 
     def _feed(self, request, query, wait_ms):
