Jobs: numbers out of range are malformed, in rows and submissions

Cause: a job's numbers were checked in part only. With 10^400 as a target, a time or an interval, the owner's tick or its planner raised OverflowError at each call; with 10^30 as a target or a negative size, packing the start of the task did; with an infinite slack factor, recording a job's end. All jobs of the shard then waited for good. With 10^9 occurrences of one instant the owner did not hand back the processor. Rows of another writer could carry such numbers, and so could the body of any caller: it was accepted and stored.

Change: hyssopring/numbers.py has the one range, +-2^53, and the model of a job checks all its numbers against it; sizes must not be negative, and a job has at most 100,000 occurrences. A row out of range is malformed (logged, skipped), a submission gets 400, a configuration leaves the former one in force. The times in progress, agents' and entries' rows have the same range.

--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -21,7 +21,6 @@
 
 import functools
 import json
-import math
 from dataclasses import dataclass, field
 from typing import Any, Callable, Final, TypeVar
 
@@ -29,6 +28,7 @@
 
 from hyssopring.jobs.model import Job, JobState
 from hyssopring.jobs.rows import Row
+from hyssopring.numbers import are_in_range
 
 __all__ = (
     'AgentRow',
@@ -73,8 +73,8 @@
     def from_text(cls, text: str) -> 'JobRow':
         """Parse a row; raises MalformedRowError."""
         row = _parse(JobRow, 'job', text)
-        if not math.isfinite(row.accepted_ms) or not row.job.is_valid:
-            raise MalformedRowError('job: invalid steps or times')
+        if not are_in_range(row.accepted_ms) or not row.job.is_valid:
+            raise MalformedRowError('job: invalid steps or numbers')
         return row
 
     def to_text(self) -> str:
@@ -105,7 +105,7 @@
     def from_text(cls, text: str) -> 'ProgressRow':
         """Parse a row; raises MalformedRowError."""
         row = _parse(ProgressRow, 'progress', text)
-        if row.state not in _FINAL_STATE_TEXTS or not math.isfinite(
+        if row.state not in _FINAL_STATE_TEXTS or not are_in_range(
             row.ended_ms
         ):
             raise MalformedRowError('progress: invalid state or ended_ms')
@@ -274,7 +274,7 @@
     def from_text(cls, text: str) -> 'AgentRow':
         """Parse a row, which may be empty; raises MalformedRowError."""
         row = _parse(AgentRow, 'agent', text) if text else cls()
-        is_time = row.over_ms is None or math.isfinite(row.over_ms)
+        is_time = row.over_ms is None or are_in_range(row.over_ms)
         if not is_time or not 0 <= row.reign < _MAX_EPOCH:
             raise MalformedRowError('agent: invalid over_ms or reign')
         return row
@@ -314,7 +314,7 @@
     def from_text(cls, text: str) -> 'EntryRow':
         """Parse a row; raises MalformedRowError."""
         row = _parse(EntryRow, 'entry', text)
-        if not 0 <= row.cores < math.inf:
+        if row.cores < 0 or not are_in_range(row.cores):
             raise MalformedRowError('entry: cores out of range')
         return row
 
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -5,6 +5,8 @@
 from functools import cached_property
 from typing import Final, Iterator, Sequence
 
+from hyssopring.numbers import are_in_range
+
 __all__ = (
     'AdviceTiming',
     'AttemptEnd',
@@ -20,8 +22,8 @@
 
 # Same limit as for a submission; bounds the memory of the shard's owner.
 _MAX_TASKS: Final = 100_000
-# Sums of estimates must stay finite as floats.
-_MAX_ESTIMATE_MS: Final = 10**300
+# Each is held in memory like a task; bounds the time to open them, too.
+_MAX_OCCURRENCES: Final = 100_000
 
 
 class JobState(enum.Enum):
@@ -99,6 +101,12 @@
             and self.accelerators <= available.accelerators
         )
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether no resource is negative or too large for a message."""
+        resources = (self.cpu_millis, self.memory_mb, self.accelerators)
+        return are_in_range(*resources) and min(resources) >= 0
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -159,6 +167,20 @@
             return Size(0, self.size.memory_mb, self.size.accelerators)
         return self.size
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether its tasks can be planned, apart from ``after``."""
+        return (
+            0 < self.count <= _MAX_TASKS
+            and self.size.is_valid
+            and are_in_range(
+                self.estimate_ms,
+                self.max_per_worker,
+                self.target_ms,
+                self.max_unavailable,
+            )
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Schedule:
@@ -183,6 +205,13 @@
             return 0
         return self.first_ms + occurrence * self.interval_ms
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether its times can be computed, and are not too many."""
+        return self.times <= _MAX_OCCURRENCES and are_in_range(
+            self.times, self.first_ms, self.interval_ms
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class AdviceTiming:
@@ -202,6 +231,11 @@
         """Return the expected response time for a number of workers."""
         return self.decision_ms + workers * self.per_worker_ms
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether all times are finite and not too large."""
+        return are_in_range(self.decision_ms, self.per_worker_ms, self.valid_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
@@ -229,6 +263,14 @@
         """Return the objective for the duration of a job."""
         return self.slack_factor * critical_path_ms + self.target_ms
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether all numbers are finite and not too large."""
+        is_advice_valid = self.advice is None or self.advice.is_valid
+        return is_advice_valid and are_in_range(
+            self.priority, self.max_attempts, self.slack_factor, self.target_ms
+        )
+
 
 def longest_paths(
     steps: Sequence[Step], run_ms_by_step: Sequence[float]
@@ -274,15 +316,20 @@
 
     @property
     def is_valid(self) -> bool:
-        """Whether the steps can be planned.
+        """Whether the job can be planned.
 
-        A stored job may have been written by other software.
+        A stored job may have been written by other software, and callers
+        send any number.
         """
-        return bool(self.steps) and all(
-            0 < step.count <= _MAX_TASKS
-            and all(0 <= earlier < number for earlier in step.after)
-            and abs(step.estimate_ms) < _MAX_ESTIMATE_MS
-            for number, step in enumerate(self.steps)
+        return (
+            bool(self.steps)
+            and self.queue.is_valid
+            and self.schedule.is_valid
+            and all(
+                step.is_valid
+                and all(0 <= earlier < number for earlier in step.after)
+                for number, step in enumerate(self.steps)
+            )
         )
 
     @property
--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -99,8 +99,8 @@
     """Parse the body of a submission.
 
     Raises:
-        ValueError: The body is malformed, or a step does not follow the steps
-            that it depends on.
+        ValueError: The body is malformed, a step does not follow the steps
+            that it depends on, or a number is out of range.
     """
     submission = _Submission.model_validate_json(body)
     for index, step in enumerate(submission.steps):
@@ -114,7 +114,10 @@
         submission.repeat_count,
     )
     steps = tuple(step.to_step() for step in submission.steps)
-    return Job(job_id, queue, submission.spec, steps, schedule)
+    job = Job(job_id, queue, submission.spec, steps, schedule)
+    if not job.is_valid:
+        raise ValueError('a number is out of range')
+    return job
 
 
 class CallersResource(Resource):
--- a/hyssopring/platform/configuration.py
+++ b/hyssopring/platform/configuration.py
@@ -1,6 +1,6 @@
 """The operator's configuration: parsing it and following its changes."""
 
-from typing import Any, Callable, Final
+from typing import Annotated, Any, Callable, Final
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic import alias_generators
@@ -21,6 +21,7 @@
 )
 from hyssopring.jobs.stored_configuration import StoredConfiguration
 from hyssopring.logs import Event, log_event
+from hyssopring.numbers import MAX_EXACT_INTEGER
 from hyssopring.platform.evacuations import is_evacuation
 
 __all__ = ('ConfigurationFollower', 'read_configuration')
@@ -35,6 +36,10 @@
 _MIN_RETRY_S: Final = 0.2
 _MAX_RETRY_S: Final = 0.8
 
+_RANGE: Final = Field(ge=-MAX_EXACT_INTEGER, le=MAX_EXACT_INTEGER)
+_Integer = Annotated[int, _RANGE]
+_Number = Annotated[float, _RANGE]
+
 
 class _Model(BaseModel):
     model_config = ConfigDict(
@@ -44,9 +49,9 @@
 
 
 class _Recommendation(_Model):
-    decision_ms: float = 0
-    per_item_ms: float = 0
-    valid_ms: float = 0
+    decision_ms: _Number = 0
+    per_item_ms: _Number = 0
+    valid_ms: _Number = 0
 
     def to_timing(self) -> AdviceTiming:
         return AdviceTiming(self.decision_ms, self.per_item_ms, self.valid_ms)
@@ -57,10 +62,10 @@
     host: str
     path_prefix: str
     service: str
-    target_latency_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1
+    target_latency_ms: _Integer = 0
+    priority: _Integer = 0
+    max_attempts: _Integer = 1
+    slack_factor: _Number = 1
     recommendation: _Recommendation | None = None
 
     def to_queue(self) -> Queue:
@@ -81,7 +86,7 @@
 
 
 class _Configuration(_Model):
-    version: int
+    version: _Integer
     routes: tuple[_Route, ...] = ()
     limits: _Limits = _Limits()
 
--- a/hyssopring/platform/incarnation.py
+++ b/hyssopring/platform/incarnation.py
@@ -8,11 +8,10 @@
 from typing import Any, Final
 
 from hyssopring.logs import Event, log_event
+from hyssopring.numbers import MAX_EXACT_INTEGER
 
 __all__ = ('RestartLog', 'boot_name', 'responding_boot', 'worker_id')
 
-# Up to this number a double, and so any JSON parser, holds integers exactly.
-_MAX_EXACT_INTEGER: Final = 2**53
 _DIGEST_LENGTH: Final = 16
 # Ids of runners do not contain it.
 _SEPARATOR: Final = '#'
@@ -52,7 +51,7 @@
     if isinstance(born, float) and born.is_integer():
         born = int(born)
     is_integer = isinstance(born, int) and not isinstance(born, bool)
-    if is_integer and 0 <= born < _MAX_EXACT_INTEGER:
+    if is_integer and 0 <= born < MAX_EXACT_INTEGER:
         return str(born)
     try:
         encoded = json.dumps(born, sort_keys=True).encode()
--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -13,6 +13,7 @@
 from hyssopring.jobs.model import Size
 from hyssopring.jobs.worker_port import Announcement
 from hyssopring.logs import Event, log_event
+from hyssopring.numbers import MAX_EXACT_INTEGER
 from hyssopring.platform.incarnation import boot_name, worker_id
 
 __all__ = ('ReportsResource',)
@@ -26,10 +27,8 @@
 _ID: Final = re.compile('[A-Za-z0-9._~:@+=-]{1,128}')
 _MAX_NAME_LENGTH: Final = 256
 _MAX_LABELS: Final = 256
-# Up to this number a double, and so any JSON parser, holds integers exactly.
-_MAX_EXACT_INTEGER: Final = 2**53
 
-_Count = Annotated[int, Field(ge=0, le=_MAX_EXACT_INTEGER)]
+_Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
 _Name = Annotated[str, Field(max_length=_MAX_NAME_LENGTH)]
 _MODEL: Final = ConfigDict(
     alias_generator=alias_generators.to_camel,
--- a/tests/border_support.py
+++ b/tests/border_support.py
@@ -7,6 +7,13 @@
     float('inf'), True, [], {}, [[]], '\x00',
 )  # fmt: skip
 
+# Numbers that no message, timer or sum of times can hold.
+LARGE_NUMBERS = (
+    10**30, -(10**30), 10**400, 1e308, float('nan'), float('inf'),
+)  # fmt: skip
+# Beyond the depth that a JSON parser follows.
+DEEP = '[' * 5000 + ']' * 5000
+
 
 def mutated(rng, value):
     """Return a JSON value with one random change."""
--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from border_support import PreparedStore, mutated
+from border_support import DEEP, LARGE_NUMBERS, PreparedStore, mutated
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock as Reactor
 
@@ -154,9 +154,71 @@
     job_text(steps=[{**STEP, 'estimate_ms': 10**400}]),
     job_text(steps=[]),
     json.dumps({**GOOD_JOB, 'accepted_ms': float('nan')}),
+    job_text(steps=[{**STEP, 'size': {**STEP['size'], 'memory_mb': -1}}]),
+    job_text(schedule={'first_ms': 0, 'interval_ms': 0, 'times': 10**9}),
+    DEEP,
+    json.dumps(GOOD_JOB)[:-1] + ', "later": ' + DEEP + '}',
+    json.dumps(GOOD_JOB)[:-1] + ', "later": ' + '9' * 5000 + '}',
 )
 
 
+def short(number):
+    return str(number)[:12]
+
+
+def jobs_with(number):
+    """Return texts of job rows by the one field that has the number."""
+    queue, size = GOOD_JOB['job']['queue'], STEP['size']
+    schedule = {'first_ms': 0, 'interval_ms': 1, 'times': 3}
+    texts = {'accepted_ms': json.dumps({**GOOD_JOB, 'accepted_ms': number})}
+    for name in ('priority', 'max_attempts', 'slack_factor', 'target_ms'):
+        texts[f'queue {name}'] = job_text(queue={**queue, name: number})
+    for name in ('decision_ms', 'per_worker_ms', 'valid_ms'):
+        advice = {**queue, 'advice': {name: number}}
+        texts[f'advice {name}'] = job_text(queue=advice)
+    for name in ('estimate_ms', 'max_per_worker', 'target_ms', 'count'):
+        texts[f'step {name}'] = job_text(steps=[{**STEP, name: number}])
+    for name in ('max_unavailable', 'target_ms'):
+        step = {**STEP, 'is_keeper': True, name: number}
+        texts[f'keeper {name}'] = job_text(steps=[step])
+    for name in ('cpu_millis', 'memory_mb', 'accelerators'):
+        step = {**STEP, 'size': {**size, name: number}}
+        texts[f'size {name}'] = job_text(steps=[step])
+    for name in schedule:
+        texts[f'schedule {name}'] = job_text(
+            schedule={**schedule, name: number}
+        )
+    return texts
+
+
+@pytest.mark.parametrize('number', LARGE_NUMBERS, ids=short)
+def test_job_row_with_a_number_out_of_range_is_malformed(number):
+    for name, text in jobs_with(number).items():
+        with pytest.raises(MalformedRowError):
+            JobRow.from_text(text)
+            pytest.fail(name)
+
+
+@pytest.mark.parametrize('number', [10**30, 10**400, float('nan')], ids=short)
+def test_job_rows_with_numbers_out_of_range_stop_no_other_job(number):
+    """Guards against an owner whose planner or tick fails on each call.
+
+    Both raised an error at the one row, so that no job went on.
+    """
+    deployment = settled()
+    for position, text in enumerate(jobs_with(number).values()):
+        job_id = f'{100 + position:016x}'
+        put(deployment, job_key(job_id), text.replace(JOB.job_id, job_id))
+    for each in (20, 21):
+        job = a_job(each, steps=((2, ()),))
+        deployment.submit(job)
+        deployment.run(6)
+        survivor = deployment.owner
+        assert deployment.state(job.job_id, survivor) is JobState.COMPLETED
+        deployment.kill_entry(survivor)
+        deployment.run(9)
+
+
 @pytest.mark.parametrize('text', MALFORMED_JOBS)
 @pytest.mark.parametrize('is_history_lost', [False, True])
 def test_malformed_job_row_affects_no_other_job(text, is_history_lost, errors):
--- a/tests/test_border_store.py
+++ b/tests/test_border_store.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from border_support import PreparedStore, mutated
+from border_support import DEEP, PreparedStore, mutated
 from test_platform import FakeJsonClient, result_of, store_with
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock as Reactor
@@ -123,6 +123,19 @@
         '{"version": 5, "routes": [{"name": "a", "host": "h", "pathPrefix":'
         ' "/", "service": "s", "slackFactor": NaN}]}',
         '{"version": 5, "limits": {"maxBodyBytes": -1}}',
+        '{"version": %d}' % 10**30,
+        *(
+            '{"version": 5, "routes": [{"name": "a", "host": "h", "service":'
+            ' "s", "pathPrefix": "/", %s}]}' % number
+            for number in (
+                f'"targetLatencyMs": {10**400}',
+                f'"priority": {-(10**30)}',
+                f'"maxAttempts": {10**30}',
+                '"slackFactor": 1e308',
+                '"recommendation": {"decisionMs": 1e300}',
+            )
+        ),
+        '{"version": 5, "later": %s}' % DEEP,
     ],
 )
 def test_malformed_configuration_leaves_the_former_one_in_force(text, errors):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -147,6 +147,12 @@
         b'{"steps":[{"count":4',
         b'{"steps":[]}',
         b'{"steps":[{"count":1,"after":[0]}]}',
+        b'{"steps":[{"count":1,"cpu":-1}]}',
+        b'{"steps":[{"count":1,"cpu":1%s}]}' % (b'0' * 400),
+        b'{"steps":[{"count":1,"targetMs":1%s}]}' % (b'0' * 30),
+        b'{"steps":[{"count":1}],"firstRunMs":1%s}' % (b'0' * 400),
+        b'{"steps":[{"count":1}],"repeatCount":1000000000}',
+        b'{"steps":[{"count":1}],"later":%s}' % (b'[' * 5000),
     ],
 )
 def test_truncated_or_invalid_submission_is_rejected(body):
