Agents' rows: a name of a task that is none makes the row malformed

Cause: the owner parses the names of the tasks in agents' rows once a second, in its tick. A name such as 'x', or one with a number of 4,500 digits, raised ValueError there: no timeout of the shard was enforced any more.

Change: AgentRow.from_text checks the names; a row with another one is malformed, as one without JSON: it is logged and its agent counts as one of which nothing is known.

--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -26,7 +26,7 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from hyssopring.jobs.model import Job, JobState
+from hyssopring.jobs.model import Job, JobState, is_task_name
 from hyssopring.jobs.rows import Row
 from hyssopring.numbers import are_in_range
 
@@ -277,6 +277,8 @@
         is_time = row.over_ms is None or are_in_range(row.over_ms)
         if not is_time or not 0 <= row.reign < _MAX_EPOCH:
             raise MalformedRowError('agent: invalid over_ms or reign')
+        if not all(map(is_task_name, row.tasks)):
+            raise MalformedRowError('agent: invalid name of a task')
         return row
 
     @property
--- a/hyssopring/jobs/model.py
+++ b/hyssopring/jobs/model.py
@@ -1,6 +1,7 @@
 """The model of a job: a graph of steps, each of equal tasks."""
 
 import enum
+import re
 from dataclasses import dataclass
 from functools import cached_property
 from typing import Final, Iterator, Sequence
@@ -17,6 +18,7 @@
     'Size',
     'Step',
     'TaskName',
+    'is_task_name',
     'longest_paths',
 )
 
@@ -24,6 +26,8 @@
 _MAX_TASKS: Final = 100_000
 # Each is held in memory like a task; bounds the time to open them, too.
 _MAX_OCCURRENCES: Final = 100_000
+# The id of a job, then the numbers of its occurrence, step and task.
+_TASK_NAME: Final = re.compile('[^.]+([.][0-9]{1,9}){3}')
 
 
 class JobState(enum.Enum):
@@ -365,3 +369,8 @@
     def __str__(self) -> str:
         """Return the dotted form, 'job_id.occurrence.step.index'."""
         return f'{self.job_id}.{self.occurrence}.{self.step}.{self.index}'
+
+
+def is_task_name(text: str) -> bool:
+    """Return whether an untrusted text has the form of a task's name."""
+    return _TASK_NAME.fullmatch(text) is not None
--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -22,6 +22,7 @@
 from hyssopring.jobs.peer_entries import PeerEntries
 from hyssopring.jobs.row_keys import (
     ENTRIES_TABLE,
+    agent_key,
     job_key,
     owner_key,
     progress_key,
@@ -337,6 +338,38 @@
     assert len(starts_of(deployment, job)) == 8
 
 
+MALFORMED_AGENTS = (
+    'no json',
+    '[]',
+    DEEP,
+    '{"tasks": 7}',
+    '{"tasks": ["x"]}',
+    '{"tasks": ["a.b.c.d"]}',
+    '{"tasks": ["0000000000000005.0.0"]}',
+    '{"tasks": ["0000000000000005.0.0.%s"]}' % ('9' * 5000),
+    '{"over_ms": 1e400}',
+    '{"over_ms": %d}' % 10**400,
+    '{"over_ms": 1, "reign": -1}',
+)
+
+
+@pytest.mark.parametrize('text', MALFORMED_AGENTS, ids=short)
+@pytest.mark.parametrize('agent', ['agent-0', 'unknown'])
+def test_malformed_agent_row_does_not_stop_the_owner(agent, text):
+    """Guards against a tick that fails at the name of a task."""
+    deployment = settled(work_ms=lambda task: 3000)
+    job = a_job(steps=((6, ()), (2, (0,))))
+    deployment.submit(job)
+    deployment.run(1)
+    put(deployment, agent_key(0, agent), text)
+    deployment.run(2)
+    deployment.kill_entry(deployment.owner)
+    deployment.run(30)
+    survivor = deployment.owner
+    assert deployment.state(job.job_id, survivor) is JobState.COMPLETED
+    assert len(starts_of(deployment, job)) == 8
+
+
 VALID_ROWS = (
     (EntryRow, EntryRow('a:1', '1', (0,), 2).to_text()),
     (OwnerRow, OwnerRow('a', '1', 3).to_text()),
