Store: a time or version out of range is malformed

Cause: a nowMs of 10^400 raised OverflowError where callers of a read expect StoreRefused only, and versions of over 64 bits went on into epochs and messages, which hold 64 bits.

Change: times and versions have the range of hyssopring/numbers.py; a time out of range counts as none, a version as a malformed one.

--- a/hyssopring/platform/store_rows.py
+++ b/hyssopring/platform/store_rows.py
@@ -1,7 +1,6 @@
 """Translation of rows and responses of the platform's store."""
 
 import base64
-import math
 from typing import Any, Final
 
 from hyssopring.jobs.rows import (
@@ -14,6 +13,7 @@
     StoreRefused,
 )
 from hyssopring.logs import Event, log_event
+from hyssopring.numbers import MAX_EXACT_INTEGER, are_in_range
 from hyssopring.platform.json_calls import JsonResponse
 
 __all__ = (
@@ -88,7 +88,7 @@
 
 def _is_version(version: Any) -> bool:
     is_count = isinstance(version, int) and not isinstance(version, bool)
-    return is_count and version >= 0
+    return is_count and 0 <= version <= MAX_EXACT_INTEGER
 
 
 def version_of(response: JsonResponse, error: type[Exception]) -> int:
@@ -103,7 +103,7 @@
     now_ms: Any = response.fields.get('nowMs')
     if isinstance(now_ms, bool) or not isinstance(now_ms, int | float):
         return None
-    return float(now_ms) if math.isfinite(now_ms) else None
+    return float(now_ms) if are_in_range(now_ms) else None
 
 
 def rows_of(response: JsonResponse) -> tuple[Row, ...]:
--- a/tests/border_support.py
+++ b/tests/border_support.py
@@ -15,6 +15,11 @@
 DEEP = '[' * 5000 + ']' * 5000
 
 
+def short(odd):
+    """Return the name of a test's parameter."""
+    return str(odd)[:12]
+
+
 def mutated(rng, value):
     """Return a JSON value with one random change."""
     if isinstance(value, dict) and value and rng.random() < 0.8:
--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from border_support import DEEP, LARGE_NUMBERS, PreparedStore, mutated
+from border_support import DEEP, LARGE_NUMBERS, PreparedStore, mutated, short
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock as Reactor
 
@@ -163,10 +163,6 @@
 )
 
 
-def short(number):
-    return str(number)[:12]
-
-
 def jobs_with(number):
     """Return texts of job rows by the one field that has the number."""
     queue, size = GOOD_JOB['job']['queue'], STEP['size']
--- a/tests/test_border_store.py
+++ b/tests/test_border_store.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from border_support import DEEP, PreparedStore, mutated
+from border_support import DEEP, LARGE_NUMBERS, PreparedStore, mutated, short
 from test_platform import FakeJsonClient, result_of, store_with
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock as Reactor
@@ -48,7 +48,9 @@
     assert page.rows[0].version == 4 and len(errors) == 1
 
 
-@pytest.mark.parametrize('ver', ['x', None, [], -3, 1.5, True])
+@pytest.mark.parametrize(
+    'ver', ['x', None, [], -3, 1.5, True, 2**63, 10**400], ids=short
+)
 def test_malformed_version_is_read_as_zero(ver):
     responses = FakeJsonClient(
         200, {'ver': 9, 'rows': [wire_row('a', ver=ver)]}
@@ -70,8 +72,21 @@
     assert len(errors) == 2
 
 
+@pytest.mark.parametrize(
+    'now_ms', ['x', None, [], True, *LARGE_NUMBERS], ids=short
+)
+def test_malformed_time_of_the_store_is_none(now_ms):
+    """Guards against a read that fails with an error that no caller expects."""
+    fields = {'ver': 9, 'rows': [wire_row('a')], 'nowMs': now_ms}
+    store = store_with(FakeJsonClient(200, fields))
+    page = result_of(store.read('t', 'p'))
+    assert len(page.rows) == 1 and page.read_ms is None
+
+
 MALFORMED_FIELDS = (
     {},
+    {'ver': 2**63, 'rows': []},
+    {'ver': 10**400, 'rows': []},
     {'ver': None},
     {'ver': 'x', 'rows': []},
     {'ver': -1, 'rows': []},
@@ -94,7 +109,7 @@
     assert result_of(store.changes('t', 1, 0)).check(StoreRefused)
 
 
-@pytest.mark.parametrize('fields', MALFORMED_FIELDS[:4])
+@pytest.mark.parametrize('fields', MALFORMED_FIELDS[:6])
 def test_commit_without_a_version_in_the_response_is_uncertain(fields):
     store = store_with(FakeJsonClient(200, fields))
     assert result_of(store.commit(Transaction())).check(StoreUncertain)
