Advice: a time that is too large makes the answer invalid

Cause: converting a validMs of 10^400 raises OverflowError, which is no ValueError; the query failed with an error that its caller does not expect.

Before: test_malformed_time_makes_the_answer_invalid fails with 10^400.

--- a/hyssopring/platform/advice.py
+++ b/hyssopring/platform/advice.py
@@ -81,7 +81,7 @@
             raise AdviceUnavailable(detail)
         try:
             return self._read_tickets(response.fields, boots)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise AdviceUnavailable(repr(error)) from error
 
     def _read_tickets(
--- a/tests/test_border_advice.py
+++ b/tests/test_border_advice.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from border_support import mutated
+from border_support import mutated, short
 from test_platform import QUERY, FakeJsonClient, advice_with, result_of
 
 from hyssopring.jobs.advice_client import AdviceAnswer, AdviceUnavailable
@@ -59,7 +59,9 @@
 
 
 @pytest.mark.parametrize(
-    'valid_ms', [-1, float('nan'), float('inf'), 1e300, None, [], 'soon']
+    'valid_ms',
+    [-1, float('nan'), float('inf'), 1e300, 10**400, None, [], 'soon'],
+    ids=short,
 )
 def test_malformed_time_makes_the_answer_invalid(valid_ms):
     """Guards against tickets that are never or always taken for valid."""
