--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -25,6 +25,7 @@
 
 _JOB_ID: Final = re.compile('[0-9a-f]{16}')
 _DEADLINE_HEADER: Final = 'deadline-ms'
+_DEADLINE: Final = re.compile('[0-9]{1,12}')
 _DEFAULT_DEADLINE_MS: Final = 3000.0
 # Shares of a caller's deadline after which a response is sent in any case. The
 # rest of a submission's deadline is left for another attempt at another entry.
@@ -244,7 +245,9 @@
     def _response_deadline(self, request: Request, share: float) -> float:
         header = request.getHeader(_DEADLINE_HEADER) or ''
         deadline_ms = (
-            float(header) if header.isdigit() else _DEFAULT_DEADLINE_MS
+            float(header)
+            if _DEADLINE.fullmatch(header)
+            else _DEFAULT_DEADLINE_MS
         )
         return self._clock.now() + deadline_ms * share
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,9 @@
 import pytest
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
+from twisted.web.test.requesthelper import DummyRequest
 
+from hyssopring.clock import ManualClock
 from hyssopring.jobs.advice_client import AdviceUnavailable, AdviceQuery
 from hyssopring.jobs.documents import JobRow
 from hyssopring.jobs.model import (
@@ -34,7 +36,7 @@
 )
 from hyssopring.metrics import Metrics
 from hyssopring.platform.advice import PlatformAdvice, advice_client_for
-from hyssopring.platform.callers import read_job
+from hyssopring.platform.callers import CallersResource, read_job
 from hyssopring.platform.configuration import read_configuration
 from hyssopring.platform.json_calls import JsonResponse
 from hyssopring.platform.settings import load_node_settings
@@ -160,6 +162,18 @@
         read_job('5c0e7a21d94b36f8', Queue('q', 's'), body)
 
 
+@pytest.mark.parametrize(
+    'header', ['', '\xb2', '-1', '1e9', ' 5', '9' * 400, '9' * 5000]
+)
+def test_malformed_deadline_counts_as_none(header):
+    """Guards against an error, or a timer that never fires."""
+    request = DummyRequest([])
+    request.requestHeaders.setRawHeaders('deadline-ms', [header])
+    resource = CallersResource(ManualClock(), None)
+    default_ms = resource._response_deadline(DummyRequest([]), 1)
+    assert resource._response_deadline(request, 1) == default_ms
+
+
 def test_queue_with_the_longest_matching_path_prefix_is_found():
     route = {
         'name': 'a',
