Leases: a malformed row among the entries stops no entry

Cause: the entries' rows of the table service were read as they came. One odd row under entries/ (a field missing or of another type, a list, a number) raised KeyError or TypeError in the callback of the read. The reader then counted as busy for good: every entry that read the list never renewed its lease again, lost its shards and took none, so that no job was planned and every restarted entry met the same fate.

Change: the rows are validated. A malformed one names no entry, is logged once for each version, and is deleted with the rows of ended entries after forget_ms. If it has replaced the row of a live entry, that entry registers again at its next renewal; until its lease must have ended its shards are not taken.

Before: all 16 new cases of tests/test_leases.py fail (no shard held 20 s after the row was written).

--- a/hyssopring/leases/registry.py
+++ b/hyssopring/leases/registry.py
@@ -10,10 +10,12 @@
 from dataclasses import dataclass
 from typing import Callable, Sequence
 
+from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Result
 
 from hyssopring.clock import Clock
 from hyssopring.errors import Failure
+from hyssopring.logs import Event, log_event
 from hyssopring.protocol.messages import EntryMember
 from hyssopring.store import (
     Check,
@@ -54,6 +56,19 @@
     forget_ms: float = 3_600_000
 
 
+class _Entry(BaseModel):
+    """The document of an entry's row."""
+
+    model_config = ConfigDict(strict=True)
+
+    incarnation: str
+    address: str
+    configuration: int
+    operators: str = ''
+    zone: str = ''
+    agents: int | None = None
+
+
 @dataclass(slots=True)
 class _FirstRead:
     """When a row was first read at its current version."""
@@ -72,8 +87,18 @@
     return {'incarnation': '', 'address': '', 'configuration': 0}
 
 
-def _is_registered(row: Row) -> bool:
-    return bool(row.version and row.document['incarnation'])
+def _parse(row: Row) -> _Entry | None:
+    """Parse an entry's row; return None for one of another writer."""
+    try:
+        return _Entry.model_validate(row.document)
+    except ValidationError:
+        return None
+
+
+def _registered(row: Row) -> _Entry | None:
+    """Return the document of a registered entry; None names no entry."""
+    entry = _parse(row) if row.version else None
+    return entry if entry is not None and entry.incarnation else None
 
 
 class EntryRegistry:
@@ -137,7 +162,20 @@
 
     def is_live(self, row: Row) -> bool:
         """Whether the row's entry is registered and renews the row."""
-        return _is_registered(row) and not self.is_stale(row)
+        return _registered(row) is not None and not self.is_stale(row)
+
+    def may_hold(self, row: Row, incarnation: str) -> bool:
+        """Whether a row's entry may still hold what this incarnation took.
+
+        An entry whose row another writer has overwritten finds that at its
+        next renewal; until its lease must have ended, it may hold it.
+        """
+        if self.is_stale(row):
+            return False
+        entry = _registered(row)
+        if entry is None:
+            return row.version > 0 and _parse(row) is None
+        return entry.incarnation == incarnation
 
     def refresh(self, on_entries: EntriesCallback) -> None:
         """Renew this entry's row, then read all entries.
@@ -207,14 +245,14 @@
         if row is None:
             # The row is not in conflict.
             return
-        if _is_registered(row):
-            if row.document['incarnation'] == self.incarnation:
-                self.row_version = row.version
-                return
+        entry = _registered(row)
+        if entry is not None and entry.incarnation == self.incarnation:
+            self.row_version = row.version
+            return
         self._valid_until = 0
         self._on_deposed()
         self._record_first_read(row)
-        if not _is_registered(row) or self.is_stale(row):
+        if entry is None or self.is_stale(row):
             self.row_version = row.version
 
     def _on_entries_read(
@@ -228,28 +266,31 @@
         rows = answer.unwrap()
         for row in rows:
             self._record_first_read(row)
-        registered = [row for row in rows if _is_registered(row)]
+        entry_by_id = {
+            row.key.removeprefix(_ENTRIES): entry
+            for row in rows
+            if (entry := _registered(row)) is not None
+        }
+        live_ids = [
+            row.key.removeprefix(_ENTRIES) for row in rows if self.is_live(row)
+        ]
         self.members = tuple(
             EntryMember(
-                row.key.removeprefix(_ENTRIES),
-                row.document['address'],
-                row.document['zone'],
+                entry_id,
+                entry_by_id[entry_id].address,
+                entry_by_id[entry_id].zone,
             )
-            for row in registered
-            if not self.is_stale(row)
+            for entry_id in live_ids
         )
-        self.version_by_entry = {
-            row.key.removeprefix(_ENTRIES): row.document['configuration']
-            for row in registered
-        }
         self.operators_by_entry = {
-            row.key.removeprefix(_ENTRIES): row.document['operators']
-            for row in registered
-            if not self.is_stale(row)
+            entry_id: entry_by_id[entry_id].operators for entry_id in live_ids
+        }
+        self.version_by_entry = {
+            entry_id: entry.configuration
+            for entry_id, entry in entry_by_id.items()
         }
         self.agent_version_by_entry = {
-            row.key.removeprefix(_ENTRIES): row.document['agents']
-            for row in registered
+            entry_id: entry.agents for entry_id, entry in entry_by_id.items()
         }
         self._delete_ended_rows(rows)
         on_entries(rows)
@@ -259,6 +300,10 @@
         if first_read is None or first_read.version != row.version:
             new_read = _FirstRead(row.version, self._clock.now())
             self._first_read_by_key[row.key] = new_read
+            if row.version and _parse(row) is None:
+                log_event(
+                    Event.PEER_ERROR, peer=row.key, detail='malformed entry'
+                )
 
     def _unchanged_ms(self, row: Row) -> float:
         first_read = self._first_read_by_key.get(row.key)
@@ -268,7 +313,7 @@
 
     def _delete_ended_rows(self, rows: Sequence[Row]) -> None:
         for row in rows:
-            if _is_registered(row):
+            if _registered(row) is not None:
                 continue
             if self._unchanged_ms(row) > self._settings.forget_ms:
                 self._first_read_by_key.pop(row.key)
--- a/hyssopring/leases/shards.py
+++ b/hyssopring/leases/shards.py
@@ -235,9 +235,7 @@
         """
         if row is None or holder is None or self._is_own(row):
             return True
-        if holder.document.get('incarnation') != row.document['incarnation']:
-            return True
-        return self._registry.is_stale(holder)
+        return not self._registry.may_hold(holder, row.document['incarnation'])
 
     def _give_away(self, shard: int) -> None:
         held = self._held_by_shard.pop(shard)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -151,3 +151,54 @@
         False,
         True,
     ]
+
+
+GOOD_ENTRY = {'incarnation': 'x', 'address': 'a:1', 'configuration': 0}
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        {},
+        [],
+        None,
+        'text',
+        7,
+        {'incarnation': 'x'},
+        {**GOOD_ENTRY, 'incarnation': 7},
+        {**GOOD_ENTRY, 'address': None},
+        {**GOOD_ENTRY, 'configuration': 'new'},
+        {**GOOD_ENTRY, 'configuration': float('nan')},
+        {**GOOD_ENTRY, 'zone': ['z']},
+        {**GOOD_ENTRY, 'agents': '1'},
+    ],
+    ids=str,
+)
+def test_malformed_row_among_the_entries_stops_no_entry(document, errors):
+    """Guards against entries that never renew their leases again.
+
+    The reader of the rows raised an error, and counted as busy for good.
+    """
+    deployment = VirtualDeployment()
+    deployment.run(10_000)
+    assert all_held_shards(deployment) == [0, 1, 2, 3]
+    key = 'entries/odd'
+    deployment.table.rows_by_key[key] = [key, 1, 'other', document]
+    deployment.run(20_000)
+    assert all_held_shards(deployment) == [0, 1, 2, 3]
+    assert len(errors) == 2, 'once in each entry'
+    members = deployment.entry(0).core.shards.registry.members
+    assert len(members) == 2
+
+
+@pytest.mark.parametrize('document', [{}, [], 7, {'incarnation': 7}], ids=str)
+def test_entry_whose_row_is_overwritten_registers_again(document):
+    deployment = VirtualDeployment()
+    deployment.run(10_000)
+    key = 'entries/entry-0'
+    version = deployment.table.row(key)[1]
+    row = [key, version + 1, 'other', document]
+    deployment.table.rows_by_key[key] = row
+    deployment.run(20_000)
+    assert all_held_shards(deployment) == [0, 1, 2, 3]
+    assert all(shards_by_entry(deployment).values())
