Table service: one odd document makes no other row unreadable

Cause: a response with all rows of a prefix was parsed as a whole. A document nested more deeply than the JSON parser follows raised RecursionError, which was caught nowhere, and a response of another form KeyError or TypeError: the call never ended, and the queue counted it as in flight for good. An integer of 5,000 digits made the whole response invalid, so that nobody could read the entries any more.

Change: hyssopring/json_reader.py is the reader of the table service's and the platform's responses. Each response ends in a result or a failure.

--- a/hyssopring/platform/json_calls.py
+++ b/hyssopring/platform/json_calls.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
+from hyssopring.json_reader import read_json
 from hyssopring.web_client import FetchedResponse, fetch, pooled_agent
 
 __all__ = ('JsonClient', 'JsonResponse', 'MalformedResponseError')
@@ -75,8 +76,8 @@
     if not response.body:
         return JsonResponse(response.status, {})
     try:
-        fields = json.loads(response.body)
-    except (ValueError, RecursionError) as error:
+        fields = read_json(response.body)
+    except ValueError as error:
         raise MalformedResponseError(str(error)) from error
     if not isinstance(fields, dict):
         raise MalformedResponseError('response body is not a JSON object')
--- a/hyssopring/store/client.py
+++ b/hyssopring/store/client.py
@@ -9,6 +9,7 @@
 
 from hyssopring.clock import MILLIS_PER_SECOND, Clock
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.json_reader import read_json
 from hyssopring.store.groups import Group
 from hyssopring.store.queue import StoreLimits, StoreQueue
 from hyssopring.store.rows import (
@@ -25,6 +26,8 @@
 _HTTP_CONFLICT = 409
 _MAX_CONNECTIONS = 8
 _IDLE_TIMEOUT_S = 240
+# What reading a response of another form raises.
+_MALFORMED = (ValueError, TypeError, LookupError, AttributeError)
 
 
 class HttpTransport:
@@ -55,7 +58,8 @@
             '/transactions',
             json.dumps(document).encode(),
             timeout_ms,
-            lambda response: done(response.map(_parse_outcome)),
+            _parse_outcome,
+            done,
         )
 
     def send_read(
@@ -70,7 +74,8 @@
             f'/rows?prefix={prefix}',
             b'',
             timeout_ms,
-            lambda response: done(response.map(_parse_rows)),
+            _parse_rows,
+            done,
         )
 
     def call_later(self, delay_ms: float, action: Callable[[], None]) -> None:
@@ -83,6 +88,7 @@
         path: str,
         body: bytes,
         timeout_ms: float,
+        parse: Callable[[Any], Any],
         on_result: Callable[[Result[Any, Failure]], None],
     ) -> None:
         deferred = fetch(
@@ -95,7 +101,9 @@
             # In total, many rows over a slow link may take longer than this.
             silence_ms=timeout_ms,
         )
-        deferred.addCallbacks(_parse_response, _transport_failure)
+        deferred.addCallbacks(
+            _parse_response, _transport_failure, callbackArgs=(parse,)
+        )
         deferred.addCallback(on_result)
 
 
@@ -114,14 +122,16 @@
     )
 
 
-def _parse_response(response: FetchedResponse) -> Result[Any, Failure]:
+def _parse_response(
+    response: FetchedResponse, parse: Callable[[Any], Any]
+) -> Result[Any, Failure]:
     if response.status not in {_HTTP_OK, _HTTP_CONFLICT}:
         detail = f'the table answered with status {response.status}'
         return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
     try:
-        return Ok(json.loads(response.body))
-    except ValueError as error:
-        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, str(error)))
+        return Ok(parse(read_json(response.body)))
+    except _MALFORMED as error:
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, repr(error)))
 
 
 def _transport_failure(reason: Any) -> Result[Any, Failure]:
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
+from border_support import DEEP, short
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionAborted
 from twisted.internet.task import Clock
@@ -154,3 +155,42 @@
         response.send(chunk)
     response.end(ResponseDone())
     assert [row.key for row in rows[0].unwrap()] == ['jobs/a']
+
+
+def rows_read(clock, monkeypatch, body):
+    request, response, rows = Deferred(), Response(), []
+    agent = SimpleNamespace(request=lambda *_request: request)
+    monkeypatch.setattr(client, 'pooled_agent', lambda *_how: agent)
+    transport = client.HttpTransport(clock, 'http://table:1')
+    transport.send_read('jobs/', 1000, rows.append)
+    request.callback(response)
+    response.send(body)
+    response.end(ResponseDone())
+    return rows[0]
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [DEEP, '{"a":' * 3000 + '1' + '}' * 3000, '9' * 5000, '1e400', 'NaN'],
+    ids=short,
+)
+def test_odd_document_hides_no_other_row(clock, monkeypatch, odd):
+    """Guards against entries that cannot read the table any more."""
+    body = '{"rows": [["a", 1, "o", %s], ["b", 2, "own", {"n": "]"}]]}' % odd
+    rows = rows_read(clock, monkeypatch, body.encode()).unwrap()
+    assert [row.key for row in rows] == ['a', 'b']
+    assert rows[1].document == {'n': ']'}
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'', b'x', b'\xff', b'7', b'[]', b'{}', b'[' * 5000, b'{"rows": 7}',
+        b'{"rows": [7]}', b'{"rows": [["a"]]}', b'{"rows": null}',
+    ],
+)  # fmt: skip
+def test_malformed_response_of_the_table_service_fails(
+    clock, monkeypatch, body
+):
+    """Guards against a call that never ends, which the queue waits for."""
+    assert rows_read(clock, monkeypatch, body).is_err()
