Agents: an address that cannot be dialled stops no other

Cause: the addresses due were marked as being dialled, then dialled one by one. One without a port, or with a port that is no number, raised ValueError: those after it stayed marked, and were never dialled again.

Change: what is not host:port (port 1 to 65,535) counts as a failed dial, with the usual backoff, and is logged once.

--- a/hyssopring/agent/links.py
+++ b/hyssopring/agent/links.py
@@ -10,7 +10,7 @@
 from twisted.internet.endpoints import HostnameEndpoint
 from twisted.internet.protocol import Factory
 
-from hyssopring.addresses import parse_address
+from hyssopring.addresses import is_address, parse_address
 from hyssopring.agent.core import AgentCore
 from hyssopring.clock import Clock
 from hyssopring.logs import Event, log_event
@@ -25,6 +25,7 @@
 __all__ = ('EntryLinks',)
 
 _CONNECT_TIMEOUT_S = 2
+_MAX_LOGGED_ADDRESSES = 100
 
 
 class _Link(Factory):
@@ -58,6 +59,11 @@
         )
 
     def dial(self) -> None:
+        if not is_address(self.address):
+            # Entries list what their rows in the table service hold.
+            self.owner.log_invalid_address(self.address)
+            self._on_connect_failed(None)
+            return
         host, port = parse_address(self.address)
         endpoint = HostnameEndpoint(
             self.owner.reactor,
@@ -159,6 +165,7 @@
         self.traffic = Traffic()
         self._core: AgentCore | None = None
         self._open_links: set[_Link] = set()
+        self._logged_addresses: set[str] = set()
         self._link_by_entry: dict[str, _Link] = {}
 
     @property
@@ -220,6 +227,14 @@
         self.core.directory.opened(link.address, link.entry_id)
         self.core.on_connected(link.entry_id)
 
+    def log_invalid_address(self, address: str) -> None:
+        """Log an address that cannot be dialled, once."""
+        logged = self._logged_addresses
+        if address not in logged and len(logged) < _MAX_LOGGED_ADDRESSES:
+            logged.add(address)
+            detail = 'invalid address: not host:port'
+            log_event(Event.PEER_ERROR, entry=address, detail=detail)
+
     def on_closed(self, link: _Link) -> None:
         """Remove a connection that was closed or could not be made."""
         if link not in self._open_links:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -101,6 +101,18 @@
     assert links.core.directory.members == (network.entry.identity.member,)
 
 
+@pytest.mark.parametrize(
+    'address', ['', 'a', 'a:', ':1', 'a:b', 'a:0', 'a:-1', 'a:70000', 'a: 1']
+)
+def test_invalid_address_keeps_no_other_from_being_dialled(
+    network, address, errors
+):
+    """Guards against an agent that connects to no entry any more."""
+    links = network.agent(seeds=(address, ADDRESS))
+    network.run(links, 20_000)
+    assert links.connected == 1 and len(errors) == 1
+
+
 @pytest.mark.parametrize(
     ('version', 'secret'),
     [(99, SECRET), (messages.PROTOCOL_VERSION, 'a wrong one')],
