Progress: the done tasks of a wide step can be recorded

Cause: the done tasks of a step are one integer in the progress row. From 14,285 tasks on it has more than the 4,300 digits that Python converts, so that writing the row raised ValueError in the owner's flush; a step may have 100,000 tasks.

Change: a bit set of over 14,000 bits is written as hexadecimal text, which has no such limit and takes 25 KB for 100,000 tasks. Rows with text that is no number are malformed as before.

Before: test_progress_of_any_step_can_be_stored fails with 14,300 and 100,000.

--- a/hyssopring/jobs/documents.py
+++ b/hyssopring/jobs/documents.py
@@ -22,9 +22,9 @@
 import functools
 import json
 from dataclasses import dataclass, field
-from typing import Any, Callable, Final, TypeVar
+from typing import Annotated, Any, Callable, Final, TypeVar
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import BeforeValidator, TypeAdapter, ValidationError
 
 from hyssopring.jobs.model import Job, JobState, is_task_name
 from hyssopring.jobs.rows import Row
@@ -52,6 +52,20 @@
 _MAX_EPOCH: Final = 10**12
 
 
+# Python reads and writes decimal integers of up to 4,300 digits. Smaller bit
+# sets stay decimal, as the previous release reads them.
+_MAX_DECIMAL_BITS: Final = 14_000
+_HEX_PREFIX: Final = '0x'
+
+
+def _from_hex(stored: Any) -> Any:
+    is_hex = isinstance(stored, str) and stored.startswith(_HEX_PREFIX)
+    return int(stored, 16) if is_hex else stored
+
+
+_BitSet = Annotated[int, BeforeValidator(_from_hex)]
+
+
 class MalformedRowError(Exception):
     """A row's text is not a valid document of its kind."""
 
@@ -89,7 +103,7 @@
     Attributes:
         state: A final state, or empty.
         done: By 'occurrence.step': the indices of the done tasks as a bit
-            set.
+            set; a long one is hexadecimal text in the row.
         failed: By 'occurrence.step.index': the numbers of the attempts that
             failed. Numbers, not a count: two owners may receive the same
             report, and the failure counts once.
@@ -97,7 +111,7 @@
     """
 
     state: str = ''
-    done: dict[str, int] = field(default_factory=dict)
+    done: dict[str, _BitSet] = field(default_factory=dict)
     failed: dict[str, list[int]] = field(default_factory=dict)
     ended_ms: float = 0
 
@@ -118,7 +132,9 @@
         return json.dumps(
             {
                 'state': self.state,
-                'done': self.done,
+                'done': {
+                    name: _bits_value(bits) for name, bits in self.done.items()
+                },
                 'failed': self.failed,
                 'ended_ms': self.ended_ms,
             },
@@ -325,6 +341,10 @@
         return _adapter(EntryRow).dump_json(self).decode()
 
 
+def _bits_value(bits: int) -> int | str:
+    return bits if bits.bit_length() <= _MAX_DECIMAL_BITS else hex(bits)
+
+
 def _parse(document_class: type[_Document], kind: str, text: str) -> _Document:
     try:
         document: _Document = _adapter(document_class).validate_json(text)
--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -260,6 +260,12 @@
     '{"state": "active"}',
     '{"done": {"0.0": -1}}',
     '{"done": {"0.0": "many"}}',
+    '{"done": {"0.0": "0xmany"}}',
+    '{"done": {"0.0": "-0x1"}}',
+    '{"done": {"0.0": "0x-1"}}',
+    '{"done": {"0.0": %s}}' % ('9' * 5000),
+    '{"ended_ms": %d}' % 10**400,
+    DEEP,
     '{"ended_ms": NaN}',
 )
 
@@ -289,6 +295,17 @@
     assert 1 <= len(errors) <= 4
 
 
+@pytest.mark.parametrize('count', [1, 14_000, 14_001, 14_300, 100_000])
+def test_progress_of_any_step_can_be_stored(count):
+    """Guards against an owner that cannot record the end of any task.
+
+    The integer of a step of 14,300 tasks has more digits than Python writes.
+    """
+    row = ProgressRow('', {'0.0': (1 << count) - 1})
+    text = row.to_text()
+    assert ProgressRow.from_text(text) == row and len(text) < 65_536
+
+
 def test_state_of_a_job_with_malformed_progress_is_unknown():
     deployment = settled()
     put(deployment, job_key(JOB.job_id), JobRow(JOB, 0).to_text())
