Configuration: a malformed head or item stops no follower

Cause: the rows of the configuration in the table service were read as they came. A head without a version, or with one of another type, raised an error in the callback of the read; the follower then counted as reading for good and applied no later version, also once the head was right again. One malformed item did the same to each new entry.

Change: the rows are validated.

--- a/hyssopring/configuration/follower.py
+++ b/hyssopring/configuration/follower.py
@@ -8,12 +8,13 @@
     HEAD_KEY,
     ITEM_PREFIX,
     LOG_PAGE_ROWS,
+    head_version,
     log_page_prefix,
     snapshot_of,
     log_update,
 )
 from hyssopring.configuration.state import ConfigurationState
-from hyssopring.errors import Failure
+from hyssopring.errors import ErrorKind, Failure
 from hyssopring.logs import Event, log_event
 from hyssopring.protocol.messages import ConfigurationUpdate
 from hyssopring.store import Row, Store
@@ -22,6 +23,7 @@
 
 # With a larger lag, reading all items is cheaper than reading the log.
 _MAX_LOG_LAG: Final = 5 * LOG_PAGE_ROWS
+_MALFORMED_HEAD: Final = 'malformed head of the configuration'
 _NO_HEAD: Final = Row(HEAD_KEY, 0, '', {'version': 0})
 
 HeadCallback = Callable[[Result[Row, Failure]], None]
@@ -46,6 +48,7 @@
         self._store = store
         self._on_update = on_update
         self._is_reading = False
+        self._logged_head_version = 0
         self._pending_callbacks: list[HeadCallback] = []
 
     def poll(self) -> None:
@@ -101,7 +104,13 @@
         self._advance(callbacks, head)
 
     def _advance(self, callbacks: list[HeadCallback], head: Row) -> None:
-        lag = head.document['version'] - self._state.version
+        version = head_version(head)
+        if version is None:
+            self._log_malformed(head)
+            failure = Failure(ErrorKind.STORE_UNAVAILABLE, _MALFORMED_HEAD)
+            self._finish(callbacks, Err(failure))
+            return
+        lag = version - self._state.version
         if lag <= 0:
             self._state.mark_current()
             self._finish(callbacks, Ok(head))
@@ -110,6 +119,11 @@
         else:
             self._read_log(callbacks, head)
 
+    def _log_malformed(self, head: Row) -> None:
+        if head.version != self._logged_head_version:
+            self._logged_head_version = head.version
+            log_event(Event.PEER_ERROR, peer=HEAD_KEY, detail=_MALFORMED_HEAD)
+
     def _read_log(self, callbacks: list[HeadCallback], head: Row) -> None:
         base = self._state.version
         self._store.read(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from hyssopring.configuration import ConfigurationState
+from hyssopring.configuration.follower import TableFollower
 from hyssopring.configuration.rows import log_key
 from hyssopring.errors import ErrorKind, RunState
 from hyssopring.protocol.messages import ConfigurationItem, ConfigurationUpdate
@@ -234,3 +235,52 @@
     assert not deployment.entry().core.configuration.is_known
     deployment.run(1000)
     assert deployment.entry().core.configuration.is_known
+
+
+def put_as_another_writer(deployment, key, document):
+    version = deployment.table.row(key)[1]
+    deployment.table.rows_by_key[key] = [key, version + 1, 'other', document]
+
+
+@pytest.mark.parametrize(
+    'document',
+    [{}, [], None, 7, {'version': None}, {'version': '3'}, {'version': -1}]
+    + [{'version': 10**400}, {'version': float('nan')}],
+    ids=lambda odd: str(odd)[:20],
+)
+def test_malformed_head_of_the_configuration_stops_no_follower(
+    document, errors
+):
+    """Guards against entries that get no later configuration.
+
+    The follower counted as reading for good.
+    """
+    deployment = deployment_with_teams(entries=2, agents=0)
+    good = deployment.table.row('configuration/head')[3]
+    put_as_another_writer(deployment, 'configuration/head', document)
+    deployment.run(5000)
+    assert len(errors) == 2, 'once in each entry'
+    put_as_another_writer(deployment, 'configuration/head', good)
+    deployment.run(5000)
+    deployment.configure('team/t1', team(2), expected=2)
+    deployment.run(5000)
+    for number in range(2):
+        state = deployment.entry(number).core.configuration
+        assert state.version == good['version'] + 1
+
+
+@pytest.mark.parametrize(
+    'document', [{}, [], 7, {'version': 'x', 'document': '{}'}], ids=str
+)
+def test_malformed_item_hides_no_other_from_a_new_entry(document):
+    deployment = deployment_with_teams(entries=1, agents=0)
+    before = deployment.entry(0).core.configuration
+    put_as_another_writer(deployment, 'configuration/item/odd', document)
+    state = ConfigurationState()
+    follower = TableFollower(
+        state, deployment.entry(0).store, lambda _update: None
+    )
+    follower.poll()
+    deployment.run(2000)
+    assert state.version == before.version
+    assert state.item('team/t1') == before.item('team/t1')
