Agents: a malformed response of the worker counts as none

Cause: a listing, or the response to a stop, that was no JSON or lacked a field raised an error in the callback of the call, so that the caller was never told: a listing was missing without a trace, and a stop had no end.

Change: it counts as no response, as a timeout does; the first of consecutive ones is logged.

--- a/hyssopring/agent/http_clients.py
+++ b/hyssopring/agent/http_clients.py
@@ -2,13 +2,15 @@
 
 import dataclasses
 import json
-from typing import Any, Callable, Mapping
+from typing import Any, Callable, Mapping, TypeVar
 
 from twisted.internet.error import ConnectError, ConnectionRefusedError
 
 from hyssopring.agent.calls import ResponseCallback
 from hyssopring.agent.worker import StopResponse, WorkerListing, WorkerTask
 from hyssopring.errors import ErrorKind
+from hyssopring.json_reader import read_json
+from hyssopring.logs import Event, log_event
 from hyssopring.outcomes import CallOutcome
 from hyssopring.protocol.messages import (
     CallRequest,
@@ -36,6 +38,9 @@
 _MAX_WORKER_CONNECTIONS = 2
 _OK = 200
 _CONFLICT = 409
+_MAX_LOGGED_DETAIL = 200
+
+_Parsed = TypeVar('_Parsed')
 
 
 class HttpBackendCaller:
@@ -114,6 +119,7 @@
         self._url = url.rstrip('/')
         self._session = session
         self._agent = pooled_agent(reactor, _MAX_WORKER_CONNECTIONS)
+        self._is_malformed = False
 
     def start(
         self,
@@ -154,7 +160,7 @@
                 'worker_boot': command.worker_boot,
                 'mode': mode.value,
             },
-            lambda response: done(_to_stop_response(response)),
+            lambda response: done(self._read(response, _stop_response_of)),
         )
 
     def throttle(self, task_id: str, share: float) -> None:
@@ -183,10 +189,33 @@
             timeout_ms=_WORKER_TIMEOUT_MS,
         )
         deferred.addCallbacks(
-            lambda response: done(_to_listing(response)),
+            lambda response: done(self._read(response, _listing_of)),
             lambda _reason: done(None),
         )
 
+    def _read(
+        self,
+        response: FetchedResponse | None,
+        parse: Callable[[Any], _Parsed],
+    ) -> _Parsed | None:
+        """Parse a response; a malformed one counts as none."""
+        if response is None or response.status != _OK:
+            return None
+        try:
+            parsed = parse(read_json(response.body))
+        except (ValueError, TypeError, LookupError) as error:
+            self._log_malformed(error)
+            return None
+        self._is_malformed = False
+        return parsed
+
+    def _log_malformed(self, error: Exception) -> None:
+        """Log the first of consecutive malformed responses."""
+        if not self._is_malformed:
+            self._is_malformed = True
+            detail = repr(error)[:_MAX_LOGGED_DETAIL]
+            log_event(Event.PEER_ERROR, peer='worker', detail=detail)
+
     def _post(
         self,
         path: str,
@@ -210,17 +239,11 @@
     return response.status == _OK
 
 
-def _to_stop_response(response: FetchedResponse | None) -> StopResponse | None:
-    if response is None or response.status != _OK:
-        return None
-    document = json.loads(response.body)
+def _stop_response_of(document: Any) -> StopResponse:
     return StopResponse(TaskPhase(document['phase']), document['checkpoint'])
 
 
-def _to_listing(response: FetchedResponse) -> WorkerListing | None:
-    if response.status != _OK:
-        return None
-    document = json.loads(response.body)
+def _listing_of(document: Any) -> WorkerListing:
     tasks = tuple(
         _to_worker_task(task_document) for task_document in document['tasks']
     )
--- a/tests/test_web_client.py
+++ b/tests/test_web_client.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 
+from hyssopring.agent import http_clients
 from hyssopring.store import client
 from hyssopring.web_client import (
     ResponseTimeoutError,
@@ -194,3 +195,31 @@
 ):
     """Guards against a call that never ends, which the queue waits for."""
     assert rows_read(clock, monkeypatch, body).is_err()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'\xff', b'[]', b'{}', b'7', DEEP.encode(), b'{"tasks": 7}']
+    + [b'{"boot": "b", "tasks": [7]}', b'{"boot": "b", "tasks": [{}]}'],
+    ids=short,
+)
+def test_malformed_listing_of_the_worker_counts_as_none(
+    clock, monkeypatch, body, errors
+):
+    """Guards against an agent that waits for a listing for good."""
+    requests, listings = [], []
+
+    def request(*_request):
+        requests.append(Deferred())
+        return requests[-1]
+
+    agent = SimpleNamespace(request=request)
+    monkeypatch.setattr(http_clients, 'pooled_agent', lambda *_how: agent)
+    worker = http_clients.HttpWorker(clock, 'http://worker:1', 's')
+    for _repetition in range(3):
+        response = Response()
+        worker.list(listings.append)
+        requests[-1].callback(response)
+        response.send(body)
+        response.end(ResponseDone())
+    assert listings == [None, None, None] and len(errors) == 1
