Leases: a malformed row of a shard stops no other shard

Cause: the shards' rows were read as they came. One row of another form raised an error in each poll of each entry: no entry took a free shard any more, also none of the others.

Change: a malformed row names an unknown holder, at the row's version as its epoch, which no former holder's is higher than. The entry that holds the shard drops it at its next poll; another takes it once the row is unchanged for takeover_ms. The row is logged once for each version.

--- a/hyssopring/leases/registry.py
+++ b/hyssopring/leases/registry.py
@@ -177,6 +177,13 @@
             return row.version > 0 and _parse(row) is None
         return entry.incarnation == incarnation
 
+    def record_malformed(self, row: Row) -> None:
+        """Log a row of another writer, once for each version."""
+        first_read = self._first_read_by_key.get(row.key)
+        if first_read is None or first_read.version != row.version:
+            self._record_first_read(row)
+            log_event(Event.PEER_ERROR, peer=row.key, detail='malformed row')
+
     def refresh(self, on_entries: EntriesCallback) -> None:
         """Renew this entry's row, then read all entries.
 
@@ -265,6 +272,8 @@
             return
         rows = answer.unwrap()
         for row in rows:
+            if _parse(row) is None:
+                self.record_malformed(row)
             self._record_first_read(row)
         entry_by_id = {
             row.key.removeprefix(_ENTRIES): entry
@@ -300,10 +309,6 @@
         if first_read is None or first_read.version != row.version:
             new_read = _FirstRead(row.version, self._clock.now())
             self._first_read_by_key[row.key] = new_read
-            if row.version and _parse(row) is None:
-                log_event(
-                    Event.PEER_ERROR, peer=row.key, detail='malformed entry'
-                )
 
     def _unchanged_ms(self, row: Row) -> float:
         first_read = self._first_read_by_key.get(row.key)
--- a/hyssopring/leases/shards.py
+++ b/hyssopring/leases/shards.py
@@ -8,9 +8,10 @@
 fails and it learns that it has lost its shards.
 """
 
-from dataclasses import dataclass
-from typing import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
+from typing import Annotated, Callable, Final, Mapping, Sequence
 
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Result
 
 from hyssopring.clock import Clock
@@ -22,6 +23,7 @@
     entry_key,
 )
 from hyssopring.logs import Event, log_event
+from hyssopring.numbers import MAX_EXACT_INTEGER
 from hyssopring.protocol.messages import EntryMember
 from hyssopring.store import (
     Check,
@@ -37,6 +39,8 @@
 
 _SHARDS = 'shards/'
 _KEY_DIGITS = 4
+# No entry has this id or incarnation.
+_UNKNOWN: Final = '?'
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +57,16 @@
     acquired_at: float
 
 
+class _Shard(BaseModel):
+    """The document of a shard's row."""
+
+    model_config = ConfigDict(strict=True)
+
+    holder: str
+    incarnation: str
+    epoch: Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
+
+
 def shard_key(shard: int) -> str:
     """Return the table key of a shard's row."""
     return f'{_SHARDS}{shard:0{_KEY_DIGITS}}'
@@ -175,7 +189,8 @@
         self._is_busy = False
         if answer.is_err() or not self.is_valid or self._is_released:
             return
-        row_by_key = {row.key: row for row in answer.unwrap()}
+        row_by_key = {row.key: self._checked(row) for row in answer.unwrap()}
+        self._drop_unknown(row_by_key)
         self._holders = tuple(
             _holder_id(row_by_key.get(shard_key(shard)))
             for shard in range(self._settings.shards)
@@ -193,6 +208,29 @@
             if self._take_or_hand_back(shard, row, holder, may_take_more):
                 return
 
+    def _checked(self, row: Row) -> Row:
+        """Return a shard's row; a malformed one names an unknown holder.
+
+        Its epoch is the row's version, which is at least as high as that of
+        any former holder: each took the shard by a write.
+        """
+        try:
+            _Shard.model_validate(row.document)
+        except ValidationError:
+            self._registry.record_malformed(row)
+            unknown = _Shard(
+                holder=_UNKNOWN, incarnation=_UNKNOWN, epoch=row.version
+            )
+            return replace(row, document=unknown.model_dump())
+        return row
+
+    def _drop_unknown(self, row_by_key: Mapping[str, Row]) -> None:
+        """Give up held shards whose rows another writer has overwritten."""
+        for shard in sorted(self._held_by_shard):
+            row = row_by_key.get(shard_key(shard))
+            if row is not None and row.document['holder'] == _UNKNOWN:
+                self.drop(shard, 'malformed row')
+
     def _take_or_hand_back(
         self,
         shard: int,
@@ -231,10 +269,13 @@
         holder with another incarnation holds nothing. As the entries were
         read before the shards, the holder may have registered in between;
         the transaction that takes the shard checks that the holder's row has
-        not changed since it was read.
+        not changed since it was read. An unknown holder finds in the meantime
+        that its row was overwritten.
         """
         if row is None or holder is None or self._is_own(row):
             return True
+        if row.document['holder'] == _UNKNOWN:
+            return self._registry.is_stale(row)
         return not self._registry.may_hold(holder, row.document['incarnation'])
 
     def _give_away(self, shard: int) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -202,3 +202,26 @@
     deployment.run(20_000)
     assert all_held_shards(deployment) == [0, 1, 2, 3]
     assert all(shards_by_entry(deployment).values())
+
+
+@pytest.mark.parametrize(
+    'document',
+    [{}, [], 7, {'holder': 'entry-0', 'incarnation': 'x', 'epoch': 10**400}],
+    ids=lambda odd: str(odd)[:30],
+)
+def test_malformed_row_of_a_shard_stops_no_other_shard(document, errors):
+    """Guards against shards that no entry takes because of one row."""
+    deployment = VirtualDeployment()
+    deployment.run(10_000)
+    key = 'shards/0001'
+    _key, version, _operation, good = deployment.table.row(key)
+    row = [key, version + 1, 'other', document]
+    deployment.table.rows_by_key[key] = row
+    deployment.entry(0).is_alive = False
+    deployment.run(5000)
+    assert 1 not in all_held_shards(deployment), 'an owner may still act'
+    deployment.run(25_000)
+    assert all_held_shards(deployment) == [0, 1, 2, 3]
+    held = deployment.entry(1).core.shards.get(1)
+    assert held.epoch > good['epoch']
+    assert len(errors) == 1
