Addresses: a host that no resolver takes is no address

Cause: the check of host:port in rows and messages looked at the port only. A label of over 63 characters, an empty label or half a surrogate pair makes the resolver raise UnicodeError in its thread, which Twisted reports as an unhandled error at each dial; the dial itself ended at its timeout. Digits of other scripts were taken for a port.

--- a/tests/test_border_rows.py
+++ b/tests/test_border_rows.py
@@ -120,8 +120,15 @@
     assert dialler.addresses == ['z:1']
 
 
-@pytest.mark.parametrize('address', ['', 'a', 'a:', 'a:b', ':1', 'a:70000'])
+@pytest.mark.parametrize(
+    'address',
+    ['', 'a', 'a:', ':1', 'a:b', 'a:0', 'a:-1', 'a:70000', 'a: 1', 'a:\u0663']
+    + ['a b:1', '\0:1', '\ud800:1', '\xe9:1', 'a..b:1', '..:1', '[]:1']
+    + ['x' * 64 + ':1', 'x.' * 127 + 'x:1', 'a:' + '9' * 5000],
+    ids=lambda odd: ascii(odd)[:20],
+)
 def test_invalid_address_is_not_dialled(address, errors):
+    """Guards against errors of the resolver at each dial."""
     dialler = LinkDialler(Reactor(), ManualClock(), None, None, None, None)
     for _repetition in range(3):
         dialler.add_addresses([address, 'b:1'])
