--- a/hyssopring/platform/advice.py
+++ b/hyssopring/platform/advice.py
@@ -19,6 +19,8 @@
 
 __all__ = ('PlatformAdvice', 'advice_client_for')
 
+_MALFORMED: Final = (KeyError, TypeError, ValueError, OverflowError)
+
 # One query is in flight at a time; a silent connection may still be open
 # beside the next one.
 _MAX_CONNECTIONS: Final = 2
@@ -81,7 +83,7 @@
             raise AdviceUnavailable(detail)
         try:
             return self._read_tickets(response.fields, boots)
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
+        except _MALFORMED as error:
             raise AdviceUnavailable(repr(error)) from error
 
     def _read_tickets(
