Owner: checks of the ownership that fail are repeated, and asked for less often

Found by review. A departure was forgotten if its one check failed: with the store away for 0.3 s a task of an agent that left waited 8.1 s for its lease to expire, 0.3 s before the ownership was checked. Departures wait in a class of their own until applied, and count from their first message. A check that failed in another way than the store's two (lost history) was the last one.

A report asks for a check only if something follows from it: an unheard agent, an attempt that it does not list. A check applies the timeouts only if one waits.

--- a/hyssopring/jobs/fleet.py
+++ b/hyssopring/jobs/fleet.py
@@ -21,11 +21,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentDeparture:
-    """An agent that shut down with no task left on its worker."""
+    """An agent that shut down with no task left on its worker.
+
+    Attributes:
+        at: When its newest message arrived.
+        first_at: When the first message of the same connection arrived.
+    """
 
     worker: Worker
     message: AgentLeft
     at: float
+    first_at: float
 
 
 class Fleet:
@@ -83,7 +89,10 @@
 
     def record_departure(self, worker: Worker, message: AgentLeft) -> None:
         """Record the shutdown of an agent whose worker runs no task."""
-        departed = AgentDeparture(worker, message, self._clock.now())
+        now_ms = self._clock.now()
+        known = self.departure_by_agent.get(worker.agent_id)
+        first_at = known.first_at if known else now_ms
+        departed = AgentDeparture(worker, message, now_ms, first_at)
         self.departure_by_agent[worker.agent_id] = departed
         if len(self.departure_by_agent) > _MAX_DEPARTED:
             self.departure_by_agent.pop(next(iter(self.departure_by_agent)))
--- a/hyssopring/jobs/owned_shard.py
+++ b/hyssopring/jobs/owned_shard.py
@@ -209,7 +209,7 @@
         return (
             is_listed
             and self.roster.may_grant(agent_id)
-            and self.ownership.is_confirmed_since(worker.connected_at)
+            and self.ownership.check_since(worker.connected_at)
         )
 
     def tick(self, fleet: Fleet) -> None:
@@ -237,9 +237,8 @@
             self._absences.grant_expires_at(agent_id),
             fleet.grant_expires_at(agent_id),
         )
-        return (
-            self._clock.now() > expires_at
-            and self.ownership.is_confirmed_since(expires_at)
+        return self._clock.now() > expires_at and self.ownership.check_since(
+            expires_at
         )
 
     def live_jobs(self) -> list[JobRecord]:
--- a/hyssopring/jobs/owner.py
+++ b/hyssopring/jobs/owner.py
@@ -132,6 +132,7 @@
         self._timeouts = OwnerTimeouts(
             clock, fleet, self.shards, self._reconciler.record_attempt_lost
         )
+        self._departures = self._reconciler.departures
         self._moves = TaskMover(
             clock,
             fleet,
@@ -178,22 +179,16 @@
         self.request_all_reports()
 
     def process_departed_agents(self) -> None:
-        """Apply the last messages of agents that have left.
-
-        An agent may have obeyed a successor of this owner until it left.
-        """
-        departures = list(self._fleet.departure_by_agent.values())
-        for owned in self.shards.by_shard.values():
-            for departed in departures if owned.is_loaded else ():
-                if owned.ownership.is_confirmed_since(departed.at):
-                    self._reconciler.handle_departed_agent(departed, owned)
+        """Apply the last messages of agents that have left."""
+        self._departures.add_all()
+        self._departures.apply()
 
     def on_ownership_checked(self) -> None:
         """Apply what waited for a check of the ownership."""
         self._timeouts.on_ownership_checked()
-        self.process_departed_agents()
+        self._departures.apply()
         for worker in self._fleet.by_agent.values():
-            if worker.awaits_check:
+            if worker.awaits_check and worker.is_connected:
                 worker.awaits_check = False
                 self._request_report(worker)
         self.schedule_planning()
@@ -338,7 +333,8 @@
                 ends=len(message.ends),
             )
         self._fleet.record_departure(worker, message)
-        self.process_departed_agents()
+        self._departures.add(worker.agent_id)
+        self._departures.apply()
         self.schedule_planning()
 
     def tick(self) -> None:
@@ -353,6 +349,7 @@
         if self._rebalancer is not None:
             self._rebalancer.tick(self._may_act())
         self._timeouts.tick()
+        self._departures.apply()
         self.learning.retain_agents(self._fleet.by_agent)
         self._add_to_roster()
         self._ticket_manager.check()
--- a/hyssopring/jobs/owner_timeouts.py
+++ b/hyssopring/jobs/owner_timeouts.py
@@ -27,6 +27,8 @@
         self._shards = shards
         self._on_expired = on_expired
         self._stall_detector = StallDetector(clock)
+        # Whether an expired attempt waits for a check of the ownership.
+        self._has_unchecked = False
 
     def tick(self) -> None:
         """Apply the timeouts; call a few times a second."""
@@ -35,10 +37,14 @@
 
     def on_ownership_checked(self) -> None:
         """Apply the timeouts that waited for a check of the ownership."""
-        if self._stall_detector.is_timely:
+        is_waiting = self._has_unchecked or any(
+            owned.unreported for owned in self._shards.by_shard.values()
+        )
+        if is_waiting and self._stall_detector.is_timely:
             self._apply()
 
     def _apply(self) -> None:
+        self._has_unchecked = False
         now_ms = self._clock.now()
         for worker in self._fleet.by_agent.values():
             if worker.placed_by_task and self._has_expired(worker, now_ms):
@@ -51,8 +57,10 @@
         """Expire the attempts whose leases no successor can have renewed."""
         for placed in list(worker.placed_by_task.values()):
             owned = self._shards.by_shard[shard_of(placed.name.job_id)]
-            if owned.ownership.is_confirmed_since(worker.grant_expires_at):
+            if owned.ownership.check_since(worker.grant_expires_at):
                 self._on_expired(worker, placed, 'lapsed')
+            else:
+                self._has_unchecked = True
 
     def _has_expired(self, worker: Worker, now_ms: float) -> bool:
         """Whether no grant of this owner or a former one is valid.
--- a/hyssopring/jobs/ownership.py
+++ b/hyssopring/jobs/ownership.py
@@ -52,10 +52,11 @@
         """Record that a read sent at ``sent_at`` showed this owner."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
-    def is_confirmed_since(self, at: float) -> bool:
+    def check_since(self, at: float) -> bool:
         """Return whether no other owner can have acted until ``at``.
 
-        If that is unknown, request a check; ask again when it has succeeded.
+        If that is unknown, request a read of the owner row; call again when it
+        has succeeded. It may fail, so call again periodically as well.
         """
         if self._confirmed_at >= at:
             return True
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -4,6 +4,7 @@
 
 from hyssopring.clock import Clock
 from hyssopring.jobs.crash_suspects import TRIAL_MS, CrashSuspects
+from hyssopring.jobs.departures import Departures
 from hyssopring.jobs.end_observers import EndObservers
 from hyssopring.jobs.fleet import AgentDeparture, Fleet, PlacedAttempt, Worker
 from hyssopring.jobs.found_tasks import FoundTasks
@@ -57,7 +58,11 @@
 
 
 class ReportReconciler:
-    """Applies agents' reports to the jobs of the owned shards."""
+    """Applies agents' reports to the jobs of the owned shards.
+
+    Attributes:
+        departures: The departures of agents that are to be applied.
+    """
 
     def __init__(
         self,
@@ -87,6 +92,7 @@
         self._seen_ends = SeenEnds(clock)
         self._unknown_jobs = UnknownJobs(clock)
         self._found_tasks = FoundTasks()
+        self.departures = Departures(fleet, shards, self._apply_departure)
 
     def forget(self, shard: int) -> None:
         """Discard the state of a shard that is no longer owned."""
@@ -137,10 +143,11 @@
             # An attempt that is not listed may have ended as done.
             return
         self._drop_unlisted(worker, report, owned)
-        if self._is_proof(worker, None, owned):
+        is_unreported = worker.agent_id in owned.unreported
+        if is_unreported and self._is_process_known(worker, owned):
             owned.unreported.discard(worker.agent_id)
 
-    def handle_departed_agent(
+    def _apply_departure(
         self, departed: AgentDeparture, owned: OwnedShard
     ) -> None:
         """Apply the last message of an agent whose worker runs nothing.
@@ -174,20 +181,27 @@
     def _is_proof(
         self, worker: Worker, placed: PlacedAttempt | None, owned: OwnedShard
     ) -> bool:
-        """Return whether an agent's report proves how an attempt ended.
+        """Return whether a report proves how an attempt ended.
 
-        A process of the agent that has ended since may have obeyed a successor
-        of this owner, which knows more of the task. The present one has obeyed
-        this owner if it received the start from it.
+        An agent that received the start on its present connection has obeyed
+        this owner then.
 
         Args:
-            placed: The attempt, None for any attempt.
+            placed: The attempt, None if it is unknown.
         """
         if placed is not None and placed.start_index:
             return True
-        is_proof = owned.ownership.is_confirmed_since(worker.connected_at)
-        worker.awaits_check = worker.awaits_check or not is_proof
-        return is_proof
+        return self._is_process_known(worker, owned)
+
+    def _is_process_known(self, worker: Worker, owned: OwnedShard) -> bool:
+        """Return whether no successor can have heard the agent before.
+
+        A process that the agent had before this connection may have obeyed a
+        successor, which knows more of the agent's tasks.
+        """
+        is_known = owned.ownership.check_since(worker.connected_at)
+        worker.awaits_check = worker.awaits_check or not is_known
+        return is_known
 
     def _drop_unlisted(
         self,
@@ -200,12 +214,13 @@
             (task, placed)
             for task, placed in worker.placed_by_task.items()
             if shard_of(placed.name.job_id) == owned.shard
+            and (task not in listed or placed.boot != report.boot)
             and self._is_proof(worker, placed, owned)
         ]
         for task, placed in ordered:
             if placed.boot != report.boot:
                 self.record_attempt_lost(worker, placed, 'worker replaced')
-            elif task not in listed and worker.has_received(placed, report):
+            elif worker.has_received(placed, report):
                 # The worker may not have responded to the start; avoid it as
                 # after a refusal.
                 worker.refused_at = self._clock.now()
@@ -226,7 +241,7 @@
             return
         placed = worker.placed_by_task.get(attempt_report.task)
         if placed is None or placed.attempt < attempt_report.attempt:
-            if not self._is_proof(worker, None, owned):
+            if not self._is_process_known(worker, owned):
                 # A successor may have started it; it must not be stopped.
                 return
             placed = self._adopt(worker, boot, attempt_report, record)
--- a/hyssopring/jobs/shard_reader.py
+++ b/hyssopring/jobs/shard_reader.py
@@ -122,7 +122,8 @@
         if not self._is_checking and not self._rows.is_dropped:
             self._is_checking = True
             checking = self._is_owner()
-            checking.addCallbacks(self._on_checked, self._on_check_failed)
+            checking.addCallback(self._on_checked)
+            checking.addErrback(self._on_check_failed)
 
     @inlineCallbacks
     def look_up(self, job_id: str, on_read: Callable[[bool], None]) -> Any:
@@ -250,8 +251,8 @@
             self._rows.on_ownership_checked()
 
     def _on_check_failed(self, failure: TwistedFailure) -> None:
-        failure.trap(StoreRefused, StoreUncertain)
         self._is_checking = False
+        failure.trap(StoreRefused, StoreUncertain, HistoryLost)
 
     def _on_poll_failed(self, failure: TwistedFailure) -> None:
         self._is_polling = False
--- a/tests/test_jobs_resumed_owners.py
+++ b/tests/test_jobs_resumed_owners.py
@@ -6,6 +6,7 @@
 
 import pytest
 from owner_support import (
+    STEP_S,
     busy_worker,
     deploy_three_workers,
     idle_worker,
@@ -14,8 +15,12 @@
     start_job,
     suspend,
 )
+from twisted.internet.defer import fail
 
+from hyssopring.jobs.messages import AgentLeft
 from hyssopring.jobs.model import AttemptEnd
+from hyssopring.jobs.rows import HistoryLost
+from standins.jobs.deployment import starts_of
 
 
 @pytest.mark.parametrize('seconds', [7, 7.5, 8, 8.5])
@@ -34,6 +39,12 @@
     deployment.run(25)
 
 
+def end_as_done(worker):
+    """End all runs on a worker as done."""
+    for run in list(worker.runs.values()):
+        worker.end(run, AttemptEnd.DONE)
+
+
 def isolate(deployment, entry):
     """Cut an entry off from the store and its peers; agents reach it."""
     run_until_confirmed(deployment, entry)
@@ -61,8 +72,7 @@
     run_until_taken(deployment, [successor])
     deployment.run(0.5)
     worker = deployment.workers[runs_at]
-    for run in list(worker.runs.values()):
-        worker.end(run, AttemptEnd.DONE)
+    end_as_done(worker)
     deployment.run(0.5)
     assert not worker.ends
     return deployment, former, successor, runs_at
@@ -152,3 +162,119 @@
     suspend(deployment, waiting, 7.5)
     run_until_taken(deployment, [successor])
     deployment.run(25)
+
+
+def test_a_restarted_agent_ends_no_wait_of_a_former_owner():
+    """Guards against a second run of an inherited task that is done.
+
+    The owner waits for an agent that its successor has heard. The agent's next
+    process reaches this owner first and lists nothing.
+    """
+    deployment, former, others = deploy_three_workers(entries=3)
+    start_job(deployment, former)
+    runs_at = busy_worker(deployment)
+    agent = deployment.agents[f'agent-{runs_at}']
+    for entry in others:
+        deployment.block(agent.name, entry.name)
+    former.has_peers = False
+    former.core.release()
+    waiting = run_until_taken(deployment, others)
+    successor = next(entry for entry in others if entry is not waiting)
+    deployment.block(f'agent-{idle_worker(deployment)}', successor.name)
+    deployment.blocked.discard((agent.name, successor.name))
+    former.is_alive = False
+    deployment.kill_entry(former.name)
+    deployment.run(0.2)
+    isolate(deployment, waiting)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.5)
+    end_as_done(deployment.workers[runs_at])
+    deployment.run(0.5)
+    deployment.kill_agent(agent.name)
+    deployment.blocked.add((agent.name, successor.name))
+    deployment.blocked.discard((agent.name, waiting.name))
+    deployment.run(0.1)
+    deployment.start_agent(agent.name, deployment.workers[runs_at])
+    deployment.run(25)
+
+
+def test_a_former_owner_stops_no_attempt_of_its_successor():
+    """Guards against the end of a sound run by an owner with an older picture.
+
+    For the former owner the task still runs elsewhere. The agent of the next
+    attempt is restarted and reaches the former owner first.
+    """
+    deployment, former, (successor,) = deploy_three_workers()
+    start_job(deployment, former)
+    failing = busy_worker(deployment)
+    isolate(deployment, former)
+    run_until_taken(deployment, [successor])
+    deployment.run(0.5)
+    deployment.workers[failing].is_leaving = True
+    deployment.agents[f'agent-{failing}'].beat()
+    deployment.run(0.2)
+    deployment.workers[failing].fail_all()
+    deployment.run(0.6)
+    runs_at = busy_worker(deployment)
+    agent = deployment.agents[f'agent-{runs_at}']
+    deployment.kill_agent(agent.name)
+    deployment.blocked.add((agent.name, successor.name))
+    deployment.run(0.1)
+    deployment.start_agent(agent.name, deployment.workers[runs_at])
+    for _step in range(100):
+        deployment.run(STEP_S)
+        assert deployment.workers[runs_at].runs
+
+
+@pytest.mark.parametrize('outage_s', [0, 0.3, 1])
+def test_a_departure_is_applied_once_the_store_answers_again(outage_s):
+    """Guards against a task that waits for a lease of an agent that left.
+
+    The agent is gone before the ownership could be confirmed.
+    """
+    deployment, former, _others = deploy_three_workers()
+    job = start_job(deployment, former)
+    number = busy_worker(deployment)
+    worker = deployment.workers[number]
+    boot = worker.boot
+    worker.crash()
+    worker.is_unresponsive = True
+    if outage_s:
+        deployment.rows.rejected_clients.update(deployment.entries)
+    former.core.handle_message(AgentLeft(boot, []), f'agent-{number}')
+    deployment.kill_agent(f'agent-{number}')
+    deployment.run(outage_s)
+    deployment.rows.rejected_clients.clear()
+    deployment.run(1)
+    assert len(starts_of(deployment, job)) == 2
+
+
+def test_a_read_confirms_the_ownership_as_of_its_sending():
+    """Guards against an answer that is older than the evidence it confirms."""
+    deployment, former, _others = deploy_three_workers()
+    (owned,) = former.core.owner.shards.by_shard.values()
+    run_until_confirmed(deployment, former)
+    deployment.rows.pauses = lambda: (0, 1)
+    deployment.run(0.5)
+    asked_ms = former.clock.now()
+    assert not owned.ownership.check_since(asked_ms)
+    deployment.run(0.9)
+    assert not owned.ownership.check_since(asked_ms)
+    deployment.run(0.2)
+    assert owned.ownership.check_since(asked_ms)
+    assert not owned.ownership.check_since(asked_ms + 500)
+
+
+def test_a_check_of_the_ownership_that_fails_is_repeated():
+    """Guards against an owner that never expires an attempt again."""
+    deployment, former, _others = deploy_three_workers()
+    (owned,) = former.core.owner.shards.by_shard.values()
+    store = owned._reader._store
+    read_one, store.read_one = store.read_one, lambda place: fail(HistoryLost())
+    assert not owned.ownership.check_since(former.clock.now())
+    deployment.run(0.1)
+    store.read_one = read_one
+    asked_ms = former.clock.now()
+    assert not owned.ownership.check_since(asked_ms)
+    deployment.run(0.1)
+    assert owned.ownership.check_since(asked_ms)
