--- a/standins/jobs/held_links.py
+++ b/standins/jobs/held_links.py
@@ -31,6 +31,17 @@
         pair = (sender, receiver)
         self._held_until[pair] = max(until, self._held_until.get(pair, 0))
 
+    def is_held(self, one, other):
+        """Whether messages between two processes are held back now."""
+        held = (self._held_until.get(pair, 0) for pair in _ways(one, other))
+        return max(held) > self._seconds()
+
+    def reopen(self, one, other):
+        """Forget what is held back, as a new connection has its own order."""
+        for pair in _ways(one, other):
+            self._held_until.pop(pair, None)
+            self._arrival_by_pair.pop(pair, None)
+
     def heal_all(self):
         super().heal_all()
         self._held_until.clear()
@@ -48,3 +59,7 @@
         )
         held_s = max(0, held_until - self._seconds())
         return held_s + super()._delay_s(sender, receiver)
+
+
+def _ways(one, other):
+    return (one, other), (other, one)
--- a/standins/jobs/suspended_days.py
+++ b/standins/jobs/suspended_days.py
@@ -5,6 +5,8 @@
 is slow, and agents that its successor does not reach.
 """
 
+import itertools
+
 from hyssopring.logs import _emit, listen_to_events
 from standins.jobs.held_links import HeldLinks
 from standins.jobs.outage_days import CutVmDay
@@ -336,6 +338,11 @@
         self._later(0.5, 4, self._agent_back, name)
 
     def _heal(self):
+        agents, entries = self.deployment.agents, self.deployment.entries
+        for pair in itertools.product(agents, entries):
+            if self.links.is_held(*pair):
+                self.deployment.time_out(*pair)
+                self.links.reopen(*pair)
         super()._heal()
         self.deployment.blocked.clear()
         for entry in self.deployment.entries.values():
