--- a/soak/platform/owner_pauses.py
+++ b/soak/platform/owner_pauses.py
@@ -17,7 +17,7 @@
 CRITICAL_PAUSE_S = (7, 9.2)
 # How long the faults of links outlast the pause.
 LINK_FAULT_S = (1, 6)
-# Time from the start of a pause until a successor has the shard.
+# Time from the loss of an owner until a successor has the shard.
 TAKEOVER_S = 4.5
 PAUSES_APART_S = (2, 5)
 RESTART_S = (0, 4)
@@ -62,11 +62,11 @@
         fleet: The programs that may be affected.
     """
     series = _Series(rng, fleet)
-    at = 0
+    at = TAKEOVER_S
     for _index in range(count):
         at = series.draw(at) + rng.uniform(*PAUSES_APART_S)
     in_order = sorted(series.events, key=lambda event: event.at)
-    return OwnerPauses(tuple(in_order), at)
+    return OwnerPauses(tuple(in_order), at if in_order else 0)
 
 
 class _Series:
