--- a/tests/fairness_support.py
+++ b/tests/fairness_support.py
@@ -66,6 +66,8 @@
         recorder = self.deployment.run_recorder
         recorder.most_failures[job.job_id] = queue.max_attempts
         recorder.sizes[job.job_id] = job.steps[0].reserved_size
+        if job.steps[0].is_keeper:
+            recorder.keepers.update(map(str, job.tasks(0, 0)))
         self.owner.shards.accept(row)
         return job
 
