Tests: an urgent start that outlives its lease, own interface; known failure

PreemptionQueue.start_ready reserves before it looks at the deadline, so that a start that waited for room while the VM was suspended starts under the next lease. No product code is changed.

--- a/tests/test_making_room.py
+++ b/tests/test_making_room.py
@@ -102,6 +102,22 @@
     assert worker.started == ['ocr']
 
 
+def test_urgent_task_does_not_start_under_a_later_lease():
+    """Guards against a second run of a task that was placed anew meanwhile.
+
+    The VM is suspended beyond its lease while the urgent start waits. The next
+    grant arrives before the preempted task's end.
+    """
+    supervisor, worker, clock, _, _ = task_supervisor(
+        start_command('ocr', 2, 16)
+    )
+    supervisor.on_start(start_command('farrier', 9, 6))
+    clock.advance(20_000)
+    supervisor.on_grant(LeaseGrant(1, 1, 15_000, 60_000), clock.now())
+    worker.stopping['ocr']('70')
+    assert worker.started == ['ocr']
+
+
 def test_task_cancelled_during_preemption_releases_its_resources():
     """An urgent task is cancelled while it waits for a preempted task.
 
