Tests: a late start of a former agent after a step of the time of day

Fences are based on the time of day. A start sent after the fence was raised, while the poll that raised it has no answer, may be the only request with its fence. If the agent is killed and the time of day has stepped back when the next one begins, that one's fence is lower; the worker accepts it, since it has seen no higher one, and carries the start out later. The owner has counted the attempt as 'not listed' by then and started the task elsewhere.

In the stand-ins each process has a time of day of its own now.

--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -29,6 +29,8 @@
             follow the operator's rows.
         options: The optional parts of scheduling; None for none of them.
         zone_by_entry: The availability zones of entries by name.
+        skew_ms_by_process: How far the time of day of a process's VM is
+            ahead, by its name.
     """
 
     step_s = STEP_S
@@ -48,6 +50,7 @@
         self.options = options
         self.zone_by_entry = dict(zone_by_entry)
         self.cores_by_entry = dict(cores_by_entry)
+        self.skew_ms_by_process = {}
         self.zones = zones
         self.zone_by_agent = {
             f'agent-{number}': zone
@@ -101,6 +104,11 @@
     def wall_ms(self):
         return WALL_MS + self.reactor.seconds() * MILLIS_PER_SECOND
 
+    def wall_clock(self, name):
+        """Return a process's clock for the time of day."""
+        skews = self.skew_ms_by_process
+        return lambda: self.wall_ms() + skews.get(name, 0)
+
     def start_entry(self, name):
         self.entries[name] = Entry(self, name, str(next(self._incarnations)))
 
--- a/standins/jobs/processes.py
+++ b/standins/jobs/processes.py
@@ -109,7 +109,7 @@
         self.core = JobEntryCore(
             self.reactor,
             self.clock,
-            deployment.wall_ms,
+            deployment.wall_clock(name),
             client,
             self.membership,
             self,
@@ -216,7 +216,7 @@
             self.clock,
             WorkerLink(self.port, self.reactor),
             self.send,
-            deployment.wall_ms,
+            deployment.wall_clock(name),
             RosterWithdrawal(
                 self.clock, deployment.rows.client(name, self.reactor), name
             ),
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -61,6 +61,7 @@
         ready_s: The time from the start of a keeper's task until it shows 100%.
         load_of: Returns the load that a listing shows for a task.
         announces_born: Whether it announces its start time.
+        late_start_count: The number of starts that were carried out late.
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         self.ready_s = 0
         self.load_of = lambda task: 0
         self.advice = None
+        self.late_start_count = 0
         self.begin()
 
     def begin(self):
@@ -272,8 +274,10 @@
     def _carry_out_if_current(self, boot, action):
         if boot == self.boot and not self.is_down:
             self.settle()
+            started = len(self.run_recorder.starts)
             with contextlib.suppress(WorkerUnreachable):
                 action()
+            self.late_start_count += len(self.run_recorder.starts) - started
 
     def _call(self, boot, action, timeout_s=TIMEOUT_S):
         if self.is_unresponsive:
