Tests: late starts after clock steps, on workers that reject or answer polls

A worker that gets a poll with too low a fence may reject it or list its attempts all the same; the stand-in does the latter unless told otherwise.

If the worker answers the poll, the next agent does not raise its fence until a start is rejected, and a late start breaks the rule also if its fence was seen.

--- a/tests/test_jobs_clock_steps.py
+++ b/tests/test_jobs_clock_steps.py
@@ -42,46 +42,80 @@
     return lost
 
 
-def restart_with_start_in_flight(ahead_ms, then_ms):
-    """Restart an agent whose last start order is carried out late.
-
-    The fence was raised after the poll before the order. That poll has no
-    answer yet, so no other request with the same fence has been sent.
+def deploy_two_workers(lists_when_fenced):
+    """Return a deployment whose second worker refuses all starts.
 
     Args:
-        ahead_ms: How far the time of day is ahead when the order is sent.
-        then_ms: How far it is ahead from the restart on.
+        lists_when_fenced: Whether workers answer a poll with a low fence.
     """
     deployment = settled(workers=2, entries=1, work_ms=lambda task: 4000)
-    deployment.skew_ms_by_process['agent-0'] = ahead_ms
+    for worker in deployment.workers:
+        worker.answers_when_fenced = lists_when_fenced
+    deployment.workers[1].is_unhealthy = True
+    return deployment
+
+
+def restart_with_start_in_flight(deployment, number, then_ms):
+    """Restart an agent whose last start order is carried out late.
+
+    Args:
+        number: The number of the job whose start is late.
+        then_ms: How far the time of day is ahead from the restart on.
+    """
     former, other = deployment.workers
-    other.is_unhealthy = True
-    deployment.submit(a_job(1, ((1, ()),)))
-    run_until(deployment, lambda: former.runs)
-    lost = lose_acknowledgement(former)
-    run_until(deployment, lambda: lost)
     former.lose_next, former.late_s = 1, LATE_S
-    deployment.submit(a_job(2, ((1, ()),)))
+    deployment.submit(a_job(number, ((1, ()),)))
     run_until(deployment, lambda: not former.lose_next)
     deployment.kill_agent('agent-0')
     deployment.skew_ms_by_process['agent-0'] = then_ms
     other.is_unhealthy = False
     deployment.run(AWAY_S)
     deployment.start_agent('agent-0', former)
-    return deployment
 
 
+@pytest.mark.parametrize('lists_when_fenced', [False, True])
 @pytest.mark.parametrize(
     ('ahead_ms', 'then_ms'),
     [(0, 0), (0, -STEP_MS), (STEP_MS, 0), (0, -LONG_STEP_MS)],
 )
-def test_a_late_start_of_a_former_agent_runs_no_task_twice(ahead_ms, then_ms):
+def test_a_late_start_with_an_unseen_fence_runs_no_task_twice(
+    ahead_ms, then_ms, lists_when_fenced
+):
     """Guards against a task that runs twice as a start is carried out late.
 
-    The next agent's fence is below that of the start, as the time of day has
-    stepped back. It does not list the attempt, so the owner counts it as ended
-    and starts the task elsewhere.
+    The fence was raised after the poll before the start. That poll has no
+    answer yet, so the worker has seen no request with that fence. As the time
+    of day has stepped back, it accepts the next agent's lower one, at once or
+    after it was raised. That agent does not list the attempt, so the owner
+    counts it as ended and starts the task elsewhere.
     """
-    deployment = restart_with_start_in_flight(ahead_ms, then_ms)
+    deployment = deploy_two_workers(lists_when_fenced)
+    deployment.skew_ms_by_process['agent-0'] = ahead_ms
+    former = deployment.workers[0]
+    deployment.submit(a_job(1, ((1, ()),)))
+    run_until(deployment, lambda: former.runs)
+    lost = lose_acknowledgement(former)
+    run_until(deployment, lambda: lost)
+    restart_with_start_in_flight(deployment, 2, then_ms)
     deployment.run(20)
     assert deployment.state(f'{2:016x}') is JobState.COMPLETED
+
+
+@pytest.mark.parametrize('lists_when_fenced', [False, True])
+@pytest.mark.parametrize('then_ms', [0, -STEP_MS])
+def test_a_late_start_with_a_seen_fence_runs_no_task_twice(
+    then_ms, lists_when_fenced
+):
+    """Guards against a task that runs twice as a start is carried out late.
+
+    The next agent's fence is too low, as the time of day has stepped back. If
+    the worker lists its attempts all the same, the agent does not raise it.
+    """
+    deployment = deploy_two_workers(lists_when_fenced)
+    monitor = deployment.agents['agent-0'].core.monitor
+    monitor.fences.advance()
+    deployment.run(0.6)
+    assert deployment.workers[0].fence == monitor.fences.current
+    restart_with_start_in_flight(deployment, 1, then_ms)
+    deployment.run(20)
+    assert deployment.state(f'{1:016x}') is JobState.COMPLETED
