--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -16,6 +16,7 @@
 
 from soak.platform.owner_pauses import FAULTS_PER_PAUSE_S
 from soak.platform.plan import draw_plan
+from soak.platform.promises import COUNTABLE_PROMISES
 from standins.programs import ROOT
 
 # Seeds that failed before, with the s of faults and the reason. If the drawing
@@ -53,6 +54,15 @@
     parser.add_argument(
         '--owner-pauses', type=int, help='how many follow the other faults'
     )
+    parser.add_argument(
+        '--go-on',
+        action='append',
+        default=[],
+        choices=COUNTABLE_PROMISES,
+        metavar='PROMISE',
+        help='count violations of this promise and look for others: '
+        + ', '.join(COUNTABLE_PROMISES),
+    )
     parser.add_argument(
         '--keep', action='store_true', help='the logs of a good seed, too'
     )
@@ -70,7 +80,7 @@
     plan = draw_plan(
         options.seed, options.seconds, options.agents, options.owner_pauses
     )
-    run = Run(plan, folder)
+    run = Run(plan, folder, options.go_on)
     broken = run.play()
     print(run.summary(), flush=True)
     if not (broken or options.keep):
@@ -91,6 +101,8 @@
         command += ['--agents', str(options.agents)]
     if options.owner_pauses is not None:
         command += ['--owner-pauses', str(options.owner_pauses)]
+    for promise in options.go_on:
+        command += ['--go-on', promise]
     if options.keep:
         command += ['--keep']
     pauses = options.owner_pauses or seconds // FAULTS_PER_PAUSE_S
--- a/soak/platform/callers.py
+++ b/soak/platform/callers.py
@@ -20,6 +20,7 @@
 
 from hyssopring.errors import ANSWERS_BY_KIND, ErrorKind, RunState
 from hyssopring.jobs.model import AttemptEnd, Size
+from soak.platform.promises import COMPLETED_STAYS
 from soak.platform.world import HOST_NAME
 
 # An entry responds within 3 s; a paused one does not respond.
@@ -74,9 +75,10 @@
     Attributes:
         waiting: Ids of jobs with an open submission.
         broken: Violations, one line each.
+        counted: Violations of the promises in ``go_on``, one line each.
     """
 
-    def __init__(self, world):
+    def __init__(self, world, go_on=()):
         self.world = world
         self.run_recorder = world.run_recorder
         ports = world.front_ports
@@ -90,6 +92,8 @@
         self.refused = set()
         self.completed = set()
         self.broken = []
+        self.go_on = frozenset(go_on)
+        self.counted = []
         self.is_over = False
 
     def start(self):
@@ -202,10 +206,15 @@
         if status == 410 or state in {'failed', 'cancelled'}:
             self.broken.append(f'accepted {job_id} is told as {status} {state}')
         elif status == 200 and was_completed and state != 'completed':
-            self.broken.append(f'{job_id} was completed and is {state}')
+            self._add(COMPLETED_STAYS, f'{job_id} was completed and is {state}')
         elif state == 'completed':
             self.completed.add(job_id)
 
+    def _add(self, promise, line):
+        lines = self.counted if promise in self.go_on else self.broken
+        if line not in lines:
+            lines.append(line)
+
 
 def _is_not_run(fields):
     answer = ANSWERS_BY_KIND[ErrorKind.from_wire(fields.get('error', ''))]
--- /dev/null
+++ b/soak/platform/promises.py
@@ -0,0 +1,4 @@
+"""Promises whose violations a run may count without ending."""
+
+COMPLETED_STAYS = 'completed-stays'
+COUNTABLE_PROMISES = (COMPLETED_STAYS,)
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -42,6 +42,8 @@
 class Run:
     """Plays a plan.
 
+    Violations of the promises in ``go_on`` do not end the run.
+
     Attributes:
         broken: Violations, one line each.
         happened: Times in s and texts of the events so far.
@@ -50,11 +52,11 @@
         keepers_s: Time after the faults until all keepers ran.
     """
 
-    def __init__(self, plan, folder):
+    def __init__(self, plan, folder, go_on=()):
         self.plan = plan
         self.folder = folder
         self.world = World(plan, folder)
-        self.callers = Callers(self.world)
+        self.callers = Callers(self.world, go_on)
         self.stability = StabilityMonitor(self.world)
         self.monitor = KeeperMonitor(self.world, self.callers, self.stability)
         self.broken = []
@@ -118,7 +120,7 @@
             self.broken.append(traceback.format_exc())
         finally:
             # A missed task doesn't end the run: others may be missed as well.
-            self.broken += self.monitor.missed
+            self.broken += self.monitor.missed + self.callers.counted
             self.is_over = self.callers.is_over = True
             self.world.close()
             reactor.stop()
--- a/tests/test_soak_platform.py
+++ b/tests/test_soak_platform.py
@@ -27,6 +27,7 @@
     _fleet,
     draw_plan,
 )
+from soak.platform.promises import COMPLETED_STAYS
 from soak.platform.rollouts import REPLACED
 from standins.jobs.run_recorder import Run
 from standins.jobs.rows import MemoryRows
@@ -104,6 +105,23 @@
     assert callers.check() == ['a was refused and has started']
 
 
+def test_a_counted_violation_does_not_end_the_run(watched):
+    """Guards what follows a violation that is counted; it is still told."""
+    from soak.platform.callers import Callers
+
+    strict = Callers(watched.world)
+    counting = Callers(watched.world, [COMPLETED_STAYS])
+    for callers in (strict, counting):
+        for _answer in range(2):
+            callers._on_state('a', True, 200, {'state': 'active'})
+    assert (
+        strict.check() == counting.counted == ['a was completed and is active']
+    )
+    assert counting.check() == strict.counted == []
+    counting._on_state('a', False, 410, {})
+    assert counting.check()
+
+
 def test_losses_of_machines_leave_other_faults_as_they_are():
     """Guards old seeds: losses must not change the drawing of other faults."""
     seeds = [seed for seed in range(40) if 'heal' not in _names(seed)]
