Agent: a start is not repeated once the lease that covered it has expired

What callers saw: a task that runs twice at the same time (TWICE).

Cause: an agent checked the lease of a shard when a start order arrived, and not when it sent the start to its worker again. Suspended for longer than its lease while the worker had not answered, it kept the attempt; as it resumed, the next grant came before the stop, which the owner sends only once a read has confirmed its ownership, and the next try was carried out. The owner had counted the attempt as lapsed after 8.36 s and started the task elsewhere. Class: authority from before a suspension is used after it.

Change: a lease has a term, which ends when it expires, even if a later grant extends it. A start is sent only in the term in which it was accepted; otherwise the attempt is stopped, which also voids copies in flight.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -100,7 +100,14 @@
             self.monitor,
             self.table,
             self._start_refused,
-            lambda: not self.own_zone.is_evacuated,
+            lambda attempt: (
+                not (
+                    self.own_zone.is_evacuated
+                    or self._leases.has_lapsed(
+                        attempt.shard, attempt.lease_term, clock.now()
+                    )
+                )
+            ),
         )
         self._pacer = Pacer(clock, self._orders.set_pace)
         self._ends = EndTable()
@@ -187,6 +194,7 @@
             grant.sequence,
             grant.reigns,
             grant.ttl_ms,
+            self._clock.now(),
         )
         self._pacer.received.add(grant.interference)
 
@@ -240,6 +248,7 @@
             facts,
             order.checkpoint,
             is_trial=order.is_trial,
+            lease_term=self._leases.term_of(order.shard),
         )
         self.table.add(attempt)
         self._orders.start(order, attempt)
--- a/hyssopring/jobs/agent_leases.py
+++ b/hyssopring/jobs/agent_leases.py
@@ -19,11 +19,16 @@
 
 @dataclass(slots=True)
 class _Lease:
-    """The newest known epoch of a shard, its owner, and the lease's expiry."""
+    """The newest known epoch of a shard, its owner, and the lease's expiry.
+
+    Attributes:
+        term: The number of times that it was extended after it had expired.
+    """
 
     epoch: int
     entry_id: str
     expires_at: float
+    term: int = 0
 
 
 class AgentLeases:
@@ -39,7 +44,10 @@
         lease = self._lease_by_shard.get(shard)
         if lease is None or lease.epoch < epoch:
             expires_at = 0 if lease is None else lease.expires_at
-            self._lease_by_shard[shard] = _Lease(epoch, entry_id, expires_at)
+            term = 0 if lease is None else lease.term
+            self._lease_by_shard[shard] = _Lease(
+                epoch, entry_id, expires_at, term
+            )
             return True
         return lease.epoch == epoch and lease.entry_id == entry_id
 
@@ -62,6 +70,7 @@
         sequence: int,
         epochs: Iterable[ShardEpoch],
         ttl_ms: float,
+        now_ms: float,
     ) -> None:
         """Extend the leases by a grant; one of an older epoch is ignored.
 
@@ -70,6 +79,7 @@
             sequence: The number of the report that it acknowledges.
             epochs: The shards of that entry with their epochs.
             ttl_ms: The time from the report until the leases expire.
+            now_ms: The time by the clock, in ms.
         """
         sent_at = self._sent_at_by_entry.get(entry_id, {}).get(sequence)
         if sent_at is None:
@@ -80,6 +90,8 @@
                 shard_epoch.shard, shard_epoch.reign, entry_id
             ):
                 lease = self._lease_by_shard[shard_epoch.shard]
+                if lease.expires_at <= now_ms:
+                    lease.term += 1
                 lease.expires_at = max(lease.expires_at, expires_at)
 
     def expiry_of(self, shard: int) -> float:
@@ -87,6 +99,20 @@
         lease = self._lease_by_shard.get(shard)
         return lease.expires_at if lease else 0
 
+    def term_of(self, shard: int) -> int:
+        """Return the term of a shard's lease, 0 without a lease."""
+        lease = self._lease_by_shard.get(shard)
+        return lease.term if lease else 0
+
+    def has_lapsed(self, shard: int, term: int, now_ms: float) -> bool:
+        """Whether a shard's lease has expired since a term, even for a while.
+
+        Its owner may have started the attempts of that term elsewhere. An
+        agent that was suspended may get a new grant before it is told to stop
+        them.
+        """
+        return self.expiry_of(shard) <= now_ms or self.term_of(shard) != term
+
     @property
     def latest_expiry(self) -> float:
         """The latest expiry of all leases, 0 for none."""
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -62,6 +62,7 @@
         is_stop_in_flight: Whether a stop request is in flight or due to be
             retried.
         is_trial: Whether it may crash the worker and was started alone.
+        lease_term: The term of the lease under which its start was accepted.
     """
 
     task: str
@@ -79,6 +80,7 @@
     stop_accepted_at: float | None = None
     is_stop_in_flight: bool = False
     is_trial: bool = False
+    lease_term: int = 0
 
     @property
     def settled_at(self) -> float | None:
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -42,14 +42,14 @@
         monitor: WorkerMonitor,
         table: AttemptTable,
         on_refused: Callable[[Attempt, str], None],
-        may_start: Callable[[], bool],
+        may_start: Callable[[Attempt], bool],
     ) -> None:
         """Send requests by ``port``.
 
         Args:
             on_refused: Called with an attempt that the worker refused to start
                 and the reason.
-            may_start: Returns whether tasks may still start on the worker.
+            may_start: Returns whether an accepted start may still be sent.
         """
         self._reactor = reactor
         self._clock = clock
@@ -71,7 +71,7 @@
             return
         if (
             attempt.tries >= _MAX_TRIES
-            or not self._may_start()
+            or not self._may_start(attempt)
             or not self._has_room(attempt)
         ):
             self.stop(attempt)
