Owner: a task runs nowhere else only if its worker was polled under this epoch

What callers saw: a task that runs twice at the same time (TWICE).

Cause: a resumed agent reports what its worker listed before the suspension, until the next poll is answered; an answer that waited in the socket even counts as new. A new owner took the attempt for observed under its epoch, and its end for the proof that the task runs nowhere. The former owner had counted the attempt as lapsed and started the task on another agent, which the new owner had not heard. Class: evidence from before a suspension, or before an epoch, is used as if it was of now.

Change: a report says whether the worker was polled after the agent knew the epoch (WorkerReport.is_relisted, a new last field; without it nothing counts as observed). An owner that adopts an attempt counts its task as observed only then. Tasks of older jobs that wait for unheard agents may wait for one more poll.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -92,7 +92,7 @@
             reactor, clock, port, FenceCounter(wall_ms)
         )
         self.table = AttemptTable()
-        self._leases = AgentLeases()
+        self._leases = AgentLeases(clock)
         self._orders = WorkerOrders(
             reactor,
             clock,
@@ -104,7 +104,7 @@
                 not (
                     self.own_zone.is_evacuated
                     or self._leases.has_lapsed(
-                        attempt.shard, attempt.lease_term, clock.now()
+                        attempt.shard, attempt.lease_term
                     )
                 )
             ),
@@ -194,7 +194,6 @@
             grant.sequence,
             grant.reigns,
             grant.ttl_ms,
-            self._clock.now(),
         )
         self._pacer.received.add(grant.interference)
 
@@ -453,6 +452,7 @@
                 self._received_starts.connection(entry_id),
                 int(next_ms),
                 self.table.is_partial,
+                self._leases.are_known_since(entry_id, monitor.listed_at),
             ),
         )
         self.shutdown.announce_to(entry_id)
--- a/hyssopring/jobs/agent_leases.py
+++ b/hyssopring/jobs/agent_leases.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Container, Final, Iterable
 
+from hyssopring.clock import Clock
 from hyssopring.jobs.messages import ShardEpoch
 from hyssopring.jobs.times import GRANT_MS, REPORT_INTERVAL_MS
 
@@ -22,20 +23,23 @@
     """The newest known epoch of a shard, its owner, and the lease's expiry.
 
     Attributes:
+        known_at: When an order or a grant first named this epoch.
         term: The number of times that it was extended after it had expired.
     """
 
     epoch: int
     entry_id: str
     expires_at: float
+    known_at: float
     term: int = 0
 
 
 class AgentLeases:
     """The owners and leases of the shards, as known to one agent."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Create a collection without owners."""
+        self._clock = clock
         self._lease_by_shard: dict[int, _Lease] = {}
         self._sent_at_by_entry: dict[str, dict[int, float]] = {}
 
@@ -46,7 +50,7 @@
             expires_at = 0 if lease is None else lease.expires_at
             term = 0 if lease is None else lease.term
             self._lease_by_shard[shard] = _Lease(
-                epoch, entry_id, expires_at, term
+                epoch, entry_id, expires_at, self._clock.now(), term
             )
             return True
         return lease.epoch == epoch and lease.entry_id == entry_id
@@ -70,7 +74,6 @@
         sequence: int,
         epochs: Iterable[ShardEpoch],
         ttl_ms: float,
-        now_ms: float,
     ) -> None:
         """Extend the leases by a grant; one of an older epoch is ignored.
 
@@ -79,7 +82,6 @@
             sequence: The number of the report that it acknowledges.
             epochs: The shards of that entry with their epochs.
             ttl_ms: The time from the report until the leases expire.
-            now_ms: The time by the clock, in ms.
         """
         sent_at = self._sent_at_by_entry.get(entry_id, {}).get(sequence)
         if sent_at is None:
@@ -90,7 +92,7 @@
                 shard_epoch.shard, shard_epoch.reign, entry_id
             ):
                 lease = self._lease_by_shard[shard_epoch.shard]
-                if lease.expires_at <= now_ms:
+                if lease.expires_at <= self._clock.now():
                     lease.term += 1
                 lease.expires_at = max(lease.expires_at, expires_at)
 
@@ -104,14 +106,23 @@
         lease = self._lease_by_shard.get(shard)
         return lease.term if lease else 0
 
-    def has_lapsed(self, shard: int, term: int, now_ms: float) -> bool:
+    def has_lapsed(self, shard: int, term: int) -> bool:
         """Whether a shard's lease has expired since a term, even for a while.
 
         Its owner may have started the attempts of that term elsewhere. An
         agent that was suspended may get a new grant before it is told to stop
         them.
         """
-        return self.expiry_of(shard) <= now_ms or self.term_of(shard) != term
+        is_expired = self.expiry_of(shard) <= self._clock.now()
+        return is_expired or self.term_of(shard) != term
+
+    def are_known_since(self, entry_id: str, at: float) -> bool:
+        """Whether the epochs of an entry's shards were known at a time."""
+        return all(
+            lease.known_at <= at
+            for lease in self._lease_by_shard.values()
+            if lease.entry_id == entry_id
+        )
 
     @property
     def latest_expiry(self) -> float:
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -173,6 +173,9 @@
             ``REPORT_INTERVAL_MS``.
         is_partial: Whether attempts may be missing that an agent before this
             one started, as the worker has not listed all ends yet.
+        is_relisted: Whether the worker was polled after the agent knew the
+            epochs in ``reigns``. Otherwise the attempts may have ended before
+            these epochs began.
     """
 
     sequence: int
@@ -195,6 +198,7 @@
     connection: str = ''
     next_ms: int = 0
     is_partial: bool = False
+    is_relisted: bool = False
 
 
 @struct
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -263,8 +263,24 @@
         if placed.observed_ms >= TRIAL_MS and not record.crashes.is_empty:
             self._suspects.record_survival(record, name)
         record.record_checkpoint(attempt_report.task, attempt_report.checkpoint)
+        self._record_observed(record, placed, worker.report)
         self._send_missing_state(worker, attempt_report, placed, owned)
 
+    def _record_observed(
+        self, record: JobRecord, placed: PlacedAttempt, report: WorkerReport
+    ) -> None:
+        """Record that a task runs nowhere else, if an attempt shows it.
+
+        A former owner may have counted an attempt as lapsed that the worker
+        listed before this epoch, and started its task on an agent that has not
+        reported. One of two attempts that the step allows shows nothing.
+        """
+        run = record.step_run_of(placed.name)
+        if run is None or placed.is_stopping or not report.is_relisted:
+            return
+        if not (self._keeps_copies and run.step.is_copyable):
+            run.observed.add(placed.name.index)
+
     def _send_missing_state(
         self,
         worker: Worker,
@@ -328,9 +344,8 @@
             mark_stopping(placed, worker, reason)
         if is_wanted:
             run.mark_running(name.index)
-            if may_copy:
-                # It does not prove that the task runs nowhere else.
-                run.observed.discard(name.index)
+            # Until it is relisted, it may have ended under a former epoch.
+            run.observed.discard(name.index)
             if record.state is JobState.QUEUED:
                 record.state = JobState.ACTIVE
         return placed
--- a/tests/test_agent_leases.py
+++ b/tests/test_agent_leases.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hyssopring.clock import ManualClock
 from hyssopring.jobs.agent_leases import AgentLeases
 from hyssopring.jobs.messages import ShardEpoch
 from standins.jobs.deployment import settled
@@ -12,20 +13,20 @@
 @pytest.mark.parametrize('others', (2, 40, 400))
 def test_slow_owners_grant_counts_with_many_entries(others):
     """Guards against leases that lapse because other entries get reports."""
-    leases = AgentLeases()
+    leases = AgentLeases(ManualClock())
     leases.note_report_sent(_OWNER, 1, 100)
     for number in range(others):
         leases.note_report_sent(f'entry-{number + 1}', number + 2, 100)
-    leases.renew(_OWNER, 1, [ShardEpoch(0, 1)], 5000, 200)
+    leases.renew(_OWNER, 1, [ShardEpoch(0, 1)], 5000)
     assert leases.expiry_of(0) == 5100
 
 
 def test_grant_counts_only_from_the_entry_that_got_the_report():
     """Guards against a lease that counts from a report to another entry."""
-    leases = AgentLeases()
+    leases = AgentLeases(ManualClock())
     leases.note_report_sent(_OWNER, 1, 100)
     leases.note_report_sent('entry-1', 2, 9000)
-    leases.renew(_OWNER, 2, [ShardEpoch(0, 1)], 5000, 200)
+    leases.renew(_OWNER, 2, [ShardEpoch(0, 1)], 5000)
     assert leases.expiry_of(0) == 0
 
 
@@ -36,34 +37,49 @@
         grants: For each grant its epoch, when its report was sent, and when
             it arrives.
     """
-    leases = AgentLeases()
+    clock = ManualClock()
+    leases = AgentLeases(clock)
     terms = []
     for sequence, (epoch, sent_at, arrives_at) in enumerate(grants):
         leases.note_report_sent(_OWNER, sequence, sent_at)
-        leases.renew(_OWNER, sequence, [ShardEpoch(0, epoch)], 5000, arrives_at)
+        clock.advance(arrives_at - clock.now())
+        leases.renew(_OWNER, sequence, [ShardEpoch(0, epoch)], 5000)
         terms.append(leases.term_of(0))
-    return leases, terms[0]
+    return clock, leases, terms[0]
 
 
 def test_renewed_lease_has_not_lapsed():
     """Guards against starts that are abandoned under a valid lease."""
-    leases, term = _granted((1, 100, 200), (1, 5000, 5050), (2, 9000, 9010))
-    assert not leases.has_lapsed(0, term, 13_999)
-    assert leases.has_lapsed(0, term, 14_000)
+    clock, leases, term = _granted(
+        (1, 100, 200), (1, 5000, 5050), (2, 9000, 9010)
+    )
+    assert not leases.has_lapsed(0, term)
+    clock.advance(14_000 - clock.now())
+    assert leases.has_lapsed(0, term)
 
 
 def test_lease_that_was_extended_after_its_expiry_has_lapsed():
     """Guards against a start under a lease that its owner took for expired."""
-    leases, term = _granted((1, 100, 200), (1, 5000, 5100))
+    clock, leases, term = _granted((1, 100, 200), (1, 5000, 5100))
     assert leases.expiry_of(0) == 10_000
-    assert leases.has_lapsed(0, term, 5100)
+    assert leases.has_lapsed(0, term)
 
 
 def test_lease_that_a_next_owner_extended_after_its_expiry_has_lapsed():
     """Guards against a start that a new epoch seems to cover."""
-    leases, term = _granted((1, 100, 200), (2, 6000, 6010))
-    assert leases.has_lapsed(0, term, 6020)
-    assert not leases.has_lapsed(0, leases.term_of(0), 6020)
+    clock, leases, term = _granted((1, 100, 200), (2, 6000, 6010))
+    assert leases.has_lapsed(0, term)
+    assert not leases.has_lapsed(0, leases.term_of(0))
+
+
+def test_epochs_are_known_since_their_first_message():
+    """Guards against a listing from before an epoch that counts under it."""
+    clock, leases, _term = _granted((1, 100, 200), (2, 6000, 6010))
+    assert not leases.are_known_since(_OWNER, 6009)
+    assert leases.are_known_since(_OWNER, 6010)
+    clock.advance(100)
+    assert leases.observe_epoch(0, 2, _OWNER)
+    assert leases.are_known_since(_OWNER, 6010)
 
 
 def test_keeps_no_reports_to_entries_that_are_gone():
