--- a/standins/jobs/deployment.py
+++ b/standins/jobs/deployment.py
@@ -2,8 +2,6 @@
 
 import itertools
 
-from twisted.internet.task import Clock as Reactor
-
 from hyssopring.clock import MILLIS_PER_SECOND
 from hyssopring.jobs.messages import StartOrder, pack, unpack
 from hyssopring.jobs.model import Job, Queue, Size, Step
@@ -11,6 +9,7 @@
 from standins.jobs.run_recorder import RunRecorder
 from standins.jobs.processes import ZONE, Agent, Entry
 from standins.jobs.rows import MemoryRows
+from standins.jobs.sorted_clock import SortedClock
 from standins.jobs.worker import SimWorker
 
 LINK_S = 0.001
@@ -56,7 +55,7 @@
             f'agent-{number}': zone
             for number, zone in zip(range(workers), itertools.cycle(zones))
         }
-        self.reactor = Reactor()
+        self.reactor = SortedClock()
         self.rows = MemoryRows(self.reactor)
         self.run_recorder = RunRecorder()
         self.advice = SimAdvice(self.reactor)
--- a/standins/jobs/faults.py
+++ b/standins/jobs/faults.py
@@ -26,12 +26,15 @@
     options = None
     # If set, the agents are in these availability zones in turn.
     zones = ()
+    # The number of entries.
+    entries = 3
 
     def __init__(self, seed, workers=4, keeps_ids=False, has_keepers=True):
         self.random = random.Random(seed)
         self.works = {}
         self.deployment = Deployment(
             workers=workers,
+            entries=self.entries,
             work_ms=self._work_ms,
             rate=self.random.choice([1, 0.98]),
             keeps_ids=keeps_ids,
--- a/standins/jobs/suspended_days.py
+++ b/standins/jobs/suspended_days.py
@@ -13,6 +13,7 @@
 from standins.jobs.overlaps import Overlaps
 
 SERIES = 4
+WORKERS = 5
 QUIET_S = 60
 CHECK_S = 0.05
 CHECKS_PER_TICK = 4
@@ -37,12 +38,12 @@
 
     job_each_s = 0.8
 
-    def __init__(self, seed, series=SERIES):
+    def __init__(self, seed, series=SERIES, workers=WORKERS):
         self.suspensions_s = []
         self._series = series
         self._long_works = {}
         self._blocked_until = {}
-        super().__init__(seed)
+        super().__init__(seed, workers)
         self.links = HeldLinks(self.chances, self._now, self._process)
         self.deployment.link_s = self.links
         self.overlaps = Overlaps(self.deployment)
--- a/standins/jobs/worker.py
+++ b/standins/jobs/worker.py
@@ -22,6 +22,8 @@
 TIMEOUT_S = 0.4
 HOLD_MAX_MS = 10_000
 STOP_S = 0.2
+# How often a poll that waits looks for ends.
+WAIT_S = 0.05
 SECOND_MS = 1000
 FIRST_CLOCK_MS = 1000
 # A listing has this many ends at most, the oldest ones.
@@ -61,7 +63,11 @@
         ready_s: The time from the start of a keeper's task until it shows 100%.
         load_of: Returns the load that a listing shows for a task.
         announces_born: Whether it announces its start time.
+        late_call_count: The number of requests that arrived late.
         late_start_count: The number of starts that were carried out late.
+        waits: A poll that may wait is answered when a task ends, or then.
+        drops_former_calls: It never carries out late what was sent to an
+            earlier incarnation, even under the same ID.
     """
 
     def __init__(
@@ -110,7 +116,10 @@
         self.ready_s = 0
         self.load_of = lambda task: 0
         self.advice = None
+        self.late_call_count = 0
         self.late_start_count = 0
+        self.waits = False
+        self.drops_former_calls = False
         self.begin()
 
     def begin(self):
@@ -234,7 +243,29 @@
             return self._carry_out_unanswered(
                 request.boot, lambda: self._poll(request), timeout_s
             )
-        return self._call(request.boot, lambda: self._poll(request), timeout_s)
+        answer = self._call(
+            request.boot, lambda: self._poll(request), timeout_s
+        )
+        if self.waits and request.wait_ms:
+            until = self.reactor.seconds() + request.wait_ms / SECOND_MS
+            answer.addCallback(self._wait_for_end, request, until)
+        return answer
+
+    def _wait_for_end(self, listing, request, until):
+        if listing.ends or self.reactor.seconds() >= until:
+            return listing
+        answer = Deferred()
+        self.reactor.callLater(WAIT_S, answer.callback, None)
+        answer.addCallback(lambda _waited: self._list_again(request))
+        return answer.addCallback(self._wait_for_end, request, until)
+
+    def _list_again(self, request):
+        if self.is_down or self.is_unresponsive:
+            return self._fail(WorkerUnreachable('reset'), CALL_S)
+        if request.boot != self.boot:
+            return self._fail(WorkerReplaced(), CALL_S)
+        self.settle()
+        return self._poll(request)
 
     def start(self, start):
         return self._order(start.boot, lambda: self._start(start))
@@ -267,13 +298,21 @@
 
     def _carry_out_unanswered(self, boot, action, timeout_s=TIMEOUT_S):
         self.reactor.callLater(
-            self.late_s, self._carry_out_if_current, boot, action
+            self.late_s,
+            self._carry_out_if_current,
+            boot,
+            self.incarnation_count,
+            action,
         )
         return self._fail(WorkerUnreachable('lost'), timeout_s)
 
-    def _carry_out_if_current(self, boot, action):
+    def _carry_out_if_current(self, boot, incarnation_count, action):
+        is_same = incarnation_count == self.incarnation_count
+        if self.drops_former_calls and not is_same:
+            return
         if boot == self.boot and not self.is_down:
             self.settle()
+            self.late_call_count += bool(self.late_s)
             started = len(self.run_recorder.starts)
             with contextlib.suppress(WorkerUnreachable):
                 action()
--- a/standins/runner_wire.py
+++ b/standins/runner_wire.py
@@ -84,7 +84,7 @@
             body['fencingToken'],
             body['lastSeen'],
             body.get('untilMs'),
-            0,
+            body.get('waitMs', 0),
             timeout_ms,
         )
         listing = self.worker.poll(request)
