Owner: an agent that names a job that is not read yet stays unreported

What callers saw: a task that runs twice at the same time (TWICE).

Cause: an agent's report ended the wait for it also if it listed attempts of a job that the owner did not know yet. When the job was found, the last report was applied to it once more; if the agent had been restarted by then, that was the report of its next process, from before its first listing. The task started on another agent.

Change: the agent stays unreported until the rows of all jobs that its report names have been read.

--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -143,8 +143,11 @@
             # An attempt that is not listed may have ended as done.
             return
         self._drop_unlisted(worker, report, owned)
-        is_unreported = worker.agent_id in owned.unreported
-        if is_unreported and self._is_process_known(worker, owned):
+        if (
+            worker.agent_id in owned.unreported
+            and self._is_process_known(worker, owned)
+            and not self._unknown_jobs.has_unread(report, owned)
+        ):
             owned.unreported.discard(worker.agent_id)
 
     def _apply_departure(
--- a/hyssopring/jobs/unknown_jobs.py
+++ b/hyssopring/jobs/unknown_jobs.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 from hyssopring.clock import Clock
+from hyssopring.jobs.messages import WorkerReport
+from hyssopring.jobs.model import TaskName
 from hyssopring.jobs.owned_shard import OwnedShard
 from hyssopring.jobs.shards import shard_of
 
@@ -20,13 +22,15 @@
 
 @dataclass(slots=True)
 class _Lookup:
-    """When a job was reported and read, and whether it is not stored."""
+    """When a job was reported and read, and what the read has shown."""
 
     reported_at: float
     read_at: float = -math.inf
+    is_read: bool = False
     is_absent: bool = False
 
     def on_read(self, is_stored: bool) -> None:
+        self.is_read = True
         self.is_absent = not is_stored
 
 
@@ -57,6 +61,21 @@
             owned.look_up(job_id, lookup.on_read)
         return lookup.is_absent
 
+    def has_unread(self, report: WorkerReport, owned: OwnedShard) -> bool:
+        """Whether a report names a job of a shard that was not read yet.
+
+        Once the job is known, its tasks must not start before its agent has
+        reported again: the agent may have been restarted meanwhile.
+        """
+        tasks = [attempt.task for attempt in report.attempts]
+        tasks.extend(end.task for end in report.ends)
+        return any(
+            shard_of(job_id) == owned.shard
+            and not owned.is_known(job_id)
+            and not self._is_read(job_id)
+            for job_id in {TaskName.from_text(task).job_id for task in tasks}
+        )
+
     def resolve(self, job_id: str) -> bool:
         """Remove a job that is known now; return whether it was unknown."""
         return self._lookup_by_job.pop(job_id, None) is not None
@@ -69,6 +88,10 @@
             if shard_of(job_id) != shard
         }
 
+    def _is_read(self, job_id: str) -> bool:
+        lookup = self._lookup_by_job.get(job_id)
+        return lookup is not None and lookup.is_read
+
     def _begin(self, job_id: str) -> _Lookup:
         lookup = _Lookup(self._clock.now())
         self._lookup_by_job[job_id] = lookup
