Agent: fences rise with the time since the boot of the VM

What callers saw: a task that runs twice at the same time (TWICE).

Cause: fences came from the time of day. If it steps back while an agent restarts, the next agent's fence may be below that of a start in flight which the worker has not seen yet; raised in doubled steps, it ends just above what the worker has seen. If the worker answers polls with too low a fence, it is not raised at all. The next agent's listing lacks the attempt, the owner counts it as not listed and starts the task elsewhere, and the late start is carried out. Class: an order of a former process is valid after its successor's.

Change: fences are based on the clock that does not step and that all processes of a VM share. A rejection raises them by the time of day, then by doubled steps, for a worker that has outlived a boot. A start that came too late for its hold raises the fence by one, as before, not by a step.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -89,7 +89,7 @@
         self._send = send
         self.own_zone = OwnZone(clock, zone, send)
         self.monitor = WorkerMonitor(
-            reactor, clock, port, FenceCounter(wall_ms)
+            reactor, clock, port, FenceCounter(clock, wall_ms)
         )
         self.table = AttemptTable()
         self._leases = AgentLeases(clock)
--- a/hyssopring/jobs/orders.py
+++ b/hyssopring/jobs/orders.py
@@ -173,7 +173,7 @@
                 attempt.phase = Phase.RUNNING
             attempt.confirmed_at = self._clock.now()
         elif outcome in {StartOutcome.FENCED, StartOutcome.LATE}:
-            self._monitor.fences.raise_above(fence)
+            self._raise_fence(outcome, fence)
             self._retry_later(self.start, order, attempt)
         elif attempt.tries > 1:
             self._handle_refused_retry(outcome, attempt)
@@ -181,6 +181,13 @@
             self._table.remove(attempt.task, attempt.number)
             self._on_refused(attempt, outcome.value)
 
+    def _raise_fence(self, outcome: StartOutcome, fence: int) -> None:
+        """Raise the fence for another try; the first copy is void then."""
+        if outcome is StartOutcome.FENCED:
+            self._monitor.fences.raise_above(fence)
+        else:
+            self._monitor.fences.advance()
+
     def _handle_refused_retry(
         self, outcome: StartOutcome, attempt: Attempt
     ) -> None:
--- a/hyssopring/jobs/unknown_jobs.py
+++ b/hyssopring/jobs/unknown_jobs.py
@@ -69,11 +69,12 @@
         """
         tasks = [attempt.task for attempt in report.attempts]
         tasks.extend(end.task for end in report.ends)
+        job_ids = {TaskName.from_text(task).job_id for task in tasks}
         return any(
             shard_of(job_id) == owned.shard
             and not owned.is_known(job_id)
             and not self._is_read(job_id)
-            for job_id in {TaskName.from_text(task).job_id for task in tasks}
+            for job_id in job_ids
         )
 
     def resolve(self, job_id: str) -> bool:
--- a/tests/test_worker_monitor.py
+++ b/tests/test_worker_monitor.py
@@ -32,7 +32,10 @@
 
 def new_monitor(reactor, worker):
     return WorkerMonitor(
-        Reactor(), ReactorClock(reactor), worker, FenceCounter(lambda: 1)
+        Reactor(),
+        ReactorClock(reactor),
+        worker,
+        FenceCounter(ReactorClock(reactor), lambda: 1),
     )
 
 
