Tests: the fences' earlier cases are back

Its three cases are as strict as they were, on fences by the time since boot: a step back of the time of day within a process, raising from a wide gap in fewer than 35 rejections (now beyond the first raise, by the time of day), and rejections of older fences.

--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -1,4 +1,4 @@
-"""Fencing numbers of an agent's requests."""
+"""Fencing numbers, by which a worker rejects outdated requests."""
 
 from hyssopring.clock import ManualClock
 from hyssopring.jobs.fences import FenceCounter
@@ -37,12 +37,39 @@
     assert fences.current > former.current
 
 
-def test_fence_that_was_raised_since_is_not_raised_again():
-    """Guards against fences that run away by late rejections."""
+def test_numbers_rise_also_where_the_time_of_day_is_set_back():
+    """Guards against an agent that is locked out by a step of the clock."""
+    wall = [WALL_MS]
+    clock = ManualClock(7000)
+    fences = FenceCounter(clock, lambda: wall[0])
+    fences.advance()
+    first = fences.current
+    wall[0] -= 5000
+    fences.advance()
+    assert fences.current == first + 1
+    clock.advance(500)
+    fences.advance()
+    assert fences.current == first + 500
+
+
+def test_a_refused_number_is_raised_until_it_is_accepted():
+    """Guards against an agent that never reaches a worker's higher fence."""
     fences = FenceCounter(ManualClock(), lambda: WALL_MS)
     fences.advance()
-    rejected = fences.current
+    fences.raise_above(fences.current)
+    highest_seen, refusals = fences.current + 10**9, 1
+    while fences.current < highest_seen:
+        fences.raise_above(fences.current)
+        refusals += 1
+    assert refusals < 35
+
+
+def test_a_refusal_of_an_older_number_changes_nothing():
+    """Guards against a fence that each of many rejected requests raises."""
+    fences = FenceCounter(ManualClock(), lambda: WALL_MS)
     fences.advance()
-    current = fences.current
-    fences.raise_above(rejected)
-    assert fences.current == current
+    first = fences.current
+    fences.raise_above(first)
+    once = fences.current
+    fences.raise_above(first)
+    assert fences.current == once
