Own interface: an urgent start that waited too long is refused, also if it fits

What callers saw: a task that runs twice.

Cause: a start that waits for preempted tasks to end was tried before its deadline was looked at. On a VM that was suspended beyond its lease it started under the next one, while its planner had placed the task anew. The same class as on the users' platform: authority from before a suspension is used after it.

--- a/hyssopring/agent/preemption.py
+++ b/hyssopring/agent/preemption.py
@@ -151,12 +151,16 @@
         self._queued_by_task.pop(task_id, None)
 
     def start_ready(self) -> None:
-        """Start the tasks that fit now; refuse those that waited too long."""
+        """Refuse starts that waited too long; start the others that fit.
+
+        One that waited while the VM was suspended must not start under a later
+        lease: its planner may have started the task elsewhere.
+        """
         for queued in list(self._queued_by_task.values()):
             command = queued.command
-            if self._ledger.reserve(command.task_id, command.size):
-                self.discard(command.task_id)
-                queued.start()
-            elif queued.deadline < self._clock.now():
+            if queued.deadline < self._clock.now():
                 self.discard(command.task_id)
                 queued.refuse()
+            elif self._ledger.reserve(command.task_id, command.size):
+                self.discard(command.task_id)
+                queued.start()
