Soak of the programs: large deployments, as an option

--large plays 20 to 40 agents and six to eight entries, which are restarted in turn, and hits agents and owners just after a start has come to a runner, which may be dark, slow, lose answers or carry requests out late. The users broke TWICE on a deployment of this kind; the soak had five to nine agents and three entries, never restarted in a planned way beside pauses of owners, no slow runners and no lost looks.

--- a/soak/platform/__main__.py
+++ b/soak/platform/__main__.py
@@ -14,6 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
+from soak.platform.large import LEAST_S
 from soak.platform.owner_pauses import FAULTS_PER_PAUSE_S
 from soak.platform.plan import draw_plan
 from soak.platform.promises import COUNTABLE_PROMISES
@@ -63,6 +64,11 @@
         help='count violations of this promise and look for others: '
         + ', '.join(COUNTABLE_PROMISES),
     )
+    parser.add_argument(
+        '--large',
+        action='store_true',
+        help='six to eight entries, 20 to 40 agents, and their faults',
+    )
     parser.add_argument(
         '--keep', action='store_true', help='the logs of a good seed, too'
     )
@@ -78,7 +84,11 @@
 
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
     plan = draw_plan(
-        options.seed, options.seconds, options.agents, options.owner_pauses
+        options.seed,
+        options.seconds,
+        options.agents,
+        options.owner_pauses,
+        options.large,
     )
     run = Run(plan, folder, options.go_on)
     broken = run.play()
@@ -103,13 +113,16 @@
         command += ['--owner-pauses', str(options.owner_pauses)]
     for promise in options.go_on:
         command += ['--go-on', promise]
+    if options.large:
+        command += ['--large']
     if options.keep:
         command += ['--keep']
     pauses = options.owner_pauses or seconds // FAULTS_PER_PAUSE_S
+    large_s = LEAST_S if options.large else 0
     return subprocess.run(
         command,
         cwd=ROOT,
-        timeout=seconds + EXTRA_S + pauses * PAUSE_EXTRA_S,
+        timeout=seconds + EXTRA_S + pauses * PAUSE_EXTRA_S + large_s,
         check=False,
     ).returncode
 
--- a/soak/platform/plan.py
+++ b/soak/platform/plan.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import dataclass, replace
 
+from soak.platform.large import LargeFaults, draw_large_faults, draw_size
 from soak.platform.machines import (
     FAILING_CPU,
     FAILING_JOBS,
@@ -92,6 +93,8 @@
         more_agents: Number of additional agents.
         rollout: What follows the faults.
         owner_pauses: The last of the faults.
+        entries: Number of entries.
+        large: Faults of a large deployment beside the pauses.
     """
 
     seed: int
@@ -105,6 +108,8 @@
     keeps_ids: bool = False
     rollout: Rollout = Rollout()
     owner_pauses: OwnerPauses = OwnerPauses()
+    entries: int = ENTRIES
+    large: LargeFaults = LargeFaults()
 
     def lines(self):
         """Return a description, with one line for each event."""
@@ -114,8 +119,16 @@
         if self.keeps_ids:
             link += ', runners keep their ids'
         pauses = [f'owners {event}' for event in self.owner_pauses.events]
+        large = [f'large {event}' for event in self.large.events]
         rollout = [f'rollout {event}' for event in self.rollout.events]
-        return [head, link, *map(str, self.events), *pauses, *rollout]
+        return [
+            head,
+            link,
+            *map(str, self.events),
+            *pauses,
+            *large,
+            *rollout,
+        ]
 
     def work_ms(self, task):
         """Return a task's duration, which does not depend on other tasks."""
@@ -128,12 +141,22 @@
         return rng.uniform(*FAILS_MS)
 
 
-def draw_plan(seed, seconds, more_agents=None, owner_pauses=None):
+def draw_plan(
+    seed, seconds, more_agents=None, owner_pauses=None, is_large=False
+):
     """Draw jobs and faults for a run.
 
     Without ``more_agents`` the seed determines their number. Without
     ``owner_pauses`` their number follows from the length of the run.
+
+    Args:
+        is_large: Whether it has more entries and agents, and their faults.
     """
+    entries, large = ENTRIES, random.Random(f'large {seed}')
+    if is_large:
+        entries, agents = draw_size(large)
+        if more_agents is None:
+            more_agents = agents - RUNNERS - JOINERS
     rng = random.Random(f'events {seed}')
     rates = tuple(rng.choice(RATES) for _index in range(RUNNERS + JOINERS))
     jobs = _jobs(random.Random(f'jobs {seed}'), seconds)
@@ -147,18 +170,25 @@
     rates += tuple(machines.choice(RATES) for _index in range(more))
     jobs = _with_copies(jobs, random.Random(f'copies {seed}'))
     jobs += _failing_jobs(machines, seconds)
-    losses = Losses(machines, _fleet(more), seconds)
+    losses = Losses(machines, _fleet(more, entries), seconds)
     losses.draw()
     events = _in_order(losses.merged_with(events), seconds)
     keeps = machines.random() < KEEPS_IDS_PROBABILITY
     rollouts = random.Random(f'rollout {seed}')
     rates += tuple(rollouts.choice(RATES) for _index in range(REPLACED))
-    rollout = draw_rollout(rollouts, _fleet(more), _new_agents(more))
+    rollout = draw_rollout(rollouts, _fleet(more, entries), _new_agents(more))
     if owner_pauses is None:
         owner_pauses = int(seconds // FAULTS_PER_PAUSE_S)
     pauses = draw_owner_pauses(
-        random.Random(f'owner pauses {seed}'), _fleet(more), owner_pauses
+        random.Random(f'owner pauses {seed}'),
+        _fleet(more, entries),
+        owner_pauses,
     )
+    large_faults = LargeFaults()
+    if is_large:
+        large_faults = draw_large_faults(
+            large, _fleet(more, entries), pauses.ends_at
+        )
     return Plan(
         seed,
         seconds,
@@ -171,13 +201,15 @@
         keeps,
         rollout,
         pauses,
+        entries,
+        large_faults,
     )
 
 
-def _fleet(more_agents):
+def _fleet(more_agents, entries=ENTRIES):
     agents = RUNNERS + JOINERS + more_agents
     return Fleet(
-        tuple(f'entry-{number}' for number in range(ENTRIES)),
+        tuple(f'entry-{number}' for number in range(entries)),
         tuple(f'agent-{number}' for number in range(agents)),
         OWNER,
     )
--- a/soak/platform/run.py
+++ b/soak/platform/run.py
@@ -8,6 +8,7 @@
 
 from soak.platform.callers import Caller, Callers, sleep
 from soak.platform.keeper_monitor import KeeperMonitor
+from soak.platform.large import FIRST_JOB_ID as FIRST_LARGE_JOB_ID
 from soak.platform.owner_pauses import FIRST_JOB_ID as FIRST_PAUSES_JOB_ID
 from soak.platform.ownerships import Ownerships
 from soak.platform.stability import StabilityMonitor
@@ -67,6 +68,7 @@
         self.healed_at = 0
         self.is_over = False
         self.is_healed = False
+        self.world.on_hit = self._apply_event
 
     def play(self):
         """Run the reactor until the run is over; return the violations."""
@@ -156,11 +158,15 @@
     @inlineCallbacks
     def _pause_owners(self):
         """Play the pauses of owners, with jobs meanwhile."""
-        pauses = self.plan.owner_pauses
-        for event in pauses.events:
+        pauses, large = self.plan.owner_pauses, self.plan.large
+        for event in (*pauses.events, *large.events):
             reactor.callLater(event.at, self._apply_event, event)
         self._submit_jobs(FIRST_PAUSES_JOB_ID, pauses.job_times)
-        yield self._until(lambda: False, pauses.ends_at)
+        for number, (at, counts) in enumerate(large.jobs):
+            job_id = f'{FIRST_LARGE_JOB_ID + number:016x}'
+            job = PlannedJob(at, job_id, counts, 500)
+            reactor.callLater(at, self.callers.submit, job)
+        yield self._until(lambda: False, max(pauses.ends_at, large.ends_at))
 
     def _submit_jobs(self, first_id, times):
         for number, at in enumerate(times):
--- a/soak/platform/stability.py
+++ b/soak/platform/stability.py
@@ -85,9 +85,12 @@
     def _check_worker(self, worker, now_s):
         if worker.is_unresponsive and not worker.is_gone:
             self.record_disturbance(f'{worker.name} is dark')
+        if worker.slow_s:
+            self.record_disturbance(f'{worker.name} is slow')
         lost_calls = self.lost_calls_by_worker.get(worker.name, 0)
-        if worker.lose_next != lost_calls:
-            self.lost_calls_by_worker[worker.name] = worker.lose_next
+        calls_to_lose = worker.lose_next + worker.lose_polls
+        if calls_to_lose != lost_calls:
+            self.lost_calls_by_worker[worker.name] = calls_to_lose
             self.record_disturbance(
                 f'{worker.name} loses orders', now_s + worker.late_s
             )
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -19,7 +19,6 @@
 from hyssopring.jobs.rows import RowKey, RowPut, Transaction
 from soak.platform.owner_pauses import OTHERS
 from soak.platform.plan import (
-    ENTRIES,
     JOINERS,
     MAX_QUEUES,
     OWNER,
@@ -28,17 +27,18 @@
 from soak.platform.program import Program
 from soak.platform.proxy import LinkConditions, Proxy
 from soak.platform.settling_recorder import SettlingRecorder
+from soak.platform.start_hits import HitWorker
 from standins.jobs.rows import MemoryRows
-from standins.jobs.worker import SimWorker
 from standins.narrow_link import NarrowLink, a_configuration
 from standins.platform import RunnerResource, StoreResource, send_heartbeats
 from standins.ports import ReservedPorts
 from standins.programs import settings_file
 
-# Started when the VM of another entry is replaced.
-SPARE_ENTRY = f'entry-{ENTRIES}'
 CONFIGURATION_KEY = RowKey('op', '', 'config')
 HOST_NAME = 'h.example'
+RUNNER_FAULTS = frozenset(
+    ('dark', 'lose-orders', 'lose-polls', 'be-slow', 'at-start', 'crash'),
+)
 # Longer than any run: a keeper runs until it is stopped.
 KEEPER_MS = 10**9
 # Capacity for about four of the larger tasks, so that planners must choose.
@@ -74,12 +74,16 @@
         fronts: Frontend ports by the names of the current entries.
         replaced_at: Times in s at which entries' VMs were replaced, by name.
         departed: Agents that ended in order, after their workers' tasks.
+        spare_entry: Started when the VM of another entry is replaced.
+        on_hit: Applies a fault that follows a start.
     """
 
     def __init__(self, plan, folder):
         self.plan = plan
         self.folder = folder
         self.host = own_host()
+        self.spare_entry = f'entry-{plan.entries}'
+        self.on_hit = self.apply_event
         self.agents = [f'agent-{number}' for number in range(len(plan.rates))]
         self.ports = ReservedPorts(self.host)
         self.rows = MemoryRows(reactor)
@@ -103,8 +107,8 @@
     def _build(self):
         names = self.agents
         entries = [
-            *(f'entry-{number}' for number in range(ENTRIES)),
-            SPARE_ENTRY,
+            *(f'entry-{number}' for number in range(self.plan.entries)),
+            self.spare_entry,
         ]
         inner = {name: next(self.ports) for name in entries}
         seen = {
@@ -121,7 +125,7 @@
             bind['ready'] = self._address(ready)
             self.fronts[name] = front
             self._program(name, inner[name], bind, inner[name], '')
-        self.spare_front = self.fronts.pop(SPARE_ENTRY)
+        self.spare_front = self.fronts.pop(self.spare_entry)
         for number, name in enumerate(names):
             app, control = next(self.ports), next(self.ports)
             self._runner(name, self.plan.rates[number], app, control)
@@ -195,7 +199,7 @@
         return (str(path),)
 
     def _runner(self, name, rate, app, control):
-        worker = SimWorker(
+        worker = HitWorker(
             reactor,
             name,
             self.run_recorder,
@@ -205,6 +209,7 @@
             self.plan.keeps_ids,
         )
         worker.control = self._address(control)
+        worker.apply_event = self._on_hit
         worker.fails = self.run_recorder.failing.__contains__
         worker.shows_progress = self.has_copies
         self.workers[name] = worker
@@ -272,14 +277,14 @@
 
     def replace(self, name, back):
         """Replace the VM of an entry by another one after ``back`` s."""
-        if name == SPARE_ENTRY or self.programs[SPARE_ENTRY].is_wanted:
+        spare = self.programs[self.spare_entry]
+        if name == self.spare_entry or spare.is_wanted:
             return
         self.programs[name].lose(None)
         self.replaced_at[name] = reactor.seconds()
         index = self.front_ports.index(self.fronts.pop(name))
-        self.fronts[SPARE_ENTRY] = self.spare_front
+        self.fronts[self.spare_entry] = self.spare_front
         self.front_ports[index] = self.spare_front
-        spare = self.programs[SPARE_ENTRY]
         spare.is_wanted, spare.start_at = True, reactor.seconds() + back
 
     def configure(self, more_queues):
@@ -340,7 +345,8 @@
             conditions.heal()
         for worker in self.workers.values():
             worker.is_unresponsive = worker.is_gone
-            worker.lose_next = 0
+            worker.lose_next = worker.lose_polls = worker.slow_s = 0
+            worker.hits.clear()
         for program in self.programs.values():
             program.heal()
 
@@ -353,7 +359,7 @@
         targets = self.programs
         if name in {'delay', 'reset', 'refuse', 'hold'}:
             targets = self.conditions_by_link
-        elif name in {'dark', 'lose-orders', 'crash'}:
+        elif name in RUNNER_FAULTS:
             targets = self.workers
         return [pair for pair in targets.items() if fnmatch(pair[0], pattern)]
 
@@ -367,6 +373,12 @@
             )
         elif event.name == 'lose-orders':
             target.lose_next, target.late_s = event.arguments
+        elif event.name == 'lose-polls':
+            target.lose_polls, target.late_s = event.arguments
+        elif event.name == 'be-slow':
+            self._set_temporarily(target, 'slow_s', *event.arguments)
+        elif event.name == 'at-start':
+            target.hit_at_start(*event.arguments)
         elif event.name in {'join', 'leave', 'depart', 'away', 'replace'}:
             getattr(self, event.name)(name, *event.arguments)
         else:
@@ -377,7 +389,11 @@
         reactor.callLater(duration_s, self._reset, target, name)
 
     def _reset(self, target, name):
-        setattr(target, name, getattr(target, 'is_gone', False))
+        is_gone = name == 'is_unresponsive' and target.is_gone
+        setattr(target, name, is_gone)
+
+    def _on_hit(self, event):
+        self.on_hit(event)
 
     def _do_heal(self):
         self.heal()
--- a/tests/test_soak_platform.py
+++ b/tests/test_soak_platform.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import Clock
 
 from hyssopring.jobs.model import Size
+from hyssopring.jobs.worker_port import StartRequest
 from soak.platform.__main__ import EXTRA_S
 from soak.platform import rollouts
 from soak.platform.machines import MORE_AGENTS, Event, Losses
@@ -29,7 +30,7 @@
 )
 from soak.platform.promises import COMPLETED_STAYS
 from soak.platform.rollouts import REPLACED
-from standins.jobs.run_recorder import Run
+from standins.jobs.run_recorder import Run, RunRecorder
 from standins.jobs.rows import MemoryRows
 from standins.jobs.worker import SimWorker
 from standins.programs import ROOT
@@ -200,6 +201,54 @@
         assert alone == replace(plan, owner_pauses=alone.owner_pauses)
 
 
+def test_a_large_run_has_all_its_faults():
+    """Guards against a fault of large deployments that is never drawn."""
+    plans = [
+        draw_plan(seed, 2, owner_pauses=4, is_large=True) for seed in range(20)
+    ]
+    events = [event for plan in plans for event in plan.large.events]
+    assert {event.name for event in events} >= {
+        'term',
+        'at-start',
+        'away',
+        'be-slow',
+        'dark',
+        'lose-orders',
+        'lose-polls',
+    }
+    hits = [each.arguments[0] for each in events if each.name == 'at-start']
+    assert {hit.name for hit in hits} == {'kill', 'pause', 'term'}
+    assert OWNER in {hit.target for hit in hits}
+    for plan in plans:
+        assert 6 <= plan.entries <= 8
+        assert 20 <= RUNNERS + JOINERS + plan.more_agents <= 40
+        assert plan.owner_pauses.events
+        assert not draw_plan(plan.seed, 2).large.events
+
+
+def test_a_fault_follows_the_next_start_of_a_runner(monkeypatch):
+    """Guards against a hit that waits for an answer, or hits twice."""
+    from soak.platform import start_hits
+
+    clock, hits = Clock(), []
+    monkeypatch.setattr(start_hits, 'reactor', clock)
+    recorder = RunRecorder()
+    worker = start_hits.HitWorker(clock, 'agent-0', recorder, lambda task: 100)
+    worker.apply_event = hits.append
+    worker.is_unresponsive = True
+    event = Event(0, 'kill', 'agent-0', (1,))
+    worker.hit_at_start(event, 0.5)
+    start = StartRequest('agent-0-1', 1, 'a.0.0.0', 1, '', '', 5000, '')
+    for _each in range(2):
+        worker.start(start).addErrback(lambda _failure: None)
+    clock.advance(0.4)
+    assert not hits
+    clock.advance(0.1)
+    assert hits == [event]
+    clock.advance(5)
+    assert hits == [event]
+
+
 _LOG = """
 entry-0 {"at": "2026-01-01T00:00:01.000", "event": 3010, "reign": 1}
 entry-1 {"at": "2026-01-01T00:00:06.000", "event": 3010, "reign": 2}
