Timers follow the clock since boot, not the time of day

Cause: the library's reactor counts in time.time(). A step back of the time of day delays all pending timers by as much, while messages are still handled: an agent sends no report and extends no hold, an entry does not renew its row. A step ahead expires all timeouts at once.

--- a/hyssopring/cli/daemons.py
+++ b/hyssopring/cli/daemons.py
@@ -8,8 +8,10 @@
 from functools import partial
 from typing import Any
 
+from hyssopring.clock import MonotonicClock
 from hyssopring.logs import configure_logging
 from hyssopring.settings import AgentSettings, EntrySettings
+from hyssopring.steady_timers import use_steady_timers
 
 __all__ = ('run_agent', 'run_entry')
 
@@ -21,6 +23,7 @@
     from hyssopring.entry.daemon import EntryDaemon  # noqa: WPS433
 
     configure_logging(settings.log_level)
+    use_steady_timers(reactor, MonotonicClock())
     _run_until_signal(reactor, EntryDaemon(reactor, settings))
 
 
@@ -31,6 +34,7 @@
     from hyssopring.agent.daemon import AgentDaemon  # noqa: WPS433
 
     configure_logging(settings.log_level)
+    use_steady_timers(reactor, MonotonicClock())
     _run_until_signal(reactor, AgentDaemon(reactor, settings))
 
 
--- a/hyssopring/platform/roles.py
+++ b/hyssopring/platform/roles.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import Any, Callable, Final
 
+from hyssopring.clock import MonotonicClock
 from hyssopring.errors import Failure
 from hyssopring.logs import Event, configure_json_logging, log_event
 from hyssopring.platform.settings import (
@@ -14,6 +15,7 @@
     load_node_settings,
     node_file,
 )
+from hyssopring.steady_timers import use_steady_timers
 
 __all__ = ('main',)
 
@@ -47,6 +49,7 @@
 
     from hyssopring.platform.reloading import SettingsReloader  # noqa: WPS433
 
+    use_steady_timers(reactor, MonotonicClock())
     process = process_class(reactor, settings)
     process.start()
     _enable_garbage_collector()
