Owner: only an attempt that was listed under its epoch makes a task observed

What callers saw: a task that runs twice at the same time (TWICE).

Cause: the field is_relisted of a report said that the worker was polled under the epoch, not that this poll listed the attempt. A start that was never carried out stays in the agent's table until its stop is accepted, a run while listings are incomplete; each counted as observed, and its end as the proof that the task runs nowhere.

Change: the field is one of each attempt, set by the listing that shows it.

--- a/hyssopring/jobs/agent_core.py
+++ b/hyssopring/jobs/agent_core.py
@@ -383,7 +383,7 @@
             listed_tasks.add(row.task)
             if row.task not in self.table.by_task:
                 has_changed = True
-            attempt = self.table.update_listed(row, now_ms)
+            attempt = self.table.update_listed(row, now_ms, sent_at)
             self._orders.repeat_stop(attempt, sent_at)
         if self.table.is_partial and not listing.has_more_ends:
             self.table.is_partial = False
@@ -436,7 +436,7 @@
                 monitor.silent_ms,
                 shard_epochs,
                 [
-                    attempt.report()
+                    attempt.report(self._leases.known_at(attempt.shard))
                     for attempt in attempts
                     if attempt.shard in own_shards
                 ],
@@ -452,7 +452,6 @@
                 self._received_starts.connection(entry_id),
                 int(next_ms),
                 self.table.is_partial,
-                self._leases.are_known_since(entry_id, monitor.listed_at),
             ),
         )
         self.shutdown.announce_to(entry_id)
--- a/hyssopring/jobs/agent_leases.py
+++ b/hyssopring/jobs/agent_leases.py
@@ -3,6 +3,7 @@
 An owner extends them with the grants that it sends in response to reports.
 """
 
+import math
 from dataclasses import dataclass
 from typing import Container, Final, Iterable
 
@@ -116,13 +117,10 @@
         is_expired = self.expiry_of(shard) <= self._clock.now()
         return is_expired or self.term_of(shard) != term
 
-    def are_known_since(self, entry_id: str, at: float) -> bool:
-        """Whether the epochs of an entry's shards were known at a time."""
-        return all(
-            lease.known_at <= at
-            for lease in self._lease_by_shard.values()
-            if lease.entry_id == entry_id
-        )
+    def known_at(self, shard: int) -> float:
+        """Return when the newest epoch of a shard became known."""
+        lease = self._lease_by_shard.get(shard)
+        return lease.known_at if lease else math.inf
 
     @property
     def latest_expiry(self) -> float:
--- a/hyssopring/jobs/attempts.py
+++ b/hyssopring/jobs/attempts.py
@@ -1,6 +1,7 @@
 """The attempts on one worker, as its agent tracks them."""
 
 import enum
+import math
 from dataclasses import dataclass, field, replace
 from typing import Iterable
 
@@ -63,6 +64,7 @@
             retried.
         is_trial: Whether it may crash the worker and was started alone.
         lease_term: The term of the lease under which its start was accepted.
+        listed_at: When the newest poll was sent whose listing includes it.
     """
 
     task: str
@@ -81,6 +83,7 @@
     is_stop_in_flight: bool = False
     is_trial: bool = False
     lease_term: int = 0
+    listed_at: float = -math.inf
 
     @property
     def settled_at(self) -> float | None:
@@ -97,8 +100,9 @@
         cpu = 0 if facts.fills else facts.cpu_millis
         return Size(cpu, facts.memory_mb, facts.accelerators)
 
-    def update(self, row: WorkerRow, now_ms: float) -> None:
-        """Apply a listed row."""
+    def update(self, row: WorkerRow, now_ms: float, listed_at: float) -> None:
+        """Apply a row of a listing whose poll was sent at ``listed_at``."""
+        self.listed_at = listed_at
         self.checkpoint = row.checkpoint
         self.percent = row.percent
         self.load = row.load
@@ -118,8 +122,12 @@
             is_stop_in_flight=False,
         )
 
-    def report(self) -> AttemptReport:
-        """Return the attempt's part of a report to its owner."""
+    def report(self, epoch_known_at: float) -> AttemptReport:
+        """Return the attempt's part of a report to its owner.
+
+        Args:
+            epoch_known_at: When the owner's epoch became known.
+        """
         return AttemptReport(
             self.task,
             self.number,
@@ -128,6 +136,7 @@
             self.load,
             self.pace,
             self.facts is not None,
+            self.listed_at >= epoch_known_at,
         )
 
 
@@ -149,7 +158,9 @@
         """Count an attempt against the worker's resources from now on."""
         self.by_task[attempt.task] = attempt
 
-    def update_listed(self, row: WorkerRow, now_ms: float) -> Attempt:
+    def update_listed(
+        self, row: WorkerRow, now_ms: float, listed_at: float
+    ) -> Attempt:
         """Update the attempt of a listed row, adding it if it is unknown."""
         known = self.by_task.get(row.task)
         if known is None or known.number < row.attempt:
@@ -163,7 +174,7 @@
             )
             self.add(known)
         if known.number == row.attempt:
-            known.update(row, now_ms)
+            known.update(row, now_ms, listed_at)
         return known
 
     def carry_over(
--- a/hyssopring/jobs/messages.py
+++ b/hyssopring/jobs/messages.py
@@ -122,6 +122,9 @@
         pace: Share of processor time that the agent allows it, in percent;
             negative if unknown.
         is_sized: Whether the agent knows the attempt's resources.
+        is_relisted: Whether the worker has listed it in response to a poll
+            that was sent after the agent knew the owner's epoch. Otherwise it
+            may have ended before that epoch began.
     """
 
     task: str
@@ -131,6 +134,7 @@
     load: int
     pace: int
     is_sized: bool
+    is_relisted: bool = False
 
 
 @struct
@@ -173,9 +177,6 @@
             ``REPORT_INTERVAL_MS``.
         is_partial: Whether attempts may be missing that an agent before this
             one started, as the worker has not listed all ends yet.
-        is_relisted: Whether the worker was polled after the agent knew the
-            epochs in ``reigns``. Otherwise the attempts may have ended before
-            these epochs began.
     """
 
     sequence: int
@@ -198,7 +199,6 @@
     connection: str = ''
     next_ms: int = 0
     is_partial: bool = False
-    is_relisted: bool = False
 
 
 @struct
--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -266,20 +266,21 @@
         if placed.observed_ms >= TRIAL_MS and not record.crashes.is_empty:
             self._suspects.record_survival(record, name)
         record.record_checkpoint(attempt_report.task, attempt_report.checkpoint)
-        self._record_observed(record, placed, worker.report)
+        if attempt_report.is_relisted:
+            self._record_observed(record, placed)
         self._send_missing_state(worker, attempt_report, placed, owned)
 
     def _record_observed(
-        self, record: JobRecord, placed: PlacedAttempt, report: WorkerReport
+        self, record: JobRecord, placed: PlacedAttempt
     ) -> None:
-        """Record that a task runs nowhere else, if an attempt shows it.
+        """Record that a task runs nowhere else, as its worker listed it.
 
-        A former owner may have counted an attempt as lapsed that the worker
-        listed before this epoch, and started its task on an agent that has not
+        A former owner may have counted an attempt as lapsed that was listed
+        before this epoch, and started its task on an agent that has not
         reported. One of two attempts that the step allows shows nothing.
         """
         run = record.step_run_of(placed.name)
-        if run is None or placed.is_stopping or not report.is_relisted:
+        if run is None or placed.is_stopping:
             return
         if not (self._keeps_copies and run.step.is_copyable):
             run.observed.add(placed.name.index)
--- a/hyssopring/jobs/worker_monitor.py
+++ b/hyssopring/jobs/worker_monitor.py
@@ -78,7 +78,6 @@
         sent_holds: The requests whose hold may apply to the next incarnation.
         announced: The announced state of that incarnation.
         past_incarnation: The previous incarnation, None if there was none.
-        listed_at: When the poll of the newest listing was sent.
     """
 
     def __init__(
@@ -124,7 +123,6 @@
         self._backoff = PollBackoff()
         self._oldest_listed_end: float = math.inf
         self._answered_at = clock.now()
-        self.listed_at = -math.inf
         self._failing_since: float | None = None
 
     @property
@@ -334,7 +332,6 @@
         self.sent_holds.remove(hold)
         self.sent_holds.confirm(sent_at)
         self._answered_at = self._clock.now()
-        self.listed_at = sent_at
         self._failing_since = None
         self._backoff.reset()
         self._oldest_listed_end = _oldest_end_number(listing)
--- a/tests/test_agent_leases.py
+++ b/tests/test_agent_leases.py
@@ -75,11 +75,10 @@
 def test_epochs_are_known_since_their_first_message():
     """Guards against a listing from before an epoch that counts under it."""
     clock, leases, _term = _granted((1, 100, 200), (2, 6000, 6010))
-    assert not leases.are_known_since(_OWNER, 6009)
-    assert leases.are_known_since(_OWNER, 6010)
+    assert leases.known_at(0) == 6010
     clock.advance(100)
     assert leases.observe_epoch(0, 2, _OWNER)
-    assert leases.are_known_since(_OWNER, 6010)
+    assert leases.known_at(0) == 6010
 
 
 def test_keeps_no_reports_to_entries_that_are_gone():
--- a/tests/test_border_runner.py
+++ b/tests/test_border_runner.py
@@ -213,7 +213,7 @@
     listing = poll(worker_with(None), running=[row])
     assert listing.is_complete and listing.rows[0].task == TASK
     table = AttemptTable()
-    assert table.update_listed(listing.rows[0], 0).number == 0
+    assert table.update_listed(listing.rows[0], 0, 0).number == 0
 
 
 def test_listing_with_a_malformed_field_fails(errors):  # noqa: F811
