--- a/hyssopring/jobs/reports.py
+++ b/hyssopring/jobs/reports.py
@@ -266,21 +266,23 @@
         if placed.observed_ms >= TRIAL_MS and not record.crashes.is_empty:
             self._suspects.record_survival(record, name)
         record.record_checkpoint(attempt_report.task, attempt_report.checkpoint)
-        if attempt_report.is_relisted:
-            self._record_observed(record, placed)
+        self._record_observed(record, placed, attempt_report)
         self._send_missing_state(worker, attempt_report, placed, owned)
 
     def _record_observed(
-        self, record: JobRecord, placed: PlacedAttempt
+        self,
+        record: JobRecord,
+        placed: PlacedAttempt,
+        attempt_report: AttemptReport,
     ) -> None:
-        """Record that a task runs nowhere else, as its worker listed it.
+        """Record that a task runs nowhere else, if its worker has listed it.
 
         A former owner may have counted an attempt as lapsed that was listed
         before this epoch, and started its task on an agent that has not
         reported. One of two attempts that the step allows shows nothing.
         """
         run = record.step_run_of(placed.name)
-        if run is None or placed.is_stopping:
+        if run is None or placed.is_stopping or not attempt_report.is_relisted:
             return
         if not (self._keeps_copies and run.step.is_copyable):
             run.observed.add(placed.name.index)
