Owner: the end of a job with malformed rows holds up no later end

Cause: since ends of jobs that could not be looked up are kept, the end of a job whose row was read and is malformed was never acknowledged, and as ends are acknowledged up to a number, no later end of that worker was either.

No response of the store still shows nothing.

--- a/hyssopring/jobs/unknown_jobs.py
+++ b/hyssopring/jobs/unknown_jobs.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from hyssopring.clock import Clock
@@ -13,6 +14,8 @@
 __all__ = ('UnknownJobs',)
 
 _MAX_JOBS: Final = 1000
+# A job that is stored and still unknown after this time has malformed rows.
+_MALFORMED_MS: Final = 15_000.0
 # The interval at which a job's row is read again.
 _READ_INTERVAL_MS: Final = 1000.0
 # Reports come every 500 ms. A job that none has named for this long may have
@@ -26,13 +29,18 @@
 
     reported_at: float
     read_at: float = -math.inf
-    is_read: bool = False
+    read_since: float | None = None
     is_absent: bool = False
 
-    def on_read(self, is_stored: bool) -> None:
-        self.is_read = True
+    def record_read(self, clock: Clock, is_stored: bool) -> None:
+        if self.read_since is None:
+            self.read_since = clock.now()
         self.is_absent = not is_stored
 
+    def is_malformed(self, now_ms: float) -> bool:
+        since_ms = self.read_since
+        return since_ms is not None and now_ms - since_ms > _MALFORMED_MS
+
 
 class UnknownJobs:
     """Looks up unknown jobs, and tracks when each was last reported."""
@@ -43,13 +51,13 @@
         self._lookup_by_job: dict[str, _Lookup] = {}
 
     def is_absent(self, job_id: str, owned: OwnedShard) -> bool:
-        """Whether a reported job is known not to be stored.
+        """Whether a reported job is not stored, or its rows are malformed.
 
         A job is stored before it starts. If its row is not there, it has ended
         and its rows were removed. Calls read the row until the store has
-        responded. While it does not, or while the row is malformed, nothing
-        shows that the job has ended: if an end were dropped, another owner
-        that can read the row would start the task again.
+        responded; no response shows nothing. Rows that stay malformed count as
+        none after a while: an end that is never acknowledged would keep the
+        worker from dropping later ones.
         """
         now_ms = self._clock.now()
         lookup = self._lookup_by_job.get(job_id)
@@ -58,8 +66,8 @@
         lookup.reported_at = now_ms
         if not lookup.is_absent and now_ms - lookup.read_at > _READ_INTERVAL_MS:
             lookup.read_at = now_ms
-            owned.look_up(job_id, lookup.on_read)
-        return lookup.is_absent
+            owned.look_up(job_id, partial(lookup.record_read, self._clock))
+        return lookup.is_absent or lookup.is_malformed(now_ms)
 
     def has_unread(self, report: WorkerReport, owned: OwnedShard) -> bool:
         """Whether a report names a job of a shard that was not read yet.
@@ -91,7 +99,7 @@
 
     def _is_read(self, job_id: str) -> bool:
         lookup = self._lookup_by_job.get(job_id)
-        return lookup is not None and lookup.is_read
+        return lookup is not None and lookup.read_since is not None
 
     def _begin(self, job_id: str) -> _Lookup:
         lookup = _Lookup(self._clock.now())
