Tests: two guards that no test covered; an old answer that counts as one of now

Two tests pass, and each fails without its guard: listed_at as the time at which the poll was sent (with the time of its answer instead, no other test failed of those for the leases, fences, suspended agents and unknown jobs), and ends in UnknownJobs.has_unread.

One fails, as listed in KNOWN-RED.txt: a resumed agent counts an answer from its socket as given now. It reports no silence, and the owner takes a task that crashed its worker 0.5 s after its start for one that was seen running for 3.2 s, which clears the record of its crashes. No product code is changed.

--- a/tests/test_jobs_review_78.py
+++ b/tests/test_jobs_review_78.py
@@ -2,6 +2,7 @@
 
 import pytest
 from owner_support import (
+    LONG_MS,
     busy_worker,
     deploy_three_workers,
     run_until_taken,
@@ -12,12 +13,15 @@
     run_until_second_start,
     suspend_agent,
 )
+from test_jobs_unknown_jobs import deploy_late_job
 
+from hyssopring.clock import MILLIS_PER_SECOND
+from hyssopring.jobs.crash_suspects import TRIAL_MS
 from hyssopring.jobs.model import AttemptEnd, JobState
 from hyssopring.jobs.row_keys import progress_key
 from hyssopring.jobs.rows import Row
 from hyssopring.jobs.worker_port import EndRow
-from standins.jobs.deployment import Deployment, a_job, settled
+from standins.jobs.deployment import LINK_S, Deployment, a_job, settled
 from standins.jobs.worker import ENDS_LISTED
 
 LOST_STOPS = 4
@@ -129,3 +133,72 @@
     assert agent.thaws_at > deployment.reactor.seconds()
     deployment.rows.pauses = lambda: (0, READ_S)
     deployment.run(25)
+
+
+def test_a_listing_from_before_a_suspension_shows_no_task_past_its_start():
+    """Guards against crashes that are forgotten as their task seems to run.
+
+    The task crashes its worker 0.5 s after its start. The agent is suspended
+    before, with an answer of the worker in its socket. As it resumes, it
+    reports the task as running now.
+    """
+    deployment = settled(workers=1, entries=1, work_ms=lambda task: LONG_MS)
+    (worker,) = deployment.workers
+    worker.kills = lambda task: True
+    worker.kill_s, worker.away_s = 0.5, 10
+    deployment.submit(a_job(steps=((1, ()),)), deployment.owner)
+    run_until_second_start(deployment, first=-1)
+    deployment.run(0.2)
+    agent = deployment.agents['agent-0']
+    agent.thaws_at = deployment.reactor.seconds() + 3
+    entry = deployment.entries[deployment.owner]
+    placed_by_task = entry.core.fleet.by_agent['agent-0'].placed_by_task
+    longest_ms = 0
+    for _step in range(500):
+        deployment.run(deployment.step_s)
+        longest_ms = max(
+            [longest_ms, *(one.observed_ms for one in placed_by_task.values())]
+        )
+    assert longest_ms < TRIAL_MS
+
+
+def test_a_listing_counts_from_when_its_poll_was_sent():
+    """Guards against an old listing that counts as one of the present epoch.
+
+    Its answer may have waited in the socket of a suspended agent.
+    """
+    deployment = settled(workers=1, entries=1)
+    deployment.workers[0].slow_s = 0.3
+    deployment.run(1)
+    monitor = deployment.agents['agent-0'].core.monitor
+    ages_ms = []
+    for _step in range(100):
+        deployment.run(deployment.step_s)
+        ages_ms.append(monitor.silent_ms)
+        now_ms = deployment.reactor.seconds() * MILLIS_PER_SECOND
+        assert now_ms - monitor.listed_at >= 300
+    assert min(ages_ms) < 300
+
+
+def test_an_end_of_a_job_that_is_found_late_is_not_forgotten():
+    """Guards against a second run of a done task of a job that is found late.
+
+    Its agent names the job by an end only. As the job is found, the agent's
+    next process does not know its worker yet.
+    """
+    deployment, owner = deploy_late_job(1500)
+    deployment.link_s = lambda *_message: LINK_S
+    worker = deployment.workers[0]
+    deployment.run(2)
+    assert worker.ends and not worker.runs
+    deployment.kill_agent('agent-0')
+    deployment.run(0.5)
+    worker.can_announce = False
+    deployment.start_agent('agent-0', worker)
+    deployment.run(0.4)
+    deployment.rows.rejected_clients.discard(owner.name)
+    owner.has_peers = True
+    deployment.run(1)
+    worker.can_announce = True
+    deployment.run(20)
+    assert len(deployment.run_recorder.starts) == 1
