--- a/tests/test_jobs_review_78.py
+++ b/tests/test_jobs_review_78.py
@@ -20,7 +20,7 @@
 from hyssopring.jobs.model import AttemptEnd, JobState
 from hyssopring.jobs.row_keys import progress_key
 from hyssopring.jobs.rows import Row
-from hyssopring.jobs.worker_port import EndRow
+from hyssopring.jobs.worker_port import EndRow, StartOutcome
 from standins.jobs.deployment import LINK_S, Deployment, a_job, settled
 from standins.jobs.worker import ENDS_LISTED
 
@@ -202,3 +202,21 @@
     worker.can_announce = True
     deployment.run(20)
     assert len(deployment.run_recorder.starts) == 1
+
+
+def test_a_start_that_came_too_late_raises_the_fence_by_little():
+    """Guards against fences that follow the time of day after a late start.
+
+    If that was set back, the next agent's would be lower than one in flight.
+    """
+    deployment = settled(workers=1, entries=1)
+    (worker,) = deployment.workers
+    start, answers = worker._start, [StartOutcome.LATE]
+    worker._start = lambda order: answers.pop() if answers else start(order)
+    fences = deployment.agents['agent-0'].core.monitor.fences
+    before = fences.current
+    deployment.submit(a_job(steps=((1, ()),)), deployment.owner)
+    deployment.run(1)
+    assert worker.runs and not answers
+    since_boot_ms = deployment.reactor.seconds() * MILLIS_PER_SECOND
+    assert 0 < fences.current - before <= since_boot_ms
