--- a/tests/test_jobs_review_78.py
+++ b/tests/test_jobs_review_78.py
@@ -8,6 +8,10 @@
     run_until_taken,
     start_job,
 )
+from test_jobs_clock_steps import (
+    deploy_two_workers,
+    restart_with_start_in_flight,
+)
 from test_jobs_suspended_agents import (
     run_until_ordered,
     run_until_second_start,
@@ -26,6 +30,8 @@
 
 LOST_STOPS = 4
 READ_S = 0.5
+# Twelve days.
+FENCE_AHEAD_MS = 12 * 86_400_000
 REMOVED_JOB = 'f' * 16
 
 
@@ -220,3 +226,24 @@
     assert worker.runs and not answers
     since_boot_ms = deployment.reactor.seconds() * MILLIS_PER_SECOND
     assert 0 < fences.current - before <= since_boot_ms
+
+
+@pytest.mark.parametrize('lists_when_fenced', [False, True])
+def test_a_late_start_is_void_on_a_worker_with_a_fence_from_before_a_boot(
+    lists_when_fenced,
+):
+    """Guards against a second run by a late start of a former agent.
+
+    The worker has seen a fence ahead of the time since boot, so that the
+    former agent's was raised. The next agent begins below it. If the worker
+    lists its attempts all the same, its fence is not raised.
+    """
+    deployment = deploy_two_workers(lists_when_fenced)
+    for worker in deployment.workers:
+        worker.fence = deployment.agents['agent-0'].core.monitor.fences.current
+        worker.fence += FENCE_AHEAD_MS
+    deployment.submit(a_job(9, steps=((1, ()),)))
+    deployment.run(15)
+    restart_with_start_in_flight(deployment, 1, then_ms=0)
+    deployment.run(20)
+    assert deployment.state(a_job(1).job_id) is JobState.COMPLETED
