Tests: crowds of clients that exceed the limits, on the platform's processes

40 bodies of 4 MiB at once, whole, in pieces and in chunks, most of them one part short; bodies far over the limit; a body of two million values; 400 connections without a request. Checked: the process lives, its peak memory is below 128 MB, its descriptors below 300, and a job on both agents completes while the connections are open. The crowd and the bounds are fixed with this commit.

They run after the other tests, in a call of their own.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8
 	$(BIN)/mypy hyssopring
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 4 --ignore=tests/crowds
+	$(BIN)/python -m pytest tests/crowds
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -11,7 +11,16 @@
 
 
 def settings_file(
-    folder, name, inner, bind, store, seed, app, metrics, host=HOST
+    folder,
+    name,
+    inner,
+    bind,
+    store,
+    seed,
+    app,
+    metrics,
+    host=HOST,
+    limits=None,
 ):
     """Write a process's node file; return the environment that names it."""
     document = {
@@ -26,6 +35,8 @@
         'app': app,
         'metricsPort': metrics,
     }
+    if limits is not None:
+        document['limits'] = limits
     path = folder / f'{name}.json'
     path.write_text(json.dumps(document))
     return {'HYSSOPRING_NODE_FILE': str(path)}
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -16,12 +16,18 @@
 
 @contextlib.contextmanager
 def run_platform(
-    tmp_path, agents_seed=None, second_entry_after_s=0, entry_files=()
+    tmp_path,
+    agents_seed=None,
+    second_entry_after_s=0,
+    entry_files=(),
+    limits=None,
+    operator_limits=None,
 ):
     """Run two entries, two agents and the stand-in, each in a process.
 
     The seed of the agents is the first entry, or ``agents_seed``. The entries'
-    command names the ``entry_files``. Yield the
+    command names the ``entry_files``; the settings of all have the ``limits``, the
+    operator's configuration the ``operator_limits``. Yield the
     ports of the entries for callers and the processes of the entries.
     """
     ports = ReservedPorts()
@@ -45,7 +51,11 @@
     standin_settings = {
         'store': store,
         'runners': runners,
-        'configuration': {'version': 3, 'routes': [route]},
+        'configuration': {
+            'version': 3,
+            'routes': [route],
+            'limits': operator_limits or {},
+        },
     }
     (tmp_path / 'standin.json').write_text(json.dumps(standin_settings))
     commands = [['standins.platform', str(tmp_path / 'standin.json')]]
@@ -66,6 +76,7 @@
                 inner[0],
                 '',
                 next(ports),
+                limits=limits,
             )
         )
         commands.append(['hyssopring.platform', 'entry', *entry_files])
@@ -83,6 +94,7 @@
                 seed,
                 runner['app'],
                 next(ports),
+                limits=limits,
             )
         )
         commands.append(['hyssopring.platform', 'agent'])
