Tests: crowds start once the watched process listens

A job that one agent completes does not show that the other one listens: on a busy machine a crowd was refused its first connection (1 of 22, load of 40 on 8 cores; that the agent was still starting is inferred from the refusal). Crowd and bounds are unchanged.

--- a/tests/crowds/test_platform.py
+++ b/tests/crowds/test_platform.py
@@ -113,7 +113,10 @@
         assert call(fronts[0], 'POST', path, JOB)[0] == 200
         wait_for_response((200, {'state': 'completed'}), fronts[0], 'GET', path)
         with ProcessWatch(tmp_path / f'{NAMES[kind]}.json') as watch:
-            yield Target(tmp_path, kind, fronts, watch)
+            target = Target(tmp_path, kind, fronts, watch)
+            # The job needs only one agent; the other may still be starting.
+            wait_until(lambda: status_of(target.port))
+            yield target
 
 
 def assert_crowd_is_outlived(target, *parts_of_clients):
