Platform: a body of many values takes no gigabytes to read

A submission of 4 MiB with two million steps took 3,283 MiB: the validator keeps an error for each invalid step, each with its input, and the one message that was wanted came from a list of all of them. A report took 386 MiB.

The first invalid step ends the reading, inputs of errors are not collected, and bodies of more than 131,072 values (a job; its row holds 65,536 bytes) or 16,384 (a report or a deregistration) are malformed before they are parsed.

--- a/hyssopring/platform/callers.py
+++ b/hyssopring/platform/callers.py
@@ -3,9 +3,15 @@
 import json
 import math
 import re
-from typing import Any, Final
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from typing import Annotated, Any, Final
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    FailFast,
+    Field,
+    ValidationError,
+)
 from pydantic import alias_generators
 from result import Result
 from twisted.internet.defer import Deferred
@@ -19,6 +25,7 @@
 from hyssopring.jobs.model import Job, JobState, Queue, Schedule, Size, Step
 from hyssopring.jobs.queues import QueueTable
 from hyssopring.logs import Event, log_event
+from hyssopring.platform.json_values import check_value_count
 from hyssopring.platform.leaf_site import NOT_DONE_YET
 
 __all__ = ('CallersResource', 'read_job')
@@ -32,6 +39,8 @@
 _SUBMIT_SHARE: Final = 0.45
 _CANCEL_SHARE: Final = 0.85
 _STATUS_GONE: Final = 410
+# A row with the job holds half as many bytes.
+_MAX_VALUES: Final = 131_072
 
 
 class _Model(BaseModel):
@@ -50,7 +59,7 @@
     mem_mb: int = 0
     gpu: int = 0
     estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    after: Annotated[tuple[int, ...], FailFast()] = ()
     gang: bool = False
     locality_sensitive: bool = False
     requirements: str = ''
@@ -90,7 +99,10 @@
     """A job as a caller submits it."""
 
     spec: str = Field(default='', max_length=4000)
-    steps: tuple[_Step, ...] = Field(min_length=1, max_length=1000)
+    # The first invalid step is reported, not all that a body may have.
+    steps: Annotated[tuple[_Step, ...], FailFast()] = Field(
+        min_length=1, max_length=1000
+    )
     first_run_ms: int = 0
     interval_ms: int = 0
     repeat_count: int = 0
@@ -103,6 +115,7 @@
         ValueError: The body is malformed, a step does not follow the steps
             that it depends on, or a number is out of range.
     """
+    check_value_count(body, _MAX_VALUES)
     submission = _Submission.model_validate_json(body)
     for index, step in enumerate(submission.steps):
         if any(not 0 <= earlier < index for earlier in step.after):
@@ -203,7 +216,7 @@
         try:
             job = read_job(job_id, queue, request.content.read())
         except ValidationError as error:
-            detail = str(error.errors()[0]['msg'])
+            detail = str(error.errors(include_input=False)[0]['msg'])
             return _refuse(request, Failure(ErrorKind.MALFORMED, detail))
         except ValueError as error:
             return _refuse(request, Failure(ErrorKind.MALFORMED, str(error)))
--- a/hyssopring/platform/reports.py
+++ b/hyssopring/platform/reports.py
@@ -15,6 +15,7 @@
 from hyssopring.logs import Event, log_event
 from hyssopring.numbers import MAX_EXACT_INTEGER
 from hyssopring.platform.incarnation import boot_name, worker_id
+from hyssopring.platform.json_values import check_value_count
 
 __all__ = ('ReportsResource',)
 
@@ -27,6 +28,8 @@
 _ID: Final = re.compile('[A-Za-z0-9._~:@+=-]{1,128}')
 _MAX_NAME_LENGTH: Final = 256
 _MAX_LABELS: Final = 256
+# A report with all labels has 270; another writer's may have more fields.
+_MAX_VALUES: Final = 16_384
 
 _Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
 _Name = Annotated[str, Field(max_length=_MAX_NAME_LENGTH)]
@@ -137,8 +140,8 @@
 
     def _handle_heartbeat(self, runner_id: str, body: bytes) -> int:
         try:
-            report = _Report.model_validate_json(body)
-        except ValidationError as error:
+            report = _read_report(body)
+        except ValueError as error:
             log_event(
                 Event.PEER_ERROR, peer=runner_id, detail=_first_problem(error)
             )
@@ -197,12 +200,23 @@
         return last.boot if worker_id(last.boot) == runner_id else boot
 
 
+def _read_report(body: bytes) -> _Report:
+    """Parse the body of a report.
+
+    Raises:
+        ValueError: The body is malformed.
+    """
+    check_value_count(body, _MAX_VALUES)
+    return _Report.model_validate_json(body)
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     """Return the fields of a body.
 
     Raises:
         ValueError: The body is not a JSON object.
     """
+    check_value_count(body, _MAX_VALUES)
     try:
         fields = json.loads(body)
     except RecursionError as error:
@@ -212,6 +226,8 @@
     return fields
 
 
-def _first_problem(error: ValidationError) -> str:
-    problem: dict[str, Any] = dict(error.errors()[0])
+def _first_problem(error: ValueError) -> str:
+    if not isinstance(error, ValidationError):
+        return str(error)
+    problem: dict[str, Any] = dict(error.errors(include_input=False)[0])
     return json.dumps([problem['loc'], problem['msg']])
