Platform: the bodies of unfinished requests share a budget

Each site limited a single body to 4 MiB; 40 of them at once were held whole, as were the first 4 MiB of those that are discarded for their size, and the body of each request whose response was pending. All HTTP ports of a process now share a budget of an eighth of memoryMb. Beyond it the largest unfinished requests are refused with 503 and Retry-After, and their connections closed. A request that was read is never refused: its bytes leave the budget as its body is freed.

A body far over the limit has one response and one log line, whatever still arrives; it had a line for each further part of the same read.

--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -18,7 +18,7 @@
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.metrics import Metrics
-from hyssopring.platform.leaf_site import LeafSite
+from hyssopring.platform.leaf_site import MAX_BODY_BYTES, LeafSite, SiteLimits
 from hyssopring.platform.listening import listen
 from hyssopring.platform.metrics import gauge_traffic, serve_metrics
 from hyssopring.platform.reports import ReportsResource
@@ -37,9 +37,6 @@
 )
 # Part of the grace period of a stop that is reserved for the last messages.
 _LAST_MESSAGES_S: Final = 0.8
-# A report with all labels that are allowed has 70 KB; another writer's may have
-# more fields.
-_MAX_REPORT_BYTES: Final = 4 * 1024 * 1024
 
 
 class AgentProcess:
@@ -88,12 +85,13 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         settings = self._settings
+        limits = SiteLimits.from_limits(settings.limits)
         listen(
             self._reactor,
             settings.bind_addresses.control_plane,
-            LeafSite(self._reports, _MAX_REPORT_BYTES),
+            LeafSite(self._reports, MAX_BODY_BYTES, limits),
         )
-        serve_metrics(self._reactor, settings, self._metrics)
+        serve_metrics(self._reactor, settings, self._metrics, limits)
         self._dialler.add_addresses(settings.seed_addresses)
         self._tick()
         log_event(Event.PROCESS_STARTED, role='agent', id=settings.node_name)
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -29,7 +29,7 @@
 from hyssopring.metrics import Metrics
 from hyssopring.platform.advice import advice_client_for
 from hyssopring.platform.callers import CallersResource
-from hyssopring.platform.leaf_site import LeafSite
+from hyssopring.platform.leaf_site import MAX_BODY_BYTES, LeafSite, SiteLimits
 from hyssopring.platform.listening import listen
 from hyssopring.platform.metrics import gauge_traffic, serve_metrics
 from hyssopring.platform.operator_rows import follow_operator
@@ -46,8 +46,6 @@
 # second apart; meanwhile requests are served, also on open connections.
 _DRAIN_DELAY_S: Final = 3.0
 _DRAIN_MS: Final = 1500.0
-# A job's row holds 65,536 bytes; its JSON may be longer by blanks and escapes.
-_MAX_JOB_BYTES: Final = 4 * 1024 * 1024
 _MAX_CHECK_BYTES: Final = 4096
 
 
@@ -143,18 +141,21 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         bind = self._settings.bind_addresses
+        limits = SiteLimits.from_limits(self._settings.limits)
         self._front_port = listen(
             self._reactor,
             bind.frontend,
-            LeafSite(self._callers, _MAX_JOB_BYTES),
+            LeafSite(self._callers, MAX_BODY_BYTES, limits),
         )
         listen(
-            self._reactor, bind.ready, LeafSite(self._ready, _MAX_CHECK_BYTES)
+            self._reactor,
+            bind.ready,
+            LeafSite(self._ready, _MAX_CHECK_BYTES, limits),
         )
         listen(self._reactor, self._settings.inner_address, self._listener)
         self._dial_seeds()
         self._dialler.tick()
-        serve_metrics(self._reactor, self._settings, self._metrics)
+        serve_metrics(self._reactor, self._settings, self._metrics, limits)
         self._follower.start()
         self._membership.tick()
         every = self._lifecycle.every
--- a/hyssopring/platform/metrics.py
+++ b/hyssopring/platform/metrics.py
@@ -13,6 +13,7 @@
 from hyssopring.platform.leaf_site import LeafSite
 from hyssopring.platform.listening import listen
 from hyssopring.platform.settings import NodeSettings
+from hyssopring.platform.site_limits import SiteLimits
 from hyssopring.protocol.frames import Traffic
 
 __all__ = ('METRICS_PATH', 'gauge_traffic', 'serve_metrics')
@@ -63,6 +64,7 @@
     reactor: Any,
     settings: NodeSettings,
     metrics: Metrics,
+    limits: SiteLimits,
 ) -> None:
     """Count the events of the process and listen for scrapes.
 
@@ -70,7 +72,8 @@
     """
     listen_to_events(JobMetrics(metrics).record_event)
     metrics.collect(lambda: gauge_process(metrics))
-    site = LeafSite(_MetricsResource(metrics), _MAX_BODY_BYTES)
+    metrics.collect(lambda: limits.gauge(metrics))
+    site = LeafSite(_MetricsResource(metrics), _MAX_BODY_BYTES, limits)
     try:
         listen(reactor, f'{settings.ip}:{settings.metrics_port}', site)
     except CannotListenError as error:
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from hyssopring.errors import ErrorKind, Failure
+from hyssopring.numbers import MAX_EXACT_INTEGER
 from hyssopring.problems import describe_problems
 
 __all__ = (
@@ -60,10 +61,14 @@
 
 
 class Limits(_Model):
-    """Processor limits: a share of one core, and that core's relative speed."""
+    """Limits of the machine.
+
+    ``cpu_quota`` is a share of one core, ``cores`` that core's relative speed.
+    """
 
     cpu_quota: float = 1
     cores: float = 1
+    memory_mb: float = Field(default=256, ge=0, le=MAX_EXACT_INTEGER)
 
 
 class NodeSettings(_Model):
--- /dev/null
+++ b/hyssopring/platform/site_limits.py
@@ -0,0 +1,40 @@
+"""Limits over all HTTP sites of one process."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from hyssopring.body_budget import BodyBudget
+from hyssopring.metrics import Metrics
+from hyssopring.platform.settings import Limits
+
+__all__ = ('MAX_BODY_BYTES', 'SiteLimits')
+
+# A job's row holds 65,536 bytes; its JSON may be longer by blanks and escapes.
+# A report with all labels that are allowed has 70 KB; another writer's may have
+# more fields.
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+_BYTES_PER_MB: Final = 1024 * 1024
+# The rest is for the state of the process, and for parsing a body.
+_MEMORY_SHARE: Final = 0.125
+
+
+@dataclass(frozen=True, slots=True)
+class SiteLimits:
+    """Limits that the sites of a process share.
+
+    Attributes:
+        bodies: On the bytes of unfinished requests.
+    """
+
+    bodies: BodyBudget
+
+    @classmethod
+    def from_limits(cls, limits: Limits) -> 'SiteLimits':
+        """Return the limits that the memory allows."""
+        budget = int(limits.memory_mb * _BYTES_PER_MB * _MEMORY_SHARE)
+        return cls(BodyBudget(max(budget, 2 * MAX_BODY_BYTES)))
+
+    def gauge(self, metrics: Metrics) -> None:
+        """Set what is held, and count what was refused."""
+        metrics.gauge('request_bytes', self.bodies.held_bytes)
+        metrics.gauge('request_bodies_refused_total', self.bodies.refused_count)
--- a/tests/test_leaf_site.py
+++ b/tests/test_leaf_site.py
@@ -2,11 +2,15 @@
 
 import pytest
 from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 
+from hyssopring.body_budget import BodyBudget
 from hyssopring.platform.leaf_site import NOT_DONE_YET, LeafSite
+from hyssopring.platform.site_limits import SiteLimits
 
 LIMIT = 1000
 
@@ -35,7 +39,8 @@
 class Port:
     def __init__(self):
         self.echo = Echo()
-        self.site = LeafSite(self.echo, LIMIT)
+        self.limits = SiteLimits(BodyBudget(2 * LIMIT))
+        self.site = LeafSite(self.echo, LIMIT, self.limits)
         self.site.reactor = Clock()
 
     def send(self, *parts):
@@ -128,3 +133,106 @@
 def test_several_requests_on_one_connection(port):
     answer = port.send(head('GET') + head('GET')).value()
     assert answer.count(b'HTTP/1.1 200 ') == 2
+
+
+class Connection:
+    """One connection that stays open."""
+
+    def __init__(self, port, *parts):
+        self.transport = StringTransport()
+        self.protocol = port.site.buildProtocol(
+            IPv4Address('TCP', '127.0.0.1', 1)
+        )
+        self.protocol.makeConnection(self.transport)
+        self.send(*parts)
+
+    @property
+    def status(self):
+        fields = self.transport.value().split(b' ', 2)
+        return int(fields[1]) if len(fields) == 3 else 0
+
+    def send(self, *parts):
+        for part in parts:
+            self.protocol.dataReceived(part)
+
+
+UNFINISHED = head('POST', b'Content-Length: 1000')
+
+
+def test_the_largest_of_many_unfinished_bodies_is_refused(port, errors):
+    """Guards against memory that grows with the number of connections."""
+    small = Connection(port, UNFINISHED, b'.' * 100)
+    large = Connection(port, UNFINISHED, b'.' * 990)
+    last = Connection(port, UNFINISHED, b'.' * 900)
+    assert (small.status, large.status, last.status) == (0, 503, 0)
+    assert b'retry-after' in large.transport.value()
+    assert large.transport.disconnecting
+    assert len(errors) == 1
+    large.send(b'.' * 10)
+    assert large.transport.value().count(b'HTTP/1.1') == 1
+    last.send(b'.' * 100)
+    assert last.status == 200
+
+
+def test_bytes_count_until_the_request_is_over(port):
+    """Guards against a budget that finished and lost requests use up."""
+    for _number in range(3):
+        served = Connection(port, UNFINISHED, b'.' * 1000)
+        assert served.status == 200
+        lost = Connection(port, UNFINISHED, b'.' * 900)
+        assert port.limits.bodies.held_bytes
+        lost.protocol.connectionLost(Failure(ConnectionDone()))
+        served.protocol.connectionLost(Failure(ConnectionDone()))
+    assert port.limits.bodies.held_bytes == 0
+
+
+def test_a_request_that_is_served_is_not_refused(port):
+    """Guards against a refusal that is taken for the response to a request."""
+    served = Connection(port, head('DELETE'), UNFINISHED, b'.' * 900)
+    Connection(port, UNFINISHED, b'.' * 900)
+    Connection(port, UNFINISHED, b'.' * 900)
+    assert served.status == 0
+    port.echo.open[0].write(b'done')
+    port.echo.open[0].finish()
+    assert served.status == 200
+
+
+def test_heads_count_as_bytes(port):
+    """Guards against memory of unfinished heads."""
+    line = b'X: ' + b'.' * 900 + b'\r\n'
+    heads = [Connection(port, head('GET')[:-2], line) for _number in range(3)]
+    assert [each.status for each in heads].count(503) == 2
+
+
+def test_a_body_far_over_the_limit_has_one_response(port, errors):
+    """Guards against a log line and a response for each further part."""
+    chunk = b'384\r\n' + b'.' * 900 + b'\r\n'
+    connection = Connection(
+        port,
+        head('POST', b'Transfer-Encoding: chunked'),
+        chunk * 30,
+        chunk,
+        b'0\r\n\r\n',
+    )
+    assert connection.transport.value().count(b'HTTP/1.1 413') == 1
+    assert connection.transport.value().count(b'HTTP/1.1') == 1
+    assert len(errors) == 1
+
+
+def test_a_body_that_is_too_large_holds_no_memory(port):
+    """Guards against keeping the part of it that was within the limit."""
+    chunk = b'384\r\n' + b'.' * 900 + b'\r\n'
+    first = head('POST', b'Transfer-Encoding: chunked')
+    connection = Connection(port, first, chunk)
+    assert port.limits.bodies.held_bytes == len(first) + 900
+    connection.send(chunk)
+    assert port.limits.bodies.held_bytes == len(first)
+
+
+def test_a_connection_whose_response_is_not_read_is_aborted(port):
+    """Guards against descriptors of refused clients that do not read."""
+    length = b'Content-Length: 1000000'
+    connection = Connection(port, head('POST', length))
+    assert connection.transport.disconnecting
+    port.site.reactor.advance(60)
+    assert connection.transport.disconnected
