Platform: a limit on the open connections of the HTTP ports

Connections were accepted up to the descriptors of the process, and a silent one stayed for 60 s, one that sends a byte now and then for good. The ports of a process share a limit, half of what maxFds leaves above 200; beyond it the connection is closed whose last complete request is the longest ago. One that serves a request is kept.

--- a/hyssopring/platform/leaf_site.py
+++ b/hyssopring/platform/leaf_site.py
@@ -145,8 +145,14 @@
         self._other_bytes = 0
         self._has_responded = False
 
+    def connectionMade(self) -> None:
+        """Count the connection."""
+        super().connectionMade()
+        self.site.limits.connections.add(self)
+
     def connectionLost(self, reason: TwistedFailure) -> None:
-        """Forget the bytes."""
+        """Forget the connection and its bytes."""
+        self.site.limits.connections.remove(self)
         self.site.limits.bodies.release(self)
         super().connectionLost(reason)
 
@@ -172,6 +178,7 @@
         """Record that the response was sent, and read the next request."""
         self.is_serving = False
         self._has_responded = True
+        self.site.limits.connections.renew(self)
         super().requestDone(request)
 
     def refuse_body(self) -> None:
@@ -197,6 +204,12 @@
         # It also aborts if the client does not read the response.
         self.timeoutConnection()
 
+    def abort(self) -> None:
+        """See ``OpenConnection``."""
+        self.is_refused = True
+        self.site.limits.bodies.release(self)
+        self.transport.abortConnection()
+
     @property
     def _body_bytes(self) -> int:
         return self.requests[0].body_bytes if self.requests else 0
--- a/hyssopring/platform/settings.py
+++ b/hyssopring/platform/settings.py
@@ -69,6 +69,7 @@
     cpu_quota: float = 1
     cores: float = 1
     memory_mb: float = Field(default=256, ge=0, le=MAX_EXACT_INTEGER)
+    max_fds: int = Field(default=1024, ge=0, le=MAX_EXACT_INTEGER)
 
 
 class NodeSettings(_Model):
--- a/tests/test_leaf_site.py
+++ b/tests/test_leaf_site.py
@@ -9,6 +9,7 @@
 from twisted.web.resource import Resource
 
 from hyssopring.body_budget import BodyBudget
+from hyssopring.connection_limit import ConnectionLimit
 from hyssopring.platform.leaf_site import NOT_DONE_YET, LeafSite
 from hyssopring.platform.site_limits import SiteLimits
 
@@ -39,7 +40,7 @@
 class Port:
     def __init__(self):
         self.echo = Echo()
-        self.limits = SiteLimits(BodyBudget(2 * LIMIT))
+        self.limits = SiteLimits(BodyBudget(2 * LIMIT), ConnectionLimit(3))
         self.site = LeafSite(self.echo, LIMIT, self.limits)
         self.site.reactor = Clock()
 
@@ -229,6 +230,18 @@
     assert port.limits.bodies.held_bytes == len(first)
 
 
+def test_a_silent_connection_makes_room_for_a_new_one(port):
+    """Guards against descriptors that silent clients use up."""
+    silent = [Connection(port) for _number in range(3)]
+    new = Connection(port, head('GET'))
+    assert new.status == 200
+    assert [each.transport.disconnected for each in silent] == [
+        True,
+        False,
+        False,
+    ]
+
+
 def test_a_connection_whose_response_is_not_read_is_aborted(port):
     """Guards against descriptors of refused clients that do not read."""
     length = b'Content-Length: 1000000'
