Platform: reading a crowd's bodies leaves turns to all else

A read of 64 KB in chunks of one byte is parsed in 60 ms, and each connection may have one in the same turn of the reactor; ticks and messages waited for all of them. The HTTP ports of a process now parse for about 20 ms of a turn; what has arrived beyond that waits for the next ones, counts in the budget of bytes, and its connection is not read meanwhile.

--- a/hyssopring/platform/agent_process.py
+++ b/hyssopring/platform/agent_process.py
@@ -85,7 +85,7 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         settings = self._settings
-        limits = SiteLimits.from_limits(settings.limits)
+        limits = SiteLimits.from_limits(settings.limits, self._reactor)
         listen(
             self._reactor,
             settings.bind_addresses.control_plane,
--- a/hyssopring/platform/entry_process.py
+++ b/hyssopring/platform/entry_process.py
@@ -141,7 +141,7 @@
     def start(self) -> None:
         """Open the ports and start the timers."""
         bind = self._settings.bind_addresses
-        limits = SiteLimits.from_limits(self._settings.limits)
+        limits = SiteLimits.from_limits(self._settings.limits, self._reactor)
         self._front_port = listen(
             self._reactor,
             bind.frontend,
--- a/hyssopring/platform/leaf_site.py
+++ b/hyssopring/platform/leaf_site.py
@@ -5,6 +5,7 @@
 """
 
 import io
+from functools import partial
 from typing import Any, Final, Protocol
 
 from twisted.python.failure import Failure as TwistedFailure
@@ -130,7 +131,8 @@
 
     Attributes:
         site: The site.
-        is_refused: Whether it was refused; whatever still arrives is ignored.
+        is_refused: Whether it was refused or lost; what still arrives is
+            ignored.
         is_serving: Whether a request was read and its response is pending.
     """
 
@@ -144,6 +146,7 @@
         # Of a head, or of a request that follows the one being served.
         self._other_bytes = 0
         self._has_responded = False
+        self._unparsed: list[bytes] = []
 
     def connectionMade(self) -> None:
         """Count the connection."""
@@ -152,23 +155,34 @@
 
     def connectionLost(self, reason: TwistedFailure) -> None:
         """Forget the connection and its bytes."""
+        self.is_refused = True
         self.site.limits.connections.remove(self)
         self.site.limits.bodies.release(self)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
-        """Read a part of a request and count what it leaves in memory."""
+        """Read a part of a request, in a later turn if this one is over."""
         if self.is_refused:
             return
-        former_bytes = self._body_bytes
-        self._has_responded = False
-        super().dataReceived(data)
-        if self._has_responded:
-            self._other_bytes = 0
-        elif self._body_bytes == former_bytes:
-            self._other_bytes += len(data)
-        if not self.is_refused:
+        turns = self.site.limits.turns
+        if self._unparsed or turns.is_over:
+            if not self._unparsed:
+                turns.wait(self)
+            self._unparsed.append(data)
+            self._networkProducer.pauseProducing()
             self._count_bytes()
+        else:
+            turns.run(partial(self._parse, data))
+
+    def read_on(self) -> None:
+        """See ``Reader``."""
+        unparsed = b''.join(self._unparsed)
+        self._unparsed = []
+        if self.is_refused:
+            return
+        if not (self.is_serving or self._waitingForTransport):
+            self._networkProducer.resumeProducing()
+        self.site.limits.turns.run(partial(self._parse, unparsed))
 
     def begin_serving(self) -> None:
         """Record that the request was read."""
@@ -210,6 +224,18 @@
         self.site.limits.bodies.release(self)
         self.transport.abortConnection()
 
+    def _parse(self, received: bytes) -> None:
+        """Read a part of a request and count what it leaves in memory."""
+        former_bytes = self._body_bytes
+        self._has_responded = False
+        super().dataReceived(received)  # noqa: WPS613 -- of Twisted
+        if self._has_responded:
+            self._other_bytes = 0
+        elif self._body_bytes == former_bytes:
+            self._other_bytes += len(received)
+        if not self.is_refused:
+            self._count_bytes()
+
     @property
     def _body_bytes(self) -> int:
         return self.requests[0].body_bytes if self.requests else 0
@@ -222,9 +248,8 @@
         """
         held_bytes = 0
         if not self.is_serving:
-            held_bytes = self._other_bytes + sum(
-                request.held_bytes for request in self.requests
-            )
+            held_bytes = self._other_bytes + sum(map(len, self._unparsed))
+            held_bytes += sum(request.held_bytes for request in self.requests)
         self.site.limits.bodies.hold(self, held_bytes)
 
 
--- a/hyssopring/platform/site_limits.py
+++ b/hyssopring/platform/site_limits.py
@@ -1,12 +1,14 @@
 """Limits over all HTTP sites of one process."""
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from hyssopring.body_budget import BodyBudget
+from hyssopring.clock import MonotonicClock
 from hyssopring.connection_limit import ConnectionLimit
 from hyssopring.metrics import Metrics
 from hyssopring.platform.settings import Limits
+from hyssopring.read_turns import ReadTurns
 
 __all__ = ('MAX_BODY_BYTES', 'SiteLimits')
 
@@ -31,13 +33,15 @@
     Attributes:
         bodies: On the bytes of unfinished requests.
         connections: On open connections.
+        turns: On the time of reading in a turn of the reactor.
     """
 
     bodies: BodyBudget
     connections: ConnectionLimit
+    turns: ReadTurns
 
     @classmethod
-    def from_limits(cls, limits: Limits) -> 'SiteLimits':
+    def from_limits(cls, limits: Limits, reactor: Any) -> 'SiteLimits':
         """Return the limits that the memory and descriptors allow."""
         budget = int(limits.memory_mb * _BYTES_PER_MB * _MEMORY_SHARE)
         sockets = limits.max_fds - _FILE_DESCRIPTORS
@@ -46,6 +50,7 @@
             ConnectionLimit(
                 max(int(sockets * _DESCRIPTOR_SHARE), _MIN_CONNECTIONS)
             ),
+            ReadTurns(reactor, MonotonicClock()),
         )
 
     def gauge(self, metrics: Metrics) -> None:
--- a/tests/test_leaf_site.py
+++ b/tests/test_leaf_site.py
@@ -9,9 +9,11 @@
 from twisted.web.resource import Resource
 
 from hyssopring.body_budget import BodyBudget
+from hyssopring.clock import ManualClock
 from hyssopring.connection_limit import ConnectionLimit
 from hyssopring.platform.leaf_site import NOT_DONE_YET, LeafSite
 from hyssopring.platform.site_limits import SiteLimits
+from hyssopring.read_turns import ReadTurns
 
 LIMIT = 1000
 
@@ -40,9 +42,15 @@
 class Port:
     def __init__(self):
         self.echo = Echo()
-        self.limits = SiteLimits(BodyBudget(2 * LIMIT), ConnectionLimit(3))
+        self.clock = ManualClock()
+        self.reactor = Clock()
+        self.limits = SiteLimits(
+            BodyBudget(2 * LIMIT),
+            ConnectionLimit(3),
+            ReadTurns(self.reactor, self.clock),
+        )
         self.site = LeafSite(self.echo, LIMIT, self.limits)
-        self.site.reactor = Clock()
+        self.site.reactor = self.reactor
 
     def send(self, *parts):
         connection = self.site.buildProtocol(IPv4Address('TCP', '127.0.0.1', 1))
@@ -249,3 +257,18 @@
     assert connection.transport.disconnecting
     port.site.reactor.advance(60)
     assert connection.transport.disconnected
+
+
+def test_bytes_wait_for_the_next_turn_once_this_one_is_over(port):
+    """Guards against ticks that wait for a crowd, and against lost bytes."""
+    port.limits.turns.run(lambda: port.clock.advance(1000))
+    first = Connection(port, UNFINISHED, b'.' * 500)
+    assert first.transport.producerState == 'paused'
+    assert port.limits.bodies.held_bytes == len(UNFINISHED) + 500
+    lost = Connection(port, head('DELETE'))
+    lost.protocol.connectionLost(Failure(ConnectionDone()))
+    port.reactor.advance(0)
+    assert first.transport.producerState == 'producing'
+    assert not port.echo.open
+    first.send(b'.' * 500)
+    assert first.transport.value().endswith(b'echo:' + b'.' * LIMIT)
