Platform: frames of peers that have not greeted are short

Until its greeting a peer may send 16 KiB in a frame, and of more than 256 such connections the oldest is closed. A peer that greets still sends long frames: the platform gives the processes no secret to tell peers by.

--- a/hyssopring/jobs/links/listener.py
+++ b/hyssopring/jobs/links/listener.py
@@ -5,11 +5,12 @@
 device between the two ends may have dropped its state.
 """
 
-from typing import Any, Callable
+from typing import Any, Callable, Final
 
 from twisted.internet.protocol import Factory
 
 from hyssopring.clock import Clock
+from hyssopring.connection_limit import ConnectionLimit
 from hyssopring.jobs.links.timing import (
     DELAY_TIMEOUT_MS,
     LINK_CODEC,
@@ -29,23 +30,43 @@
 from hyssopring.jobs.stall_detector import StallDetector
 from hyssopring.jobs.times import REPORT_INTERVAL_MS
 from hyssopring.logs import Event, log_event
-from hyssopring.protocol.frames import FramedConnection, Traffic
+from hyssopring.protocol.frames import (
+    MAX_FRAME_BYTES,
+    FramedConnection,
+    Traffic,
+)
 
 __all__ = ('LinkListener',)
 
+# A greeting has the names of a process and of its zone.
+_MAX_GREETING_BYTES: Final = 16 * 1024
+_MAX_UNIDENTIFIED: Final = 256
+
 
 class _Peer:
-    """An accepted connection; its greeting identifies the peer."""
+    """An accepted connection; its greeting identifies the peer.
+
+    Attributes:
+        is_serving: Whether it was identified.
+    """
 
     def __init__(self, listener: 'LinkListener') -> None:
         self.listener = listener
         self.peer_id = ''
+        self.is_serving = False
         self.connection: FramedConnection | None = None
         self._silence_timeout_ms = SILENCE_TIMEOUT_MS
         self._requested_at = NEVER
 
     def on_open(self, connection: FramedConnection) -> None:
         self.connection = connection
+        connection.MAX_LENGTH = _MAX_GREETING_BYTES
+        self.listener.unidentified.add(self)
+
+    def abort(self) -> None:
+        """See ``OpenConnection``."""
+        if self.connection is not None:
+            self.connection.abort()
 
     def on_receive(self, connection: FramedConnection, message: Any) -> None:
         if isinstance(message, EntryGreeting | WorkerReport):
@@ -53,6 +74,10 @@
             self._silence_timeout_ms = DELAY_TIMEOUT_MS + max(
                 next_ms, REPORT_INTERVAL_MS
             )
+        if isinstance(message, AgentGreeting | EntryGreeting):
+            connection.MAX_LENGTH = MAX_FRAME_BYTES
+            self.is_serving = True
+            self.listener.unidentified.remove(self)
         if isinstance(message, AgentGreeting):
             self.peer_id = message.agent_id
             connection.send(self.listener.greeting)
@@ -100,7 +125,14 @@
 
 
 class LinkListener(Factory):
-    """Accepts connections of agents and other entries."""
+    """Accepts connections of agents and other entries.
+
+    Attributes:
+        greeting: The response to a greeting.
+        on_message: Called with the messages of identified peers.
+        traffic: Of all connections.
+        unidentified: The connections without a greeting.
+    """
 
     noisy = False
 
@@ -120,6 +152,7 @@
         self._on_close = on_close
         self.traffic = Traffic()
         self._stall_detector = StallDetector(clock)
+        self.unidentified = ConnectionLimit(_MAX_UNIDENTIFIED)
         self._peers: set[_Peer] = set()
         self._peer_by_id: dict[str, _Peer] = {}
 
@@ -172,6 +205,7 @@
     def handle_close(self, peer: _Peer) -> None:
         """Remove a closed connection."""
         self._peers.discard(peer)
+        self.unidentified.remove(peer)
         if peer.peer_id and self.is_current(peer):
             self._peer_by_id.pop(peer.peer_id)
             self._on_close(peer.peer_id)
--- a/tests/test_job_links.py
+++ b/tests/test_job_links.py
@@ -1,7 +1,10 @@
 """When each end of a connection between processes counts as silent."""
 
+from twisted.internet.testing import StringTransport
+
 from hyssopring.clock import ManualClock
 from hyssopring.jobs.links import LinkDialler, LinkListener
+from hyssopring.jobs.links.timing import LINK_CODEC
 from hyssopring.jobs.messages import (
     PROTOCOL_RELEASE,
     AgentGreeting,
@@ -218,3 +221,48 @@
     assert not entry.connection.is_aborted
     entry.run(200)
     assert entry.connection.is_aborted
+
+
+class _Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):
+        """See ``ITCPTransport``."""
+
+
+class _Unidentified:
+    """An entry with a connection that has not greeted, on a transport."""
+
+    def __init__(self, listener):
+        self.transport = _Transport()
+        self.protocol = listener.buildProtocol(None)
+        self.protocol.makeConnection(self.transport)
+
+    def announce(self, length):
+        self.protocol.dataReceived(length.to_bytes(4, 'big') + b'.')
+
+
+def _listener():
+    return LinkListener(ManualClock(1000), 'entry', _ignore, _ignore, _ignore)
+
+
+def test_a_peer_without_a_greeting_sends_no_long_frame():
+    """Guards against memory for frames of anybody."""
+    peer = _Unidentified(_listener())
+    peer.announce(1024 * 1024)
+    assert peer.transport.disconnected
+
+
+def test_a_peer_that_has_greeted_sends_long_frames():
+    """Guards against refusing relayed responses of other entries."""
+    peer = _Unidentified(_listener())
+    greeting = LINK_CODEC.encode(EntryGreeting('other', PROTOCOL_RELEASE))
+    peer.protocol.dataReceived(len(greeting).to_bytes(4, 'big') + greeting)
+    peer.announce(1024 * 1024)
+    assert not peer.transport.disconnected
+
+
+def test_the_oldest_of_many_peers_without_a_greeting_is_closed():
+    """Guards against descriptors that silent peers use up."""
+    listener = _listener()
+    peers = [_Unidentified(listener) for _number in range(257)]
+    assert [peer.transport.disconnected for peer in peers].count(True) == 1
+    assert peers[0].transport.disconnected
