--- a/soak/platform/large.py
+++ b/soak/platform/large.py
@@ -27,6 +27,12 @@
 LONG_PAUSE_S = (8, 12)
 # How long a runner is dark, so that a start waits while its agent is paused.
 DARK_S = (0.5, 2)
+# How far, and for how long, an agent's time of day is set back.
+SET_BACK_S = (0.5, 6)
+STEP_S = 6
+# Delays of a runner in which an agent has requests of two fences in flight.
+SHORT_DELAYS_S = (0.1, 0.3)
+SHORT_RESTART_S = (0, 0.5)
 # Faults of the owner's link to the store as such an agent resumes.
 STORE_FAULTS = (('delay', 0.7), ('delay', 2), ('hold', 'down'), ('refuse',))
 STORE_FAULT_S = 3
@@ -110,6 +116,8 @@
             self._hit_at_start,
             self._pause_at_start,
             self._pause_at_start,
+            self._set_back_at_start,
+            self._set_back_at_start,
             self._cut,
             self._crash,
         ]
@@ -172,6 +180,19 @@
             link = f'{self.fleet.owner}>store'
             self._add(resumes_at, name, link, *arguments, STORE_FAULT_S)
 
+    def _set_back_at_start(self, at, agent):
+        """Kill an agent after a start that is carried out late.
+
+        The next process has an earlier time of day.
+        """
+        rng = self.rng
+        self._add(at, 'be-slow', agent, rng.choice(SHORT_DELAYS_S), STEP_S)
+        self._add(at, 'lose-orders', agent, MAX_LOST_CALLS, rng.choice(LATE_S))
+        offset_s = round(rng.uniform(*SET_BACK_S), 2)
+        back_s = round(rng.uniform(*SHORT_RESTART_S), 2)
+        hit = Event(at, 'set_back', agent, (offset_s, STEP_S, back_s))
+        self._add(at, 'at-start', agent, hit, rng.choice(HIT_DELAY_S))
+
     def _cut(self, at, agent):
         rng = self.rng
         peer = rng.choice([*self.fleet.entries, self.fleet.owner, '*'])
--- a/soak/platform/program.py
+++ b/soak/platform/program.py
@@ -32,12 +32,14 @@
         is_up: Whether it has served since its last start.
         down_at: When its last end was detected.
         pauses: Start and end of each pause, in s.
+        clock: Its time of day, None for that of the machine.
     """
 
     def __init__(self, name, environment, folder, probe, arguments=()):
         self.name = name
         self.environment = environment
         self.arguments = arguments
+        self.clock = None
         self.log = folder / f'{name}.log'
         self.probe = probe
         self.process = None
@@ -81,10 +83,13 @@
             return
         self._record_exit()
         role = self.name.partition('-')[0]
+        environment = dict(self.environment)
+        if self.clock is not None:
+            environment.update(self.clock.environment)
         with self.log.open('ab') as output:
             self.process = start_program(
                 ['hyssopring.platform', role, *self.arguments],
-                self.environment,
+                environment,
                 output,
             )
         self.starts += 1
@@ -96,6 +101,12 @@
         self.start_at = max(self.start_at, reactor.seconds() + back)
         self._signal(number)
 
+    def set_back(self, offset_s, duration_s, back):
+        """Kill the process; its next one has an earlier time of day."""
+        self.clock.set_offset(-offset_s)
+        reactor.callLater(duration_s, self.clock.set_offset, 0)
+        self.end(signal.SIGKILL, back)
+
     def lose(self, duration_s):
         """Kill the process with its VM, for good if ``duration_s`` is None."""
         self.is_wanted = self.is_wanted and duration_s is not None
--- a/soak/platform/world.py
+++ b/soak/platform/world.py
@@ -25,6 +25,7 @@
     RUNNERS,
 )
 from soak.platform.program import Program
+from soak.platform.program_clock import ProgramClock
 from soak.platform.proxy import LinkConditions, Proxy
 from soak.platform.settling_recorder import SettlingRecorder
 from soak.platform.start_hits import HitWorker
@@ -178,6 +179,8 @@
         program = Program(
             name, environment, self.folder, probe, self._arguments_of(name)
         )
+        if self.plan.large.events:
+            program.clock = ProgramClock(self.folder / f'{name}.clock')
         self.programs[name] = program
 
     @property
--- a/tests/test_jobs_clock_steps.py
+++ b/tests/test_jobs_clock_steps.py
@@ -9,11 +9,15 @@
 SLOW_S = 0.1
 LONG_MS = 30_000
 SHORT_MS = 300
+# Starts of which one is delayed at last, whatever its fence is.
+STARTS = 80
 
 
 class LateStart:
     """Delays the first start that has a fence which its worker has not seen.
 
+    If there is none, it delays a later one.
+
     The agent is killed as it sends that start, and its machine's clock is set
     back before its next process starts.
     """
@@ -22,6 +26,7 @@
         self.deployment = deployment
         self.back_ms = back_ms
         self.task = ''
+        self.starts = 0
         self.wall_ms = deployment.wall_ms
         for name, agent in deployment.agents.items():
             self._watch(name, agent.worker)
@@ -30,7 +35,9 @@
         start = worker.start
 
         def started(order):
-            if self.task or order.fence <= worker.fence:
+            self.starts += 1
+            is_seen = order.fence <= worker.fence and self.starts < STARTS
+            if self.task or is_seen:
                 return start(order)
             self.task = order.task
             worker.lose_next, worker.late_s = 1, LATE_S
--- a/tests/test_soak_platform.py
+++ b/tests/test_soak_platform.py
@@ -217,7 +217,7 @@
         'lose-polls',
     }
     hits = [each.arguments[0] for each in events if each.name == 'at-start']
-    assert {hit.name for hit in hits} == {'kill', 'pause', 'term'}
+    assert {hit.name for hit in hits} == {'kill', 'pause', 'set_back', 'term'}
     assert OWNER in {hit.target for hit in hits}
     for plan in plans:
         assert 6 <= plan.entries <= 8
