--- a/hyssopring/jobs/fences.py
+++ b/hyssopring/jobs/fences.py
@@ -6,8 +6,9 @@
 
 __all__ = ('FenceCounter',)
 
-# Above all fences of the release before, which were milliseconds since 1970.
-_BASE: Final = 2**41
+# Above the fences of the release before, which were milliseconds since 1970,
+# until August 2028. Little above them, so that a rollback can catch up.
+_BASE: Final = 1_850_000_000_000
 # A rejection does not contain the number that the worker has seen, so the step
 # doubles. It is bounded because the next agent starts from the clock again.
 _MAX_STEP: Final = 2**30
