--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import pathlib
+import resource
 import signal
 import statistics
 import subprocess
@@ -41,16 +42,33 @@
         table: The address of the stand-in for the table store.
         entries: The addresses of each entry, by port.
         agents: The addresses of each agent, its worker and its backend.
+        entry_settings: Settings of the entries beside the usual ones.
+        agent_settings: Settings of the agents beside the usual ones.
+        max_descriptors: Open descriptors that the system allows each entry
+            and agent; as many as this process by default.
     """
 
-    def __init__(self, binary=None, work=WORK):
+    def __init__(
+        self,
+        binary=None,
+        work=WORK,
+        entry_settings=None,
+        agent_settings=None,
+        max_descriptors=None,
+    ):
         """Choose ports; no process starts.
 
         Args:
             binary: The zipapp to run entries and agents from; the source by
                 default.
             work: The directory of settings and log files.
+            entry_settings: See the attribute.
+            agent_settings: See the attribute.
+            max_descriptors: See the attribute.
         """
+        self.entry_settings = entry_settings or {}
+        self.agent_settings = agent_settings or {}
+        self.max_descriptors = max_descriptors
         self.work = pathlib.Path(work)
         self.processes = {}
         self.binary = (
@@ -85,10 +103,20 @@
     def spawn(self, name, arguments):
         """Start a process that logs to ``work/<name>.log``."""
         log = open(self.work / f'{name}.log', 'w')
+        is_limited = name.startswith(('entry', 'agent'))
         self.processes[name] = subprocess.Popen(
-            arguments, cwd=ROOT, stdout=log, stderr=log
+            arguments,
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+            preexec_fn=self._limit_descriptors if is_limited else None,
         )
 
+    def _limit_descriptors(self):
+        if self.max_descriptors is not None:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     def start(self):
         """Start all processes."""
         python = sys.executable
@@ -106,6 +134,7 @@
                     'inner_secret': SECRET,
                     'operator_token': TOKEN,
                     'notice_ms': 300.0,
+                    **self.entry_settings,
                 },
             )
             self.spawn(
@@ -123,6 +152,7 @@
                     'entries': [self.entries[0]['inner']],
                     'worker_url': f'http://{agent["worker"]}',
                     'inner_secret': SECRET,
+                    **self.agent_settings,
                 },
             )
             self.spawn(
--- /dev/null
+++ b/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of clients that do not stay inside the limits."""
