Agents' connections: at most 512 before authentication

Cause: an entry took any number of connections from peers that had not said who they are, each up to 5 s and again after it was closed, so that a crowd of 300 used all 256 descriptors: bookings and operators got no answer.

Change: for one more than 512 the oldest is closed; an authenticated agent counts no more.

--- a/hyssopring/entry/links.py
+++ b/hyssopring/entry/links.py
@@ -11,7 +11,6 @@
 from hyssopring.errors import ErrorKind
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import AgentRecord
-from hyssopring.protocol.codec import MAX_FRAME_BYTES
 from hyssopring.protocol.connection import InnerConnection, Traffic, prove
 from hyssopring.protocol.messages import (
     PROTOCOL_VERSION,
@@ -20,10 +19,10 @@
     Message,
     Refusal,
 )
+from hyssopring.protocol.unknown_peers import MAX_UNKNOWN_PEERS, UnknownPeers
 
 __all__ = ('AgentLinks',)
 
-_MAX_HANDSHAKE_BYTES = 65_536
 _HANDSHAKE_TIMEOUT_MS = 5000.0
 
 
@@ -45,13 +44,25 @@
 
     noisy = False
 
-    def __init__(self, clock: Clock, secret: str) -> None:
-        """Start without a core; attach one before listening."""
+    def __init__(
+        self,
+        clock: Clock,
+        secret: str,
+        max_unknown: int = MAX_UNKNOWN_PEERS,
+    ) -> None:
+        """Start without a core; attach one before listening.
+
+        Args:
+            clock: The clock for timeouts.
+            secret: The secret of the deployment.
+            max_unknown: Connections that may be open unauthenticated.
+        """
         self._clock = clock
         self._secret = secret
         self._core: EntryCore | None = None
         self._session_by_connection: dict[InnerConnection, _Session] = {}
         self._connection_by_agent: dict[str, InnerConnection] = {}
+        self._unknown = UnknownPeers(max_unknown)
         self.traffic = Traffic()
 
     @property
@@ -70,7 +81,7 @@
 
     def buildProtocol(self, addr: object) -> InnerConnection:
         """Return the protocol of one accepted connection."""
-        connection = InnerConnection(
+        return InnerConnection(
             self._clock,
             self._on_open,
             self._on_received,
@@ -78,9 +89,6 @@
             self._on_close,
             self.traffic,
         )
-        # Bounds the memory that an unauthenticated peer can use.
-        connection.MAX_LENGTH = _MAX_HANDSHAKE_BYTES
-        return connection
 
     def close_unauthenticated(self) -> None:
         """Abort connections that did not authenticate in time."""
@@ -105,6 +113,7 @@
             connection.abort()
 
     def _on_open(self, connection: InnerConnection) -> None:
+        self._unknown.add(connection)
         nonce = uuid.uuid4().hex
         self._session_by_connection[connection] = _Session(
             nonce, self._clock.now()
@@ -155,7 +164,7 @@
         if older_connection is not None:
             older_connection.abort()
         if self._core is not None:
-            connection.MAX_LENGTH = MAX_FRAME_BYTES
+            self._unknown.admit(connection)
             session.record = self._core.on_hello(hello)
 
     def _refuse(
@@ -176,6 +185,7 @@
         connection.close()
 
     def _on_close(self, connection: InnerConnection) -> None:
+        self._unknown.remove(connection)
         session = self._session_by_connection.pop(connection, None)
         if session is None or session.record is None:
             return
--- a/hyssopring/protocol/frames.py
+++ b/hyssopring/protocol/frames.py
@@ -56,9 +56,11 @@
 
     Attributes:
         last_received_at: Time in ms at which bytes last arrived.
+        is_serving: See ``OpenConnection``.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
+    is_serving = False
 
     def __init__(
         self,
