HTTP ports of entries and agents: limits over all connections

Cause: the callers' port limited each body and nothing else; the operators' port and announcements left bodies to Twisted, which keeps them on disk with two descriptors each, without a limit. Nothing limited connections, and a crowd with chunks of 64 bytes left no turn to anything else.

Change: all HTTP ports have the bounded site, and those of a process share a budget of bytes (max_buffered_bytes, 12 MiB, an agent 1 MiB), a limit on connections (max_connections, 2000, at most half of the descriptors) and the turns of reading. The budget refuses the largest unfinished requests with 503, not-run; a request that was handed on counts until its response is written and is not refused. A body far over the limit gets one response and one log line. The entry no longer keeps a second copy of a body while its call runs. Announcements have a limit of 64 KiB.

Not covered: responses that a client does not read, and requests sent behind one that is served (64 KiB a connection), count in no budget.

--- a/hyssopring/agent/announce.py
+++ b/hyssopring/agent/announce.py
@@ -4,17 +4,18 @@
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
-from twisted.web.http import Request
 from twisted.web.resource import Resource
 
 from hyssopring.agent.backends import AnnouncedBackend
 from hyssopring.agent.core import AgentCore
+from hyssopring.bounded_http import BoundedRequest
 from hyssopring.configuration import parse_document
 
 __all__ = ('AnnounceResource',)
 
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
+_TOO_LARGE = 413
 _MAX_SLOTS = 100_000
 
 
@@ -54,7 +55,7 @@
         self._core = core
         self.is_ready = True
 
-    def render_GET(self, request: Request) -> bytes:
+    def render_GET(self, request: BoundedRequest) -> bytes:
         """Serve metrics and readiness."""
         if request.path == b'/metrics':
             return self._core.metrics.render().encode()
@@ -63,8 +64,11 @@
         request.setResponseCode(_NOT_FOUND)
         return b'not found\n'
 
-    def render_POST(self, request: Request) -> bytes:
+    def render_POST(self, request: BoundedRequest) -> bytes:
         """Handle one announcement of a backend server."""
+        if request.is_too_large:
+            request.setResponseCode(_TOO_LARGE)
+            return b'the body is too large\n'
         parsed = parse_document(request.content.read(), _Announcement)
         if parsed.is_err():
             request.setResponseCode(_BAD_REQUEST)
--- a/hyssopring/agent/daemon.py
+++ b/hyssopring/agent/daemon.py
@@ -13,14 +13,15 @@
 )
 from hyssopring.agent.http_clients import HttpBackendCaller, HttpWorker
 from hyssopring.agent.links import EntryLinks
+from hyssopring.bounded_http import bounded_site
 from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
+from hyssopring.http_limits import HttpLimits
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, log_event
 from hyssopring.membership import EntryDirectory
 from hyssopring.metrics import Metrics, gauge_process
 from hyssopring.settings import AgentSettings
 from hyssopring.ticker import Ticker
-from hyssopring.web_server import QuietSite
 
 __all__ = ('AgentDaemon',)
 
@@ -30,6 +31,8 @@
 _LISTING_INTERVAL_S = 0.5
 _LEASES_TICK_S = 1.0
 _PROGRESS_INTERVAL_S = 10.0
+_MAX_ANNOUNCEMENT_BYTES = 65_536
+_MAX_BUFFERED_BYTES = 16 * _MAX_ANNOUNCEMENT_BYTES
 
 
 class AgentDaemon:
@@ -91,12 +94,17 @@
             lambda: bool(self.core.calls.unfinished),
         ).wake
         self._lifecycle = Lifecycle(reactor, self._clock, 'agent')
+        self._limits = HttpLimits.from_settings(
+            reactor, self._clock, _MAX_BUFFERED_BYTES, settings.max_connections
+        )
         self.core.metrics.collect(self._update_gauges)
 
     def start(self) -> None:
         """Open the port, dial the entries, start the timers."""
         host, port = parse_address(self._settings.announce_address)
-        site = QuietSite.from_resource(self._announce)
+        site = bounded_site(
+            self._announce, _MAX_ANNOUNCEMENT_BYTES, self._limits
+        )
         self._reactor.listenTCP(port, site, interface=host)
         self._lifecycle.every(_CONNECTIONS_TICK_S, self._tick_connections)
         self._lifecycle.every(_LEASES_TICK_S, self.core.tasks.tick)
@@ -132,6 +140,7 @@
     def _update_gauges(self) -> None:
         metrics = self.core.metrics
         gauge_process(metrics)
+        self._limits.gauge(metrics)
         traffic = self._links.traffic
         metrics.gauge('inner_sent_bytes', traffic.bytes_sent)
         metrics.gauge('inner_received_bytes', traffic.bytes_received)
--- a/hyssopring/entry/callers.py
+++ b/hyssopring/entry/callers.py
@@ -16,10 +16,10 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from hyssopring.clock import MILLIS_PER_SECOND, Clock
+from hyssopring.bounded_http import BoundedRequest
+from hyssopring.clock import Clock
 from hyssopring.entry.calls import Answer
 from hyssopring.entry.core import EntryCore
-from hyssopring.entry.bounded_http import BoundedRequest
 from hyssopring.entry.http_calls import (
     HttpRequest,
     call_from_http,
@@ -114,22 +114,15 @@
 
 def write_failure(request: Request, failure: Failure, link: str = '') -> None:
     """Write an error answer and finish the request."""
-    error_answer = failure.answer
-    document = {
-        'error': failure.kind.value,
-        'ran': error_answer.run_state.value,
-        'detail': failure.detail,
-        'retry_after_ms': error_answer.retry_after_ms,
-    }
+    document = failure.document
     if link:
         document['ask'] = link
     body = json.dumps(document).encode()
-    request.setResponseCode(error_answer.status)
+    request.setResponseCode(failure.answer.status)
     request.setHeader('content-type', 'application/json')
     request.setHeader('content-length', str(len(body)))
-    if error_answer.retry_after_ms is not None:
-        seconds = -(-error_answer.retry_after_ms // MILLIS_PER_SECOND)
-        request.setHeader('retry-after', str(seconds))
+    if failure.retry_after_s is not None:
+        request.setHeader('retry-after', str(failure.retry_after_s))
     request.write(body)
     request.finish()
 
@@ -242,12 +235,10 @@
         for name, texts in request.requestHeaders.getAllRawHeaders()
         for text in texts
     )
-    return HttpRequest(
-        request.method,
-        request.uri,
-        headers,
-        request.content.read(),
-    )
+    body = request.content.read()
+    # A second copy would be held until the response.
+    request.discard_body()
+    return HttpRequest(request.method, request.uri, headers, body)
 
 
 def _query_argument(request: BoundedRequest, name: bytes) -> str:
--- a/hyssopring/entry/daemon.py
+++ b/hyssopring/entry/daemon.py
@@ -6,14 +6,15 @@
 from typing import Any
 
 from hyssopring.addresses import parse_address
+from hyssopring.bounded_http import bounded_site
 from hyssopring.clock import MILLIS_PER_SECOND, Clock, MonotonicClock
 from hyssopring.entry.callers import CallerResource, WaitingCallers
 from hyssopring.entry.core import EntryCore, EntryIdentity
 from hyssopring.entry.decisions import DecisionLog
-from hyssopring.entry.bounded_http import bounded_site
 from hyssopring.entry.job_table import JobTable
 from hyssopring.entry.links import AgentLinks
 from hyssopring.entry.operators import OperatorResource
+from hyssopring.http_limits import HttpLimits, allowed_unknown_peers
 from hyssopring.leases import ShardSettings
 from hyssopring.lifecycle import Lifecycle
 from hyssopring.logs import Event, listen_to_events, log_event
@@ -22,7 +23,6 @@
 from hyssopring.settings import EntrySettings
 from hyssopring.store.client import store_queue
 from hyssopring.ticker import Ticker
-from hyssopring.web_server import QuietSite
 
 __all__ = ('EntryDaemon',)
 
@@ -49,7 +49,9 @@
         self._reactor = reactor
         self._settings = settings
         self._clock = clock or MonotonicClock()
-        self._links = AgentLinks(self._clock, settings.inner_secret)
+        self._links = AgentLinks(
+            self._clock, settings.inner_secret, allowed_unknown_peers()
+        )
         self._waiting = WaitingCallers(settings.inner_secret)
         self._store = store_queue(
             reactor,
@@ -86,6 +88,12 @@
         )
         self._caller_port: Any = None
         self._lifecycle = Lifecycle(reactor, self._clock, 'entry')
+        self._limits = HttpLimits.from_settings(
+            reactor,
+            self._clock,
+            settings.max_buffered_bytes,
+            settings.max_connections,
+        )
         self.core.metrics.collect(self._update_gauges)
 
     @property
@@ -99,12 +107,9 @@
         self._listen(settings.inner_address, self._links)
         self._caller_port = self._listen(
             settings.caller_address,
-            bounded_site(self._callers, settings.max_body_bytes),
-        )
-        self._listen(
-            settings.operator_address,
-            QuietSite.from_resource(self._operators),
+            self._site(self._callers),
         )
+        self._listen(settings.operator_address, self._site(self._operators))
         self._lifecycle.every(_PLAN_INTERVAL_S, self.core.plan)
         self._lifecycle.every(
             _SILENCE_CHECK_INTERVAL_S, self.core.close_silent_connections
@@ -169,6 +174,10 @@
             _day_number,
         )
 
+    def _site(self, resource: Any) -> Any:
+        max_body_bytes = self._settings.max_body_bytes
+        return bounded_site(resource, max_body_bytes, self._limits)
+
     def _listen(self, address: str, factory: Any) -> Any:
         host, port = parse_address(address)
         return self._reactor.listenTCP(port, factory, interface=host)
@@ -176,6 +185,7 @@
     def _update_gauges(self) -> None:
         metrics = self.core.metrics
         gauge_process(metrics)
+        self._limits.gauge(metrics)
         traffic = self._links.traffic
         metrics.gauge('inner_sent_bytes', traffic.bytes_sent)
         metrics.gauge('inner_received_bytes', traffic.bytes_received)
--- a/hyssopring/entry/operators.py
+++ b/hyssopring/entry/operators.py
@@ -9,10 +9,10 @@
 from typing import Any, Callable, Mapping
 
 from result import Result
-from twisted.web.http import Request
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
+from hyssopring.bounded_http import BoundedRequest
 from hyssopring.configuration import (
     AcceptedChange,
     ConfigurationChange,
@@ -39,7 +39,7 @@
 _BEARER = 'Bearer '
 
 _BuildStatus = Callable[[EntryCore], Mapping[str, Any]]
-_ServePage = Callable[[Request, str, str], None]
+_ServePage = Callable[[BoundedRequest, str, str], None]
 
 
 class OperatorResource(Resource):
@@ -66,7 +66,7 @@
         self._decisions = decisions
         self.is_ready = True
 
-    def render(self, request: Request) -> int:
+    def render(self, request: BoundedRequest) -> int:
         """Handle one operator's request."""
         path = request.path.decode('latin-1').strip('/')
         if path in {'healthz', 'metrics'}:
@@ -75,6 +75,9 @@
         if not self._is_authorized(request):
             write_failure(request, Failure(ErrorKind.UNAUTHORIZED, 'token'))
             return NOT_DONE_YET
+        if request.is_too_large:
+            write_failure(request, Failure(ErrorKind.TOO_LARGE, 'the body'))
+            return NOT_DONE_YET
         method = request.method.decode('latin-1')
         page_name, _, subpath = path.removeprefix('v1/').partition('/')
         serve_page = {
@@ -92,7 +95,7 @@
         serve_page(request, method, subpath)
         return NOT_DONE_YET
 
-    def _serve_public_page(self, request: Request, path: str) -> None:
+    def _serve_public_page(self, request: BoundedRequest, path: str) -> None:
         if path == 'metrics':
             _write(request, _OK, self._core.metrics.render(), 'text/plain')
             return
@@ -101,7 +104,7 @@
         status = _UNAVAILABLE if not_ready_reason else _OK
         _write(request, status, f'{not_ready_reason or "ready"}\n')
 
-    def _is_authorized(self, request: Request) -> bool:
+    def _is_authorized(self, request: BoundedRequest) -> bool:
         given_header = request.getHeader('authorization') or ''
         expected_header = _BEARER + self._token
         return hmac.compare_digest(
@@ -110,7 +113,7 @@
         )
 
     def _serve_configuration(
-        self, request: Request, method: str, key: str
+        self, request: BoundedRequest, method: str, key: str
     ) -> None:
         if method == 'GET':
             self._serve_items(request, key)
@@ -128,7 +131,7 @@
             partial(_write_change, request),
         )
 
-    def _serve_items(self, request: Request, key: str) -> None:
+    def _serve_items(self, request: BoundedRequest, key: str) -> None:
         state = self._core.configuration
         if not state.is_known:
             detail = 'no configuration yet'
@@ -146,7 +149,9 @@
         ]
         _write_json(request, {'version': state.version, 'items': items})
 
-    def _serve_job(self, request: Request, method: str, job_id: str) -> None:
+    def _serve_job(
+        self, request: BoundedRequest, method: str, job_id: str
+    ) -> None:
         if method == 'POST':
             self._submit_job(request)
         elif method == 'DELETE':
@@ -156,7 +161,9 @@
         else:
             _write_json(request, job_status(self._core))
 
-    def _serve_task(self, request: Request, method: str, task_id: str) -> None:
+    def _serve_task(
+        self, request: BoundedRequest, method: str, task_id: str
+    ) -> None:
         if method == 'DELETE':
             self._job_table.cancel_task(
                 task_id, partial(_write_result, request)
@@ -165,7 +172,7 @@
         self._serve_explanation(request, method, f'task/{task_id}')
 
     def _serve_explanation(
-        self, request: Request, method: str, subpath: str
+        self, request: BoundedRequest, method: str, subpath: str
     ) -> None:
         kind, _, subject = subpath.partition('/')
         _write_json(
@@ -180,7 +187,7 @@
             },
         )
 
-    def _submit_job(self, request: Request) -> None:
+    def _submit_job(self, request: BoundedRequest) -> None:
         submission = parse_document(request.content.read(), JobSubmission)
         if submission.is_err():
             write_failure(request, submission.unwrap_err())
@@ -198,7 +205,7 @@
 
 
 def _write_change(
-    request: Request,
+    request: BoundedRequest,
     answer: Result[AcceptedChange, Failure],
 ) -> None:
     if answer.is_err():
@@ -207,20 +214,22 @@
     _write_json(request, {'version': answer.unwrap().version})
 
 
-def _write_result(request: Request, answer: Result[Any, Failure]) -> None:
+def _write_result(
+    request: BoundedRequest, answer: Result[Any, Failure]
+) -> None:
     if answer.is_err():
         write_failure(request, answer.unwrap_err())
         return
     _write_json(request, answer.unwrap())
 
 
-def _write_json(request: Request, document: Any) -> None:
+def _write_json(request: BoundedRequest, document: Any) -> None:
     page = f'{json.dumps(document)}\n'
     _write(request, _OK, page, 'application/json')
 
 
 def _write(
-    request: Request,
+    request: BoundedRequest,
     status: int,
     page: str,
     content_type: str = 'text/plain',
--- a/hyssopring/errors.py
+++ b/hyssopring/errors.py
@@ -3,7 +3,9 @@
 import enum
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Final, Mapping
+from typing import Any, Final, Mapping
+
+from hyssopring.clock import MILLIS_PER_SECOND
 
 __all__ = (
     'ANSWERS_BY_KIND',
@@ -117,3 +119,20 @@
         return ErrorAnswer(
             default.status, default.run_state, self.retry_after_ms
         )
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The JSON document of the response."""
+        answer = self.answer
+        return {
+            'error': self.kind.value,
+            'ran': answer.run_state.value,
+            'detail': self.detail,
+            'retry_after_ms': answer.retry_after_ms,
+        }
+
+    @property
+    def retry_after_s(self) -> int | None:
+        """Seconds before a retry, None if a retry cannot help."""
+        delay_ms = self.answer.retry_after_ms
+        return None if delay_ms is None else -(-delay_ms // MILLIS_PER_SECOND)
--- a/hyssopring/settings/models.py
+++ b/hyssopring/settings/models.py
@@ -27,6 +27,8 @@
 )
 _MIN_SECRET_LENGTH = 16
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+_MAX_BUFFERED_BYTES = 1024 * 1024 * 1024
+_MAX_CONNECTIONS = 100_000
 _MAX_PORT = 65_535
 _HOUR_MS = 3_600_000
 # Leases are renewed each second. A shorter lease would expire after one lost
@@ -57,6 +59,16 @@
 _Url = Annotated[str, Field(pattern=_URL_PATTERN)]
 _Secret = Annotated[str, Field(min_length=_MIN_SECRET_LENGTH)]
 _Millis = Annotated[float, Field(ge=10, le=_HOUR_MS)]
+_Connections = Annotated[
+    int,
+    Field(
+        ge=16,
+        le=_MAX_CONNECTIONS,
+        description='Open HTTP connections from clients; for one more, the one '
+        'that has been without a complete request the longest is closed. At '
+        'most half of the descriptors that the system allows.',
+    ),
+]
 _Level = Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
 
 
@@ -131,6 +143,16 @@
         int,
         Field(ge=1024, le=_MAX_BODY_BYTES, description='Largest request body.'),
     ] = 1_048_576
+    max_buffered_bytes: Annotated[
+        int,
+        Field(
+            ge=2 * 1024,
+            le=_MAX_BUFFERED_BYTES,
+            description='Requests held in memory, all together; beyond it the '
+            'largest unfinished ones are refused as overloaded.',
+        ),
+    ] = 12_582_912
+    max_connections: _Connections = 2000
     store_timeout_ms: Annotated[
         _Millis,
         Field(description='When a call to the table service is given up.'),
@@ -183,6 +205,16 @@
         ),
     ] = 3000
 
+    @model_validator(mode='after')
+    def check_buffer(self) -> Self:
+        """Reject a buffer that a body and its successor do not fit in."""
+        if self.max_buffered_bytes < 2 * self.max_body_bytes:
+            raise ValueError(
+                f'max_buffered_bytes: found {self.max_buffered_bytes}, should '
+                f'be at least twice max_body_bytes ({self.max_body_bytes})',
+            )
+        return self
+
     @model_validator(mode='after')
     def check_together(self) -> Self:
         """Reject values that are valid alone but not in combination."""
@@ -249,6 +281,7 @@
         _Level,
         Field(description='Lowest level of the log lines written.'),
     ] = 'INFO'
+    max_connections: _Connections = 2000
     drain_ms: Annotated[
         _Millis,
         Field(description='Longest wait for requests in flight at a stop.'),
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -10,11 +10,12 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.testing import StringTransport
 
+from hyssopring.bounded_http import bounded_site
 from hyssopring.clock import ManualClock
 from hyssopring.entry.callers import CallerResource, WaitingCallers
-from hyssopring.entry.bounded_http import bounded_site
 from hyssopring.entry.http_calls import HttpRequest, call_from_http
 from hyssopring.entry.links import AgentLinks
+from hyssopring.http_limits import HttpLimits
 from hyssopring.protocol.codec import encode
 from hyssopring.protocol.connection import InnerConnection, prove
 from hyssopring.protocol.messages import (
@@ -42,7 +43,11 @@
         resource = CallerResource(
             self.deployment.loop.clock, core, waiting, 2000.0
         )
-        self.site = bounded_site(resource, LIMIT)
+        self.site = bounded_site(
+            resource,
+            LIMIT,
+            HttpLimits.from_settings(None, ManualClock(), 16 * LIMIT, 100),
+        )
         self.site.timeOut = None
 
     def send(self, *parts):
