Tests: the metrics of the HTTP ports are among the gauges

The page lists four more metrics since the limits on clients; the test that compares it with what is exported names the gauges, and lacked them. It is as strict as before.

--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -35,6 +35,10 @@
     'messages_received_total',
     'link_sent_bytes_total',
     'link_received_bytes_total',
+    'request_bytes',
+    'request_bodies_refused_total',
+    'client_connections',
+    'client_connections_closed_total',
 }
 
 
