--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -160,10 +160,21 @@
         self.ver = 1
         self.changes = []
         self.refused_rows = 0
+        # Addresses of entries, and those of the proxies before them.
+        self.seen_as = {}
         self._changed = asyncio.Event()
         # Called with method, path and body; may return an answer or wait.
         self.fault = None
 
+    def seen(self, table, value):
+        """Return a value as readers see it, with proxies for entries."""
+        if table != 'hs_entry' or not self.seen_as:
+            return value
+        text = base64.b64decode(value).decode()
+        for written, shown in self.seen_as.items():
+            text = text.replace(written, shown)
+        return base64.b64encode(text.encode()).decode()
+
     def put(self, table, part, key, text):
         self.ver += 1
         self._set((table, part, key), base64.b64encode(text.encode()).decode())
@@ -213,6 +224,7 @@
 
     def _fields(self, place):
         value, ver = self.rows[place]
+        value = self.seen(place[0], value)
         table, part, key = place
         return dict(table=table, part=part, key=key, value=value, ver=ver)
 
@@ -301,7 +313,10 @@
         rows = []
         for ver, (table, part, key), value in changed:
             row = dict(table=table, part=part, key=key, ver=ver)
-            row.update({'removed': True} if value is None else {'value': value})
+            if value is None:
+                row['removed'] = True
+            else:
+                row['value'] = self.seen(table, value)
             rows.append(row)
         return 200, self._stamp({'rows': rows})
 
@@ -499,7 +514,10 @@
         self._environments = {}
         self._commands = {}
         self._beats = []
+        self.zone_of = {}
+        self.entry_names = [f'edge-{n:02d}' for n in range(entries)]
         net = f'127.{random.randrange(20, 250)}.{random.randrange(1, 250)}'
+        self.net = net
         self.ports = free_ports(f'{net}.1', 7)
         front, ready, control, inner, metrics, app, store = self.ports
         self.front_port = front
@@ -508,13 +526,13 @@
         self.entry_ips = [f'{net}.{10 + n}' for n in range(entries)]
         self.runners = []
         for number, ip in enumerate(self.entry_ips):
-            self._add(f'edge-{number}', ip, 'edge', {})
+            self._add(f'edge-{number:02d}', ip, 'edge', {})
         for number in range(runners):
             ip = f'{net}.{50 + number}'
             runner = Runner(self, number, ip, app, control)
             self.runners.append(runner)
             self._add(
-                f'side-{number}',
+                f'side-{number:02d}',
                 ip,
                 'side',
                 {
@@ -534,12 +552,12 @@
             'machineClass': kind,
             'serves': ['edge', 'control'] if kind == 'edge' else ['side'],
             'ip': ip,
-            'zone': 'zone-a',
+            'zone': self.zone(name),
             'region': 'r',
-            'zones': {'zone-a': 'r'},
+            'zones': self.zones(),
             'bindAddresses': bind,
             'internalPorts': [inner, inner],
-            'seeds': [f'{each}:{control}' for each in self.entry_ips],
+            'seeds': self.seeds(name, control),
             'bootstrap': True,
             'limits': {
                 'cpuQuota': 0.43 if kind == 'edge' else 0.645,
@@ -555,7 +573,7 @@
             },
             'commandMode': 'invocation',
             'platform': {
-                'address': f'{self.store_ip}:{store}',
+                'address': f'{self.store_host(name)}:{store}',
                 'form': 'table',
                 'writesPerS': 800,
                 'readsPerS': 2000,
@@ -575,6 +593,26 @@
         role = ['entry', 'deploy/scheduling.json']
         self._commands[name] = role if kind == 'edge' else ['agent']
 
+    def zone(self, name):
+        self.zone_of[name] = 'zone-a'
+        return 'zone-a'
+
+    def zones(self):
+        return {'zone-a': 'r'}
+
+    def seeds(self, name, control):
+        return [f'{each}:{control}' for each in self.entry_ips]
+
+    def store_host(self, name):
+        return self.store_ip
+
+    def owner(self):
+        """Return the name of the entry that the owner row names."""
+        for (table, _part, key), (value, _ver) in self.store.rows.items():
+            if (table, key) == ('hs_owner', 'owner'):
+                return json.loads(base64.b64decode(value)).get('entry_id')
+        return None
+
     async def start(self, name):
         log = (self.temporary / f'{name}.log').open('ab')
         self.processes[name] = await asyncio.create_subprocess_exec(
@@ -600,7 +638,7 @@
         """Start everything; return once each entry answers for the queues."""
         configuration = {'version': 3, 'routes': routes, 'limits': {}}
         self.store.put('op', '', 'config', json.dumps(configuration))
-        await self.store_server.open()
+        await self.open_servers()
         for runner in self.runners:
             await runner.begin()
             self._beats.append(asyncio.create_task(runner.beat()))
@@ -616,6 +654,12 @@
                 return False
         return True
 
+    async def open_servers(self):
+        await self.store_server.open()
+
+    def close_servers(self):
+        self.store_server.close()
+
     async def ask(self, entry, method, path, body=None, timeout_s=3.0):
         """Send a client's request to an entry; record it with its answer."""
         answer = await call(
@@ -682,7 +726,7 @@
                 process.kill()
         for process in self.processes.values():
             await process.wait()
-        self.store_server.close()
+        self.close_servers()
         for runner in self.runners:
             runner.server.close()
         if os.environ.get('KEEP'):
@@ -691,6 +735,143 @@
             shutil.rmtree(self.temporary, ignore_errors=True)
 
 
+class LinkProxy:
+    """Passes on connections to an entry, but for those that are cut.
+
+    Whose connection it is stands in its first message, the greeting.
+    """
+
+    def __init__(self, host, target, port, names):
+        self.host, self.target, self.port = host, target, port
+        self.names = names
+        self.cut = set()
+        self._writers = set()
+        self._server = None
+
+    async def open(self):
+        self._server = await asyncio.start_server(
+            self._serve, self.host, self.port, reuse_address=True
+        )
+
+    def close(self):
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        tasks = []
+        try:
+            first = await reader.read(65_536)
+            name = next((n for n in self.names if n.encode() in first), '')
+            if name in self.cut:
+                await asyncio.sleep(3600)
+            onward_reader, onward = await asyncio.open_connection(
+                self.target, self.port
+            )
+            self._writers.add(onward)
+            onward.write(first)
+            tasks = [
+                asyncio.create_task(self._pass(reader, onward, name)),
+                asyncio.create_task(self._pass(onward_reader, writer, name)),
+            ]
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            onward.transport.abort()
+            self._writers.discard(onward)
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass
+        finally:
+            for task in tasks:
+                task.cancel()
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _pass(self, reader, writer, name):
+        while part := await reader.read(65_536):
+            while name in self.cut:
+                await asyncio.sleep(0.05)
+            writer.write(part)
+            await writer.drain()
+
+
+class Zones(Deployment):
+    """A deployment of several zones, with links that can be cut."""
+
+    def __init__(self, folder, runners, entries):
+        self._zone_count = entries
+        super().__init__(folder, runners=runners, entries=entries)
+        inner, store = self.ports[3], self.ports[6]
+        names = [*self.entry_names, *(f'side-{n:02d}' for n in range(runners))]
+        self.links = {}
+        for number, name in enumerate(self.entry_names):
+            ip = self.entry_ips[number]
+            host = self._proxy_host(name)
+            self.links[name] = LinkProxy(host, ip, inner, names)
+            self.store.seen_as[f'{ip}:{inner}'] = f'{host}:{inner}'
+        self._silent = set()
+        self._store_servers = [
+            HttpServer(self.store_host(name), store, self._store_of(name))
+            for name in names
+        ]
+
+    def _store_of(self, name):
+        async def handle(method, path, headers, body):
+            answer = None
+            if name not in self._silent:
+                answer = await self.store.handle(method, path, headers, body)
+            if name in self._silent:
+                await asyncio.sleep(3600)
+            return answer
+
+        return handle
+
+    def _proxy_host(self, name):
+        return f'{self.net}.{200 + int(name[-2:])}'
+
+    def zone(self, name):
+        self.zone_of[name] = f'zone-{int(name[-2:]) % self._zone_count}'
+        return self.zone_of[name]
+
+    def zones(self):
+        return {f'zone-{n}': 'r' for n in range(self._zone_count)}
+
+    def seeds(self, name, control):
+        return [
+            f'{self._proxy_host(each)}:{control}'
+            for each in self.entry_names
+            if each != name
+        ]
+
+    def store_host(self, name):
+        offset = 100 if name.startswith('edge') else 150
+        return f'{self.net}.{offset + int(name[-2:])}'
+
+    async def open_servers(self):
+        for server in (*self._store_servers, *self.links.values()):
+            await server.open()
+
+    def close_servers(self):
+        for server in (*self._store_servers, *self.links.values()):
+            server.close()
+
+    def cut_near(self, name):
+        """Cut an entry from the store and the machines of other zones."""
+        self._silent.add(name)
+        zone = self.zone_of[name]
+        far = {each for each in self.zone_of if self.zone_of[each] != zone}
+        self.links[name].cut = far
+        for each in self.entry_names:
+            if each != name:
+                self.links[each].cut = {name}
+        self.record.write('cut begins')
+
+    def end_cuts(self):
+        self._silent.clear()
+        for link in self.links.values():
+            link.cut = set()
+        self.record.write('cut ends')
+
+
 def free_ports(host, count):
     """Return ports that nothing uses on the host just now."""
     sockets = [socket.socket() for _ in range(count)]
@@ -716,11 +897,11 @@
 }
 
 
-def run_case(folder, play, limit_s=115, **size):
+def run_case(folder, play, limit_s=115, kind=Deployment, **size):
     """Play a case and exit with its result."""
 
     async def main():
-        deployment = Deployment(pathlib.Path(folder), **size)
+        deployment = kind(pathlib.Path(folder), **size)
         deployment.record.write('trouble' if HAS_TROUBLE else 'no trouble')
         try:
             async with asyncio.timeout(limit_s):
