--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -909,7 +910,15 @@
         except TimeoutError:
             deployment.record.say('the case took too long')
             return NOT_RUN
+        except Exception:
+            deployment.record.say(traceback.format_exc())
+            return NOT_RUN
         finally:
             await deployment.close()
 
-    sys.exit(asyncio.run(main()))
+    try:
+        outcome = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        outcome = NOT_RUN
+    sys.exit(outcome)
